--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on daemons as plain processes, on loopback; each module is a command."""
--- /dev/null
+++ b/benchmarks/analysis.py
@@ -0,0 +1,97 @@
+"""Figures of a run, from the callers' records and the upstreams' own logs."""
+
+from dataclasses import dataclass
+from itertools import combinations
+
+import numpy as np
+
+from benchmarks.play import Seen
+
+STEP = 0.02
+
+
+@dataclass(frozen=True)
+class Fairness:
+    """The gaps between workspaces while both were backlogged, and idle slots.
+
+    Gaps are in cost units per weight; in seconds, they are divided by the pool's service rate.
+    """
+
+    largest_gap: float
+    p99_gap: float
+    largest_gap_seconds: float
+    largest_cost: float
+    pairs: int
+    idle_share: float
+    waiting_share: float
+
+
+class Curves:
+    """Service and waiting of every workspace over time, on a grid of ``STEP`` seconds."""
+
+    def __init__(self, seen: list[Seen], runs: list[dict], begin: float, end: float) -> None:
+        self.times = np.arange(begin, end, STEP)
+        self.names = sorted({record.ask.workspace for record in seen})
+        self.service = {name: np.zeros(len(self.times)) for name in self.names}
+        self.waiting = {name: np.zeros(len(self.times)) for name in self.names}
+        self.running = np.zeros(len(self.times))
+        self._add_runs(runs)
+        self._add_waiting(seen, {run["request"]: run for run in runs})
+
+    def _add_runs(self, runs: list[dict]) -> None:
+        for run in runs:
+            if not run["started_at"]:
+                continue
+            ended = run["ended_at"] or self.times[-1]
+            span = max(ended - run["started_at"], 1e-6)
+            share = np.clip((self.times - run["started_at"]) / span, 0.0, 1.0)
+            cost = run["prompt_tokens"] + run["produced"]
+            self.service[run["workspace"]] += share * cost
+            self.running += (self.times >= run["started_at"]) & (self.times < ended)
+
+    def _add_waiting(self, seen: list[Seen], by_request: dict[str, dict]) -> None:
+        for record in seen:
+            if record.ask.label not in ("draft", "tag"):
+                continue
+            run = by_request.get(record.request)
+            until = run["received_at"] if run else record.ended_at
+            inside = (self.times >= record.sent_at) & (self.times < until)
+            self.waiting[record.ask.workspace] += inside
+
+
+def fairness(curves: Curves, weights: dict[str, float], slots: int, rate: float) -> Fairness:
+    """Return the fairness of a run; ``rate`` is the pool's service in cost units a second."""
+    gaps = []
+    for left, right in combinations(curves.names, 2):
+        difference = curves.service[left] / weights[left] - curves.service[right] / weights[right]
+        both = (curves.waiting[left] > 0) & (curves.waiting[right] > 0)
+        gaps += _ranges(difference, both)
+    any_waiting = sum(curves.waiting.values()) > 0
+    idle = np.clip(slots - curves.running, 0, slots)
+    waiting_time = max(1, int(any_waiting.sum()))
+    return Fairness(
+        largest_gap=float(max(gaps, default=0.0)),
+        p99_gap=float(np.percentile(gaps, 99)) if gaps else 0.0,
+        largest_gap_seconds=float(max(gaps, default=0.0)) / rate,
+        largest_cost=0.0,
+        pairs=len(gaps),
+        idle_share=float((idle * any_waiting).sum() / (slots * waiting_time)),
+        waiting_share=float(any_waiting.mean()),
+    )
+
+
+def _ranges(difference: np.ndarray, both: np.ndarray) -> list[float]:
+    """Return the range of ``difference`` over each stretch in which both were backlogged."""
+    edges = np.flatnonzero(np.diff(np.concatenate(([0], both.astype(int), [0]))))
+    found = []
+    for first, after in zip(edges[::2], edges[1::2], strict=True):
+        stretch = difference[first:after]
+        found.append(float(stretch.max() - stretch.min()))
+    return found
+
+
+def percentiles(values: list[float]) -> dict[str, float]:
+    """Return p50, p95 and p99 of ``values``."""
+    if not values:
+        return {}
+    return {f"p{p}": round(float(np.percentile(values, p)), 4) for p in (50, 95, 99)}
--- /dev/null
+++ b/benchmarks/play.py
@@ -0,0 +1,121 @@
+"""Play a workload against the daemons, and record what every caller saw."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from tornado.httputil import HTTPHeaders
+
+from benchmarks.deployment import Deployment
+from benchmarks.workload import Ask
+from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
+
+
+@dataclass
+class Seen:
+    """What the caller of one request saw; times are in seconds since the Unix epoch."""
+
+    ask: Ask
+    sent_at: float
+    request: str = ""
+    status: int = 0
+    outcome: str = ""
+    reason: str = ""
+    first_at: float = 0.0
+    ended_at: float = 0.0
+    whole: bool = False
+    own: bool = True
+    error: str = ""
+    retry_after: str = ""
+
+
+class _Caller:
+    """Receive one answer, and judge whether it is whole and the caller's own."""
+
+    def __init__(self, seen: Seen) -> None:
+        self._seen = seen
+        self._rest = b""
+        self._next = 0
+        self._done = False
+        self.body = b""
+
+    async def head(self, status: int, headers: HTTPHeaders) -> None:
+        self._seen.status = status
+        self._seen.request = headers.get("X-Request-Id", "")
+        self._seen.outcome = headers.get("X-Railsail-Outcome", "")
+        self._seen.reason = headers.get("X-Railsail-Reason", "")
+        self._seen.retry_after = headers.get("Retry-After", "")
+
+    async def data(self, chunk: bytes) -> None:
+        if not self._seen.first_at:
+            self._seen.first_at = time.time()
+        if self._seen.ask.label in ("status", "once") or self._seen.status != 200:
+            self.body += chunk
+            return
+        *events, self._rest = (self._rest + chunk).split(b"\n\n")
+        for event in events:
+            self._take(event)
+
+    def _take(self, event: bytes) -> None:
+        number, _, data = event.partition(b"\n")
+        if int(number.removeprefix(b"id: ")) != self._next or self._done:
+            self._seen.own = False
+        self._next += 1
+        self._done = data == b"data: [DONE]"
+        if not self._done and self._seen.request.encode() not in data:
+            self._seen.own = False
+
+    def judge(self) -> None:
+        seen = self._seen
+        if seen.status != 200:
+            return
+        if seen.ask.label in ("status", "once"):
+            seen.whole = True
+            seen.own = f'"key": "{seen.ask.key}"'.encode() in self.body
+        else:
+            seen.whole = self._done and not self._rest
+
+
+async def play(
+    deployment: Deployment, asks: list[Ask], targets: list[str], drop_after: float = 0.0
+) -> list[Seen]:
+    """Send each request at its time to ``targets[ask.daemon]``; return what the callers saw.
+
+    Requests that have not ended ``drop_after`` seconds after the last one was sent are given up.
+    """
+    begin = time.time() + 0.2
+    tasks = []
+    seen = []
+    for ask in asks:
+        await asyncio.sleep(max(0.0, begin + ask.at - time.time()))
+        record = Seen(ask, time.time())
+        seen.append(record)
+        endpoint = targets[ask.daemon % len(targets)]
+        tasks.append(asyncio.ensure_future(call(deployment, endpoint, record)))
+    if tasks:
+        _, pending = await asyncio.wait(tasks, timeout=drop_after or None)
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+    return seen
+
+
+async def call(deployment: Deployment, endpoint: str, seen: Seen) -> None:
+    """Make one call, and record what comes of it."""
+    method, path, body = seen.ask.http(deployment.shape)
+    headers = {"Authorization": f"Bearer rs-demo-{seen.ask.workspace}"}
+    if seen.ask.label == "once":
+        headers["Idempotency-Key"] = seen.ask.key
+    if body:
+        headers["Content-Type"] = "application/json"
+    caller = _Caller(seen)
+    try:
+        await exchange(HttpRequest(endpoint, method, path, headers, body), caller)
+        caller.judge()
+    except (NotSent, CutOff) as problem:
+        seen.error = f"{type(problem).__name__}: {problem}"
+    except asyncio.CancelledError:
+        seen.error = "given up"
+        raise
+    finally:
+        seen.ended_at = time.time()
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -183,9 +183,11 @@
         self.body += chunk
 
 
-async def fetch(request: HttpRequest, seconds: float) -> Collector | None:
+async def fetch(
+    request: HttpRequest, seconds: float, most_bytes: int = 1 << 20
+) -> Collector | None:
     """Return a short answer, or ``None`` if none came within ``seconds``."""
-    collector = Collector()
+    collector = Collector(most_bytes)
     with contextlib.suppress(NotSent, CutOff, TimeoutError):
         async with asyncio.timeout(seconds):
             await exchange(request, collector)
