tests: proved at most once, answers, leaving, take-over, drain and configuration under failure

Cause: none of the promises had a test that provokes its failure. They found and this mends: a load report took back what the list said of a leaving replica; each report of such a replica would have been told to the whole fleet; a learnt limit stuck at 4.25; a new node waited a heartbeat before it dialled its seeds; a new dispatcher waited a tick before it asked for loads.

--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -122,6 +122,7 @@
             self._dispatchers[cell] = dispatcher
             self._set_replicas(cell, dispatcher)
             self._events.emit(Kind.TOOK_OVER, f"dispatcher of {cell}")
+            self._ask_loads(cell, dispatcher, self._clock.monotonic())
         self._used_at[cell] = self._clock.monotonic()
         return cell, dispatcher
 
--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -80,6 +80,7 @@
     def listed(self, listing: Listing) -> None:
         """Take in the platform's list of nodes."""
         self.add_seeds([stored.name for stored in listing.objects])
+        self._ask_seeds()
 
     def seen(self, event: WatchEvent) -> None:
         """Take in a change of the platform's list of nodes."""
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -284,11 +284,17 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
-        """Close everything."""
+        """Close everything, after claims of requests that were not run are given back."""
         self.lifecycle.advance(State.STOPPED)
         for server in self._servers:
             server.stop()
         await self.claims.settle(1.0)
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Close everything at once."""
+        for server in self._servers:
+            server.stop()
         for task in self._tasks:
             task.cancel()
         for server in self._servers:
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -93,7 +93,7 @@
             self._usual_time = seconds
         if seconds > SLOW_FACTOR * self._usual_time:
             self._limit = max(LEAST_LIMIT, self._limit * DECREASE)
-        elif self.in_flight + 1 >= self._limit:
+        elif self.in_flight + 1 >= int(self._limit):
             self._limit = min(MOST_LIMIT, self._limit + 1 / self._limit)
         self._usual_time += USUAL_TIME_GAIN * (seconds - self._usual_time)
 
@@ -106,8 +106,10 @@
             self._closed_seconds = min(self._closed_seconds * 2, MOST_CLOSED_SECONDS)
 
     def reported(self, now: float, report: LoadReport) -> None:
-        """Take in a load report, which lags by its age."""
-        self.leaving = report.leaving
+        """Take in a load report, which lags by its age.
+
+        Whether the replica leaves is decided from all signs, not here: see ``leaving``.
+        """
         if report.slots:
             self._slots = report.slots
         self._remember(now)
--- a/railsail/standins/fleet.py
+++ b/railsail/standins/fleet.py
@@ -119,6 +119,11 @@
         await node.start()
         return node
 
+    async def kill(self, node: Node) -> None:
+        """End a daemon as a crash would: nothing is told to anyone."""
+        self.nodes.remove(node)
+        await node.abort()
+
     async def stop(self) -> None:
         """Stop everything."""
         for node in self.nodes:
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -50,8 +50,12 @@
     @property
     def leaving(self) -> bool:
         """Say whether the replica must get no new work."""
-        signed = self.sign_leaving and self.sign_version >= self.version
-        return signed or self.listed is not Listed.LIVE
+        return self.signed_leaving or self.listed is not Listed.LIVE
+
+    @property
+    def signed_leaving(self) -> bool:
+        """Say whether a sign that still counts says that the replica leaves."""
+        return self.sign_leaving and self.sign_version >= self.version
 
 
 class UpstreamDirectory:
@@ -110,7 +114,7 @@
     def sign(self, name: str, leaving: bool, at: float) -> None:
         """Take note that a replica itself, or a failed call, said whether it leaves."""
         known = self._upstreams.get(name)
-        if known is None or known.leaving == leaving:
+        if known is None or known.signed_leaving == leaving:
             return
         at_ms = max(int(at * 1000), known.sign_at + 1)
         signed = replace(known, sign_version=known.version, sign_at=at_ms, sign_leaving=leaving)
--- /dev/null
+++ b/tests/fleet/test_dispatch.py
@@ -0,0 +1,121 @@
+"""Dispatchers that are lost, paused or doubled; planned stops."""
+
+import asyncio
+
+from railsail.core.lifecycle import State
+from railsail.peers.messages import Granted
+from railsail.scheduling.cells import Cell
+from railsail.standins.engine import EngineSettings
+from tests.fleet.base import FleetTestCase, whole
+
+CELL = Cell("model", 0, 1)
+
+
+class DispatchTestCase(FleetTestCase):
+    engines = 1
+    engine = EngineSettings(slots=2, decode_rate=100.0, load_lag=0.05)
+
+    def dispatcher(self):
+        """Return the node that dispatches the pool ``model``, by everybody's word."""
+        names = self.named()
+        self.assertEqual(len(names), 1)
+        return next(n for n in self.fleet.nodes if n.settings.node_id in names)
+
+    def named(self) -> set[str]:
+        return {node.cells.dispatcher(CELL) for node in self.fleet.nodes}
+
+    async def follower(self, lost):
+        """Return the dispatcher that all name once ``lost`` is not named any more."""
+        lost_id = lost.settings.node_id
+        await self.until(lambda: lost_id not in self.named() and len(self.named()) == 1)
+        return self.dispatcher()
+
+    def others(self) -> list:
+        lost = self.dispatcher()
+        return [node for node in self.fleet.nodes if node is not lost]
+
+    def ask(self, nodes: list, count: int, tokens: int = 30) -> list[asyncio.Task]:
+        return [
+            asyncio.ensure_future(self.complete(nodes[number % len(nodes)], tokens))
+            for number in range(count)
+        ]
+
+    def waiting(self) -> int:
+        return sum(len(node.desk.waiting()) for node in self.fleet.nodes)
+
+
+class LossTests(DispatchTestCase):
+    async def test_lost_dispatcher_loses_no_request(self):
+        others = self.others()
+        calls = self.ask(others, 8)
+        await self.until(lambda: self.waiting() >= 3)
+        await self.fleet.kill(self.dispatcher())
+        responses = await asyncio.gather(*calls)
+        self.assertTrue(all(whole(response) for response in responses))
+        self.assertEqual(len(self.fleet.engines["model-0"].log), 8)
+
+    async def test_new_dispatcher_knows_calls_in_flight_and_counters(self):
+        others = self.others()
+        calls = self.ask(others, 6, tokens=60)
+        await self.until(lambda: self.waiting() >= 1)
+        lost = self.dispatcher()
+        await self.fleet.kill(lost)
+        follower = await self.follower(lost)
+        await self.until(lambda: CELL in follower.dispatchers.dispatchers())
+        cell = follower.dispatchers.dispatchers()[CELL]
+        await self.until(lambda: len(cell.flights) + len(cell.queue) == 6)
+        self.assertGreater(cell.queue.counter("one"), 0.0)
+        await asyncio.gather(*calls)
+        await self.until(lambda: not cell.flights)
+
+    async def test_stale_grant_is_handed_back(self):
+        node = self.others()[0]
+        call = self.ask([node], 1, tokens=5)
+        await asyncio.gather(*call)
+        node.hub._deliver(self.dispatcher().settings.node_id, Granted(1, 1, "model-0", 0))
+        self.assertEqual(node.metrics.returned.get({}), 1)
+        self.assertEqual(len(self.fleet.engines["model-0"].log), 1)
+
+    async def test_two_dispatchers_at_once_serve_everything_once(self):
+        first, second = self.others()
+        # Each entry believes in a dispatcher of its own, as while a partition heals.
+        first.cells.dispatcher = lambda cell: first.settings.node_id
+        second.cells.dispatcher = lambda cell: second.settings.node_id
+        responses = await asyncio.gather(*self.ask([first, second], 12))
+        self.assertTrue(all(whole(response) for response in responses))
+        self.assertEqual(len(self.fleet.engines["model-0"].log), 12)
+
+
+class DrainTests(DispatchTestCase):
+    async def test_planned_stop_cuts_nothing(self):
+        leaving = self.dispatcher()
+        calls = self.ask(self.fleet.nodes, 9)
+        await self.until(lambda: self.waiting() >= 4)
+        await leaving.drain()
+        self.assertIs(leaving.lifecycle.state, State.DRAINING)
+        self.assertEqual(leaving.admission.total, 0)
+        await self.fleet.kill(leaving)
+        responses = await asyncio.gather(*calls)
+        self.assertTrue(all(whole(response) for response in responses))
+
+    async def test_stopping_node_is_not_ready_and_gives_its_cells_away(self):
+        leaving = self.dispatcher()
+        drain = asyncio.ensure_future(leaving.drain())
+        await self.until(leaving.not_ready)
+        others = [node for node in self.fleet.nodes if node is not leaving]
+        await self.until(
+            lambda: all(n.cells.dispatcher(CELL) != leaving.settings.node_id for n in others)
+        )
+        await drain
+
+    async def test_counters_are_handed_over(self):
+        leaving = self.dispatcher()
+        await asyncio.gather(*self.ask([leaving], 3))
+        before = leaving.dispatchers.dispatchers()[CELL].queue.counter("one")
+        await leaving.drain()
+        follower = next(
+            n for n in self.fleet.nodes if n.settings.node_id == leaving.cells.dispatcher(CELL)
+        )
+        await self.until(lambda: CELL in follower.dispatchers.dispatchers())
+        after = follower.dispatchers.dispatchers()[CELL].queue.counter("one")
+        self.assertAlmostEqual(after, before, delta=1.0)
--- /dev/null
+++ b/tests/fleet/test_once.py
@@ -0,0 +1,110 @@
+"""At most once, and the truth of "not run", through kills, retries and store trouble."""
+
+import asyncio
+import json
+
+from railsail.standins.service import Faults
+from railsail.standins.store import Faults as StoreFaults
+from tests.fleet.base import FleetTestCase
+
+PATH = "/services/desk/classify?key=k1&seconds=0.2"
+
+
+class OnceTests(FleetTestCase):
+    policies = {"never_repeat": "request.method == 'POST'"}
+
+    def runs(self) -> list[dict]:
+        return self.fleet.services["desk-0"].log
+
+    async def ask(self, node, path: str = PATH, **headers: str):
+        return await self.call(node, path, "POST", {}, Idempotency_Key="k1", **headers)
+
+    async def test_retries_at_all_nodes_at_once_run_once_and_get_one_answer(self):
+        responses = await asyncio.gather(*(self.ask(node) for node in self.fleet.nodes))
+        self.assertEqual([response.code for response in responses], [200, 200, 200])
+        self.assertEqual(len({response.body for response in responses}), 1)
+        self.assertEqual(len({r.headers["X-Request-Id"] for r in responses}), 1)
+        self.assertEqual(len(self.runs()), 1)
+
+    async def test_later_retry_elsewhere_gets_the_first_answer(self):
+        first = await self.ask(self.fleet.nodes[0])
+        second = await self.ask(self.fleet.nodes[1])
+        self.assertEqual((second.code, second.body), (200, first.body))
+        self.assertEqual(len(self.runs()), 1)
+
+    async def test_retry_after_the_node_was_lost_is_a_conflict_and_never_a_second_run(self):
+        lost, other, _ = self.fleet.nodes
+        first = asyncio.ensure_future(self.ask(lost))
+        await self.until(self.runs)
+        await self.fleet.kill(lost)
+        await asyncio.gather(first, return_exceptions=True)
+        second = await self.ask(other, X_Deadline_Seconds="3")
+        self.assertEqual(second.code, 409)
+        self.assertEqual(json.loads(second.body)["error"]["outcome"], "unknown")
+        self.assertEqual(len(self.runs()), 1)
+
+    async def test_key_of_another_request_is_a_conflict(self):
+        await self.ask(self.fleet.nodes[0])
+        second = await self.ask(self.fleet.nodes[1], "/services/desk/classify?key=other")
+        self.assertEqual(second.code, 409)
+        self.assertEqual(len(self.runs()), 1)
+
+    async def test_same_key_of_another_workspace_is_another_key(self):
+        await self.ask(self.fleet.nodes[0])
+        second = await self.call(
+            self.fleet.nodes[0], PATH, "POST", {}, workspace="two", Idempotency_Key="k1"
+        )
+        self.assertEqual(second.code, 200)
+        self.assertEqual(len(self.runs()), 2)
+
+    async def test_cut_answer_is_unknown_and_not_tried_again(self):
+        self.fleet.services["desk-0"].faults = Faults(close=True)
+        first = await self.ask(self.fleet.nodes[0])
+        second = await self.ask(self.fleet.nodes[1], X_Deadline_Seconds="2")
+        self.assertEqual((first.code, second.code), (502, 409))
+        self.assertEqual(len(self.runs()), 1)
+
+    async def test_without_key_a_cut_call_is_sent_once(self):
+        self.fleet.services["desk-0"].faults = Faults(close=True)
+        response = await self.call(self.fleet.nodes[0], PATH, "POST", {})
+        self.assertEqual(response.code, 502)
+        self.assertEqual(len(self.runs()), 1)
+
+    async def test_repeatable_call_is_tried_again_within_the_budget(self):
+        self.fleet.services["desk-0"].faults = Faults(close=True)
+        response = await self.call(self.fleet.nodes[0], PATH)
+        self.assertEqual(response.code, 502)
+        self.assertGreater(len(self.runs()), 1)
+
+    async def test_store_down_refuses_claims_as_not_run_and_serves_the_rest(self):
+        self.fleet.store.faults = StoreFaults(down=True)
+        claimed = await self.ask(self.fleet.nodes[0], X_Deadline_Seconds="0.5")
+        plain = await self.call(self.fleet.nodes[0], "/services/desk/status")
+        error = json.loads(claimed.body)["error"]
+        self.assertEqual((claimed.code, error["reason"]), (503, "claim-unavailable"))
+        self.assertEqual(claimed.headers["Retry-After"], "2")
+        self.assertEqual(plain.code, 200)
+        self.assertEqual([run["path"] for run in self.runs()], ["/status"])
+
+    async def test_key_refused_as_not_run_can_be_used_when_the_store_is_back(self):
+        self.fleet.store.faults = StoreFaults(down=True)
+        await self.ask(self.fleet.nodes[0], X_Deadline_Seconds="0.3")
+        self.fleet.store.faults = StoreFaults()
+        responses = []
+        while not responses or responses[-1].code == 409:
+            responses.append(await self.ask(self.fleet.nodes[1], X_Deadline_Seconds="5"))
+        self.assertEqual(responses[-1].code, 200)
+        self.assertEqual(len(self.runs()), 1)
+
+    async def test_lost_replies_of_the_store_change_nothing(self):
+        self.fleet.store.faults = StoreFaults(lose_replies=0.3)
+        for number in range(4):
+            key = f"lossy-{number}"
+            path = f"/services/desk/classify?key={key}"
+            asks = [
+                self.call(node, path, "POST", {}, Idempotency_Key=key)
+                for node in self.fleet.nodes
+            ]
+            responses = await asyncio.gather(*asks)
+            self.assertEqual({response.code for response in responses}, {200})
+        self.assertEqual(len(self.runs()), 4)
--- /dev/null
+++ b/tests/store/test_claims.py
@@ -0,0 +1,157 @@
+"""Claims: at most one holder, whatever the store and the batchers do."""
+
+import asyncio
+import random
+import unittest
+
+from railsail.core.clock import Clock
+from railsail.core.exceptions import StoreConflict, StoreUnavailable
+from railsail.store import claims
+from railsail.store.base import StoredObject
+from railsail.store.claims import Claim, ClaimResult, ClaimShard, claim_key
+from railsail.store.journal import Head, Journal
+
+
+class MemoryStore:
+    """A store in memory that loses replies and fails by chance."""
+
+    def __init__(self, seed: int, lose: float = 0.0, fail: float = 0.0) -> None:
+        self.rng = random.Random(seed)
+        self.lose = lose
+        self.fail = fail
+        self.version = 0
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        self.puts = 0
+
+    async def get(self, kind, name):
+        await self._turn()
+        return self.objects.get((kind, name))
+
+    async def put(self, kind, name, value, expected):
+        await self._turn()
+        stored = self.objects.get((kind, name))
+        if expected != (stored.version if stored else 0):
+            raise StoreConflict(name)
+        self.version += 1
+        self.puts += 1
+        self.objects[(kind, name)] = StoredObject(kind, name, self.version, value)
+        if self.rng.random() < self.lose:
+            raise StoreUnavailable("the reply was lost")
+        return self.version
+
+    async def delete(self, kind, name, expected):
+        await self._turn()
+        self.objects.pop((kind, name), None)
+
+    async def _turn(self):
+        await asyncio.sleep(0)
+        if self.rng.random() < self.fail:
+            raise StoreUnavailable("down")
+
+
+def claim(name: str, node: str, attempt: int = 1, release: bool = False) -> Claim:
+    return Claim(claim_key("w", name), b"f" * 16, node, 1, attempt, release)
+
+
+class ClaimTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        # The spacing of writes is a matter of cost; the tests need not wait for it.
+        self.addCleanup(setattr, claims, "SPACING_SECONDS", claims.SPACING_SECONDS)
+        claims.SPACING_SECONDS = 0.0
+
+    def shard(self, store: MemoryStore, keep: float = 3600.0) -> ClaimShard:
+        shard = ClaimShard(store, 0, keep, Clock(), random.Random(5))
+        shard._backoff._first = 0.0005
+        shard._backoff._most = 0.001
+        return shard
+
+    async def race(self, store: MemoryStore, keys: int) -> None:
+        """Let two batchers claim the same keys for two nodes each, and count the holders."""
+        shards = [self.shard(store), self.shard(store)]
+        tries = []
+        for number in range(keys):
+            for node, shard in (("n0", shards[0]), ("n1", shards[1]), ("n2", shards[0])):
+                tries.append((number, shard.make(claim(f"key{number}", node))))
+        answers = await asyncio.gather(*(made for _, made in tries))
+        holders = dict.fromkeys(range(keys), 0)
+        for (number, _), answer in zip(tries, answers, strict=True):
+            holders[number] += answer.result is ClaimResult.CLAIMED
+        self.assertEqual(set(holders.values()), {1})
+
+    async def test_two_batchers_of_one_shard(self):
+        await self.race(MemoryStore(1), keys=150)
+
+    async def test_two_batchers_with_lost_replies_and_failures(self):
+        for seed in range(5):
+            await self.race(MemoryStore(seed, lose=0.3, fail=0.1), keys=100)
+
+    async def test_without_the_condition_two_would_hold(self):
+        # The proof of the tests above: a store that ignores versions lets both have the key.
+        store = MemoryStore(1)
+
+        async def careless(kind, name, value, expected):
+            await asyncio.sleep(0)
+            store.version += 1
+            store.objects[(kind, name)] = StoredObject(kind, name, store.version, value)
+            return store.version
+
+        store.put = careless
+        with self.assertRaises(AssertionError):
+            await self.race(store, keys=150)
+
+    async def test_released_key_can_be_claimed_again(self):
+        shard = self.shard(MemoryStore(1))
+        await shard.make(claim("k", "n0"))
+        await shard.make(claim("k", "n0", release=True))
+        answer = await shard.make(claim("k", "n1"))
+        self.assertIs(answer.result, ClaimResult.CLAIMED)
+
+    async def test_only_the_holder_can_release(self):
+        shard = self.shard(MemoryStore(1))
+        await shard.make(claim("k", "n0"))
+        await shard.make(claim("k", "n1", release=True))
+        answer = await shard.make(claim("k", "n2"))
+        self.assertEqual((answer.result, answer.holder.node), (ClaimResult.HELD, "n0"))
+
+    async def test_new_batcher_knows_archived_claims(self):
+        store = MemoryStore(1)
+        first = self.shard(store)
+        for number in range(200):
+            await first.make(claim(f"k{number}", "n0"))
+        answer = await self.shard(store).make(claim("k3", "n1"))
+        self.assertIs(answer.result, ClaimResult.HELD)
+
+    async def test_many_claims_share_a_write(self):
+        store = MemoryStore(1)
+        shard = self.shard(store)
+        await asyncio.gather(*(shard.make(claim(f"k{n}", "n0")) for n in range(30)))
+        self.assertLessEqual(store.puts, 2)
+
+    async def test_old_parts_are_deleted(self):
+        store = MemoryStore(1)
+        shard = self.shard(store, keep=-1.0)
+        for number in range(200):
+            await shard.make(claim(f"k{number}", "n0"))
+        self.assertLessEqual(len(store.objects), 2)
+
+
+class JournalTests(unittest.IsolatedAsyncioTestCase):
+    async def test_paused_writer_cannot_add_to_an_old_state(self):
+        store = MemoryStore(1)
+        paused = Journal(store, "claims", "j", tail_limit=4)
+        head = await paused.append(Head(), [{"n": 0}], 0.0)
+        other = Journal(store, "claims", "j", tail_limit=4)
+        newer = await other.read_head()
+        for number in range(1, 20):
+            newer = await other.append(newer, [{"n": number}], 0.0)
+        with self.assertRaises(StoreConflict):
+            await paused.append(head, [{"n": "late"}], 0.0)
+        records = []
+        for part in newer.parts:
+            records += await other.read_part(part)
+        numbers = [record["n"] for record in [*records, *newer.tail]]
+        self.assertEqual(numbers, list(range(20)))
+
+
+if __name__ == "__main__":
+    unittest.main()
