dispatch: joined the cells of a pool by a service tree and an exchange of tickets

Cause: a pool cut into cells was fair only inside each cell, and a cell could idle beside a queue. Change: sums of service go up and down a tree over the members in epochs; each cell tilts weights by them; cells ask neighbours for tickets. Ordering each cell by the late sums themselves was tried and dropped: every cell then gives all it has to whoever was behind a delay ago.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -68,8 +68,8 @@
     Option("claim_seconds", Number(60, 604_800), "How long a claimed key is kept.", "3600"),
     Option(
         "scheduling",
-        Choice("fleet", "local"),
-        "Fair over the fleet, or each daemon alone.",
+        Choice("fleet", "cells", "local"),
+        "Fair over the fleet; the others are baselines: fair in each cell, or at each daemon.",
         "fleet",
     ),
     Option("affinity", Choice("prefix", "none"), "Prefer the replica that saw a prefix.", "prefix"),
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -74,6 +74,7 @@
     replica: str = ""
     charged: float = 0.0
     granted_at: float = 0.0
+    refused: bool = False
     granted: asyncio.Future = field(default_factory=asyncio.Future)
 
     @property
@@ -292,6 +293,12 @@
         booking = self._bookings.get(message.number)
         if booking is None or not booking.waiting or booking.attempt != message.attempt:
             return
+        others = [cell for cell in self._cells.homes(booking.want.pool) if cell != booking.cell]
+        if others and not booking.refused:
+            booking.refused = True
+            self._rebook(booking, others[0], self._cells.dispatcher(others[0]))
+            self._send_place(booking)
+            return
         del self._bookings[booking.number]
         booking.granted.set_exception(Refusal(Reason(message.reason)))
 
@@ -300,4 +307,7 @@
         if booking is None or booking.attempt != message.attempt:
             return
         booking.cell = self._cells.cell(booking.cell.pool, message.to_cell)
-        booking.node = message.node
+        if booking.waiting:
+            booking.node = message.node
+            # The grant comes from there; a link that is new tells the ticket once more.
+            self._hub.dial(message.node)
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -70,6 +70,7 @@
         self._load_at: dict[str, float] = {}
         self._kinds: dict[str, UpstreamKind] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._pumped: list[Callable[[Cell, CellDispatcher], None]] = []
         hub.handle(Place, self._place)
         hub.handle(Cancel, self._cancel)
         hub.handle(Release, self._release)
@@ -82,6 +83,31 @@
         """Return the cell dispatchers of this node."""
         return self._dispatchers
 
+    def on_pumped(self, listener: Callable[[Cell, CellDispatcher], None]) -> None:
+        """Call ``listener`` after each change of a cell, when its grants have been made."""
+        self._pumped.append(listener)
+
+    def forget(self, key: TicketKey) -> None:
+        """Forget where the ticket of ``key`` was, because it was passed on."""
+        self._where.pop(key, None)
+
+    def to_place(self, ticket: Ticket, cell: Cell) -> Place:
+        """Return the message that places ``ticket`` with ``cell``."""
+        waited = self._clock.monotonic() - ticket.enqueued_at
+        return Place(
+            ticket.number,
+            ticket.attempt,
+            cell.number,
+            cell.pool,
+            ticket.workspace,
+            round(ticket.rank * RANK_SCALE),
+            round(ticket.estimate),
+            max(0, round(waited * 1000)),
+            URGENT_FLAG if ticket.urgent else 0,
+            ticket.prefix,
+            ticket.avoid,
+        )
+
     def renew_replicas(self) -> None:
         """Take in a change of the replicas, at once, so that a leaving one gets nothing more."""
         for cell, dispatcher in list(self._dispatchers.items()):
@@ -114,7 +140,8 @@
                 self._ask_loads(cell, dispatcher, now)
                 self._drop_idle(cell, dispatcher, now)
 
-    def _dispatcher(self, pool: str, number: int) -> tuple[Cell, CellDispatcher]:
+    def dispatcher(self, pool: str, number: int) -> tuple[Cell, CellDispatcher]:
+        """Return a cell and its dispatcher, which is made if there is none yet."""
         cell = self._cells.cell(pool, number)
         dispatcher = self._dispatchers.get(cell)
         if dispatcher is None:
@@ -141,14 +168,17 @@
         return upstream is None or upstream.leaving
 
     def _place(self, node: str, message: Place) -> None:
-        cell, dispatcher = self._dispatcher(message.pool, message.cell)
-        self._offer(cell, dispatcher, node, message)
+        cell, dispatcher = self.dispatcher(message.pool, message.cell)
+        self.offer(cell, dispatcher, node, message)
 
-    def _offer(self, cell: Cell, dispatcher: CellDispatcher, entry: str, message: Place) -> None:
+    def offer(self, cell: Cell, dispatcher: CellDispatcher, entry: str, message: Place) -> None:
+        """Take in a ticket of ``entry`` for ``cell``."""
         now = self._clock.monotonic()
         ticket = _to_ticket(entry, message, now)
         self._where[ticket.key] = cell
         self._carry_out(cell, dispatcher.offer(ticket, now))
+        for listener in self._pumped:
+            listener(cell, dispatcher)
 
     def _cancel(self, node: str, message: Cancel) -> None:
         cell = self._where.pop((node, message.number), None)
@@ -174,7 +204,7 @@
             self._dispatchers[cell].progress((node, message.number), float(message.charged))
 
     def _resync(self, node: str, message: Resync) -> None:
-        cell, dispatcher = self._dispatcher(message.pool, message.cell)
+        cell, dispatcher = self.dispatcher(message.pool, message.cell)
         now = self._clock.monotonic()
         dispatcher.queue.merge((item.workspace, float(item.value)) for item in message.counters)
         named = {(node, item.number) for item in message.waiting}
@@ -189,15 +219,17 @@
             )
             dispatcher.resume_flight(key, flight)
         for item in message.waiting:
-            self._offer(cell, dispatcher, node, item)
+            self.offer(cell, dispatcher, node, item)
         self._forget_keys()
 
     def _handed_over(self, node: str, message: HandedOver) -> None:
-        _, dispatcher = self._dispatcher(message.pool, message.cell)
+        _, dispatcher = self.dispatcher(message.pool, message.cell)
         dispatcher.queue.merge((item.workspace, float(item.value)) for item in message.counters)
 
     def _pump(self, cell: Cell, dispatcher: CellDispatcher) -> None:
         self._carry_out(cell, dispatcher.pump(self._clock.monotonic()))
+        for listener in self._pumped:
+            listener(cell, dispatcher)
 
     def _carry_out(self, cell: Cell, decisions: list[Decision]) -> None:
         for decision in decisions:
--- /dev/null
+++ b/railsail/dispatch/tree.py
@@ -0,0 +1,140 @@
+"""Carry the sums of service up and down the tree over the members.
+
+Only pools of several cells take part; a pool of one cell has all its counters in one place.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from railsail.core.clock import Clock
+from railsail.dispatch.cellmap import CellMap
+from railsail.dispatch.service import DispatcherService
+from railsail.membership import tree
+from railsail.peers.codec import encode_message
+from railsail.peers.hub import PeerHub
+from railsail.peers.messages import CounterRecord, FleetServed, Served
+from railsail.scheduling.balance import FleetBalance
+from railsail.scheduling.cells import Cell
+from railsail.scheduling.dispatcher import CellDispatcher
+from railsail.scheduling.totals import PoolTotals, Sums
+
+# A node exchanges as often as this many bytes a second allow, within the bounds.
+BYTES_PER_SECOND = 1000.0
+SHORTEST_SECONDS = 0.2
+LONGEST_SECONDS = 5.0
+
+
+class ServiceTree:
+    """Exchange sums with the parent and the children of this node, once a period."""
+
+    def __init__(
+        self,
+        cells: CellMap,
+        dispatchers: DispatcherService,
+        pools: Callable[[], list[str]],
+        usable: Callable[[], list[str]],
+        hub: PeerHub,
+        clock: Clock,
+    ) -> None:
+        self._cells = cells
+        self._dispatchers = dispatchers
+        self._pools = pools
+        self._usable = usable
+        self._hub = hub
+        self._clock = clock
+        self._totals: dict[str, PoolTotals] = {}
+        self._counted: dict[tuple[Cell, str], float] = {}
+        self._children: list[str] = []
+        self._sent_bytes = 0
+        self._steered_at: dict[str, float] = {}
+        self._balances: dict[Cell, FleetBalance] = {}
+        hub.handle(Served, self._told_by_child)
+        hub.handle(FleetServed, self._told_by_root)
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        while True:
+            period = self._sent_bytes / BYTES_PER_SECOND
+            await asyncio.sleep(min(max(period, SHORTEST_SECONDS), LONGEST_SECONDS))
+            self._sent_bytes = 0
+            for pool in self._pools():
+                if len(self._cells.cells(pool)) > 1:
+                    self._exchange(pool)
+
+    def _exchange(self, pool: str) -> None:
+        totals = self._of(pool)
+        own = self._hub.own.node
+        nodes = self._usable()
+        if own not in nodes:
+            return
+        ordered = tree.order(f"service of {pool}", nodes)
+        parent = tree.parent(ordered, own)
+        children = tree.children(ordered, own)
+        self._count_own(pool, totals)
+        totals.set_parent(parent, int(self._clock.wall() * 1000))
+        if parent is None:
+            totals.told_by_root((own, totals.epoch), totals.root_sums())
+        else:
+            self._tell(parent, Served, pool, (totals.epoch,), totals.news_for_parent())
+        if children != self._children:
+            self._children = children
+            totals.forget_told()
+        self._tell_children(pool, totals, children)
+        self._steer(pool, totals.fleet_gains(), tree.depth(len(ordered)))
+
+    def _tell_children(self, pool: str, totals: PoolTotals, children: list[str]) -> None:
+        root = totals.root
+        if root is None:
+            return
+        news = totals.news_for_children()
+        for child in children:
+            self._tell(child, FleetServed, pool, root, news)
+
+    def _tell(self, node: str, kind: type, pool: str, head: tuple, sums: Sums) -> None:
+        if not sums:
+            return
+        records = [CounterRecord(name, round(value)) for name, value in sorted(sums.items())]
+        message = kind(pool, *head, records)
+        self._sent_bytes += len(encode_message(message))
+        self._hub.send(node, message)
+
+    def _of(self, pool: str) -> PoolTotals:
+        return self._totals.setdefault(pool, PoolTotals())
+
+    def _mine(self, pool: str) -> dict[Cell, CellDispatcher]:
+        mine = self._dispatchers.dispatchers()
+        return {cell: dispatcher for cell, dispatcher in mine.items() if cell.pool == pool}
+
+    def _count_own(self, pool: str, totals: PoolTotals) -> None:
+        for cell, dispatcher in self._mine(pool).items():
+            for workspace, gain in self._gains(cell, dispatcher.served).items():
+                totals.serve(workspace, gain)
+
+    def _gains(self, cell: Cell, served: Sums) -> Sums:
+        gains = {}
+        for workspace, value in served.items():
+            gain = value - self._counted.get((cell, workspace), 0.0)
+            # An estimate that was too high is taken back later; sums must only grow.
+            if gain > 0:
+                self._counted[(cell, workspace)] = value
+                gains[workspace] = gain
+        return gains
+
+    def _steer(self, pool: str, gains: Sums, depth: int) -> None:
+        now = self._clock.monotonic()
+        seconds = now - self._steered_at.get(pool, now)
+        self._steered_at[pool] = now
+        # News goes up the tree and down again, and waits for half a period at each hop.
+        delay = (depth + 1) * seconds
+        for cell, dispatcher in self._mine(pool).items():
+            balance = self._balances.setdefault(cell, FleetBalance(dispatcher.queue.weight))
+            waiting = dispatcher.queue.workspaces()
+            dispatcher.queue.tilt(balance.update(gains, waiting, seconds, delay))
+
+    def _told_by_child(self, node: str, message: Served) -> None:
+        sums = {record.workspace: float(record.value) for record in message.totals}
+        self._of(message.pool).told_by_child(node, message.epoch, sums)
+
+    def _told_by_root(self, node: str, message: FleetServed) -> None:
+        sums = {record.workspace: float(record.value) for record in message.totals}
+        self._of(message.pool).told_by_root((message.root, message.epoch), sums)
--- a/railsail/membership/tree.py
+++ b/railsail/membership/tree.py
@@ -22,3 +22,13 @@
     """Return the children of ``node``."""
     first = ordered.index(node) * FAN_OUT + 1
     return list(ordered[first : first + FAN_OUT])
+
+
+def depth(size: int) -> int:
+    """Return the hops from the root to the deepest of ``size`` nodes."""
+    hops = 0
+    reached = 1
+    while reached < size:
+        hops += 1
+        reached += FAN_OUT**hops
+    return hops
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -20,7 +20,9 @@
 from railsail.core.registry import load_plugins
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.exchange import CellExchange
 from railsail.dispatch.service import DispatcherService
+from railsail.dispatch.tree import ServiceTree
 from railsail.gateway.admission import Admission
 from railsail.gateway.answers import AnswerShelf
 from railsail.gateway.app import Gateway
@@ -31,6 +33,7 @@
 from railsail.membership.service import Membership
 from railsail.membership.table import Member, MemberState, MemberTable
 from railsail.objects.catalog import Catalog
+from railsail.objects.kinds import Pool
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
 from railsail.peers.messages import ConfigurationNews, Heartbeat, StateRequest, UpstreamNews
@@ -128,6 +131,15 @@
             self.rng,
             settings.affinity == "prefix",
         )
+        self.tree: ServiceTree | None = None
+        if settings.scheduling == "fleet":
+            self._join_cells()
+
+    def _join_cells(self) -> None:
+        CellExchange(self.cells, self.dispatchers, self.hub, self.clock)
+        self.tree = ServiceTree(
+            self.cells, self.dispatchers, self._pools, self._usable, self.hub, self.clock
+        )
 
     def _build_gateway(self) -> None:
         settings = self.settings
@@ -175,6 +187,9 @@
     def _catalog(self) -> Catalog:
         return self.carrier.catalog
 
+    def _pools(self) -> list[str]:
+        return [pool.name for pool in self._catalog().of_kind(Pool)]
+
     def _new_id(self) -> str:
         return f"req-{self.rng.getrandbits(64):016x}"
 
@@ -217,7 +232,8 @@
         self._listen(self.settings.caller_port, self.gateway.application())
         self._tasks = [
             asyncio.ensure_future(part.run())
-            for part in (self.membership, self.watcher, self.dispatchers)
+            for part in (self.membership, self.watcher, self.dispatchers, self.tree)
+            if part is not None
         ]
         self._tasks.append(asyncio.ensure_future(self._tick()))
         with contextlib.suppress(TimeoutError):
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -167,36 +167,37 @@
 
 
 class Served(Message, frozen=True, tag=20):
-    """Cumulative service under the sender in the tree, since the sender's start."""
+    """Service under the sender in the tree, summed up since ``epoch``; only what changed."""
 
     pool: Text
+    epoch: Natural
     totals: Annotated[list[CounterRecord], msgspec.Meta(max_length=2000)]
 
 
 class FleetServed(Message, frozen=True, tag=21):
-    """Cumulative service of the whole pool, as the tree's root ``root`` has summed it."""
+    """Service of the whole pool, as ``root`` has summed it up since ``epoch``."""
 
     pool: Text
     root: Text
-    root_start: Natural
+    epoch: Natural
     totals: Annotated[list[CounterRecord], msgspec.Meta(max_length=2000)]
 
 
 class CellHint(Message, frozen=True, tag=22):
-    """Tell a neighbour cell's dispatcher of free room, or of the lowest counter that waits."""
+    """Tell a neighbour cell how many tickets wait, and ask it for ``wanted`` of its own."""
 
     pool: Text
     to_cell: Natural
     from_cell: Natural
-    room: Natural
     waiting: Natural
-    lowest: Signed
+    wanted: Natural
 
 
 class Passed(Message, frozen=True, tag=23):
     """Pass a ticket of ``entry`` on to another cell of its pool."""
 
     entry: Text
+    cell: Natural
     ticket: Place
 
 
--- a/railsail/scheduling/fairqueue.py
+++ b/railsail/scheduling/fairqueue.py
@@ -37,6 +37,7 @@
         self._sequence = 0
         self._virtual_time = 0.0
         self._largest_charge = 1.0
+        self._factors: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -119,13 +120,12 @@
     def charge(self, workspace: str, cost: float) -> None:
         """Add ``cost``, which is negative where an estimate was too high."""
         self._largest_charge = max(self._largest_charge, cost)
-        counter = self.counter(workspace) + cost / self._weight_of(workspace)
-        self._counters[workspace] = counter
+        weight = self._weight_of(workspace) * self._factors.get(workspace, 1.0)
+        self._counters[workspace] = self.counter(workspace) + cost / weight
 
-    def absorb(self, workspace: str, cost: float) -> None:
-        """Add ``cost`` that another cell served, within the bound on catching up."""
-        self.charge(workspace, cost)
-        self.bound_catch_up()
+    def tilt(self, factors: dict[str, float]) -> None:
+        """Multiply weights by ``factors`` from now on; see ``FleetBalance``."""
+        self._factors = factors
 
     def merge(self, counters: Iterable[tuple[str, float]]) -> None:
         """Raise counters to what an earlier dispatcher of the cell had, within the bound."""
--- /dev/null
+++ b/railsail/scheduling/totals.py
@@ -0,0 +1,118 @@
+"""Service summed over the fleet, up and down a tree, for pools of several cells.
+
+Every node sums what its own cells served and what its children in the tree told. Sums only grow
+and merge by maximum, so that repeats and reorderings do no harm. A node that gets another parent
+starts a new epoch there from zero, so that nothing is told twice; what the old parent had not yet
+passed on is lost, at most one period's service a hop. The root's sums come down again.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+Sums = dict[str, float]
+
+
+@dataclass
+class _Child:
+    epoch: int
+    sums: Sums = field(default_factory=dict)
+
+
+class PoolTotals:
+    """The sums of one pool at one node."""
+
+    def __init__(self) -> None:
+        self._under: Sums = {}
+        self._children: dict[str, _Child] = {}
+        self._parent: str | None = None
+        self._epoch = 0
+        self._base: Sums = {}
+        self._told: Sums = {}
+        self._root: tuple[str, int] | None = None
+        self._fleet: Sums = {}
+        self._fleet_told: Sums = {}
+        self._known: Sums = {}
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of what is told to the parent."""
+        return self._epoch
+
+    @property
+    def root(self) -> tuple[str, int] | None:
+        """Return node and epoch of the root whose sums are known."""
+        return self._root
+
+    def serve(self, workspace: str, cost: float) -> None:
+        """Add ``cost`` that a cell of this node served."""
+        self._under[workspace] = self._under.get(workspace, 0.0) + cost
+
+    def told_by_child(self, child: str, epoch: int, sums: Mapping[str, float]) -> None:
+        """Take in the sums of a child."""
+        known = self._children.get(child)
+        if known is not None and epoch < known.epoch:
+            return
+        if known is None or epoch > known.epoch:
+            known = self._children[child] = _Child(epoch)
+        for workspace, value in sums.items():
+            gain = value - known.sums.get(workspace, 0.0)
+            if gain > 0:
+                known.sums[workspace] = value
+                self._under[workspace] = self._under.get(workspace, 0.0) + gain
+
+    def set_parent(self, parent: str | None, epoch: int) -> None:
+        """Take note of the parent, ``None`` at the root; a new one starts a new epoch."""
+        if parent == self._parent and self._epoch:
+            return
+        self._parent = parent
+        self._epoch = max(self._epoch + 1, epoch)
+        self._base = dict(self._under)
+        self._told = {}
+        self._fleet_told = {}
+
+    def news_for_parent(self) -> Sums:
+        """Return the sums that have changed since they were told last."""
+        sums = {name: value - self._base.get(name, 0.0) for name, value in self._under.items()}
+        return _changed(sums, self._told)
+
+    def told_by_root(self, root: tuple[str, int], sums: Mapping[str, float]) -> None:
+        """Take in the sums of the whole pool; ``root`` is the root's node and epoch."""
+        if root != self._root:
+            self._root = root
+            self._fleet = {}
+            self._fleet_told = {}
+            self._known = {}
+        for workspace, value in sums.items():
+            self._fleet[workspace] = max(self._fleet.get(workspace, 0.0), value)
+
+    def root_sums(self) -> Sums:
+        """Return what the root tells: all that was served under it, since it is the root."""
+        return {name: value - self._base.get(name, 0.0) for name, value in self._under.items()}
+
+    def news_for_children(self) -> Sums:
+        """Return the pool's sums that have changed since they were told last."""
+        return _changed(self._fleet, self._fleet_told)
+
+    def forget_told(self) -> None:
+        """Tell children everything again, because there are new ones."""
+        self._fleet_told = {}
+
+    def fleet_gains(self) -> Sums:
+        """Return the service of the whole pool that has become known since the last call."""
+        gains = {}
+        for workspace, value in self._fleet.items():
+            # The first value from a root counts from some other start; only its growth tells.
+            gain = value - self._known.get(workspace, value)
+            self._known[workspace] = value
+            if gain > 0:
+                gains[workspace] = gain
+        return gains
+
+
+def _changed(sums: Sums, told: Sums) -> Sums:
+    news = {}
+    for workspace, value in sums.items():
+        if round(value) > round(told.get(workspace, 0.0)):
+            told[workspace] = value
+            news[workspace] = value
+    return news
--- a/tests/fleet/test_once.py
+++ b/tests/fleet/test_once.py
@@ -102,8 +102,7 @@
             key = f"lossy-{number}"
             path = f"/services/desk/classify?key={key}"
             asks = [
-                self.call(node, path, "POST", {}, Idempotency_Key=key)
-                for node in self.fleet.nodes
+                self.call(node, path, "POST", {}, Idempotency_Key=key) for node in self.fleet.nodes
             ]
             responses = await asyncio.gather(*asks)
             self.assertEqual({response.code for response in responses}, {200})
--- a/tests/fleet/test_upstreams.py
+++ b/tests/fleet/test_upstreams.py
@@ -1,4 +1,4 @@
-"""Every caller receives the whole answer to its own request, and leaving replicas are left alone."""
+"""Every caller receives the whole answer to its own request; leaving replicas get nothing new."""
 
 import asyncio
 
