--- /dev/null
+++ b/benchmarks/balancer.py
@@ -0,0 +1,37 @@
+"""A stand-in of the platform's balancer: it asks each daemon whether it is ready, now and then."""
+
+import asyncio
+
+from benchmarks.deployment import Daemon
+from railsail.upstreams.http import HttpRequest, fetch
+
+LOOK_SECONDS = 0.3
+ANSWER_SECONDS = 1.0
+
+
+class Balancer:
+    """Name a daemon that was ready at the last look."""
+
+    def __init__(self, daemons: list[Daemon]) -> None:
+        self._daemons = daemons
+        self._ready = {daemon.ip: True for daemon in daemons}
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        while True:
+            await asyncio.gather(*(self._look(daemon) for daemon in list(self._daemons)))
+            await asyncio.sleep(LOOK_SECONDS)
+
+    async def _look(self, daemon: Daemon) -> None:
+        endpoint = f"{daemon.ip}:{daemon.ports[1]}"
+        answer = await fetch(HttpRequest(endpoint, "GET", "/ready", {}), ANSWER_SECONDS)
+        self._ready[daemon.ip] = answer is not None and answer.status == 200
+
+    def choose(self, index: int) -> str:
+        """Return the caller endpoint of daemon ``index``, or of the next one that is ready."""
+        count = len(self._daemons)
+        for step in range(count):
+            daemon = self._daemons[(index + step) % count]
+            if self._ready[daemon.ip]:
+                return daemon.caller
+        return self._daemons[index % count].caller
--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from benchmarks.relay import Relay
 from railsail.cli.client import AdminClient
 from railsail.standins.fleet import ADMIN_SECRET, PEER_SECRET, free_ports, load_objects
 from railsail.upstreams.http import HttpRequest, fetch
@@ -111,7 +112,7 @@
 
     def add_daemon(self, number: int, *more: str, ports: list[int] | None = None) -> Daemon:
         """Start daemon ``number`` at an IP number of its own."""
-        ip = f"127.0.{1 + number // 200}.{10 + number % 200}"
+        ip = ip_of(number)
         ports = ports or free_ports(3, ip)
         domain = self.shape.domains[number % len(self.shape.domains)]
         flags = [
@@ -134,6 +135,10 @@
         self.daemons.append(daemon)
         return daemon
 
+    def caller(self, index: int) -> str:
+        """Return the endpoint for callers of daemon ``index``, counted round."""
+        return self.daemons[index % len(self.daemons)].caller
+
     async def list_daemon(self, daemon: Daemon) -> None:
         """Put a daemon on the platform's node list."""
         await self.put("node", daemon.node, {"state": "live"})
@@ -184,6 +189,11 @@
             process.wait()
 
 
+def ip_of(number: int) -> str:
+    """Return the loopback IP number of daemon ``number``."""
+    return f"127.0.{1 + number // 200}.{10 + number % 200}"
+
+
 async def _settled(daemon: Daemon, count: int) -> bool:
     reply = await daemon.admin.call("GET", "/v1/status")
     if reply.status != 200 or reply.body["not_ready"] or not reply.body["upstreams"]:
@@ -226,10 +236,24 @@
     return samples
 
 
+def workspaces(shape: Shape) -> dict[str, float]:
+    """Return the weight of each workspace of ``shape``."""
+    objects = load_objects(ROOT / "examples" / shape.name)
+    classes = {o["name"]: o["weight"] for o in objects if o["kind"] == "priorityclass"}
+    return {o["name"]: classes[o["priority_class"]] for o in objects if o["kind"] == "workspace"}
+
+
 async def start(
-    shape: Shape, daemons: int, more: tuple[str, ...] = (), engine: dict | None = None
+    shape: Shape,
+    daemons: int,
+    more: tuple[str, ...] = (),
+    engine: dict | None = None,
+    relay: Relay | None = None,
 ) -> Deployment:
-    """Start ``daemons`` daemons of ``shape`` with its upstreams, and wait until all is ready."""
+    """Start ``daemons`` daemons of ``shape`` with its upstreams, and wait until all is ready.
+
+    With ``relay``, the links between daemons go through it.
+    """
     store_port = free_ports(1)[0]
     deployment = Deployment(shape, f"127.0.0.1:{store_port}", {})
     deployment.spawn(
@@ -245,11 +269,21 @@
     await _wait_for(deployment.store)
     await _fill_store(deployment, parts)
     for number in range(daemons):
-        await deployment.list_daemon(deployment.add_daemon(number, *more))
+        await _add(deployment, number, more, relay)
     await deployment.settle(daemons)
     return deployment
 
 
+async def _add(
+    deployment: Deployment, number: int, more: tuple[str, ...], relay: Relay | None
+) -> None:
+    ports = free_ports(4, ip_of(number))
+    if relay is not None:
+        await relay.listen(ip_of(number), ports[2], ports[3])
+        more = (*more, f"--listen-port={ports[3]}")
+    await deployment.list_daemon(deployment.add_daemon(number, *more, ports=ports[:3]))
+
+
 def _upstream_parts(shape: Shape, engine: dict) -> list[dict]:
     ports = free_ports(shape.replicas + shape.service_replicas)
     parts = []
--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -19,7 +19,6 @@
 from benchmarks.play import Seen, play
 from benchmarks.workload import Plan, make
 from railsail.standins.engine import EngineSettings
-from railsail.standins.fleet import load_objects
 
 RESULTS = Path("results")
 WARM_SECONDS = 3.0
@@ -37,8 +36,8 @@
         before = [await deploy.usage(daemon) for daemon in deployment.daemons]
         calls = await deployment.store_calls()
         begin = time.time()
-        targets = [daemon.caller for daemon in deployment.daemons]
-        seen = await play(deployment, make(plan), targets, drop_after=1.0)
+        choose = deployment.caller
+        seen = await play(deployment, make(plan), choose, drop_after=1.0)
         elapsed = time.time() - begin
         after = [await deploy.usage(daemon) for daemon in deployment.daemons]
         calls_after = await deployment.store_calls()
@@ -50,7 +49,7 @@
     settings = EngineSettings(**(engine or {}))
     figures = _figures(shape, plan, seen, runs, curves, settings)
     figures["idle_bytes_per_daemon"] = idle
-    figures["control"] = _control(before, after, elapsed, len(seen))
+    figures["control"] = control_figures(before, after, elapsed, len(seen))
     figures["store_calls_per_second"] = {
         name: round((calls_after[name] - calls.get(name, 0)) / elapsed, 2) for name in calls_after
     }
@@ -80,7 +79,7 @@
     settings: EngineSettings,
 ) -> dict:
     slots = shape.replicas * settings.slots
-    result = fairness(curves, _weights(shape), slots, slots * settings.decode_rate)
+    result = fairness(curves, deploy.workspaces(shape), slots, slots * settings.decode_rate)
     largest = max(run["prompt_tokens"] + run["output_tokens"] for run in runs)
     figures = dataclasses.asdict(dataclasses.replace(result, largest_cost=largest))
     figures["gap_over_largest"] = result.largest_gap / largest
@@ -107,15 +106,10 @@
     return dict(sorted(counts.items()))
 
 
-def _weights(shape: deploy.Shape) -> dict[str, float]:
-    objects = load_objects(deploy.ROOT / "examples" / shape.name)
-    classes = {o["name"]: o["weight"] for o in objects if o["kind"] == "priorityclass"}
-    return {o["name"]: classes[o["priority_class"]] for o in objects if o["kind"] == "workspace"}
-
-
-def _control(
+def control_figures(
     before: list[deploy.Usage], after: list[deploy.Usage], elapsed: float, requests: int
 ) -> dict:
+    """Return what the daemons spent on control between two looks at them."""
     kinds: dict[str, float] = {}
     for new, old in _pairs(after, before):
         for kind, value in new.peer_bytes.items():
@@ -177,7 +171,7 @@
     ) -> None:
         """Run the experiment ``runs`` times; ``flags`` are further flags of the daemons."""
         chosen = deploy.SHAPES[shape]
-        weights = _weights(chosen)
+        weights = deploy.workspaces(chosen)
         RESULTS.mkdir(exist_ok=True)
         more = tuple(flags.split())
         kinds = {"fleet": more}
--- a/benchmarks/play.py
+++ b/benchmarks/play.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders
@@ -77,21 +78,23 @@
 
 
 async def play(
-    deployment: Deployment, asks: list[Ask], targets: list[str], drop_after: float = 0.0
+    deployment: Deployment,
+    asks: list[Ask],
+    choose: Callable[[int], str],
+    drop_after: float = 0.0,
+    tries: int = 1,
 ) -> list[Seen]:
-    """Send each request at its time to ``targets[ask.daemon]``; return what the callers saw.
+    """Send each request at its time to ``choose(ask.daemon)``; return what the callers saw.
 
-    Requests that have not ended ``drop_after`` seconds after the last one was sent are given up.
+    A caller whose request came to nothing asks another daemon, ``tries`` times in all. Requests
+    that have not ended ``drop_after`` seconds after the last one was sent are given up.
     """
     begin = time.time() + 0.2
     tasks = []
-    seen = []
+    seen: list[Seen] = []
     for ask in asks:
         await asyncio.sleep(max(0.0, begin + ask.at - time.time()))
-        record = Seen(ask, time.time())
-        seen.append(record)
-        endpoint = targets[ask.daemon % len(targets)]
-        tasks.append(asyncio.ensure_future(call(deployment, endpoint, record)))
+        tasks.append(asyncio.ensure_future(_ask(deployment, ask, choose, tries, seen)))
     if tasks:
         _, pending = await asyncio.wait(tasks, timeout=drop_after or None)
         for task in pending:
@@ -100,6 +103,22 @@
     return seen
 
 
+async def _ask(
+    deployment: Deployment,
+    ask: Ask,
+    choose: Callable[[int], str],
+    tries: int,
+    seen: list[Seen],
+) -> None:
+    for attempt in range(tries):
+        record = Seen(ask, time.time())
+        seen.append(record)
+        await call(deployment, choose(ask.daemon + attempt), record)
+        if record.whole or record.status in (400, 401, 404):
+            return
+        await asyncio.sleep(0.5)
+
+
 async def call(deployment: Deployment, endpoint: str, seen: Seen) -> None:
     """Make one call, and record what comes of it."""
     method, path, body = seen.ask.http(deployment.shape)
--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,89 @@
+"""A relay in front of each daemon's peer port, which can cut the path between two nodes.
+
+A daemon dials from its own IP number, so that the relay knows both ends. Bytes of a cut direction
+are held back, as by a network that drops packets; they go on when the cut heals.
+"""
+
+import asyncio
+import contextlib
+
+CHUNK = 65_536
+LOOK_SECONDS = 0.02
+
+
+class Relay:
+    """Hold the relays of all daemons, and the directions that are cut."""
+
+    def __init__(self) -> None:
+        self._cut: set[tuple[str, str]] = set()
+        self._servers: list[asyncio.Server] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    async def listen(self, ip: str, port: int, target: int) -> None:
+        """Relay ``ip:port`` to ``ip:target``."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self._keep(asyncio.current_task())
+            source = writer.get_extra_info("peername")[0]
+            await self._join(source, ip, target, reader, writer)
+
+        self._servers.append(await asyncio.start_server(serve, ip, port))
+
+    def cut(self, left: list[str], right: list[str], both: bool = True) -> None:
+        """Cut the way from the IP numbers ``left`` to ``right``, and back if ``both``."""
+        for a in left:
+            for b in right:
+                self._cut.add((a, b))
+                if both:
+                    self._cut.add((b, a))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cut.clear()
+
+    def stop(self) -> None:
+        """Close all relays."""
+        for server in self._servers:
+            server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _keep(self, task: asyncio.Task) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _join(
+        self,
+        source: str,
+        ip: str,
+        target: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while (source, ip) in self._cut or (ip, source) in self._cut:
+                await asyncio.sleep(LOOK_SECONDS)
+            far_reader, far_writer = await asyncio.open_connection(ip, target)
+        except OSError:
+            writer.close()
+            return
+        await asyncio.wait(
+            [
+                asyncio.ensure_future(self._pump(source, ip, reader, far_writer)),
+                asyncio.ensure_future(self._pump(ip, source, far_reader, writer)),
+            ],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        writer.close()
+        far_writer.close()
+
+    async def _pump(
+        self, source: str, target: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._keep(asyncio.current_task())
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK):
+                while (source, target) in self._cut:
+                    await asyncio.sleep(LOOK_SECONDS)
+                writer.write(data)
+                await writer.drain()
--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -7,7 +7,7 @@
 from railsail.upstreams.directory import UpstreamDirectory
 
 # An entry sends the tickets of a pool to this many cells at most, so that its links stay bounded.
-HOME_CELLS = 2
+HOME_CELLS = 4
 
 
 class CellMap:
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -145,10 +145,12 @@
             return homes[0]
         if want.prefix:
             return homes[want.prefix % len(homes)]
-        load = dict.fromkeys(homes, 0)
+        # Each workspace is spread over all homes, so that every cell can weigh it against the rest.
+        load = {cell: [0, 0] for cell in homes}
         for booking in self._bookings.values():
             if booking.waiting and booking.cell in load:
-                load[booking.cell] += 1
+                load[booking.cell][0] += booking.want.workspace == want.workspace
+                load[booking.cell][1] += 1
         return min(homes, key=lambda cell: (load[cell], self._rng.random()))
 
     def withdraw(self, booking: Booking) -> None:
--- a/railsail/dispatch/tree.py
+++ b/railsail/dispatch/tree.py
@@ -18,10 +18,10 @@
 from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.totals import PoolTotals, Sums
 
-# A node exchanges as often as this many bytes a second allow, within the bounds.
+# The root lets all exchange as often as this many bytes a second allow a node, within the bounds.
 BYTES_PER_SECOND = 1000.0
-SHORTEST_SECONDS = 0.2
-LONGEST_SECONDS = 5.0
+SHORTEST_SECONDS = 0.5
+LONGEST_SECONDS = 10.0
 
 
 class ServiceTree:
@@ -45,7 +45,8 @@
         self._totals: dict[str, PoolTotals] = {}
         self._counted: dict[tuple[Cell, str], float] = {}
         self._children: list[str] = []
-        self._sent_bytes = 0
+        self._sent_in: dict[str, int] = {}
+        self._periods: dict[str, float] = {}
         self._steered_at: dict[str, float] = {}
         self._balances: dict[Cell, FleetBalance] = {}
         hub.handle(Served, self._told_by_child)
@@ -54,12 +55,10 @@
     async def run(self) -> None:
         """Exchange until cancelled."""
         while True:
-            period = self._sent_bytes / BYTES_PER_SECOND
-            await asyncio.sleep(min(max(period, SHORTEST_SECONDS), LONGEST_SECONDS))
-            self._sent_bytes = 0
-            for pool in self._pools():
-                if len(self._cells.cells(pool)) > 1:
-                    self._exchange(pool)
+            await asyncio.sleep(max(self._periods.values(), default=SHORTEST_SECONDS))
+            pools = [pool for pool in self._pools() if len(self._cells.cells(pool)) > 1]
+            for pool in pools:
+                self._exchange(pool)
 
     def _exchange(self, pool: str) -> None:
         totals = self._of(pool)
@@ -74,6 +73,7 @@
         totals.set_parent(parent, int(self._clock.wall() * 1000))
         if parent is None:
             totals.told_by_root((own, totals.epoch), totals.root_sums())
+            self._decide_period(pool)
         else:
             self._tell(parent, Served, pool, (totals.epoch,), totals.news_for_parent())
         if children != self._children:
@@ -82,20 +82,27 @@
         self._tell_children(pool, totals, children)
         self._steer(pool, totals.fleet_gains(), tree.depth(len(ordered)))
 
+    def _decide_period(self, pool: str) -> None:
+        # What the root has sent is the most that any node sends in a period.
+        period = self._sent_in.get(pool, 0) / BYTES_PER_SECOND
+        self._periods[pool] = min(max(period, SHORTEST_SECONDS), LONGEST_SECONDS)
+        self._sent_in[pool] = 0
+
     def _tell_children(self, pool: str, totals: PoolTotals, children: list[str]) -> None:
         root = totals.root
         if root is None:
             return
         news = totals.news_for_children()
+        period = round(self._periods.get(pool, SHORTEST_SECONDS) * 1000)
         for child in children:
-            self._tell(child, FleetServed, pool, root, news)
+            self._tell(child, FleetServed, pool, (*root, period), news)
 
     def _tell(self, node: str, kind: type, pool: str, head: tuple, sums: Sums) -> None:
         if not sums:
             return
         records = [CounterRecord(name, round(value)) for name, value in sorted(sums.items())]
         message = kind(pool, *head, records)
-        self._sent_bytes += len(encode_message(message))
+        self._sent_in[pool] = self._sent_in.get(pool, 0) + len(encode_message(message))
         self._hub.send(node, message)
 
     def _of(self, pool: str) -> PoolTotals:
@@ -124,8 +131,9 @@
         now = self._clock.monotonic()
         seconds = now - self._steered_at.get(pool, now)
         self._steered_at[pool] = now
-        # News goes up the tree and down again, and waits for half a period at each hop.
-        delay = (depth + 1) * seconds
+        # News goes up the tree and down again, and waits for half a period at each hop; what is
+        # steered by it takes about one more to show.
+        delay = (depth + 1) * self._periods.get(pool, SHORTEST_SECONDS)
         for cell, dispatcher in self._mine(pool).items():
             balance = self._balances.setdefault(cell, FleetBalance(dispatcher.queue.weight))
             waiting = dispatcher.queue.workspaces()
@@ -138,3 +146,5 @@
     def _told_by_root(self, node: str, message: FleetServed) -> None:
         sums = {record.workspace: float(record.value) for record in message.totals}
         self._of(message.pool).told_by_root((message.root, message.epoch), sums)
+        period = message.period / 1000
+        self._periods[message.pool] = min(max(period, SHORTEST_SECONDS), LONGEST_SECONDS)
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -175,11 +175,15 @@
 
 
 class FleetServed(Message, frozen=True, tag=21):
-    """Service of the whole pool, as ``root`` has summed it up since ``epoch``."""
+    """Service of the whole pool, as ``root`` has summed it up since ``epoch``.
+
+    All nodes exchange sums every ``period`` milliseconds, which the root decides.
+    """
 
     pool: Text
     root: Text
     epoch: Natural
+    period: Natural
     totals: Annotated[list[CounterRecord], msgspec.Meta(max_length=2000)]
 
 
--- a/railsail/scheduling/balance.py
+++ b/railsail/scheduling/balance.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Mapping
 
 # How many delays' service per weight a workspace is behind when its weight counts double.
-SCALE_DELAYS = 1.5
+SCALE_DELAYS = 2.0
 MOST_DOUBLINGS = 3.0
 RATE_GAIN = 0.2
 # Nobody is made up for more than this many scales, however long a partition was.
@@ -34,18 +34,26 @@
         ``gains`` are the fleet's service in cost units that became known in the last ``seconds``;
         ``delay`` is how old such news is, in seconds.
         """
+        stayed = [name for name in waiting if name in self._behind]
         self._behind = {name: self._behind.get(name, 0.0) for name in waiting}
-        if len(waiting) < 2 or seconds <= 0:
+        if len(stayed) < 2 or seconds <= 0:
             return {}
-        shares = {name: gains.get(name, 0.0) / self._weight_of(name) for name in waiting}
+        # Whoever has just begun to wait had no claim to the service of the time before.
+        shares = {name: gains.get(name, 0.0) / self._weight_of(name) for name in stayed}
         mean = sum(shares.values()) / len(shares)
         self._rate += RATE_GAIN * (mean / seconds - self._rate)
         scale = max(1.0, SCALE_DELAYS * self._rate * delay)
-        return {name: self._factor(name, mean - shares[name], scale) for name in waiting}
-
-    def _factor(self, workspace: str, change: float, scale: float) -> float:
-        most = MOST_SCALES * scale
-        behind = min(max(self._behind[workspace] + change, -most), most)
-        self._behind[workspace] = behind
-        doublings = min(max(behind / scale, -MOST_DOUBLINGS), MOST_DOUBLINGS)
-        return 2.0**doublings
+        for name in stayed:
+            self._behind[name] += mean - shares[name]
+        self._bound(MOST_SCALES * scale)
+        return {name: _factor(behind / scale) for name, behind in self._behind.items()}
+
+    def _bound(self, most: float) -> None:
+        # Only differences matter: the middle is taken out, so that nothing drifts.
+        middle = sum(self._behind.values()) / len(self._behind)
+        for name, behind in self._behind.items():
+            self._behind[name] = min(max(behind - middle, -most), most)
+
+
+def _factor(scales: float) -> float:
+    return 2.0 ** min(max(scales, -MOST_DOUBLINGS), MOST_DOUBLINGS)
--- /dev/null
+++ b/tests/membership/test_table.py
@@ -0,0 +1,76 @@
+"""Beliefs about members: merging, refuting, forgetting."""
+
+import itertools
+import random
+import unittest
+from dataclasses import replace
+
+from railsail.membership.table import Member, MemberState, MemberTable
+
+
+def member(node: str, start: int = 1, sequence: int = 0, state=MemberState.ALIVE) -> Member:
+    return Member(node, start, sequence, state, 8081, "d", "r")
+
+
+class TableTests(unittest.TestCase):
+    def setUp(self):
+        self.table = MemberTable(member("own"))
+
+    def test_false_suspicion_of_this_node_is_refuted(self):
+        news = self.table.merge(member("own", state=MemberState.SUSPECT), 0.0)
+        self.assertEqual((news.sequence, news.state), (1, MemberState.ALIVE))
+
+    def test_paused_node_that_was_declared_dead_comes_back(self):
+        other = MemberTable(member("other"))
+        other.merge(self.table.own, 0.0)
+        other.suspect("own", 0.0)
+        other.expire(9.0, 3.0)
+        self.assertEqual(other.get("own").state, MemberState.DEAD)
+        refutation = self.table.merge(other.get("own"), 9.0)
+        other.merge(refutation, 9.0)
+        self.assertEqual(other.get("own").state, MemberState.ALIVE)
+
+    def test_refuted_suspicion_does_not_expire(self):
+        self.table.merge(member("a"), 0.0)
+        self.table.suspect("a", 0.0)
+        self.table.merge(member("a", sequence=1), 1.0)
+        self.assertEqual(self.table.expire(10.0, 3.0), [])
+
+    def test_restarted_node_overrules_all_beliefs_about_its_past(self):
+        self.table.merge(member("a", start=1, sequence=9, state=MemberState.DEAD), 0.0)
+        self.table.merge(member("a", start=2), 0.0)
+        self.assertEqual(self.table.get("a").state, MemberState.ALIVE)
+        self.assertIsNone(self.table.merge(member("a", start=1, sequence=99), 0.0))
+
+    def test_order_and_repeats_of_news_do_not_matter(self):
+        beliefs = [
+            member("a"),
+            member("a", state=MemberState.SUSPECT),
+            member("a", sequence=1),
+            member("a", start=2, state=MemberState.LEAVING),
+        ]
+        ends = set()
+        for order in itertools.permutations(beliefs):
+            table = MemberTable(member("own"))
+            for belief in [*order, random.Random(1).choice(order)]:
+                table.merge(belief, 0.0)
+            ends.add((table.get("a"), table.digest))
+        self.assertEqual(len(ends), 1)
+
+    def test_digest_leaves_out_the_dead(self):
+        before = self.table.digest
+        self.table.merge(member("a"), 0.0)
+        self.assertNotEqual(self.table.digest, before)
+        self.table.merge(member("a", state=MemberState.DEAD), 0.0)
+        self.assertEqual(self.table.digest, before)
+        self.table.forget(["a"])
+        self.assertEqual(self.table.digest, before)
+
+    def test_leaving_node_is_given_no_work(self):
+        self.table.merge(member("a"), 0.0)
+        self.table.merge(replace(member("a"), state=MemberState.LEAVING, sequence=1), 0.0)
+        self.assertEqual([m.node for m in self.table.usable()], ["own"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/scheduling/test_cells.py
@@ -0,0 +1,168 @@
+"""Cells, the service tree and the balance between cells."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from railsail.membership import overlay, tree
+from railsail.membership.placement import choose, rank
+from railsail.scheduling.balance import FleetBalance
+from railsail.scheduling.cells import cut
+from railsail.scheduling.totals import PoolTotals
+
+
+class CutTests(unittest.TestCase):
+    def test_small_pool_is_one_cell(self):
+        cells = cut("model", [f"r{n}" for n in range(16)], 16)
+        self.assertEqual([cell.count for cell in cells], [1])
+
+    @settings(deadline=None, derandomize=True)
+    @given(st.integers(0, 300), st.integers(1, 20))
+    def test_every_replica_is_in_one_cell_and_no_cell_is_too_large(self, count, limit):
+        replicas = [f"r{n}" for n in range(count)]
+        cells = cut("model", replicas, limit)
+        self.assertEqual(sorted(r for part in cells.values() for r in part), sorted(replicas))
+        self.assertTrue(all(len(part) <= limit for part in cells.values()))
+
+
+class PlacementTests(unittest.TestCase):
+    def test_loss_of_a_node_moves_only_its_jobs(self):
+        nodes = [f"n{n}" for n in range(20)]
+        jobs = [f"job {n}" for n in range(200)]
+        before = {job: choose(job, nodes) for job in jobs}
+        after = {job: choose(job, nodes[1:]) for job in jobs}
+        moved = {job for job in jobs if before[job] != after[job]}
+        self.assertEqual(moved, {job for job in jobs if before[job] == "n0"})
+
+    def test_second_choice_follows_the_first(self):
+        nodes = ["a", "b", "c"]
+        first, second, _ = rank("job", nodes)
+        nodes.remove(first)
+        self.assertEqual(choose("job", nodes), second)
+
+
+class OverlayTests(unittest.TestCase):
+    def test_neighbours_are_few_mutual_and_reach_all_in_few_hops(self):
+        for size in (2, 3, 8, 40, 390, 1000):
+            ring = [f"{n:04d}" for n in range(size)]
+            links = {node: set(overlay.neighbours(ring, node)) for node in ring}
+            self.assertTrue(all(len(peers) <= 8 for peers in links.values()))
+            self.assertTrue(all(n in links[p] for n, peers in links.items() for p in peers))
+            self.assertLessEqual(self.hops(links, ring[0]), 10)
+
+    def hops(self, links: dict[str, set[str]], start: str) -> int:
+        reached, edge, hops = {start}, {start}, 0
+        while len(reached) < len(links):
+            edge = {peer for node in edge for peer in links[node]} - reached
+            self.assertTrue(edge, "the overlay is in parts")
+            reached |= edge
+            hops += 1
+        return hops
+
+    def test_tree_is_shallow_and_whole(self):
+        nodes = tree.order("x", [f"n{n}" for n in range(390)])
+        self.assertEqual(tree.depth(390), 5)
+        for node in nodes[1:]:
+            self.assertIn(node, tree.children(nodes, tree.parent(nodes, node)))
+
+
+class Fleet:
+    """A tree of totals in memory, whose messages repeat and come out of order."""
+
+    def __init__(self, size: int, rng: random.Random) -> None:
+        self.rng = rng
+        self.nodes = tree.order("x", [f"n{n}" for n in range(size)])
+        self.totals = {node: PoolTotals() for node in self.nodes}
+        self.epoch = 0
+        self.mail: list = []
+
+    def round(self) -> None:
+        for node in self.nodes:
+            self.exchange(node)
+        self.deliver()
+
+    def exchange(self, node: str) -> None:
+        totals = self.totals[node]
+        parent = tree.parent(self.nodes, node)
+        totals.set_parent(parent, self.epoch)
+        if parent is None:
+            totals.told_by_root((node, totals.epoch), totals.root_sums())
+        else:
+            sums = totals.news_for_parent()
+            self.post(self.totals[parent].told_by_child, node, totals.epoch, sums)
+        news = totals.news_for_children()
+        for child in tree.children(self.nodes, node):
+            self.post(self.totals[child].told_by_root, totals.root, news)
+
+    def post(self, method, *arguments) -> None:
+        if arguments[0] is not None:
+            self.mail += [(method, arguments)] * self.rng.choice([1, 1, 2])
+
+    def deliver(self) -> None:
+        self.rng.shuffle(self.mail)
+        for method, arguments in self.mail:
+            method(*arguments)
+        self.mail = []
+
+    def lose(self, node: str) -> None:
+        self.nodes.remove(node)
+        del self.totals[node]
+        self.epoch += 1
+
+
+class TotalsTests(unittest.TestCase):
+    def test_all_learn_what_all_served_through_repeats_and_reordering(self):
+        fleet = Fleet(20, random.Random(3))
+        fleet.round()
+        for node in fleet.nodes:
+            fleet.totals[node].serve("a", 10.0)
+        for _ in range(2 * tree.depth(20) + 2):
+            fleet.round()
+        gained = [totals.fleet_gains() for totals in fleet.totals.values()]
+        del gained
+        for node in fleet.nodes:
+            fleet.totals[node].serve("a", 5.0)
+        for _ in range(2 * tree.depth(20) + 2):
+            fleet.round()
+        sums = [totals.fleet_gains().get("a", 0.0) for totals in fleet.totals.values()]
+        self.assertEqual(sums, [100.0] * 20)
+
+    def test_lost_inner_node_and_root_count_nothing_twice(self):
+        for victim in (0, 1):
+            fleet = Fleet(20, random.Random(3))
+            served = 0.0
+            gained = 0.0
+            watcher = fleet.nodes[-1]
+            for turn in range(60):
+                if turn == 25:
+                    fleet.lose(fleet.nodes[victim])
+                fleet.totals[fleet.nodes[-2]].serve("a", 10.0)
+                served += 10.0
+                fleet.round()
+                gained += fleet.totals[watcher].fleet_gains().get("a", 0.0)
+            self.assertLessEqual(gained, served)
+            # What was on its way is lost: a few hops' service at the start and at the loss.
+            self.assertGreaterEqual(gained, served - 10.0 * 4 * (2 * tree.depth(20) + 2))
+
+
+class BalanceTests(unittest.TestCase):
+    def test_whoever_is_behind_weighs_more_and_nobody_without_bound(self):
+        balance = FleetBalance(lambda name: 1.0)
+        waiting = ["ahead", "behind"]
+        balance.update({}, waiting, 0.5, 1.0)
+        factors: dict[str, float] = {}
+        for _ in range(200):
+            factors = balance.update({"ahead": 100.0}, waiting, 0.5, 1.0)
+        self.assertEqual((factors["behind"], factors["ahead"]), (8.0, 0.125))
+
+    def test_service_before_the_wait_began_does_not_count(self):
+        balance = FleetBalance(lambda name: 1.0)
+        balance.update({}, ["a", "b"], 0.5, 1.0)
+        factors = balance.update({"new": 1e6, "a": 5.0, "b": 5.0}, ["a", "b", "new"], 0.5, 1.0)
+        self.assertEqual(factors, {"a": 1.0, "b": 1.0, "new": 1.0})
+
+
+if __name__ == "__main__":
+    unittest.main()
