--- a/railsail/node.py
+++ b/railsail/node.py
@@ -61,6 +61,8 @@
         self.settings = settings
         self.clock = clock or Clock()
         self.rng = rng or random.Random(secrets.randbits(64))
+        # Ids have a generator of their own, so that a session with a seed has the same ids always.
+        self._id_rng = random.Random(self.rng.getrandbits(64))
         self.lifecycle = Lifecycle()
         self.metrics = Metrics()
         self.events = EventLog(settings.node_id, self.clock)
@@ -191,7 +193,7 @@
         return [pool.name for pool in self._catalog().of_kind(Pool)]
 
     def _new_id(self) -> str:
-        return f"req-{self.rng.getrandbits(64):016x}"
+        return f"req-{self._id_rng.getrandbits(64):016x}"
 
     def _usable(self) -> list[str]:
         """Return the nodes that may be given work, as far as this node can reach them."""
