--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -116,7 +116,7 @@
         async with asyncio.timeout(CONNECT_SECONDS):
             return await TCPClient().connect(target.ip, target.port)
     except (OSError, TimeoutError, StreamClosedError) as problem:
-        raise NotSent(f"cannot connect to {endpoint}: {problem}") from None
+        raise NotSent(f"the replica cannot be connected to: {type(problem).__name__}") from None
 
 
 async def _exchange_on(stream: IOStream, request: HttpRequest, receiver: Receiver) -> None:
@@ -135,16 +135,16 @@
     except (OSError, StreamClosedError, ValueError) as problem:
         if delegate.error is not None:
             raise delegate.error from None
-        raise CutOff(f"the connection to {request.endpoint} broke: {problem}") from None
+        raise CutOff(f"the connection to the replica broke: {problem}") from None
     finally:
         watch.cancel()
     if delegate.error is not None:
         raise delegate.error
     if not delegate.whole:
-        raise CutOff(f"{request.endpoint} closed before the end of its answer")
+        raise CutOff("the replica closed before the end of its answer")
     if not delegate.framed:
         # A body that only ends with the connection may be cut short without a sign.
-        raise CutOff(f"{request.endpoint} gave no length of its answer")
+        raise CutOff("the replica gave no length of its answer")
 
 
 def _headers(request: HttpRequest) -> HTTPHeaders:
