store: gave journals parts of a fixed size; scheduling: named workspaces in sums by digests

Change: a part holds 32 records from a multiple of that on, so that the head only counts them; sums name a workspace by 32 bits of a digest. The head is its tail and two numbers, whatever is archived.

--- a/railsail/dispatch/tree.py
+++ b/railsail/dispatch/tree.py
@@ -12,11 +12,11 @@
 from railsail.membership import tree
 from railsail.peers.codec import encode_message
 from railsail.peers.hub import PeerHub
-from railsail.peers.messages import CounterRecord, FleetServed, Served
+from railsail.peers.messages import FleetServed, Served, SumRecord
 from railsail.scheduling.balance import FleetBalance
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import CellDispatcher
-from railsail.scheduling.totals import PoolTotals, Sums
+from railsail.scheduling.totals import PoolTotals, Sums, digest_of
 
 # The root lets all exchange as often as this many bytes a second allow a node, within the bounds.
 BYTES_PER_SECOND = 1000.0
@@ -100,7 +100,7 @@
     def _tell(self, node: str, kind: type, pool: str, head: tuple, sums: Sums) -> None:
         if not sums:
             return
-        records = [CounterRecord(name, round(value)) for name, value in sorted(sums.items())]
+        records = [SumRecord(digest, round(value)) for digest, value in sorted(sums.items())]
         message = kind(pool, *head, records)
         self._sent_in[pool] = self._sent_in.get(pool, 0) + len(encode_message(message))
         self._hub.send(node, message)
@@ -115,9 +115,9 @@
     def _count_own(self, pool: str, totals: PoolTotals) -> None:
         for cell, dispatcher in self._mine(pool).items():
             for workspace, gain in self._gains(cell, dispatcher.served).items():
-                totals.serve(workspace, gain)
+                totals.serve(digest_of(workspace), gain)
 
-    def _gains(self, cell: Cell, served: Sums) -> Sums:
+    def _gains(self, cell: Cell, served: dict[str, float]) -> dict[str, float]:
         gains = {}
         for workspace, value in served.items():
             gain = value - self._counted.get((cell, workspace), 0.0)
@@ -137,7 +137,8 @@
         for cell, dispatcher in self._mine(pool).items():
             balance = self._balances.setdefault(cell, FleetBalance(dispatcher.queue.weight))
             waiting = dispatcher.queue.workspaces()
-            dispatcher.queue.tilt(balance.update(gains, waiting, seconds, delay))
+            named = {name: gains.get(digest_of(name), 0.0) for name in waiting}
+            dispatcher.queue.tilt(balance.update(named, waiting, seconds, delay))
 
     def _told_by_child(self, node: str, message: Served) -> None:
         sums = {record.workspace: float(record.value) for record in message.totals}
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -150,12 +150,19 @@
 
 
 class CounterRecord(Message, frozen=True):
-    """A workspace's counter or served cost."""
+    """A workspace's counter, in cost units per weight."""
 
     workspace: Text
     value: Signed
 
 
+class SumRecord(Message, frozen=True):
+    """The service of a workspace, named by its digest (see ``railsail.scheduling.totals``)."""
+
+    workspace: Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]
+    value: Natural
+
+
 class Resync(Message, frozen=True, tag=16):
     """Tell a dispatcher all that the entry has of a cell; what is not named is forgotten."""
 
@@ -171,7 +178,7 @@
 
     pool: Text
     epoch: Natural
-    totals: Annotated[list[CounterRecord], msgspec.Meta(max_length=2000)]
+    totals: Annotated[list[SumRecord], msgspec.Meta(max_length=2000)]
 
 
 class FleetServed(Message, frozen=True, tag=21):
@@ -184,7 +191,7 @@
     root: Text
     epoch: Natural
     period: Natural
-    totals: Annotated[list[CounterRecord], msgspec.Meta(max_length=2000)]
+    totals: Annotated[list[SumRecord], msgspec.Meta(max_length=2000)]
 
 
 class CellHint(Message, frozen=True, tag=22):
--- a/railsail/scheduling/totals.py
+++ b/railsail/scheduling/totals.py
@@ -4,12 +4,21 @@
 and merge by maximum, so that repeats and reorderings do no harm. A node that gets another parent
 starts a new epoch there from zero, so that nothing is told twice; what the old parent had not yet
 passed on is lost, at most one period's service a hop. The root's sums come down again.
+
+Workspaces are named by a digest of 32 bits, which is a third of a name's bytes on the wire. Two of
+300 workspaces share one with a chance of one in 100,000; they would then be steered alike.
 """
 
+import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-Sums = dict[str, float]
+Sums = dict[int, float]
+
+
+def digest_of(workspace: str) -> int:
+    """Return the digest by which sums name a workspace."""
+    return zlib.crc32(workspace.encode())
 
 
 @dataclass
@@ -43,11 +52,11 @@
         """Return node and epoch of the root whose sums are known."""
         return self._root
 
-    def serve(self, workspace: str, cost: float) -> None:
+    def serve(self, workspace: int, cost: float) -> None:
         """Add ``cost`` that a cell of this node served."""
         self._under[workspace] = self._under.get(workspace, 0.0) + cost
 
-    def told_by_child(self, child: str, epoch: int, sums: Mapping[str, float]) -> None:
+    def told_by_child(self, child: str, epoch: int, sums: Mapping[int, float]) -> None:
         """Take in the sums of a child."""
         known = self._children.get(child)
         if known is not None and epoch < known.epoch:
@@ -75,7 +84,7 @@
         sums = {name: value - self._base.get(name, 0.0) for name, value in self._under.items()}
         return _changed(sums, self._told)
 
-    def told_by_root(self, root: tuple[str, int], sums: Mapping[str, float]) -> None:
+    def told_by_root(self, root: tuple[str, int], sums: Mapping[int, float]) -> None:
         """Take in the sums of the whole pool; ``root`` is the root's node and epoch."""
         if root != self._root:
             self._root = root
--- a/railsail/store/claims.py
+++ b/railsail/store/claims.py
@@ -15,11 +15,12 @@
 from railsail.core.clock import Clock
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
 from railsail.store.base import Store
-from railsail.store.journal import Backoff, Head, Journal, Part, Record
+from railsail.store.journal import Backoff, Head, Journal, Record
 
 KIND = "claims"
 SHARDS = 16
-TAIL_LIMIT = 64
+PART_SIZE = 32
+MOST_IN_BATCH = 32
 # The shards together write at most this often; the store takes about a hundred writes a second.
 WRITES_PER_SECOND = 40.0
 SPACING_SECONDS = SHARDS / WRITES_PER_SECOND
@@ -92,12 +93,13 @@
     def __init__(
         self, store: Store, number: int, keep_seconds: float, clock: Clock, rng: random.Random
     ) -> None:
-        self._journal = Journal(store, KIND, f"shard-{number:02d}", TAIL_LIMIT)
+        self._journal = Journal(store, KIND, f"shard-{number:02d}", PART_SIZE)
         self._keep_seconds = keep_seconds
         self._clock = clock
         self._backoff = Backoff(rng, 0.05, 2.0)
         self._head: Head | None = None
-        self._read_parts: set[Part] = set()
+        # The time of the last record of each archived part that was read, by part number.
+        self._part_ends: dict[int, float] = {}
         self._index: dict[bytes, tuple[float, Claim]] = {}
         self._pending: list[_Pending] = []
         self._running: asyncio.Task | None = None
@@ -118,7 +120,7 @@
             wait = self._last_write + SPACING_SECONDS - self._clock.monotonic()
             if wait > 0:
                 await asyncio.sleep(wait)
-            batch = self._pending[: TAIL_LIMIT // 2]
+            batch = self._pending[:MOST_IN_BATCH]
             try:
                 await self._write(batch)
                 self._backoff.reset()
@@ -142,8 +144,10 @@
             records.append(_to_record(pending.claim, self._clock.wall()))
         if records:
             self._last_write = self._clock.monotonic()
-            self._head = await self._journal.append(self._head, records, self._clock.wall())
+            self._head = await self._journal.append(self._head, records)
             self._enter(records)
+            for number in self._journal.parts(self._head):
+                self._part_ends.setdefault(number, self._clock.wall())
         for pending in batch:
             if not pending.answer.done():
                 self._settle(pending, {})
@@ -174,10 +178,11 @@
         if self._head is not None:
             return
         head = await self._journal.read_head()
-        for part in head.parts:
-            if part not in self._read_parts:
-                self._enter(await self._journal.read_part(part))
-                self._read_parts.add(part)
+        for number in self._journal.parts(head):
+            if number not in self._part_ends:
+                records = await self._journal.read_part(number)
+                self._enter(records)
+                self._part_ends[number] = records[-1]["t"] if records else 0.0
         self._enter(head.tail)
         self._head = head
 
@@ -189,10 +194,13 @@
 
     async def _expire(self) -> None:
         before = self._clock.wall() - self._keep_seconds
-        if not any(part.written_at < before for part in self._head.parts):
+        first = self._head.first
+        while self._part_ends.get(first, before) < before:
+            first += 1
+        if first == self._head.first:
             return
-        self._head = await self._journal.drop_parts(self._head, before)
-        self._read_parts &= set(self._head.parts)
+        self._head = await self._journal.drop_parts(self._head, first)
+        self._part_ends = {n: end for n, end in self._part_ends.items() if n >= first}
         for key, (at, _) in list(self._index.items()):
             if at < before:
                 del self._index[key]
