gateway: split serving from judging and trying; core: bundled what all parts share

Change: gateway/tries.py and verdicts.py, dispatch/loads.py, admin/status.py with the interface that it needs of a node, core/kernel.py; nodes that do not watch list every 10 min, and the configuration's head alone is read. An experiment measures the memory of links.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -7,7 +7,9 @@
 """
 
 import asyncio
+import gc
 import json
+import os
 import secrets
 import time
 from pathlib import Path
@@ -19,9 +21,15 @@
 from benchmarks.fairness import control_figures
 from benchmarks.play import play
 from benchmarks.workload import Plan, make
+from railsail.core.clock import Clock
+from railsail.core.events import EventLog
+from railsail.core.metrics import Metrics
 from railsail.peers.codec import encode_message
+from railsail.peers.hub import PeerHub
+from railsail.peers.link import Identity
 from railsail.peers.messages import Served, SumRecord
 from railsail.scheduling.totals import digest_of
+from railsail.standins.fleet import free_ports
 from railsail.upstreams.http import HttpRequest, fetch
 
 RESULTS = Path("results") / "capacity.json"
@@ -158,14 +166,49 @@
             points.append((count, len(encode_message(Served("model-a", 10**12, records)))))
         return {"bytes": fit("bytes of one message of sums by records", points)}
 
+    def links(self, counts: tuple[int, ...] = (25, 50, 100, 200)) -> dict:
+        """Vary the links of a process that holds both ends of each."""
+        points = [(2 * count, asyncio.run(_links_point(count))) for count in counts]
+        return {"rss": fit("MB by ends of links", points)}
+
     def all(self) -> None:
         """Run all experiments, and write the results."""
-        names = ("records", "requests", "daemons", "replicas", "changes", "claims")
+        names = ("records", "links", "requests", "daemons", "replicas", "changes", "claims")
         results = {name: getattr(self, name)() for name in names}
         RESULTS.parent.mkdir(exist_ok=True)
         RESULTS.write_text(json.dumps(results, indent=1))
 
 
+async def _links_point(count: int) -> float:
+    """Return the megabytes that ``count`` links add to this process."""
+    hubs = [await _hub() for _ in range(count + 1)]
+    before = _rss()
+    while len(hubs[0].peers()) < count:
+        for hub in hubs[1:]:
+            hub.dial(hubs[0].own.node)
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(0.5)
+    grown = _rss() - before
+    for hub in hubs:
+        await hub.stop()
+    return grown
+
+
+async def _hub() -> PeerHub:
+    port = free_ports(1)[0]
+    own = Identity(f"127.0.0.1:{port}", 1)
+    clock = Clock()
+    hub = PeerHub(own, ("127.0.0.1", port), "s" * 16, clock, EventLog("x", clock), Metrics())
+    await hub.start()
+    return hub
+
+
+def _rss() -> float:
+    gc.collect()
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 async def _daemons_point(count: int) -> dict:
     deployment = await deploy.start(SHAPE, count)
     try:
--- a/railsail/admin/app.py
+++ b/railsail/admin/app.py
@@ -2,11 +2,11 @@
 
 import hmac
 import json
-from typing import TYPE_CHECKING
 
 import msgspec
 from tornado.web import Application, HTTPError, RequestHandler
 
+from railsail.admin.status import Operated, status
 from railsail.configuration.changes import ConfigurationConflict, Proposal, snapshot
 from railsail.core.checks import Finding, error
 from railsail.core.exceptions import ImproperlyConfigured, StoreUnavailable
@@ -15,9 +15,6 @@
 from railsail.objects.kinds import KINDS
 from railsail.objects.parse import parse_resource
 
-if TYPE_CHECKING:
-    from railsail.node import Node
-
 MOST_EVENTS = 4096
 MOST_BODY_BYTES = 2 << 20
 
@@ -27,7 +24,7 @@
 
     open_to_all = False
 
-    def initialize(self, node: "Node") -> None:
+    def initialize(self, node: Operated) -> None:
         self.node = node
 
     def check_xsrf_cookie(self) -> None:
@@ -88,7 +85,7 @@
 
 class _Status(_Handler):
     def get(self) -> None:
-        self.reply(self.node.status())
+        self.reply(status(self.node))
 
 
 class _Events(_Handler):
@@ -186,7 +183,7 @@
     return Operation(resource.key, resource) if resource is not None else None
 
 
-def application(node: "Node") -> Application:
+def application(node: Operated) -> Application:
     """Return the tornado application of ``node``'s operators' interface."""
     share = {"node": node}
     rules = [
--- /dev/null
+++ b/railsail/admin/status.py
@@ -0,0 +1,73 @@
+"""What operators are told of one daemon, as plain data."""
+
+from typing import Protocol
+
+from railsail.conf.settings import Settings
+from railsail.configuration.carrier import ConfigurationCarrier
+from railsail.configuration.repository import ConfigurationRepository
+from railsail.core.events import EventLog
+from railsail.core.lifecycle import Lifecycle
+from railsail.core.metrics import Metrics
+from railsail.dispatch.service import DispatcherService
+from railsail.gateway.admission import Admission
+from railsail.membership.service import Membership
+from railsail.store.watcher import StoreWatcher
+from railsail.upstreams.directory import UpstreamDirectory
+
+
+class Operated(Protocol):
+    """What the operators' interface needs of a daemon; ``railsail.node.Node`` has it."""
+
+    settings: Settings
+    start_id: int
+    lifecycle: Lifecycle
+    carrier: ConfigurationCarrier
+    repository: ConfigurationRepository
+    watcher: StoreWatcher
+    admission: Admission
+    membership: Membership
+    directory: UpstreamDirectory
+    dispatchers: DispatcherService
+    events: EventLog
+    metrics: Metrics
+
+    def not_ready(self) -> list[str]:
+        """Return the reasons why the balancer must send no callers."""
+
+    def begin_drain(self, cause: str) -> None:
+        """Begin a planned stop."""
+
+
+def status(node: Operated) -> dict[str, object]:
+    """Return state, version, members, replicas and cells of ``node``."""
+    return {
+        "node": node.settings.node_id,
+        "start_id": node.start_id,
+        "state": node.lifecycle.state,
+        "not_ready": node.not_ready(),
+        "version": node.carrier.catalog.version,
+        "store_reachable": node.watcher.reachable,
+        "requests": node.admission.total,
+        "members": [
+            {
+                "node": member.node,
+                "state": member.state.name.lower(),
+                "admin": f"{member.node.rpartition(':')[0]}:{member.admin_port}",
+                "failure_domain": member.failure_domain,
+            }
+            for member in node.membership.table.all()
+        ],
+        "upstreams": [
+            {"name": upstream.name, "pool": upstream.pool, "leaving": upstream.leaving}
+            for upstream in node.directory.all()
+        ],
+        "cells": [
+            {
+                "cell": str(cell),
+                "waiting": len(dispatcher.queue),
+                "in_flight": len(dispatcher.flights),
+                "counters": dispatcher.queue.counters(),
+            }
+            for cell, dispatcher in node.dispatchers.dispatchers().items()
+        ],
+    }
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -6,12 +6,10 @@
 """
 
 import asyncio
-import random
 from dataclasses import dataclass, field
 
-from railsail.core.clock import Clock
-from railsail.core.events import EventLog, Kind
-from railsail.core.metrics import Metrics
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Reason
 from railsail.dispatch.cellmap import CellMap
 from railsail.peers.hub import PeerHub
@@ -90,17 +88,14 @@
         self,
         cells: CellMap,
         hub: PeerHub,
-        clock: Clock,
-        events: EventLog,
-        metrics: Metrics,
-        rng: random.Random,
+        kernel: Kernel,
     ) -> None:
         self._cells = cells
         self._hub = hub
-        self._clock = clock
-        self._events = events
-        self._metrics = metrics
-        self._rng = rng
+        self._clock = kernel.clock
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+        self._rng = kernel.rng
         self._bookings: dict[int, Booking] = {}
         self._next_number = 1
         self._counters: dict[Cell, dict[str, int]] = {}
--- /dev/null
+++ b/railsail/dispatch/loads.py
@@ -0,0 +1,68 @@
+"""Ask the replicas of a node's cells for their load, often while they are busy."""
+
+import asyncio
+from collections.abc import Callable
+
+from railsail.core.clock import Clock
+from railsail.objects.catalog import Catalog
+from railsail.scheduling.cells import Cell
+from railsail.scheduling.dispatcher import CellDispatcher
+from railsail.scheduling.room import LoadReport
+from railsail.upstreams.base import UPSTREAM_KINDS, UpstreamKind
+from railsail.upstreams.directory import UpstreamDirectory
+
+BUSY_SECONDS = 1.0
+IDLE_SECONDS = 5.0
+
+
+class LoadReports:
+    """Ask for load reports, and pass them on; a replica's own word that it leaves is a sign."""
+
+    def __init__(
+        self, catalog: Callable[[], Catalog], directory: UpstreamDirectory, clock: Clock
+    ) -> None:
+        self._catalog = catalog
+        self._directory = directory
+        self._clock = clock
+        self._asked_at: dict[str, float] = {}
+        self._kinds: dict[str, UpstreamKind] = {}
+        self._listeners: list[Callable[[Cell, str, LoadReport], None]] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    def on_report(self, listener: Callable[[Cell, str, LoadReport], None]) -> None:
+        """Call ``listener`` with cell, replica and report."""
+        self._listeners.append(listener)
+
+    def kind_of(self, pool: str) -> UpstreamKind | None:
+        """Return the plug-in that speaks to the replicas of ``pool``."""
+        found = self._catalog().pool(pool)
+        if found is None:
+            return None
+        name = found.upstream_kind
+        if name not in self._kinds:
+            self._kinds[name] = UPSTREAM_KINDS.get(name)()
+        return self._kinds[name]
+
+    def ask(self, cell: Cell, dispatcher: CellDispatcher) -> None:
+        """Ask the replicas of ``cell`` whose report is due."""
+        kind = self.kind_of(cell.pool)
+        if kind is None or not kind.reports_load:
+            return
+        now = self._clock.monotonic()
+        busy = bool(dispatcher.flights) or bool(len(dispatcher.queue))
+        period = BUSY_SECONDS if busy else IDLE_SECONDS
+        for name in dispatcher.replicas:
+            if now - self._asked_at.get(name, -IDLE_SECONDS) >= period:
+                self._asked_at[name] = now
+                task = asyncio.ensure_future(self._ask(cell, name, kind))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, cell: Cell, name: str, kind: UpstreamKind) -> None:
+        upstream = self._directory.get(name)
+        report = await kind.load(upstream.endpoint) if upstream else None
+        if report is None:
+            return
+        self._directory.sign(name, report.leaving, self._clock.wall())
+        for listener in self._listeners:
+            listener(cell, name, report)
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -5,14 +5,13 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
 
-from railsail.core.clock import Clock
-from railsail.core.events import EventLog, Kind
-from railsail.core.metrics import Metrics
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.entry import RANK_SCALE, URGENT_FLAG
+from railsail.dispatch.loads import LoadReports
 from railsail.objects.catalog import Catalog
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
@@ -31,12 +30,9 @@
 from railsail.scheduling.dispatcher import CellDispatcher, Decision, Flight, Grant
 from railsail.scheduling.room import LoadReport
 from railsail.scheduling.tickets import Ticket, TicketKey
-from railsail.upstreams.base import UPSTREAM_KINDS, UpstreamKind
 from railsail.upstreams.directory import UpstreamDirectory
 
 TICK_SECONDS = 0.25
-LOAD_SECONDS = 1.0
-IDLE_LOAD_SECONDS = 5.0
 IDLE_SECONDS = 30.0
 _RESULTS = {0: None, 1: True, 2: False}
 
@@ -49,29 +45,26 @@
         cells: CellMap,
         directory: UpstreamDirectory,
         catalog: Callable[[], Catalog],
+        loads: LoadReports,
         hub: PeerHub,
-        clock: Clock,
-        events: EventLog,
-        metrics: Metrics,
-        rng: random.Random,
+        kernel: Kernel,
         use_prefixes: bool,
     ) -> None:
         self._cells = cells
         self._directory = directory
         self._catalog = catalog
         self._hub = hub
-        self._clock = clock
-        self._events = events
-        self._metrics = metrics
-        self._rng = rng
+        self._clock = kernel.clock
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+        self._rng = kernel.rng
         self._use_prefixes = use_prefixes
         self._dispatchers: dict[Cell, CellDispatcher] = {}
         self._where: dict[TicketKey, Cell] = {}
         self._entry_starts: dict[str, int] = {}
         self._used_at: dict[Cell, float] = {}
-        self._load_at: dict[str, float] = {}
-        self._kinds: dict[str, UpstreamKind] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._loads = loads
+        loads.on_report(self._reported)
         self._pumped: list[Callable[[Cell, CellDispatcher], None]] = []
         hub.handle(Place, self._place)
         hub.handle(Cancel, self._cancel)
@@ -148,7 +141,7 @@
             now = self._clock.monotonic()
             for cell, dispatcher in list(self._dispatchers.items()):
                 self._pump(cell, dispatcher)
-                self._ask_loads(cell, dispatcher, now)
+                self._loads.ask(cell, dispatcher)
                 self._drop_idle(cell, dispatcher, now)
 
     def dispatcher(self, pool: str, number: int) -> tuple[Cell, CellDispatcher]:
@@ -160,7 +153,7 @@
             self._dispatchers[cell] = dispatcher
             self._set_replicas(cell, dispatcher)
             self._events.emit(Kind.TOOK_OVER, f"dispatcher of {cell}")
-            self._ask_loads(cell, dispatcher, self._clock.monotonic())
+            self._loads.ask(cell, dispatcher)
         self._used_at[cell] = self._clock.monotonic()
         return cell, dispatcher
 
@@ -255,37 +248,7 @@
                 message = Refused(ticket.number, ticket.attempt, decision.reason)
             self._hub.send(ticket.entry, message)
 
-    def _ask_loads(self, cell: Cell, dispatcher: CellDispatcher, now: float) -> None:
-        kind = self.kind_of(cell.pool)
-        if kind is None or not kind.reports_load:
-            return
-        busy = bool(dispatcher.flights) or bool(len(dispatcher.queue))
-        period = LOAD_SECONDS if busy else IDLE_LOAD_SECONDS
-        for name in dispatcher.replicas:
-            if now - self._load_at.get(name, 0.0) >= period:
-                self._load_at[name] = now
-                self._spawn(self._ask_load(cell, name, kind))
-
-    def kind_of(self, pool: str) -> UpstreamKind | None:
-        """Return the plug-in that speaks to the replicas of ``pool``."""
-        found = self._catalog().pool(pool)
-        if found is None:
-            return None
-        name = found.upstream_kind
-        if name not in self._kinds:
-            self._kinds[name] = UPSTREAM_KINDS.get(name)()
-        return self._kinds[name]
-
-    async def _ask_load(self, cell: Cell, name: str, kind: UpstreamKind) -> None:
-        upstream = self._directory.get(name)
-        if upstream is None:
-            return
-        report = await kind.load(upstream.endpoint)
-        if report is not None:
-            self._reported(cell, name, report)
-
     def _reported(self, cell: Cell, name: str, report: LoadReport) -> None:
-        self._directory.sign(name, report.leaving, self._clock.wall())
         dispatcher = self._dispatchers.get(cell)
         if dispatcher is not None:
             dispatcher.report(name, report, self._clock.monotonic())
@@ -307,11 +270,6 @@
             if not known:
                 del self._where[key]
 
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _to_ticket(entry: str, message: Place, now: float) -> Ticket:
     return Ticket(
--- a/railsail/gateway/app.py
+++ b/railsail/gateway/app.py
@@ -6,10 +6,8 @@
 
 from tornado.web import Application, RequestHandler
 
-from railsail.core.clock import Clock
-from railsail.core.events import EventLog, Kind
-from railsail.core.lifecycle import Lifecycle
-from railsail.core.metrics import Metrics
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Reason, Unknown
 from railsail.gateway.requests import BadRequest, CallerRequest, read_request
 from railsail.gateway.serve import Conflict, Replay, Result, Server
@@ -203,18 +201,14 @@
     def __init__(
         self,
         server: Server,
-        lifecycle: Lifecycle,
-        clock: Clock,
-        events: EventLog,
-        metrics: Metrics,
+        kernel: Kernel,
         new_id: Callable[[], str],
     ) -> None:
         self.server = server
         self.callers = Callers()
-        self.lifecycle = lifecycle
-        self.clock = clock
-        self.events = events
-        self.metrics = metrics
+        self.clock = kernel.clock
+        self.events = kernel.events
+        self.metrics = kernel.metrics
         self.new_id = new_id
 
     def ended(
--- a/railsail/gateway/claims.py
+++ b/railsail/gateway/claims.py
@@ -1,12 +1,10 @@
 """Claim idempotency keys through the daemon that batches the key's shard."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from dataclasses import replace
 
-from railsail.core.clock import Clock
-from railsail.core.metrics import Metrics
+from railsail.core.kernel import Kernel
 from railsail.membership.placement import choose
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
@@ -34,17 +32,15 @@
         hub: PeerHub,
         usable: Callable[[], list[str]],
         keep_seconds: float,
-        clock: Clock,
-        metrics: Metrics,
-        rng: random.Random,
+        kernel: Kernel,
     ) -> None:
         self._store = store
         self._hub = hub
         self._usable = usable
         self._keep_seconds = keep_seconds
-        self._clock = clock
-        self._metrics = metrics
-        self._rng = rng
+        self._clock = kernel.clock
+        self._metrics = kernel.metrics
+        self._rng = kernel.rng
         self._shards: dict[int, ClaimShard] = {}
         self._asked: dict[int, tuple[Claim, str, asyncio.Future]] = {}
         self._next_number = 1
--- /dev/null
+++ b/railsail/gateway/tries.py
@@ -0,0 +1,186 @@
+"""Bring one request to a replica: wait for a grant, call, settle, try again where that is safe."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
+from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from railsail.dispatch.entry import Booking, Refusal, TicketDesk, Want
+from railsail.gateway.requests import CallerRequest
+from railsail.gateway.sink import CallerLeft, CallerSink
+from railsail.objects.catalog import Catalog
+from railsail.objects.kinds import Pool
+from railsail.policy.programs import Verdict
+from railsail.scheduling.estimates import ChargeMeter, CostEstimator
+from railsail.scheduling.retries import RetryBudget
+from railsail.store.claims import Claim
+from railsail.upstreams.base import UpstreamCall, UpstreamKind
+from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.refusals import LEAVING
+
+MOST_TRIES = 5
+# Urgent work is decided at once; the second allows for a dispatcher that must be replaced.
+LEAST_WAIT_SECONDS = 1.0
+CANCELLED = "cancelled"
+
+
+@dataclass
+class Served:
+    """One request on its way through this node."""
+
+    id: str
+    workspace: str
+    request: CallerRequest
+    pool: Pool
+    verdict: Verdict
+    sink: CallerSink
+    ends_at: float
+    claim: Claim | None = None
+    avoid: str = ""
+
+
+class Tries:
+    """Make the tries of requests; ``kind_of`` gives the plug-in of a pool."""
+
+    def __init__(
+        self,
+        catalog: Callable[[], Catalog],
+        directory: UpstreamDirectory,
+        desk: TicketDesk,
+        kind_of: Callable[[str], UpstreamKind | None],
+        kernel: Kernel,
+    ) -> None:
+        self._catalog = catalog
+        self._directory = directory
+        self._desk = desk
+        self._kind_of = kind_of
+        self._clock = kernel.clock
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+        self._estimator = CostEstimator()
+        self._budget = RetryBudget()
+        self._cancels: set[asyncio.Task] = set()
+
+    async def run(self, served: Served) -> Outcome:
+        """Try until there is an outcome that must stand, and return it."""
+        self._budget.request()
+        outcome: Outcome = NotRun(Reason.EXPIRED)
+        for _ in range(MOST_TRIES):
+            outcome = await self._try_once(served)
+            if not self._try_again(served, outcome):
+                return outcome
+            self._events.emit(Kind.RETRIED, str(outcome), served.id, served.workspace)
+        return outcome
+
+    def _try_again(self, served: Served, outcome: Outcome) -> bool:
+        if served.sink.started or self._clock.monotonic() >= served.ends_at:
+            return False
+        if isinstance(outcome, NotRun):
+            again = outcome.reason in (Reason.UNREACHABLE, Reason.REFUSED)
+            cause = "not-run"
+        else:
+            again = isinstance(outcome, Unknown) and not served.verdict.never_repeat
+            again = again and self._budget.allow()
+            cause = "unknown"
+        if again:
+            self._metrics.retries.inc({"cause": cause})
+        return again
+
+    async def _try_once(self, served: Served) -> Outcome:
+        want = self._want(served)
+        self._events.emit(Kind.QUEUED, want.pool, served.id, served.workspace)
+        booking = self._desk.place(want)
+        try:
+            replica = await self._wait(served, booking)
+        except Refusal as refusal:
+            return NotRun(refusal.reason, "decided by the dispatcher")
+        except TimeoutError:
+            self._desk.withdraw(booking)
+            return NotRun(Reason.EXPIRED, "no replica had room in time")
+        except asyncio.CancelledError:
+            self._desk.withdraw(booking)
+            raise
+        return await self._call(served, booking, replica)
+
+    def _want(self, served: Served) -> Want:
+        pool = served.pool
+        estimate = self._estimator.estimate(served.workspace, pool.name, pool.first_estimate)
+        return Want(
+            served.id,
+            pool.name,
+            served.workspace,
+            served.verdict.rank,
+            estimate,
+            served.verdict.may_wait == 0,
+            served.request.prefix,
+            served.avoid,
+        )
+
+    async def _wait(self, served: Served, booking: Booking) -> str:
+        left = served.ends_at - self._clock.monotonic()
+        longest = max(served.verdict.may_wait, LEAST_WAIT_SECONDS)
+        return await asyncio.wait_for(booking.granted, min(longest, left))
+
+    async def _call(self, served: Served, booking: Booking, replica: str) -> Outcome:
+        upstream = self._directory.get(replica)
+        kind = self._kind_of(served.pool.name)
+        if upstream is None or kind is None:
+            self._desk.release(booking, 0.0, None)
+            return NotRun(Reason.UNREACHABLE, f"{replica} is not known here")
+        call = self._upstream_call(served, upstream.endpoint)
+        served.sink.meter(ChargeMeter(booking.charged), self._desk, booking)
+        self._events.emit(Kind.SENT, replica, served.id, served.workspace)
+        outcome: Outcome = Unknown(CANCELLED)
+        try:
+            async with asyncio.timeout(max(0.0, served.ends_at - self._clock.monotonic())):
+                outcome = await kind.run(call, served.sink)
+        except TimeoutError:
+            self._cancel(kind, call)
+            outcome = Unknown("the deadline passed while the request ran")
+        except (CallerLeft, asyncio.CancelledError):
+            self._cancel(kind, call)
+            raise
+        finally:
+            self._settle(served, booking, replica, outcome)
+        return outcome
+
+    def _upstream_call(self, served: Served, endpoint: str) -> UpstreamCall:
+        request = served.request
+        return UpstreamCall(
+            endpoint,
+            served.id,
+            served.workspace,
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            self._catalog().class_of(served.workspace).engine_priority,
+            request.stream,
+            served.pool.cost_unit,
+        )
+
+    def _settle(self, served: Served, booking: Booking, replica: str, outcome: Outcome) -> None:
+        cost = 0.0 if isinstance(outcome, NotRun) else max(outcome.cost, served.sink.cost)
+        if isinstance(outcome, Completed) and outcome.status < 400:
+            self._estimator.observe(served.workspace, served.pool.name, cost)
+        self._desk.release(booking, cost, _learnt(outcome))
+        if isinstance(outcome, NotRun):
+            served.avoid = replica
+            if outcome.detail == LEAVING:
+                self._directory.sign(replica, True, self._clock.wall())
+
+    def _cancel(self, kind: UpstreamKind, call: UpstreamCall) -> None:
+        task = asyncio.ensure_future(kind.cancel(call))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+
+def _learnt(outcome: Outcome) -> bool | None:
+    """Return whether the replica did well, ``None`` if the outcome does not tell."""
+    if isinstance(outcome, Completed):
+        return True
+    if isinstance(outcome, Unknown) and outcome.detail == CANCELLED:
+        return None
+    return False
--- /dev/null
+++ b/railsail/gateway/verdicts.py
@@ -0,0 +1,68 @@
+"""Judge requests by the policies in force."""
+
+from collections.abc import Callable
+
+from railsail.core.metrics import Metrics
+from railsail.gateway.admission import Admission
+from railsail.gateway.requests import CallerRequest
+from railsail.objects.catalog import Catalog
+from railsail.objects.kinds import Pool
+from railsail.policy.programs import (
+    CompiledPolicy,
+    Inputs,
+    LoadInput,
+    RequestInput,
+    Verdict,
+    WorkspaceInput,
+)
+
+# A workspace without a policy is treated with the most care.
+NO_POLICY = Verdict(0.0, 60.0, True, ("policy",))
+
+
+class Judge:
+    """Run the workspace's policy on each request; programs are compiled once a version."""
+
+    def __init__(
+        self, catalog: Callable[[], Catalog], admission: Admission, metrics: Metrics
+    ) -> None:
+        self._catalog = catalog
+        self._admission = admission
+        self._metrics = metrics
+        self._policies: dict[str, CompiledPolicy] = {}
+
+    def configured(self, catalog: Catalog) -> None:
+        """Forget the programs compiled for an earlier version."""
+        self._policies.clear()
+
+    def judge(self, workspace: str, request: CallerRequest, pool: Pool) -> Verdict:
+        """Return what the policy says of ``request``."""
+        catalog = self._catalog()
+        owner = catalog.workspace(workspace)
+        policy = catalog.policy(owner.policy) if owner else None
+        if policy is None:
+            return NO_POLICY
+        if policy.name not in self._policies:
+            self._policies[policy.name] = CompiledPolicy(policy)
+        verdict = self._policies[policy.name].judge(self._inputs(workspace, request, pool))
+        for field in verdict.failed:
+            self._metrics.policy_errors.inc({"policy": policy.name, "field": field})
+        return verdict
+
+    def _inputs(self, workspace: str, request: CallerRequest, pool: Pool) -> Inputs:
+        bought = self._catalog().class_of(workspace)
+        return Inputs(
+            WorkspaceInput(workspace, bought.name, bought.weight),
+            RequestInput(
+                pool=pool.name,
+                kind=pool.upstream_kind,
+                method=request.method,
+                path=request.path,
+                body_bytes=len(request.body),
+                max_tokens=request.max_tokens,
+                stream=request.stream,
+                has_key=bool(request.key),
+                deadline=request.deadline,
+            ),
+            LoadInput(self._admission.held(workspace), self._admission.total),
+        )
--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -6,15 +6,14 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
+from dataclasses import astuple, replace
 
 import msgspec
 
-from railsail.core.clock import Clock
-from railsail.core.events import EventLog, Kind
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
 from railsail.core.logs import get_logger
-from railsail.core.metrics import Metrics
 from railsail.membership import overlay
 from railsail.membership.table import Member, MemberState, MemberTable
 from railsail.peers.hub import PeerHub
@@ -45,17 +44,14 @@
         self,
         table: MemberTable,
         hub: PeerHub,
-        clock: Clock,
-        events: EventLog,
-        metrics: Metrics,
-        rng: random.Random,
+        kernel: Kernel,
     ) -> None:
         self.table = table
         self._hub = hub
-        self._clock = clock
-        self._events = events
-        self._metrics = metrics
-        self._rng = rng
+        self._clock = kernel.clock
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+        self._rng = kernel.rng
         self._seeds: set[str] = set()
         self._heartbeat: Callable[[], Heartbeat] = lambda: Heartbeat(0, 0, 0)
         self._listeners: list[Callable[[], None]] = []
@@ -252,24 +248,10 @@
 
 
 def _to_record(member: Member) -> MemberRecord:
-    return MemberRecord(
-        member.node,
-        member.start_id,
-        member.sequence,
-        int(member.state),
-        member.admin_port,
-        member.failure_domain,
-        member.region,
-    )
+    # Both have the same fields, in the same order.
+    return MemberRecord(*astuple(member))
 
 
 def _from_record(record: MemberRecord) -> Member:
-    return Member(
-        record.node,
-        record.start_id,
-        record.sequence,
-        MemberState(record.state),
-        record.admin_port,
-        record.failure_domain,
-        record.region,
-    )
+    member = Member(*msgspec.structs.astuple(record))
+    return replace(member, state=MemberState(record.state))
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -10,10 +10,11 @@
 from railsail.admin import app as admin_app
 from railsail.conf.settings import Settings
 from railsail.configuration.carrier import ConfigurationCarrier
+from railsail.configuration.repository import HEAD, ConfigurationRepository
 from railsail.configuration.repository import KIND as CONFIGURATION
-from railsail.configuration.repository import ConfigurationRepository
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog, Kind
+from railsail.core.kernel import Kernel
 from railsail.core.lifecycle import Lifecycle, State
 from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
@@ -21,6 +22,7 @@
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.entry import TicketDesk
 from railsail.dispatch.exchange import CellExchange
+from railsail.dispatch.loads import LoadReports
 from railsail.dispatch.service import DispatcherService
 from railsail.dispatch.tree import ServiceTree
 from railsail.gateway.admission import Admission
@@ -28,6 +30,8 @@
 from railsail.gateway.app import Gateway
 from railsail.gateway.claims import ClaimDesk
 from railsail.gateway.serve import Server
+from railsail.gateway.tries import Tries
+from railsail.gateway.verdicts import Judge
 from railsail.membership.placement import rank
 from railsail.membership.service import KIND as NODE
 from railsail.membership.service import Membership
@@ -68,6 +72,7 @@
         self.lifecycle = Lifecycle()
         self.metrics = Metrics()
         self.events = EventLog(settings.node_id, self.clock)
+        self.kernel = Kernel(self.clock, self.rng, self.events, self.metrics)
         self.start_id = int(self.clock.wall() * 1000)
         self._draining = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
@@ -94,9 +99,7 @@
             settings.failure_domain,
             settings.region,
         )
-        self.membership = Membership(
-            MemberTable(own), self.hub, self.clock, self.events, self.metrics, self.rng
-        )
+        self.membership = Membership(MemberTable(own), self.hub, self.kernel)
         self.membership.add_seeds([str(seed) for seed in settings.seeds])
 
     def _build_configuration(self) -> None:
@@ -108,7 +111,7 @@
         self.carrier = ConfigurationCarrier(self.repository, flood, self.events, self.metrics)
         self.directory = UpstreamDirectory(flood, self.events)
         self.watcher = StoreWatcher(self.store, self._watches, self.events, self.rng)
-        self.watcher.follow(CONFIGURATION, self.carrier.listed, self.carrier.seen)
+        self.watcher.follow(CONFIGURATION, self.carrier.listed, self.carrier.seen, HEAD)
         self.watcher.follow(UPSTREAM, self.directory.listed, self.directory.seen)
         self.watcher.follow(NODE, self.membership.listed, self.membership.seen)
 
@@ -121,18 +124,15 @@
             settings.cell_replicas,
             settings.scheduling == "local",
         )
-        self.desk = TicketDesk(
-            self.cells, self.hub, self.clock, self.events, self.metrics, self.rng
-        )
+        self.desk = TicketDesk(self.cells, self.hub, self.kernel)
+        self.loads = LoadReports(self._catalog, self.directory, self.clock)
         self.dispatchers = DispatcherService(
             self.cells,
             self.directory,
             self._catalog,
+            self.loads,
             self.hub,
-            self.clock,
-            self.events,
-            self.metrics,
-            self.rng,
+            self.kernel,
             settings.affinity == "prefix",
         )
         self.tree: ServiceTree | None = None
@@ -148,31 +148,16 @@
     def _build_gateway(self) -> None:
         settings = self.settings
         self.claims = ClaimDesk(
-            self.store,
-            self.hub,
-            self._usable,
-            settings.claim_seconds,
-            self.clock,
-            self.metrics,
-            self.rng,
+            self.store, self.hub, self._usable, settings.claim_seconds, self.kernel
         )
         self.admission = Admission(settings.queue_per_workspace, settings.queue_total)
-        self.server = Server(
-            self._catalog,
-            self.directory,
-            self.desk,
-            self.dispatchers,
-            self.claims,
-            AnswerShelf(self.hub, self.membership.gone, self.rng),
-            self.admission,
-            self.clock,
-            self.events,
-            self.metrics,
-            self.rng,
-        )
-        self.gateway = Gateway(
-            self.server, self.lifecycle, self.clock, self.events, self.metrics, self._new_id
+        self.judge = Judge(self._catalog, self.admission, self.metrics)
+        tries = Tries(self._catalog, self.directory, self.desk, self.loads.kind_of, self.kernel)
+        shelf = AnswerShelf(self.hub, self.membership.gone, self.rng)
+        server = Server(
+            self._catalog, self.judge, tries, self.claims, shelf, self.admission, self.kernel
         )
+        self.gateway = Gateway(server, self.kernel, self._new_id)
 
     def _connect(self) -> None:
         self.membership.describe_with(self._heartbeat)
@@ -180,7 +165,7 @@
         self.membership.on_change(self._members_changed)
         self.directory.on_change(self.desk.replan)
         self.carrier.on_change(self.gateway.callers.configured)
-        self.carrier.on_change(self.server.configured)
+        self.carrier.on_change(self.judge.configured)
         self.carrier.on_change(lambda catalog: self.dispatchers.renew_replicas())
         self.hub.handle(Heartbeat, self.membership.compare)
         self.hub.handle(StateRequest, self._state_requested)
@@ -328,37 +313,3 @@
         for server in self._servers:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(server.close_all_connections(), 1.0)
-
-    def status(self) -> dict[str, object]:
-        """Return what an operator wants to know of this node, as plain data."""
-        return {
-            "node": self.settings.node_id,
-            "start_id": self.start_id,
-            "state": self.lifecycle.state,
-            "not_ready": self.not_ready(),
-            "version": self.carrier.catalog.version,
-            "store_reachable": self.watcher.reachable,
-            "requests": self.admission.total,
-            "members": [
-                {
-                    "node": member.node,
-                    "state": member.state.name.lower(),
-                    "admin": f"{member.node.rpartition(':')[0]}:{member.admin_port}",
-                    "failure_domain": member.failure_domain,
-                }
-                for member in self.membership.table.all()
-            ],
-            "upstreams": [
-                {"name": upstream.name, "pool": upstream.pool, "leaving": upstream.leaving}
-                for upstream in self.directory.all()
-            ],
-            "cells": [
-                {
-                    "cell": str(cell),
-                    "waiting": len(dispatcher.queue),
-                    "in_flight": len(dispatcher.flights),
-                    "counters": dispatcher.queue.counters(),
-                }
-                for cell, dispatcher in self.dispatchers.dispatchers().items()
-            ],
-        }
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -2,7 +2,8 @@
 
 A watch may end, skip or repeat; versions of single objects and the slow list make up for it. The
 few that watch are named by hashing over the members, so that the store's calls do not grow with
-the fleet; the others hear of changes from their peers.
+the fleet; the others hear of changes from their peers, and list ten times more seldom, since lists
+are long.
 """
 
 import asyncio
@@ -17,6 +18,8 @@
 
 WATCH_SECONDS = 25.0
 LIST_SECONDS = 60.0
+LIST_SECONDS_OF_OTHERS = 600.0
+LOOK_SECONDS = 5.0
 FIRST_PAUSE_SECONDS = 0.25
 MOST_PAUSE_SECONDS = 10.0
 
@@ -36,13 +39,18 @@
         self._rng = rng
         self._backoff = Backoff(rng, FIRST_PAUSE_SECONDS, MOST_PAUSE_SECONDS)
         self._listed: dict[str, Listed] = {}
+        self._names: dict[str, str] = {}
         self._seen: dict[str, Seen] = {}
         self.reachable = False
         self.tried = asyncio.Event()
 
-    def follow(self, kind: str, listed: Listed, seen: Seen) -> None:
-        """Call ``listed`` with every listing of ``kind``, and ``seen`` with single changes."""
+    def follow(self, kind: str, listed: Listed, seen: Seen, name: str = "") -> None:
+        """Call ``listed`` with every listing of ``kind``, and ``seen`` with single changes.
+
+        With ``name``, only the object of that name is read, and other changes are passed on unread.
+        """
         self._listed[kind] = listed
+        self._names[kind] = name
         self._seen[kind] = seen
 
     async def run(self) -> None:
@@ -59,6 +67,10 @@
     async def _list_all(self) -> int:
         versions = []
         for kind, listed in self._listed.items():
+            if self._names[kind]:
+                stored = await self._store.get(kind, self._names[kind])
+                listed(Listing(0, (stored,) if stored else ()))
+                continue
             listing = await self._store.list(kind)
             listed(listing)
             versions.append(listing.version)
@@ -66,14 +78,16 @@
 
     async def _follow_from(self, version: int) -> None:
         # Jitter keeps the nodes of a fleet from listing in step.
-        ends = asyncio.get_running_loop().time() + LIST_SECONDS * self._rng.uniform(0.75, 1.25)
-        while True:
-            left = ends - asyncio.get_running_loop().time()
-            if left <= 0:
-                return
-            if not self._watches():
-                await asyncio.sleep(min(left, 5.0))
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        share = self._rng.uniform(0.75, 1.25)
+        watching = self._watches()
+        period = share * (LIST_SECONDS if watching else LIST_SECONDS_OF_OTHERS)
+        while loop.time() - begun < period and self._watches() == watching:
+            if not watching:
+                await asyncio.sleep(LOOK_SECONDS)
                 continue
+            left = begun + period - loop.time()
             result = await self._store.watch(tuple(self._listed), version, min(left, WATCH_SECONDS))
             if result.expired:
                 return
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -9,7 +9,9 @@
 import enum
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import astuple, dataclass, replace
+
+import msgspec
 
 from railsail.conf.values import parse_endpoint
 from railsail.core.events import EventLog, Kind
@@ -190,28 +192,10 @@
 
 
 def _to_record(upstream: Upstream) -> UpstreamRecord:
-    return UpstreamRecord(
-        upstream.name,
-        upstream.pool,
-        upstream.endpoint,
-        upstream.failure_domain,
-        upstream.version,
-        int(upstream.listed),
-        upstream.sign_version,
-        upstream.sign_at,
-        upstream.sign_leaving,
-    )
+    # Both have the same fields, in the same order.
+    return UpstreamRecord(*astuple(upstream))
 
 
 def _from_record(record: UpstreamRecord) -> Upstream:
-    return Upstream(
-        record.name,
-        record.pool,
-        record.endpoint,
-        record.failure_domain,
-        record.version,
-        Listed(record.listed),
-        record.sign_version,
-        record.sign_at,
-        record.sign_leaving,
-    )
+    upstream = Upstream(*msgspec.structs.astuple(record))
+    return replace(upstream, listed=Listed(record.listed))
