--- a/railsail/cli/main.py
+++ b/railsail/cli/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import getpass
+import inspect
 import os
 import secrets
 import sys
@@ -206,8 +207,23 @@
     }
 
 
+def commands_help() -> str:
+    """Return the help of the whole tool: what it is, and a line a command."""
+    lines = [inspect.cleandoc(Railsail.__doc__), "", "Commands:"]
+    for prefix, group in (("", Railsail), ("config ", ConfigCommands)):
+        for name, command in inspect.getmembers(group, inspect.isfunction):
+            if not name.startswith("_"):
+                first = inspect.cleandoc(command.__doc__).splitlines()[0]
+                lines.append(f"  railsail {prefix}{name:<10}  {first}")
+    lines += ["", "railsail COMMAND --help shows the flags of a command."]
+    return "\n".join(lines)
+
+
 def main() -> None:
     """Run the command-line tool."""
+    if sys.argv[1:] in ([], ["--help"], ["-h"], ["help"]):
+        print(commands_help())
+        return
     # Without this, fire opens a pager for help, which waits for a key.
     os.environ.setdefault("PAGER", "cat")
     fire.Fire(Railsail, name="railsail")
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from unittest import mock
 
-from railsail.cli.main import Railsail
+from railsail.cli.main import Railsail, commands_help
 from railsail.standins.fleet import ADMIN_SECRET
 from tests.fleet.base import FleetTestCase
 
@@ -44,6 +44,17 @@
             self.assertIn(finding, text)
 
 
+class HelpTests(unittest.TestCase):
+    def test_help_names_every_command_of_the_reference_page(self):
+        page = (EXAMPLES.parent / "docs" / "ref" / "cli.md").read_text()
+        text = commands_help()
+        for line in page.splitlines():
+            if line.startswith("| `railsail "):
+                words = line.split("`")[1].split()
+                name = " ".join(words[:3] if words[1] == "config" else words[:2])
+                self.assertIn(name, text)
+
+
 class FleetCommandTests(FleetTestCase):
     async def run_tool(self, *words: str, output: str = "json") -> tuple[int, str]:
         """Run one command in a thread, as a process of its own would, and return code and text."""
