gateway: gave a key back when its caller left before the call was sent

Cause: read through once more: a caller that left while its claimed request waited kept the key, and its next try got a conflict for an hour, though nothing had run. A second try could also ask for the answer before the first one's claim was known there. Change: a claim is given back unless its call may have been sent; a try counts as running from before its claim. Figures: the new test does not end without the change and passes with it. Conclusion: mended.

--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -22,7 +22,6 @@
     UNREACHABLE = "upstream-unreachable"
     REFUSED = "upstream-refused"
     CALLER_LEFT = "caller-left"
-    STOPPING = "stopping"
     NO_CONFIGURATION = "no-configuration"
 
 
--- a/railsail/gateway/answers.py
+++ b/railsail/gateway/answers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections import OrderedDict
 from collections.abc import Callable
@@ -42,24 +43,29 @@
         self._rng = rng
         self._kept: OrderedDict[bytes, KeptAnswer] = OrderedDict()
         self._bytes = 0
-        self._running: dict[bytes, asyncio.Future] = {}
+        self._running: dict[bytes, list[asyncio.Future]] = {}
         self._asked: dict[int, asyncio.Future] = {}
         self._tasks: set[asyncio.Task] = set()
         hub.handle(AnswerRequest, self._request)
         hub.handle(AnswerReply, self._reply)
 
-    def begin(self, key: bytes) -> None:
-        """Take note that the request of ``key`` is under way here."""
-        self._running[key] = asyncio.get_running_loop().create_future()
+    def begin(self, key: bytes) -> asyncio.Future:
+        """Take note that a try of ``key`` is under way here; it must be ended."""
+        running: asyncio.Future = asyncio.get_running_loop().create_future()
+        self._running.setdefault(key, []).append(running)
+        return running
 
-    def end(self, key: bytes, answer: KeptAnswer | None) -> None:
-        """Take note of how the request of ``key`` ended; ``None`` for no whole answer."""
+    def end(self, key: bytes, running: asyncio.Future, answer: KeptAnswer | None) -> None:
+        """Take note of how a try ended; ``None`` for no whole answer of its own."""
         if answer is not None and len(answer.body) <= MOST_ANSWER_BYTES:
             self._keep(key, answer)
         else:
             answer = None
-        running = self._running.pop(key, None)
-        if running is not None and not running.done():
+        tries = self._running[key]
+        tries.remove(running)
+        if not tries:
+            del self._running[key]
+        if not running.done():
             running.set_result(answer)
 
     def _keep(self, key: bytes, answer: KeptAnswer) -> None:
@@ -79,13 +85,11 @@
         return await self._ask(key, node, start_id, seconds)
 
     async def _own(self, key: bytes, seconds: float) -> KeptAnswer | None:
-        running = self._running.get(key)
-        if running is None:
-            return self._kept.get(key)
-        try:
-            return await asyncio.wait_for(asyncio.shield(running), seconds)
-        except TimeoutError:
-            return None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                while key in self._running and key not in self._kept:
+                    await asyncio.shield(self._running[key][0])
+        return self._kept.get(key)
 
     async def _ask(self, key: bytes, node: str, start_id: int, seconds: float) -> KeptAnswer | None:
         number = self._rng.getrandbits(32)
--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -5,7 +5,7 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from railsail.core.outcomes import Completed, NotRun, Outcome, Reason
 from railsail.gateway.admission import Admission
 from railsail.gateway.answers import AnswerShelf, KeptAnswer
 from railsail.gateway.claims import ClaimDesk
@@ -102,30 +102,30 @@
         request = served.request
         key = claim_key(served.workspace, request.key)
         claim = self._claims.new_claim(key, fingerprint(request.method, request.path, request.body))
-        left = served.ends_at - self._clock.monotonic()
-        answer = await self._claims.claim(claim, min(left, CLAIM_SECONDS))
-        if answer.result is ClaimResult.UNAVAILABLE:
-            return NotRun(Reason.CLAIM_UNAVAILABLE, "the key could not be claimed in time", 2.0)
+        # A second try at another node may ask for the answer before the claim's reply is here.
+        running = self._shelf.begin(key)
+        kept: KeptAnswer | None = None
+        try:
+            left = served.ends_at - self._clock.monotonic()
+            answer = await self._claims.claim(claim, min(left, CLAIM_SECONDS))
+            if answer.result is ClaimResult.CLAIMED:
+                self._events.emit(Kind.CLAIMED, "", served.id, served.workspace)
+                outcome = await self._run_holding(served, claim)
+                kept = _kept(served, outcome)
+                return outcome
+        finally:
+            self._shelf.end(key, running, kept)
         if answer.result is ClaimResult.HELD:
             return await self._second_try(served, claim, answer.holder)
-        self._events.emit(Kind.CLAIMED, "", served.id, served.workspace)
-        served.claim = claim
-        self._shelf.begin(key)
-        outcome: Result = Unknown("cut off")
+        return NotRun(Reason.CLAIM_UNAVAILABLE, "the key could not be claimed in time", 2.0)
+
+    async def _run_holding(self, served: Served, claim: Claim) -> Outcome:
         try:
-            outcome = await self._tries.run(served)
-            return outcome
+            return await self._tries.run(served)
         finally:
-            self._end_claimed(served, key, outcome)
-
-    def _end_claimed(self, served: Served, key: bytes, outcome: Result) -> None:
-        kept = None
-        if isinstance(outcome, Completed):
-            sink = served.sink
-            kept = KeptAnswer(outcome.status, sink.content_type, served.id, sink.copy())
-        elif isinstance(outcome, NotRun):
-            self._claims.release(served.claim)
-        self._shelf.end(key, kept)
+            if not served.sent:
+                # It did not run, or its caller left before it did: the key may be used again.
+                self._claims.release(claim)
 
     async def _second_try(self, served: Served, claim: Claim, holder: Claim) -> Result:
         self._events.emit(Kind.CLAIM_HELD, f"by {holder.node}", served.id, served.workspace)
@@ -136,3 +136,10 @@
         if answer is None:
             return Conflict("an earlier try has the key, and its answer is not to be had")
         return Replay(answer)
+
+
+def _kept(served: Served, outcome: Outcome) -> KeptAnswer | None:
+    if not isinstance(outcome, Completed):
+        return None
+    sink = served.sink
+    return KeptAnswer(outcome.status, sink.content_type, served.id, sink.copy())
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -15,7 +15,6 @@
 from railsail.policy.programs import Verdict
 from railsail.scheduling.estimates import ChargeMeter, CostEstimator
 from railsail.scheduling.retries import RetryBudget
-from railsail.store.claims import Claim
 from railsail.upstreams.base import UpstreamCall, UpstreamKind
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.refusals import LEAVING
@@ -28,7 +27,11 @@
 
 @dataclass
 class Served:
-    """One request on its way through this node."""
+    """One request on its way through this node.
+
+    ``ends_at`` is in seconds of the monotonic clock. ``avoid`` names the replica that did not run
+    it at the last try. ``sent`` says that it may have run.
+    """
 
     id: str
     workspace: str
@@ -37,8 +40,8 @@
     verdict: Verdict
     sink: CallerSink
     ends_at: float
-    claim: Claim | None = None
     avoid: str = ""
+    sent: bool = False
 
 
 class Tries:
@@ -133,6 +136,7 @@
         served.sink.meter(ChargeMeter(booking.charged), self._desk, booking)
         self._events.emit(Kind.SENT, replica, served.id, served.workspace)
         outcome: Outcome = Unknown(CANCELLED)
+        served.sent = True
         try:
             async with asyncio.timeout(max(0.0, served.ends_at - self._clock.monotonic())):
                 outcome = await kind.run(call, served.sink)
@@ -167,6 +171,7 @@
             self._estimator.observe(served.workspace, served.pool.name, cost)
         self._desk.release(booking, cost, _learnt(outcome))
         if isinstance(outcome, NotRun):
+            served.sent = False
             served.avoid = replica
             if outcome.detail == LEAVING:
                 self._directory.sign(replica, True, self._clock.wall())
--- a/tests/fleet/test_once.py
+++ b/tests/fleet/test_once.py
@@ -43,6 +43,26 @@
         self.assertEqual(json.loads(second.body)["error"]["outcome"], "unknown")
         self.assertEqual(len(self.runs()), 1)
 
+    async def test_caller_that_leaves_before_its_call_was_sent_can_ask_again(self):
+        node = self.fleet.nodes[0]
+        for each in self.fleet.nodes:
+            each.directory.sign("desk-0", True, each.clock.wall())
+        left = asyncio.ensure_future(self.ask(node, X_Deadline_Seconds="0.5"))
+        await self.until(node.desk.waiting)
+        reader, writer = await asyncio.open_connection("127.0.0.1", node.settings.caller_port)
+        writer.write(raw_post("k9"))
+        await self.until(lambda: len(node.desk.waiting()) == 2)
+        writer.close()
+        await left
+        del reader
+        self.assertEqual(self.runs(), [])
+        for each in self.fleet.nodes:
+            each.directory.sign("desk-0", False, each.clock.wall())
+        response = await self.call(node, "/services/desk/x", "POST", {}, Idempotency_Key="k9")
+        while response.code == 409:
+            response = await self.call(node, "/services/desk/x", "POST", {}, Idempotency_Key="k9")
+        self.assertEqual((response.code, len(self.runs())), (200, 1))
+
     async def test_key_of_another_request_is_a_conflict(self):
         await self.ask(self.fleet.nodes[0])
         second = await self.ask(self.fleet.nodes[1], "/services/desk/classify?key=other")
@@ -107,3 +127,12 @@
             responses = await asyncio.gather(*asks)
             self.assertEqual({response.code for response in responses}, {200})
         self.assertEqual(len(self.runs()), 4)
+
+
+def raw_post(key: str) -> bytes:
+    """Return a POST as ``call`` would send it, for a caller that leaves."""
+    head = (
+        "POST /services/desk/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-of-one\r\n"
+        f"Idempotency-Key: {key}\r\nContent-Length: 2\r\n\r\n"
+    )
+    return head.encode() + b"{}"
