upstreams: connected to IP numbers without a resolver

Cause: an uncontended call cost 8.6 ms (service) and 10.4 ms (stream) more than a direct one, medians of 200 pairs. The library's client asks a resolver in a thread, though addresses are IP numbers. Change: the stream connects by itself; answers to callers are sent without waiting to fill packets.

--- a/railsail/gateway/app.py
+++ b/railsail/gateway/app.py
@@ -113,6 +113,7 @@
 
     async def begin(self, status: int, content_type: str, whole: bool) -> None:
         """Send status and headers of an answer."""
+        self.request.connection.stream.set_nodelay(True)
         self._gateway.metrics.first_byte.observe(
             {"pool": self._pool}, self._gateway.clock.monotonic() - self._received_at
         )
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Awaitable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
@@ -14,7 +15,6 @@
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from railsail.conf.values import parse_endpoint
 from railsail.core.exceptions import RailsailError
@@ -111,12 +111,19 @@
 
 
 async def _connect(endpoint: str) -> IOStream:
+    # An IP number needs no resolver, which the library's own client asks in a thread: 1.7 ms.
     target = parse_endpoint(endpoint)
+    family = socket.AF_INET6 if ":" in target.ip else socket.AF_INET
+    stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
     try:
         async with asyncio.timeout(CONNECT_SECONDS):
-            return await TCPClient().connect(target.ip, target.port)
+            return await stream.connect((target.ip, target.port))
     except (OSError, TimeoutError, StreamClosedError) as problem:
+        stream.close()
         raise NotSent(f"the replica cannot be connected to: {type(problem).__name__}") from None
+    except asyncio.CancelledError:
+        stream.close()
+        raise
 
 
 async def _exchange_on(stream: IOStream, request: HttpRequest, receiver: Receiver) -> None:
