peers: closed links that are not used

Cause: an idle daemon's memory grew by 34 KB a daemon of the fleet (points 4 to 128, largest error 0.3 MB): a joining node dials several listed ones at a time until it knows the members, and those links were never closed; an end of a link takes 12.5 KB. At 390 daemons that would be 13 MB. Change: a link to a node that is no neighbour is closed after 60 s without a message. Links between neighbours may still be double, when both dialled at once.

--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -148,6 +148,7 @@
         self._suspect_silent(now)
         self._pass_on(self.table.expire(now, SUSPECT_SECONDS), "")
         self._forget_dead(now)
+        self._hub.close_unused(self._neighbours)
 
     def _renew_neighbours(self, now: float) -> None:
         ring = [member.node for member in self.table.present()]
--- a/railsail/peers/hub.py
+++ b/railsail/peers/hub.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TypeVar
 
 from websockets.asyncio.client import connect
@@ -22,6 +22,8 @@
 DIAL_SECONDS = 1.0
 FIRST_PAUSE_SECONDS = 0.2
 MOST_PAUSE_SECONDS = 5.0
+# A link to a node that is no neighbour is closed when it was not used for this long.
+UNUSED_SECONDS = 60.0
 
 M = TypeVar("M", bound=Message)
 Handler = Callable[[str, M], None]
@@ -55,6 +57,7 @@
         self._down: list[Callable[[str], None]] = []
         self._links: dict[str, list[Link]] = {}
         self._heard: dict[str, float] = {}
+        self._used: dict[str, float] = {}
         self._dialling: dict[str, asyncio.Task] = {}
         self._pause: dict[str, float] = {}
         self._not_before: dict[str, float] = {}
@@ -106,6 +109,7 @@
         if not links:
             self.dial(node)
             return False
+        self._used[node] = self._clock.monotonic()
         links[-1].send(message)
         return True
 
@@ -145,10 +149,20 @@
         for link in self._links.get(node, []):
             self._spawn(link.close())
 
+    def close_unused(self, kept: Collection[str]) -> None:
+        """Close the links that were not used for a while, but for those to the nodes ``kept``.
+
+        Joining nodes ask several others first; without this their links would add up.
+        """
+        now = self._clock.monotonic()
+        for node in self.peers():
+            if node not in kept and now - self._used.get(node, now) > UNUSED_SECONDS:
+                self.drop(node)
+
     def forget(self, node: str) -> None:
         """Drop what is remembered of a ``node`` that is gone."""
         self.drop(node)
-        for memory in (self._heard, self._pause, self._not_before):
+        for memory in (self._heard, self._used, self._pause, self._not_before):
             memory.pop(node, None)
 
     def _spawn(self, coroutine) -> asyncio.Task:
@@ -205,7 +219,7 @@
         link = Link(socket, peer, self._events, self._metrics)
         links = self._links.setdefault(peer.node, [])
         links.append(link)
-        self._heard[peer.node] = self._clock.monotonic()
+        self._heard[peer.node] = self._used[peer.node] = self._clock.monotonic()
         for listener in self._up:
             listener(peer)
         try:
@@ -232,7 +246,7 @@
             listener(node)
 
     def _received(self, node: str, message: AnyMessage) -> None:
-        self._heard[node] = self._clock.monotonic()
+        self._heard[node] = self._used[node] = self._clock.monotonic()
         self._deliver(node, message)
 
     def _deliver(self, node: str, message: AnyMessage) -> None:
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -160,6 +160,21 @@
         await done
         self.assertEqual(got, list(range(500)))
 
+    async def test_unused_links_are_closed_but_for_those_kept(self):
+        first, second = await self.hub("s" * 20), await self.hub("s" * 20)
+        third = await self.hub("s" * 20)
+        await self.link(first, second)
+        await self.link(first, third)
+        first.send(second.own.node, Granted(1, 1, "r", 0))
+        first.send(third.own.node, Granted(1, 1, "r", 0))
+        down = asyncio.get_running_loop().create_future()
+        first.on_down(down.set_result)
+        first.close_unused(kept=())
+        first._clock = ManualClock(first._clock.monotonic() + 61.0)
+        first.close_unused(kept=(third.own.node,))
+        self.assertEqual(await down, second.own.node)
+        self.assertEqual(first.peers(), [third.own.node])
+
 
 class EventTests(unittest.TestCase):
     def test_ring_is_bounded_and_stamps_rise(self):
