--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -99,6 +99,26 @@
         self.assertEqual(len(self.fleet.engines["model-0"].log), 12)
 
 
+class UnheardTests(DispatchTestCase):
+    async def test_node_that_nobody_hears_serves_its_own_callers(self):
+        node = self.others()[0]
+        send = node.hub.send
+
+        def lose(target: str, message: object) -> bool:
+            """Lose what goes to others, as a network that is cut in one direction does."""
+            return send(target, message) if target == node.settings.node_id else True
+
+        node.hub.send = lose
+        call = self.ask([node], 1)[0]
+        await self.until(lambda: node.membership.doubted)
+        node.cells.forget()
+        self.assertEqual(node.cells.dispatcher(CELL), node.settings.node_id)
+        response = await call
+        self.assertTrue(whole(response))
+        stories = [event.detail for event in node.events if event.kind == "granted"]
+        self.assertTrue(stories[-1].endswith(f"by {node.settings.node_id}"))
+
+
 class DrainTests(DispatchTestCase):
     async def test_planned_stop_cuts_nothing(self):
         leaving = self.dispatcher()
