dispatch: kept the tree's children by pool, and named the refusal as an error

Cause: read as a newcomer: with two pools of several cells, each pool's children replaced the other's, so that all sums were told anew in every period; a frozen dataclass served as an exception; nothing tested urgent work over a whole fleet.

--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from railsail.core.events import Kind
+from railsail.core.exceptions import RailsailError
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Reason
 from railsail.dispatch.cellmap import CellMap
@@ -52,11 +53,12 @@
     avoid: str = ""
 
 
-@dataclass(frozen=True)
-class Refusal(Exception):
-    """A dispatcher refused the ticket."""
+class TicketRefused(RailsailError):
+    """A dispatcher refused the ticket, for ``reason``."""
 
-    reason: Reason
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(str(reason))
+        self.reason = reason
 
 
 @dataclass
@@ -84,12 +86,7 @@
 class TicketDesk:
     """Hold the bookings of this node, and tell dispatchers of them."""
 
-    def __init__(
-        self,
-        cells: CellMap,
-        hub: PeerHub,
-        kernel: Kernel,
-    ) -> None:
+    def __init__(self, cells: CellMap, hub: PeerHub, kernel: Kernel) -> None:
         self._cells = cells
         self._hub = hub
         self._clock = kernel.clock
@@ -125,7 +122,7 @@
         return len(self._bookings)
 
     def place(self, want: Want) -> Booking:
-        """Place a ticket, and return its booking; its future ends with a grant or ``Refusal``."""
+        """Place a ticket, and return its booking, which ends with a grant or ``TicketRefused``."""
         cell = self._choose_cell(want)
         node = self._cells.dispatcher(cell)
         booking = Booking(self._next_number, want, self._clock.monotonic(), cell, node)
@@ -297,7 +294,7 @@
             self._send_place(booking)
             return
         del self._bookings[booking.number]
-        booking.granted.set_exception(Refusal(Reason(message.reason)))
+        booking.granted.set_exception(TicketRefused(Reason(message.reason)))
 
     def _moved(self, node: str, message: Moved) -> None:
         booking = self._bookings.get(message.number)
--- a/railsail/dispatch/tree.py
+++ b/railsail/dispatch/tree.py
@@ -44,7 +44,7 @@
         self._clock = clock
         self._totals: dict[str, PoolTotals] = {}
         self._counted: dict[tuple[Cell, str], float] = {}
-        self._children: list[str] = []
+        self._children: dict[str, list[str]] = {}
         self._sent_in: dict[str, int] = {}
         self._periods: dict[str, float] = {}
         self._steered_at: dict[str, float] = {}
@@ -56,12 +56,12 @@
         """Exchange until cancelled."""
         while True:
             await asyncio.sleep(max(self._periods.values(), default=SHORTEST_SECONDS))
-            pools = [pool for pool in self._pools() if len(self._cells.cells(pool)) > 1]
-            for pool in pools:
-                self._exchange(pool)
+            for pool in self._pools():
+                if len(self._cells.cells(pool)) > 1:
+                    self._exchange(pool)
 
     def _exchange(self, pool: str) -> None:
-        totals = self._of(pool)
+        totals = self._totals_of(pool)
         own = self._hub.own.node
         nodes = self._usable()
         if own not in nodes:
@@ -76,14 +76,14 @@
             self._decide_period(pool)
         else:
             self._tell(parent, Served, pool, (totals.epoch,), totals.news_for_parent())
-        if children != self._children:
-            self._children = children
+        if children != self._children.get(pool):
+            self._children[pool] = children
             totals.forget_told()
         self._tell_children(pool, totals, children)
         self._steer(pool, totals.fleet_gains(), tree.depth(len(ordered)))
 
     def _decide_period(self, pool: str) -> None:
-        # What the root has sent is the most that any node sends in a period.
+        # Every node follows the root, whose messages are as many as any node's, but for the one up.
         period = self._sent_in.get(pool, 0) / BYTES_PER_SECOND
         self._periods[pool] = min(max(period, SHORTEST_SECONDS), LONGEST_SECONDS)
         self._sent_in[pool] = 0
@@ -105,7 +105,7 @@
         self._sent_in[pool] = self._sent_in.get(pool, 0) + len(encode_message(message))
         self._hub.send(node, message)
 
-    def _of(self, pool: str) -> PoolTotals:
+    def _totals_of(self, pool: str) -> PoolTotals:
         return self._totals.setdefault(pool, PoolTotals())
 
     def _mine(self, pool: str) -> dict[Cell, CellDispatcher]:
@@ -142,10 +142,10 @@
 
     def _told_by_child(self, node: str, message: Served) -> None:
         sums = {record.workspace: float(record.value) for record in message.totals}
-        self._of(message.pool).told_by_child(node, message.epoch, sums)
+        self._totals_of(message.pool).told_by_child(node, message.epoch, sums)
 
     def _told_by_root(self, node: str, message: FleetServed) -> None:
         sums = {record.workspace: float(record.value) for record in message.totals}
-        self._of(message.pool).told_by_root((message.root, message.epoch), sums)
+        self._totals_of(message.pool).told_by_root((message.root, message.epoch), sums)
         period = message.period / 1000
         self._periods[message.pool] = min(max(period, SHORTEST_SECONDS), LONGEST_SECONDS)
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -7,7 +7,7 @@
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
-from railsail.dispatch.entry import Booking, Refusal, TicketDesk, Want
+from railsail.dispatch.entry import Booking, TicketDesk, TicketRefused, Want
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerLeft, CallerSink
 from railsail.objects.catalog import Catalog
@@ -97,7 +97,7 @@
         booking = self._desk.place(want)
         try:
             replica = await self._wait(served, booking)
-        except Refusal as refusal:
+        except TicketRefused as refusal:
             return NotRun(refusal.reason, "decided by the dispatcher")
         except TimeoutError:
             self._desk.withdraw(booking)
