gateway: left a claims batcher that falls silent; peers: ended links to silent peers at once

Change: a batcher that this node avoids is replaced by another one for the calls that wait for it (one that only waits for a slow store is not); batchers that were asked are watched by heartbeats; a link to a silent peer is aborted.

--- a/railsail/gateway/claims.py
+++ b/railsail/gateway/claims.py
@@ -21,6 +21,7 @@
 
 RELEASE_SECONDS = 600.0
 RELEASE_TRY_SECONDS = 10.0
+LOOK_SECONDS = 0.5
 
 
 class ClaimDesk:
@@ -101,10 +102,22 @@
         self._asked[number] = (claim, node, future)
         try:
             self._send(number, claim, node)
-            return await future
+            while not (await asyncio.wait([future], timeout=LOOK_SECONDS))[0]:
+                self._leave_silent(number, claim)
+            return future.result()
         finally:
             del self._asked[number]
 
+    def _leave_silent(self, number: int, claim: Claim) -> None:
+        # A batcher that waits for a slow store is not left: a second one would only conflict.
+        node = self._asked[number][1]
+        if node not in self._usable():
+            self._ask_another(number, claim, node)
+
+    def batchers(self) -> set[str]:
+        """Return the nodes that were asked and have not replied."""
+        return {node for _, node, _ in self._asked.values()}
+
     def _batcher(self, claim: Claim) -> str:
         job = f"claims {shard_of(claim.key)}"
         return choose(job, self._usable()) or self._hub.own.node
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -161,7 +161,7 @@
 
     def _connect(self) -> None:
         self.membership.describe_with(self._heartbeat)
-        self.membership.watch_also(self.desk.dispatchers)
+        self.membership.watch_also(lambda: self.desk.dispatchers() | self.claims.batchers())
         self.membership.on_change(self._members_changed)
         self.directory.on_change(self.desk.replan)
         self.carrier.on_change(self.gateway.callers.configured)
--- a/railsail/peers/hub.py
+++ b/railsail/peers/hub.py
@@ -145,9 +145,9 @@
         return True
 
     def drop(self, node: str) -> None:
-        """Close the links to ``node``, which has fallen silent."""
-        for link in self._links.get(node, []):
-            self._spawn(link.close())
+        """End the links to ``node``, which has fallen silent."""
+        for link in list(self._links.get(node, [])):
+            link.abort()
 
     def close_unused(self, kept: Collection[str]) -> None:
         """Close the links that were not used for a while, but for those to the nodes ``kept``.
@@ -157,7 +157,8 @@
         now = self._clock.monotonic()
         for node in self.peers():
             if node not in kept and now - self._used.get(node, now) > UNUSED_SECONDS:
-                self.drop(node)
+                for link in self._links[node]:
+                    self._spawn(link.close())
 
     def forget(self, node: str) -> None:
         """Drop what is remembered of a ``node`` that is gone."""
--- a/railsail/peers/link.py
+++ b/railsail/peers/link.py
@@ -34,6 +34,8 @@
 class Socket(Protocol):
     """What a link needs of a websocket, on either side."""
 
+    transport: asyncio.Transport
+
     async def send(self, data: bytes) -> None:
         """Send one binary message."""
 
@@ -129,6 +131,10 @@
         with contextlib.suppress(ConnectionClosed, OSError):
             await self._socket.close()
 
+    def abort(self) -> None:
+        """End the link at once: a silent peer would not answer the closing handshake."""
+        self._socket.transport.abort()
+
     async def _read(self, receive: Callable[[AnyMessage], None]) -> None:
         with contextlib.suppress(ConnectionClosed, OSError):
             while True:
--- a/tests/fleet/test_once.py
+++ b/tests/fleet/test_once.py
@@ -3,8 +3,10 @@
 import asyncio
 import json
 
+from railsail.membership.placement import choose
 from railsail.standins.service import Faults
 from railsail.standins.store import Faults as StoreFaults
+from railsail.store.claims import claim_key, shard_of
 from tests.fleet.base import FleetTestCase
 
 PATH = "/services/desk/classify?key=k1&seconds=0.2"
@@ -63,6 +65,19 @@
             response = await self.call(node, "/services/desk/x", "POST", {}, Idempotency_Key="k9")
         self.assertEqual((response.code, len(self.runs())), (200, 1))
 
+    async def test_batcher_that_falls_silent_is_left(self):
+        batcher = choose(f"claims {shard_of(claim_key('one', 'k1'))}", self.ids())
+        silent = next(n for n in self.fleet.nodes if n.settings.node_id == batcher)
+        asker = next(n for n in self.fleet.nodes if n is not silent)
+        silent.hub.send = lambda node, message: True
+        # The silence alone must suffice, whatever becomes of the link.
+        asker.hub.drop = lambda node: None
+        response = await self.ask(asker, X_Deadline_Seconds="12")
+        self.assertEqual((response.code, len(self.runs())), (200, 1))
+
+    def ids(self) -> list[str]:
+        return [node.settings.node_id for node in self.fleet.nodes]
+
     async def test_key_of_another_request_is_a_conflict(self):
         await self.ask(self.fleet.nodes[0])
         second = await self.ask(self.fleet.nodes[1], "/services/desk/classify?key=other")
