core: removed what nothing used, and put returned grants on the time line

Change: they are gone; a grant that is handed back is an event now, as its kind promised. Conclusion: mended.

--- a/railsail/core/events.py
+++ b/railsail/core/events.py
@@ -24,7 +24,6 @@
     GRANT_RETURNED = "grant-returned"
     SENT = "sent"
     FIRST_BYTE = "first-byte"
-    RESUMED = "resumed"
     RETRIED = "retried"
     ENDED = "ended"
     MEMBER = "member"
--- a/railsail/core/lifecycle.py
+++ b/railsail/core/lifecycle.py
@@ -38,8 +38,3 @@
         self.state = state
         for listener in self._listeners:
             listener(state)
-
-    @property
-    def accepting(self) -> bool:
-        """Say whether new requests of callers are taken."""
-        return self.state in (State.READY, State.DRAINING)
--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -21,7 +21,6 @@
     CLAIM_UNAVAILABLE = "claim-unavailable"
     UNREACHABLE = "upstream-unreachable"
     REFUSED = "upstream-refused"
-    CALLER_LEFT = "caller-left"
     NO_CONFIGURATION = "no-configuration"
 
 
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -281,6 +281,7 @@
 
     def _hand_back(self, node: str, message: Granted) -> None:
         self._metrics.returned.inc({})
+        self._events.emit(Kind.GRANT_RETURNED, f"{message.replica} by {node}")
         self._hub.send(node, Release(message.number, message.attempt, 0, _LEARNT[None]))
 
     def _refused(self, node: str, message: Refused) -> None:
--- a/railsail/gateway/requests.py
+++ b/railsail/gateway/requests.py
@@ -9,7 +9,6 @@
 from railsail.core.outcomes import NotRun, Reason
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
-SERVICE_PREFIX = "/services/"
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "X-Deadline-Seconds"
 LONGEST_DEADLINE = 86_400.0
