tests: killed the serving node at each step, and held senders back

Change: a claimed call whose node is killed between claim and dispatch, grant and first byte, dispatch and answer, and answer and caller is asked for again elsewhere; one HTTP exchange is tested alone: what is sent, what is whole, and that a slow receiver holds its sender back. Figures: runs after the second try: 0, 0, 1 and 1; the second try gets 409, unknown, each time. A stalled receiver stops a sender of 256 MB before half of it.

--- a/tests/fleet/test_once.py
+++ b/tests/fleet/test_once.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+from unittest import mock
 
+from railsail.gateway.sink import CallerSink
 from railsail.membership.placement import choose
 from railsail.standins.service import Faults
 from railsail.standins.store import Faults as StoreFaults
@@ -144,6 +146,53 @@
         self.assertEqual(len(self.runs()), 4)
 
 
+class KillTests(FleetTestCase):
+    """Kill the node that serves a claimed call at each step, and ask again elsewhere."""
+
+    policies = {"never_repeat": "request.method == 'POST'"}
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.node, self.other, _ = self.fleet.nodes
+        self.reached = asyncio.Event()
+
+    async def stop_here(self, *arguments, **named) -> None:
+        """Stand in for a step that the killed node never gets past."""
+        self.reached.set()
+        await asyncio.Event().wait()
+
+    async def kill_and_ask_again(self) -> int:
+        """Return the runs of the call once it was asked for again."""
+        ask = self.call(self.node, PATH, "POST", {}, Idempotency_Key="k1")
+        first = asyncio.ensure_future(ask)
+        await self.reached.wait()
+        await self.fleet.kill(self.node)
+        await asyncio.gather(first, return_exceptions=True)
+        second = await self.call(self.other, PATH, "POST", {}, Idempotency_Key="k1")
+        self.assertEqual(second.code, 409)
+        self.assertEqual(json.loads(second.body)["error"]["outcome"], "unknown")
+        return len(self.fleet.services["desk-0"].log)
+
+    async def test_between_claim_and_dispatch(self):
+        self.node.gateway.server._tries.run = self.stop_here
+        self.assertEqual(await self.kill_and_ask_again(), 0)
+
+    async def test_between_grant_and_first_byte(self):
+        self.node.gateway.server._tries._call = self.stop_here
+        self.assertEqual(await self.kill_and_ask_again(), 0)
+
+    async def test_between_dispatch_and_answer(self):
+        service = self.fleet.services["desk-0"]
+        asyncio.ensure_future(self.until(lambda: service.log)).add_done_callback(
+            lambda done: self.reached.set()
+        )
+        self.assertEqual(await self.kill_and_ask_again(), 1)
+
+    async def test_between_answer_and_caller(self):
+        with mock.patch.object(CallerSink, "start", self.stop_here):
+            self.assertEqual(await self.kill_and_ask_again(), 1)
+
+
 def raw_post(key: str) -> bytes:
     """Return a POST as ``call`` would send it, for a caller that leaves."""
     head = (
--- /dev/null
+++ b/tests/upstreams/test_http.py
@@ -0,0 +1,81 @@
+"""One exchange: what counts as sent, what counts as whole, and who holds whom back."""
+
+import asyncio
+import unittest
+
+from railsail.standins.fleet import free_ports
+from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange
+
+CHUNK = b"x" * 65_536
+MOST_CHUNKS = 4096
+
+
+class ExchangeTests(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, handler) -> HttpRequest:
+        server = await asyncio.start_server(handler, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        return HttpRequest(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", "GET", "/", {})
+
+    async def answer(self, data: bytes) -> Collector:
+        """Let a server answer with the bytes ``data`` and close; return what came."""
+
+        async def handle(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            await writer.drain()
+            writer.close()
+
+        collector = Collector()
+        await exchange(await self.serve(handle), collector)
+        return collector
+
+    async def test_whole_answer(self):
+        collector = await self.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+        self.assertEqual((collector.status, collector.body), (200, b"hi"))
+
+    async def test_refused_connection_is_not_sent(self):
+        request = HttpRequest(f"127.0.0.1:{free_ports(1)[0]}", "GET", "/", {})
+        with self.assertRaises(NotSent):
+            await exchange(request, Collector())
+
+    async def test_answers_that_are_not_whole_are_cut_off(self):
+        bad = {
+            "nothing": b"",
+            "short": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi",
+            "cut chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+            "no length": b"HTTP/1.1 200 OK\r\n\r\nhi",
+            "no HTTP": b"good day\r\n\r\n",
+        }
+        for name, data in bad.items():
+            with self.subTest(name), self.assertRaises(CutOff):
+                await self.answer(data)
+
+    async def test_slow_receiver_holds_the_sender_back(self):
+        sent = []
+        held = asyncio.Event()
+
+        async def handle(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 268435456\r\n\r\n")
+            for _ in range(MOST_CHUNKS):
+                writer.write(CHUNK)
+                sent.append(1)
+                drained = asyncio.ensure_future(writer.drain())
+                await asyncio.sleep(0)
+                if not drained.done() and not (await asyncio.wait([drained], timeout=1.0))[0]:
+                    held.set()
+                await drained
+
+        class Stalled(Collector):
+            async def data(self, chunk: bytes) -> None:
+                await asyncio.Event().wait()
+
+        running = asyncio.ensure_future(exchange(await self.serve(handle), Stalled()))
+        await held.wait()
+        self.assertLess(len(sent), MOST_CHUNKS // 2)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
