core: kept background tasks in one place; upstreams: kept the directory's sum instead of making it

Change: core/tasks.py is called by all six; the directory's sum is changed with each record, as the member table's is. Conclusion: behaviour as before.

--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -5,7 +5,6 @@
 names another version repairs what was lost.
 """
 
-import asyncio
 import json
 from collections.abc import Callable
 
@@ -30,6 +29,7 @@
 from railsail.core.exceptions import ImproperlyConfigured, StoreUnavailable
 from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
+from railsail.core.tasks import TaskSet
 from railsail.objects.catalog import Catalog
 from railsail.peers.messages import ConfigurationNews
 from railsail.store.base import Listing, StoredObject, WatchEvent
@@ -54,7 +54,7 @@
         self._metrics = metrics
         self._changes: list[Change] = []
         self._listeners: list[Listener] = []
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
 
     def on_change(self, listener: Listener) -> None:
         """Call ``listener`` with each catalog that comes into force."""
@@ -74,9 +74,7 @@
     def _resolve(self, stored: StoredObject) -> None:
         if stored.value.get("version", 0) <= self.catalog.version:
             return
-        task = asyncio.ensure_future(self._resolve_now(stored))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(self._resolve_now(stored))
 
     async def _resolve_now(self, stored: StoredObject) -> None:
         try:
--- a/railsail/dispatch/loads.py
+++ b/railsail/dispatch/loads.py
@@ -1,9 +1,9 @@
 """Ask the replicas of a node's cells for their load, often while they are busy."""
 
-import asyncio
 from collections.abc import Callable
 
 from railsail.core.clock import Clock
+from railsail.core.tasks import TaskSet
 from railsail.objects.catalog import Catalog
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import CellDispatcher
@@ -27,7 +27,7 @@
         self._asked_at: dict[str, float] = {}
         self._kinds: dict[str, UpstreamKind] = {}
         self._listeners: list[Callable[[Cell, str, LoadReport], None]] = []
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
 
     def on_report(self, listener: Callable[[Cell, str, LoadReport], None]) -> None:
         """Call ``listener`` with cell, replica and report."""
@@ -54,9 +54,7 @@
         for name in dispatcher.replicas:
             if now - self._asked_at.get(name, -IDLE_SECONDS) >= period:
                 self._asked_at[name] = now
-                task = asyncio.ensure_future(self._ask(cell, name, kind))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._tasks.start(self._ask(cell, name, kind))
 
     async def _ask(self, cell: Cell, name: str, kind: UpstreamKind) -> None:
         upstream = self._directory.get(name)
--- a/railsail/gateway/answers.py
+++ b/railsail/gateway/answers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from railsail.core.tasks import TaskSet
 from railsail.peers.hub import PeerHub
 from railsail.peers.messages import AnswerReply, AnswerRequest
 
@@ -45,7 +46,7 @@
         self._bytes = 0
         self._running: dict[bytes, list[asyncio.Future]] = {}
         self._asked: dict[int, asyncio.Future] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
         hub.handle(AnswerRequest, self._request)
         hub.handle(AnswerReply, self._reply)
 
@@ -109,9 +110,7 @@
             del self._asked[number]
 
     def _request(self, node: str, message: AnswerRequest) -> None:
-        task = asyncio.ensure_future(self._answer(node, message))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(self._answer(node, message))
 
     async def _answer(self, node: str, message: AnswerRequest) -> None:
         answer = await self._own(message.key, message.wait / 1000)
--- a/railsail/gateway/claims.py
+++ b/railsail/gateway/claims.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from railsail.core.kernel import Kernel
+from railsail.core.tasks import TaskSet
 from railsail.membership.placement import choose
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
@@ -45,7 +46,7 @@
         self._shards: dict[int, ClaimShard] = {}
         self._asked: dict[int, tuple[Claim, str, asyncio.Future]] = {}
         self._next_number = 1
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
         hub.handle(ClaimRequest, self._request)
         hub.handle(ClaimReply, self._reply)
         hub.on_up(self._link_up)
@@ -72,14 +73,11 @@
 
     def release(self, claim: Claim) -> None:
         """Give ``claim`` back in the background, because its request was not run."""
-        task = asyncio.ensure_future(self._release(replace(claim, release=True)))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(self._release(replace(claim, release=True)))
 
     async def settle(self, seconds: float) -> None:
         """Wait at most ``seconds`` for releases that are under way."""
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=seconds)
+        await self._tasks.wait(seconds)
 
     async def _release(self, claim: Claim) -> None:
         ends = self._clock.monotonic() + RELEASE_SECONDS
@@ -155,9 +153,7 @@
         self._send(number, claim, chosen)
 
     def _request(self, node: str, message: ClaimRequest) -> None:
-        task = asyncio.ensure_future(self._answer(node, message))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(self._answer(node, message))
 
     async def _answer(self, node: str, message: ClaimRequest) -> None:
         start_id = self._hub.start_id(node)
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -7,6 +7,7 @@
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from railsail.core.tasks import TaskSet
 from railsail.dispatch.entry import Booking, TicketDesk, TicketRefused, Want
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerLeft, CallerSink
@@ -64,7 +65,7 @@
         self._metrics = kernel.metrics
         self._estimator = CostEstimator()
         self._budget = RetryBudget()
-        self._cancels: set[asyncio.Task] = set()
+        self._cancels = TaskSet()
 
     async def run(self, served: Served) -> Outcome:
         """Try until there is an outcome that must stand, and return it."""
@@ -177,9 +178,7 @@
                 self._directory.sign(replica, True, self._clock.wall())
 
     def _cancel(self, kind: UpstreamKind, call: UpstreamCall) -> None:
-        task = asyncio.ensure_future(kind.cancel(call))
-        self._cancels.add(task)
-        task.add_done_callback(self._cancels.discard)
+        self._cancels.start(kind.cancel(call))
 
 
 def _learnt(outcome: Outcome) -> bool | None:
--- a/railsail/peers/hub.py
+++ b/railsail/peers/hub.py
@@ -15,6 +15,7 @@
 from railsail.core.exceptions import PeerRefused, ProtocolError
 from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
+from railsail.core.tasks import TaskSet
 from railsail.peers.codec import MOST_FRAME_BYTES
 from railsail.peers.link import Identity, Link, accept_handshake, join_handshake
 from railsail.peers.messages import AnyMessage, Message
@@ -61,7 +62,7 @@
         self._dialling: dict[str, asyncio.Task] = {}
         self._pause: dict[str, float] = {}
         self._not_before: dict[str, float] = {}
-        self._tasks: set[asyncio.Future] = set()
+        self._tasks = TaskSet()
         self._server = None
         self._closed = False
 
@@ -97,8 +98,7 @@
         links = [link for links in self._links.values() for link in links]
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(asyncio.gather(*(link.close() for link in links)), 1.0)
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
 
     def send(self, node: str, message: Message) -> bool:
         """Queue ``message`` for ``node`` and return whether there is a link; dial if not."""
@@ -141,7 +141,7 @@
             return True
         if self._closed or self._clock.monotonic() < self._not_before.get(node, 0.0):
             return False
-        self._dialling[node] = self._spawn(self._dial(node))
+        self._dialling[node] = self._tasks.start(self._dial(node))
         return True
 
     def drop(self, node: str) -> None:
@@ -158,7 +158,7 @@
         for node in self.peers():
             if node not in kept and now - self._used.get(node, now) > UNUSED_SECONDS:
                 for link in self._links[node]:
-                    self._spawn(link.close())
+                    self._tasks.start(link.close())
 
     def forget(self, node: str) -> None:
         """Drop what is remembered of a ``node`` that is gone."""
@@ -166,12 +166,6 @@
         for memory in (self._heard, self._used, self._pause, self._not_before):
             memory.pop(node, None)
 
-    def _spawn(self, coroutine) -> asyncio.Task:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     async def _accept(self, socket: ServerConnection) -> None:
         try:
             peer = await accept_handshake(socket, self.own, self._secret)
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -67,6 +67,7 @@
         self._flood = flood
         self._events = events
         self._upstreams: dict[str, Upstream] = {}
+        self._digest = 0
         self._listeners: list[Callable[[], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -90,11 +91,7 @@
     @property
     def digest(self) -> int:
         """Return a 32-bit sum over all records; equal directories have equal sums."""
-        digest = 0
-        for upstream in self._upstreams.values():
-            text = f"{upstream.name} {upstream.version} {upstream.sign_version} {upstream.sign_at}"
-            digest ^= zlib.crc32(text.encode())
-        return digest
+        return self._digest
 
     def listed(self, listing: Listing) -> None:
         """Take in a listing of the store; what it lacks is gone."""
@@ -143,11 +140,19 @@
         if not changed:
             return
         for upstream in changed:
-            self._upstreams[upstream.name] = upstream
+            self._put(upstream)
         self._flood(UpstreamNews([_to_record(upstream) for upstream in changed]), source)
         for listener in self._listeners:
             listener()
 
+    def _put(self, upstream: Upstream) -> None:
+        # The sum goes into every heartbeat, so that it is kept and not made from all records.
+        known = self._upstreams.get(upstream.name)
+        if known is not None:
+            self._digest ^= _digest_of(known)
+        self._digest ^= _digest_of(upstream)
+        self._upstreams[upstream.name] = upstream
+
     def _merge(self, candidate: Upstream) -> Upstream | None:
         known = self._upstreams.get(candidate.name)
         if known is None:
@@ -191,6 +196,11 @@
         return None
 
 
+def _digest_of(upstream: Upstream) -> int:
+    text = f"{upstream.name} {upstream.version} {upstream.sign_version} {upstream.sign_at}"
+    return zlib.crc32(text.encode())
+
+
 def _to_record(upstream: Upstream) -> UpstreamRecord:
     # Both have the same fields, in the same order.
     return UpstreamRecord(*astuple(upstream))
