--- a/railsail/admin/app.py
+++ b/railsail/admin/app.py
@@ -35,6 +35,8 @@
             return
         scheme, _, given = self.request.headers.get("Authorization", "").partition(" ")
         expected = self.node.settings.admin_secret
+        if not expected:
+            raise HTTPError(403, reason="this node has no admin secret")
         if scheme.lower() != "bearer" or not hmac.compare_digest(given.encode(), expected.encode()):
             raise HTTPError(401)
 
@@ -76,6 +78,10 @@
 
 
 class _Metrics(_Handler):
+    def prepare(self) -> None:
+        if self.node.settings.admin_secret:
+            super().prepare()
+
     def get(self) -> None:
         body, headers = self.node.metrics.render(self.request.headers.get_list("Accept"))
         for name, value in headers.items():
--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -12,11 +12,14 @@
 from railsail.conf.values import (
     Choice,
     Converter,
+    Decimal,
     Endpoint,
     EndpointList,
     IPAddress,
+    Modules,
     Name,
     Number,
+    Optional,
     Port,
     Secret,
 )
@@ -24,6 +27,7 @@
 from railsail.core.exceptions import ImproperlyConfigured
 
 ENVIRONMENT_PREFIX = "RAILSAIL_"
+_SECRETS = ("peer_secret", "admin_secret")
 
 
 @dataclass(frozen=True)
@@ -56,9 +60,45 @@
     Option("region", Name(), "Region of this node.", "default"),
     Option("store", EndpointList(minimum=1), "Endpoints ip:port of the platform's object API."),
     Option("store_kind", Name(), "Name of the store client plug-in.", "http"),
+    Option("watch_seconds", Decimal(0.1, 300), "Longest wait of a watch on the store.", "25"),
+    Option(
+        "node_list",
+        Choice("store", "seeds"),
+        "Where nodes are listed: in the store as well, or among the seeds only.",
+        "store",
+    ),
     Option("seeds", EndpointList(), "Peer endpoints to try while the node list is unknown.", ""),
-    Option("peer_secret", Secret(), "Secret that all daemons of the fleet share."),
-    Option("admin_secret", Secret(), "Bearer secret of the operators' interface."),
+    Option(
+        "network",
+        Choice("open", "closed"),
+        "Whether others than daemons, callers and operators can reach the ports of this node; on a "
+        "closed network the secrets may be left out.",
+        "open",
+    ),
+    Option(
+        "peer_secret",
+        Optional(Secret()),
+        "Secret that all daemons of the fleet share; without one links are not authenticated.",
+        "",
+    ),
+    Option(
+        "admin_secret",
+        Optional(Secret()),
+        "Bearer secret of operators; without one, only health and metrics are served.",
+        "",
+    ),
+    Option("plugins", Modules(), "Modules that are imported for their plug-ins.", ""),
+    Option(
+        "caller_interface",
+        Name(),
+        "What callers speak: `native`, or the name of a plug-in that serves routes.",
+        "native",
+    ),
+    Option("retry_ratio", Decimal(0, 10), "Repeats allowed for each request of a pool.", "0.1"),
+    Option(
+        "retry_slack", Number(0, 1_000_000), "Repeats allowed beyond, by the whole fleet.", "10"
+    ),
+    Option("retry_window_seconds", Decimal(0.1, 3600), "Window of the repeats allowed.", "10"),
     Option("max_body_bytes", Number(1024, 64 << 20), "Largest request body.", str(4 << 20)),
     Option("queue_per_workspace", Number(1, 100_000), "Waiting requests a workspace here.", "256"),
     Option("queue_total", Number(1, 100_000), "Waiting requests of all workspaces here.", "1024"),
@@ -90,9 +130,17 @@
     region: str
     store: tuple[Endpoint, ...]
     store_kind: str
+    watch_seconds: float
+    node_list: str
     seeds: tuple[Endpoint, ...]
+    network: str
     peer_secret: str
     admin_secret: str
+    plugins: tuple[str, ...]
+    caller_interface: str
+    retry_ratio: float
+    retry_slack: int
+    retry_window_seconds: float
     max_body_bytes: int
     queue_per_workspace: int
     queue_total: int
@@ -123,13 +171,16 @@
 
 
 def parse(arguments: Sequence[str], environment: Mapping[str, str]) -> Parsed:
-    """Return the settings from flags and environment variables; a flag goes first.
+    """Return the settings from flags, environment variables and a file; earlier ones go first.
 
     Raise ``ImproperlyConfigured`` with every finding, each with the flag and variable it is about.
     """
-    namespace, unknown = _parser().parse_known_args(
-        list(arguments), env_vars=dict(environment), ignore_help_args=False
-    )
+    try:
+        namespace, unknown = _parser().parse_known_args(
+            list(arguments), env_vars=dict(environment), ignore_help_args=False
+        )
+    except (OSError, configargparse.ConfigFileParserException) as problem:
+        raise ImproperlyConfigured([_unreadable(problem)]) from None
     findings = [_unknown(word) for word in unknown]
     values = {}
     for option in OPTIONS:
@@ -142,9 +193,19 @@
 
 def _parser() -> configargparse.ArgumentParser:
     parser = configargparse.ArgumentParser(
-        prog="railsaild", description="The daemon of railsail.", allow_abbrev=False
+        prog="railsaild",
+        description="The daemon of railsail.",
+        allow_abbrev=False,
+        # The library would end the process, before other findings are told.
+        exit_on_error=False,
     )
     parser.add_argument("--check", action="store_true", help="Check the settings and exit.")
+    parser.add_argument(
+        "--settings-file",
+        is_config_file=True,
+        env_var=ENVIRONMENT_PREFIX + "SETTINGS_FILE",
+        help="File of lines `name = value`; flags and variables go before it.",
+    )
     for option in OPTIONS:
         parser.add_argument(
             option.flag,
@@ -156,6 +217,10 @@
     return parser
 
 
+def _unreadable(problem: Exception) -> Finding:
+    return error("railsail.E006", f"cannot be read: {problem}", "--settings-file")
+
+
 def _unknown(word: str) -> Finding:
     # The word may be a misspelt secret, so that only the part before "=" is shown.
     return error("railsail.E001", "unknown argument", word.split("=")[0], "see railsaild --help")
@@ -175,8 +240,15 @@
         return None
 
 
+def _secret_missing(name: str) -> Finding:
+    place = f"--{name.replace('_', '-')} ({ENVIRONMENT_PREFIX}{name.upper()})"
+    return error("railsail.E002", "is required", place, "unless the network is closed to others")
+
+
 def _check_together(values: dict[str, object]) -> list[Finding]:
     findings = []
+    if values["network"] != "closed":
+        findings += [_secret_missing(name) for name in _SECRETS if values[name] == ""]
     ports = [values[name] for name in ("caller_port", "admin_port", "peer_port")]
     known = [port for port in ports if port]
     if len(set(known)) < len(known):
--- a/railsail/conf/values.py
+++ b/railsail/conf/values.py
@@ -66,11 +66,35 @@
 
 
 class Port(Number):
-    """A TCP port."""
+    """A TCP port; of an endpoint ``ip:port`` its port counts."""
 
     def __init__(self) -> None:
         super().__init__(1, 65_535)
 
+    def convert(self, text: str) -> int:
+        """Return the port."""
+        return super().convert(text.rpartition(":")[2])
+
+
+class Decimal:
+    """A decimal number from ``least`` to ``most``."""
+
+    secret = False
+
+    def __init__(self, least: float, most: float) -> None:
+        self.least = least
+        self.most = most
+        self.allowed = f"a number from {least:g} to {most:g}"
+
+    def convert(self, text: str) -> float:
+        """Return the number."""
+        if not re.fullmatch(r"-?[0-9]{1,18}(\.[0-9]{1,18})?", text):
+            raise ValueError("is not a number")
+        number = float(text)
+        if not self.least <= number <= self.most:
+            raise ValueError("is out of range")
+        return number
+
 
 class Name:
     """A name of small letters, digits and dashes."""
@@ -114,6 +138,34 @@
         return text
 
 
+class Optional:
+    """Nothing, or what another converter allows."""
+
+    def __init__(self, converter: Converter) -> None:
+        self._converter = converter
+        self.allowed = f"nothing, or {converter.allowed}"
+        self.secret = converter.secret
+
+    def convert(self, text: str) -> object:
+        """Return the value, an empty text for nothing."""
+        return self._converter.convert(text) if text else ""
+
+
+class Modules:
+    """Names of Python modules, separated by commas."""
+
+    allowed = "names of Python modules, separated by commas"
+    secret = False
+
+    def convert(self, text: str) -> tuple[str, ...]:
+        """Return the names."""
+        names = tuple(word.strip() for word in text.split(",") if word.strip())
+        for name in names:
+            if not all(part.isidentifier() for part in name.split(".")):
+                raise ValueError(f"{name!r} is not the name of a module")
+        return names
+
+
 class EndpointList:
     """Endpoints ``ip:port``, separated by commas."""
 
--- a/railsail/configuration/repository.py
+++ b/railsail/configuration/repository.py
@@ -37,11 +37,15 @@
 
 
 class Head(msgspec.Struct, frozen=True):
-    """The head object: the newest ``changes`` end at ``version`` and begin after ``base``."""
+    """The head object: the newest ``changes`` end at ``version`` and begin after ``base``.
+
+    A head that some other system writes holds all ``objects`` of its version instead.
+    """
 
     version: int = 0
     base: int = 0
     changes: tuple[Change, ...] = ()
+    objects: tuple[dict[str, object], ...] | None = None
 
 
 @dataclass(frozen=True)
@@ -71,6 +75,9 @@
     async def resolve(self, stored: StoredObject, known: Catalog) -> Committed:
         """Return the configuration of a head object that was read or watched."""
         head = msgspec.convert(stored.value, Head)
+        if head.objects is not None:
+            catalog = restore(Snapshot(head.version, head.objects))
+            return Committed(stored.version, head, catalog)
         catalog = known
         if not head.base <= known.version <= head.version:
             catalog = await self._read_snapshot(head.base)
--- a/railsail/core/logs.py
+++ b/railsail/core/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON object a line, on standard error, for changes of state only."""
+"""Structured logs: one JSON object a line, on standard output, for changes of state only."""
 
 import logging
 import sys
@@ -17,7 +17,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stdout),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(node=node)
--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -15,6 +15,7 @@
     BAD_REQUEST = "bad-request"
     UNAUTHORIZED = "unauthorized"
     UNKNOWN_POOL = "unknown-pool"
+    UNKNOWN_ROUTE = "unknown-route"
     QUEUE_FULL = "queue-full"
     NO_ROOM = "no-room"
     EXPIRED = "wait-expired"
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -165,12 +165,16 @@
         slots = pool.slots if pool else 0
         names = self._cells.cells(cell.pool).get(cell, [])
         leaving = [name for name in names if self._is_leaving(name)]
-        dispatcher.set_replicas(dict.fromkeys(names, slots), leaving)
+        dispatcher.set_replicas({name: self._slots(name) or slots for name in names}, leaving)
 
     def _is_leaving(self, name: str) -> bool:
         upstream = self._directory.get(name)
         return upstream is None or upstream.leaving
 
+    def _slots(self, name: str) -> int:
+        upstream = self._directory.get(name)
+        return upstream.slots if upstream else 0
+
     def _place(self, node: str, message: Place) -> None:
         cell, dispatcher = self.dispatcher(message.pool, message.cell)
         self.offer(cell, dispatcher, node, message)
--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -12,7 +12,7 @@
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerSink
 from railsail.gateway.tries import Served, Tries
-from railsail.gateway.verdicts import Judge
+from railsail.gateway.verdicts import Judge, describe
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Pool
 from railsail.store.claims import Claim, ClaimResult, claim_key, fingerprint
@@ -85,7 +85,7 @@
         pool: Pool,
         sink: CallerSink,
     ) -> Served:
-        verdict = self._judge.judge(workspace, request, pool)
+        verdict = self._judge.judge(workspace, describe(request, pool))
         now = self._clock.monotonic()
         ends_at = now + (request.deadline or LONGEST_CALL_SECONDS)
         word = "once" if verdict.never_repeat else "repeatable"
--- a/railsail/gateway/verdicts.py
+++ b/railsail/gateway/verdicts.py
@@ -6,7 +6,7 @@
 from railsail.gateway.admission import Admission
 from railsail.gateway.requests import CallerRequest
 from railsail.objects.catalog import Catalog
-from railsail.objects.kinds import Pool
+from railsail.objects.kinds import Policy, Pool
 from railsail.policy.programs import (
     CompiledPolicy,
     Inputs,
@@ -35,34 +35,43 @@
         """Forget the programs compiled for an earlier version."""
         self._policies.clear()
 
-    def judge(self, workspace: str, request: CallerRequest, pool: Pool) -> Verdict:
-        """Return what the policy says of ``request``."""
+    def judge(self, workspace: str, request: RequestInput) -> Verdict:
+        """Return what the policy of ``workspace`` says of ``request``."""
         catalog = self._catalog()
         owner = catalog.workspace(workspace)
         policy = catalog.policy(owner.policy) if owner else None
         if policy is None:
             return NO_POLICY
+        return self.run(policy, workspace, request)
+
+    def run(self, policy: Policy, workspace: str, request: RequestInput) -> Verdict:
+        """Return what ``policy`` says of ``request`` of ``workspace``."""
         if policy.name not in self._policies:
             self._policies[policy.name] = CompiledPolicy(policy)
-        verdict = self._policies[policy.name].judge(self._inputs(workspace, request, pool))
+        verdict = self._policies[policy.name].judge(self._inputs(workspace, request))
         for field in verdict.failed:
             self._metrics.policy_errors.inc({"policy": policy.name, "field": field})
         return verdict
 
-    def _inputs(self, workspace: str, request: CallerRequest, pool: Pool) -> Inputs:
+    def _inputs(self, workspace: str, request: RequestInput) -> Inputs:
         bought = self._catalog().class_of(workspace)
         return Inputs(
             WorkspaceInput(workspace, bought.name, bought.weight),
-            RequestInput(
-                pool=pool.name,
-                kind=pool.upstream_kind,
-                method=request.method,
-                path=request.path,
-                body_bytes=len(request.body),
-                max_tokens=request.max_tokens,
-                stream=request.stream,
-                has_key=bool(request.key),
-                deadline=request.deadline,
-            ),
+            request,
             LoadInput(self._admission.held(workspace), self._admission.total),
         )
+
+
+def describe(request: CallerRequest, pool: Pool) -> RequestInput:
+    """Return what policies see of a request to ``pool``."""
+    return RequestInput(
+        pool=pool.name,
+        kind=pool.upstream_kind,
+        method=request.method,
+        path=request.path,
+        body_bytes=len(request.body),
+        max_tokens=request.max_tokens,
+        stream=request.stream,
+        has_key=bool(request.key),
+        deadline=request.deadline,
+    )
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -41,12 +41,18 @@
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
 from railsail.peers.messages import ConfigurationNews, Heartbeat, StateRequest, UpstreamNews
+from railsail.routing.budget import RetryBounds
+from railsail.routing.client import ClientServer
+from railsail.routing.front import RouteFront
+from railsail.routing.protocol import ROUTE_PROTOCOLS
+from railsail.routing.relay import Relay
 from railsail.store.base import STORES
 from railsail.store.watcher import StoreWatcher
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.directory import UpstreamDirectory
 
 WATCHERS = 8
+NATIVE_INTERFACE = "native"
 FIRST_LOOK_SECONDS = 3.0
 TICK_SECONDS = 0.5
 # With so many nodes that cannot be dialled, only linked ones are given work.
@@ -64,6 +70,7 @@
         self, settings: Settings, clock: Clock | None = None, rng: random.Random | None = None
     ) -> None:
         load_plugins()
+        load_plugins(settings.plugins)
         self.settings = settings
         self.clock = clock or Clock()
         self.rng = rng or random.Random(secrets.randbits(64))
@@ -110,10 +117,13 @@
         flood = self.membership.flood
         self.carrier = ConfigurationCarrier(self.repository, flood, self.events, self.metrics)
         self.directory = UpstreamDirectory(flood, self.events)
-        self.watcher = StoreWatcher(self.store, self._watches, self.events, self.rng)
+        self.watcher = StoreWatcher(
+            self.store, self._watches, settings.watch_seconds, self.events, self.rng
+        )
         self.watcher.follow(CONFIGURATION, self.carrier.listed, self.carrier.seen, HEAD)
         self.watcher.follow(UPSTREAM, self.directory.listed, self.directory.seen)
-        self.watcher.follow(NODE, self.membership.listed, self.membership.seen)
+        if settings.node_list == "store":
+            self.watcher.follow(NODE, self.membership.listed, self.membership.seen)
 
     def _build_dispatch(self) -> None:
         settings = self.settings
@@ -158,6 +168,23 @@
             self._catalog, self.judge, tries, self.claims, shelf, self.admission, self.kernel
         )
         self.gateway = Gateway(server, self.kernel, self._new_id)
+        self.front: RouteFront | None = None
+        self.clients: ClientServer | None = None
+        if settings.caller_interface != NATIVE_INTERFACE:
+            self._build_routes()
+
+    def _build_routes(self) -> None:
+        settings = self.settings
+        protocol = ROUTE_PROTOCOLS.get(settings.caller_interface)()
+        bounds = RetryBounds(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_seconds
+        )
+        relay = Relay(protocol, self.directory, self.desk, bounds, self._fleet_size, self.kernel)
+        self.front = RouteFront(
+            protocol, relay, self.judge, self.admission, self._catalog, self.kernel
+        )
+        self.clients = ClientServer(self.front.handle)
+        self.carrier.on_change(self.front.configured)
 
     def _connect(self) -> None:
         self.membership.describe_with(self._heartbeat)
@@ -179,6 +206,10 @@
     def _pools(self) -> list[str]:
         return [pool.name for pool in self._catalog().of_kind(Pool)]
 
+    def _fleet_size(self) -> int:
+        """Return how many members there may be, those included that cannot be seen now."""
+        return max(len(self.membership.table), len(self.settings.seeds))
+
     def _new_id(self) -> str:
         return f"req-{self._id_rng.getrandbits(64):016x}"
 
@@ -225,7 +256,7 @@
         """Open the ports, and become ready when there is a configuration."""
         await self.hub.start()
         self._listen(self.settings.admin_port, admin_app.application(self))
-        self._listen(self.settings.caller_port, self.gateway.application())
+        self._listen(self.settings.caller_port, self.clients or self.gateway.application())
         self._tasks = [
             asyncio.ensure_future(part.run())
             for part in (self.membership, self.watcher, self.dispatchers, self.tree)
@@ -284,6 +315,9 @@
         Requests that still run after ``drain_seconds`` are cut, with their outcome unknown.
         """
         self.lifecycle.advance(State.DRAINING)
+        for server in self._servers:
+            # Answers from now on tell callers to close their connections.
+            server.conn_params.no_keep_alive = True
         self.membership.set_own_state(MemberState.LEAVING)
         self.cells.forget()
         self.dispatchers.hand_over()
@@ -292,6 +326,8 @@
         ends = loop.time() + self.settings.drain_seconds
         # The balancer sends callers until it has seen that this node is not ready.
         await asyncio.sleep(max(self.settings.leave_seconds, HAND_OVER_SECONDS))
+        if self.clients is not None:
+            self.clients.close_idle()
         while self.admission.total and loop.time() < ends:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
--- a/railsail/objects/catalog.py
+++ b/railsail/objects/catalog.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from railsail.core.checks import Finding, error
-from railsail.objects.kinds import Policy, Pool, PriorityClass, Resource, Workspace
+from railsail.objects.kinds import Policy, Pool, PriorityClass, Resource, Route, Workspace
 
 Key = tuple[str, str]
 
@@ -90,6 +90,18 @@
                 place = f"workspace/{workspace.name}.key_hashes"
                 message = f"a key belongs to workspace {owner!r} already"
                 findings.append(error("railsail.E021", message, place))
+    for route in catalog.of_kind(Route):
+        findings += _check_route(catalog, route)
+    return findings
+
+
+def _check_route(catalog: Catalog, route: Route) -> list[Finding]:
+    findings = []
+    for index, share in enumerate(route.pools):
+        if catalog.pool(share.pool) is None:
+            place = f"route/{route.name}.pools[{index}]"
+            hint = f"create pool/{share.pool} first, or in the same change"
+            findings.append(error("railsail.E020", f"there is no pool {share.pool!r}", place, hint))
     return findings
 
 
--- a/railsail/objects/kinds.py
+++ b/railsail/objects/kinds.py
@@ -66,14 +66,16 @@
 class Workspace(Resource, frozen=True, forbid_unknown_fields=True):
     """A customer of the fleet.
 
-    ``key_hashes`` are the SHA-256 sums, in hexadecimal, of the bearer keys of its callers.
+    ``key_hashes`` are the SHA-256 sums, in hexadecimal, of the bearer keys of its callers; none
+    lets nobody in. ``priority``, if it is given, goes before that of a route; 0 goes first.
     """
 
     KIND: ClassVar[str] = "workspace"
 
     priority_class: Name
     policy: Name
-    key_hashes: Annotated[tuple[KeyHash, ...], msgspec.Meta(min_length=1, max_length=8)]
+    key_hashes: Annotated[tuple[KeyHash, ...], msgspec.Meta(max_length=64)]
+    priority: Annotated[int, msgspec.Meta(ge=0, le=1000)] | None = None
 
 
 class Pool(Resource, frozen=True, forbid_unknown_fields=True):
@@ -81,7 +83,8 @@
 
     ``upstream_kind`` names the plug-in that speaks to them. ``slots`` is the number of calls that a
     replica works on at once where it reports none; 0 lets the limit be learnt. ``first_estimate``
-    is the cost assumed of a request, in ``cost_unit``, until costs were seen.
+    is the cost assumed of a request, in ``cost_unit``, until costs were seen. ``memory_tokens`` is
+    how many tokens of running requests fit into a replica's memory, 0 where that is no limit.
     """
 
     KIND: ClassVar[str] = "pool"
@@ -90,8 +93,50 @@
     cost_unit: CostUnit
     slots: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 0
     first_estimate: Annotated[float, msgspec.Meta(gt=0, le=1e9)] = 100.0
+    memory_tokens: Annotated[int, msgspec.Meta(ge=0, le=1 << 40)] = 0
+
+
+class PoolShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The share of a route's requests that one pool gets, against the route's other pools."""
+
+    pool: Name
+    weight: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 1.0
+
+
+class Route(Resource, frozen=True, forbid_unknown_fields=True):
+    """Which pools serve the requests of one host whose path begins with ``path_prefix``.
+
+    Of the routes of a host the one with the longest prefix wins. ``repeatable`` requests may run
+    more than once. ``streaming`` answers are series of events; ``resumable`` ones may go on at
+    another replica. ``timeout`` is the longest that a request may take, ``objective`` the time to
+    an answer (to the first event of a stream) and ``pause`` the longest time between two events;
+    all in seconds, 0 for none. ``priority`` 0 goes first. ``max_attempts`` bounds the replicas
+    that one request may be sent to. ``public`` routes need no key. ``affinity`` prefers the replica
+    that has the beginning of the prompt in memory.
+    """
+
+    KIND: ClassVar[str] = "route"
+
+    host: Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+    path_prefix: Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?$", max_length=2048)]
+    pools: Annotated[tuple[PoolShare, ...], msgspec.Meta(min_length=1, max_length=64)]
+    repeatable: bool = False
+    streaming: bool = False
+    resumable: bool = False
+    public: bool = False
+    affinity: bool = False
+    timeout: Annotated[float, msgspec.Meta(gt=0, le=86_400)] = 60.0
+    objective: Annotated[float, msgspec.Meta(ge=0, le=86_400)] = 0.0
+    pause: Annotated[float, msgspec.Meta(ge=0, le=86_400)] = 0.0
+    priority: Annotated[int, msgspec.Meta(ge=0, le=1000)] = 0
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=100)] = 1
+
+    @property
+    def may_repeat(self) -> bool:
+        """Say whether a request may run again when it is not known whether it ran."""
+        return self.repeatable or self.resumable
 
 
 KINDS: dict[str, type[Resource]] = {
-    kind.KIND: kind for kind in (PriorityClass, Policy, Workspace, Pool)
+    kind.KIND: kind for kind in (PriorityClass, Policy, Workspace, Pool, Route)
 }
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -51,6 +51,7 @@
     sign_version: Natural
     sign_at: Natural
     sign_leaving: bool
+    slots: Natural = 0
 
 
 class Heartbeat(Message, frozen=True, tag=1):
--- /dev/null
+++ b/railsail/platform/http.py
@@ -0,0 +1,142 @@
+"""The headers of the platform's clients and replicas."""
+
+import math
+import zlib
+
+from tornado.httputil import HTTPHeaders
+
+from railsail.routing.messages import AnswerHead, Dispatch, Prompt, PromptPart, RoutedRequest
+from railsail.routing.protocol import ROUTE_PROTOCOLS
+
+REQUEST_ID = "Request-Id"
+DEADLINE = "Deadline-Ms"
+LAST_EVENT = "Last-Event-Id"
+TOKENS = "Token-Count"
+PARTS = "Prompt-Prefix"
+LENGTH_HINT = "Length-Hint"
+WORKSPACE = "Tenant"
+REPLICA = "Expect-Instance"
+SIGNATURE = "Response-Seal"
+NOT_RUN = "Not-Run"
+KEY = "Authorization"
+_MISDIRECTED = 421
+_BEARER = "bearer "
+# Headers that belong to one connection (RFC 9110, section 7.6.1), and the length of a body, which
+# is written anew.
+_HOP_BY_HOP = frozenset(
+    {
+        "Connection",
+        "Content-Length",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Proxy-Connection",
+        "Te",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+    }
+)
+_SET_BY_FLEET = frozenset({KEY, WORKSPACE, REPLICA, DEADLINE, "Expect"})
+
+
+@ROUTE_PROTOCOLS.register("prepared")
+class PlatformProtocol:
+    """Read and write the platform's headers."""
+
+    def read_request(
+        self, method: str, target: str, headers: HTTPHeaders, body: bytes
+    ) -> RoutedRequest:
+        """Return the request; raise ``ValueError`` with what is wrong."""
+        return RoutedRequest(
+            id=headers.get(REQUEST_ID, ""),
+            method=method,
+            host=headers.get("Host", ""),
+            target=target,
+            path=target.partition("?")[0],
+            headers=_end_to_end(headers, _SET_BY_FLEET),
+            body=body,
+            key=_key(headers.get(KEY, "")),
+            deadline=_number(headers.get(DEADLINE, ""), DEADLINE) / 1000,
+            last_event=headers.get(LAST_EVENT, ""),
+            prompt=_prompt(headers),
+        )
+
+    def request_headers(self, request: RoutedRequest, dispatch: Dispatch) -> HTTPHeaders:
+        """Return the headers with which ``request`` is sent to a replica."""
+        headers = request.headers.copy()
+        headers[REPLICA] = dispatch.replica
+        headers[DEADLINE] = str(max(1, math.floor(dispatch.seconds * 1000)))
+        if dispatch.workspace:
+            headers[WORKSPACE] = dispatch.workspace
+        if dispatch.last_event:
+            headers[LAST_EVENT] = dispatch.last_event
+        return headers
+
+    def read_answer(self, status: int, headers: HTTPHeaders) -> AnswerHead:
+        """Return what the head of a replica's answer says."""
+        return AnswerHead(
+            status,
+            _end_to_end(headers, frozenset()),
+            not_run=NOT_RUN in headers or status == _MISDIRECTED,
+            misdirected=status == _MISDIRECTED,
+            request_id=headers.get(REQUEST_ID, ""),
+            signed=SIGNATURE in headers,
+        )
+
+    def own_headers(self, request_id: str, retry_after: float | None) -> HTTPHeaders:
+        """Return the headers of an answer of the fleet's own."""
+        headers = HTTPHeaders({"Content-Type": "text/plain"})
+        if request_id:
+            headers[REQUEST_ID] = request_id
+        if retry_after is not None:
+            headers["Retry-After"] = f"{retry_after:.3f}"
+        return headers
+
+
+def _end_to_end(headers: HTTPHeaders, dropped: frozenset[str]) -> HTTPHeaders:
+    named = {word.strip().title() for word in headers.get("Connection", "").split(",")}
+    kept = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name in _HOP_BY_HOP or name in dropped or name in named - {REQUEST_ID}:
+            continue
+        kept.add(name, value)
+    return kept
+
+
+def _key(authorization: str) -> str:
+    if not authorization.lower().startswith(_BEARER):
+        return ""
+    return authorization[len(_BEARER) :].strip()
+
+
+def _prompt(headers: HTTPHeaders) -> Prompt:
+    counts = headers.get(TOKENS, "")
+    if not counts:
+        return Prompt()
+    tokens, _, most = counts.partition(",")
+    hint = headers.get(LENGTH_HINT, "")
+    return Prompt(
+        int(_number(tokens, TOKENS)),
+        int(_number(most, TOKENS)),
+        int(_number(hint, LENGTH_HINT)),
+        tuple(_part(word) for word in headers.get(PARTS, "").split(",") if word.strip()),
+    )
+
+
+def _part(word: str) -> PromptPart:
+    digest, _, tokens = word.strip().partition(":")
+    return PromptPart(zlib.crc32(digest.encode()), int(_number(tokens, PARTS)))
+
+
+def _number(text: str, name: str) -> float:
+    text = text.strip()
+    if not text:
+        return 0.0
+    try:
+        number = float(text)
+    except ValueError:
+        raise ValueError(f"{name} is not a number") from None
+    if not 0 <= number < 1e15:
+        raise ValueError(f"{name} is out of range")
+    return number
--- /dev/null
+++ b/railsail/platform/objects.py
@@ -0,0 +1,181 @@
+"""The platform's objects, and the product's objects that they mean."""
+
+import msgspec
+
+from railsail.objects.catalog import hash_key
+from railsail.objects.kinds import CostUnit, Pool, PoolShare, Resource, Route, Workspace
+from railsail.objects.parse import to_plain
+from railsail.routing.defaults import DEFAULT_CLASS, DEFAULT_POLICY
+
+MS = 1000.0
+STREAMING = "streaming"
+IDEMPOTENT = "idempotent"
+
+
+class Metadata(msgspec.Struct, frozen=True):
+    """What the store keeps about an object."""
+
+    name: str
+    revision: int = 0
+
+
+class StoredItem(msgspec.Struct, frozen=True):
+    """One object of the store; ``spec`` is read by its kind."""
+
+    metadata: Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class ListPage(msgspec.Struct, frozen=True):
+    """One page of a list; ``more`` says that another follows."""
+
+    items: list[StoredItem]
+    at: int
+    more: bool = False
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One change that a watch tells of."""
+
+    object: StoredItem
+    gone: bool = False
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What a watch answers."""
+
+    events: list[Change]
+    at: int
+
+
+class Server(msgspec.Struct, frozen=True):
+    """A replica, as it lists itself."""
+
+    service: str
+    addr: str
+    zone: str = ""
+    slots: int = 0
+    state: str = "ready"
+
+
+class Backend(msgspec.Struct, frozen=True):
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float = 1.0
+
+
+class RouteSpec(msgspec.Struct, frozen=True):
+    """A route; it names one ``service`` or several ``backends``."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float = 0
+    gap_slo_ms: float = 0
+    priority: int = 0
+    service: str = ""
+    backends: list[Backend] = []
+    max_attempts: int = 1
+    anonymous: bool = False
+    sticky: bool = False
+    resumable: bool = False
+
+
+class Engine(msgspec.Struct, frozen=True):
+    """What the replicas of a model service can do."""
+
+    slots: int = 0
+    kv_capacity: int = 0
+
+
+class ServiceSpec(msgspec.Struct, frozen=True):
+    """A service; ``engine`` is given where its replicas run a model."""
+
+    name: str
+    engine: Engine | None = None
+
+
+class Tenant(msgspec.Struct, frozen=True):
+    """A tenant and its keys."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """The operator's newest configuration, in full."""
+
+    version: int
+    routes: list[RouteSpec] = []
+    services: list[ServiceSpec] = []
+    tenants: list[Tenant] = []
+
+
+def configuration_value(spec: bytes) -> dict[str, object]:
+    """Return the head object of the product's configuration that ``spec`` means."""
+    given = msgspec.json.decode(spec, type=Configuration)
+    resources: list[Resource] = [DEFAULT_CLASS, DEFAULT_POLICY]
+    resources += [_pool(service) for service in given.services]
+    resources += [_route(route) for route in given.routes]
+    resources += [_workspace(tenant) for tenant in given.tenants]
+    objects = [to_plain(resource) for resource in resources]
+    return {"version": given.version, "base": given.version, "changes": [], "objects": objects}
+
+
+def replica_value(spec: bytes) -> dict[str, object]:
+    """Return the record of the product's directory that ``spec`` means."""
+    given = msgspec.json.decode(spec, type=Server)
+    return {
+        "pool": given.service,
+        "endpoint": given.addr,
+        "failure_domain": given.zone,
+        "slots": given.slots,
+        "state": "live" if given.state == "ready" else "leaving",
+    }
+
+
+def _pool(service: ServiceSpec) -> Pool:
+    engine = service.engine
+    if engine is None:
+        return Pool(name=service.name, upstream_kind="service", cost_unit=CostUnit.CALLS)
+    return Pool(
+        name=service.name,
+        upstream_kind="service",
+        cost_unit=CostUnit.TOKENS,
+        slots=engine.slots,
+        memory_tokens=engine.kv_capacity,
+    )
+
+
+def _route(route: RouteSpec) -> Route:
+    backends = route.backends or [Backend(route.service)]
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        pools=tuple(PoolShare(backend.service, backend.weight) for backend in backends),
+        repeatable=route.kind == IDEMPOTENT,
+        streaming=route.kind == STREAMING,
+        resumable=route.resumable,
+        public=route.anonymous,
+        affinity=route.sticky,
+        timeout=route.timeout_ms / MS,
+        objective=route.slo_ms / MS,
+        pause=route.gap_slo_ms / MS,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+    )
+
+
+def _workspace(tenant: Tenant) -> Workspace:
+    return Workspace(
+        name=tenant.name,
+        priority_class=DEFAULT_CLASS.name,
+        policy=DEFAULT_POLICY.name,
+        key_hashes=tuple(hash_key(key) for key in tenant.api_keys),
+        priority=tenant.priority,
+    )
--- /dev/null
+++ b/railsail/platform/store.py
@@ -0,0 +1,186 @@
+"""The client of the platform's metadata store."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from urllib.parse import quote
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+
+from railsail.conf.values import Endpoint
+from railsail.core.exceptions import StoreConflict, StoreUnavailable
+from railsail.core.metrics import Metrics
+from railsail.platform.objects import (
+    Changes,
+    ListPage,
+    StoredItem,
+    configuration_value,
+    replica_value,
+)
+from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
+
+CONNECT_SECONDS = 1.0
+CALL_SECONDS = 2.0
+MOST_CALLS = 64
+MOST_BYTES = 64 << 20
+MOST_PAGES = 1000
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+
+
+def _plain(spec: bytes) -> dict[str, object]:
+    return msgspec.json.decode(spec, type=dict)
+
+
+# The product's kinds: the platform's kind, the product's name of each object, how it is read.
+_KINDS: dict[str, tuple[str, dict[str, str], Callable[[bytes], dict[str, object]]]] = {
+    "configuration": ("config", {"main": "head"}, configuration_value),
+    "upstream": ("servers", {}, replica_value),
+    "node": ("railsail-nodes", {}, _plain),
+}
+
+
+@STORES.register("prepared")
+class PlatformStore:
+    """Speak to the platform's store; each call is made once, and the caller decides on more."""
+
+    # One watch of this store is about one kind.
+    watches_many = False
+
+    def __init__(self, endpoints: Sequence[Endpoint], metrics: Metrics, rng: random.Random) -> None:
+        self._endpoint = endpoints[0]
+        self._metrics = metrics
+        self._client = AsyncHTTPClient(
+            force_instance=True, max_clients=MOST_CALLS, max_body_size=MOST_BYTES
+        )
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or ``None`` if there is none."""
+        _, names, _ = _KINDS[kind]
+        own = {product: platform for platform, product in names.items()}
+        response = await self._call("get", "GET", f"{_path(kind)}/{quote(own.get(name, name))}")
+        if response.code == _NOT_FOUND:
+            return None
+        return _object(kind, _decode(response, StoredItem))
+
+    async def list(self, kind: str) -> Listing:
+        """Return all objects of ``kind``."""
+        objects: list[StoredObject] = []
+        after = ""
+        version: int | None = None
+        for _ in range(MOST_PAGES):
+            query = f"?since_rev={quote(after)}" if after else ""
+            response = await self._call("list", "GET", _path(kind) + query)
+            if response.code == _NOT_FOUND:
+                return Listing(version or 0, tuple(objects))
+            page = _decode(response, ListPage)
+            # What changed while later pages were read is told by a watch from the first one on.
+            version = page.at if version is None else min(version, page.at)
+            objects += [_object(kind, item) for item in page.items]
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].metadata.name
+        return Listing(version or 0, tuple(objects))
+
+    async def put(self, kind: str, name: str, value: dict[str, object], expected: int) -> int:
+        """Write an object if its version is ``expected``, and return the new version."""
+        metadata: dict[str, object] = {"name": name}
+        body = {"metadata": metadata, "spec": value}
+        if expected:
+            metadata["revision"] = expected
+            path, method = f"{_path(kind)}/{quote(name)}", "PUT"
+        else:
+            path, method = _path(kind), "POST"
+        response = await self._call("put", method, path, msgspec.json.encode(body))
+        return _decode(response, StoredItem).metadata.revision
+
+    async def delete(self, kind: str, name: str, expected: int) -> None:
+        """Delete an object if its version is ``expected``."""
+        await self._call("delete", "DELETE", f"{_path(kind)}/{quote(name)}?revision={expected}")
+
+    async def watch(self, kinds: tuple[str, ...], since: int, seconds: float) -> WatchResult:
+        """Wait at most ``seconds`` for changes of the one kind of ``kinds`` after ``since``."""
+        (kind,) = kinds
+        path = f"{_path(kind)}?watch={since}&wait_ms={int(seconds * 1000)}"
+        response = await self._call("watch", "GET", path, seconds=seconds + CALL_SECONDS)
+        if response.code in (_GONE, _NOT_FOUND):
+            return WatchResult(since, (), expired=True)
+        changes = _decode(response, Changes)
+        events = [_event(kind, change.object, change.gone) for change in changes.events]
+        return WatchResult(changes.at, tuple(events))
+
+    async def _call(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        seconds: float = CALL_SECONDS,
+    ) -> HTTPResponse:
+        request = HTTPRequest(
+            f"http://{self._endpoint}{path}",
+            method=method,
+            body=body,
+            headers={"Content-Type": "application/json"} if body else None,
+            connect_timeout=CONNECT_SECONDS,
+            request_timeout=seconds,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._fetch(request)
+        except (OSError, HTTPClientError) as problem:
+            response = HTTPResponse(request, 599, error=problem)
+        result = _classify(response, method)
+        self._metrics.store_calls.inc({"operation": operation, "result": result})
+        if result == "conflict":
+            raise StoreConflict(f"{method} {path}: another version is stored")
+        if result == "unavailable":
+            raise StoreUnavailable(f"{method} {path}: {response.error or response.code}")
+        return response
+
+    async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
+        # The library complains about a fetch that is cancelled and then fails, so that a cancelled
+        # caller leaves the fetch to end by itself.
+        future = asyncio.ensure_future(self._client.fetch(request, raise_error=False))
+        future.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return await asyncio.shield(future)
+
+
+def _path(kind: str) -> str:
+    return f"/objects/{_KINDS[kind][0]}"
+
+
+def _classify(response: HTTPResponse, method: str) -> str:
+    if response.code == _CONFLICT:
+        return "conflict"
+    if response.code in (_NOT_FOUND, _GONE) and method == "GET":
+        return "ok"
+    return "ok" if response.code < 300 else "unavailable"
+
+
+def _decode(response: HTTPResponse, shape: type):
+    try:
+        return msgspec.json.decode(response.body, type=shape)
+    except msgspec.DecodeError as problem:
+        raise StoreUnavailable(f"the store's answer cannot be read: {problem}") from None
+
+
+def _object(kind: str, item: StoredItem) -> StoredObject:
+    _, names, read = _KINDS[kind]
+    name = names.get(item.metadata.name, item.metadata.name)
+    try:
+        value = read(item.spec)
+    except msgspec.DecodeError as problem:
+        raise StoreUnavailable(f"{kind}/{name} cannot be read: {problem}") from None
+    return StoredObject(kind, name, item.metadata.revision, value)
+
+
+def _event(kind: str, item: StoredItem, gone: bool) -> WatchEvent:
+    if gone:
+        _, names, _ = _KINDS[kind]
+        name = names.get(item.metadata.name, item.metadata.name)
+        return WatchEvent(kind, name, item.metadata.revision, None)
+    stored = _object(kind, item)
+    return WatchEvent(kind, stored.name, stored.version, stored.value)
--- a/railsail/policy/programs.py
+++ b/railsail/policy/programs.py
@@ -33,7 +33,8 @@
     """The input ``request``.
 
     ``kind`` is the upstream kind of the pool; ``deadline`` is in seconds from the request's start,
-    0 for none; ``max_tokens`` is 0 where the caller gave none.
+    0 for none; ``max_tokens`` is 0 where the caller gave none. ``priority``, ``objective`` in
+    seconds and ``repeatable`` are those of the request's route, where it has one.
     """
 
     pool: str = ""
@@ -45,6 +46,9 @@
     stream: bool = False
     has_key: bool = False
     deadline: float = 0.0
+    priority: int = 0
+    objective: float = 0.0
+    repeatable: bool = False
 
 
 class LoadInput(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/railsail/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes: requests that are passed on to replicas as callers sent them."""
--- /dev/null
+++ b/railsail/routing/client.py
@@ -0,0 +1,136 @@
+"""The callers' side of routes: connections, requests as they come, answers as they are given."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+    responses,
+)
+from tornado.iostream import StreamClosedError
+
+from railsail.core.exceptions import RailsailError
+from railsail.core.sockets import detect_dead_peer
+from railsail.core.tasks import TaskSet
+
+
+class ClientLeft(RailsailError):
+    """The caller closed its connection."""
+
+
+class ClientAnswer:
+    """The answer to one request."""
+
+    def __init__(self, connection: HTTP1Connection) -> None:
+        self.started = False
+        self._connection = connection
+
+    async def begin(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
+        """Send status, headers and the first ``chunk`` of a body of unknown length."""
+        await self._head(status, headers, chunk)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a piece of the body; return when the caller's connection took it."""
+        try:
+            await self._connection.write(chunk)
+        except StreamClosedError:
+            raise ClientLeft from None
+
+    def end(self) -> None:
+        """End a body of unknown length as a whole one."""
+        self._connection.finish()
+
+    def abort(self) -> None:
+        """Close the connection, so that what was sent cannot be taken for a whole answer."""
+        self._connection.close()
+
+    async def give(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        headers["Content-Length"] = str(len(body))
+        await self._head(status, headers, body)
+        self._connection.finish()
+
+    async def _head(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
+        self.started = True
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        try:
+            await self._connection.write_headers(line, headers, chunk)
+        except StreamClosedError:
+            raise ClientLeft from None
+
+
+Handler = Callable[[RequestStartLine, HTTPHeaders, bytes, ClientAnswer], Awaitable[None]]
+
+
+class ClientServer(HTTPServerConnectionDelegate):
+    """Accept connections of callers, and hand their requests to ``handler``."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._tasks = TaskSet()
+        self._idle: set[HTTP1Connection] = set()
+
+    def start_request(self, server_conn: object, request_conn: HTTP1Connection) -> "_Message":
+        """Make ready for the next request of a connection."""
+        request_conn.stream.set_nodelay(True)
+        detect_dead_peer(request_conn.stream.socket)
+        self._idle.add(request_conn)
+        return _Message(self, request_conn)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being read or answered."""
+        for connection in list(self._idle):
+            connection.close()
+        self._idle.clear()
+
+    def began(self, connection: HTTP1Connection) -> None:
+        """Take note that a request has begun to come."""
+        self._idle.discard(connection)
+
+    def received(
+        self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
+    ) -> asyncio.Task:
+        """Serve a request that was read whole, and return the task that does."""
+        answer = ClientAnswer(connection)
+        return self._tasks.start(self._handler(line, headers, body, answer))
+
+
+class _Message(HTTPMessageDelegate):
+    """One request; its task ends when the caller leaves."""
+
+    def __init__(self, server: ClientServer, connection: HTTP1Connection) -> None:
+        self._server = server
+        self._connection = connection
+        self._line: RequestStartLine | None = None
+        self._headers = HTTPHeaders()
+        self._body: list[bytes] = []
+        self._task: asyncio.Task | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        self._server.began(self._connection)
+        self._line = start_line
+        self._headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self._body.append(chunk)
+
+    def finish(self) -> None:
+        self._connection.set_close_callback(self._left)
+        self._task = self._server.received(
+            self._line, self._headers, b"".join(self._body), self._connection
+        )
+
+    def on_connection_close(self) -> None:
+        self._server.began(self._connection)
+        self._left()
+
+    def _left(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
--- /dev/null
+++ b/railsail/routing/front.py
@@ -0,0 +1,189 @@
+"""Serve the requests of callers of routes: find the route, check the key, relay, answer."""
+
+import random
+from collections.abc import Callable
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
+from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from railsail.gateway.admission import Admission
+from railsail.gateway.verdicts import Judge
+from railsail.objects.catalog import Catalog, hash_key, key_index
+from railsail.objects.kinds import Pool, Route, Workspace
+from railsail.policy.programs import RequestInput, Verdict
+from railsail.routing.answer import StreamState
+from railsail.routing.client import ClientAnswer, ClientLeft
+from railsail.routing.defaults import DEFAULT_POLICY
+from railsail.routing.messages import RoutedRequest
+from railsail.routing.protocol import RouteProtocol
+from railsail.routing.relay import Relay, Routed
+from railsail.routing.table import RouteTable, choose_pool
+
+LEAST_RETRY_SECONDS = 0.1
+MOST_RETRY_SECONDS = 0.6
+_STATUS = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNAUTHORIZED: 401,
+    Reason.UNKNOWN_ROUTE: 404,
+}
+_NOT_RUN_STATUS = 503
+_UNKNOWN_STATUS = 502
+_TIMEOUT_STATUS = 504
+
+
+class RouteFront:
+    """Hold the routes and keys in force, and serve requests by them."""
+
+    def __init__(
+        self,
+        protocol: RouteProtocol,
+        relay: Relay,
+        judge: Judge,
+        admission: Admission,
+        catalog: Callable[[], Catalog],
+        kernel: Kernel,
+    ) -> None:
+        self._protocol = protocol
+        self._relay = relay
+        self._judge = judge
+        self._admission = admission
+        self._catalog = catalog
+        self._clock = kernel.clock
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+        self._rng: random.Random = kernel.rng
+        self._routes = RouteTable()
+        self._keys: dict[str, str] = {}
+        self._has_workspaces = False
+
+    def configured(self, catalog: Catalog) -> None:
+        """Take in the routes and keys of a new version."""
+        self._routes = RouteTable(catalog.of_kind(Route))
+        self._keys = key_index(catalog)
+        self._has_workspaces = bool(catalog.of_kind(Workspace))
+
+    async def handle(
+        self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, client: ClientAnswer
+    ) -> None:
+        """Serve one request of a caller."""
+        received_at = self._clock.monotonic()
+        try:
+            request = self._protocol.read_request(line.method, line.path, headers, body)
+        except ValueError as problem:
+            await self._refuse("", NotRun(Reason.BAD_REQUEST, str(problem)), client)
+            return
+        try:
+            outcome, pool = await self._serve(request, client, received_at)
+            self._count(request, pool, outcome)
+            await self._answer(request.id, outcome, client, received_at)
+        except ClientLeft:
+            self._events.emit(Kind.ENDED, "caller left", request.id)
+
+    async def _serve(
+        self, request: RoutedRequest, client: ClientAnswer, received_at: float
+    ) -> tuple[Outcome, str]:
+        found = self._find(request)
+        if isinstance(found, NotRun):
+            return found, ""
+        route, pool, workspace = found
+        refused = self._admission.enter(workspace)
+        if refused is not None:
+            return refused, pool.name
+        try:
+            routed = self._begin(request, route, pool, workspace, client, received_at)
+            return await self._relay.run(routed), pool.name
+        finally:
+            self._admission.leave(workspace)
+
+    def _find(self, request: RoutedRequest) -> NotRun | tuple[Route, Pool, str]:
+        catalog = self._catalog()
+        if not catalog.version:
+            return NotRun(Reason.NO_CONFIGURATION, "this node has no configuration yet")
+        route = self._routes.find(request.host, request.path)
+        if route is None:
+            return NotRun(Reason.UNKNOWN_ROUTE, "there is no such route")
+        workspace = self._keys.get(hash_key(request.key), "") if request.key else ""
+        if not workspace and self._has_workspaces and not route.public:
+            return NotRun(Reason.UNAUTHORIZED, "the key is not known")
+        name = choose_pool(route, self._rng)
+        pool = catalog.pool(name)
+        if pool is None:
+            return NotRun(Reason.UNKNOWN_POOL, f"there is no pool {name!r}")
+        return route, pool, workspace
+
+    def _begin(
+        self,
+        request: RoutedRequest,
+        route: Route,
+        pool: Pool,
+        workspace: str,
+        client: ClientAnswer,
+        received_at: float,
+    ) -> Routed:
+        verdict = self._verdict(request, route, pool, workspace)
+        longest = min(request.deadline or route.timeout, route.timeout)
+        self._events.emit(Kind.RECEIVED, f"{route.name} to {pool.name}", request.id, workspace)
+        return Routed(
+            request,
+            route,
+            pool,
+            workspace,
+            verdict,
+            client,
+            received_at,
+            received_at + longest,
+            received_at + verdict.may_wait,
+            StreamState(client, request.last_event),
+        )
+
+    def _verdict(self, request: RoutedRequest, route: Route, pool: Pool, workspace: str) -> Verdict:
+        owner = self._catalog().workspace(workspace)
+        priority = route.priority if owner is None or owner.priority is None else owner.priority
+        described = RequestInput(
+            pool=pool.name,
+            kind=pool.upstream_kind,
+            method=request.method,
+            path=request.path,
+            body_bytes=len(request.body),
+            max_tokens=request.prompt.most_output,
+            stream=route.streaming,
+            has_key=bool(request.key),
+            deadline=request.deadline,
+            priority=priority,
+            objective=route.objective,
+            repeatable=route.may_repeat,
+        )
+        policy = self._catalog().policy(owner.policy) if owner else None
+        return self._judge.run(policy or DEFAULT_POLICY, workspace, described)
+
+    def _count(self, request: RoutedRequest, pool: str, outcome: Outcome) -> None:
+        word = type(outcome).__name__.lower()
+        self._metrics.requests.inc({"pool": pool, "outcome": word})
+        self._events.emit(Kind.ENDED, str(outcome), request.id)
+
+    async def _answer(
+        self, request_id: str, outcome: Outcome, client: ClientAnswer, received_at: float
+    ) -> None:
+        if isinstance(outcome, Completed):
+            return
+        if client.started:
+            client.abort()
+            return
+        await self._refuse(request_id, outcome, client)
+
+    async def _refuse(self, request_id: str, outcome: Outcome, client: ClientAnswer) -> None:
+        status = _status(outcome)
+        retry_after = None
+        if status == _NOT_RUN_STATUS:
+            # Spread, so that those who were refused together do not come back together.
+            retry_after = self._rng.uniform(LEAST_RETRY_SECONDS, MOST_RETRY_SECONDS)
+        headers = self._protocol.own_headers(request_id, retry_after)
+        await client.give(status, headers, f"{outcome.detail}\n".encode())
+
+
+def _status(outcome: NotRun | Unknown) -> int:
+    if isinstance(outcome, NotRun):
+        return _STATUS.get(outcome.reason, _NOT_RUN_STATUS)
+    return _UNKNOWN_STATUS
--- /dev/null
+++ b/railsail/routing/messages.py
@@ -0,0 +1,95 @@
+"""What the parts of the routed path tell each other of requests and answers."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from tornado.httputil import HTTPHeaders
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """A part of a prompt; parts with the same ``digest`` are the same tokens."""
+
+    digest: int
+    tokens: int
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """What a request tells of the tokens that it needs.
+
+    ``tokens`` are those of the prompt, ``most_output`` bounds those to be made and
+    ``expected_output`` is the caller's guess of them; all 0 where the request told nothing.
+    ``parts`` are in order; the last one belongs to the request or to its session.
+    """
+
+    tokens: int = 0
+    most_output: int = 0
+    expected_output: int = 0
+    parts: Sequence[PromptPart] = ()
+
+    @property
+    def affinity_key(self) -> int:
+        """Return the digest of the longest beginning that other requests share, or 0."""
+        if not self.parts:
+            return 0
+        return self.parts[-2 if len(self.parts) > 1 else 0].digest
+
+
+@dataclass(frozen=True)
+class RoutedRequest:
+    """One request as it came, read but not changed.
+
+    ``target`` is path and query as sent, ``path`` the path alone. ``headers`` are those that are
+    passed on. ``key`` is the caller's bearer key, empty for none. ``deadline`` is in seconds from
+    the request's arrival, 0 for none. ``last_event`` is the id of the event after which a stream
+    that broke off is to go on, empty for a stream from its start.
+    """
+
+    id: str
+    method: str
+    host: str
+    target: str
+    path: str
+    headers: HTTPHeaders
+    body: bytes
+    key: str = ""
+    deadline: float = 0.0
+    last_event: str = ""
+    prompt: Prompt = Prompt()
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """What is added to a request when it is sent to ``replica``.
+
+    ``workspace`` is empty for requests that belong to none; ``seconds`` are left to answer it.
+    """
+
+    replica: str
+    workspace: str
+    seconds: float
+    last_event: str = ""
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """Status and headers of a replica's answer.
+
+    ``headers`` are those that are passed on. ``not_run`` says that the replica did not run the
+    request, ``misdirected`` that another replica has the address now. ``request_id`` names the
+    request that is answered, empty where the replica named none. ``signed`` says that the answer
+    bears the replica's signature.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    not_run: bool = False
+    misdirected: bool = False
+    request_id: str = ""
+    signed: bool = False
+
+    @property
+    def success(self) -> bool:
+        """Say whether the status is that of a success."""
+        return 200 <= self.status < 300
--- /dev/null
+++ b/railsail/routing/protocol.py
@@ -0,0 +1,32 @@
+"""The typed interface to what callers and replicas of routes speak; one plug-in each.
+
+A plug-in holds names and formats. What they mean for a request is decided by the routed path.
+"""
+
+from typing import Protocol
+
+from tornado.httputil import HTTPHeaders
+
+from railsail.core.registry import Registry
+from railsail.routing.messages import AnswerHead, Dispatch, RoutedRequest
+
+
+class RouteProtocol(Protocol):
+    """Read and write the headers of routed requests and answers."""
+
+    def read_request(
+        self, method: str, target: str, headers: HTTPHeaders, body: bytes
+    ) -> RoutedRequest:
+        """Return the request; raise ``ValueError`` with what is wrong."""
+
+    def request_headers(self, request: RoutedRequest, dispatch: Dispatch) -> HTTPHeaders:
+        """Return the headers with which ``request`` is sent to a replica."""
+
+    def read_answer(self, status: int, headers: HTTPHeaders) -> AnswerHead:
+        """Return what the head of a replica's answer says."""
+
+    def own_headers(self, request_id: str, retry_after: float | None) -> HTTPHeaders:
+        """Return the headers of an answer of the fleet's own; ``retry_after`` is in seconds."""
+
+
+ROUTE_PROTOCOLS: Registry[type] = Registry("route protocol")
--- /dev/null
+++ b/railsail/routing/relay.py
@@ -0,0 +1,290 @@
+"""Bring one routed request to replicas, and the answer back, in as many attempts as are safe."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
+from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from railsail.dispatch.entry import Booking, TicketDesk, TicketRefused, Want
+from railsail.objects.kinds import CostUnit, Pool, Route
+from railsail.policy.programs import Verdict
+from railsail.routing.answer import AnswerRefused, ReplicaAnswer, StreamState
+from railsail.routing.budget import RetryBounds, RetryBudget
+from railsail.routing.client import ClientAnswer
+from railsail.routing.messages import Dispatch, RoutedRequest
+from railsail.routing.protocol import RouteProtocol
+from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
+from railsail.upstreams.sse import BadStream
+
+CONNECT_SECONDS = 0.4
+# A repeat that follows a refusal may wait a little, even where the first wait was used up.
+LEAST_WAIT_SECONDS = 0.02
+# A stream that broke midway may wait this long for another replica; then its caller leaves.
+RESUME_WAIT_SECONDS = 1.0
+# A request that may repeat goes elsewhere after so many objectives of silence, or so many pauses.
+SILENT_OBJECTIVES = 3.0
+SILENT_PAUSES = 4.0
+LEAST_SILENCE_SECONDS = 1.0
+# A token made costs a replica about twice what a token read does.
+OUTPUT_COST = 2.0
+_REPEATABLE_REFUSALS = (Reason.UNREACHABLE, Reason.REFUSED)
+
+
+@dataclass
+class Routed:
+    """One request on its way through this daemon; times are seconds of the monotonic clock.
+
+    ``ends_at`` is when it must have its final answer, ``offer_by`` until when it may wait for a
+    place. ``attempts`` counts the replicas that it was sent to; ``ran`` says that one of them may
+    have run it.
+    """
+
+    request: RoutedRequest
+    route: Route
+    pool: Pool
+    workspace: str
+    verdict: Verdict
+    client: ClientAnswer
+    received_at: float
+    ends_at: float
+    offer_by: float
+    stream: StreamState
+    attempts: int = 0
+    ran: bool = False
+    avoid: str = ""
+    failed: set[str] = field(default_factory=set)
+
+    @property
+    def may_repeat(self) -> bool:
+        """Say whether the request may be sent again after an attempt of unknown outcome."""
+        if self.stream.head is not None and not self.route.resumable:
+            return False
+        return self.route.may_repeat and not self.verdict.never_repeat
+
+
+class Relay:
+    """Make the attempts of routed requests; ``members`` counts the fleet as far as it is known."""
+
+    def __init__(
+        self,
+        protocol: RouteProtocol,
+        directory: UpstreamDirectory,
+        desk: TicketDesk,
+        bounds: RetryBounds,
+        members: Callable[[], int],
+        kernel: Kernel,
+    ) -> None:
+        self._protocol = protocol
+        self._directory = directory
+        self._desk = desk
+        self._bounds = bounds
+        self._members = members
+        self._clock = kernel.clock
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+        self._rng: random.Random = kernel.rng
+        self._started_at = kernel.clock.monotonic()
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def run(self, routed: Routed) -> Outcome:
+        """Make attempts until there is an outcome that must stand, and return it."""
+        budget = self._budget(routed.pool.name)
+        budget.request(self._clock.monotonic())
+        while True:
+            outcome = await self._attempt(routed)
+            if not self._go_on(routed, outcome, budget):
+                return _truth(routed, outcome)
+            self._events.emit(Kind.RETRIED, str(outcome), routed.request.id, routed.workspace)
+
+    def _budget(self, pool: str) -> RetryBudget:
+        if pool not in self._budgets:
+            self._budgets[pool] = RetryBudget(self._bounds, self._started_at)
+        return self._budgets[pool]
+
+    def _go_on(self, routed: Routed, outcome: Outcome, budget: RetryBudget) -> bool:
+        now = self._clock.monotonic()
+        if isinstance(outcome, Completed) or now >= routed.ends_at:
+            return False
+        if isinstance(outcome, NotRun):
+            if outcome.reason not in _REPEATABLE_REFUSALS:
+                return False
+            cause = "not-run"
+        elif routed.may_repeat:
+            cause = "unknown"
+        else:
+            return False
+        if routed.attempts >= routed.route.max_attempts:
+            return False
+        # What never reached a replica is no repeat.
+        if routed.attempts and not budget.allow(now, self._members()):
+            return False
+        self._metrics.retries.inc({"cause": cause})
+        return True
+
+    async def _attempt(self, routed: Routed) -> Outcome:
+        booking = self._desk.place(self._want(routed))
+        try:
+            async with asyncio.timeout(self._wait_seconds(routed)):
+                replica = await booking.granted
+        except TicketRefused as refusal:
+            return NotRun(refusal.reason, "decided by the dispatcher")
+        except TimeoutError:
+            self._desk.withdraw(booking)
+            return NotRun(Reason.EXPIRED, "no replica had room in time")
+        except asyncio.CancelledError:
+            self._desk.withdraw(booking)
+            raise
+        return await self._send_booked(routed, booking, replica)
+
+    def _wait_seconds(self, routed: Routed) -> float:
+        now = self._clock.monotonic()
+        least = RESUME_WAIT_SECONDS if routed.stream.head is not None else LEAST_WAIT_SECONDS
+        return max(0.0, min(max(routed.offer_by - now, least), routed.ends_at - now))
+
+    def _want(self, routed: Routed) -> Want:
+        prompt = routed.request.prompt
+        return Want(
+            routed.request.id,
+            routed.pool.name,
+            routed.workspace,
+            routed.verdict.rank,
+            estimate_cost(routed),
+            False,
+            prompt.affinity_key if routed.route.affinity else 0,
+            routed.avoid,
+        )
+
+    async def _send_booked(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
+        ok: bool | None = None
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._send(routed, replica)
+            ok = _learnt(outcome)
+            return outcome
+        finally:
+            if outcome is None or not isinstance(outcome, Completed):
+                routed.avoid = replica
+            used = outcome is None or not isinstance(outcome, NotRun)
+            self._desk.release(booking, booking.want.estimate if used else 0.0, ok)
+
+    async def _send(self, routed: Routed, replica: str) -> Outcome:
+        upstream = self._directory.get(replica)
+        if upstream is None:
+            return NotRun(Reason.UNREACHABLE, "the replica is not known any more")
+        request = routed.request
+        left = routed.ends_at - self._clock.monotonic()
+        if left <= 0:
+            return NotRun(Reason.EXPIRED, "there is no time left")
+        dispatch = Dispatch(replica, routed.workspace, left, routed.stream.last_event)
+        call = HttpRequest(
+            upstream.endpoint,
+            request.method,
+            request.target,
+            self._protocol.request_headers(request, dispatch),
+            request.body,
+            open_ended=True,
+            connect_seconds=min(CONNECT_SECONDS, left),
+        )
+        answer = ReplicaAnswer(self._protocol, request, routed.route.streaming, routed.stream)
+        self._events.emit(Kind.SENT, f"{replica} at {upstream.endpoint}", request.id)
+        return await self._exchange(routed, replica, call, answer)
+
+    async def _exchange(
+        self, routed: Routed, replica: str, call: HttpRequest, answer: ReplicaAnswer
+    ) -> Outcome:
+        routed.attempts += 1
+        left = routed.ends_at - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(left):
+                await self._exchange_watched(routed, call, answer)
+        except NotSent as problem:
+            routed.attempts -= 1
+            return NotRun(Reason.UNREACHABLE, str(problem))
+        except (CutOff, BadStream, AnswerRefused) as problem:
+            routed.ran = True
+            return Unknown(str(problem))
+        except TimeoutError:
+            routed.ran = True
+            return Unknown("no whole answer in time")
+        return await self._judge(routed, replica, answer)
+
+    async def _exchange_watched(
+        self, routed: Routed, call: HttpRequest, answer: ReplicaAnswer
+    ) -> None:
+        if not routed.may_repeat:
+            # Silence is no reason to end what cannot be done again.
+            await exchange(call, answer)
+            return
+        task = asyncio.ensure_future(exchange(call, answer))
+        loop = asyncio.get_running_loop()
+        try:
+            while not task.done():
+                quiet_until = answer.progressed_at + _patience(routed)
+                if loop.time() >= quiet_until:
+                    raise CutOff("the replica fell silent")
+                await asyncio.wait([task], timeout=quiet_until - loop.time())
+            await task
+        finally:
+            task.cancel()
+
+    async def _judge(self, routed: Routed, replica: str, answer: ReplicaAnswer) -> Outcome:
+        head = answer.answered
+        if head.misdirected:
+            self._directory.sign(replica, True, self._clock.wall())
+            return NotRun(Reason.REFUSED, "another replica has the address")
+        if head.not_run:
+            return NotRun(Reason.REFUSED, f"status {head.status}")
+        routed.ran = True
+        if answer.streams:
+            return self._end_stream(routed, answer)
+        if routed.stream.head is not None:
+            return Unknown(f"status {head.status} in the middle of a stream")
+        if head.status >= 500 and routed.may_repeat and routed.attempts < routed.route.max_attempts:
+            return Unknown(f"status {head.status}")
+        if head.status in (503, 429, 408):
+            # The status would promise that nothing ran, which the replica did not say.
+            return Unknown(f"status {head.status}")
+        await routed.client.give(head.status, head.headers, answer.body())
+        return Completed(head.status, 0.0)
+
+    def _end_stream(self, routed: Routed, answer: ReplicaAnswer) -> Outcome:
+        if answer.rest().strip():
+            return Unknown("the stream ended within an event")
+        if routed.stream.head is None:
+            return Unknown("the stream ended without an event")
+        routed.client.end()
+        return Completed(answer.answered.status, 0.0)
+
+
+def estimate_cost(routed: Routed) -> float:
+    """Return the expected cost of a request in the unit of its pool."""
+    if routed.pool.cost_unit is not CostUnit.TOKENS:
+        return 1.0
+    prompt = routed.request.prompt
+    output = prompt.expected_output or prompt.most_output
+    if prompt.most_output:
+        output = min(output, prompt.most_output)
+    return max(1.0, prompt.tokens + OUTPUT_COST * output)
+
+
+def _patience(routed: Routed) -> float:
+    if routed.stream.head is not None and routed.route.pause:
+        return max(LEAST_SILENCE_SECONDS, SILENT_PAUSES * routed.route.pause)
+    return max(LEAST_SILENCE_SECONDS, SILENT_OBJECTIVES * routed.route.objective)
+
+
+def _learnt(outcome: Outcome) -> bool | None:
+    if isinstance(outcome, Completed):
+        return outcome.status < 500
+    return False
+
+
+def _truth(routed: Routed, outcome: Outcome) -> Outcome:
+    """Return ``outcome``, but never "not run" for what an earlier attempt may have run."""
+    if isinstance(outcome, NotRun) and routed.ran:
+        return Unknown(f"an earlier attempt may have run; the last one: {outcome.detail}")
+    return outcome
--- /dev/null
+++ b/railsail/routing/table.py
@@ -0,0 +1,45 @@
+"""Which route a request takes, and which of its pools."""
+
+import random
+from collections.abc import Iterable
+
+from railsail.objects.kinds import Route
+
+
+class RouteTable:
+    """Find routes by host and longest path prefix."""
+
+    def __init__(self, routes: Iterable[Route] = ()) -> None:
+        self._hosts: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request to ``host``, a name with or without a port."""
+        prefixes = self._hosts.get(_without_port(host).lower())
+        if prefixes is None:
+            return None
+        # Prefixes end with a slash, so that only the slashes of the path need to be tried.
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def choose_pool(route: Route, rng: random.Random) -> str:
+    """Return one of the route's pools, at random by their weights."""
+    if len(route.pools) == 1:
+        return route.pools[0].pool
+    names = [share.pool for share in route.pools]
+    weights = [share.weight for share in route.pools]
+    if not any(weights):
+        return names[0]
+    return rng.choices(names, weights)[0]
+
+
+def _without_port(host: str) -> str:
+    name, separator, port = host.rpartition(":")
+    return name if separator and port.isdigit() else host
--- a/railsail/store/base.py
+++ b/railsail/store/base.py
@@ -52,9 +52,12 @@
 
     Every method raises ``StoreUnavailable`` when no answer came. A write that raises it may have
     taken effect all the same. ``put`` and ``delete`` raise ``StoreConflict`` when the object has
-    another version than the one expected.
+    another version than the one expected. ``watches_many`` says that one watch may be about several
+    kinds at once.
     """
 
+    watches_many: bool
+
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or ``None`` if there is none."""
 
--- a/railsail/store/http.py
+++ b/railsail/store/http.py
@@ -29,6 +29,8 @@
 class HttpStore:
     """Speak to one of several endpoints; each call is made once, and the caller decides on more."""
 
+    watches_many = True
+
     def __init__(self, endpoints: Sequence[Endpoint], metrics: Metrics, rng: random.Random) -> None:
         self._endpoints = list(endpoints)
         self._metrics = metrics
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -16,7 +16,6 @@
 from railsail.store.base import Listing, Store, StoredObject, WatchEvent
 from railsail.store.journal import Backoff
 
-WATCH_SECONDS = 25.0
 LIST_SECONDS = 60.0
 LIST_SECONDS_OF_OTHERS = 600.0
 LOOK_SECONDS = 5.0
@@ -31,16 +30,22 @@
     """List and watch the kinds that were asked for, and hand the objects to their listeners."""
 
     def __init__(
-        self, store: Store, watches: Callable[[], bool], events: EventLog, rng: random.Random
+        self,
+        store: Store,
+        watches: Callable[[], bool],
+        watch_seconds: float,
+        events: EventLog,
+        rng: random.Random,
     ) -> None:
         self._store = store
         self._watches = watches
+        self._watch_seconds = watch_seconds
         self._events = events
         self._rng = rng
-        self._backoff = Backoff(rng, FIRST_PAUSE_SECONDS, MOST_PAUSE_SECONDS)
         self._listed: dict[str, Listed] = {}
         self._names: dict[str, str] = {}
         self._seen: dict[str, Seen] = {}
+        self._answered: dict[str, bool] = {}
         self.reachable = False
         self.tried = asyncio.Event()
 
@@ -55,28 +60,40 @@
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
+        kinds = tuple(self._listed)
+        groups = [kinds] if self._store.watches_many else [(kind,) for kind in kinds]
+        await asyncio.gather(*(self._run_group(group) for group in groups))
+
+    async def _run_group(self, kinds: tuple[str, ...]) -> None:
+        longest = min(MOST_PAUSE_SECONDS, self._watch_seconds)
+        backoff = Backoff(self._rng, FIRST_PAUSE_SECONDS, longest)
         while True:
             try:
-                version = await self._list_all()
-                self._note(True)
-                await self._follow_from(version)
+                version = await self._list_all(kinds)
+                self._note(kinds, True)
+                backoff.reset()
+                await self._follow_from(kinds, version)
             except StoreUnavailable as problem:
-                self._note(False, str(problem))
-                await asyncio.sleep(self._backoff.pause())
+                self._note(kinds, False, str(problem))
+                await asyncio.sleep(backoff.pause())
 
-    async def _list_all(self) -> int:
+    async def _list_all(self, kinds: tuple[str, ...]) -> int:
         versions = []
-        for kind, listed in self._listed.items():
+        for kind in kinds:
+            listed = self._listed[kind]
             if self._names[kind]:
                 stored = await self._store.get(kind, self._names[kind])
                 listed(Listing(0, (stored,) if stored else ()))
+                if stored is not None and len(kinds) == 1:
+                    # Nothing else is followed here, so that its own last change is a beginning.
+                    versions.append(stored.version)
                 continue
             listing = await self._store.list(kind)
             listed(listing)
             versions.append(listing.version)
-        return min(versions)
+        return min(versions, default=0)
 
-    async def _follow_from(self, version: int) -> None:
+    async def _follow_from(self, kinds: tuple[str, ...], version: int) -> None:
         # Jitter keeps the nodes of a fleet from listing in step.
         loop = asyncio.get_running_loop()
         begun = loop.time()
@@ -88,22 +105,23 @@
                 await asyncio.sleep(LOOK_SECONDS)
                 continue
             left = begun + period - loop.time()
-            result = await self._store.watch(tuple(self._listed), version, min(left, WATCH_SECONDS))
+            result = await self._store.watch(kinds, version, min(left, self._watch_seconds))
             if result.expired:
                 return
             for event in result.events:
                 self._seen[event.kind](event)
             version = max(version, result.version)
 
-    def _note(self, reachable: bool, detail: str = "") -> None:
-        if reachable:
-            self._backoff.reset()
+    def _note(self, kinds: tuple[str, ...], answered: bool, detail: str = "") -> None:
+        self._answered[kinds[0]] = answered
+        reachable = any(self._answered.values())
         if reachable != self.reachable or not self.tried.is_set():
             word = "reachable" if reachable else "unreachable"
             self._events.emit(Kind.STORE, f"{word} {detail}".strip())
             get_logger().info("store " + word, detail=detail)
         self.reachable = reachable
-        self.tried.set()
+        if reachable or all(kind in self._answered for kind in self._listed):
+            self.tried.set()
 
 
 def as_event(stored: StoredObject) -> WatchEvent:
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True)
 class Upstream:
-    """One replica; ``endpoint`` is ``ip:port``.
+    """One replica; ``endpoint`` is ``ip:port``, ``slots`` is 0 where the list does not tell them.
 
     ``version`` is that of the listed record. The sign was given when the record had
     ``sign_version``, at ``sign_at`` milliseconds since the Unix epoch.
@@ -48,6 +48,7 @@
     sign_version: int = 0
     sign_at: int = 0
     sign_leaving: bool = False
+    slots: int = 0
 
     @property
     def leaving(self) -> bool:
@@ -190,8 +191,11 @@
         endpoint = str(parse_endpoint(str(value["endpoint"])))
         listed = Listed.LEAVING if value.get("state") == "leaving" else Listed.LIVE
         domain = str(value.get("failure_domain", ""))
-        return Upstream(event.name, str(value["pool"]), endpoint, domain, event.version, listed)
-    except (KeyError, ValueError) as problem:
+        slots = int(value.get("slots", 0))
+        return Upstream(
+            event.name, str(value["pool"]), endpoint, domain, event.version, listed, slots=slots
+        )
+    except (KeyError, TypeError, ValueError) as problem:
         get_logger().warning("upstream record refused", name=event.name, reason=str(problem))
         return None
 
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -18,6 +18,7 @@
 
 from railsail.conf.values import parse_endpoint
 from railsail.core.exceptions import RailsailError
+from railsail.core.sockets import detect_dead_peer
 
 CONNECT_SECONDS = 2.0
 SILENT_SECONDS = 60.0
@@ -35,13 +36,19 @@
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """What is sent; ``endpoint`` is ``ip:port``."""
+    """What is sent; ``endpoint`` is ``ip:port``.
+
+    ``open_ended`` says that an answer without a length is whole when its connection was closed in
+    order. ``connect_seconds`` bounds the time to connect.
+    """
 
     endpoint: str
     method: str
     path: str
     headers: Mapping[str, str]
     body: bytes = b""
+    open_ended: bool = False
+    connect_seconds: float = CONNECT_SECONDS
 
 
 class Receiver(Protocol):
@@ -103,20 +110,22 @@
 
     Raise ``NotSent`` or ``CutOff``. Cancelling the task closes the connection.
     """
-    stream = await _connect(request.endpoint)
+    stream = await _connect(request.endpoint, request.connect_seconds)
     try:
         await _exchange_on(stream, request, receiver)
     finally:
         stream.close()
 
 
-async def _connect(endpoint: str) -> IOStream:
+async def _connect(endpoint: str, seconds: float) -> IOStream:
     # An IP number needs no resolver, which the library's own client asks in a thread: 1.7 ms.
     target = parse_endpoint(endpoint)
     family = socket.AF_INET6 if ":" in target.ip else socket.AF_INET
-    stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+    connection = socket.socket(family, socket.SOCK_STREAM)
+    detect_dead_peer(connection)
+    stream = IOStream(connection)
     try:
-        async with asyncio.timeout(CONNECT_SECONDS):
+        async with asyncio.timeout(seconds):
             return await stream.connect((target.ip, target.port))
     except (OSError, TimeoutError, StreamClosedError) as problem:
         stream.close()
@@ -149,7 +158,7 @@
         raise delegate.error
     if not delegate.whole:
         raise CutOff("the replica closed before the end of its answer")
-    if not delegate.framed:
+    if not delegate.framed and not (request.open_ended and stream.error is None):
         # A body that only ends with the connection may be cut short without a sign.
         raise CutOff("the replica gave no length of its answer")
 
--- a/railsail/upstreams/sse.py
+++ b/railsail/upstreams/sse.py
@@ -55,6 +55,11 @@
     def __init__(self) -> None:
         self._buffer = b""
 
+    @property
+    def rest(self) -> bytes:
+        """Return the bytes of an event that is not whole."""
+        return self._buffer
+
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that ``chunk`` completes; raise ``BadStream`` if one is too long."""
         self._buffer += chunk
