scheduling: gave a replica new prompts only while it reads those it has in time

Change: the dispatcher learns how fast each replica reads prompts, counts what it has yet to read (less what its memory holds), and binds a ticket only where its answer would begin in time. Ruled out: a bound on slots alone (short and long prompts differ by a hundred times).

--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -16,6 +16,7 @@
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
+    Begun,
     Cancel,
     CounterRecord,
     FlightRecord,
@@ -41,6 +42,9 @@
 
     ``rank`` and ``urgent`` come from the policy, ``estimate`` is in cost units, ``prefix`` is a
     hash of the prompt's beginning or 0, ``avoid`` names a replica that just failed the request.
+    ``prompt_tokens`` are to be read, of which other prompts have the first ``shared_tokens`` as
+    well, and ``objective`` is the time in seconds within which the answer should begin; 0 where
+    they are not known.
     """
 
     request_id: str
@@ -51,6 +55,9 @@
     urgent: bool
     prefix: int = 0
     avoid: str = ""
+    prompt_tokens: int = 0
+    shared_tokens: int = 0
+    objective: float = 0.0
 
 
 class TicketRefused(RailsailError):
@@ -75,6 +82,7 @@
     charged: float = 0.0
     granted_at: float = 0.0
     refused: bool = False
+    begun: bool = False
     granted: asyncio.Future = field(default_factory=asyncio.Future)
 
     @property
@@ -159,6 +167,12 @@
         booking.charged = charged
         self._hub.send(booking.node, Progress(booking.number, round(charged)))
 
+    def begun(self, booking: Booking) -> None:
+        """Take note that the answer to a granted request has begun."""
+        if not booking.begun and booking.number in self._bookings:
+            booking.begun = True
+            self._hub.send(booking.node, Begun(booking.number, booking.attempt))
+
     def release(self, booking: Booking, cost: float, ok: bool | None) -> None:
         """End a granted request; ``ok`` says whether the replica did well, if that was learnt."""
         if self._bookings.pop(booking.number, None) is not None:
@@ -247,6 +261,9 @@
             URGENT_FLAG if want.urgent else 0,
             want.prefix,
             want.avoid,
+            want.prompt_tokens,
+            want.shared_tokens,
+            round(want.objective * 1000),
         )
 
     def _to_flight(self, booking: Booking) -> FlightRecord:
@@ -258,6 +275,7 @@
             booking.replica,
             round(booking.charged),
             round(running * 1000),
+            0 if booking.begun else max(1, booking.want.prompt_tokens),
         )
 
     def _send_release(self, booking: Booking, cost: float, ok: bool | None) -> None:
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -16,6 +16,7 @@
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
+    Begun,
     Cancel,
     CounterRecord,
     Granted,
@@ -70,6 +71,7 @@
         hub.handle(Cancel, self._cancel)
         hub.handle(Release, self._release)
         hub.handle(Progress, self._progress)
+        hub.handle(Begun, self._begun)
         hub.handle(Resync, self._resync)
         hub.handle(HandedOver, self._handed_over)
         hub.on_up(self._link_up)
@@ -109,6 +111,9 @@
             URGENT_FLAG if ticket.urgent else 0,
             ticket.prefix,
             ticket.avoid,
+            ticket.prompt_tokens,
+            ticket.shared_tokens,
+            round(ticket.objective * 1000),
         )
 
     def renew_replicas(self) -> None:
@@ -211,6 +216,15 @@
         if cell in self._dispatchers:
             self._dispatchers[cell].progress((node, message.number), float(message.charged))
 
+    def _begun(self, node: str, message: Begun) -> None:
+        key = (node, message.number)
+        cell = self._where.get(key)
+        dispatcher = self._dispatchers.get(cell) if cell else None
+        if dispatcher is None:
+            return
+        dispatcher.answered(key, self._clock.monotonic())
+        self._pump(cell, dispatcher)
+
     def _resync(self, node: str, message: Resync) -> None:
         cell, dispatcher = self.dispatcher(message.pool, message.cell)
         now = self._clock.monotonic()
@@ -223,7 +237,12 @@
             self._where[key] = cell
             started = now - item.running / 1000
             flight = Flight(
-                item.attempt, item.workspace, item.replica, float(item.charged), started
+                item.attempt,
+                item.workspace,
+                item.replica,
+                float(item.charged),
+                started,
+                item.unread,
             )
             dispatcher.resume_flight(key, flight)
         for item in message.waiting:
@@ -287,6 +306,9 @@
         urgent=bool(message.flags & URGENT_FLAG),
         prefix=message.prefix,
         avoid=message.avoid,
+        prompt_tokens=message.prompt_tokens,
+        shared_tokens=message.shared_tokens,
+        objective=message.objective / 1000,
     )
 
 
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -315,9 +315,8 @@
         Requests that still run after ``drain_seconds`` are cut, with their outcome unknown.
         """
         self.lifecycle.advance(State.DRAINING)
-        for server in self._servers:
-            # Answers from now on tell callers to close their connections.
-            server.conn_params.no_keep_alive = True
+        if self.clients is not None:
+            self.clients.leave()
         self.membership.set_own_state(MemberState.LEAVING)
         self.cells.forget()
         self.dispatchers.hand_over()
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -105,6 +105,9 @@
     flags: Natural = 0
     prefix: Natural = 0
     avoid: Text = ""
+    prompt_tokens: Natural = 0
+    shared_tokens: Natural = 0
+    objective: Natural = 0
 
 
 class Granted(Message, frozen=True, tag=11):
@@ -148,6 +151,13 @@
     charged: Natural
 
 
+class Begun(Message, frozen=True, tag=17):
+    """Say that the answer to a granted request has begun."""
+
+    number: Natural
+    attempt: Natural
+
+
 class FlightRecord(Message, frozen=True):
     """A request in flight, told to a new dispatcher."""
 
@@ -157,6 +167,7 @@
     replica: Text
     charged: Natural
     running: Natural
+    unread: Natural = 0
 
 
 class CounterRecord(Message, frozen=True):
@@ -295,6 +306,7 @@
     | Cancel
     | Release
     | Progress
+    | Begun
     | Resync
     | Served
     | FleetServed
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -1,6 +1,7 @@
 """What comes back from a replica: held until it is whole, or passed on event by event."""
 
 import asyncio
+from collections.abc import Callable
 
 from tornado.httputil import HTTPHeaders
 
@@ -58,7 +59,8 @@
     """Receive one answer of one replica.
 
     An event stream is passed on as whole events, so that a stream that breaks within one can go on
-    at another replica. Any other answer is held until it is whole.
+    at another replica. Any other answer is held until it is whole. ``begun`` is called when the
+    body begins.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         request: RoutedRequest,
         streaming: bool,
         stream: StreamState,
+        begun: Callable[[], None],
     ) -> None:
         self.answered: AnswerHead | None = None
         self.stream = stream
@@ -74,6 +77,7 @@
         self._protocol = protocol
         self._request = request
         self._streaming = streaming
+        self._begun = begun
         self._splitter = EventSplitter()
         self._held: list[bytes] = []
         self._held_bytes = 0
@@ -92,6 +96,7 @@
 
     async def data(self, chunk: bytes) -> None:
         """Take a piece of the body."""
+        self._begun()
         self._progressed()
         if self.streams:
             await self.stream.pass_on(self.answered, self._splitter.feed(chunk))
--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -24,11 +24,12 @@
 
 
 class ClientAnswer:
-    """The answer to one request."""
+    """The answer to one request; ``closing`` says whether its connection is closed after it."""
 
-    def __init__(self, connection: HTTP1Connection) -> None:
+    def __init__(self, connection: HTTP1Connection, closing: Callable[[], bool]) -> None:
         self.started = False
         self._connection = connection
+        self._closing = closing
 
     async def begin(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
         """Send status, headers and the first ``chunk`` of a body of unknown length."""
@@ -57,6 +58,8 @@
 
     async def _head(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
         self.started = True
+        if self._closing():
+            headers["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         try:
             await self._connection.write_headers(line, headers, chunk)
@@ -74,16 +77,26 @@
         self._handler = handler
         self._tasks = TaskSet()
         self._idle: set[HTTP1Connection] = set()
+        self._leaving = False
+        self._closes_idle = False
 
     def start_request(self, server_conn: object, request_conn: HTTP1Connection) -> "_Message":
         """Make ready for the next request of a connection."""
+        if self._closes_idle:
+            request_conn.close()
+            return _Message(self, request_conn)
         request_conn.stream.set_nodelay(True)
         detect_dead_peer(request_conn.stream.socket)
         self._idle.add(request_conn)
         return _Message(self, request_conn)
 
+    def leave(self) -> None:
+        """Tell callers with each answer from now on to close their connection."""
+        self._leaving = True
+
     def close_idle(self) -> None:
-        """Close the connections on which no request is being read or answered."""
+        """Close connections from now on while no request is being read or answered on them."""
+        self._closes_idle = True
         for connection in list(self._idle):
             connection.close()
         self._idle.clear()
@@ -96,7 +109,7 @@
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
     ) -> asyncio.Task:
         """Serve a request that was read whole, and return the task that does."""
-        answer = ClientAnswer(connection)
+        answer = ClientAnswer(connection, lambda: self._leaving)
         return self._tasks.start(self._handler(line, headers, body, answer))
 
 
--- a/railsail/routing/messages.py
+++ b/railsail/routing/messages.py
@@ -35,6 +35,11 @@
             return 0
         return self.parts[-2 if len(self.parts) > 1 else 0].digest
 
+    @property
+    def shared_tokens(self) -> int:
+        """Return the tokens of the beginning that ``affinity_key`` names."""
+        return sum(part.tokens for part in self.parts[:-1])
+
 
 @dataclass(frozen=True)
 class RoutedRequest:
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -13,7 +13,7 @@
 from railsail.policy.programs import Verdict
 from railsail.routing.answer import AnswerRefused, ReplicaAnswer, StreamState
 from railsail.routing.budget import RetryBounds, RetryBudget
-from railsail.routing.client import ClientAnswer
+from railsail.routing.client import ClientAnswer, ClientLeft
 from railsail.routing.messages import Dispatch, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
 from railsail.upstreams.directory import UpstreamDirectory
@@ -156,22 +156,31 @@
             False,
             prompt.affinity_key if routed.route.affinity else 0,
             routed.avoid,
+            prompt.tokens if routed.pool.cost_unit is CostUnit.TOKENS else 0,
+            prompt.shared_tokens,
+            routed.route.objective,
         )
 
     async def _send_booked(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
+        sent_at = self._clock.monotonic()
         ok: bool | None = None
         outcome: Outcome | None = None
         try:
-            outcome = await self._send(routed, replica)
+            outcome = await self._send(routed, booking, replica)
             ok = _learnt(outcome)
             return outcome
+        except (asyncio.CancelledError, ClientLeft):
+            # Nobody waits that long for an answer that does not begin, unless something is wrong.
+            if not booking.begun and self._clock.monotonic() - sent_at > LEAST_SILENCE_SECONDS:
+                ok = False
+            raise
         finally:
             if outcome is None or not isinstance(outcome, Completed):
                 routed.avoid = replica
             used = outcome is None or not isinstance(outcome, NotRun)
             self._desk.release(booking, booking.want.estimate if used else 0.0, ok)
 
-    async def _send(self, routed: Routed, replica: str) -> Outcome:
+    async def _send(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
         upstream = self._directory.get(replica)
         if upstream is None:
             return NotRun(Reason.UNREACHABLE, "the replica is not known any more")
@@ -189,7 +198,13 @@
             open_ended=True,
             connect_seconds=min(CONNECT_SECONDS, left),
         )
-        answer = ReplicaAnswer(self._protocol, request, routed.route.streaming, routed.stream)
+        answer = ReplicaAnswer(
+            self._protocol,
+            request,
+            routed.route.streaming,
+            routed.stream,
+            lambda: self._desk.begun(booking),
+        )
         self._events.emit(Kind.SENT, f"{replica} at {upstream.endpoint}", request.id)
         return await self._exchange(routed, replica, call, answer)
 
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 
 from railsail.core.outcomes import Reason
-from railsail.scheduling.affinity import PrefixMap
+from railsail.membership.placement import score
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
 from railsail.scheduling.room import LoadReport, ReplicaRoom
 from railsail.scheduling.tickets import Ticket, TicketKey
 
 # A replica with a cached prefix is preferred while it is at most this much fuller than others.
-AFFINITY_SLACK = 0.25
+AFFINITY_SLACK = 1.0
 
 
 @dataclass(frozen=True)
@@ -36,13 +36,17 @@
 
 @dataclass
 class Flight:
-    """A granted request that has not been released; ``charged`` is in cost units."""
+    """A granted request that has not been released; ``charged`` is in cost units.
+
+    ``unread`` are the tokens of its prompt until its answer begins, and 0 from then on.
+    """
 
     attempt: int
     workspace: str
     replica: str
     charged: float
     started_at: float
+    unread: int = 0
 
 
 class CellDispatcher:
@@ -59,7 +63,7 @@
         self.flights: dict[TicketKey, Flight] = {}
         self.served: dict[str, float] = {}
         self._rng = rng
-        self._prefixes = PrefixMap() if use_prefixes else None
+        self._use_prefixes = use_prefixes
 
     def set_replicas(self, slots: dict[str, int], leaving: Iterable[str] = ()) -> None:
         """Serve exactly the replicas in ``slots``; a slot number of 0 is learnt."""
@@ -74,9 +78,26 @@
 
     def _add_replica(self, name: str, slots: int) -> None:
         room = ReplicaRoom(name, slots)
-        room.in_flight = sum(flight.replica == name for flight in self.flights.values())
+        for key, flight in self.flights.items():
+            if flight.replica == name:
+                room.in_flight += 1
+                self._expect(room, key, flight)
         self.replicas[name] = room
 
+    def _expect(self, room: ReplicaRoom, key: TicketKey, flight: Flight) -> None:
+        if flight.unread:
+            room.expect(key, flight.unread, flight.started_at)
+
+    def answered(self, key: TicketKey, now: float) -> None:
+        """Take note that the answer to a request in flight has begun."""
+        flight = self.flights.get(key)
+        if flight is None:
+            return
+        flight.unread = 0
+        room = self.replicas.get(flight.replica)
+        if room is not None:
+            room.answered(key, now)
+
     def offer(self, ticket: Ticket, now: float) -> list[Decision]:
         """Take a ticket in; urgent ones are decided at once."""
         flight = self.flights.get(ticket.key)
@@ -122,6 +143,7 @@
         room = self.replicas.get(flight.replica)
         if room is None:
             return True
+        room.forget(key)
         room.ended(now)
         if ok is True:
             room.succeeded(now, now - flight.started_at)
@@ -143,6 +165,7 @@
         room = self.replicas.get(flight.replica)
         if room is not None:
             room.started(flight.started_at)
+            self._expect(room, key, flight)
 
     def drop_entry(self, entry: str, now: float) -> None:
         """Forget all tickets and requests of an ``entry`` that is gone."""
@@ -196,11 +219,14 @@
         return self._bind(ticket, room, now)
 
     def _bind(self, ticket: Ticket, room: ReplicaRoom, now: float) -> Grant:
-        flight = Flight(ticket.attempt, ticket.workspace, room.name, ticket.estimate, now)
+        # A call without a prompt still owes the beginning of an answer.
+        unread = max(1, room.to_read(ticket))
+        if self._use_prefixes:
+            room.keep_prefix(ticket)
+        flight = Flight(ticket.attempt, ticket.workspace, room.name, ticket.estimate, now, unread)
         self.flights[ticket.key] = flight
         room.started(now)
-        if self._prefixes is not None:
-            self._prefixes.put(ticket.prefix, room.name)
+        self._expect(room, ticket.key, flight)
         return Grant(ticket, room.name, self.queue.counter(ticket.workspace))
 
     def _charge(self, workspace: str, cost: float) -> None:
@@ -218,7 +244,9 @@
         return sum(room.room(now) for room in self.replicas.values())
 
     def _choose(self, ticket: Ticket, now: float, urgent: bool = False) -> ReplicaRoom | None:
-        open_rooms = self._open_rooms(now, urgent)
+        open_rooms = [
+            room for room in self._open_rooms(now, urgent) if room.reads_in_time(ticket, now)
+        ]
         others = [room for room in open_rooms if room.name != ticket.avoid]
         candidates = others or open_rooms
         if not candidates:
@@ -241,10 +269,8 @@
     def _cached(
         self, ticket: Ticket, candidates: list[ReplicaRoom], fullest: float
     ) -> ReplicaRoom | None:
-        if self._prefixes is None or not ticket.prefix:
+        if not self._use_prefixes or not ticket.prefix:
             return None
-        name = self._prefixes.get(ticket.prefix)
-        for room in candidates:
-            if room.name == name and room.fullness() <= fullest:
-                return room
-        return None
+        near = [room for room in candidates if room.fullness() <= fullest]
+        near = [room for room in near if room.has_prefix(ticket.prefix)] or near
+        return max(near, key=lambda room: score(str(ticket.prefix), room.name))
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -5,21 +5,51 @@
 decrease. Failures close a replica for a time that doubles; then one call tries it again.
 """
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 
+from railsail.scheduling.tickets import Ticket, TicketKey
+
 LEAST_LIMIT = 1.0
+OVERLAP_SHARE = 24
 FIRST_LIMIT = 4.0
 MOST_LIMIT = 4096.0
 DECREASE = 0.7
 # A call that takes this many times the usual time says that the replica is too full.
 SLOW_FACTOR = 3.0
 FIRST_CLOSED_SECONDS = 0.5
-MOST_CLOSED_SECONDS = 30.0
+MOST_CLOSED_SECONDS = 4.0
 FAILURES_TO_CLOSE = 2
 # Own calls are remembered this long, to tell them from foreign ones in a report that lags.
 REPORT_LAG_SECONDS = 2.0
 USUAL_TIME_GAIN = 0.1
+# Prompt tokens that a replica reads in a second, until it was seen to read some; never less.
+FIRST_READ_RATE = 120_000.0
+LEAST_READ_RATE = 10_000.0
+# How much of what was seen of reading is kept at each new answer.
+READ_MEMORY = 0.98
+# The shortest wait for an answer seen is taken to grow by this share with each one.
+BASE_GROWTH = 1.002
+# The prompts that a replica has yet to read may take this part of a request's objective, and all
+# that passes before the answer begins this part of it.
+READ_SHARE = 0.6
+ANSWER_SHARE = 0.9
+# Prompt beginnings remembered as kept in a replica's memory.
+MOST_PREFIXES = 4096
+# A replica that owes first answers, and gave none for so long, gets nothing more.
+SILENT_SECONDS = 0.8
+
+
+@dataclass(frozen=True)
+class Unread:
+    """A call whose answer has not begun: its prompt tokens, and those read before it and with it.
+
+    ``since`` is in seconds of the dispatcher's clock.
+    """
+
+    tokens: int
+    ahead: int
+    since: float
 
 
 @dataclass(frozen=True)
@@ -52,6 +82,13 @@
         self._closed_seconds = FIRST_CLOSED_SECONDS
         self._usual_time = 0.0
         self._recent: deque[tuple[float, int]] = deque()
+        self._unread: dict[TicketKey, Unread] = {}
+        self._unread_tokens = 0
+        self._base_seconds = 0.0
+        self._read_tokens = FIRST_READ_RATE
+        self._read_seconds = 1.0
+        self._answered_at = 0.0
+        self._prefixes: OrderedDict[int, int] = OrderedDict()
 
     @property
     def limit(self) -> float:
@@ -60,17 +97,85 @@
 
     def overlap(self) -> int:
         """Return the calls queued at the replica, so that a round trip leaves no slot idle."""
-        return max(1, int(self.limit) // 8)
+        return max(1, int(self.limit) // OVERLAP_SHARE)
 
     def room(self, now: float, extra: int = 0) -> int:
         """Return how many more calls fit at ``now``, with ``extra`` beyond the limit."""
-        if self.leaving or now < self._closed_until:
+        if self.leaving or now < self._closed_until or self._silent(now):
             return 0
         if self._failures >= FAILURES_TO_CLOSE:
             # The replica was closed and is tried again, with one call at a time.
             return max(0, 1 - self.in_flight)
         return max(0, int(self.limit) + extra - self.in_flight - self.foreign)
 
+    @property
+    def read_rate(self) -> float:
+        """Return the prompt tokens that the replica reads in a second."""
+        return max(LEAST_READ_RATE, self._read_tokens / self._read_seconds)
+
+    def to_read(self, ticket: Ticket) -> int:
+        """Return the tokens of a prompt that the replica probably does not have in memory."""
+        if ticket.prefix and ticket.prefix in self._prefixes:
+            return max(1, ticket.prompt_tokens - ticket.shared_tokens)
+        return ticket.prompt_tokens
+
+    def reads_in_time(self, ticket: Ticket, now: float) -> bool:
+        """Say whether the answer to ``ticket`` would begin well within its objective.
+
+        A replica with nothing to read takes any prompt.
+        """
+        if not ticket.prompt_tokens or not ticket.objective or not self._unread_tokens:
+            return True
+        seconds = (self._unread_tokens + self.to_read(ticket)) / self.read_rate
+        waited = now - ticket.enqueued_at
+        left = ANSWER_SHARE * ticket.objective - waited - self._base_seconds
+        return seconds <= min(READ_SHARE * ticket.objective, left)
+
+    def keep_prefix(self, ticket: Ticket) -> None:
+        """Take note that the replica will have the beginning of a prompt in memory."""
+        if not ticket.prefix:
+            return
+        self._prefixes[ticket.prefix] = ticket.shared_tokens
+        self._prefixes.move_to_end(ticket.prefix)
+        if len(self._prefixes) > MOST_PREFIXES:
+            self._prefixes.popitem(last=False)
+
+    def has_prefix(self, prefix: int) -> bool:
+        """Say whether the replica probably has the beginning of a prompt in memory."""
+        return prefix in self._prefixes
+
+    def expect(self, key: TicketKey, tokens: int, now: float) -> None:
+        """Take note that the answer to a call with a prompt of ``tokens`` has yet to begin."""
+        self.forget(key)
+        self._unread_tokens += tokens
+        self._unread[key] = Unread(tokens, self._unread_tokens, now)
+
+    def answered(self, key: TicketKey, now: float) -> None:
+        """Take note that an answer has begun, so that its prompt was read."""
+        unread = self._unread.get(key)
+        self.forget(key)
+        self._answered_at = now
+        if unread is None or unread.tokens <= 1:
+            return
+        seconds = now - unread.since
+        base = self._base_seconds * BASE_GROWTH
+        self._base_seconds = min(seconds, base) if base else seconds
+        self._read_tokens = self._read_tokens * READ_MEMORY + unread.ahead
+        self._read_seconds *= READ_MEMORY
+        self._read_seconds += max(0.0, seconds - self._base_seconds)
+
+    def forget(self, key: TicketKey) -> None:
+        """Take note that the answer to a call is not expected any more."""
+        unread = self._unread.pop(key, None)
+        if unread is not None:
+            self._unread_tokens -= unread.tokens
+
+    def _silent(self, now: float) -> bool:
+        if not self._unread:
+            return False
+        oldest = next(iter(self._unread.values())).since
+        return now - max(oldest, self._answered_at) > SILENT_SECONDS
+
     def fullness(self) -> float:
         """Return calls per slot, own and foreign; 1.0 is full."""
         return (self.in_flight + self.foreign) / max(self.limit, LEAST_LIMIT)
--- a/railsail/scheduling/tickets.py
+++ b/railsail/scheduling/tickets.py
@@ -17,6 +17,9 @@
     placing is told apart. ``estimate`` is in cost units, ``enqueued_at`` in seconds of the
     dispatcher's clock. ``urgent`` work is answered at once or refused. ``prefix`` is a hash of the
     prompt's beginning, 0 for none. ``avoid`` names a replica that just failed the request.
+    ``prompt_tokens`` must be read before the answer begins, of which other prompts share the first
+    ``shared_tokens``; it is due ``objective`` seconds after the request came. All are 0 where they
+    are not known.
     """
 
     entry: str
@@ -29,6 +32,9 @@
     urgent: bool = False
     prefix: int = 0
     avoid: str = ""
+    prompt_tokens: int = 0
+    shared_tokens: int = 0
+    objective: float = 0.0
 
     @property
     def key(self) -> TicketKey:
