routing: answered a request whose head was read as idle connections were closed

Cause: a planned stop closed connections that were idle by its own books, while the library had read a head already and handed it over only in the next turn of the loop. Change: a connection is closed only while its stream still waits for bytes. Ruled out: a longer wait (the race is one turn of the loop at any time).

--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -76,7 +76,7 @@
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._tasks = TaskSet()
-        self._idle: set[HTTP1Connection] = set()
+        self._idle: dict[object, HTTP1Connection] = {}
         self._leaving = False
         self._closes_idle = False
 
@@ -84,11 +84,15 @@
         """Make ready for the next request of a connection."""
         if self._closes_idle:
             request_conn.close()
-            return _Message(self, request_conn)
+            return _Message(self, server_conn, request_conn)
         request_conn.stream.set_nodelay(True)
         detect_dead_peer(request_conn.stream.socket)
-        self._idle.add(request_conn)
-        return _Message(self, request_conn)
+        self._idle[server_conn] = request_conn
+        return _Message(self, server_conn, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that has ended."""
+        self._idle.pop(server_conn, None)
 
     def leave(self) -> None:
         """Tell callers with each answer from now on to close their connection."""
@@ -97,13 +101,15 @@
     def close_idle(self) -> None:
         """Close connections from now on while no request is being read or answered on them."""
         self._closes_idle = True
-        for connection in list(self._idle):
-            connection.close()
-        self._idle.clear()
+        for connection in list(self._idle.values()):
+            # The head of a request may have been read in this turn of the loop already; it is
+            # handed over in the next one, and must be answered.
+            if connection.stream.reading():
+                connection.close()
 
-    def began(self, connection: HTTP1Connection) -> None:
+    def began(self, server_conn: object) -> None:
         """Take note that a request has begun to come."""
-        self._idle.discard(connection)
+        self._idle.pop(server_conn, None)
 
     def received(
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
@@ -116,8 +122,11 @@
 class _Message(HTTPMessageDelegate):
     """One request; its task ends when the caller leaves."""
 
-    def __init__(self, server: ClientServer, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, server: ClientServer, server_conn: object, connection: HTTP1Connection
+    ) -> None:
         self._server = server
+        self._server_conn = server_conn
         self._connection = connection
         self._line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
@@ -127,7 +136,7 @@
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        self._server.began(self._connection)
+        self._server.began(self._server_conn)
         self._line = start_line
         self._headers = headers
 
@@ -141,7 +150,7 @@
         )
 
     def on_connection_close(self) -> None:
-        self._server.began(self._connection)
+        self._server.began(self._server_conn)
         self._left()
 
     def _left(self) -> None:
