dispatch: told a dispatcher at once of calls that had ended while it could not be told

Cause: releases that were lost with a link, or went to another dispatcher meanwhile, kept room taken for up to 30 s where the entry had no other booking; and a store that forgets its history was listed in a tight loop.

--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -32,7 +32,7 @@
 
 URGENT_FLAG = 1
 RANK_SCALE = 1000
-RESYNC_SECONDS = 30.0
+RESYNC_SECONDS = 10.0
 _LEARNT = {None: 0, True: 1, False: 2}
 
 
@@ -106,6 +106,8 @@
         self._counters: dict[Cell, dict[str, int]] = {}
         self._unreachable: set[str] = set()
         self._redialled: set[str] = set()
+        # Since when a dispatcher knows what this entry has of a cell; what is not named here may
+        # still have calls that ended while it could not be told.
         self._told_at: dict[tuple[str, Cell], float] = {}
         hub.handle(Granted, self._granted)
         hub.handle(Refused, self._refused)
@@ -192,6 +194,12 @@
             self._rebook(booking, cell, node)
         for node, cell in sorted(moved):
             self._resync(node, cell)
+            if not self._has_bookings(node, cell):
+                # Whoever dispatches this cell again later must be told everything anew.
+                self._told_at.pop((node, cell), None)
+
+    def _has_bookings(self, node: str, cell: Cell) -> bool:
+        return any((b.node, b.cell) == (node, cell) for b in self._bookings.values())
 
     def _rebook(self, booking: Booking, cell: Cell, node: str) -> None:
         booking.cell = cell
@@ -205,10 +213,12 @@
         flights = [self._to_flight(booking) for booking in mine if not booking.waiting]
         counters = self._counters.get(cell, {})
         records = [CounterRecord(name, value) for name, value in counters.items()]
+        self._told_at[(node, cell)] = self._clock.monotonic()
         self._hub.send(node, Resync(cell.pool, cell.number, waiting, flights, records))
 
     def _link_up(self, peer: Identity) -> None:
         self._redialled.discard(peer.node)
+        self._forget_told(peer.node)
         if peer.node in self._unreachable:
             self._unreachable.discard(peer.node)
             self._cells.forget()
@@ -220,7 +230,12 @@
         for cell in sorted(cells):
             self._resync(peer.node, cell)
 
+    def _forget_told(self, node: str) -> None:
+        for told in [told for told in self._told_at if told[0] == node]:
+            del self._told_at[told]
+
     def _link_down(self, node: str) -> None:
+        self._forget_told(node)
         if node in self._unreachable or node not in self.dispatchers():
             return
         # One attempt to link again; if it fails, this is called once more and the node is avoided.
@@ -239,11 +254,15 @@
         for (node, cell), told_at in list(self._told_at.items()):
             if now - told_at > RESYNC_SECONDS:
                 # A dispatcher that lost a release would keep room for a request that has ended.
-                del self._told_at[(node, cell)]
-                self._resync(node, cell)
+                if self._cells.dispatcher(cell) == node:
+                    self._resync(node, cell)
+                else:
+                    del self._told_at[(node, cell)]
 
     def _send_place(self, booking: Booking) -> None:
-        self._told_at.setdefault((booking.node, booking.cell), self._clock.monotonic())
+        if (booking.node, booking.cell) not in self._told_at:
+            self._resync(booking.node, booking.cell)
+            return
         self._hub.send(booking.node, self._to_place(booking))
 
     def _to_place(self, booking: Booking) -> Place:
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -91,7 +91,7 @@
         if head.success and not head.signed:
             raise AnswerRefused("a success without a signature")
         self.answered = head
-        self.streams = self._streaming and head.success
+        self.streams = self._streaming and head.success and head.event_stream
         self._progressed()
 
     async def data(self, chunk: bytes) -> None:
--- a/railsail/routing/messages.py
+++ b/railsail/routing/messages.py
@@ -5,6 +5,8 @@
 
 from tornado.httputil import HTTPHeaders
 
+EVENT_STREAM = "text/event-stream"
+
 
 @dataclass(frozen=True)
 class PromptPart:
@@ -98,3 +100,9 @@
     def success(self) -> bool:
         """Say whether the status is that of a success."""
         return 200 <= self.status < 300
+
+    @property
+    def event_stream(self) -> bool:
+        """Say whether the body is a series of events."""
+        kind = self.headers.get("Content-Type", "").partition(";")[0]
+        return kind.strip().lower() == EVENT_STREAM
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -19,6 +19,8 @@
 LIST_SECONDS = 60.0
 LIST_SECONDS_OF_OTHERS = 600.0
 LOOK_SECONDS = 5.0
+# A store that has forgotten its history may do so again and again; lists are dear.
+RELIST_SECONDS = 0.3
 FIRST_PAUSE_SECONDS = 0.25
 MOST_PAUSE_SECONDS = 10.0
 
@@ -73,6 +75,7 @@
                 self._note(kinds, True)
                 backoff.reset()
                 await self._follow_from(kinds, version)
+                await asyncio.sleep(RELIST_SECONDS)
             except StoreUnavailable as problem:
                 self._note(kinds, False, str(problem))
                 await asyncio.sleep(backoff.pause())
