--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 class Reason(enum.StrEnum):
@@ -52,7 +52,7 @@
 
     detail: str
     cost: float = 0.0
-    timed_out: bool = False
+    timed_out: bool = field(default=False, repr=False)
 
 
 Outcome = Completed | NotRun | Unknown
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -173,7 +173,10 @@
     try:
         value = read(item.spec)
     except msgspec.DecodeError as problem:
-        raise StoreUnavailable(f"{kind}/{name} cannot be read: {problem}") from None
+        if names:
+            raise StoreUnavailable(f"{kind}/{name} cannot be read: {problem}") from None
+        # One of many that cannot be read must not hide the others; its listener refuses it.
+        value = {}
     return StoredObject(kind, name, item.metadata.revision, value)
 
 
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -5,6 +5,7 @@
 from railsail.core.lifecycle import State
 from railsail.peers.messages import Granted
 from railsail.scheduling.cells import Cell
+from railsail.scheduling.dispatcher import Flight
 from railsail.standins.engine import EngineSettings
 from tests.fleet.base import FleetTestCase, whole
 
@@ -44,6 +45,22 @@
         return sum(len(node.desk.waiting()) for node in self.fleet.nodes)
 
 
+class UnheardReleaseTests(DispatchTestCase):
+    async def test_call_whose_release_was_lost_with_its_link_takes_no_room_for_long(self):
+        dispatcher, entry = self.dispatcher(), self.others()[0]
+        name = entry.settings.node_id
+        await self.complete(entry)
+        cell = dispatcher.dispatchers.dispatchers()[CELL]
+        await self.until(lambda: not cell.flights)
+        # The entry has no booking, and the dispatcher still has a call that ended long ago.
+        cell.resume_flight((name, 999), Flight(1, "one", "model-0", 1.0, 0.0))
+        entry.hub.drop(dispatcher.settings.node_id)
+        await self.until(lambda: not entry.hub.connected(dispatcher.settings.node_id))
+        await self.until(lambda: entry.hub.dial(dispatcher.settings.node_id))
+        await self.complete(entry)
+        self.assertNotIn((name, 999), cell.flights)
+
+
 class LossTests(DispatchTestCase):
     async def test_lost_dispatcher_loses_no_request(self):
         others = self.others()
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the prepared platform."""
--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,234 @@
+"""Stand-ins that speak the platform's formats: its store, and replicas that follow a script."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from railsail.standins.fleet import free_ports
+
+LOOPBACK = "127.0.0.1"
+SEAL = "seal"
+BREAK_SECONDS = 0.05
+
+
+class PlatformStoreStandin:
+    """Objects by kind and name, a counter of revisions, lists in pages, and watches."""
+
+    def __init__(self, page: int = 500) -> None:
+        self.page = page
+        self.revision = 0
+        self.objects: dict[tuple[str, str], dict] = {}
+        self.changes: list[tuple[str, dict, bool]] = []
+        self.forgotten = 0
+        self.down = False
+        self.calls: list[str] = []
+        self.changed = asyncio.Event()
+        self.port = free_ports(1)[0]
+        self._server = HTTPServer(Application([(r"/objects/.*", _Objects, {"store": self})]))
+        self._server.listen(self.port, LOOPBACK)
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        self.revision += 1
+        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+        self.objects[(kind, name)] = item
+        self._tell(kind, item, False)
+
+    def remove(self, kind: str, name: str) -> None:
+        self.revision += 1
+        item = self.objects.pop((kind, name))
+        item["metadata"]["revision"] = self.revision
+        self._tell(kind, item, True)
+
+    def forget_history(self) -> None:
+        self.forgotten = self.revision
+
+    def _tell(self, kind: str, item: dict, gone: bool) -> None:
+        self.changes.append((kind, json.loads(json.dumps(item)), gone))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def stop(self) -> None:
+        self._server.stop()
+
+
+class _Objects(RequestHandler):
+    def initialize(self, store: PlatformStoreStandin) -> None:
+        self.store = store
+
+    async def get(self) -> None:
+        self.store.calls.append(self.request.uri)
+        if self.store.down:
+            self.set_status(503)
+            return
+        parts = self.request.path.split("/")[2:]
+        if len(parts) == 2:
+            item = self.store.objects.get((parts[0], parts[1]))
+            if item is None:
+                self.set_status(404)
+            else:
+                self.finish(json.dumps(item))
+            return
+        since = self.get_query_argument("watch", "")
+        await (self._watch(parts[0], int(since)) if since else self._list(parts[0]))
+
+    async def _list(self, kind: str) -> None:
+        after = self.get_query_argument("since_rev", "")
+        names = sorted(name for held, name in self.store.objects if held == kind and name > after)
+        page = names[: self.store.page]
+        items = [self.store.objects[(kind, name)] for name in page]
+        more = len(names) > len(page)
+        self.finish(json.dumps({"items": items, "more": more, "at": self.store.revision}))
+
+    async def _watch(self, kind: str, since: int) -> None:
+        if since < self.store.forgotten:
+            self.set_status(410)
+            return
+        seconds = int(self.get_query_argument("wait_ms")) / 1000
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + seconds
+        while not self._events(kind, since) and loop.time() < ends:
+            waiting = asyncio.ensure_future(self.store.changed.wait())
+            await asyncio.wait([waiting], timeout=ends - loop.time())
+            waiting.cancel()
+        body = {"events": self._events(kind, since), "at": self.store.revision}
+        self.finish(json.dumps(body))
+
+    def _events(self, kind: str, since: int) -> list[dict]:
+        return [
+            {"gone": gone, "object": item}
+            for held, item, gone in self.store.changes
+            if held == kind and item["metadata"]["revision"] > since
+        ]
+
+
+@dataclass
+class Received:
+    """One request as a replica got it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Script = Callable[["ReplicaStandin", Received, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass
+class ReplicaStandin:
+    """A replica that answers each connection's request by its script."""
+
+    name: str
+    script: Script
+    received: list[Received] = field(default_factory=list)
+    left: int = 0
+    port: int = 0
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            line, *rest = head.strip().split("\r\n")
+            headers = dict(item.split(": ", 1) for item in rest)
+            body = await reader.readexactly(int(headers.get("Content-Length", "0")))
+            request = Received(line, headers, body)
+            self.received.append(request)
+            running = asyncio.ensure_future(self.script(self, request, writer))
+            gone = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait([running, gone], return_when=asyncio.FIRST_COMPLETED)
+            if not running.done():
+                self.left += 1
+                running.cancel()
+            gone.cancel()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    def stop(self) -> None:
+        self._server.close()
+
+
+def head(request: Received, status: str = "200 OK", **headers: str) -> bytes:
+    """Return the head of an answer to ``request``; headers are named with underscores."""
+    lines = [f"HTTP/1.1 {status}", f"Request-Id: {request.headers['Request-Id']}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def answering(body: bytes = b"hello", status: str = "200 OK", seconds: float = 0.0) -> Script:
+    """Answer whole, with a signature."""
+
+    async def script(replica: ReplicaStandin, request: Received, writer) -> None:
+        await asyncio.sleep(seconds)
+        sealed = {"Response_Seal": f"{SEAL}-{replica.name}", "Content_Length": str(len(body))}
+        writer.write(head(request, status, **sealed) + body)
+        await writer.drain()
+
+    return script
+
+
+def refusing(status: str = "503 Service Unavailable", **headers: str) -> Script:
+    """Answer without a body; ``Not_Run`` says that nothing ran."""
+
+    async def script(replica: ReplicaStandin, request: Received, writer) -> None:
+        writer.write(head(request, status, Content_Length="0", **headers))
+        await writer.drain()
+
+    return script
+
+
+def closing() -> Script:
+    """Take the request, and close without an answer."""
+
+    async def script(replica: ReplicaStandin, request: Received, writer) -> None:
+        writer.transport.abort()
+
+    return script
+
+
+def hanging() -> Script:
+    """Take the request, and say nothing."""
+
+    async def script(replica: ReplicaStandin, request: Received, writer) -> None:
+        await asyncio.sleep(3600)
+
+    return script
+
+
+def streaming(events: int, stop_after: int | None = None, partial: bool = False) -> Script:
+    """Stream ``events`` events from the one after ``Last-Event-Id``.
+
+    With ``stop_after`` the connection breaks after so many, with ``partial`` within the next one.
+    """
+
+    async def script(replica: ReplicaStandin, request: Received, writer) -> None:
+        first = int(request.headers.get("Last-Event-Id", "-1")) + 1
+        kind = {"Content_Type": "text/event-stream", "Transfer_Encoding": "chunked"}
+        writer.write(head(request, Response_Seal=f"{SEAL}-{replica.name}", **kind))
+        for count, number in enumerate(range(first, events)):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if count == stop_after:
+                # What came before the break is read before it.
+                await asyncio.sleep(BREAK_SECONDS)
+                if partial:
+                    writer.write(_chunk(event[:-6]))
+                    await writer.drain()
+                writer.transport.close()
+                return
+            writer.write(_chunk(event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return script
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- /dev/null
+++ b/tests/platform/test_objects.py
@@ -0,0 +1,105 @@
+"""What the platform's objects mean in the product's own."""
+
+import json
+import unittest
+
+import msgspec
+
+from railsail.configuration.changes import Snapshot, restore
+from railsail.objects.catalog import hash_key
+from railsail.objects.checks import check_catalog
+from railsail.platform.objects import configuration_value, replica_value
+
+SPEC = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "path_prefix": "/x/",
+            "kind": "streaming",
+            "timeout_ms": 15000,
+            "slo_ms": 400,
+            "gap_slo_ms": 200,
+            "priority": 1,
+            "backends": [{"service": "lm", "weight": 90}, {"service": "lm-2", "weight": 10}],
+            "max_attempts": 2,
+            "anonymous": False,
+            "sticky": True,
+            "resumable": True,
+            "new": "field",
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "path_prefix": "/y/",
+            "kind": "idempotent",
+            "timeout_ms": 1500,
+            "slo_ms": 300,
+            "priority": 2,
+            "service": "api",
+            "max_attempts": 1,
+            "anonymous": True,
+        },
+    ],
+    "services": [
+        {"name": "lm", "max_conns": 300, "engine": {"slots": 48, "kv_capacity": 9000}},
+        {"name": "lm-2", "max_conns": 300, "engine": {"slots": 48, "kv_capacity": 9000}},
+        {"name": "api", "max_conns": 100},
+    ],
+    "limits": {"tokens_per_s": 300000},
+    "tenants": [
+        {"name": "t1", "api_keys": ["k1", "k2"], "priority": 0},
+        {"name": "t2", "api_keys": []},
+    ],
+}
+
+
+class ConfigurationTests(unittest.TestCase):
+    def setUp(self):
+        value = configuration_value(json.dumps(SPEC).encode())
+        self.assertEqual(value["version"], 7)
+        self.catalog = restore(Snapshot(7, tuple(value["objects"])))
+
+    def test_it_passes_the_checks_of_the_product(self):
+        self.assertEqual(check_catalog(self.catalog), [])
+
+    def test_routes(self):
+        first = self.catalog.resources[("route", "r-1")]
+        self.assertEqual([(s.pool, s.weight) for s in first.pools], [("lm", 90), ("lm-2", 10)])
+        self.assertEqual((first.timeout, first.objective, first.pause), (15.0, 0.4, 0.2))
+        flags = (first.streaming, first.resumable, first.repeatable, first.affinity, first.public)
+        self.assertEqual(flags, (True, True, False, True, False))
+        self.assertTrue(first.may_repeat)
+        second = self.catalog.resources[("route", "r-2")]
+        self.assertEqual((second.repeatable, second.public), (True, True))
+        self.assertEqual([share.pool for share in second.pools], ["api"])
+
+    def test_pools(self):
+        engine, plain = self.catalog.pool("lm"), self.catalog.pool("api")
+        self.assertEqual((engine.slots, engine.memory_tokens), (48, 9000))
+        self.assertEqual((engine.cost_unit, plain.cost_unit), ("tokens", "calls"))
+
+    def test_tenants(self):
+        first, second = self.catalog.workspace("t1"), self.catalog.workspace("t2")
+        self.assertEqual(first.key_hashes, (hash_key("k1"), hash_key("k2")))
+        self.assertEqual((first.priority, second.priority), (0, None))
+        self.assertEqual(second.key_hashes, ())
+
+    def test_what_cannot_be_read_is_told(self):
+        for spec in (b"{", b"[]", b'{"routes": []}', b'{"version": "x"}'):
+            with self.subTest(spec=spec), self.assertRaises(msgspec.DecodeError):
+                configuration_value(spec)
+
+
+class ReplicaTests(unittest.TestCase):
+    def test_states(self):
+        for state, means in [("ready", "live"), ("draining", "leaving"), ("other", "leaving")]:
+            spec = {"service": "lm", "addr": "10.0.0.1:80", "zone": "z", "state": state}
+            value = replica_value(json.dumps(spec).encode())
+            self.assertEqual(value["state"], means)
+            self.assertEqual((value["pool"], value["endpoint"]), ("lm", "10.0.0.1:80"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/routing/test_budget.py
@@ -0,0 +1,60 @@
+"""The budget of repeats: no window of any length holds more than the fleet may make."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from railsail.routing.budget import RetryBounds, RetryBudget
+
+BOUNDS = RetryBounds(ratio=0.2, slack=54, window=10.0)
+
+
+class RetryBudgetTests(unittest.TestCase):
+    def test_young_process_has_no_share_of_the_slack(self):
+        budget = RetryBudget(BOUNDS, started_at=0.0)
+        self.assertFalse(budget.allow(1.0, 7))
+        self.assertTrue(budget.allow(12.0, 7))
+
+    def test_share_is_divided_by_all_members(self):
+        budget = RetryBudget(BOUNDS, started_at=-100.0)
+        allowed = sum(budget.allow(1.0, 7) for _ in range(100))
+        self.assertEqual(allowed, int(54 * 0.8 / 7))
+
+    def test_requests_earn_repeats_and_both_are_forgotten(self):
+        budget = RetryBudget(BOUNDS, started_at=0.0)
+        for _ in range(100):
+            budget.request(1.0)
+        self.assertEqual(sum(budget.allow(1.0, 7) for _ in range(100)), 16)
+        self.assertFalse(budget.allow(10.9, 1000))
+        self.assertFalse(budget.allow(11.5, 1000))
+
+    @given(st.integers(0, 2**32), st.integers(1, 9))
+    @settings(max_examples=30, deadline=None)
+    def test_fleet_keeps_to_the_bound_in_every_window(self, seed, members):
+        rng = random.Random(seed)
+        budgets = [RetryBudget(BOUNDS, started_at=-100.0) for _ in range(members)]
+        requests: list[float] = []
+        repeats: list[float] = []
+        now = 0.0
+        for _ in range(1500):
+            now += rng.expovariate(60.0)
+            budget = rng.choice(budgets)
+            if rng.random() < 0.6:
+                budget.request(now)
+                requests.append(now)
+            elif budget.allow(now, members):
+                repeats.append(now)
+        for start in repeats:
+            end = start + BOUNDS.window
+            made = sum(start <= at < end for at in repeats)
+            seen = sum(start <= at < end for at in requests)
+            before = sum(start - BOUNDS.window <= at < start for at in requests)
+            half = sum(start - BOUNDS.window / 2 <= at < end - BOUNDS.window / 2 for at in requests)
+            most = BOUNDS.ratio * max(seen, before, half) + BOUNDS.slack
+            self.assertLessEqual(made, most)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/routing/test_table.py
@@ -0,0 +1,64 @@
+"""Routes by host and longest prefix, and pools by weight."""
+
+import random
+import unittest
+
+from railsail.objects.kinds import PoolShare, Route
+from railsail.routing.table import RouteTable, choose_pool
+
+
+def route(name: str, prefix: str, host: str = "a.example", **more) -> Route:
+    fields = {"pools": (PoolShare("desk"),), **more}
+    return Route(name=name, host=host, path_prefix=prefix, **fields)
+
+
+class RouteTableTests(unittest.TestCase):
+    def setUp(self):
+        self.table = RouteTable(
+            [
+                route("root", "/"),
+                route("ab", "/a/b/"),
+                route("a", "/a/"),
+                route("other", "/a/", host="b.example"),
+            ]
+        )
+
+    def name(self, host: str, path: str) -> str:
+        found = self.table.find(host, path)
+        return found.name if found else ""
+
+    def test_longest_prefix_wins(self):
+        for path, name in [
+            ("/a/b/c", "ab"),
+            ("/a/b/", "ab"),
+            ("/a/b", "a"),
+            ("/a/bc/d", "a"),
+            ("/a", "root"),
+            ("/", "root"),
+            ("", ""),
+        ]:
+            with self.subTest(path=path):
+                self.assertEqual(self.name("a.example", path), name)
+
+    def test_host_counts_without_case_and_port(self):
+        self.assertEqual(self.name("B.Example:8080", "/a/x"), "other")
+        self.assertEqual(self.name("c.example", "/a/x"), "")
+        self.assertEqual(self.name("", "/a/x"), "")
+
+
+class ChoosePoolTests(unittest.TestCase):
+    def test_pools_get_requests_by_weight(self):
+        shares = (PoolShare("big", 90), PoolShare("small", 10), PoolShare("none", 0))
+        split = route("split", "/", pools=shares)
+        rng = random.Random(5)
+        chosen = [choose_pool(split, rng) for _ in range(2000)]
+        self.assertEqual(chosen.count("none"), 0)
+        self.assertTrue(120 < chosen.count("small") < 280)
+
+    def test_weights_of_nothing_still_name_a_pool(self):
+        shares = (PoolShare("one", 0), PoolShare("two", 0))
+        self.assertEqual(choose_pool(route("r", "/", pools=shares), random.Random(1)), "one")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/scheduling/test_room.py
+++ b/tests/scheduling/test_room.py
@@ -3,6 +3,66 @@
 import unittest
 
 from railsail.scheduling.room import LoadReport, ReplicaRoom
+from railsail.scheduling.tickets import Ticket, TicketKey
+
+
+def ticket(number: int = 1, tokens: int = 1000, **more) -> Ticket:
+    values = {"enqueued_at": 0.0, "prompt_tokens": tokens, "objective": 0.4, **more}
+    return Ticket("entry", number, 1, "one", 0.0, 1.0, **values)
+
+
+class ReadingTests(unittest.TestCase):
+    """How fast a replica reads prompts, and whether it would begin another answer in time."""
+
+    def setUp(self):
+        self.room = ReplicaRoom("r", 48)
+
+    def learn(self) -> None:
+        """Answer after 30 ms in any case, and read 100,000 tokens a second beyond."""
+        for number in range(600):
+            tokens = 100 if number % 2 else 10_000
+            self.room.expect(("e", number), tokens, float(number))
+            self.room.answered(("e", number), number + 0.03 + tokens / 100_000)
+
+    def test_rate_is_learnt_less_the_time_that_any_answer_takes(self):
+        self.learn()
+        self.assertAlmostEqual(self.room.read_rate, 100_000, delta=10_000)
+
+    def test_prompts_ahead_count(self):
+        self.learn()
+        self.room.expect(("e", 0), 100, 1000.0)
+        # This one has waited for far longer than its objective.
+        self.assertFalse(self.room.reads_in_time(ticket(), 1000.0))
+        fresh = ticket(enqueued_at=1000.0)
+        self.assertTrue(self.room.reads_in_time(fresh, 1000.0))
+        self.room.expect(("e", 1), 100_000, 1000.0)
+        self.assertFalse(self.room.reads_in_time(fresh, 1000.0))
+        self.room.forget(("e", 1))
+        self.assertTrue(self.room.reads_in_time(fresh, 1000.0))
+
+    def test_idle_replica_takes_any_prompt(self):
+        self.assertTrue(self.room.reads_in_time(ticket(tokens=10_000_000), 1000.0))
+
+    def test_request_without_prompt_or_objective_is_not_held_back(self):
+        self.room.expect(("e", 1), 10_000_000, 0.0)
+        self.assertTrue(self.room.reads_in_time(ticket(tokens=0), 0.0))
+        self.assertTrue(self.room.reads_in_time(ticket(objective=0.0), 0.0))
+
+    def test_beginning_in_memory_is_not_read_again(self):
+        shared = ticket(tokens=10_000, prefix=7, shared_tokens=9_000)
+        self.assertEqual(self.room.to_read(shared), 10_000)
+        self.room.keep_prefix(shared)
+        self.assertEqual(self.room.to_read(shared), 1_000)
+
+    def test_silent_replica_gets_nothing_until_it_answers(self):
+        keys: list[TicketKey] = [("e", 1), ("e", 2)]
+        for key in keys:
+            self.room.expect(key, 100, 0.0)
+        self.assertGreater(self.room.room(0.7), 0)
+        self.assertEqual(self.room.room(0.9), 0)
+        self.room.answered(keys[0], 1.0)
+        self.assertGreater(self.room.room(1.5), 0)
+        self.assertEqual(self.room.room(1.9), 0)
 
 
 class RoomTests(unittest.TestCase):
