--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -22,8 +22,8 @@
 from railsail.routing.relay import Relay, Routed
 from railsail.routing.table import RouteTable, choose_pool
 
-LEAST_RETRY_SECONDS = 0.1
-MOST_RETRY_SECONDS = 0.6
+LEAST_RETRY_SECONDS = 0.3
+MOST_RETRY_SECONDS = 2.5
 _STATUS = {
     Reason.BAD_REQUEST: 400,
     Reason.UNAUTHORIZED: 401,
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 
 from railsail.core.outcomes import Reason
-from railsail.membership.placement import score
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
+from railsail.scheduling.placing import Placing
 from railsail.scheduling.room import LoadReport, ReplicaRoom
 from railsail.scheduling.tickets import Ticket, TicketKey
 
-# A replica with a cached prefix is preferred while it is at most this much fuller than others.
-AFFINITY_SLACK = 1.0
+# So many workspaces are looked at for a ticket that can be granted now.
+MOST_HEADS = 4
 
 
 @dataclass(frozen=True)
@@ -62,8 +62,7 @@
         self.replicas: dict[str, ReplicaRoom] = {}
         self.flights: dict[TicketKey, Flight] = {}
         self.served: dict[str, float] = {}
-        self._rng = rng
-        self._use_prefixes = use_prefixes
+        self._placing = Placing(rng, use_prefixes)
 
     def set_replicas(self, slots: dict[str, int], leaving: Iterable[str] = ()) -> None:
         """Serve exactly the replicas in ``slots``; a slot number of 0 is learnt."""
@@ -196,14 +195,16 @@
     def _grant_next(self, now: float) -> Grant | None:
         if not self._has_room(now):
             return None
-        workspace = self.queue.first_workspace()
-        head = self.queue.head(workspace)
-        room = self._choose(head, now)
-        if room is None:
-            return None
-        ticket = self.queue.take(workspace)
-        self._count(workspace, ticket.estimate)
-        return self._bind(ticket, room, now)
+        # Whoever is first may wait for a replica that has its prompt's beginning; others go ahead
+        # meanwhile, where replicas would be idle otherwise.
+        for workspace in self.queue.workspaces()[:MOST_HEADS]:
+            head = self.queue.head(workspace)
+            room = self._placing.choose(head, self.replicas.values(), now)
+            if room is not None:
+                ticket = self.queue.take(workspace)
+                self._count(workspace, ticket.estimate)
+                return self._bind(ticket, room, now)
+        return None
 
     def _decide_urgent(self, ticket: Ticket, now: float) -> Decision:
         # Urgent work goes ahead of waiting work, but only while its workspace is not far above the
@@ -211,7 +212,7 @@
         bound = CATCH_UP_CHARGES * ticket.estimate / self.queue.weight(ticket.workspace)
         if len(self.queue) and self.queue.lead(ticket.workspace) > bound:
             return Refusal(ticket, Reason.NO_ROOM)
-        room = self._choose(ticket, now, urgent=True)
+        room = self._placing.choose(ticket, self.replicas.values(), now, urgent=True)
         if room is None:
             return Refusal(ticket, Reason.NO_ROOM)
         self.queue.lift(ticket.workspace)
@@ -221,8 +222,7 @@
     def _bind(self, ticket: Ticket, room: ReplicaRoom, now: float) -> Grant:
         # A call without a prompt still owes the beginning of an answer.
         unread = max(1, room.to_read(ticket))
-        if self._use_prefixes:
-            room.keep_prefix(ticket)
+        room.keep_prefix(ticket)
         flight = Flight(ticket.attempt, ticket.workspace, room.name, ticket.estimate, now, unread)
         self.flights[ticket.key] = flight
         room.started(now)
@@ -242,35 +242,3 @@
     def room(self, now: float) -> int:
         """Return how many more calls fit into the slots of the cell, without overlap."""
         return sum(room.room(now) for room in self.replicas.values())
-
-    def _choose(self, ticket: Ticket, now: float, urgent: bool = False) -> ReplicaRoom | None:
-        open_rooms = [
-            room for room in self._open_rooms(now, urgent) if room.reads_in_time(ticket, now)
-        ]
-        others = [room for room in open_rooms if room.name != ticket.avoid]
-        candidates = others or open_rooms
-        if not candidates:
-            return None
-        emptiest = min(room.fullness() for room in candidates)
-        cached = self._cached(ticket, candidates, emptiest + AFFINITY_SLACK)
-        if cached is not None:
-            return cached
-        return self._rng.choice([room for room in candidates if room.fullness() == emptiest])
-
-    def _open_rooms(self, now: float, urgent: bool) -> list[ReplicaRoom]:
-        rooms = []
-        for room in self.replicas.values():
-            # The engine orders its own queue by priority, so urgent work may join it twice as deep.
-            extra = room.overlap() * 2 if urgent else room.overlap()
-            if room.room(now, extra) > 0:
-                rooms.append(room)
-        return rooms
-
-    def _cached(
-        self, ticket: Ticket, candidates: list[ReplicaRoom], fullest: float
-    ) -> ReplicaRoom | None:
-        if not self._use_prefixes or not ticket.prefix:
-            return None
-        near = [room for room in candidates if room.fullness() <= fullest]
-        near = [room for room in near if room.has_prefix(ticket.prefix)] or near
-        return max(near, key=lambda room: score(str(ticket.prefix), room.name))
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -99,9 +99,18 @@
         """Return the calls queued at the replica, so that a round trip leaves no slot idle."""
         return max(1, int(self.limit) // OVERLAP_SHARE)
 
+    def serves(self, now: float) -> bool:
+        """Say whether the replica may be given calls at all."""
+        return not (self.leaving or now < self._closed_until or self._silent(now))
+
+    @property
+    def unread_seconds(self) -> float:
+        """Return how long the replica will read the prompts that it has."""
+        return self._unread_tokens / self.read_rate
+
     def room(self, now: float, extra: int = 0) -> int:
         """Return how many more calls fit at ``now``, with ``extra`` beyond the limit."""
-        if self.leaving or now < self._closed_until or self._silent(now):
+        if not self.serves(now):
             return 0
         if self._failures >= FAILURES_TO_CLOSE:
             # The replica was closed and is tried again, with one call at a time.
--- a/railsail/scheduling/tickets.py
+++ b/railsail/scheduling/tickets.py
@@ -4,6 +4,8 @@
 
 # One unit of rank is worth this many seconds of waiting, so that low ranks age and finish.
 SECONDS_PER_RANK = 30.0
+# The part of its objective that a request can wait for a place.
+WAIT_SHARE = 0.2
 
 TicketKey = tuple[str, int]
 
@@ -43,5 +45,9 @@
 
     @property
     def order(self) -> float:
-        """Return the place inside the workspace; lower is served first."""
-        return self.enqueued_at - self.rank * SECONDS_PER_RANK
+        """Return the place inside the workspace; lower is served first.
+
+        Of two requests that came together, the one whose answer is due sooner goes first.
+        """
+        due = self.enqueued_at + WAIT_SHARE * self.objective
+        return due - self.rank * SECONDS_PER_RANK
