dispatch: released a grant that crossed a cancel

Cause: an entry that stops waiting cancels its ticket; if the grant was on its way, the dispatcher forgot where the call was, so that the hand-back that followed was ignored, and the call held room and unread prompt tokens until the next full resync. With waits of 50 to 80 ms that happened many times a second. Ruled out: the crash of replicas (the seconds without one were low as well).

--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -194,9 +194,15 @@
             listener(cell, dispatcher)
 
     def _cancel(self, node: str, message: Cancel) -> None:
-        cell = self._where.pop((node, message.number), None)
-        if cell in self._dispatchers:
-            self._dispatchers[cell].cancel((node, message.number))
+        key = (node, message.number)
+        cell = self._where.get(key)
+        dispatcher = self._dispatchers.get(cell) if cell else None
+        if dispatcher is not None and key in dispatcher.flights:
+            # The grant is on its way, and the entry will hand it back.
+            return
+        self._where.pop(key, None)
+        if dispatcher is not None:
+            dispatcher.cancel(key)
 
     def _release(self, node: str, message: Release) -> None:
         key = (node, message.number)
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from railsail.core.lifecycle import State
-from railsail.peers.messages import Granted
+from railsail.peers.messages import Cancel, Granted, Place, Release
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import Flight
 from railsail.standins.engine import EngineSettings
@@ -46,6 +46,18 @@
 
 
 class UnheardReleaseTests(DispatchTestCase):
+    async def test_grant_that_crossed_a_cancel_and_is_handed_back_takes_no_room(self):
+        dispatcher, entry = self.dispatcher(), self.others()[0]
+        name = entry.settings.node_id
+        service = dispatcher.dispatchers
+        service._place(name, Place(77, 1, 0, "model", "one", 0, 10, 0))
+        flights = service.dispatchers()[CELL].flights
+        self.assertIn((name, 77), flights)
+        # The entry gave up before the grant came, and hands it back when it does.
+        service._cancel(name, Cancel(77))
+        service._release(name, Release(77, 1, 0, 0))
+        self.assertNotIn((name, 77), flights)
+
     async def test_call_whose_release_was_lost_with_its_link_takes_no_room_for_long(self):
         dispatcher, entry = self.dispatcher(), self.others()[0]
         name = entry.settings.node_id
