--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -32,8 +32,8 @@
 BASE_GROWTH = 1.002
 # The prompts that a replica has yet to read may take this part of a request's objective, and all
 # that passes before the answer begins this part of it.
-READ_SHARE = 0.6
-ANSWER_SHARE = 0.9
+READ_SHARE = 0.4
+ANSWER_SHARE = 0.8
 # Prompt beginnings remembered as kept in a replica's memory.
 MOST_PREFIXES = 4096
 # A replica that owes first answers, and gave none for so long, gets nothing more.
