--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -34,6 +34,9 @@
 # that passes before the answer begins this part of it.
 READ_SHARE = 0.4
 ANSWER_SHARE = 0.8
+# A prompt that takes longer to read than this part of the objective would never find a replica
+# that reads it in time; it is let in as if it took no longer, and is late, but served.
+LARGEST_SHARE = 0.25
 # Prompt beginnings remembered as kept in a replica's memory.
 MOST_PREFIXES = 4096
 # A replica that owes first answers, and gave none for so long, gets nothing more.
@@ -135,7 +138,8 @@
         """
         if not ticket.prompt_tokens or not ticket.objective or not self._unread_tokens:
             return True
-        seconds = (self._unread_tokens + self.to_read(ticket)) / self.read_rate
+        own = min(self.to_read(ticket) / self.read_rate, LARGEST_SHARE * ticket.objective)
+        seconds = self.unread_seconds + own
         waited = now - ticket.enqueued_at
         left = ANSWER_SHARE * ticket.objective - waited - self._base_seconds
         return seconds <= min(READ_SHARE * ticket.objective, left)
--- a/tests/scheduling/test_room.py
+++ b/tests/scheduling/test_room.py
@@ -40,6 +40,14 @@
         self.room.forget(("e", 1))
         self.assertTrue(self.room.reads_in_time(fresh, 1000.0))
 
+    def test_prompt_too_large_for_its_objective_is_let_in_beside_others(self):
+        self.learn()
+        self.room.expect(("e", 1), 5_000, 1000.0)
+        large = ticket(tokens=60_000, enqueued_at=1000.0)
+        self.assertTrue(self.room.reads_in_time(large, 1000.0))
+        self.room.expect(("e", 2), 30_000, 1000.0)
+        self.assertFalse(self.room.reads_in_time(large, 1000.0))
+
     def test_idle_replica_takes_any_prompt(self):
         self.assertTrue(self.room.reads_in_time(ticket(tokens=10_000_000), 1000.0))
 
