--- a/railsail/scheduling/placing.py
+++ b/railsail/scheduling/placing.py
@@ -17,7 +17,7 @@
 AFFINITY_SLACK = 0.25
 # A beginning of so many tokens is worth waiting for its replica, for this part of the objective.
 LONG_PREFIX_TOKENS = 1000
-PREFIX_WAIT = 0.1
+PREFIX_WAIT = 1.0
 # A replica with less to read than this takes what is meant for others, before it falls idle.
 HUNGRY_SECONDS = 0.03
 
