conf: reread the settings on SIGHUP, and told an unreadable file as a finding

Cause: the process had no handler for SIGHUP, whose default ends it; and the library ended the process where the settings file could not be read.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from typing import NoReturn
 
 import configargparse
 
@@ -179,7 +180,7 @@
         namespace, unknown = _parser().parse_known_args(
             list(arguments), env_vars=dict(environment), ignore_help_args=False
         )
-    except (OSError, configargparse.ConfigFileParserException) as problem:
+    except _ParserError as problem:
         raise ImproperlyConfigured([_unreadable(problem)]) from None
     findings = [_unknown(word) for word in unknown]
     values = {}
@@ -191,14 +192,19 @@
     return Parsed(Settings(**values), namespace.check)
 
 
+class _ParserError(Exception):
+    """The arguments or the settings file cannot be read."""
+
+
+class _Parser(configargparse.ArgumentParser):
+    """A parser that leaves it to its caller to end the process."""
+
+    def error(self, message: str) -> NoReturn:
+        raise _ParserError(message)
+
+
 def _parser() -> configargparse.ArgumentParser:
-    parser = configargparse.ArgumentParser(
-        prog="railsaild",
-        description="The daemon of railsail.",
-        allow_abbrev=False,
-        # The library would end the process, before other findings are told.
-        exit_on_error=False,
-    )
+    parser = _Parser(prog="railsaild", description="The daemon of railsail.", allow_abbrev=False)
     parser.add_argument("--check", action="store_true", help="Check the settings and exit.")
     parser.add_argument(
         "--settings-file",
@@ -218,7 +224,7 @@
 
 
 def _unreadable(problem: Exception) -> Finding:
-    return error("railsail.E006", f"cannot be read: {problem}", "--settings-file")
+    return error("railsail.E006", f"cannot be read: {problem}", "--settings-file or arguments")
 
 
 def _unknown(word: str) -> Finding:
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import secrets
+from dataclasses import fields
 
 from tornado.httpserver import HTTPServer
 
@@ -299,6 +300,17 @@
         peers = self.hub.peers()
         return any(self.membership.reachable(node) for node in peers)
 
+    def reload(self, settings: Settings) -> None:
+        """Take new seeds from ``settings``; what else has changed waits for a restart."""
+        changed = [
+            field.name
+            for field in fields(settings)
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        ]
+        self.membership.add_seeds([str(seed) for seed in settings.seeds])
+        later = [name for name in changed if name != "seeds"]
+        get_logger().info("settings reloaded", changed=changed, after_restart=later)
+
     def begin_drain(self, cause: str) -> None:
         """Begin a planned stop; the process then ends by itself."""
         get_logger().info("drain asked for", cause=cause)
--- a/railsail/objects/kinds.py
+++ b/railsail/objects/kinds.py
@@ -83,8 +83,7 @@
 
     ``upstream_kind`` names the plug-in that speaks to them. ``slots`` is the number of calls that a
     replica works on at once where it reports none; 0 lets the limit be learnt. ``first_estimate``
-    is the cost assumed of a request, in ``cost_unit``, until costs were seen. ``memory_tokens`` is
-    how many tokens of running requests fit into a replica's memory, 0 where that is no limit.
+    is the cost assumed of a request, in ``cost_unit``, until costs were seen.
     """
 
     KIND: ClassVar[str] = "pool"
@@ -93,7 +92,6 @@
     cost_unit: CostUnit
     slots: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 0
     first_estimate: Annotated[float, msgspec.Meta(gt=0, le=1e9)] = 100.0
-    memory_tokens: Annotated[int, msgspec.Meta(ge=0, le=1 << 40)] = 0
 
 
 class PoolShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -88,7 +88,6 @@
     """What the replicas of a model service can do."""
 
     slots: int = 0
-    kv_capacity: int = 0
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
@@ -147,7 +146,6 @@
         upstream_kind="service",
         cost_unit=CostUnit.TOKENS,
         slots=engine.slots,
-        memory_tokens=engine.kv_capacity,
     )
 
 
--- a/railsail/process.py
+++ b/railsail/process.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping, Sequence
 
 from railsail.conf.settings import Settings, parse
 from railsail.core.exceptions import ImproperlyConfigured
@@ -59,3 +60,12 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal, number)
+    loop.add_signal_handler(signal.SIGHUP, reload, node, sys.argv[1:], os.environ)
+
+
+def reload(node: Node, arguments: Sequence[str], environment: Mapping[str, str]) -> None:
+    """Read the settings anew; what is wrong with them is logged, and the old ones stay."""
+    try:
+        node.reload(parse(arguments, environment).settings)
+    except ImproperlyConfigured as problem:
+        get_logger().error("settings not reloaded", findings=str(problem))
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,63 @@
+"""The process: what SIGHUP does to the settings."""
+
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+from railsail.conf.settings import parse
+from railsail.process import reload
+
+LINES = {
+    "failure-domain": "a",
+    "store": "127.0.0.1:1",
+    "network": "closed",
+    "seeds": "127.0.0.1:7001",
+}
+
+
+class RecordingNode:
+    def __init__(self) -> None:
+        self.reloaded = []
+
+    def reload(self, settings) -> None:
+        self.reloaded.append(settings)
+
+
+class ReloadTests(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "railsaild.conf"
+        self.node = RecordingNode()
+
+    def reload(self, **changes: str) -> None:
+        lines = LINES | {name.replace("_", "-"): value for name, value in changes.items()}
+        self.path.write_text("".join(f"{name} = {value}\n" for name, value in lines.items()))
+        reload(self.node, ["--settings-file", str(self.path)], {})
+
+    def test_new_settings_are_handed_over(self):
+        self.reload(seeds="127.0.0.1:7002,127.0.0.1:7003")
+        (settings,) = self.node.reloaded
+        self.assertEqual([seed.port for seed in settings.seeds], [7002, 7003])
+
+    def test_bad_settings_change_nothing(self):
+        self.reload(seeds="nowhere")
+        self.path.unlink()
+        reload(self.node, ["--settings-file", str(self.path)], {})
+        self.assertEqual(self.node.reloaded, [])
+
+    def test_file_goes_after_flags_and_variables(self):
+        self.path.write_text("region = file\nfailure-domain = file\nstore = 127.0.0.1:1\n")
+        arguments = ["--settings-file", str(self.path), "--network=closed", "--region=flag"]
+        settings = parse(arguments, {"RAILSAIL_FAILURE_DOMAIN": "variable"}).settings
+        self.assertEqual((settings.region, settings.failure_domain), ("flag", "variable"))
+        self.assertNotEqual(settings, replace(settings, region="other"))
+
+    def test_unknown_line_is_a_finding(self):
+        self.reload(colour="red")
+        self.assertEqual(self.node.reloaded, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
