store, dispatch: put what stood twice in one place

Calls to a store over HTTP (both clients), and the wait for a replica (both interfaces of callers), had been written twice; bookings have a module of their own.

--- /dev/null
+++ b/railsail/dispatch/bookings.py
@@ -0,0 +1,63 @@
+"""What an entry asks of a pool, and the ticket that it holds for it."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from railsail.core.exceptions import RailsailError
+from railsail.core.outcomes import Reason
+from railsail.scheduling.cells import Cell
+
+
+@dataclass(frozen=True)
+class Want:
+    """What a request asks of a pool.
+
+    ``rank`` and ``urgent`` come from the policy, ``estimate`` is in cost units, ``prefix`` is a
+    hash of the prompt's beginning or 0, ``avoid`` names a replica that just failed the request.
+    ``prompt_tokens`` are to be read, of which other prompts have the first ``shared_tokens`` as
+    well, and ``objective`` is the time in seconds within which the answer should begin; 0 where
+    they are not known.
+    """
+
+    request_id: str
+    pool: str
+    workspace: str
+    rank: float
+    estimate: float
+    urgent: bool
+    prefix: int = 0
+    avoid: str = ""
+    prompt_tokens: int = 0
+    shared_tokens: int = 0
+    objective: float = 0.0
+
+
+class TicketRefused(RailsailError):
+    """A dispatcher refused the ticket, for ``reason``."""
+
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(str(reason))
+        self.reason = reason
+
+
+@dataclass
+class Booking:
+    """One ticket of this entry, from its placing to its release."""
+
+    number: int
+    want: Want
+    placed_at: float
+    cell: Cell
+    node: str
+    attempt: int = 1
+    replica: str = ""
+    charged: float = 0.0
+    granted_at: float = 0.0
+    refused: bool = False
+    begun: bool = False
+    granted: asyncio.Future = field(default_factory=asyncio.Future)
+
+    @property
+    def waiting(self) -> bool:
+        """Say whether no grant has come yet."""
+        return not self.replica
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -6,12 +6,11 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
 
 from railsail.core.events import Kind
-from railsail.core.exceptions import RailsailError
 from railsail.core.kernel import Kernel
-from railsail.core.outcomes import Reason
+from railsail.core.outcomes import NotRun, Reason
+from railsail.dispatch.bookings import Booking, TicketRefused, Want
 from railsail.dispatch.cellmap import CellMap
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
@@ -36,61 +35,6 @@
 _LEARNT = {None: 0, True: 1, False: 2}
 
 
-@dataclass(frozen=True)
-class Want:
-    """What a request asks of a pool.
-
-    ``rank`` and ``urgent`` come from the policy, ``estimate`` is in cost units, ``prefix`` is a
-    hash of the prompt's beginning or 0, ``avoid`` names a replica that just failed the request.
-    ``prompt_tokens`` are to be read, of which other prompts have the first ``shared_tokens`` as
-    well, and ``objective`` is the time in seconds within which the answer should begin; 0 where
-    they are not known.
-    """
-
-    request_id: str
-    pool: str
-    workspace: str
-    rank: float
-    estimate: float
-    urgent: bool
-    prefix: int = 0
-    avoid: str = ""
-    prompt_tokens: int = 0
-    shared_tokens: int = 0
-    objective: float = 0.0
-
-
-class TicketRefused(RailsailError):
-    """A dispatcher refused the ticket, for ``reason``."""
-
-    def __init__(self, reason: Reason) -> None:
-        super().__init__(str(reason))
-        self.reason = reason
-
-
-@dataclass
-class Booking:
-    """One ticket of this entry, from its placing to its release."""
-
-    number: int
-    want: Want
-    placed_at: float
-    cell: Cell
-    node: str
-    attempt: int = 1
-    replica: str = ""
-    charged: float = 0.0
-    granted_at: float = 0.0
-    refused: bool = False
-    begun: bool = False
-    granted: asyncio.Future = field(default_factory=asyncio.Future)
-
-    @property
-    def waiting(self) -> bool:
-        """Say whether no grant has come yet."""
-        return not self.replica
-
-
 class TicketDesk:
     """Hold the bookings of this node, and tell dispatchers of them."""
 
@@ -141,6 +85,22 @@
         self._send_place(booking)
         return booking
 
+    async def obtain(self, want: Want, seconds: float) -> Booking | NotRun:
+        """Wait at most ``seconds`` for a replica, and return the booking that has one."""
+        booking = self.place(want)
+        try:
+            async with asyncio.timeout(seconds):
+                await booking.granted
+        except TicketRefused as refusal:
+            return NotRun(refusal.reason, "decided by the dispatcher")
+        except TimeoutError:
+            self.withdraw(booking)
+            return NotRun(Reason.EXPIRED, "no replica had room in time")
+        except asyncio.CancelledError:
+            self.withdraw(booking)
+            raise
+        return booking
+
     def _choose_cell(self, want: Want) -> Cell:
         homes = self._cells.homes(want.pool)
         if len(homes) == 1:
--- a/railsail/gateway/sink.py
+++ b/railsail/gateway/sink.py
@@ -5,7 +5,8 @@
 from tornado.iostream import StreamClosedError
 
 from railsail.core.exceptions import RailsailError
-from railsail.dispatch.entry import Booking, TicketDesk
+from railsail.dispatch.bookings import Booking
+from railsail.dispatch.entry import TicketDesk
 from railsail.gateway.answers import MOST_ANSWER_BYTES
 from railsail.scheduling.estimates import ChargeMeter
 
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -8,7 +8,8 @@
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from railsail.core.tasks import TaskSet
-from railsail.dispatch.entry import Booking, TicketDesk, TicketRefused, Want
+from railsail.dispatch.bookings import Booking, Want
+from railsail.dispatch.entry import TicketDesk
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerLeft, CallerSink
 from railsail.objects.catalog import Catalog
@@ -95,18 +96,10 @@
     async def _try_once(self, served: Served) -> Outcome:
         want = self._want(served)
         self._events.emit(Kind.QUEUED, want.pool, served.id, served.workspace)
-        booking = self._desk.place(want)
-        try:
-            replica = await self._wait(served, booking)
-        except TicketRefused as refusal:
-            return NotRun(refusal.reason, "decided by the dispatcher")
-        except TimeoutError:
-            self._desk.withdraw(booking)
-            return NotRun(Reason.EXPIRED, "no replica had room in time")
-        except asyncio.CancelledError:
-            self._desk.withdraw(booking)
-            raise
-        return await self._call(served, booking, replica)
+        booking = await self._desk.obtain(want, self._wait_seconds(served))
+        if isinstance(booking, NotRun):
+            return booking
+        return await self._call(served, booking, booking.replica)
 
     def _want(self, served: Served) -> Want:
         pool = served.pool
@@ -122,10 +115,9 @@
             served.avoid,
         )
 
-    async def _wait(self, served: Served, booking: Booking) -> str:
+    def _wait_seconds(self, served: Served) -> float:
         left = served.ends_at - self._clock.monotonic()
-        longest = max(served.verdict.may_wait, LEAST_WAIT_SECONDS)
-        return await asyncio.wait_for(booking.granted, min(longest, left))
+        return min(max(served.verdict.may_wait, LEAST_WAIT_SECONDS), left)
 
     async def _call(self, served: Served, booking: Booking, replica: str) -> Outcome:
         upstream = self._directory.get(replica)
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -1,15 +1,14 @@
 """The client of the platform's metadata store."""
 
-import asyncio
 import random
 from collections.abc import Callable, Sequence
 from urllib.parse import quote
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPResponse
 
 from railsail.conf.values import Endpoint
-from railsail.core.exceptions import StoreConflict, StoreUnavailable
+from railsail.core.exceptions import StoreUnavailable
 from railsail.core.metrics import Metrics
 from railsail.platform.objects import (
     Changes,
@@ -19,15 +18,11 @@
     replica_value,
 )
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
+from railsail.store.calls import GONE, NOT_FOUND, StoreCalls
 
-CONNECT_SECONDS = 1.0
 CALL_SECONDS = 2.0
-MOST_CALLS = 64
 MOST_BYTES = 64 << 20
 MOST_PAGES = 1000
-_NOT_FOUND = 404
-_CONFLICT = 409
-_GONE = 410
 
 
 def _plain(spec: bytes) -> dict[str, object]:
@@ -50,18 +45,15 @@
     watches_many = False
 
     def __init__(self, endpoints: Sequence[Endpoint], metrics: Metrics, rng: random.Random) -> None:
-        self._endpoint = endpoints[0]
-        self._metrics = metrics
-        self._client = AsyncHTTPClient(
-            force_instance=True, max_clients=MOST_CALLS, max_body_size=MOST_BYTES
-        )
+        self._base = f"http://{endpoints[0]}"
+        self._calls = StoreCalls(metrics, CALL_SECONDS, MOST_BYTES)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or ``None`` if there is none."""
         _, names, _ = _KINDS[kind]
         own = {product: platform for platform, product in names.items()}
         response = await self._call("get", "GET", f"{_path(kind)}/{quote(own.get(name, name))}")
-        if response.code == _NOT_FOUND:
+        if response.code == NOT_FOUND:
             return None
         return _object(kind, _decode(response, StoredItem))
 
@@ -73,7 +65,7 @@
         for _ in range(MOST_PAGES):
             query = f"?since_rev={quote(after)}" if after else ""
             response = await self._call("list", "GET", _path(kind) + query)
-            if response.code == _NOT_FOUND:
+            if response.code == NOT_FOUND:
                 return Listing(version or 0, tuple(objects))
             page = _decode(response, ListPage)
             # What changed while later pages were read is told by a watch from the first one on.
@@ -104,8 +96,8 @@
         """Wait at most ``seconds`` for changes of the one kind of ``kinds`` after ``since``."""
         (kind,) = kinds
         path = f"{_path(kind)}?watch={since}&wait_ms={int(seconds * 1000)}"
-        response = await self._call("watch", "GET", path, seconds=seconds + CALL_SECONDS)
-        if response.code in (_GONE, _NOT_FOUND):
+        response = await self._call("watch", "GET", path, waits=seconds)
+        if response.code in (GONE, NOT_FOUND):
             return WatchResult(since, (), expired=True)
         changes = _decode(response, Changes)
         events = [_event(kind, change.object, change.gone) for change in changes.events]
@@ -117,49 +109,15 @@
         method: str,
         path: str,
         body: bytes | None = None,
-        seconds: float = CALL_SECONDS,
+        waits: float = 0.0,
     ) -> HTTPResponse:
-        request = HTTPRequest(
-            f"http://{self._endpoint}{path}",
-            method=method,
-            body=body,
-            headers={"Content-Type": "application/json"} if body else None,
-            connect_timeout=CONNECT_SECONDS,
-            request_timeout=seconds,
-            follow_redirects=False,
-        )
-        try:
-            response = await self._fetch(request)
-        except (OSError, HTTPClientError) as problem:
-            response = HTTPResponse(request, 599, error=problem)
-        result = _classify(response, method)
-        self._metrics.store_calls.inc({"operation": operation, "result": result})
-        if result == "conflict":
-            raise StoreConflict(f"{method} {path}: another version is stored")
-        if result == "unavailable":
-            raise StoreUnavailable(f"{method} {path}: {response.error or response.code}")
-        return response
-
-    async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
-        # The library complains about a fetch that is cancelled and then fails, so that a cancelled
-        # caller leaves the fetch to end by itself.
-        future = asyncio.ensure_future(self._client.fetch(request, raise_error=False))
-        future.add_done_callback(lambda done: done.cancelled() or done.exception())
-        return await asyncio.shield(future)
+        return await self._calls.call(operation, method, f"{self._base}{path}", body, waits)
 
 
 def _path(kind: str) -> str:
     return f"/objects/{_KINDS[kind][0]}"
 
 
-def _classify(response: HTTPResponse, method: str) -> str:
-    if response.code == _CONFLICT:
-        return "conflict"
-    if response.code in (_NOT_FOUND, _GONE) and method == "GET":
-        return "ok"
-    return "ok" if response.code < 300 else "unavailable"
-
-
 def _decode(response: HTTPResponse, shape: type):
     try:
         return msgspec.json.decode(response.body, type=shape)
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -1,14 +1,14 @@
 """Bring one routed request to replicas, and the answer back, in as many attempts as are safe."""
 
 import asyncio
-import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
-from railsail.dispatch.entry import Booking, TicketDesk, TicketRefused, Want
+from railsail.dispatch.bookings import Booking, Want
+from railsail.dispatch.entry import TicketDesk
 from railsail.objects.kinds import CostUnit, Pool, Route
 from railsail.policy.programs import Verdict
 from railsail.routing.answer import AnswerRefused, ReplicaAnswer, StreamState
@@ -56,7 +56,6 @@
     attempts: int = 0
     ran: bool = False
     avoid: str = ""
-    failed: set[str] = field(default_factory=set)
 
     @property
     def may_repeat(self) -> bool:
@@ -86,7 +85,6 @@
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
-        self._rng: random.Random = kernel.rng
         self._started_at = kernel.clock.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -126,19 +124,10 @@
         return True
 
     async def _attempt(self, routed: Routed) -> Outcome:
-        booking = self._desk.place(self._want(routed))
-        try:
-            async with asyncio.timeout(self._wait_seconds(routed)):
-                replica = await booking.granted
-        except TicketRefused as refusal:
-            return NotRun(refusal.reason, "decided by the dispatcher")
-        except TimeoutError:
-            self._desk.withdraw(booking)
-            return NotRun(Reason.EXPIRED, "no replica had room in time")
-        except asyncio.CancelledError:
-            self._desk.withdraw(booking)
-            raise
-        return await self._send_booked(routed, booking, replica)
+        booking = await self._desk.obtain(self._want(routed), self._wait_seconds(routed))
+        if isinstance(booking, NotRun):
+            return booking
+        return await self._send_booked(routed, booking, booking.replica)
 
     def _wait_seconds(self, routed: Routed) -> float:
         now = self._clock.monotonic()
