routing, dispatch: put what the platform's path wrote twice in one place

Cause: a reading of the whole change found that a ticket was written as a message by the entry and by the dispatcher, field by field, with the same three fields added to both; that keys were indexed twice for each version, by the gateway and by the routes; that options of a socket were set with each request of a kept connection; that the adapter's kinds were bare tuples whose names were mapped in three places; that some fields and arguments were never read; and that a route's field had the platform's name. Change: `to_place` serves both senders; `Callers` (its own module) is asked by both interfaces; a dead peer is guarded against once a connection; `_Kind` knows both names; `Route.path_prefix` is `Route.prefix`. Ruled out: one retry budget for both interfaces of callers, which would change what the native one allows; the two maps of reasons to statuses, which differ on purpose.

--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -5,7 +5,12 @@
 
 from railsail.core.exceptions import RailsailError
 from railsail.core.outcomes import Reason
+from railsail.peers.messages import Place
 from railsail.scheduling.cells import Cell
+from railsail.scheduling.tickets import Ticket
+
+URGENT_FLAG = 1
+RANK_SCALE = 1000
 
 
 @dataclass(frozen=True)
@@ -61,3 +66,23 @@
     def waiting(self) -> bool:
         """Say whether no grant has come yet."""
         return not self.replica
+
+
+def to_place(asked: Want | Ticket, number: int, attempt: int, cell: Cell, waited: float) -> Place:
+    """Return the message that places with ``cell`` what has ``waited`` for so many seconds."""
+    return Place(
+        number,
+        attempt,
+        cell.number,
+        cell.pool,
+        asked.workspace,
+        round(asked.rank * RANK_SCALE),
+        round(asked.estimate),
+        max(0, round(waited * 1000)),
+        URGENT_FLAG if asked.urgent else 0,
+        asked.prefix,
+        asked.avoid,
+        asked.prompt_tokens,
+        asked.shared_tokens,
+        round(asked.objective * 1000),
+    )
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -10,7 +10,7 @@
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import NotRun, Reason
-from railsail.dispatch.bookings import Booking, TicketRefused, Want
+from railsail.dispatch.bookings import Booking, TicketRefused, Want, to_place
 from railsail.dispatch.cellmap import CellMap
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
@@ -29,8 +29,6 @@
 )
 from railsail.scheduling.cells import Cell
 
-URGENT_FLAG = 1
-RANK_SCALE = 1000
 RESYNC_SECONDS = 10.0
 _LEARNT = {None: 0, True: 1, False: 2}
 
@@ -226,24 +224,8 @@
         self._hub.send(booking.node, self._to_place(booking))
 
     def _to_place(self, booking: Booking) -> Place:
-        want = booking.want
         waited = self._clock.monotonic() - booking.placed_at
-        return Place(
-            booking.number,
-            booking.attempt,
-            booking.cell.number,
-            want.pool,
-            want.workspace,
-            round(want.rank * RANK_SCALE),
-            round(want.estimate),
-            round(waited * 1000),
-            URGENT_FLAG if want.urgent else 0,
-            want.prefix,
-            want.avoid,
-            want.prompt_tokens,
-            want.shared_tokens,
-            round(want.objective * 1000),
-        )
+        return to_place(booking.want, booking.number, booking.attempt, booking.cell, waited)
 
     def _to_flight(self, booking: Booking) -> FlightRecord:
         running = self._clock.monotonic() - booking.granted_at
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -9,8 +9,8 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
+from railsail.dispatch.bookings import RANK_SCALE, URGENT_FLAG, to_place
 from railsail.dispatch.cellmap import CellMap
-from railsail.dispatch.entry import RANK_SCALE, URGENT_FLAG
 from railsail.dispatch.loads import LoadReports
 from railsail.objects.catalog import Catalog
 from railsail.peers.hub import PeerHub
@@ -99,22 +99,7 @@
     def to_place(self, ticket: Ticket, cell: Cell) -> Place:
         """Return the message that places ``ticket`` with ``cell``."""
         waited = self._clock.monotonic() - ticket.enqueued_at
-        return Place(
-            ticket.number,
-            ticket.attempt,
-            cell.number,
-            cell.pool,
-            ticket.workspace,
-            round(ticket.rank * RANK_SCALE),
-            round(ticket.estimate),
-            max(0, round(waited * 1000)),
-            URGENT_FLAG if ticket.urgent else 0,
-            ticket.prefix,
-            ticket.avoid,
-            ticket.prompt_tokens,
-            ticket.shared_tokens,
-            round(ticket.objective * 1000),
-        )
+        return to_place(ticket, ticket.number, ticket.attempt, cell, waited)
 
     def renew_replicas(self) -> None:
         """Take in a change of the replicas, at once, so that a leaving one gets nothing more."""
--- a/railsail/gateway/app.py
+++ b/railsail/gateway/app.py
@@ -9,10 +9,10 @@
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Reason, Unknown
+from railsail.gateway.callers import Callers
 from railsail.gateway.requests import BadRequest, CallerRequest, read_request
 from railsail.gateway.serve import Conflict, Replay, Result, Server
 from railsail.gateway.sink import CallerLeft, CallerSink
-from railsail.objects.catalog import Catalog, hash_key, key_index
 
 REQUEST_HEADER = "X-Request-Id"
 OUTCOME_HEADER = "X-Railsail-Outcome"
@@ -28,29 +28,6 @@
 _CONFLICT_STATUS = 409
 
 
-class Callers:
-    """Know callers by their bearer keys."""
-
-    def __init__(self) -> None:
-        self._index: dict[str, str] = {}
-        self.configured_version = 0
-
-    def configured(self, catalog: Catalog) -> None:
-        """Take in the workspaces of a new version."""
-        self._index = key_index(catalog)
-        self.configured_version = catalog.version
-
-    def workspace(self, authorization: str) -> str | None:
-        """Return the workspace of a bearer key, or ``None``.
-
-        The key is looked up by its hash, so that the time taken tells nothing of stored keys.
-        """
-        scheme, _, key = authorization.partition(" ")
-        if scheme.lower() != "bearer" or not key:
-            return None
-        return self._index.get(hash_key(key.strip()))
-
-
 class CallHandler(RequestHandler):
     """Take one request of a caller."""
 
--- /dev/null
+++ b/railsail/gateway/callers.py
@@ -0,0 +1,33 @@
+"""Who a caller is, by its bearer key."""
+
+from railsail.objects.catalog import Catalog, hash_key, key_index
+from railsail.objects.kinds import Workspace
+
+
+class Callers:
+    """Know callers by their bearer keys.
+
+    A key is looked up by its hash, so that the time taken tells nothing of stored keys.
+    """
+
+    def __init__(self) -> None:
+        self._index: dict[str, str] = {}
+        self.configured_version = 0
+        self.any_workspace = False
+
+    def configured(self, catalog: Catalog) -> None:
+        """Take in the workspaces of a new version."""
+        self._index = key_index(catalog)
+        self.configured_version = catalog.version
+        self.any_workspace = bool(catalog.of_kind(Workspace))
+
+    def workspace(self, authorization: str) -> str | None:
+        """Return the workspace of an ``Authorization`` header, or ``None``."""
+        scheme, _, key = authorization.partition(" ")
+        if scheme.lower() != "bearer":
+            return None
+        return self.workspace_of(key.strip())
+
+    def workspace_of(self, key: str) -> str | None:
+        """Return the workspace that holds ``key``, or ``None``."""
+        return self._index.get(hash_key(key)) if key else None
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -182,7 +182,13 @@
         )
         relay = Relay(protocol, self.directory, self.desk, bounds, self._fleet_size, self.kernel)
         self.front = RouteFront(
-            protocol, relay, self.judge, self.admission, self._catalog, self.kernel
+            protocol,
+            relay,
+            self.judge,
+            self.admission,
+            self.gateway.callers,
+            self._catalog,
+            self.kernel,
         )
         self.clients = ClientServer(self.front.handle)
         self.carrier.on_change(self.front.configured)
--- a/railsail/objects/kinds.py
+++ b/railsail/objects/kinds.py
@@ -102,7 +102,7 @@
 
 
 class Route(Resource, frozen=True, forbid_unknown_fields=True):
-    """Which pools serve the requests of one host whose path begins with ``path_prefix``.
+    """Which pools serve the requests of one host whose path begins with ``prefix``.
 
     Of the routes of a host the one with the longest prefix wins. ``repeatable`` requests may run
     more than once. ``streaming`` answers are series of events; ``resumable`` ones may go on at
@@ -116,7 +116,7 @@
     KIND: ClassVar[str] = "route"
 
     host: Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
-    path_prefix: Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?$", max_length=2048)]
+    prefix: Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?$", max_length=2048)]
     pools: Annotated[tuple[PoolShare, ...], msgspec.Meta(min_length=1, max_length=64)]
     repeatable: bool = False
     streaming: bool = False
--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -154,7 +154,7 @@
     return Route(
         name=route.name,
         host=route.host,
-        path_prefix=route.path_prefix,
+        prefix=route.path_prefix,
         pools=tuple(PoolShare(backend.service, backend.weight) for backend in backends),
         repeatable=route.kind == IDEMPOTENT,
         streaming=route.kind == STREAMING,
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from urllib.parse import quote
 
 import msgspec
@@ -29,11 +30,30 @@
     return msgspec.json.decode(spec, type=dict)
 
 
-# The product's kinds: the platform's kind, the product's name of each object, how it is read.
-_KINDS: dict[str, tuple[str, dict[str, str], Callable[[bytes], dict[str, object]]]] = {
-    "configuration": ("config", {"main": "head"}, configuration_value),
-    "upstream": ("servers", {}, replica_value),
-    "node": ("railsail-nodes", {}, _plain),
+@dataclass(frozen=True)
+class _Kind:
+    """A kind of the platform: its name, how a spec is read, and the one object that is known.
+
+    Of ``platform_name`` the product speaks as ``product_name``; other names are the same in both.
+    """
+
+    path: str
+    read: Callable[[bytes], dict[str, object]]
+    platform_name: str = ""
+    product_name: str = ""
+
+    def to_product(self, name: str) -> str:
+        return self.product_name if name == self.platform_name else name
+
+    def to_platform(self, name: str) -> str:
+        return self.platform_name if name == self.product_name else name
+
+
+# By the product's kinds.
+_KINDS = {
+    "configuration": _Kind("config", configuration_value, "main", "head"),
+    "upstream": _Kind("servers", replica_value),
+    "node": _Kind("railsail-nodes", _plain),
 }
 
 
@@ -50,9 +70,8 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or ``None`` if there is none."""
-        _, names, _ = _KINDS[kind]
-        own = {product: platform for platform, product in names.items()}
-        response = await self._call("get", "GET", f"{_path(kind)}/{quote(own.get(name, name))}")
+        path = f"{_path(kind)}/{quote(_KINDS[kind].to_platform(name))}"
+        response = await self._call("get", "GET", path)
         if response.code == NOT_FOUND:
             return None
         return _object(kind, _decode(response, StoredItem))
@@ -115,7 +134,7 @@
 
 
 def _path(kind: str) -> str:
-    return f"/objects/{_KINDS[kind][0]}"
+    return f"/objects/{_KINDS[kind].path}"
 
 
 def _decode(response: HTTPResponse, shape: type):
@@ -126,12 +145,12 @@
 
 
 def _object(kind: str, item: StoredItem) -> StoredObject:
-    _, names, read = _KINDS[kind]
-    name = names.get(item.metadata.name, item.metadata.name)
+    known = _KINDS[kind]
+    name = known.to_product(item.metadata.name)
     try:
-        value = read(item.spec)
+        value = known.read(item.spec)
     except msgspec.DecodeError as problem:
-        if names:
+        if known.product_name:
             raise StoreUnavailable(f"{kind}/{name} cannot be read: {problem}") from None
         # One of many that cannot be read must not hide the others; its listener refuses it.
         value = {}
@@ -140,8 +159,7 @@
 
 def _event(kind: str, item: StoredItem, gone: bool) -> WatchEvent:
     if gone:
-        _, names, _ = _KINDS[kind]
-        name = names.get(item.metadata.name, item.metadata.name)
+        name = _KINDS[kind].to_product(item.metadata.name)
         return WatchEvent(kind, name, item.metadata.revision, None)
     stored = _object(kind, item)
     return WatchEvent(kind, stored.name, stored.version, stored.value)
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -25,7 +25,6 @@
         self.client = client
         self.head: AnswerHead | None = None
         self.last_event = last_event
-        self.events = 0
 
     async def pass_on(self, head: AnswerHead, events: list[StreamEvent]) -> None:
         """Pass whole events on to the caller; the first ones go with the head."""
@@ -33,7 +32,6 @@
         if not fresh:
             return
         data = b"".join(event.raw for event in fresh)
-        self.events += len(fresh)
         numbered = [event.number for event in fresh if event.number >= 0]
         if numbered:
             self.last_event = str(numbered[-1])
--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -32,8 +32,18 @@
         self._closing = closing
 
     async def begin(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
-        """Send status, headers and the first ``chunk`` of a body of unknown length."""
-        await self._head(status, headers, chunk)
+        """Send status, headers and the first ``chunk`` of a body.
+
+        Without a ``Content-Length`` the body goes on until ``end``.
+        """
+        self.started = True
+        if self._closing():
+            headers["Connection"] = "close"
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        try:
+            await self._connection.write_headers(line, headers, chunk)
+        except StreamClosedError:
+            raise ClientLeft from None
 
     async def write(self, chunk: bytes) -> None:
         """Send a piece of the body; return when the caller's connection took it."""
@@ -43,7 +53,7 @@
             raise ClientLeft from None
 
     def end(self) -> None:
-        """End a body of unknown length as a whole one."""
+        """End the body as a whole one."""
         self._connection.finish()
 
     def abort(self) -> None:
@@ -53,18 +63,8 @@
     async def give(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Send a whole answer."""
         headers["Content-Length"] = str(len(body))
-        await self._head(status, headers, body)
-        self._connection.finish()
-
-    async def _head(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
-        self.started = True
-        if self._closing():
-            headers["Connection"] = "close"
-        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        try:
-            await self._connection.write_headers(line, headers, chunk)
-        except StreamClosedError:
-            raise ClientLeft from None
+        await self.begin(status, headers, body)
+        self.end()
 
 
 Handler = Callable[[RequestStartLine, HTTPHeaders, bytes, ClientAnswer], Awaitable[None]]
@@ -76,6 +76,7 @@
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._tasks = TaskSet()
+        self._connections: set[object] = set()
         self._idle: dict[object, HTTP1Connection] = {}
         self._leaving = False
         self._closes_idle = False
@@ -85,13 +86,17 @@
         if self._closes_idle:
             request_conn.close()
             return _Message(self, server_conn, request_conn)
+        if server_conn not in self._connections:
+            self._connections.add(server_conn)
+            detect_dead_peer(request_conn.stream.socket)
+        # The library turns it off again after each answer.
         request_conn.stream.set_nodelay(True)
-        detect_dead_peer(request_conn.stream.socket)
         self._idle[server_conn] = request_conn
         return _Message(self, server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that has ended."""
+        self._connections.discard(server_conn)
         self._idle.pop(server_conn, None)
 
     def leave(self) -> None:
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -10,9 +10,10 @@
 from railsail.core.logs import get_logger
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from railsail.gateway.admission import Admission
+from railsail.gateway.callers import Callers
 from railsail.gateway.verdicts import Judge
-from railsail.objects.catalog import Catalog, hash_key, key_index
-from railsail.objects.kinds import Pool, Route, Workspace
+from railsail.objects.catalog import Catalog
+from railsail.objects.kinds import Pool, Route
 from railsail.policy.programs import RequestInput, Verdict
 from railsail.routing.answer import StreamState
 from railsail.routing.client import ClientAnswer, ClientLeft
@@ -35,7 +36,7 @@
 
 
 class RouteFront:
-    """Hold the routes and keys in force, and serve requests by them."""
+    """Hold the routes in force, and serve requests by them."""
 
     def __init__(
         self,
@@ -43,6 +44,7 @@
         relay: Relay,
         judge: Judge,
         admission: Admission,
+        callers: Callers,
         catalog: Callable[[], Catalog],
         kernel: Kernel,
     ) -> None:
@@ -50,20 +52,17 @@
         self._relay = relay
         self._judge = judge
         self._admission = admission
+        self._callers = callers
         self._catalog = catalog
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
         self._rng: random.Random = kernel.rng
         self._routes = RouteTable()
-        self._keys: dict[str, str] = {}
-        self._has_workspaces = False
 
     def configured(self, catalog: Catalog) -> None:
-        """Take in the routes and keys of a new version."""
+        """Take in the routes of a new version."""
         self._routes = RouteTable(catalog.of_kind(Route))
-        self._keys = key_index(catalog)
-        self._has_workspaces = bool(catalog.of_kind(Workspace))
 
     async def handle(
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, client: ClientAnswer
@@ -78,7 +77,7 @@
         try:
             outcome, pool = await self._serve(request, client, received_at)
             self._count(request, pool, outcome)
-            await self._answer(request.id, outcome, client, received_at)
+            await self._answer(request.id, outcome, client)
         except ClientLeft:
             self._events.emit(Kind.ENDED, "caller left", request.id)
 
@@ -105,8 +104,8 @@
         route = self._routes.find(request.host, request.path)
         if route is None:
             return NotRun(Reason.UNKNOWN_ROUTE, "there is no such route")
-        workspace = self._keys.get(hash_key(request.key), "") if request.key else ""
-        if not workspace and self._has_workspaces and not route.public:
+        workspace = self._callers.workspace_of(request.key) or ""
+        if not workspace and self._callers.any_workspace and not route.public:
             return NotRun(Reason.UNAUTHORIZED, "the key is not known")
         name = choose_pool(route, self._rng)
         pool = catalog.pool(name)
@@ -133,7 +132,6 @@
             workspace,
             verdict,
             client,
-            received_at,
             received_at + longest,
             received_at + verdict.may_wait,
             StreamState(client, request.last_event),
@@ -166,9 +164,7 @@
         if not isinstance(outcome, Completed):
             get_logger().info("not served", request=request.id, pool=pool, outcome=str(outcome))
 
-    async def _answer(
-        self, request_id: str, outcome: Outcome, client: ClientAnswer, received_at: float
-    ) -> None:
+    async def _answer(self, request_id: str, outcome: Outcome, client: ClientAnswer) -> None:
         if isinstance(outcome, Completed):
             return
         if client.started:
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -49,7 +49,6 @@
     workspace: str
     verdict: Verdict
     client: ClientAnswer
-    received_at: float
     ends_at: float
     offer_by: float
     stream: StreamState
@@ -281,10 +280,8 @@
     return max(LEAST_SILENCE_SECONDS, SILENT_OBJECTIVES * routed.route.objective)
 
 
-def _learnt(outcome: Outcome) -> bool | None:
-    if isinstance(outcome, Completed):
-        return outcome.status < 500
-    return False
+def _learnt(outcome: Outcome) -> bool:
+    return isinstance(outcome, Completed) and outcome.status < 500
 
 
 def _truth(routed: Routed, outcome: Outcome) -> Outcome:
--- a/railsail/routing/table.py
+++ b/railsail/routing/table.py
@@ -12,7 +12,7 @@
     def __init__(self, routes: Iterable[Route] = ()) -> None:
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in routes:
-            self._hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
+            self._hosts.setdefault(route.host.lower(), {})[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request to ``host``, a name with or without a port."""
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -91,7 +91,7 @@
         self._read_tokens = FIRST_READ_RATE
         self._read_seconds = 1.0
         self._answered_at = 0.0
-        self._prefixes: OrderedDict[int, int] = OrderedDict()
+        self._prefixes: OrderedDict[int, None] = OrderedDict()
 
     @property
     def limit(self) -> float:
@@ -148,7 +148,7 @@
         """Take note that the replica will have the beginning of a prompt in memory."""
         if not ticket.prefix:
             return
-        self._prefixes[ticket.prefix] = ticket.shared_tokens
+        self._prefixes[ticket.prefix] = None
         self._prefixes.move_to_end(ticket.prefix)
         if len(self._prefixes) > MOST_PREFIXES:
             self._prefixes.popitem(last=False)
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -9,7 +9,7 @@
 
 def route(name: str, prefix: str, host: str = "a.example", **more) -> Route:
     fields = {"pools": (PoolShare("desk"),), **more}
-    return Route(name=name, host=host, path_prefix=prefix, **fields)
+    return Route(name=name, host=host, prefix=prefix, **fields)
 
 
 class RouteTableTests(unittest.TestCase):
