membership, dispatch: outlived a clock set back, and left a frozen dispatcher sooner

Cause 1: a start id is the wall clock's time at the start. It now hears of the later start id from its peers, and takes one later still. The test failed before (nothing was passed on).

Cause 2: a dispatcher that is frozen, cut off or dark was left only when 1.8 s of heartbeats were missed, and tickets of its pool were refused meanwhile. Whoever asked one for something and hears nothing for 0.1 s now sends a probe, and leaves it after 0.5 s. Ruled out: a shorter silence of heartbeats, which costs messages all the time; leaving without a probe, since a dispatcher whose queue is long is silent as well (a test holds that). The test of the frozen dispatcher failed before (no answer within 30 s, with heartbeats out of the picture).

--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -12,6 +12,7 @@
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.bookings import Booking, TicketRefused, Want, to_place
 from railsail.dispatch.cellmap import CellMap
+from railsail.dispatch.silence import PROBE_SECONDS, SilenceWatch, Verdict
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
@@ -22,6 +23,7 @@
     Granted,
     Moved,
     Place,
+    Probe,
     Progress,
     Refused,
     Release,
@@ -51,6 +53,9 @@
         # Since when a dispatcher knows what this entry has of a cell; what is not named here may
         # still have calls that ended while it could not be told.
         self._told_at: dict[tuple[str, Cell], float] = {}
+        self._silence = SilenceWatch()
+        self._checking: set[str] = set()
+        self._silent_since: dict[str, float] = {}
         hub.handle(Granted, self._granted)
         hub.handle(Refused, self._refused)
         hub.handle(Moved, self._moved)
@@ -59,7 +64,7 @@
 
     @property
     def unreachable(self) -> set[str]:
-        """Return the nodes that could not be dialled since they were last linked."""
+        """Return the nodes that were silent or could not be dialled when last asked."""
         return self._unreachable
 
     def waiting(self) -> list[Booking]:
@@ -178,9 +183,7 @@
         self._redialled.discard(peer.node)
         self._forget_told(peer.node)
         if peer.node in self._unreachable:
-            self._unreachable.discard(peer.node)
-            self._cells.forget()
-            self.replan()
+            self._reached(peer.node)
         cells = {b.cell for b in self._bookings.values() if b.node == peer.node}
         for booking in self._bookings.values():
             if booking.node == peer.node and booking.waiting:
@@ -200,14 +203,52 @@
         if node not in self._redialled and self._hub.dial(node):
             self._redialled.add(node)
             return
+        self._leave(node)
+
+    def _leave(self, node: str) -> None:
         self._unreachable.add(node)
+        self._silent_since[node] = self._clock.monotonic()
         self._cells.forget()
         self.replan()
 
+    def _reached(self, node: str) -> None:
+        self._unreachable.discard(node)
+        self._silent_since.pop(node, None)
+        self._silence.forget(node)
+        self._cells.forget()
+        self.replan()
+
+    def _watch_silence(self, node: str) -> None:
+        if node == self._hub.own.node or node in self._unreachable:
+            return
+        self._silence.asked(node, self._clock.monotonic(), self._hub.last_heard(node))
+        if node not in self._checking:
+            self._checking.add(node)
+            self._check_later(node)
+
+    def _check_later(self, node: str) -> None:
+        asyncio.get_running_loop().call_later(PROBE_SECONDS, self._check_silence, node)
+
+    def _check_silence(self, node: str) -> None:
+        now = self._clock.monotonic()
+        verdict = self._silence.check(node, now, self._hub.last_heard(node))
+        if verdict is Verdict.PROBE:
+            self._hub.send(node, Probe())
+        if verdict in (Verdict.PROBE, Verdict.WAIT):
+            self._check_later(node)
+            return
+        self._checking.discard(node)
+        if verdict is Verdict.SILENT:
+            self._events.emit(Kind.MEMBER, f"{node} is silent as a dispatcher")
+            self._leave(node)
+
     def tick(self) -> None:
         """Do what is due; to be called about twice a second."""
         for node in list(self._unreachable):
-            self._hub.dial(node)
+            if self._hub.connected(node) and self._hub.last_heard(node) > self._silent_since[node]:
+                self._reached(node)
+            else:
+                self._hub.dial(node)
         now = self._clock.monotonic()
         for (node, cell), told_at in list(self._told_at.items()):
             if now - told_at > RESYNC_SECONDS:
@@ -218,6 +259,7 @@
                     del self._told_at[(node, cell)]
 
     def _send_place(self, booking: Booking) -> None:
+        self._watch_silence(booking.node)
         if (booking.node, booking.cell) not in self._told_at:
             self._resync(booking.node, booking.cell)
             return
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -22,6 +22,8 @@
     Granted,
     HandedOver,
     Place,
+    Probe,
+    ProbeReply,
     Progress,
     Refused,
     Release,
@@ -74,6 +76,7 @@
         hub.handle(Begun, self._begun)
         hub.handle(Resync, self._resync)
         hub.handle(HandedOver, self._handed_over)
+        hub.handle(Probe, lambda node, message: hub.send(node, ProbeReply()))
         hub.on_up(self._link_up)
         directory.on_change(self.renew_replicas)
 
--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -222,6 +222,8 @@
         if any(_doubts(record, own) for record in news.members):
             self._doubted_until = now + DOUBT_SECONDS
         beliefs = [self.table.merge(_from_record(record), now) for record in news.members]
+        if self.table.own.start_id != own.start_id:
+            self._hub.own = Identity(own.node, self.table.own.start_id)
         self._pass_on([belief for belief in beliefs if belief is not None], node)
 
     def _pass_on(self, beliefs: list[Member], source: str) -> None:
--- a/railsail/membership/table.py
+++ b/railsail/membership/table.py
@@ -2,7 +2,8 @@
 
 Beliefs merge by ``(start_id, sequence, state)``, so that repeats and reorderings do no harm. A node
 that restarts has a later ``start_id``. Only a node itself raises its ``sequence``, by which it
-refutes a false suspicion.
+refutes a false suspicion; where its clock was set back before it restarted, it hears of the later
+``start_id`` of its past self, and takes one that is later still.
 Source: SWIM (Das et al., 2002), with suspicion.
 """
 
@@ -120,8 +121,8 @@
         if stale or belief.order <= self.own.order:
             return None
         if belief.start_id > self.own.start_id:
-            # A later process of the same node is running; this one has nothing to say any more.
-            return None
+            # A node's id is the address at which this process listens, so that the other one ended.
+            return self._renew(replace(self.own, start_id=belief.start_id + 1))
         return self._renew(replace(self.own, sequence=belief.sequence + 1))
 
     def _renew(self, own: Member) -> Member:
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -158,6 +158,14 @@
     attempt: Natural
 
 
+class Probe(Message, frozen=True, tag=18):
+    """Ask a dispatcher that has been quiet for a word."""
+
+
+class ProbeReply(Message, frozen=True, tag=19):
+    """Answer a probe."""
+
+
 class FlightRecord(Message, frozen=True):
     """A request in flight, told to a new dispatcher."""
 
@@ -307,6 +315,8 @@
     | Release
     | Progress
     | Begun
+    | Probe
+    | ProbeReply
     | Resync
     | Served
     | FleetServed
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -148,6 +148,42 @@
         self.assertTrue(stories[-1].endswith(f"by {node.settings.node_id}"))
 
 
+class SilentTests(DispatchTestCase):
+    async def test_frozen_dispatcher_is_left_before_heartbeats_are_missed(self):
+        frozen, entry = self.dispatcher(), self.others()[0]
+        name = frozen.settings.node_id
+        frozen.hub.send = lambda node, message: True
+        frozen.hub._received = lambda node, message: None
+        # Whatever the heartbeats would tell later is not told at all here.
+        entry.membership._silent = lambda node, seconds: False
+        response = await self.ask([entry], 1)[0]
+        self.assertTrue(whole(response))
+        self.assertIn(name, entry.desk.unreachable)
+
+    async def test_dispatcher_that_wakes_up_is_asked_again(self):
+        frozen, entry = self.dispatcher(), self.others()[0]
+        name = frozen.settings.node_id
+        received = frozen.hub._received
+        frozen.hub._received = lambda node, message: None
+        frozen.hub.send = lambda node, message: True
+        self.assertTrue(whole(await self.ask([entry], 1)[0]))
+        frozen.hub._received = received
+        del frozen.hub.send
+        await self.until(lambda: name not in entry.desk.unreachable)
+        self.assertTrue(whole(await self.ask([entry], 1)[0]))
+
+    async def test_dispatcher_with_nothing_to_grant_is_not_left(self):
+        entry = self.others()[0]
+        # A few calls take the slots for a second, one is queued at the engine, and the others
+        # wait without a word meanwhile.
+        calls = self.ask([entry], 6, tokens=100)
+        await self.until(lambda: self.waiting() >= 1)
+        await asyncio.gather(*calls)
+        self.assertEqual(entry.desk.unreachable, set())
+        told = [event.detail for event in entry.events if "silent" in event.detail]
+        self.assertEqual(told, [])
+
+
 class DrainTests(DispatchTestCase):
     async def test_planned_stop_cuts_nothing(self):
         leaving = self.dispatcher()
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -42,6 +42,19 @@
         self.assertEqual(self.table.get("a").state, MemberState.ALIVE)
         self.assertIsNone(self.table.merge(member("a", start=1, sequence=99), 0.0))
 
+    def test_node_that_restarts_after_its_clock_was_set_back_is_not_dead_for_others(self):
+        other = MemberTable(member("other"))
+        other.merge(member("own", start=5000, state=MemberState.DEAD), 0.0)
+        restarted = MemberTable(member("own", start=2600))
+        news = restarted.merge(other.get("own"), 0.0)
+        other.merge(news, 0.0)
+        self.assertEqual(other.get("own").state, MemberState.ALIVE)
+        self.assertEqual(other.get("own").start_id, restarted.own.start_id)
+
+    def test_old_beliefs_do_not_raise_a_later_start(self):
+        self.assertIsNone(self.table.merge(member("own", start=0, sequence=9), 0.0))
+        self.assertEqual(self.table.own.start_id, 1)
+
     def test_order_and_repeats_of_news_do_not_matter(self):
         beliefs = [
             member("a"),
