--- /dev/null
+++ b/railsail/cli/explain.py
@@ -0,0 +1,138 @@
+"""What became of one request, as the logs of all daemons tell it."""
+
+import fileinput
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+import msgspec
+
+from railsail.core.clock import stamp_seconds
+
+# What a daemon believed is told from so long before the request came.
+BELIEFS_SECONDS = 5.0
+_BELIEFS = frozenset({"member", "upstream", "configuration", "store", "state", "took-over"})
+_NOT_FACTS = frozenset({"event", "node", "request", "level", "timestamp", "stamp"})
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One line of a log; ``facts`` are its keys besides those that every line has."""
+
+    event: str
+    node: str
+    stamp: int
+    request: str
+    facts: dict[str, object]
+
+    @property
+    def seconds(self) -> float:
+        """Return when it happened, in seconds since the Unix epoch."""
+        return stamp_seconds(self.stamp)
+
+
+@dataclass(frozen=True)
+class Story:
+    """The lines that tell of a request, in order; its cause in a sentence; what the logs lack."""
+
+    lines: list[LogLine]
+    cause: str
+    left_out: str
+
+
+def read_lines(files: list[str]) -> Iterator[LogLine]:
+    """Yield the events in ``files``, or on standard input; other lines are passed over."""
+    with fileinput.input(files or ["-"], encoding="utf-8", errors="replace") as texts:
+        for text in texts:
+            line = parse_line(text)
+            if line is not None:
+                yield line
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Return the line in ``text``, which may begin with other words, or ``None``."""
+    try:
+        found = msgspec.json.decode(text[text.index("{") :], type=dict[str, object])
+        facts = {name: value for name, value in found.items() if name not in _NOT_FACTS}
+        return LogLine(
+            str(found["event"]),
+            str(found["node"]),
+            int(found.get("stamp", 0)),
+            str(found.get("request", "")),
+            facts,
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def tell_story(request: str, lines: Iterable[LogLine]) -> Story:
+    """Return all that ``lines`` tell of ``request``, and of what its daemons believed then."""
+    known = list(lines)
+    own = [line for line in known if line.request == request]
+    if not own:
+        return Story([], "", _left_out(known))
+    tickets = {line.facts["ticket"] for line in own if "ticket" in line.facts}
+    told = [line for line in known if not line.request and line.facts.get("ticket") in tickets]
+    nodes = {line.node for line in [*own, *told]}
+    nodes |= {str(line.facts["dispatcher"]) for line in own if "dispatcher" in line.facts}
+    begun = min(line.seconds for line in own) - BELIEFS_SECONDS
+    ended = max(line.seconds for line in own)
+    beliefs = [
+        line
+        for line in known
+        if line.event in _BELIEFS and line.node in nodes and begun <= line.seconds <= ended
+    ]
+    story = sorted([*own, *told, *beliefs], key=lambda line: (line.stamp, line.node))
+    return Story(story, explain_cause(own, told), _left_out(known))
+
+
+def explain_cause(own: list[LogLine], told: list[LogLine]) -> str:
+    """Return in a sentence why the request ended as it did."""
+    ends = [line for line in own if line.event == "ended"]
+    if not ends:
+        return "it has no end here: its daemon was killed meanwhile, or it still runs"
+    return " ".join(_explain_end(end, own, told) for end in ends)
+
+
+def _explain_end(end: LogLine, own: list[LogLine], told: list[LogLine]) -> str:
+    facts = end.facts
+    detail = str(facts.get("detail", "")) or "nothing more is known"
+    if "outcome" not in facts:
+        return f"{detail} after {facts.get('total_ms')} ms."
+    parts = [f"{facts['outcome']} after {facts.get('total_ms')} ms: {detail}."]
+    if facts.get("reason") == "wait-expired":
+        parts += [_explain_wait(line) for line in told if line.event == "expired"]
+    parts += [
+        f"An attempt at {line.facts.get('replica')} failed before: {line.facts.get('detail')}."
+        for line in own
+        if line.event == "retried"
+    ]
+    if "given_up" in facts:
+        parts.append(f"No further attempt was made, since {facts['given_up']}.")
+    return " ".join(parts)
+
+
+def _explain_wait(line: LogLine) -> str:
+    facts = line.facts
+    return (
+        f"At its dispatcher {facts.get('waiting')} tickets waited, and "
+        f"{facts.get('replicas_serving')} of {facts.get('replicas')} replicas served, with "
+        f"{facts.get('in_flight')} calls, {facts.get('free_slots')} free slots and "
+        f"{facts.get('to_read_ms')} ms of prompts to read."
+    )
+
+
+def line_row(line: LogLine) -> dict[str, object]:
+    """Return ``line`` as a row of a table."""
+    moment = datetime.fromtimestamp(line.seconds, UTC)
+    facts = " ".join(f"{name}={value}" for name, value in line.facts.items())
+    return {
+        "time": moment.strftime("%H:%M:%S.%f")[:-3],
+        "node": line.node,
+        "event": line.event,
+        "facts": facts,
+    }
+
+
+def _left_out(lines: list[LogLine]) -> str:
+    count = sum(int(line.facts.get("lines_left_out", 0)) for line in lines)
+    return f"{count} lines were left out of them, and requests that went well are sampled"
--- a/railsail/cli/main.py
+++ b/railsail/cli/main.py
@@ -11,6 +11,7 @@
 import fire
 
 from railsail.cli.client import AdminClient, Reply
+from railsail.cli.explain import line_row, read_lines, tell_story
 from railsail.cli.files import read_objects
 from railsail.cli.output import complain, show
 from railsail.conf.settings import ENVIRONMENT_PREFIX
@@ -112,6 +113,18 @@
         if silent:
             complain("no events from " + ", ".join(silent))
 
+    def explain(self, request: str, *files: str) -> None:
+        """Tell from the logs of all daemons in FILES, or on standard input, what became of REQUEST.
+
+        Lines may bear whatever a log collector puts before the JSON object.
+        """
+        story = tell_story(str(request), read_lines([str(file) for file in files]))
+        if not story.lines:
+            _fail(EXIT_UNAVAILABLE, f"the logs tell nothing of {request}; {story.left_out}")
+        rows = [line_row(line) for line in story.lines]
+        show(rows, ("time", "node", "event", "facts"), self._output)
+        complain(story.cause)
+
     def drain(self) -> None:
         """Ask the daemon at --admin to stop without cutting a request."""
         reply = self._call("POST", "/v1/drain")
@@ -203,7 +216,7 @@
         "kind": event.kind,
         "request": event.request,
         "workspace": event.workspace,
-        "detail": event.detail,
+        "detail": " ".join([event.detail, *(f"{k}={v}" for k, v in event.facts.items())]).strip(),
     }
 
 
--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -115,6 +115,18 @@
     ),
     Option("affinity", Choice("prefix", "none"), "Prefer the replica that saw a prefix.", "prefix"),
     Option("log_level", Choice("debug", "info", "warning", "error"), "Least level logged.", "info"),
+    Option(
+        "log_lines_per_second",
+        Number(1, 100_000),
+        "Most log lines a second; ordinary ones may take half of them.",
+        "200",
+    ),
+    Option(
+        "log_requests_per_second",
+        Decimal(0, 100_000),
+        "How many requests a second are logged whole, whatever becomes of them.",
+        "10",
+    ),
 )
 
 
@@ -152,6 +164,8 @@
     scheduling: str
     affinity: str
     log_level: str
+    log_lines_per_second: int
+    log_requests_per_second: float
 
     @property
     def node_id(self) -> str:
--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -118,8 +118,13 @@
         known = {change.version: change for change in [*self._changes, *changes]}
         self._changes = [known[version] for version in sorted(known)][-KEPT_CHANGES:]
         self._metrics.version.set({}, catalog.version)
-        self._events.emit(Kind.CONFIGURATION, f"version {catalog.version} in force")
-        get_logger().info("configuration in force", version=catalog.version)
+        self._events.emit(
+            Kind.CONFIGURATION,
+            "in force",
+            version=catalog.version,
+            before=previous,
+            source=source or "store",
+        )
         for listener in self._listeners:
             listener(catalog)
         self._flood(self.news_since(previous), source)
--- a/railsail/core/events.py
+++ b/railsail/core/events.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -22,6 +22,7 @@
     PLACED = "placed"
     GRANTED = "granted"
     GRANT_RETURNED = "grant-returned"
+    EXPIRED = "expired"
     SENT = "sent"
     FIRST_BYTE = "first-byte"
     RETRIED = "retried"
@@ -33,11 +34,16 @@
     TOOK_OVER = "took-over"
 
 
+Fact = str | int | float
+_ALWAYS_NOTABLE = frozenset({Kind.EXPIRED, Kind.GRANT_RETURNED, Kind.RETRIED, Kind.CLAIM_HELD})
+
+
 class Event(msgspec.Struct, frozen=True):
     """One event.
 
     ``stamp`` is a hybrid stamp (see ``HybridClock``); ``request`` and ``workspace`` are empty where
-    the event belongs to none.
+    the event belongs to none. ``facts`` are the inputs of a decision, with their ages or versions;
+    names say the units. ``notable`` marks what the log must tell, such as a request that failed.
     """
 
     stamp: int
@@ -46,6 +52,8 @@
     request: str = ""
     workspace: str = ""
     detail: str = ""
+    facts: dict[str, Fact] = {}
+    notable: bool = False
 
 
 class EventLog:
@@ -55,11 +63,28 @@
         self.node = node
         self.hybrid = HybridClock(clock)
         self._ring: deque[Event] = deque(maxlen=capacity)
-
-    def emit(self, kind: Kind, detail: str = "", request: str = "", workspace: str = "") -> Event:
+        self._listeners: list[Callable[[Event], None]] = []
+
+    def on_emit(self, listener: Callable[[Event], None]) -> None:
+        """Call ``listener`` with each event."""
+        self._listeners.append(listener)
+
+    def emit(
+        self,
+        kind: Kind,
+        detail: str = "",
+        request: str = "",
+        workspace: str = "",
+        notable: bool = False,
+        **facts: Fact,
+    ) -> Event:
         """Add an event with the present stamp, and return it."""
-        event = Event(self.hybrid.tick(), self.node, kind, request, workspace, detail)
+        notable = notable or kind in _ALWAYS_NOTABLE
+        stamp = self.hybrid.tick()
+        event = Event(stamp, self.node, kind, request, workspace, detail, facts, notable)
         self._ring.append(event)
+        for listener in self._listeners:
+            listener(event)
         return event
 
     def select(self, request: str = "", since: int = 0, limit: int = 1000) -> list[Event]:
--- a/railsail/core/logs.py
+++ b/railsail/core/logs.py
@@ -1,28 +1,141 @@
-"""Structured logs: one JSON object a line, on standard output, for changes of state only."""
+"""Structured logs: one JSON object a line, on standard output.
 
+Lines are bounded: so many a second are written, of which ordinary ones may take half, and whoever
+reads them too slowly loses some. What was left out is counted, and the next line tells how much.
+Writing never waits, so that no request waits for a log.
+"""
+
+import contextlib
+import io
 import logging
+import select
 import sys
+import time
+from collections.abc import Callable, MutableMapping
+from dataclasses import dataclass
+from typing import TextIO
 
+import msgspec
 import structlog
 
+DEFAULT_LINES_PER_SECOND = 200
+# A pipe that can be written to takes this much at once (POSIX, PIPE_BUF on Linux).
+MOST_LINE_BYTES = 4096
+MOST_EXCERPT = 1000
+# Ordinary lines leave this part of the budget to those that tell of trouble.
+RESERVED_SHARE = 0.5
+
+
+@dataclass
+class LeftOut:
+    """How many lines were left out, in all and since it was told last."""
+
+    over_budget: int = 0
+    pipe_full: int = 0
+    untold: int = 0
+
+
+class LineBudget:
+    """Allow so many lines a second, with bursts of a second's worth."""
+
+    def __init__(self, per_second: float, now: float) -> None:
+        self._per_second = per_second
+        self._tokens = per_second
+        self._at = now
+
+    def allow(self, now: float, ordinary: bool) -> bool:
+        """Say whether a line may be written at ``now``, in seconds, and count it if so."""
+        self._tokens = min(self._per_second, self._tokens + (now - self._at) * self._per_second)
+        self._at = now
+        reserved = RESERVED_SHARE * self._per_second if ordinary else 0.0
+        if self._tokens < 1.0 + reserved:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class LineWriter:
+    """A text file for structlog that leaves a line out where writing it would have to wait."""
+
+    def __init__(self, file: TextIO, left_out: LeftOut) -> None:
+        self._file = file
+        self._left_out = left_out
+        self._poll: select.poll | None = None
+        # A file in memory has no descriptor, and never makes anyone wait.
+        with contextlib.suppress(io.UnsupportedOperation):
+            descriptor = file.fileno()
+            self._poll = select.poll()
+            self._poll.register(descriptor, select.POLLOUT)
 
-def configure_logs(level: str, node: str) -> None:
-    """Set up structlog; ``level`` is a name of the standard library's levels."""
+    def write(self, line: str) -> None:
+        """Write a whole line, or count it as left out."""
+        if len(line.encode()) > MOST_LINE_BYTES:
+            line = _encode({"event": "line too long", "begins": line[:MOST_EXCERPT]}) + "\n"
+        if self._poll is not None and not self._poll.poll(0):
+            self._left_out.pipe_full += 1
+            self._left_out.untold += 1
+            return
+        self._file.write(line)
+        self._file.flush()
+
+    def flush(self) -> None:
+        """Do nothing: every line is written at once or not at all."""
+
+
+class BudgetProcessor:
+    """The step of structlog that leaves lines out; lines with ``ordinary`` go first."""
+
+    def __init__(
+        self, per_second: float, left_out: LeftOut, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._budget = LineBudget(per_second, clock())
+        self._left_out = left_out
+        self._clock = clock
+
+    def __call__(
+        self, logger: object, method: str, line: MutableMapping[str, object]
+    ) -> MutableMapping[str, object]:
+        """Pass ``line`` on, or raise ``DropEvent``."""
+        ordinary = bool(line.pop("ordinary", False))
+        if not self._budget.allow(self._clock(), ordinary):
+            self._left_out.over_budget += 1
+            self._left_out.untold += 1
+            raise structlog.DropEvent
+        if self._left_out.untold:
+            line["lines_left_out"] = self._left_out.untold
+            self._left_out.untold = 0
+        return line
+
+
+def configure_logs(
+    level: str, node: str, lines_per_second: int = DEFAULT_LINES_PER_SECOND
+) -> LeftOut:
+    """Set up structlog, and return the counts of what it will leave out.
+
+    ``level`` is a name of the standard library's levels.
+    """
+    left_out = LeftOut()
     structlog.configure(
         processors=[
+            BudgetProcessor(lines_per_second, left_out),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
+            structlog.processors.JSONRenderer(serializer=_encode),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stdout),
+        logger_factory=structlog.WriteLoggerFactory(file=LineWriter(sys.stdout, left_out)),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(node=node)
+    return left_out
 
 
 def get_logger() -> structlog.stdlib.BoundLogger:
     """Return the logger of this process."""
     return structlog.get_logger()
+
+
+def _encode(line: object, **options: object) -> str:
+    return msgspec.json.encode(line, enc_hook=str).decode()
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -3,6 +3,8 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from railsail.core.logs import LeftOut
+
 _LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0]
 
 
@@ -11,10 +13,17 @@
 
     def __init__(self) -> None:
         self.registry = Registry()
+        self._left_out = LeftOut()
         self.requests = self._counter("railsail_requests_total", "Requests by pool and outcome.")
         self.first_byte = self._histogram(
             "railsail_first_byte_seconds", "Seconds from a request to its first byte, by pool."
         )
+        self.stages = self._histogram(
+            "railsail_stage_seconds", "Seconds of routed requests, by route, outcome and stage."
+        )
+        self.lines_left_out = self._gauge(
+            "railsail_log_lines_left_out", "Log lines left out since the start, by reason."
+        )
         self.queued = self._gauge("railsail_waiting_tickets", "Tickets that wait, by cell.")
         self.granted = self._counter("railsail_grants_total", "Grants made, by cell.")
         self.returned = self._counter(
@@ -48,6 +57,12 @@
     def _histogram(self, name: str, doc: str) -> Histogram:
         return Histogram(name, doc, registry=self.registry, buckets=_LATENCY_BUCKETS)
 
+    def count_left_out_lines(self, left_out: LeftOut) -> None:
+        """Show the counts of ``left_out`` from now on."""
+        self._left_out = left_out
+
     def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of a scrape that accepts the formats ``accept``."""
+        self.lines_left_out.set({"reason": "over-budget"}, self._left_out.over_budget)
+        self.lines_left_out.set({"reason": "pipe-full"}, self._left_out.pipe_full)
         return render(self.registry, accept)
--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -68,6 +68,11 @@
         return not self.replica
 
 
+def ticket_name(entry: str, number: int) -> str:
+    """Return how logs name ticket ``number`` of the node ``entry``, on whichever daemon."""
+    return f"{entry}#{number}"
+
+
 def to_place(asked: Want | Ticket, number: int, attempt: int, cell: Cell, waited: float) -> Place:
     """Return the message that places with ``cell`` what has ``waited`` for so many seconds."""
     return Place(
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -10,7 +10,7 @@
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import NotRun, Reason
-from railsail.dispatch.bookings import Booking, TicketRefused, Want, to_place
+from railsail.dispatch.bookings import Booking, TicketRefused, Want, ticket_name, to_place
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.silence import PROBE_SECONDS, SilenceWatch, Verdict
 from railsail.peers.hub import PeerHub
@@ -97,6 +97,7 @@
         except TicketRefused as refusal:
             return NotRun(refusal.reason, "decided by the dispatcher")
         except TimeoutError:
+            self._tell_expired(booking)
             self.withdraw(booking)
             return NotRun(Reason.EXPIRED, "no replica had room in time")
         except asyncio.CancelledError:
@@ -104,6 +105,24 @@
             raise
         return booking
 
+    def _tell_expired(self, booking: Booking) -> None:
+        now = self._clock.monotonic()
+        own = booking.node == self._hub.own.node
+        quiet = 0.0 if own else now - self._hub.last_heard(booking.node)
+        self._events.emit(
+            Kind.EXPIRED,
+            request=booking.want.request_id,
+            workspace=booking.want.workspace,
+            ticket=self._ticket_name(booking),
+            cell=str(booking.cell),
+            dispatcher=booking.node,
+            dispatcher_heard_ms_ago=round(quiet * 1000),
+            waited_ms=round((now - booking.placed_at) * 1000),
+        )
+
+    def _ticket_name(self, booking: Booking) -> str:
+        return ticket_name(self._hub.own.node, booking.number)
+
     def _choose_cell(self, want: Want) -> Cell:
         homes = self._cells.homes(want.pool)
         if len(homes) == 1:
@@ -151,7 +170,15 @@
             node = self._cells.dispatcher(cell)
             if (node, cell) == (booking.node, booking.cell):
                 continue
-            self._events.emit(Kind.PLACED, f"moved to {node}", booking.want.request_id)
+            self._events.emit(
+                Kind.PLACED,
+                "the cell has another dispatcher",
+                booking.want.request_id,
+                ticket=self._ticket_name(booking),
+                cell=str(cell),
+                dispatcher=node,
+                before=booking.node,
+            )
             moved.add((booking.node, booking.cell))
             moved.add((node, cell))
             self._rebook(booking, cell, node)
@@ -239,7 +266,13 @@
             return
         self._checking.discard(node)
         if verdict is Verdict.SILENT:
-            self._events.emit(Kind.MEMBER, f"{node} is silent as a dispatcher")
+            heard = now - self._hub.last_heard(node)
+            self._events.emit(
+                Kind.MEMBER,
+                "left as a dispatcher, since it is silent",
+                member=node,
+                heard_ms_ago=round(heard * 1000),
+            )
             self._leave(node)
 
     def tick(self) -> None:
@@ -296,13 +329,25 @@
         booking.granted_at = self._clock.monotonic()
         counters = self._counters.setdefault(booking.cell, {})
         counters[booking.want.workspace] = message.counter
-        detail = f"{message.replica} by {node}"
-        self._events.emit(Kind.GRANTED, detail, booking.want.request_id, booking.want.workspace)
+        self._events.emit(
+            Kind.GRANTED,
+            request=booking.want.request_id,
+            workspace=booking.want.workspace,
+            replica=message.replica,
+            dispatcher=node,
+            ticket=self._ticket_name(booking),
+            waited_ms=round((booking.granted_at - booking.placed_at) * 1000),
+        )
         booking.granted.set_result(message.replica)
 
     def _hand_back(self, node: str, message: Granted) -> None:
         self._metrics.returned.inc({})
-        self._events.emit(Kind.GRANT_RETURNED, f"{message.replica} by {node}")
+        self._events.emit(
+            Kind.GRANT_RETURNED,
+            replica=message.replica,
+            dispatcher=node,
+            ticket=ticket_name(self._hub.own.node, message.number),
+        )
         self._hub.send(node, Release(message.number, message.attempt, 0, _LEARNT[None]))
 
     def _refused(self, node: str, message: Refused) -> None:
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -9,7 +9,7 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.dispatch.bookings import RANK_SCALE, URGENT_FLAG, to_place
+from railsail.dispatch.bookings import RANK_SCALE, URGENT_FLAG, ticket_name, to_place
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.loads import LoadReports
 from railsail.objects.catalog import Catalog
@@ -145,7 +145,8 @@
             dispatcher = CellDispatcher(self._weight, self._rng, self._use_prefixes)
             self._dispatchers[cell] = dispatcher
             self._set_replicas(cell, dispatcher)
-            self._events.emit(Kind.TOOK_OVER, f"dispatcher of {cell}")
+            replicas = len(dispatcher.replicas)
+            self._events.emit(Kind.TOOK_OVER, cell=str(cell), replicas=replicas)
             self._loads.ask(cell, dispatcher)
         self._used_at[cell] = self._clock.monotonic()
         return cell, dispatcher
@@ -189,9 +190,28 @@
             # The grant is on its way, and the entry will hand it back.
             return
         self._where.pop(key, None)
-        if dispatcher is not None:
+        if dispatcher is not None and key in dispatcher.queue:
+            self._tell_withdrawn(node, message.number, cell, dispatcher)
             dispatcher.cancel(key)
 
+    def _tell_withdrawn(
+        self, node: str, number: int, cell: Cell, dispatcher: CellDispatcher
+    ) -> None:
+        now = self._clock.monotonic()
+        rooms = dispatcher.replicas.values()
+        serving = [room for room in rooms if room.serves(now)]
+        self._events.emit(
+            Kind.EXPIRED,
+            ticket=ticket_name(node, number),
+            cell=str(cell),
+            waiting=len(dispatcher.queue),
+            in_flight=len(dispatcher.flights),
+            replicas=len(rooms),
+            replicas_serving=len(serving),
+            free_slots=sum(room.room(now) for room in serving),
+            to_read_ms=round(sum(room.unread_seconds for room in serving) * 1000),
+        )
+
     def _release(self, node: str, message: Release) -> None:
         key = (node, message.number)
         cell = self._where.get(key)
--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -13,7 +13,6 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.core.logs import get_logger
 from railsail.membership import overlay
 from railsail.membership.table import Member, MemberState, MemberTable
 from railsail.peers.hub import PeerHub
@@ -238,8 +237,13 @@
 
     def _tell(self, belief: Member) -> None:
         state = belief.state.name.lower()
-        self._events.emit(Kind.MEMBER, f"{belief.node} {state}")
-        get_logger().info("member", member=belief.node, state=state, start_id=belief.start_id)
+        self._events.emit(
+            Kind.MEMBER,
+            member=belief.node,
+            state=state,
+            start_id=belief.start_id,
+            sequence=belief.sequence,
+        )
         for each in MemberState:
             count = sum(member.state is each for member in self.table.all())
             self._metrics.members.set({"state": each.name.lower()}, count)
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -256,8 +256,7 @@
             self.hub.send(node, self.carrier.news_since(request.configuration))
 
     def _state_changed(self, state: State) -> None:
-        self.events.emit(Kind.STATE, state)
-        get_logger().info("state", state=state)
+        self.events.emit(Kind.STATE, state=state)
 
     async def start(self) -> None:
         """Open the ports, and become ready when there is a configuration."""
--- a/railsail/process.py
+++ b/railsail/process.py
@@ -6,9 +6,11 @@
 import sys
 from collections.abc import Mapping, Sequence
 
+import railsail
 from railsail.conf.settings import Settings, parse
+from railsail.core.decisions import DecisionLog
 from railsail.core.exceptions import ImproperlyConfigured
-from railsail.core.logs import configure_logs, get_logger
+from railsail.core.logs import LeftOut, configure_logs, get_logger
 from railsail.node import Node
 
 EXIT_OK = 0
@@ -26,12 +28,17 @@
     if parsed.check_only:
         print("the settings are in order")
         sys.exit(EXIT_OK)
-    configure_logs(parsed.settings.log_level, parsed.settings.node_id)
-    sys.exit(asyncio.run(_run(parsed.settings)))
+    settings = parsed.settings
+    left_out = configure_logs(settings.log_level, settings.node_id, settings.log_lines_per_second)
+    sys.exit(asyncio.run(_run(settings, left_out)))
 
 
-async def _run(settings: Settings) -> int:
+async def _run(settings: Settings, left_out: LeftOut) -> int:
     node = Node(settings)
+    decisions = DecisionLog(node.clock, settings.log_requests_per_second)
+    node.events.on_emit(decisions.take)
+    node.metrics.count_left_out_lines(left_out)
+    get_logger().info("start", start_id=node.start_id, version=railsail.__version__)
     cut = asyncio.Event()
     _listen_to_signals(node, cut)
     try:
@@ -44,6 +51,7 @@
     await asyncio.wait([drained, hard], return_when=asyncio.FIRST_COMPLETED)
     requests = node.admission.total
     await node.stop()
+    get_logger().info("stop", requests_cut=requests)
     return EXIT_CUT if requests else EXIT_OK
 
 
--- a/railsail/routing/budget.py
+++ b/railsail/routing/budget.py
@@ -35,6 +35,8 @@
         self._started_at = started_at
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
+        # How many more repeats were allowed when one was asked for last.
+        self.left = 0
 
     def request(self, now: float) -> None:
         """Take note of a request of a caller."""
@@ -48,6 +50,7 @@
         allowed = self._bounds.ratio * len(self._requests) * SHARE_MARGIN
         if now - self._started_at >= self._window:
             allowed += self._bounds.slack * SHARE_MARGIN / max(1, members)
+        self.left = max(0, int(allowed) - len(self._repeats))
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now)
--- /dev/null
+++ b/railsail/routing/endings.py
@@ -0,0 +1,71 @@
+"""Tell the metrics and the time line how a routed request ended, and what decided it."""
+
+from railsail.core.events import Fact, Kind
+from railsail.core.kernel import Kernel
+from railsail.core.outcomes import Completed, NotRun, Outcome, Unknown
+from railsail.routing.relay import Routed
+
+
+class Endings:
+    """Record the ends of requests; a late or failed one is notable."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+
+    def left(self, request_id: str, seconds: float) -> None:
+        """Record that the caller left ``seconds`` after its request came."""
+        total_ms = round(seconds * 1000)
+        self._events.emit(Kind.ENDED, "the caller left", request_id, total_ms=total_ms)
+
+    def ended(
+        self,
+        request_id: str,
+        routed: Routed | None,
+        outcome: Outcome,
+        status: int,
+        seconds: float,
+    ) -> None:
+        """Record an ``outcome`` after ``seconds``.
+
+        ``routed`` is ``None`` where the request was refused before it asked for a replica;
+        ``status`` is what the caller got, 0 where its connection was closed instead.
+        """
+        word = type(outcome).__name__.lower()
+        facts: dict[str, Fact] = {"outcome": word, "total_ms": round(seconds * 1000)}
+        if status:
+            facts["status"] = status
+        if isinstance(outcome, NotRun):
+            facts["reason"] = outcome.reason
+        pool = ""
+        if routed is not None:
+            pool = routed.pool.name
+            facts |= _journey(routed)
+            self._observe(routed, word, seconds)
+        self._metrics.requests.inc({"pool": pool, "outcome": word})
+        detail = outcome.detail if isinstance(outcome, NotRun | Unknown) else ""
+        notable = _late(routed) or not isinstance(outcome, Completed)
+        self._events.emit(Kind.ENDED, detail, request_id, notable=notable, **facts)
+
+    def _observe(self, routed: Routed, outcome: str, seconds: float) -> None:
+        stages = {"queue": routed.waited, "first-byte": routed.first_after, "whole": seconds}
+        for stage, taken in stages.items():
+            if stage != "first-byte" or taken:
+                labels = {"route": routed.route.name, "outcome": outcome, "stage": stage}
+                self._metrics.stages.observe(labels, taken)
+
+
+def _late(routed: Routed | None) -> bool:
+    return routed is not None and 0 < routed.route.objective < routed.first_after
+
+
+def _journey(routed: Routed) -> dict[str, Fact]:
+    facts: dict[str, Fact] = {
+        "attempts": routed.attempts,
+        "waited_ms": round(routed.waited * 1000),
+        "first_ms": round(routed.first_after * 1000),
+        "replica": routed.replica,
+        "given_up": routed.given_up,
+        "last_event": routed.stream.last_event,
+    }
+    return {name: fact for name, fact in facts.items() if fact != ""}
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -1,5 +1,6 @@
 """Serve the requests of callers of routes: find the route, check the key, relay, answer."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -7,7 +8,6 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.core.logs import get_logger
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from railsail.gateway.admission import Admission
 from railsail.gateway.callers import Callers
@@ -18,6 +18,7 @@
 from railsail.routing.answer import StreamState
 from railsail.routing.client import ClientAnswer, ClientLeft
 from railsail.routing.defaults import DEFAULT_POLICY
+from railsail.routing.endings import Endings
 from railsail.routing.messages import RoutedRequest
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.relay import Relay, Routed
@@ -56,7 +57,7 @@
         self._catalog = catalog
         self._clock = kernel.clock
         self._events = kernel.events
-        self._metrics = kernel.metrics
+        self._endings = Endings(kernel)
         self._rng: random.Random = kernel.rng
         self._routes = RouteTable()
 
@@ -75,25 +76,32 @@
             await self._refuse("", NotRun(Reason.BAD_REQUEST, str(problem)), client)
             return
         try:
-            outcome, pool = await self._serve(request, client, received_at)
-            self._count(request, pool, outcome)
-            await self._answer(request.id, outcome, client)
-        except ClientLeft:
-            self._events.emit(Kind.ENDED, "caller left", request.id)
+            outcome, routed = await self._serve(request, client, received_at)
+            status = await self._answer(request.id, outcome, client)
+        except (ClientLeft, asyncio.CancelledError) as problem:
+            self._endings.left(request.id, self._clock.monotonic() - received_at)
+            if isinstance(problem, asyncio.CancelledError):
+                raise
+            return
+        seconds = self._clock.monotonic() - received_at
+        self._endings.ended(request.id, routed, outcome, status, seconds)
 
     async def _serve(
         self, request: RoutedRequest, client: ClientAnswer, received_at: float
-    ) -> tuple[Outcome, str]:
+    ) -> tuple[Outcome, Routed | None]:
         found = self._find(request)
         if isinstance(found, NotRun):
-            return found, ""
+            self._events.emit(
+                Kind.RECEIVED, request=request.id, configuration=self._catalog().version
+            )
+            return found, None
         route, pool, workspace = found
         refused = self._admission.enter(workspace)
         if refused is not None:
-            return refused, pool.name
+            return refused, None
         try:
             routed = self._begin(request, route, pool, workspace, client, received_at)
-            return await self._relay.run(routed), pool.name
+            return await self._relay.run(routed), routed
         finally:
             self._admission.leave(workspace)
 
@@ -124,7 +132,17 @@
     ) -> Routed:
         verdict = self._verdict(request, route, pool, workspace)
         longest = min(request.deadline or route.timeout, route.timeout)
-        self._events.emit(Kind.RECEIVED, f"{route.name} to {pool.name}", request.id, workspace)
+        self._events.emit(
+            Kind.RECEIVED,
+            request=request.id,
+            workspace=workspace,
+            route=route.name,
+            pool=pool.name,
+            configuration=self._catalog().version,
+            deadline_ms=round(longest * 1000),
+            may_wait_ms=round(verdict.may_wait * 1000),
+            rank=verdict.rank,
+        )
         return Routed(
             request,
             route,
@@ -135,6 +153,7 @@
             received_at + longest,
             received_at + verdict.may_wait,
             StreamState(client, request.last_event),
+            received_at=received_at,
         )
 
     def _verdict(self, request: RoutedRequest, route: Route, pool: Pool, workspace: str) -> Verdict:
@@ -157,22 +176,16 @@
         policy = self._catalog().policy(owner.policy) if owner else None
         return self._judge.run(policy or DEFAULT_POLICY, workspace, described)
 
-    def _count(self, request: RoutedRequest, pool: str, outcome: Outcome) -> None:
-        word = type(outcome).__name__.lower()
-        self._metrics.requests.inc({"pool": pool, "outcome": word})
-        self._events.emit(Kind.ENDED, str(outcome), request.id)
-        if not isinstance(outcome, Completed):
-            get_logger().info("not served", request=request.id, pool=pool, outcome=str(outcome))
-
-    async def _answer(self, request_id: str, outcome: Outcome, client: ClientAnswer) -> None:
+    async def _answer(self, request_id: str, outcome: Outcome, client: ClientAnswer) -> int:
+        """Answer what was not served, and return the status; 0 where the connection was closed."""
         if isinstance(outcome, Completed):
-            return
+            return outcome.status
         if client.started:
             client.abort()
-            return
-        await self._refuse(request_id, outcome, client)
+            return 0
+        return await self._refuse(request_id, outcome, client)
 
-    async def _refuse(self, request_id: str, outcome: Outcome, client: ClientAnswer) -> None:
+    async def _refuse(self, request_id: str, outcome: Outcome, client: ClientAnswer) -> int:
         status = _status(outcome)
         retry_after = None
         if status == _NOT_RUN_STATUS:
@@ -180,6 +193,7 @@
             retry_after = self._rng.uniform(LEAST_RETRY_SECONDS, MOST_RETRY_SECONDS)
         headers = self._protocol.own_headers(request_id, retry_after)
         await client.give(status, headers, f"{outcome.detail}\n".encode())
+        return status
 
 
 def _status(outcome: NotRun | Unknown) -> int:
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -40,7 +40,9 @@
 
     ``ends_at`` is when it must have its final answer, ``offer_by`` until when it may wait for a
     place. ``attempts`` counts the replicas that it was sent to; ``ran`` says that one of them may
-    have run it.
+    have run it. ``replica`` was sent it last. ``waited`` are the seconds that it waited for places,
+    ``first_after`` those from its arrival to the first byte of an answer, 0 if there is none;
+    ``given_up`` says why no further attempt was made.
     """
 
     request: RoutedRequest
@@ -55,6 +57,11 @@
     attempts: int = 0
     ran: bool = False
     avoid: str = ""
+    replica: str = ""
+    received_at: float = 0.0
+    waited: float = 0.0
+    first_after: float = 0.0
+    given_up: str = ""
 
     @property
     def may_repeat(self) -> bool:
@@ -95,7 +102,16 @@
             outcome = await self._attempt(routed)
             if not self._go_on(routed, outcome, budget):
                 return _truth(routed, outcome)
-            self._events.emit(Kind.RETRIED, str(outcome), routed.request.id, routed.workspace)
+            self._events.emit(
+                Kind.RETRIED,
+                outcome.detail,
+                routed.request.id,
+                routed.workspace,
+                outcome=type(outcome).__name__.lower(),
+                replica=routed.avoid,
+                attempts=routed.attempts,
+                budget_left=budget.left,
+            )
 
     def _budget(self, pool: str) -> RetryBudget:
         if pool not in self._budgets:
@@ -113,17 +129,22 @@
         elif routed.may_repeat:
             cause = "unknown"
         else:
+            routed.given_up = "it may not be repeated"
             return False
         if routed.attempts >= routed.route.max_attempts:
+            routed.given_up = f"the route allows {routed.route.max_attempts} attempts"
             return False
         # What never reached a replica is no repeat.
         if routed.attempts and not budget.allow(now, self._members()):
+            routed.given_up = "the retry budget is spent"
             return False
         self._metrics.retries.inc({"cause": cause})
         return True
 
     async def _attempt(self, routed: Routed) -> Outcome:
+        asked_at = self._clock.monotonic()
         booking = await self._desk.obtain(self._want(routed), self._wait_seconds(routed))
+        routed.waited += self._clock.monotonic() - asked_at
         if isinstance(booking, NotRun):
             return booking
         return await self._send_booked(routed, booking, booking.replica)
@@ -176,6 +197,7 @@
         left = routed.ends_at - self._clock.monotonic()
         if left <= 0:
             return NotRun(Reason.EXPIRED, "there is no time left")
+        routed.replica = replica
         dispatch = Dispatch(replica, routed.workspace, left, routed.stream.last_event)
         call = HttpRequest(
             upstream.endpoint,
@@ -191,11 +213,25 @@
             request,
             routed.route.streaming,
             routed.stream,
-            lambda: self._desk.begun(booking),
+            lambda: self._begun(routed, booking),
+        )
+        self._events.emit(
+            Kind.SENT,
+            request=request.id,
+            workspace=routed.workspace,
+            replica=replica,
+            endpoint=upstream.endpoint,
+            listed_version=upstream.version,
+            attempt=routed.attempts + 1,
+            left_ms=round(left * 1000),
         )
-        self._events.emit(Kind.SENT, f"{replica} at {upstream.endpoint}", request.id)
         return await self._exchange(routed, replica, call, answer)
 
+    def _begun(self, routed: Routed, booking: Booking) -> None:
+        if not booking.begun and not routed.first_after:
+            routed.first_after = self._clock.monotonic() - routed.received_at
+        self._desk.begun(booking)
+
     async def _exchange(
         self, routed: Routed, replica: str, call: HttpRequest, answer: ReplicaAnswer
     ) -> Outcome:
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -12,7 +12,6 @@
 
 from railsail.core.events import EventLog, Kind
 from railsail.core.exceptions import StoreUnavailable
-from railsail.core.logs import get_logger
 from railsail.store.base import Listing, Store, StoredObject, WatchEvent
 from railsail.store.journal import Backoff
 
@@ -120,8 +119,7 @@
         reachable = any(self._answered.values())
         if reachable != self.reachable or not self.tried.is_set():
             word = "reachable" if reachable else "unreachable"
-            self._events.emit(Kind.STORE, f"{word} {detail}".strip())
-            get_logger().info("store " + word, detail=detail)
+            self._events.emit(Kind.STORE, detail, state=word)
         self.reachable = reachable
         if reachable or all(kind in self._answered for kind in self._listed):
             self.tried.set()
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -182,7 +182,15 @@
 
     def _tell(self, upstream: Upstream) -> None:
         word = "leaving" if upstream.leaving else "live"
-        self._events.emit(Kind.UPSTREAM, f"{upstream.name} {word}")
+        self._events.emit(
+            Kind.UPSTREAM,
+            replica=upstream.name,
+            pool=upstream.pool,
+            state=word,
+            listed=upstream.listed.name.lower(),
+            listed_version=upstream.version,
+            signed=str(upstream.signed_leaving).lower(),
+        )
 
 
 def _parse(event: WatchEvent) -> Upstream | None:
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,89 @@
+"""What logs tell of a request."""
+
+import json
+import unittest
+
+from railsail.cli.explain import parse_line, tell_story
+
+STAMP = 1_700_000_000_000 << 16
+
+
+def text(event: str, node: str, at_ms: int, **facts: object) -> str:
+    """Return a line as a log collector may give it."""
+    return f"12.345 {node}: " + json.dumps(
+        {"event": event, "node": node, "stamp": STAMP + (at_ms << 16), **facts}
+    )
+
+
+class ExplainTests(unittest.TestCase):
+    def tell(self, *lines: str):
+        parsed = [parse_line(line) for line in lines]
+        return tell_story("r-1", [line for line in parsed if line is not None])
+
+    def test_refused_request_is_explained_by_its_dispatcher(self):
+        story = self.tell(
+            text("received", "a", 0, request="r-1", route="drafts"),
+            text("expired", "b", 81, ticket="a#7", waiting=12, replicas=3, replicas_serving=2),
+            text("expired", "a", 80, request="r-1", ticket="a#7", dispatcher="b"),
+            text("expired", "b", 82, ticket="a#8", waiting=11),
+            text("member", "b", 50, member="c", state="dead"),
+            text("member", "z", 50, member="c", state="dead"),
+            text(
+                "ended",
+                "a",
+                82,
+                request="r-1",
+                outcome="notrun",
+                reason="wait-expired",
+                total_ms=82,
+                detail="no replica had room in time",
+            ),
+        )
+        told = [(line.event, line.node) for line in story.lines]
+        self.assertEqual(
+            told,
+            [
+                ("received", "a"),
+                ("member", "b"),
+                ("expired", "a"),
+                ("expired", "b"),
+                ("ended", "a"),
+            ],
+        )
+        self.assertIn("12 tickets waited, and 2 of 3 replicas served", story.cause)
+
+    def test_lost_answer_names_the_replica_and_why_nothing_was_repeated(self):
+        story = self.tell(
+            text("received", "a", 0, request="r-1"),
+            text("sent", "a", 1, request="r-1", replica="i-1"),
+            text(
+                "ended",
+                "a",
+                90,
+                request="r-1",
+                outcome="unknown",
+                total_ms=90,
+                detail="the connection broke",
+                given_up="it may not be repeated",
+            ),
+        )
+        self.assertIn("the connection broke", story.cause)
+        self.assertIn("since it may not be repeated", story.cause)
+
+    def test_request_without_an_end_is_told_so(self):
+        story = self.tell(text("received", "a", 0, request="r-1"))
+        self.assertIn("no end here", story.cause)
+
+    def test_lines_that_are_no_events_are_passed_over(self):
+        for line in ("", "Traceback", "{", "[1]", '{"event": "x"}', '{"a": {}}'):
+            with self.subTest(line=line):
+                self.assertIsNone(parse_line(line))
+
+    def test_what_is_missing_is_told_with_a_count(self):
+        story = self.tell(text("member", "a", 0, lines_left_out=7))
+        self.assertEqual(story.lines, [])
+        self.assertIn("7 lines were left out", story.left_out)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/test_logs.py
@@ -0,0 +1,155 @@
+"""Log lines: their budget, their writer, and which requests are told."""
+
+import json
+import os
+import unittest
+
+import structlog
+
+from railsail.core.clock import ManualClock
+from railsail.core.decisions import MOST_HELD_BACK, DecisionLog, Sampling
+from railsail.core.events import EventLog, Kind
+from railsail.core.logs import MOST_LINE_BYTES, BudgetProcessor, LeftOut, LineBudget, LineWriter
+
+
+class BudgetTests(unittest.TestCase):
+    def test_ordinary_lines_leave_half_to_trouble(self):
+        budget = LineBudget(100, 0.0)
+        ordinary = sum(budget.allow(0.0, True) for _ in range(100))
+        trouble = sum(budget.allow(0.0, False) for _ in range(100))
+        self.assertEqual((ordinary, trouble), (50, 50))
+
+    def test_budget_is_renewed_each_second_and_not_saved_up(self):
+        budget = LineBudget(10, 0.0)
+        self.assertEqual(sum(budget.allow(0.0, False) for _ in range(20)), 10)
+        self.assertEqual(sum(budget.allow(60.0, False) for _ in range(20)), 10)
+
+    def test_what_was_left_out_is_told_with_the_next_line(self):
+        now = [0.0]
+        left_out = LeftOut()
+        step = BudgetProcessor(1, left_out, lambda: now[0])
+        step(None, "info", {"event": "a"})
+        for _ in range(3):
+            with self.assertRaises(structlog.DropEvent):
+                step(None, "info", {"event": "b"})
+        now[0] = 1.0
+        self.assertEqual(step(None, "info", {"event": "c"})["lines_left_out"], 3)
+        now[0] = 2.0
+        self.assertNotIn("lines_left_out", step(None, "info", {"event": "d"}))
+        self.assertEqual(left_out.over_budget, 3)
+
+
+class WriterTests(unittest.TestCase):
+    def setUp(self):
+        self.read, self.write = os.pipe()
+        self.addCleanup(os.close, self.read)
+        self.file = os.fdopen(self.write, "w")
+        self.left_out = LeftOut()
+        self.writer = LineWriter(self.file, self.left_out)
+
+    def tearDown(self):
+        self.file.close()
+
+    def test_full_pipe_drops_lines_and_never_waits(self):
+        line = "x" * 1000 + "\n"
+        for _ in range(1000):
+            self.writer.write(line)
+        self.assertGreater(self.left_out.pipe_full, 0)
+        written = 1000 - self.left_out.pipe_full
+        os.set_blocking(self.read, False)
+        got = b""
+        while chunk := self._take():
+            got += chunk
+        self.assertEqual(got, (line * written).encode())
+
+    def _take(self) -> bytes:
+        try:
+            return os.read(self.read, 1 << 16)
+        except BlockingIOError:
+            return b""
+
+    def test_line_that_is_too_long_for_a_pipe_stays_a_line_of_json(self):
+        self.writer.write(json.dumps({"event": "x" * (MOST_LINE_BYTES * 4)}) + "\n")
+        got = os.read(self.read, 1 << 16)
+        self.assertLess(len(got), MOST_LINE_BYTES)
+        self.assertEqual(json.loads(got)["event"], "line too long")
+
+
+class DecisionTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.lines: list[tuple[str, str, bool]] = []
+        self.events = EventLog("n", self.clock)
+
+    def start(self, per_second: float) -> None:
+        log = DecisionLog(self.clock, per_second, self._write)
+        if not per_second:
+            # The share is set after the first second.
+            log._sampling.request(self.clock.monotonic())
+            self.clock.advance(1.0)
+            log._sampling.request(self.clock.monotonic())
+        self.events.on_emit(log.take)
+
+    def _write(self, event, ordinary):
+        self.lines.append((event.request, str(event.kind), ordinary))
+
+    def run_request(self, name: str, **end: object) -> None:
+        self.events.emit(Kind.RECEIVED, request=name)
+        self.events.emit(Kind.SENT, request=name)
+        self.events.emit(Kind.ENDED, request=name, **end)
+
+    def test_sampled_request_is_told_whole_as_ordinary(self):
+        self.start(10.0)
+        self.run_request("a")
+        kinds = [("a", "received", True), ("a", "sent", True), ("a", "ended", True)]
+        self.assertEqual(self.lines, kinds)
+
+    def test_request_that_goes_well_and_is_not_sampled_is_not_told(self):
+        self.start(0.0)
+        self.run_request("a")
+        self.assertEqual(self.lines, [])
+
+    def test_request_that_fails_is_told_whole_and_in_order(self):
+        self.start(0.0)
+        self.run_request("a", notable=True)
+        kinds = [("a", "received", False), ("a", "sent", False), ("a", "ended", False)]
+        self.assertEqual(self.lines, kinds)
+
+    def test_after_a_retry_the_rest_is_told_even_if_it_goes_well(self):
+        self.start(0.0)
+        self.events.emit(Kind.RECEIVED, request="a")
+        self.events.emit(Kind.RETRIED, request="a")
+        self.events.emit(Kind.SENT, request="a")
+        self.events.emit(Kind.ENDED, request="a")
+        self.assertEqual(
+            [kind for _, kind, _ in self.lines], ["received", "retried", "sent", "ended"]
+        )
+
+    def test_changes_of_belief_are_always_told(self):
+        self.start(0.0)
+        self.events.emit(Kind.MEMBER, member="x", state="dead")
+        self.assertEqual(self.lines, [("", "member", False)])
+
+    def test_what_is_held_back_is_bounded(self):
+        self.start(0.0)
+        log = DecisionLog(self.clock, 0.0, self._write)
+        log._sampling._share = 0.0
+        for number in range(MOST_HELD_BACK + 10):
+            log.take(EventLog("n", self.clock).emit(Kind.RECEIVED, request=f"r{number}"))
+        self.assertEqual(len(log._held_back), MOST_HELD_BACK)
+
+    def test_all_daemons_choose_the_same_requests(self):
+        samplings = [Sampling(5.0, 0.0), Sampling(5.0, 0.0)]
+        for sampling in samplings:
+            for _ in range(100):
+                sampling.request(0.0)
+            sampling.request(1.0)
+        names = [f"r{number}" for number in range(1000)]
+        chosen = [{name for name in names if sampling.chosen(name)} for sampling in samplings]
+        self.assertEqual(chosen[0], chosen[1])
+        self.assertGreater(len(chosen[0]), 0)
+        self.assertLess(len(chosen[0]), 150)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -144,8 +144,8 @@
         self.assertEqual(node.cells.dispatcher(CELL), node.settings.node_id)
         response = await call
         self.assertTrue(whole(response))
-        stories = [event.detail for event in node.events if event.kind == "granted"]
-        self.assertTrue(stories[-1].endswith(f"by {node.settings.node_id}"))
+        grants = [event for event in node.events if event.kind == "granted"]
+        self.assertEqual(grants[-1].facts["dispatcher"], node.settings.node_id)
 
 
 class SilentTests(DispatchTestCase):
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -56,7 +56,10 @@
         if self.node.events.select(request):
             await self.until(lambda: self.has_ended(request))
         for event in self.node.events.select(request):
-            self.lines.append(f"event {event.kind} {event.workspace} {event.detail}".rstrip())
+            # Times differ from run to run.
+            facts = [f"{k}={v}" for k, v in event.facts.items() if not k.endswith("_ms")]
+            words = ["event", event.kind, event.workspace, event.detail, *facts]
+            self.lines.append(" ".join(word for word in words if word))
 
     def has_ended(self, request: str) -> bool:
         return any(event.kind == "ended" for event in self.node.events.select(request))
--- /dev/null
+++ b/tests/platform/test_explain.py
@@ -0,0 +1,85 @@
+"""Failed requests on the platform's formats, explained from log lines alone."""
+
+import asyncio
+import json
+import unittest
+
+from railsail.cli.explain import Story, parse_line, tell_story
+from railsail.core.decisions import DecisionLog, line_fields
+from railsail.node import Node
+from tests.platform.base import PlatformTestCase
+from tests.platform.standins import answering, closing, hanging, streaming
+
+
+class ExplainedTests(PlatformTestCase):
+    async def serve(self, *scripts, configured: bool = True) -> Node:
+        node = await super().serve(*scripts, configured=configured)
+        self.lines: list[str] = []
+        # No request is told unless it has to be.
+        decisions = DecisionLog(node.clock, 0.0, self._write)
+        decisions._sampling._share = 0.0
+        node.events.on_emit(decisions.take)
+        return node
+
+    def _write(self, event, ordinary):
+        self.lines.append(json.dumps({"event": event.kind, **line_fields(event)}))
+
+    def story(self, request: str = "r-1") -> Story:
+        return tell_story(request, [parse_line(line) for line in self.lines])
+
+    async def test_request_that_found_no_room(self):
+        node = await self.serve(hanging())
+        first = [
+            asyncio.ensure_future(self.call(node, "/once/", Request_Id=f"h-{number}"))
+            for number in range(5)
+        ]
+        await self.until(lambda: len(self.replicas[0].received) == 5)
+        answer = await self.call(node, "/once/")
+        self.assertEqual(answer.status, 503)
+        story = self.story()
+        self.assertIn("no replica had room in time", story.cause)
+        self.assertIn("1 tickets waited, and 1 of 1 replicas served, with 5 calls", story.cause)
+        kinds = [line.event for line in story.lines if line.event in ("received", "ended")]
+        self.assertEqual(kinds, ["received", "ended"])
+        for call in first:
+            call.cancel()
+
+    async def test_lost_answer_of_a_request_that_may_not_be_repeated(self):
+        node = await self.serve(closing())
+        answer = await self.call(node, "/once/")
+        self.assertEqual(answer.status, 502)
+        story = self.story()
+        self.assertIn("since it may not be repeated", story.cause)
+        (sent,) = [line for line in story.lines if line.event == "sent"]
+        self.assertEqual(sent.facts["replica"], "i-0")
+        self.assertGreater(sent.facts["listed_version"], 0)
+
+    async def test_stream_that_broke_midway(self):
+        node = await self.serve(streaming(5, stop_after=3))
+        await self.call(node, "/stream/")
+        story = self.story()
+        (ended,) = [line for line in story.lines if line.event == "ended"]
+        self.assertEqual(ended.facts["outcome"], "unknown")
+        self.assertEqual(ended.facts["last_event"], "2")
+        self.assertNotIn("status", ended.facts)
+
+    async def test_unknown_key_names_the_configuration_that_lacks_it(self):
+        node = await self.serve(answering())
+        await self.call(node, "/once/", Authorization="Bearer nobody")
+        story = self.story()
+        self.assertIn("the key is not known", story.cause)
+        self.assertEqual(story.lines[0].facts["configuration"], 3)
+
+    async def test_request_that_goes_well_is_not_told_unless_it_is_sampled(self):
+        node = await self.serve(answering())
+        await self.call(node, "/once/")
+        self.assertEqual(self.story().lines, [])
+
+    async def test_keys_are_never_logged(self):
+        node = await self.serve(closing())
+        await self.call(node, "/once/")
+        self.assertNotIn("the-key-of-one", "".join(self.lines))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,5 +1,9 @@
-"""The process: what SIGHUP does to the settings."""
+"""The process: what SIGHUP does to the settings, and what it logs from start to stop."""
 
+import asyncio
+import json
+import signal
+import sys
 import tempfile
 import unittest
 from dataclasses import replace
@@ -7,6 +11,7 @@
 
 from railsail.conf.settings import parse
 from railsail.process import reload
+from railsail.standins.fleet import free_ports
 
 LINES = {
     "failure-domain": "a",
@@ -59,5 +64,39 @@
         self.assertEqual(self.node.reloaded, [])
 
 
+class LoggedTests(unittest.IsolatedAsyncioTestCase):
+    async def test_each_line_is_json_and_start_reload_and_stop_are_told(self):
+        ports = free_ports(4)
+        names = ("caller-port", "admin-port", "peer-port")
+        flags = [f"--{name}={port}" for name, port in zip(names, ports, strict=False)]
+        flags += [f"--store=127.0.0.1:{ports[3]}", "--failure-domain=a", "--network=closed"]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "railsail.daemon",
+            *flags,
+            "--leave-seconds=0",
+            stdout=asyncio.subprocess.PIPE,
+        )
+        lines = []
+        try:
+            async with asyncio.timeout(60):
+                async for text in process.stdout:
+                    lines.append(json.loads(text))
+                    if lines[-1].get("state") == "ready":
+                        process.send_signal(signal.SIGHUP)
+                    if lines[-1]["event"] == "settings reloaded":
+                        process.send_signal(signal.SIGTERM)
+                self.assertEqual(await process.wait(), 0)
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        told = [line["event"] for line in lines]
+        for event in ("start", "store", "state", "settings reloaded", "drain asked for", "stop"):
+            self.assertIn(event, told)
+        self.assertEqual({line["node"] for line in lines}, {f"127.0.0.1:{ports[2]}"})
+
+
 if __name__ == "__main__":
     unittest.main()
