scheduling: closed replicas for errors only where they do worse than the others

Cause: two failures in a row closed a replica for 0.5 s and more, whatever the others did.

Ruled out: replicas that were gone or silent (none was listed so; none fell silent), routes or keys (the refusals were for want of room).

Change: errors close a replica only while its share of errors is well above that of the others, and never more than half of a cell; one out of reach is closed as before. A trial is one call at a time whatever still runs from before, and an answer that begins well opens the replica again.

--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -30,9 +30,9 @@
     Resync,
 )
 from railsail.scheduling.cells import Cell
+from railsail.scheduling.health import CallResult
 
 RESYNC_SECONDS = 10.0
-_LEARNT = {None: 0, True: 1, False: 2}
 
 
 class TicketDesk:
@@ -144,7 +144,7 @@
         if booking.waiting:
             self._hub.send(booking.node, Cancel(booking.number))
         else:
-            self._send_release(booking, 0.0, None)
+            self._send_release(booking, 0.0, CallResult.NOTHING)
 
     def progress(self, booking: Booking, charged: float) -> None:
         """Raise the charge of a running request to ``charged`` in all."""
@@ -157,10 +157,10 @@
             booking.begun = True
             self._hub.send(booking.node, Begun(booking.number, booking.attempt))
 
-    def release(self, booking: Booking, cost: float, ok: bool | None) -> None:
-        """End a granted request; ``ok`` says whether the replica did well, if that was learnt."""
+    def release(self, booking: Booking, cost: float, result: CallResult) -> None:
+        """End a granted request; ``result`` is what was learnt of its replica."""
         if self._bookings.pop(booking.number, None) is not None:
-            self._send_release(booking, cost, ok)
+            self._send_release(booking, cost, result)
 
     def replan(self) -> None:
         """Move bookings whose cell has another dispatcher now."""
@@ -314,8 +314,8 @@
             0 if booking.begun else max(1, booking.want.prompt_tokens),
         )
 
-    def _send_release(self, booking: Booking, cost: float, ok: bool | None) -> None:
-        release = Release(booking.number, booking.attempt, round(cost), _LEARNT[ok])
+    def _send_release(self, booking: Booking, cost: float, result: CallResult) -> None:
+        release = Release(booking.number, booking.attempt, round(cost), result)
         self._hub.send(booking.node, release)
 
     def _granted(self, node: str, message: Granted) -> None:
@@ -348,7 +348,7 @@
             dispatcher=node,
             ticket=ticket_name(self._hub.own.node, message.number),
         )
-        self._hub.send(node, Release(message.number, message.attempt, 0, _LEARNT[None]))
+        self._hub.send(node, Release(message.number, message.attempt, 0, CallResult.NOTHING))
 
     def _refused(self, node: str, message: Refused) -> None:
         booking = self._bookings.get(message.number)
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -31,13 +31,13 @@
 )
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import CellDispatcher, Decision, Flight, Grant
+from railsail.scheduling.health import CallResult
 from railsail.scheduling.room import LoadReport
 from railsail.scheduling.tickets import Ticket, TicketKey
 from railsail.upstreams.directory import UpstreamDirectory
 
 TICK_SECONDS = 0.25
 IDLE_SECONDS = 30.0
-_RESULTS = {0: None, 1: True, 2: False}
 
 
 class DispatcherService:
@@ -219,8 +219,8 @@
         if dispatcher is None:
             return
         now = self._clock.monotonic()
-        ok = _RESULTS[message.result]
-        dispatcher.release_attempt(key, message.attempt, float(message.cost), now, ok)
+        result = CallResult(message.result)
+        dispatcher.release_attempt(key, message.attempt, float(message.cost), now, result)
         if key not in dispatcher.flights and key not in dispatcher.queue:
             del self._where[key]
         self._pump(cell, dispatcher)
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -16,6 +16,7 @@
 from railsail.objects.kinds import Pool
 from railsail.policy.programs import Verdict
 from railsail.scheduling.estimates import ChargeMeter, CostEstimator
+from railsail.scheduling.health import CallResult
 from railsail.scheduling.retries import RetryBudget
 from railsail.upstreams.base import UpstreamCall, UpstreamKind
 from railsail.upstreams.directory import UpstreamDirectory
@@ -123,7 +124,7 @@
         upstream = self._directory.get(replica)
         kind = self._kind_of(served.pool.name)
         if upstream is None or kind is None:
-            self._desk.release(booking, 0.0, None)
+            self._desk.release(booking, 0.0, CallResult.NOTHING)
             return NotRun(Reason.UNREACHABLE, f"{replica} is not known here")
         call = self._upstream_call(served, upstream.endpoint)
         served.sink.meter(ChargeMeter(booking.charged), self._desk, booking)
@@ -173,10 +174,11 @@
         self._cancels.start(kind.cancel(call))
 
 
-def _learnt(outcome: Outcome) -> bool | None:
-    """Return whether the replica did well, ``None`` if the outcome does not tell."""
+def _learnt(outcome: Outcome) -> CallResult:
     if isinstance(outcome, Completed):
-        return True
+        return CallResult.GOOD
     if isinstance(outcome, Unknown) and outcome.detail == CANCELLED:
-        return None
-    return False
+        return CallResult.NOTHING
+    if isinstance(outcome, NotRun) and outcome.reason is Reason.UNREACHABLE:
+        return CallResult.UNREACHABLE
+    return CallResult.ERROR
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -134,12 +134,15 @@
 
 
 class Release(Message, frozen=True, tag=14):
-    """End a granted request; ``result`` is 0 for nothing learnt, 1 for good, 2 for failed."""
+    """End a granted request.
+
+    ``result`` is 0 for nothing learnt, 1 for good, 2 for an error, 3 for a replica out of reach.
+    """
 
     number: Natural
     attempt: Natural
     cost: Natural
-    result: Annotated[int, msgspec.Meta(ge=0, le=2)]
+    result: Annotated[int, msgspec.Meta(ge=0, le=3)]
 
 
 class Progress(Message, frozen=True, tag=15):
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -58,7 +58,7 @@
 
     An event stream is passed on as whole events, so that a stream that breaks within one can go on
     at another replica. Any other answer is held until it is whole. ``begun`` is called when the
-    body begins.
+    body of a success begins.
     """
 
     def __init__(
@@ -94,7 +94,8 @@
 
     async def data(self, chunk: bytes) -> None:
         """Take a piece of the body."""
-        self._begun()
+        if self.answered is not None and self.answered.success:
+            self._begun()
         self._progressed()
         if self.streams:
             await self.stream.pass_on(self.answered, self._splitter.feed(chunk))
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -16,6 +16,7 @@
 from railsail.routing.client import ClientAnswer, ClientLeft
 from railsail.routing.messages import Dispatch, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
+from railsail.scheduling.health import CallResult
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.sse import BadStream
@@ -172,22 +173,22 @@
 
     async def _send_booked(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
         sent_at = self._clock.monotonic()
-        ok: bool | None = None
+        result = CallResult.NOTHING
         outcome: Outcome | None = None
         try:
             outcome = await self._send(routed, booking, replica)
-            ok = _learnt(outcome)
+            result = _learnt(outcome)
             return outcome
         except (asyncio.CancelledError, ClientLeft):
             # Nobody waits that long for an answer that does not begin, unless something is wrong.
             if not booking.begun and self._clock.monotonic() - sent_at > LEAST_SILENCE_SECONDS:
-                ok = False
+                result = CallResult.ERROR
             raise
         finally:
             if outcome is None or not isinstance(outcome, Completed):
                 routed.avoid = replica
             used = outcome is None or not isinstance(outcome, NotRun)
-            self._desk.release(booking, booking.want.estimate if used else 0.0, ok)
+            self._desk.release(booking, booking.want.estimate if used else 0.0, result)
 
     async def _send(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
         upstream = self._directory.get(replica)
@@ -316,8 +317,14 @@
     return max(LEAST_SILENCE_SECONDS, SILENT_OBJECTIVES * routed.route.objective)
 
 
-def _learnt(outcome: Outcome) -> bool:
-    return isinstance(outcome, Completed) and outcome.status < 500
+def _learnt(outcome: Outcome) -> CallResult:
+    if isinstance(outcome, Completed):
+        return CallResult.GOOD if outcome.status < 500 else CallResult.ERROR
+    if isinstance(outcome, NotRun) and outcome.reason is Reason.UNREACHABLE:
+        return CallResult.UNREACHABLE
+    if isinstance(outcome, NotRun) and outcome.reason is not Reason.REFUSED:
+        return CallResult.NOTHING
+    return CallResult.ERROR
 
 
 def _truth(routed: Routed, outcome: Outcome) -> Outcome:
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -6,6 +6,7 @@
 
 from railsail.core.outcomes import Reason
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
+from railsail.scheduling.health import CallResult, Peers
 from railsail.scheduling.placing import Placing
 from railsail.scheduling.room import LoadReport, ReplicaRoom
 from railsail.scheduling.tickets import Ticket, TicketKey
@@ -122,18 +123,19 @@
         flight.charged = charged
 
     def release_attempt(
-        self, key: TicketKey, attempt: int, cost: float, now: float, ok: bool | None
+        self, key: TicketKey, attempt: int, cost: float, now: float, result: CallResult
     ) -> None:
         """End a request in flight, unless its ticket was granted anew since ``attempt``."""
         flight = self.flights.get(key)
         if flight is not None and flight.attempt <= attempt:
-            self.release(key, cost, now, ok)
+            self.release(key, cost, now, result)
 
-    def release(self, key: TicketKey, cost: float, now: float, ok: bool | None = None) -> bool:
+    def release(
+        self, key: TicketKey, cost: float, now: float, result: CallResult = CallResult.NOTHING
+    ) -> bool:
         """End a request in flight and settle its charge against its ``cost``.
 
-        ``ok`` says whether the replica answered as it should, ``None`` that nothing was learnt.
-        Return whether the request was known.
+        ``result`` is what was learnt of the replica. Return whether the request was known.
         """
         flight = self.flights.pop(key, None)
         if flight is None:
@@ -144,12 +146,20 @@
             return True
         room.forget(key)
         room.ended(now)
-        if ok is True:
+        if result is CallResult.GOOD:
             room.succeeded(now, now - flight.started_at)
-        elif ok is False:
-            room.failed(now)
+        elif result is not CallResult.NOTHING:
+            room.failed(now, result, self._peers_of(room, now))
         return True
 
+    def _peers_of(self, room: ReplicaRoom, now: float) -> Peers:
+        others = [other for other in self.replicas.values() if other is not room]
+        if not others:
+            return Peers(may_close=False)
+        closed = sum(not other.serves(now) or other.health.tripped for other in others)
+        shares = [other.health.error_share for other in others]
+        return Peers(sum(shares) / len(shares), closed + 1 <= len(self.replicas) // 2)
+
     def report(self, replica: str, report: LoadReport, now: float) -> None:
         """Take in a load report of ``replica``."""
         room = self.replicas.get(replica)
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -2,12 +2,13 @@
 
 Room is the reported limit less this dispatcher's own calls in flight and less the load of others.
 Where a replica reports nothing, the limit is learnt by additive increase and multiplicative
-decrease. Failures close a replica for a time that doubles; then one call tries it again.
+decrease. A replica that does badly is closed for a while (see ``railsail.scheduling.health``).
 """
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
+from railsail.scheduling.health import CallResult, Peers, ReplicaHealth
 from railsail.scheduling.tickets import Ticket, TicketKey
 
 LEAST_LIMIT = 1.0
@@ -17,9 +18,6 @@
 DECREASE = 0.7
 # A call that takes this many times the usual time says that the replica is too full.
 SLOW_FACTOR = 3.0
-FIRST_CLOSED_SECONDS = 0.5
-MOST_CLOSED_SECONDS = 4.0
-FAILURES_TO_CLOSE = 2
 # Own calls are remembered this long, to tell them from foreign ones in a report that lags.
 REPORT_LAG_SECONDS = 2.0
 USUAL_TIME_GAIN = 0.1
@@ -80,9 +78,7 @@
         self.foreign = 0
         self._slots = slots
         self._limit = FIRST_LIMIT
-        self._failures = 0
-        self._closed_until = 0.0
-        self._closed_seconds = FIRST_CLOSED_SECONDS
+        self.health = ReplicaHealth()
         self._usual_time = 0.0
         self._recent: deque[tuple[float, int]] = deque()
         self._unread: dict[TicketKey, Unread] = {}
@@ -104,7 +100,7 @@
 
     def serves(self, now: float) -> bool:
         """Say whether the replica may be given calls at all."""
-        return not (self.leaving or now < self._closed_until or self._silent(now))
+        return not (self.leaving or self.health.closed(now) or self._silent(now))
 
     @property
     def unread_seconds(self) -> float:
@@ -115,9 +111,9 @@
         """Return how many more calls fit at ``now``, with ``extra`` beyond the limit."""
         if not self.serves(now):
             return 0
-        if self._failures >= FAILURES_TO_CLOSE:
+        if self.health.tripped:
             # The replica was closed and is tried again, with one call at a time.
-            return max(0, 1 - self.in_flight)
+            return int(self.health.wants_trial)
         return max(0, int(self.limit) + extra - self.in_flight - self.foreign)
 
     @property
@@ -164,7 +160,8 @@
         self._unread[key] = Unread(tokens, self._unread_tokens, now)
 
     def answered(self, key: TicketKey, now: float) -> None:
-        """Take note that an answer has begun, so that its prompt was read."""
+        """Take note that a good answer has begun, so that its prompt was read."""
+        self.health.begun()
         unread = self._unread.get(key)
         self.forget(key)
         self._answered_at = now
@@ -196,17 +193,18 @@
     def started(self, now: float) -> None:
         """Take note of a call granted."""
         self.in_flight += 1
+        self.health.started()
         self._remember(now)
 
     def ended(self, now: float) -> None:
         """Take note of the end of a call, however it ended."""
         self._remember(now)
+        self.health.ended()
         self.in_flight = max(0, self.in_flight - 1)
 
     def succeeded(self, now: float, seconds: float) -> None:
         """Take note that a call was answered whole after ``seconds``."""
-        self._failures = 0
-        self._closed_seconds = FIRST_CLOSED_SECONDS
+        self.health.succeeded()
         if self._usual_time == 0.0:
             self._usual_time = seconds
         if seconds > SLOW_FACTOR * self._usual_time:
@@ -215,13 +213,10 @@
             self._limit = min(MOST_LIMIT, self._limit + 1 / self._limit)
         self._usual_time += USUAL_TIME_GAIN * (seconds - self._usual_time)
 
-    def failed(self, now: float) -> None:
+    def failed(self, now: float, result: CallResult, peers: Peers) -> None:
         """Take note that a call failed or was refused; enough of them close the replica."""
         self._limit = max(LEAST_LIMIT, self._limit * DECREASE)
-        self._failures += 1
-        if self._failures >= FAILURES_TO_CLOSE:
-            self._closed_until = now + self._closed_seconds
-            self._closed_seconds = min(self._closed_seconds * 2, MOST_CLOSED_SECONDS)
+        self.health.failed(now, result, peers)
 
     def reported(self, now: float, report: LoadReport) -> None:
         """Take in a load report, which lags by its age.
--- a/tests/scheduling/test_fairqueue.py
+++ b/tests/scheduling/test_fairqueue.py
@@ -8,6 +8,7 @@
 
 from railsail.scheduling.dispatcher import CellDispatcher, Grant, Refusal
 from railsail.scheduling.fairqueue import FairQueue
+from railsail.scheduling.health import CallResult
 from railsail.scheduling.tickets import Ticket
 
 SLOTS = 4
@@ -56,7 +57,7 @@
             # The request is cancelled part of the way.
             cost *= self.rng.random()
         self.served[workspace] += cost
-        self.dispatcher.release(("entry", number), cost, self.now, True)
+        self.dispatcher.release(("entry", number), cost, self.now, CallResult.GOOD)
         self.start(self.dispatcher.pump(self.now))
         self.fill()
 
@@ -166,7 +167,7 @@
         again = ticket(1)
         again = Ticket(**{**vars(again), "attempt": 2})
         self.assertEqual(len(self.dispatcher.offer(again, 0.0)), 1)
-        self.dispatcher.release_attempt(("entry", 1), 1, 0.0, 0.0, None)
+        self.dispatcher.release_attempt(("entry", 1), 1, 0.0, 0.0, CallResult.NOTHING)
         self.assertIn(("entry", 1), self.dispatcher.flights)
 
     def test_leaving_replica_gets_nothing_new(self):
--- a/tests/scheduling/test_room.py
+++ b/tests/scheduling/test_room.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from railsail.scheduling.health import CallResult, Peers
 from railsail.scheduling.room import LoadReport, ReplicaRoom
 from railsail.scheduling.tickets import Ticket, TicketKey
 
@@ -91,8 +92,8 @@
 
     def test_failures_close_and_one_call_tries_again(self):
         room = ReplicaRoom("r", 8)
-        room.failed(0.0)
-        room.failed(0.0)
+        room.failed(0.0, CallResult.ERROR, Peers())
+        room.failed(0.0, CallResult.ERROR, Peers())
         self.assertEqual(room.room(0.1), 0)
         self.assertEqual(room.room(0.6), 1)
         room.started(0.6)
@@ -104,7 +105,7 @@
     def test_closing_time_doubles(self):
         room = ReplicaRoom("r", 8)
         for moment in (0.0, 0.0, 1.0):
-            room.failed(moment)
+            room.failed(moment, CallResult.ERROR, Peers())
         self.assertEqual(room.room(1.9), 0)
         self.assertEqual(room.room(2.1), 1)
 
