--- a/railsail/core/decisions.py
+++ b/railsail/core/decisions.py
@@ -1,9 +1,9 @@
 """The decision log: events of the time line as log lines.
 
-What tells of trouble, or changes what the process believes, is always written. Of requests that go
-well only a sample is, chosen by a hash of the request's id, so that all daemons choose the same
-ones. The events of other requests are held back while they run; where one of them runs into
-trouble, all of its story is written after all.
+What tells of trouble, or changes what the process believes, is written at once. The events of a
+request are held back while it runs; where it runs into trouble, its whole story is written then. Of
+requests that go well only a sample is written, at their ends, chosen by a hash of the request's id,
+so that all daemons choose the same ones. A process that is killed loses what it held back.
 """
 
 import zlib
@@ -76,24 +76,35 @@
             return
         if event.kind is Kind.RECEIVED:
             self._begin(event.request)
+        if event.notable:
+            self._write_held_back(event.request, ordinary=False)
+            self._write(event, False)
+            if event.request in self._held_back:
+                self._held_back[event.request] = None
+        else:
+            self._hold_back(event)
+        if event.kind is Kind.ENDED:
+            self._end(event.request)
+
+    def _hold_back(self, event: Event) -> None:
         held_back = self._held_back.get(event.request)
-        if event.notable and held_back:
-            for earlier in held_back:
-                self._write(earlier, False)
         if held_back is None:
-            self._write(event, not event.notable)
-        elif event.notable:
-            self._held_back[event.request] = None
-            self._write(event, False)
+            # Its story is told already, or began at another daemon.
+            self._write(event, True)
         else:
             held_back.append(event)
-        if event.kind is Kind.ENDED:
-            self._held_back.pop(event.request, None)
+
+    def _end(self, request: str) -> None:
+        if self._sampling.chosen(request):
+            self._write_held_back(request, ordinary=True)
+        self._held_back.pop(request, None)
+
+    def _write_held_back(self, request: str, ordinary: bool) -> None:
+        for event in self._held_back.get(request) or ():
+            self._write(event, ordinary)
 
     def _begin(self, request: str) -> None:
         self._sampling.request(self._clock.monotonic())
-        if self._sampling.chosen(request):
-            return
         self._held_back[request] = []
         if len(self._held_back) > MOST_HELD_BACK:
             del self._held_back[next(iter(self._held_back))]
