--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -12,7 +12,7 @@
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.bookings import Booking, TicketRefused, Want, ticket_name, to_place
 from railsail.dispatch.cellmap import CellMap
-from railsail.dispatch.silence import PROBE_SECONDS, SilenceWatch, Verdict
+from railsail.dispatch.reach import DispatcherReach
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
@@ -23,7 +23,6 @@
     Granted,
     Moved,
     Place,
-    Probe,
     Progress,
     Refused,
     Release,
@@ -48,14 +47,10 @@
         self._bookings: dict[int, Booking] = {}
         self._next_number = 1
         self._counters: dict[Cell, dict[str, int]] = {}
-        self._unreachable: set[str] = set()
-        self._redialled: set[str] = set()
+        self._reach = DispatcherReach(hub, kernel, self.dispatchers, self._reach_changed)
         # Since when a dispatcher knows what this entry has of a cell; what is not named here may
         # still have calls that ended while it could not be told.
         self._told_at: dict[tuple[str, Cell], float] = {}
-        self._silence = SilenceWatch()
-        self._checking: set[str] = set()
-        self._silent_since: dict[str, float] = {}
         hub.handle(Granted, self._granted)
         hub.handle(Refused, self._refused)
         hub.handle(Moved, self._moved)
@@ -65,7 +60,7 @@
     @property
     def unreachable(self) -> set[str]:
         """Return the nodes that were silent or could not be dialled when last asked."""
-        return self._unreachable
+        return self._reach.unreachable
 
     def waiting(self) -> list[Booking]:
         """Return the bookings that wait."""
@@ -207,10 +202,8 @@
         self._hub.send(node, Resync(cell.pool, cell.number, waiting, flights, records))
 
     def _link_up(self, peer: Identity) -> None:
-        self._redialled.discard(peer.node)
         self._forget_told(peer.node)
-        if peer.node in self._unreachable:
-            self._reached(peer.node)
+        self._reach.link_up(peer.node)
         cells = {b.cell for b in self._bookings.values() if b.node == peer.node}
         for booking in self._bookings.values():
             if booking.node == peer.node and booking.waiting:
@@ -224,64 +217,15 @@
 
     def _link_down(self, node: str) -> None:
         self._forget_told(node)
-        if node in self._unreachable or node not in self.dispatchers():
-            return
-        # One attempt to link again; if it fails, this is called once more and the node is avoided.
-        if node not in self._redialled and self._hub.dial(node):
-            self._redialled.add(node)
-            return
-        self._leave(node)
+        self._reach.link_down(node)
 
-    def _leave(self, node: str) -> None:
-        self._unreachable.add(node)
-        self._silent_since[node] = self._clock.monotonic()
+    def _reach_changed(self) -> None:
         self._cells.forget()
         self.replan()
 
-    def _reached(self, node: str) -> None:
-        self._unreachable.discard(node)
-        self._silent_since.pop(node, None)
-        self._silence.forget(node)
-        self._cells.forget()
-        self.replan()
-
-    def _watch_silence(self, node: str) -> None:
-        if node == self._hub.own.node or node in self._unreachable:
-            return
-        self._silence.asked(node, self._clock.monotonic(), self._hub.last_heard(node))
-        if node not in self._checking:
-            self._checking.add(node)
-            self._check_later(node)
-
-    def _check_later(self, node: str) -> None:
-        asyncio.get_running_loop().call_later(PROBE_SECONDS, self._check_silence, node)
-
-    def _check_silence(self, node: str) -> None:
-        now = self._clock.monotonic()
-        verdict = self._silence.check(node, now, self._hub.last_heard(node))
-        if verdict is Verdict.PROBE:
-            self._hub.send(node, Probe())
-        if verdict in (Verdict.PROBE, Verdict.WAIT):
-            self._check_later(node)
-            return
-        self._checking.discard(node)
-        if verdict is Verdict.SILENT:
-            heard = now - self._hub.last_heard(node)
-            self._events.emit(
-                Kind.MEMBER,
-                "left as a dispatcher, since it is silent",
-                member=node,
-                heard_ms_ago=round(heard * 1000),
-            )
-            self._leave(node)
-
     def tick(self) -> None:
         """Do what is due; to be called about twice a second."""
-        for node in list(self._unreachable):
-            if self._hub.connected(node) and self._hub.last_heard(node) > self._silent_since[node]:
-                self._reached(node)
-            else:
-                self._hub.dial(node)
+        self._reach.tick()
         now = self._clock.monotonic()
         for (node, cell), told_at in list(self._told_at.items()):
             if now - told_at > RESYNC_SECONDS:
@@ -292,7 +236,7 @@
                     del self._told_at[(node, cell)]
 
     def _send_place(self, booking: Booking) -> None:
-        self._watch_silence(booking.node)
+        self._reach.asked(booking.node)
         if (booking.node, booking.cell) not in self._told_at:
             self._resync(booking.node, booking.cell)
             return
