--- a/railsail/core/logs.py
+++ b/railsail/core/logs.py
@@ -8,6 +8,7 @@
 import contextlib
 import io
 import logging
+import os
 import select
 import sys
 import time
@@ -60,23 +61,30 @@
     def __init__(self, file: TextIO, left_out: LeftOut) -> None:
         self._file = file
         self._left_out = left_out
-        self._poll: select.poll | None = None
+        self._poll = select.poll()
+        self._descriptor: int | None = None
         # A file in memory has no descriptor, and never makes anyone wait.
         with contextlib.suppress(io.UnsupportedOperation):
-            descriptor = file.fileno()
-            self._poll = select.poll()
-            self._poll.register(descriptor, select.POLLOUT)
+            self._descriptor = file.fileno()
+            self._poll.register(self._descriptor, select.POLLOUT)
 
     def write(self, line: str) -> None:
         """Write a whole line, or count it as left out."""
         if len(line.encode()) > MOST_LINE_BYTES:
             line = _encode({"event": "line too long", "begins": line[:MOST_EXCERPT]}) + "\n"
-        if self._poll is not None and not self._poll.poll(0):
+        if self._descriptor is None:
+            self._file.write(line)
+        elif not self._poll.poll(0) or not self._write(line.encode()):
             self._left_out.pipe_full += 1
             self._left_out.untold += 1
-            return
-        self._file.write(line)
-        self._file.flush()
+
+    def _write(self, line: bytes) -> bool:
+        try:
+            os.write(self._descriptor, line)
+        except OSError:
+            # Nobody reads any more; that is no reason to stop serving.
+            return False
+        return True
 
     def flush(self) -> None:
         """Do nothing: every line is written at once or not at all."""
--- a/tests/core/test_logs.py
+++ b/tests/core/test_logs.py
@@ -68,6 +68,13 @@
         except BlockingIOError:
             return b""
 
+    def test_reader_that_is_gone_ends_nothing(self):
+        read, write = os.pipe()
+        os.close(read)
+        with os.fdopen(write, "w") as file:
+            LineWriter(file, self.left_out).write("x\n")
+        self.assertEqual(self.left_out.pipe_full, 1)
+
     def test_line_that_is_too_long_for_a_pipe_stays_a_line_of_json(self):
         self.writer.write(json.dumps({"event": "x" * (MOST_LINE_BYTES * 4)}) + "\n")
         got = os.read(self.read, 1 << 16)
