routing, scheduling: avoided a replica that this daemon alone cannot reach, and did not wait for one that just failed

Cause 1: a prompt with a long beginning waited for its home even where the home had just failed it, unless others fell idle (found by reading; the new test failed before: no replica was chosen). Cause 3: lines that were held back bore the time at which they were written; they bear their event's.

--- a/railsail/core/decisions.py
+++ b/railsail/core/decisions.py
@@ -8,8 +8,9 @@
 
 import zlib
 from collections.abc import Callable
+from datetime import UTC, datetime
 
-from railsail.core.clock import Clock
+from railsail.core.clock import Clock, stamp_seconds
 from railsail.core.events import Event, Fact, Kind
 from railsail.core.logs import get_logger
 
@@ -46,7 +47,10 @@
     """Return what a log line tells of ``event`` besides its kind."""
     named = {"request": event.request, "workspace": event.workspace, "detail": event.detail}
     given = {name: text for name, text in named.items() if text}
-    return {"node": event.node, "stamp": event.stamp, **given, **event.facts}
+    moment = datetime.fromtimestamp(stamp_seconds(event.stamp), UTC)
+    # A line that was held back tells when its event was, not when it is written.
+    when = {"stamp": event.stamp, "timestamp": moment.isoformat(timespec="milliseconds")}
+    return {"node": event.node, **when, **given, **event.facts}
 
 
 def write_event(event: Event, ordinary: bool) -> None:
--- a/railsail/core/logs.py
+++ b/railsail/core/logs.py
@@ -25,6 +25,7 @@
 MOST_EXCERPT = 1000
 # Ordinary lines leave this part of the budget to those that tell of trouble.
 RESERVED_SHARE = 0.5
+_NOW = structlog.processors.TimeStamper(fmt="iso")
 
 
 @dataclass
@@ -128,7 +129,7 @@
             BudgetProcessor(lines_per_second, left_out),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso"),
+            _add_timestamp,
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(serializer=_encode),
         ],
@@ -145,5 +146,11 @@
     return structlog.get_logger()
 
 
+def _add_timestamp(
+    logger: object, method: str, line: MutableMapping[str, object]
+) -> MutableMapping[str, object]:
+    return line if "timestamp" in line else _NOW(logger, method, line)
+
+
 def _encode(line: object, **options: object) -> str:
     return msgspec.json.encode(line, enc_hook=str).decode()
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -16,6 +16,7 @@
 from railsail.routing.client import ClientAnswer, ClientLeft
 from railsail.routing.messages import Dispatch, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
+from railsail.routing.reach import ReplicaReach
 from railsail.scheduling.health import CallResult
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
@@ -94,6 +95,7 @@
         self._metrics = kernel.metrics
         self._started_at = kernel.clock.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
+        self._reach = ReplicaReach()
 
     async def run(self, routed: Routed) -> Outcome:
         """Make attempts until there is an outcome that must stand, and return it."""
@@ -165,7 +167,7 @@
             estimate_cost(routed),
             False,
             prompt.affinity_key if routed.route.affinity else 0,
-            routed.avoid,
+            routed.avoid or self._reach.avoid(self._clock.monotonic()),
             prompt.tokens if routed.pool.cost_unit is CostUnit.TOKENS else 0,
             prompt.shared_tokens,
             routed.route.objective,
@@ -243,6 +245,7 @@
                 await self._exchange_watched(routed, call, answer)
         except NotSent as problem:
             routed.attempts -= 1
+            self._reach.failed(replica, self._clock.monotonic())
             return NotRun(Reason.UNREACHABLE, str(problem))
         except (CutOff, BadStream, AnswerRefused) as problem:
             routed.ran = True
@@ -273,6 +276,7 @@
 
     async def _judge(self, routed: Routed, replica: str, answer: ReplicaAnswer) -> Outcome:
         head = answer.answered
+        self._reach.reached(replica)
         if head.misdirected:
             self._directory.sign(replica, True, self._clock.wall())
             return NotRun(Reason.REFUSED, "another replica has the address")
--- a/railsail/scheduling/placing.py
+++ b/railsail/scheduling/placing.py
@@ -71,7 +71,7 @@
         rooms: Collection[ReplicaRoom],
         now: float,
     ) -> ReplicaRoom | None:
-        serving = [room for room in rooms if room.serves(now)]
+        serving = [room for room in rooms if room.serves(now) and room.name != ticket.avoid]
         home = _preferred(ticket, serving or candidates)
         if home in candidates:
             return home
--- a/tests/scheduling/test_placing.py
+++ b/tests/scheduling/test_placing.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from railsail.scheduling.placing import Placing, _preferred
 from railsail.scheduling.room import ReplicaRoom
@@ -56,6 +57,14 @@
         chosen = {self.choose(draft(number, 7)).name for number in range(30)}
         self.assertFalse({home.name, busy.name} & chosen)
 
+    def test_home_that_just_failed_the_request_is_not_waited_for(self):
+        for room in self.rooms:
+            room.expect(("x", 1), 4_000, 0.0)
+        home = _preferred(draft(1, 7), self.rooms)
+        chosen = self.choose(replace(draft(1, 7), avoid=home.name))
+        self.assertIsNotNone(chosen)
+        self.assertIsNot(chosen, home)
+
     def test_leaving_home_is_not_waited_for(self):
         home = _preferred(draft(1, 7), self.rooms)
         home.leaving = True
