--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -18,7 +18,7 @@
 from benchmarks.analysis import Curves, fairness, percentiles
 from benchmarks.play import Seen, play
 from benchmarks.workload import Plan, make
-from railsail.standins.engine import EngineSettings
+from railsail.standins.batching import EngineSettings
 
 RESULTS = Path("results")
 WARM_SECONDS = 3.0
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -23,7 +23,7 @@
 from benchmarks.play import Seen, play
 from benchmarks.relay import Relay
 from benchmarks.workload import Plan, make
-from railsail.standins.engine import EngineSettings
+from railsail.standins.batching import EngineSettings
 
 RESULTS = Path("results")
 SHAPE = deploy.ASSOCIATION
--- a/railsail/standins/demo.py
+++ b/railsail/standins/demo.py
@@ -13,7 +13,7 @@
 from railsail.core.clock import stamp_seconds
 from railsail.core.events import join
 from railsail.core.logs import configure_logs
-from railsail.standins.engine import EngineSettings
+from railsail.standins.batching import EngineSettings
 from railsail.standins.fleet import StandinFleet, load_objects
 
 DOMAINS = ("ulemiste", "lasnamae", "mustamae")
--- a/railsail/standins/fleet.py
+++ b/railsail/standins/fleet.py
@@ -13,7 +13,8 @@
 
 from railsail.conf.settings import Settings, parse
 from railsail.node import Node
-from railsail.standins.engine import Engine, EngineSettings, serve_engine
+from railsail.standins.batching import Engine, EngineSettings
+from railsail.standins.engine import serve_engine
 from railsail.standins.service import Service, serve_service
 from railsail.standins.store import StoreState, serve_store
 
--- a/railsail/standins/host.py
+++ b/railsail/standins/host.py
@@ -10,7 +10,8 @@
 import signal
 import sys
 
-from railsail.standins.engine import EngineSettings, serve_engine
+from railsail.standins.batching import EngineSettings
+from railsail.standins.engine import serve_engine
 from railsail.standins.service import serve_service
 from railsail.standins.store import serve_store
 
--- /dev/null
+++ b/railsail/standins/listening.py
@@ -0,0 +1,14 @@
+"""Serve the handlers of a stand-in."""
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+Routes = list[tuple[str, type[RequestHandler]]]
+
+
+def listen(routes: Routes, shared: dict[str, object], ip: str, port: int) -> HTTPServer:
+    """Serve ``routes`` at ``ip:port``; each handler is initialized with ``shared``."""
+    rules = [(pattern, handler, shared) for pattern, handler in routes]
+    server = HTTPServer(Application(rules, log_function=lambda handler: None))
+    server.listen(port, ip)
+    return server
--- a/railsail/standins/service.py
+++ b/railsail/standins/service.py
@@ -10,7 +10,9 @@
 from dataclasses import asdict, dataclass
 
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+from tornado.web import RequestHandler
+
+from railsail.standins.listening import listen
 
 
 @dataclass
@@ -91,15 +93,9 @@
 def serve_service(name: str, ip: str, port: int) -> tuple[Service, HTTPServer]:
     """Serve a service at ``ip:port``; return it and its server."""
     service = Service(name)
-    share = {"service": service}
-    application = Application(
-        [
-            (r"/standin/log", _Log, share),
-            (r"/standin/faults", _Faults, share),
-            (r"/.*", _Call, share),
-        ],
-        log_function=lambda handler: None,
-    )
-    server = HTTPServer(application)
-    server.listen(port, ip)
-    return service, server
+    routes = [
+        (r"/standin/log", _Log),
+        (r"/standin/faults", _Faults),
+        (r"/.*", _Call),
+    ]
+    return service, listen(routes, {"service": service}, ip, port)
--- a/railsail/standins/store.py
+++ b/railsail/standins/store.py
@@ -10,7 +10,9 @@
 from dataclasses import dataclass, field
 
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, HTTPError, RequestHandler
+from tornado.web import HTTPError, RequestHandler
+
+from railsail.standins.listening import listen
 
 MOST_VALUE_BYTES = 1_000_000
 MOST_HISTORY = 4096
@@ -172,17 +174,11 @@
 def serve_store(ip: str, port: int, rng: random.Random) -> tuple[StoreState, HTTPServer]:
     """Serve an empty store at ``ip:port``; return its state and its server."""
     state = StoreState(rng)
-    share = {"state": state}
-    application = Application(
-        [
-            (r"/v1/objects/([^/]+)", _List, share),
-            (r"/v1/objects/([^/]+)/([^/]+)", _Object, share),
-            (r"/v1/watch", _Watch, share),
-            (r"/standin/faults", _Faults, share),
-            (r"/standin/calls", _Calls, share),
-        ],
-        log_function=lambda handler: None,
-    )
-    server = HTTPServer(application)
-    server.listen(port, ip)
-    return state, server
+    routes = [
+        (r"/v1/objects/([^/]+)", _List),
+        (r"/v1/objects/([^/]+)/([^/]+)", _Object),
+        (r"/v1/watch", _Watch),
+        (r"/standin/faults", _Faults),
+        (r"/standin/calls", _Calls),
+    ]
+    return state, listen(routes, {"state": state}, ip, port)
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -11,7 +11,7 @@
 from railsail.core.logs import configure_logs
 from railsail.node import Node
 from railsail.objects.catalog import hash_key
-from railsail.standins.engine import EngineSettings
+from railsail.standins.batching import EngineSettings
 from railsail.standins.fleet import StandinFleet
 
 FAST = EngineSettings(slots=4, decode_rate=2000.0, load_lag=0.05)
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -6,7 +6,7 @@
 from railsail.peers.messages import Cancel, Granted, Place, Release
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import Flight
-from railsail.standins.engine import EngineSettings
+from railsail.standins.batching import EngineSettings
 from tests.fleet.base import FleetTestCase, whole
 
 CELL = Cell("model", 0, 1)
--- a/tests/fleet/test_path.py
+++ b/tests/fleet/test_path.py
@@ -4,7 +4,7 @@
 import json
 import unittest
 
-from railsail.standins.engine import EngineSettings
+from railsail.standins.batching import EngineSettings
 from tests.fleet.base import FleetTestCase, whole
 
 
--- a/tests/fleet/test_upstreams.py
+++ b/tests/fleet/test_upstreams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from railsail.standins.engine import Faults
+from railsail.standins.batching import Faults
 from tests.fleet.base import FleetTestCase, whole
 
 
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -10,7 +10,7 @@
 
 from tornado.httpclient import HTTPResponse
 
-from railsail.standins.engine import Faults
+from railsail.standins.batching import Faults
 from railsail.standins.service import Faults as ServiceFaults
 from tests.fleet.base import FleetTestCase
 
