dispatch, scheduling: counted silence in checks, and handed the virtual time over with the counters

Cause 1: silence was told by the time since a question. A daemon that stood still itself (frozen, or without processor) found on waking that all dispatchers had been silent for longer than half a second, and left them before reading their answers.

Traced: the dispatcher forgets counters of idle workspaces that are below its virtual time, at a tick that fell between the calls and the test's reading, and the virtual time was not handed over, so that such a workspace began at 0 at the next dispatcher, below all others. HandedOver bears the virtual time now; a new test fails before (0.0 instead of 200.0). The older test compared a counter that may be dropped at any tick; it compares what the next ticket would start with now, which is what decides.

--- a/railsail/dispatch/reach.py
+++ b/railsail/dispatch/reach.py
@@ -5,7 +5,7 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.dispatch.silence import PROBE_SECONDS, SilenceWatch, Verdict
+from railsail.dispatch.silence import CHECK_SECONDS, SilenceWatch, Verdict
 from railsail.peers.hub import PeerHub
 from railsail.peers.messages import Probe
 
@@ -82,12 +82,11 @@
         self._changed()
 
     def _check_later(self, node: str) -> None:
-        asyncio.get_running_loop().call_later(PROBE_SECONDS, self._check, node)
+        asyncio.get_running_loop().call_later(CHECK_SECONDS, self._check, node)
 
     def _check(self, node: str) -> None:
-        now = self._clock.monotonic()
         heard = self._hub.last_heard(node)
-        verdict = self._silence.check(node, now, heard)
+        verdict = self._silence.check(node, heard)
         if verdict is Verdict.PROBE:
             self._hub.send(node, Probe())
         if verdict in (Verdict.PROBE, Verdict.WAIT):
@@ -99,6 +98,6 @@
                 Kind.MEMBER,
                 "left as a dispatcher, since it is silent",
                 member=node,
-                heard_ms_ago=round((now - heard) * 1000),
+                heard_ms_ago=round((self._clock.monotonic() - heard) * 1000),
             )
             self._leave(node)
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -125,7 +125,8 @@
             node = self._cells.dispatcher(cell)
             if node != self._hub.own.node:
                 records = _records(dispatcher.queue.counters())
-                self._hub.send(node, HandedOver(cell.pool, cell.number, records))
+                virtual_time = round(dispatcher.queue.virtual_time)
+                self._hub.send(node, HandedOver(cell.pool, cell.number, records, virtual_time))
 
     async def run(self) -> None:
         """Look after rooms that open again, and ask for load reports, until cancelled."""
@@ -265,6 +266,7 @@
 
     def _handed_over(self, node: str, message: HandedOver) -> None:
         _, dispatcher = self.dispatcher(message.pool, message.cell)
+        dispatcher.queue.advance(float(message.virtual_time))
         dispatcher.queue.merge((item.workspace, float(item.value)) for item in message.counters)
 
     def _pump(self, cell: Cell, dispatcher: CellDispatcher) -> None:
--- a/railsail/dispatch/silence.py
+++ b/railsail/dispatch/silence.py
@@ -3,14 +3,17 @@
 A dispatcher whose queue is long says nothing for a while, and so does one that is frozen, cut off
 or without power. Whoever asked one for something and has heard nothing since sends it a probe,
 which a dispatcher that lives answers at once. Nothing is sent while dispatchers answer anyway.
+
+Silence is counted in checks, not in time: a process that was itself stopped, or had no processor
+for a while, has made no checks meanwhile, and does not take its own pause for others' silence.
 """
 
 import enum
 
-# A dispatcher that was asked for something is probed after so many seconds without a word of it.
-PROBE_SECONDS = 0.1
-# One that is still silent after so many seconds is left. A lost packet is sent again before.
-SILENT_SECONDS = 0.5
+# A dispatcher that was asked for something is checked after so many seconds, again and again.
+CHECK_SECONDS = 0.1
+# It is left at this check without a word of it; a lost packet is sent again before.
+CHECKS_TO_LEAVE = 5
 
 
 class Verdict(enum.Enum):
@@ -27,30 +30,30 @@
 
     def __init__(self) -> None:
         self._asked_at: dict[str, float] = {}
-        self._probed: set[str] = set()
+        self._checks: dict[str, int] = {}
 
     def asked(self, node: str, now: float, heard: float) -> None:
         """Take note that ``node``, last heard at ``heard``, was asked for something."""
         if self._asked_at.get(node, heard) <= heard:
             self._asked_at[node] = max(now, heard)
-            self._probed.discard(node)
+            self._checks[node] = 0
+
+    def check(self, node: str, heard: float) -> Verdict:
+        """Say what is to be done about ``node``, which was last heard at ``heard``.
 
-    def check(self, node: str, now: float, heard: float) -> Verdict:
-        """Say what is to be done about ``node`` now; ``PROBE`` is said once."""
+        To be called every ``CHECK_SECONDS`` until it says ``HEARD`` or ``SILENT``.
+        """
         asked_at = self._asked_at.get(node)
         if asked_at is None or heard > asked_at:
             self.forget(node)
             return Verdict.HEARD
-        quiet = now - asked_at
-        if quiet >= SILENT_SECONDS:
+        self._checks[node] += 1
+        if self._checks[node] >= CHECKS_TO_LEAVE:
             self.forget(node)
             return Verdict.SILENT
-        if quiet >= PROBE_SECONDS and node not in self._probed:
-            self._probed.add(node)
-            return Verdict.PROBE
-        return Verdict.WAIT
+        return Verdict.PROBE if self._checks[node] == 1 else Verdict.WAIT
 
     def forget(self, node: str) -> None:
         """Forget what ``node`` was asked."""
         self._asked_at.pop(node, None)
-        self._probed.discard(node)
+        self._checks.pop(node, None)
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -298,11 +298,12 @@
 
 
 class HandedOver(Message, frozen=True, tag=34):
-    """The counters of a cell, from the dispatcher that gives it up."""
+    """The counters of a cell, and its virtual time, from the dispatcher that gives it up."""
 
     pool: Text
     cell: Natural
     counters: Annotated[list[CounterRecord], msgspec.Meta(max_length=2000)]
+    virtual_time: Signed = 0
 
 
 AnyMessage = (
--- a/railsail/scheduling/fairqueue.py
+++ b/railsail/scheduling/fairqueue.py
@@ -127,6 +127,18 @@
         """Multiply weights by ``factors`` from now on; see ``FleetBalance``."""
         self._factors = factors
 
+    @property
+    def virtual_time(self) -> float:
+        """Return the counter of workspaces without one of their own, in cost units per weight."""
+        return self._virtual_time
+
+    def advance(self, virtual_time: float) -> None:
+        """Raise the virtual time to that of an earlier dispatcher of the cell.
+
+        A workspace whose counter was forgotten would begin below all others without it.
+        """
+        self._virtual_time = max(self._virtual_time, virtual_time)
+
     def merge(self, counters: Iterable[tuple[str, float]]) -> None:
         """Raise counters to what an earlier dispatcher of the cell had, within the bound."""
         for workspace, counter in counters:
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -206,14 +206,37 @@
         )
         await drain
 
+    def next_counter(self, node) -> float:
+        """Return the counter with which the next ticket of ``one`` would wait at ``node``.
+
+        The counter itself is dropped at some moment once it is below what all are lifted to.
+        """
+        queue = node.dispatchers.dispatchers()[CELL].queue
+        queue.lift("one")
+        return queue.counter("one")
+
     async def test_counters_are_handed_over(self):
         leaving = self.dispatcher()
         await asyncio.gather(*self.ask([leaving], 3))
-        before = leaving.dispatchers.dispatchers()[CELL].queue.counter("one")
+        before = self.next_counter(leaving)
+        await leaving.drain()
+        follower = next(
+            n for n in self.fleet.nodes if n.settings.node_id == leaving.cells.dispatcher(CELL)
+        )
+        await self.until(lambda: CELL in follower.dispatchers.dispatchers())
+        self.assertAlmostEqual(self.next_counter(follower), before, delta=1.0)
+
+    async def test_workspace_whose_counter_was_forgotten_is_not_behind_after_a_hand_over(self):
+        leaving = self.dispatcher()
+        await asyncio.gather(*self.ask([leaving], 3))
+        queue = leaving.dispatchers.dispatchers()[CELL].queue
+        await self.until(lambda: not leaving.dispatchers.dispatchers()[CELL].flights)
+        before = self.next_counter(leaving)
+        self.assertGreater(before, 0.0)
+        queue.forget_idle(set())
         await leaving.drain()
         follower = next(
             n for n in self.fleet.nodes if n.settings.node_id == leaving.cells.dispatcher(CELL)
         )
         await self.until(lambda: CELL in follower.dispatchers.dispatchers())
-        after = follower.dispatchers.dispatchers()[CELL].queue.counter("one")
-        self.assertAlmostEqual(after, before, delta=1.0)
+        self.assertAlmostEqual(self.next_counter(follower), before, delta=1.0)
