--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -3,15 +3,19 @@
 import fileinput
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from datetime import UTC, datetime
 
 import msgspec
 
+from railsail.cli.output import show_facts, show_stamp
 from railsail.core.clock import stamp_seconds
+from railsail.core.events import Kind
+from railsail.core.outcomes import Reason
 
 # What a daemon believed is told from so long before the request came.
 BELIEFS_SECONDS = 5.0
-_BELIEFS = frozenset({"member", "upstream", "configuration", "store", "state", "took-over"})
+_BELIEFS = frozenset(
+    {Kind.MEMBER, Kind.UPSTREAM, Kind.CONFIGURATION, Kind.STORE, Kind.STATE, Kind.TOOK_OVER}
+)
 _NOT_FACTS = frozenset({"event", "node", "request", "level", "timestamp", "stamp"})
 
 
@@ -87,7 +91,7 @@
 
 def explain_cause(own: list[LogLine], told: list[LogLine]) -> str:
     """Return in a sentence why the request ended as it did."""
-    ends = [line for line in own if line.event == "ended"]
+    ends = [line for line in own if line.event == Kind.ENDED]
     if not ends:
         return "it has no end here: its daemon was killed meanwhile, or it still runs"
     return " ".join(_explain_end(end, own, told) for end in ends)
@@ -99,12 +103,12 @@
     if "outcome" not in facts:
         return f"{detail} after {facts.get('total_ms')} ms."
     parts = [f"{facts['outcome']} after {facts.get('total_ms')} ms: {detail}."]
-    if facts.get("reason") == "wait-expired":
-        parts += [_explain_wait(line) for line in told if line.event == "expired"]
+    if facts.get("reason") == Reason.EXPIRED:
+        parts += [_explain_wait(line) for line in told if line.event == Kind.EXPIRED]
     parts += [
         f"An attempt at {line.facts.get('replica')} failed before: {line.facts.get('detail')}."
         for line in own
-        if line.event == "retried"
+        if line.event == Kind.RETRIED
     ]
     if "given_up" in facts:
         parts.append(f"No further attempt was made, since {facts['given_up']}.")
@@ -123,13 +127,11 @@
 
 def line_row(line: LogLine) -> dict[str, object]:
     """Return ``line`` as a row of a table."""
-    moment = datetime.fromtimestamp(line.seconds, UTC)
-    facts = " ".join(f"{name}={value}" for name, value in line.facts.items())
     return {
-        "time": moment.strftime("%H:%M:%S.%f")[:-3],
+        "time": show_stamp(line.stamp),
         "node": line.node,
         "event": line.event,
-        "facts": facts,
+        "facts": show_facts(line.facts),
     }
 
 
--- a/railsail/cli/main.py
+++ b/railsail/cli/main.py
@@ -6,17 +6,15 @@
 import os
 import secrets
 import sys
-from datetime import UTC, datetime
 
 import fire
 
 from railsail.cli.client import AdminClient, Reply
 from railsail.cli.explain import line_row, read_lines, tell_story
 from railsail.cli.files import read_objects
-from railsail.cli.output import complain, show
+from railsail.cli.output import complain, show, show_facts, show_stamp
 from railsail.conf.settings import ENVIRONMENT_PREFIX
 from railsail.core.checks import Finding, render
-from railsail.core.clock import stamp_seconds
 from railsail.core.events import Event, join
 from railsail.objects.catalog import Catalog, Operation, hash_key
 from railsail.objects.checks import check_catalog
@@ -209,14 +207,13 @@
 
 
 def _event_row(event: Event) -> dict[str, object]:
-    moment = datetime.fromtimestamp(stamp_seconds(event.stamp), UTC)
     return {
-        "time": moment.strftime("%H:%M:%S.%f")[:-3],
+        "time": show_stamp(event.stamp),
         "node": event.node,
         "kind": event.kind,
         "request": event.request,
         "workspace": event.workspace,
-        "detail": " ".join([event.detail, *(f"{k}={v}" for k, v in event.facts.items())]).strip(),
+        "detail": f"{event.detail} {show_facts(event.facts)}".strip(),
     }
 
 
--- a/railsail/cli/output.py
+++ b/railsail/cli/output.py
@@ -2,7 +2,9 @@
 
 import json
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+
+from railsail.core.clock import stamp_moment
 
 
 def show(rows: Sequence[dict[str, object]], columns: Sequence[str], output: str) -> None:
@@ -23,6 +25,16 @@
     return str(value)
 
 
+def show_stamp(stamp: int) -> str:
+    """Return the time of day of a hybrid ``stamp``, to the millisecond."""
+    return stamp_moment(stamp).strftime("%H:%M:%S.%f")[:-3]
+
+
+def show_facts(facts: Mapping[str, object]) -> str:
+    """Return names and values in one line."""
+    return " ".join(f"{name}={value}" for name, value in facts.items())
+
+
 def complain(text: str) -> None:
     """Print ``text`` to standard error."""
     print(text, file=sys.stderr)
--- a/railsail/core/clock.py
+++ b/railsail/core/clock.py
@@ -1,6 +1,7 @@
 """Clocks that every part takes as an argument, so that tests and golden files are exact."""
 
 import time
+from datetime import UTC, datetime
 
 _COUNTER_BITS = 16
 
@@ -61,6 +62,11 @@
         self._last = max(self._last, stamp)
 
 
+def stamp_moment(stamp: int) -> datetime:
+    """Return the wall time of a hybrid ``stamp``, in UTC."""
+    return datetime.fromtimestamp(stamp_seconds(stamp), UTC)
+
+
 def stamp_seconds(stamp: int) -> float:
     """Return the wall time of a hybrid ``stamp`` in seconds since the Unix epoch."""
     return (stamp >> _COUNTER_BITS) / 1000
--- a/railsail/core/decisions.py
+++ b/railsail/core/decisions.py
@@ -8,13 +8,11 @@
 
 import zlib
 from collections.abc import Callable
-from datetime import UTC, datetime
 
-from railsail.core.clock import Clock, stamp_seconds
+from railsail.core.clock import Clock, stamp_moment
 from railsail.core.events import Event, Fact, Kind
 from railsail.core.logs import get_logger
 
-DEFAULT_SAMPLED_PER_SECOND = 10.0
 # Requests whose events are held back at once; of more than that the oldest are dropped.
 MOST_HELD_BACK = 4096
 _HASHES = 1 << 32
@@ -47,9 +45,9 @@
     """Return what a log line tells of ``event`` besides its kind."""
     named = {"request": event.request, "workspace": event.workspace, "detail": event.detail}
     given = {name: text for name, text in named.items() if text}
-    moment = datetime.fromtimestamp(stamp_seconds(event.stamp), UTC)
     # A line that was held back tells when its event was, not when it is written.
-    when = {"stamp": event.stamp, "timestamp": moment.isoformat(timespec="milliseconds")}
+    moment = stamp_moment(event.stamp).isoformat(timespec="milliseconds")
+    when = {"stamp": event.stamp, "timestamp": moment}
     return {"node": event.node, **when, **given, **event.facts}
 
 
@@ -64,7 +62,7 @@
     def __init__(
         self,
         clock: Clock,
-        per_second: float = DEFAULT_SAMPLED_PER_SECOND,
+        per_second: float,
         write: Callable[[Event, bool], None] = write_event,
     ) -> None:
         self._clock = clock
--- a/railsail/core/logs.py
+++ b/railsail/core/logs.py
@@ -71,17 +71,19 @@
 
     def write(self, line: str) -> None:
         """Write a whole line, or count it as left out."""
-        if len(line.encode()) > MOST_LINE_BYTES:
+        data = line.encode()
+        if len(data) > MOST_LINE_BYTES:
             line = _encode({"event": "line too long", "begins": line[:MOST_EXCERPT]}) + "\n"
+            data = line.encode()
         if self._descriptor is None:
             self._file.write(line)
-        elif not self._poll.poll(0) or not self._write(line.encode()):
+        elif not self._poll.poll(0) or not self._write(data):
             self._left_out.pipe_full += 1
             self._left_out.untold += 1
 
-    def _write(self, line: bytes) -> bool:
+    def _write(self, data: bytes) -> bool:
         try:
-            os.write(self._descriptor, line)
+            os.write(self._descriptor, data)
         except OSError:
             # Nobody reads any more; that is no reason to stop serving.
             return False
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -185,16 +185,21 @@
 
     def _cancel(self, node: str, message: Cancel) -> None:
         key = (node, message.number)
-        cell = self._where.get(key)
-        dispatcher = self._dispatchers.get(cell) if cell else None
-        if dispatcher is not None and key in dispatcher.flights:
+        found = self._find(key)
+        if found is not None and key in found[1].flights:
             # The grant is on its way, and the entry will hand it back.
             return
         self._where.pop(key, None)
-        if dispatcher is not None and key in dispatcher.queue:
+        if found is not None and key in found[1].queue:
+            cell, dispatcher = found
             self._tell_withdrawn(node, message.number, cell, dispatcher)
             dispatcher.cancel(key)
 
+    def _find(self, key: TicketKey) -> tuple[Cell, CellDispatcher] | None:
+        cell = self._where.get(key)
+        dispatcher = self._dispatchers.get(cell) if cell else None
+        return (cell, dispatcher) if dispatcher is not None else None
+
     def _tell_withdrawn(
         self, node: str, number: int, cell: Cell, dispatcher: CellDispatcher
     ) -> None:
@@ -215,10 +220,10 @@
 
     def _release(self, node: str, message: Release) -> None:
         key = (node, message.number)
-        cell = self._where.get(key)
-        dispatcher = self._dispatchers.get(cell) if cell else None
-        if dispatcher is None:
+        found = self._find(key)
+        if found is None:
             return
+        cell, dispatcher = found
         now = self._clock.monotonic()
         result = CallResult(message.result)
         dispatcher.release_attempt(key, message.attempt, float(message.cost), now, result)
@@ -227,16 +232,17 @@
         self._pump(cell, dispatcher)
 
     def _progress(self, node: str, message: Progress) -> None:
-        cell = self._where.get((node, message.number))
-        if cell in self._dispatchers:
-            self._dispatchers[cell].progress((node, message.number), float(message.charged))
+        key = (node, message.number)
+        found = self._find(key)
+        if found is not None:
+            found[1].progress(key, float(message.charged))
 
     def _begun(self, node: str, message: Begun) -> None:
         key = (node, message.number)
-        cell = self._where.get(key)
-        dispatcher = self._dispatchers.get(cell) if cell else None
-        if dispatcher is None:
+        found = self._find(key)
+        if found is None:
             return
+        cell, dispatcher = found
         dispatcher.answered(key, self._clock.monotonic())
         self._pump(cell, dispatcher)
 
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -81,7 +81,6 @@
         self.metrics = Metrics()
         self.events = EventLog(settings.node_id, self.clock)
         self.kernel = Kernel(self.clock, self.rng, self.events, self.metrics)
-        self.start_id = int(self.clock.wall() * 1000)
         self._draining = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._servers: list[HTTPServer] = []
@@ -93,14 +92,14 @@
 
     def _build_fleet(self) -> None:
         settings = self.settings
-        identity = Identity(settings.node_id, self.start_id)
+        identity = Identity(settings.node_id, int(self.clock.wall() * 1000))
         listen = (settings.node_ip, settings.listen_port or settings.peer_port)
         self.hub = PeerHub(
             identity, listen, settings.peer_secret, self.clock, self.events, self.metrics
         )
         own = Member(
-            settings.node_id,
-            self.start_id,
+            identity.node,
+            identity.start_id,
             0,
             MemberState.ALIVE,
             settings.admin_port,
@@ -207,6 +206,11 @@
         self.hub.handle(UpstreamNews, self.directory.received)
         self.lifecycle.on_change(self._state_changed)
 
+    @property
+    def start_id(self) -> int:
+        """Return what tells this process from earlier ones at the same address."""
+        return self.hub.own.start_id
+
     def _catalog(self) -> Catalog:
         return self.carrier.catalog
 
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -231,7 +231,7 @@
         return await self._exchange(routed, replica, call, answer)
 
     def _begun(self, routed: Routed, booking: Booking) -> None:
-        if not booking.begun and not routed.first_after:
+        if not routed.first_after:
             routed.first_after = self._clock.monotonic() - routed.received_at
         self._desk.begun(booking)
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -5,10 +5,10 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+from tornado.web import RequestHandler
 
 from railsail.standins.fleet import free_ports
+from railsail.standins.listening import listen
 
 LOOPBACK = "127.0.0.1"
 SEAL = "seal"
@@ -28,8 +28,7 @@
         self.calls: list[str] = []
         self.changed = asyncio.Event()
         self.port = free_ports(1)[0]
-        self._server = HTTPServer(Application([(r"/objects/.*", _Objects, {"store": self})]))
-        self._server.listen(self.port, LOOPBACK)
+        self._server = listen([(r"/objects/.*", _Objects)], {"store": self}, LOOPBACK, self.port)
 
     def put(self, kind: str, name: str, spec: object) -> None:
         self.revision += 1
