--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from railsail.cli.output import show_facts, show_stamp
+from railsail.cli.output import show_stamp
 from railsail.core.clock import stamp_seconds
-from railsail.core.events import Kind
+from railsail.core.events import Kind, describe_facts
 from railsail.core.outcomes import Reason
 
 # What a daemon believed is told from so long before the request came.
@@ -131,7 +131,7 @@
         "time": show_stamp(line.stamp),
         "node": line.node,
         "event": line.event,
-        "facts": show_facts(line.facts),
+        "facts": describe_facts(line.facts),
     }
 
 
--- a/railsail/cli/main.py
+++ b/railsail/cli/main.py
@@ -12,7 +12,7 @@
 from railsail.cli.client import AdminClient, Reply
 from railsail.cli.explain import line_row, read_lines, tell_story
 from railsail.cli.files import read_objects
-from railsail.cli.output import complain, show, show_facts, show_stamp
+from railsail.cli.output import complain, show, show_stamp
 from railsail.conf.settings import ENVIRONMENT_PREFIX
 from railsail.core.checks import Finding, render
 from railsail.core.events import Event, join
@@ -213,7 +213,7 @@
         "kind": event.kind,
         "request": event.request,
         "workspace": event.workspace,
-        "detail": f"{event.detail} {show_facts(event.facts)}".strip(),
+        "detail": event.description,
     }
 
 
--- a/railsail/cli/output.py
+++ b/railsail/cli/output.py
@@ -2,7 +2,7 @@
 
 import json
 import sys
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from railsail.core.clock import stamp_moment
 
@@ -30,11 +30,6 @@
     return stamp_moment(stamp).strftime("%H:%M:%S.%f")[:-3]
 
 
-def show_facts(facts: Mapping[str, object]) -> str:
-    """Return names and values in one line."""
-    return " ".join(f"{name}={value}" for name, value in facts.items())
-
-
 def complain(text: str) -> None:
     """Print ``text`` to standard error."""
     print(text, file=sys.stderr)
--- a/railsail/core/events.py
+++ b/railsail/core/events.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 import msgspec
 
@@ -55,6 +55,16 @@
     facts: dict[str, Fact] = {}
     notable: bool = False
 
+    @property
+    def description(self) -> str:
+        """Return detail and facts in one line."""
+        return f"{self.detail} {describe_facts(self.facts)}".strip()
+
+
+def describe_facts(facts: Mapping[str, object]) -> str:
+    """Return names and values in one line."""
+    return " ".join(f"{name}={value}" for name, value in facts.items())
+
 
 class EventLog:
     """Keep the last events of this process, at most ``capacity`` of them."""
--- a/railsail/standins/demo.py
+++ b/railsail/standins/demo.py
@@ -78,7 +78,7 @@
     for event in story:
         after = (stamp_seconds(event.stamp) - begun) * 1000
         rows.append({"ms": f"{after:.0f}", "node": event.node, "kind": event.kind})
-        rows[-1]["detail"] = event.detail
+        rows[-1]["detail"] = event.description
     print(f"\nthe time line of {request}:")
     show(rows, ("ms", "node", "kind", "detail"), "table")
 
