tests: let a frozen dispatcher do nothing, where it had dropped its own links after three seconds

The stand-in of freezing kept the frozen node's own suspicion of others: it heard nobody, dropped its links, and a new link made the entry come back to it. Reproduced without load by watching longer: left at once, back after 2.2 s; still left after 4.9 s now. A real frozen process ends no links. No fault of the product. Both tests of freezing use one stand-in, in which nobody's heartbeats are missed; their assertions are as before.

--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -149,13 +149,21 @@
 
 
 class SilentTests(DispatchTestCase):
+    def freeze(self, frozen) -> None:
+        """Let ``frozen`` neither say nor hear anything.
+
+        Nobody misses its heartbeats here, however long the test takes; nor does it miss those of
+        others, since a frozen process ends no links.
+        """
+        frozen.hub.send = lambda node, message: True
+        frozen.hub._received = lambda node, message: None
+        for node in self.fleet.nodes:
+            node.membership._silent = lambda node, seconds: False
+
     async def test_frozen_dispatcher_is_left_before_heartbeats_are_missed(self):
         frozen, entry = self.dispatcher(), self.others()[0]
         name = frozen.settings.node_id
-        frozen.hub.send = lambda node, message: True
-        frozen.hub._received = lambda node, message: None
-        # Whatever the heartbeats would tell later is not told at all here.
-        entry.membership._silent = lambda node, seconds: False
+        self.freeze(frozen)
         response = await self.ask([entry], 1)[0]
         self.assertTrue(whole(response))
         self.assertIn(name, entry.desk.unreachable)
@@ -164,8 +172,7 @@
         frozen, entry = self.dispatcher(), self.others()[0]
         name = frozen.settings.node_id
         received = frozen.hub._received
-        frozen.hub._received = lambda node, message: None
-        frozen.hub.send = lambda node, message: True
+        self.freeze(frozen)
         self.assertTrue(whole(await self.ask([entry], 1)[0]))
         frozen.hub._received = received
         del frozen.hub.send
