platform, dispatch, conf: kept orders to replicas from callers, handed crossing grants back, took fractions

Cause: headers with which only the fleet may order something of a replica (to keep memory or a place, to copy memory, to expect a version) went on as the caller had sent them. The list of dropped headers named those that the fleet sets on every call, not all that are the fleet's to set. Now every one that the protocol gives to the fleet is dropped, and so is what replicas say of themselves.

Bounds with fractions (half a repeat a node, half a second) were refused by the daemon's settings.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -97,15 +97,15 @@
     ),
     Option("retry_ratio", Decimal(0, 10), "Repeats allowed for each request of a pool.", "0.1"),
     Option(
-        "retry_slack", Number(0, 1_000_000), "Repeats allowed beyond, by the whole fleet.", "10"
+        "retry_slack", Decimal(0, 1_000_000), "Repeats allowed beyond, by the whole fleet.", "10"
     ),
     Option("retry_window_seconds", Decimal(0.1, 3600), "Window of the repeats allowed.", "10"),
     Option("max_body_bytes", Number(1024, 64 << 20), "Largest request body.", str(4 << 20)),
     Option("queue_per_workspace", Number(1, 100_000), "Waiting requests a workspace here.", "256"),
     Option("queue_total", Number(1, 100_000), "Waiting requests of all workspaces here.", "1024"),
     Option("cell_replicas", Number(1, 10_000), "Most replicas that one dispatcher serves.", "16"),
-    Option("drain_seconds", Number(0, 86_400), "Longest wait for requests at a stop.", "120"),
-    Option("leave_seconds", Number(0, 600), "Time that the balancer has to notice a stop.", "2"),
+    Option("drain_seconds", Decimal(0, 86_400), "Longest wait for requests at a stop.", "120"),
+    Option("leave_seconds", Decimal(0, 600), "Time that the balancer has to notice a stop.", "2"),
     Option("claim_seconds", Number(60, 604_800), "How long a claimed key is kept.", "3600"),
     Option(
         "scheduling",
@@ -152,14 +152,14 @@
     plugins: tuple[str, ...]
     caller_interface: str
     retry_ratio: float
-    retry_slack: int
+    retry_slack: float
     retry_window_seconds: float
     max_body_bytes: int
     queue_per_workspace: int
     queue_total: int
     cell_replicas: int
-    drain_seconds: int
-    leave_seconds: int
+    drain_seconds: float
+    leave_seconds: float
     claim_seconds: int
     scheduling: str
     affinity: str
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -262,9 +262,17 @@
         release = Release(booking.number, booking.attempt, round(cost), result)
         self._hub.send(booking.node, release)
 
+    def _awaiting(self, number: int, attempt: int) -> Booking | None:
+        """Return the booking that waits for an answer to ``attempt``, if it still does."""
+        booking = self._bookings.get(number)
+        if booking is None or not booking.waiting or booking.attempt != attempt:
+            return None
+        # The wait may have ended in this turn of the loop, before its task could withdraw.
+        return None if booking.granted.done() else booking
+
     def _granted(self, node: str, message: Granted) -> None:
-        booking = self._bookings.get(message.number)
-        if booking is None or not booking.waiting or booking.attempt != message.attempt:
+        booking = self._awaiting(message.number, message.attempt)
+        if booking is None:
             self._hand_back(node, message)
             return
         booking.node = node
@@ -295,8 +303,8 @@
         self._hub.send(node, Release(message.number, message.attempt, 0, CallResult.NOTHING))
 
     def _refused(self, node: str, message: Refused) -> None:
-        booking = self._bookings.get(message.number)
-        if booking is None or not booking.waiting or booking.attempt != message.attempt:
+        booking = self._awaiting(message.number, message.attempt)
+        if booking is None:
             return
         others = [cell for cell in self._cells.homes(booking.want.pool) if cell != booking.cell]
         if others and not booking.refused:
--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -37,7 +37,23 @@
         "Upgrade",
     }
 )
-_SET_BY_FLEET = frozenset({KEY, WORKSPACE, REPLICA, DEADLINE, "Expect"})
+# Orders to a replica that only the fleet may give. A caller that sent one would keep slots and
+# memory of a replica, have memory copied, or make the replica turn its request away.
+_ORDERS = frozenset(
+    {
+        REPLICA,
+        "Expect-Version",
+        "Hold",
+        "Pin-Ms",
+        "Kv-Backup",
+        "Kv-Fetch",
+        "Kv-From",
+        "Wait-Ms",
+    }
+)
+# What replicas say about themselves in answers means nothing in a request.
+_SAID_BY_REPLICAS = frozenset({SIGNATURE, NOT_RUN, "Instance-Id", "Weight-Versions"})
+_SET_BY_FLEET = _ORDERS | _SAID_BY_REPLICAS | {KEY, WORKSPACE, DEADLINE, "Expect"}
 
 
 @ROUTE_PROTOCOLS.register("prepared")
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -51,6 +51,13 @@
         settings = parse(["--failure-domain=mustamae"], GOOD).settings
         self.assertEqual(settings.failure_domain, "mustamae")
 
+    def test_bounds_and_times_may_have_fractions(self):
+        # A deployment's share of a bound need not be a whole number.
+        for name in ("RETRY_SLACK", "DRAIN_SECONDS", "LEAVE_SECONDS", "WATCH_SECONDS"):
+            with self.subTest(name=name):
+                settings = parse([], {**GOOD, f"RAILSAIL_{name}": "37.5"}).settings
+                self.assertEqual(getattr(settings, name.lower()), 37.5)
+
     def test_each_bad_value_gives_its_finding_and_place(self):
         for name, value, finding_id in BAD:
             with self.subTest(name=name, value=value):
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -55,6 +55,16 @@
             with self.subTest(headers=headers), self.assertRaises(ValueError):
                 read(**headers)
 
+    def test_orders_to_replicas_are_not_taken_from_callers(self):
+        orders = ["Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "Wait-Ms"]
+        orders += ["Expect-Version", "Expect-Instance", "Tenant", "Not-Run", "Response-Seal"]
+        for order in orders:
+            with self.subTest(order=order):
+                given = {order.lower(): "1", "X-Other": "2"}
+                sent = PROTOCOL.request_headers(read(**given), Dispatch("i-1", "", 2.0))
+                self.assertNotEqual(sent.get(order), "1")
+                self.assertEqual(sent["X-Other"], "2")
+
     def test_prompt_headers_go_on_unchanged(self):
         given = {"Model": "m", "Token_Count": "7,8", "Prompt_Prefix": "aa:7", "Length_Hint": "3"}
         sent = PROTOCOL.request_headers(read(**given), Dispatch("i-1", "one", 2.0))
