cli: counted from logs what was served, late, refused and lost

Cause: what binds under load was found with scripts that nobody kept. Reading log lines moved to a module of its own, shared with `railsail explain`.

--- /dev/null
+++ b/railsail/cli/account.py
@@ -0,0 +1,154 @@
+"""Where requests were lost or late, by route, workspace, node or second, as daemons' logs tell it.
+
+Logs hold a sample of the requests that went well, so that shares of all requests come from logs of
+daemons whose ``log_requests_per_second`` is above what they serve.
+"""
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from railsail.cli.loglines import LogLine
+from railsail.core.events import Kind
+from railsail.core.outcomes import Completed, NotRun
+
+_COMPLETED = Completed.__name__.lower()
+_NOT_RUN = NotRun.__name__.lower()
+
+
+class Grouping(enum.StrEnum):
+    """What the rows of an account are made by."""
+
+    ROUTE = "route"
+    WORKSPACE = "workspace"
+    NODE = "node"
+    SECOND = "second"
+
+
+@dataclass
+class Request:
+    """What the logs tell of one request; the lines are those of its daemon, by kind."""
+
+    lines: dict[str, LogLine] = field(default_factory=dict)
+
+    def fact(self, kind: Kind, name: str) -> object:
+        """Return a fact of the line of ``kind``, ``None`` where there is none."""
+        line = self.lines.get(kind)
+        return line.facts.get(name) if line is not None else None
+
+    @property
+    def outcome(self) -> str:
+        """Return the word of its outcome, empty where its caller left or it has no end."""
+        return str(self.fact(Kind.ENDED, "outcome") or "")
+
+    @property
+    def late(self) -> bool:
+        """Say whether its answer began after its objective."""
+        objective = self.fact(Kind.RECEIVED, "objective_ms")
+        first = self.fact(Kind.ENDED, "first_ms")
+        return bool(objective and first) and int(first) > int(objective)
+
+    @property
+    def returned(self) -> bool:
+        """Say whether its caller had probably been refused before."""
+        return bool(self.fact(Kind.RECEIVED, "returned"))
+
+
+@dataclass
+class Row:
+    """The requests of one route, workspace, node or second."""
+
+    name: str
+    requests: list[Request] = field(default_factory=list)
+
+    def cells(self) -> dict[str, object]:
+        """Return the row as a table shows it; times are in milliseconds."""
+        found = self.requests
+        served = [r for r in found if r.outcome == _COMPLETED]
+        refused = [r for r in found if r.outcome == _NOT_RUN]
+        came_back = [r for r in found if r.returned]
+        return {
+            "name": self.name,
+            "received": len(found),
+            "granted": sum(Kind.GRANTED in r.lines for r in found),
+            "served": len(served),
+            "late": sum(r.late for r in served),
+            "refused": len(refused),
+            "unknown": len([r for r in found if r.outcome not in ("", _COMPLETED, _NOT_RUN)]),
+            "left": len([r for r in found if not r.outcome]),
+            "came back": len(came_back),
+            "refused again": sum(r.outcome == _NOT_RUN for r in came_back),
+            "wait p50": _quantile(found, Kind.GRANTED, "waited_ms", 0.5),
+            "wait p90": _quantile(found, Kind.GRANTED, "waited_ms", 0.9),
+            "first p50": _quantile(served, Kind.ENDED, "first_ms", 0.5),
+            "first p90": _quantile(served, Kind.ENDED, "first_ms", 0.9),
+            "reasons": _reasons(refused),
+        }
+
+
+def make_account(lines: Iterable[LogLine], grouping: Grouping) -> list[Row]:
+    """Return the rows by ``grouping``, the largest first; seconds in order of time."""
+    requests: dict[tuple[str, str], Request] = {}
+    for line in lines:
+        if line.request:
+            request = requests.setdefault((line.node, line.request), Request())
+            request.lines[line.event] = line
+    rows: dict[str, Row] = {}
+    for request in requests.values():
+        if Kind.RECEIVED in request.lines:
+            name = _name(request, grouping)
+            rows.setdefault(name, Row(name)).requests.append(request)
+    if grouping is Grouping.SECOND:
+        return [rows[name] for name in sorted(rows, key=int)]
+    return sorted(rows.values(), key=lambda row: (-len(row.requests), row.name))
+
+
+def plot_account(rows: list[Row], file: Path) -> None:
+    """Draw served, late and refused requests of ``rows`` as bars."""
+    # Operators who want no plots need not install the library.
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    cells = [row.cells() for row in rows]
+    names = [str(cell["name"]) for cell in cells]
+    figure, axes = pyplot.subplots(figsize=(12, 4))
+    bottom = [0] * len(cells)
+    for column in ("served", "refused", "unknown", "left"):
+        heights = [int(str(cell[column])) for cell in cells]
+        axes.bar(names, heights, bottom=bottom, label=column)
+        bottom = [low + height for low, height in zip(bottom, heights, strict=True)]
+    axes.plot(names, [cell["late"] for cell in cells], "k.", label="late")
+    axes.tick_params(axis="x", rotation=90)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(file)
+    pyplot.close(figure)
+
+
+def _name(request: Request, grouping: Grouping) -> str:
+    received = request.lines[Kind.RECEIVED]
+    if grouping is Grouping.NODE:
+        return received.node
+    if grouping is Grouping.SECOND:
+        return str(int(received.seconds))
+    return str(received.facts.get(grouping, "none"))
+
+
+def _quantile(requests: list[Request], kind: Kind, name: str, share: float) -> int | str:
+    values = sorted(int(str(r.fact(kind, name))) for r in requests if r.fact(kind, name))
+    return values[int(share * (len(values) - 1))] if values else ""
+
+
+def _reasons(refused: list[Request]) -> str:
+    counts: dict[str, int] = {}
+    for request in refused:
+        reason = str(request.fact(Kind.ENDED, "reason") or "unknown")
+        counts[reason] = counts.get(reason, 0) + 1
+    return " ".join(f"{reason}={count}" for reason, count in sorted(counts.items()))
+
+
+# The columns of a row, in order.
+COLUMNS = tuple(Row("").cells())
--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -1,13 +1,10 @@
 """What became of one request, as the logs of all daemons tell it."""
 
-import fileinput
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-import msgspec
-
+from railsail.cli.loglines import LogLine
 from railsail.cli.output import show_stamp
-from railsail.core.clock import stamp_seconds
 from railsail.core.events import Kind, describe_facts
 from railsail.core.outcomes import Reason
 
@@ -16,22 +13,6 @@
 _BELIEFS = frozenset(
     {Kind.MEMBER, Kind.UPSTREAM, Kind.CONFIGURATION, Kind.STORE, Kind.STATE, Kind.TOOK_OVER}
 )
-_NOT_FACTS = frozenset({"event", "node", "request", "level", "timestamp", "stamp"})
-
-
-class LogLine(msgspec.Struct, frozen=True):
-    """One line of a log; ``facts`` are its keys besides those that every line has."""
-
-    event: str
-    node: str
-    stamp: int
-    request: str
-    facts: dict[str, object]
-
-    @property
-    def seconds(self) -> float:
-        """Return when it happened, in seconds since the Unix epoch."""
-        return stamp_seconds(self.stamp)
 
 
 @dataclass(frozen=True)
@@ -43,31 +24,6 @@
     left_out: str
 
 
-def read_lines(files: list[str]) -> Iterator[LogLine]:
-    """Yield the events in ``files``, or on standard input; other lines are passed over."""
-    with fileinput.input(files or ["-"], encoding="utf-8", errors="replace") as texts:
-        for text in texts:
-            line = parse_line(text)
-            if line is not None:
-                yield line
-
-
-def parse_line(text: str) -> LogLine | None:
-    """Return the line in ``text``, which may begin with other words, or ``None``."""
-    try:
-        found = msgspec.json.decode(text[text.index("{") :], type=dict[str, object])
-        facts = {name: value for name, value in found.items() if name not in _NOT_FACTS}
-        return LogLine(
-            str(found["event"]),
-            str(found["node"]),
-            int(found.get("stamp", 0)),
-            str(found.get("request", "")),
-            facts,
-        )
-    except (KeyError, TypeError, ValueError):
-        return None
-
-
 def tell_story(request: str, lines: Iterable[LogLine]) -> Story:
     """Return all that ``lines`` tell of ``request``, and of what its daemons believed then."""
     known = list(lines)
--- /dev/null
+++ b/railsail/cli/loglines.py
@@ -0,0 +1,50 @@
+"""Lines of daemons' logs, as log collectors give them."""
+
+import fileinput
+from collections.abc import Iterator
+
+import msgspec
+
+from railsail.core.clock import stamp_seconds
+
+_NOT_FACTS = frozenset({"event", "node", "request", "level", "timestamp", "stamp"})
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One line of a log; ``facts`` are its keys besides those that every line has."""
+
+    event: str
+    node: str
+    stamp: int
+    request: str
+    facts: dict[str, object]
+
+    @property
+    def seconds(self) -> float:
+        """Return when it happened, in seconds since the Unix epoch."""
+        return stamp_seconds(self.stamp)
+
+
+def read_lines(files: list[str]) -> Iterator[LogLine]:
+    """Yield the events in ``files``, or on standard input; other lines are passed over."""
+    with fileinput.input(files or ["-"], encoding="utf-8", errors="replace") as texts:
+        for text in texts:
+            line = parse_line(text)
+            if line is not None:
+                yield line
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Return the line in ``text``, which may begin with other words, or ``None``."""
+    try:
+        found = msgspec.json.decode(text[text.index("{") :], type=dict[str, object])
+        facts = {name: value for name, value in found.items() if name not in _NOT_FACTS}
+        return LogLine(
+            str(found["event"]),
+            str(found["node"]),
+            int(found.get("stamp", 0)),
+            str(found.get("request", "")),
+            facts,
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
--- a/railsail/cli/main.py
+++ b/railsail/cli/main.py
@@ -6,12 +6,15 @@
 import os
 import secrets
 import sys
+from pathlib import Path
 
 import fire
 
+from railsail.cli.account import COLUMNS, Grouping, make_account, plot_account
 from railsail.cli.client import AdminClient, Reply
-from railsail.cli.explain import line_row, read_lines, tell_story
+from railsail.cli.explain import line_row, tell_story
 from railsail.cli.files import read_objects
+from railsail.cli.loglines import read_lines
 from railsail.cli.output import complain, show, show_stamp
 from railsail.conf.settings import ENVIRONMENT_PREFIX
 from railsail.core.checks import Finding, render
@@ -20,6 +23,7 @@
 from railsail.objects.checks import check_catalog
 from railsail.objects.parse import parse_resource, to_plain
 
+EXIT_USE = 2
 EXIT_FINDINGS = 3
 EXIT_CONFLICT = 4
 EXIT_UNAVAILABLE = 5
@@ -123,6 +127,21 @@
         show(rows, ("time", "node", "event", "facts"), self._output)
         complain(story.cause)
 
+    def account(self, *files: str, by: str = Grouping.ROUTE, plot: str = "") -> None:
+        """Count from logs in FILES what was served, late, refused and lost, by route.
+
+        --by is route, workspace, node or second; --plot names a PNG file to draw the rows into.
+        Daemons log a sample of what goes well, unless --log-requests-per-second is raised.
+        """
+        if by not in set(Grouping):
+            _fail(EXIT_USE, f"--by is one of {', '.join(Grouping)}, given was {by!r}")
+        rows = make_account(read_lines([str(file) for file in files]), Grouping(by))
+        if not rows:
+            _fail(EXIT_UNAVAILABLE, "the logs tell of no request")
+        show([row.cells() for row in rows], COLUMNS, self._output)
+        if plot:
+            plot_account(rows, Path(plot))
+
     def drain(self) -> None:
         """Ask the daemon at --admin to stop without cutting a request."""
         reply = self._call("POST", "/v1/drain")
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -3,7 +3,8 @@
 import json
 import unittest
 
-from railsail.cli.explain import parse_line, tell_story
+from railsail.cli.explain import tell_story
+from railsail.cli.loglines import parse_line
 
 STAMP = 1_700_000_000_000 << 16
 
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -4,7 +4,8 @@
 import json
 import unittest
 
-from railsail.cli.explain import Story, parse_line, tell_story
+from railsail.cli.explain import Story, tell_story
+from railsail.cli.loglines import parse_line
 from railsail.core.decisions import DecisionLog, line_fields
 from railsail.node import Node
 from tests.platform.base import PlatformTestCase
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,7 +4,8 @@
 import unittest
 from pathlib import Path
 
-from railsail.cli.explain import parse_line, tell_story
+from railsail.cli.explain import tell_story
+from railsail.cli.loglines import parse_line
 from railsail.core.events import Kind
 
 PAGE = (Path(__file__).parents[1] / "docs" / "OPERATIONS.md").read_text()
