--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -95,7 +95,8 @@
 class Place(Message, frozen=True, tag=10):
     """Place a ticket with the dispatcher of a cell.
 
-    ``flags`` holds 1 for urgent work, and 2 for a request whose caller was refused before.
+    ``flags`` holds 1 for urgent work, and 2 for a request whose caller was refused before. The
+    ticket may wait for ``patience``, and its caller would come back after ``returns_within``.
     """
 
     number: Natural
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -16,7 +16,7 @@
 from railsail.scheduling.usage import RecentUsage
 
 # So many workspaces are looked at for a ticket that can be granted now. To look at more, or at more
-# tickets of each, lets more in and fewer of them in time: the worth fell by 0.04 at Tablebook.
+# tickets of each, let more in and fewer of them in time (docs/topics/decisions-under-load.md).
 MOST_HEADS = 4
 # For so many seconds after a ticket has expired, those of workspaces that had their share are
 # refused at once: a quarter of a second is longer than the usual waits for a place.
--- a/railsail/scheduling/returns.py
+++ b/railsail/scheduling/returns.py
@@ -16,7 +16,7 @@
 # Nobody is sent back sooner than this, in seconds: what waits now is begun by then.
 SOONEST_SECONDS = 0.5
 # The part of what the replicas read that is planned for returns; the rest is for those that come
-# for the first time, and who comes at a time is known only when it comes.
+# for the first time. With twice as much, callers came back into the overload that had refused them.
 RETURN_SHARE = 0.1
 # An overload that paused for longer than this, in seconds, has ended.
 PAUSE_SECONDS = 1.0
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -32,7 +32,8 @@
 # that passes before the answer begins this part of it.
 READ_SHARE = 0.4
 # A workspace that has no other prompt unread may use this part instead: what others have brought
-# before it must not be why a light workspace is refused.
+# before it must not be why a light workspace is refused. The shortest answers still begin within
+# four fifths of their objective.
 FIRST_READ_SHARE = 0.6
 ANSWER_SHARE = 0.8
 # A prompt that takes longer to read than this part of the objective would never find a replica
