--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from railsail.core.events import Kind
+from railsail.core.events import Fact, Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.bookings import Booking, TicketRefused, Want, ticket_name, to_place
@@ -100,7 +100,11 @@
         except TicketRefused as refusal:
             return self._refused_by_dispatcher(booking, refusal)
         except TimeoutError:
-            self._tell_expired(booking)
+            self._tell_expired(
+                booking,
+                cell=str(booking.cell),
+                dispatcher_heard_ms_ago=self._quiet_ms(booking),
+            )
             self.withdraw(booking)
             return NotRun(Reason.EXPIRED, _REFUSALS[Reason.EXPIRED])
         except asyncio.CancelledError:
@@ -109,34 +113,33 @@
         return booking
 
     def _refused_by_dispatcher(self, booking: Booking, refusal: TicketRefused) -> NotRun:
-        self._events.emit(
-            Kind.EXPIRED,
+        self._tell_expired(
+            booking,
             "refused by the dispatcher",
-            booking.want.request_id,
-            booking.want.workspace,
-            ticket=self._ticket_name(booking),
-            dispatcher=booking.node,
             reason=refusal.reason,
             returned=int(booking.want.returned),
-            waited_ms=round((self._clock.monotonic() - booking.placed_at) * 1000),
             come_back_ms=round(refusal.come_back * 1000),
         )
         detail = _REFUSALS.get(refusal.reason, "decided by the dispatcher")
         return NotRun(refusal.reason, detail, come_back=refusal.come_back)
 
-    def _tell_expired(self, booking: Booking) -> None:
-        now = self._clock.monotonic()
-        own = booking.node == self._hub.own.node
-        quiet = 0.0 if own else now - self._hub.last_heard(booking.node)
+    def _quiet_ms(self, booking: Booking) -> int:
+        """Return for how many milliseconds the dispatcher of ``booking`` has not been heard."""
+        if booking.node == self._hub.own.node:
+            return 0
+        return round((self._clock.monotonic() - self._hub.last_heard(booking.node)) * 1000)
+
+    def _tell_expired(self, booking: Booking, detail: str = "", **facts: Fact) -> None:
+        waited = self._clock.monotonic() - booking.placed_at
         self._events.emit(
             Kind.EXPIRED,
-            request=booking.want.request_id,
-            workspace=booking.want.workspace,
+            detail,
+            booking.want.request_id,
+            booking.want.workspace,
             ticket=self._ticket_name(booking),
-            cell=str(booking.cell),
             dispatcher=booking.node,
-            dispatcher_heard_ms_ago=round(quiet * 1000),
-            waited_ms=round((now - booking.placed_at) * 1000),
+            waited_ms=round(waited * 1000),
+            **facts,
         )
 
     def _ticket_name(self, booking: Booking) -> str:
--- a/railsail/dispatch/exchange.py
+++ b/railsail/dispatch/exchange.py
@@ -120,7 +120,7 @@
         self._tell(cell, asking, waiting, 0)
 
     def _pass_one(self, dispatcher: CellDispatcher, asking: Cell, node: str) -> None:
-        head = dispatcher.queue.first(dispatcher.queue.first_workspace(), 1)[0]
+        head = dispatcher.queue.head(dispatcher.queue.first_workspace())
         dispatcher.queue.remove(head.key)
         place = self._dispatchers.to_place(head, asking)
         self._dispatchers.forget(head.key)
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -18,7 +18,6 @@
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.reach import ReplicaReach
 from railsail.scheduling.health import CallResult
-from railsail.scheduling.tickets import OUTPUT_COST
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.sse import BadStream
@@ -34,6 +33,8 @@
 SILENT_OBJECTIVES = 3.0
 SILENT_PAUSES = 4.0
 LEAST_SILENCE_SECONDS = 1.0
+# A token made costs a replica about twice what a token read does.
+OUTPUT_COST = 2.0
 _REPEATABLE_REFUSALS = (Reason.UNREACHABLE, Reason.REFUSED)
 
 
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -278,7 +278,7 @@
         # Whoever is first may wait for a replica that has its prompt's beginning; others go ahead
         # meanwhile, where replicas would be idle otherwise.
         for workspace in self.queue.workspaces()[:MOST_HEADS]:
-            ticket = self.queue.first(workspace, 1)[0]
+            ticket = self.queue.head(workspace)
             first = not self._unread.get(workspace)
             room = self._placing.choose(ticket, self.replicas.values(), now, first=first)
             if room is not None:
--- a/railsail/scheduling/fairqueue.py
+++ b/railsail/scheduling/fairqueue.py
@@ -81,18 +81,13 @@
             del self._lines[workspace]
         return place.ticket
 
-    @property
-    def waiting_workspaces(self) -> int:
-        """Return how many workspaces wait."""
-        return len(self._lines)
-
     def workspaces(self) -> list[str]:
         """Return the workspaces that wait, the one to serve first in front."""
         return sorted(self._lines, key=lambda name: (self.counter(name), name))
 
-    def first(self, workspace: str, most: int) -> list[Ticket]:
-        """Return the ``most`` tickets of ``workspace`` to serve first, without taking them."""
-        return [place.ticket for place in self._lines.get(workspace, ())[:most]]
+    def head(self, workspace: str) -> Ticket:
+        """Return the ticket to serve first of ``workspace``, which must wait; it is not taken."""
+        return self._lines[workspace][0].ticket
 
     def first_workspace(self) -> str:
         """Return the workspace to serve first; some workspace must wait."""
--- a/railsail/scheduling/tickets.py
+++ b/railsail/scheduling/tickets.py
@@ -13,9 +13,6 @@
 # all others, where a replica would be idle: a late answer is better than another refusal.
 RETURNED_SHARE = WAIT_SHARE
 
-# A token made costs a replica about twice what a token read does.
-OUTPUT_COST = 2.0
-
 TicketKey = tuple[str, int]
 
 
--- a/tests/scheduling/test_fairqueue.py
+++ b/tests/scheduling/test_fairqueue.py
@@ -111,7 +111,7 @@
         return [self.take(self.queue.first_workspace()).workspace for _ in range(count)]
 
     def take(self, workspace: str) -> Ticket:
-        ticket = self.queue.first(workspace, 1)[0]
+        ticket = self.queue.head(workspace)
         self.queue.take(ticket)
         return ticket
 
