dispatch, scheduling: looked at idle cells when a call ends, and judged no waiting ticket anew

A call's end or first event set a look only where something waits at the cell. A cell with nothing waiting then told its neighbours nothing until the next tick (up to 0.25 s), although it had room for what waits with them.

A ticket that waited was judged as excess again when its entry told everything anew (every 10 s, or on a new link). It could be refused while it stayed in the queue, to be granted later for nobody, and its cost counted as asked for once more. Only tickets that do not wait yet are judged and counted.

--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -241,7 +241,7 @@
         dispatcher.release_attempt(key, message.attempt, float(message.cost), now, result)
         if key not in dispatcher.flights and key not in dispatcher.queue:
             del self._where[key]
-        self._look_soon(cell, dispatcher)
+        self._room_changed(cell, dispatcher)
 
     def _progress(self, node: str, message: Progress) -> None:
         key = (node, message.number)
@@ -256,7 +256,7 @@
             return
         cell, dispatcher = found
         dispatcher.answered(key, self._clock.monotonic())
-        self._look_soon(cell, dispatcher)
+        self._room_changed(cell, dispatcher)
 
     def _resync(self, node: str, message: Resync) -> None:
         cell, dispatcher = self.dispatcher(message.pool, message.cell)
@@ -291,6 +291,14 @@
         self._carry_out(cell, dispatcher.pump(self._clock.monotonic()))
         self._pump_ended(cell, dispatcher)
 
+    def _room_changed(self, cell: Cell, dispatcher: CellDispatcher) -> None:
+        if len(dispatcher.queue):
+            # A look is due soon, and takes in all that changes until then.
+            self._look_soon(cell, dispatcher)
+        else:
+            # Nothing waits here; neighbouring cells may have something.
+            self._pump(cell, dispatcher)
+
     def _pump_ended(self, cell: Cell, dispatcher: CellDispatcher) -> None:
         for listener in self._pumped:
             listener(cell, dispatcher)
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -134,10 +134,11 @@
         if ticket.urgent:
             return [self._decide_urgent(ticket, now)]
         self.queue.credit = self._usage.credit(now)
-        if ticket.attempt == 1:
+        # One that waits already is told again when its entry tells everything anew.
+        if ticket.key not in self.queue:
             self._usage.asked(ticket.workspace, ticket.estimate, now)
-        if self._is_excess(ticket, now):
-            return [self._refuse(ticket, Reason.OVER_SHARE, now)]
+            if self._is_excess(ticket, now):
+                return [self._refuse(ticket, Reason.OVER_SHARE, now)]
         self.queue.push(ticket)
         return []
 
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -45,6 +45,19 @@
         return sum(len(node.desk.waiting()) for node in self.fleet.nodes)
 
 
+class FreedRoomTests(DispatchTestCase):
+    async def test_cell_with_nothing_waiting_is_looked_at_when_a_call_ends(self):
+        # It may have room then for what waits with its neighbours.
+        dispatcher, entry = self.dispatcher(), self.others()[0]
+        name = entry.settings.node_id
+        service = dispatcher.dispatchers
+        service._place(name, Place(78, 1, 0, "model", "one", 0, 10, 0))
+        looked_at = []
+        service.on_pumped(lambda cell, found: looked_at.append(cell))
+        service._release(name, Release(78, 1, 0, 0))
+        self.assertEqual(looked_at, [CELL])
+
+
 class UnheardReleaseTests(DispatchTestCase):
     async def test_grant_that_crossed_a_cancel_and_is_handed_back_takes_no_room(self):
         dispatcher, entry = self.dispatcher(), self.others()[0]
--- a/tests/scheduling/test_usage.py
+++ b/tests/scheduling/test_usage.py
@@ -100,6 +100,14 @@
         self.dispatcher.pump(0.2)
         self.assertEqual(self.offer(60, "flood", 0.21, returned=True, objective=1.0), [])
 
+    def test_ticket_that_waits_already_is_not_judged_anew_when_it_is_told_again(self):
+        self.offer(50, "light", 0.0)
+        self.dispatcher.offer(ticket(60, "flood", patience=1.0), 0.0)
+        self.dispatcher.pump(0.2)
+        again = ticket(60, "flood", patience=1.0)
+        self.assertEqual(self.dispatcher.offer(again, 0.21), [])
+        self.assertIn(again.key, self.dispatcher.queue)
+
     def test_nobody_is_refused_at_once_while_nothing_expires(self):
         self.offer(50, "light", 0.0)
         self.assertEqual(self.offer(60, "flood", 0.05), [])
