scheduling: refused a workspace's excess only where it would have to wait

Ruled out: slow dispatchers (refusals came 2 ms after the question), closed replicas (one of two served, and had room).

--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -143,10 +143,14 @@
         return []
 
     def _is_excess(self, ticket: Ticket, now: float) -> bool:
-        """Say whether tickets are refused, and the workspace of this one has had its share."""
+        """Say whether a ticket would wait in place of others though its workspace had its share."""
         if ticket.returned or now - self._expired_at > OVERLOAD_SECONDS:
             return False
-        return self._usage.over_share(ticket.workspace, now)
+        # Where a replica has room now, nobody else is served instead of the one that is refused.
+        return self._usage.over_share(ticket.workspace, now) and not self._fits(ticket, now)
+
+    def _fits(self, ticket: Ticket, now: float) -> bool:
+        return self._placing.choose(ticket, self.replicas.values(), now) is not None
 
     def _read_rate(self) -> float:
         return max(1.0, sum(room.read_rate for room in self.replicas.values()))
--- a/tests/scheduling/test_usage.py
+++ b/tests/scheduling/test_usage.py
@@ -95,6 +95,13 @@
         self.assertEqual([type(d) for d in self.offer(60, "flood", 0.21)], [Refusal])
         self.assertEqual(self.offer(61, "light", 0.21), [])
 
+    def test_excess_is_served_while_a_replica_has_room(self):
+        self.offer(50, "light", 0.0)
+        self.dispatcher.pump(0.2)
+        for key in list(self.dispatcher.flights):
+            self.dispatcher.release(key, 10.0, 0.21)
+        self.assertEqual([type(d) for d in self.offer(60, "flood", 0.21)], [Grant])
+
     def test_who_came_back_is_not_refused_at_once(self):
         self.offer(50, "light", 0.0)
         self.dispatcher.pump(0.2)
