routing, core: let a late node send the callers that crowd it to others

Cause: callers are sent to one node by a hash, and one workspace's flood may bring it ten times what it can do while the others of its failure domain idle; there requests pass their deadline unread and connections are dropped. A node now follows the lag of its event loop; where it is late it refuses, as not run and with a return at once, what comes of the workspaces that crowd it, since retries reach other nodes, and after a second it tells the balancer that it is not ready. 1,024 connections may wait to be accepted in place of 128. Ruled out as the only cause: processor time.

--- /dev/null
+++ b/railsail/core/looplag.py
@@ -0,0 +1,57 @@
+"""How late this process's event loop runs, which tells whether it has more work than time.
+
+Processor time alone does not tell: a loop may use little of it and still be late, where its machine
+is slowed down or gives its time in slices.
+"""
+
+import asyncio
+import math
+from collections import deque
+from collections.abc import Callable
+from statistics import median
+
+# Seconds between samples: short beside the objectives of requests, and 0.1% of a core.
+STEP_SECONDS = 0.05
+# The median of so many samples counts, so that one long turn of the loop is no overload.
+SAMPLES = 3
+# A request passes the loop about six times until its answer begins, so that this many seconds of
+# lag take most of an objective of a quarter of a second.
+LATE_SECONDS = 0.03
+
+
+class LoopLag:
+    """Follow the lag of the loop; ``clock`` tells seconds."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._samples: deque[float] = deque([0.0] * SAMPLES, maxlen=SAMPLES)
+        self._late_since = math.inf
+
+    @property
+    def seconds(self) -> float:
+        """Return the lag, in seconds."""
+        return median(self._samples)
+
+    @property
+    def late(self) -> bool:
+        """Say whether the loop runs too late to serve all that comes."""
+        return self.seconds > LATE_SECONDS
+
+    def late_for(self) -> float:
+        """Return for how many seconds the loop has been late without a pause; 0 if it is not."""
+        return max(0.0, self._clock() - self._late_since)
+
+    def take(self, seconds: float) -> None:
+        """Take in that a timer came ``seconds`` late."""
+        self._samples.append(max(0.0, seconds))
+        if not self.late:
+            self._late_since = math.inf
+        elif self._late_since == math.inf:
+            self._late_since = self._clock()
+
+    async def run(self) -> None:
+        """Take samples until cancelled."""
+        while True:
+            due = self._clock() + STEP_SECONDS
+            await asyncio.sleep(STEP_SECONDS)
+            self.take(self._clock() - due)
--- a/railsail/gateway/admission.py
+++ b/railsail/gateway/admission.py
@@ -7,6 +7,9 @@
 from railsail.core.outcomes import NotRun, Reason
 
 FULL_RETRY_SECONDS = 2.0
+# With fewer requests than this, callers are not why a node is late: as many streams take half of a
+# node with an eighth of a core.
+LEAST_CROWD = 16
 
 
 class Admission:
@@ -27,6 +30,16 @@
         """Return all requests held."""
         return self._sum
 
+    @property
+    def crowded(self) -> bool:
+        """Say whether enough is held to keep the node busy."""
+        return self._sum >= LEAST_CROWD
+
+    def crowds(self, workspace: str) -> bool:
+        """Say whether many requests are held of ``workspace``, and more than of the mean one."""
+        held = self.held(workspace)
+        return held >= LEAST_CROWD and held * len(self._held) >= self._sum
+
     def enter(self, workspace: str) -> NotRun | None:
         """Hold one more request of ``workspace``, or return why not."""
         held = self.held(workspace)
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -18,6 +18,7 @@
 from railsail.core.kernel import Kernel
 from railsail.core.lifecycle import Lifecycle, State
 from railsail.core.logs import get_logger
+from railsail.core.looplag import LoopLag
 from railsail.core.metrics import Metrics
 from railsail.core.registry import load_plugins
 from railsail.dispatch.cellmap import CellMap
@@ -63,6 +64,12 @@
 # A stopping node lets its peers take over before it goes on to wait for its requests.
 HAND_OVER_SECONDS = 0.5
 MOST_HEADER_BYTES = 32 << 10
+# A node whose loop was late for so many seconds asks the balancer to send callers elsewhere; the
+# balancer takes two seconds more to act, so that a short burst changes nothing.
+LATE_FOR_SECONDS = 1.0
+# Connections that may wait to be accepted; the system drops what comes beyond, and callers then
+# wait a second or more before they try again. A burst of callers brings several hundred at once.
+MOST_UNACCEPTED = 1024
 
 
 class Node:
@@ -82,6 +89,7 @@
         self.metrics = Metrics()
         self.events = EventLog(settings.node_id, self.clock)
         self.kernel = Kernel(self.clock, self.rng, self.events, self.metrics)
+        self.lag = LoopLag(self.clock.monotonic)
         self._draining = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._servers: list[HTTPServer] = []
@@ -189,6 +197,7 @@
             self.admission,
             self.gateway.callers,
             self._catalog,
+            self.lag,
             self.kernel,
         )
         self.clients = ClientServer(self.front.handle)
@@ -279,6 +288,7 @@
             for part in (self.membership, self.watcher, self.dispatchers, self.tree)
             if part is not None
         ]
+        self._tasks.append(asyncio.ensure_future(self.lag.run()))
         self._tasks.append(asyncio.ensure_future(self._tick()))
         self._tasks.append(asyncio.ensure_future(self._measure_speed()))
         with contextlib.suppress(TimeoutError):
@@ -291,7 +301,7 @@
             max_body_size=self.settings.max_body_bytes,
             max_header_size=MOST_HEADER_BYTES,
         )
-        server.listen(port, self.settings.node_ip)
+        server.listen(port, self.settings.node_ip, backlog=MOST_UNACCEPTED)
         self._servers.append(server)
 
     async def _tick(self) -> None:
@@ -318,6 +328,8 @@
             reasons.append("no configuration yet")
         if not self.watcher.reachable and not self._sees_peers():
             reasons.append("neither the store nor any peer can be reached")
+        if self.admission.crowded and self.lag.late_for() > LATE_FOR_SECONDS:
+            reasons.append("this node is late")
         return reasons
 
     def _sees_peers(self) -> bool:
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -8,6 +8,7 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
+from railsail.core.looplag import LoopLag
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from railsail.gateway.admission import Admission
 from railsail.gateway.callers import Callers
@@ -27,6 +28,9 @@
 
 LEAST_RETRY_SECONDS = 0.3
 MOST_RETRY_SECONDS = 2.5
+# A caller that is refused because this node alone is late is sent to another one without delay; the
+# spread, in seconds, keeps the callers of one moment from arriving there together.
+ELSEWHERE_SECONDS = (0.01, 0.08)
 # A caller that came back may wait for so many of its objectives: it will hardly come back again, so
 # that a late answer is better than none; but after a few objectives callers leave.
 RETURN_WAIT_OBJECTIVES = 2.0
@@ -51,6 +55,7 @@
         admission: Admission,
         callers: Callers,
         catalog: Callable[[], Catalog],
+        lag: LoopLag,
         kernel: Kernel,
     ) -> None:
         self._protocol = protocol
@@ -59,6 +64,7 @@
         self._admission = admission
         self._callers = callers
         self._catalog = catalog
+        self._lag = lag
         self._clock = kernel.clock
         self._events = kernel.events
         self._endings = Endings(kernel)
@@ -101,7 +107,7 @@
             )
             return found, None
         route, pool, workspace = found
-        refused = self._admission.enter(workspace)
+        refused = self._shed(workspace) or self._admission.enter(workspace)
         if refused is not None:
             return refused, None
         try:
@@ -110,6 +116,17 @@
         finally:
             self._admission.leave(workspace)
 
+    def _shed(self, workspace: str) -> NotRun | None:
+        """Refuse what this node has no time for, of the workspaces that take most of its time.
+
+        Callers are sent to one node, and those of one workspace may bring it several times what it
+        can do while others idle. A refusal takes a twentieth of the time of an answer in 40 events.
+        """
+        if not self._lag.late or not self._admission.crowds(workspace):
+            return None
+        come_back = self._rng.uniform(*ELSEWHERE_SECONDS)
+        return NotRun(Reason.NODE_LATE, "this node is late; try another", come_back=come_back)
+
     def _find(self, request: RoutedRequest) -> NotRun | tuple[Route, Pool, str]:
         catalog = self._catalog()
         if not catalog.version:
--- /dev/null
+++ b/tests/gateway/test_admission.py
@@ -0,0 +1,34 @@
+"""Whose requests crowd a node."""
+
+import unittest
+
+from railsail.gateway.admission import LEAST_CROWD, Admission
+
+
+class CrowdTests(unittest.TestCase):
+    def setUp(self):
+        self.admission = Admission(1000, 10_000)
+
+    def hold(self, workspace: str, requests: int) -> None:
+        for _ in range(requests):
+            self.assertIsNone(self.admission.enter(workspace))
+
+    def test_few_requests_crowd_nothing(self):
+        self.hold("one", LEAST_CROWD - 1)
+        self.assertFalse(self.admission.crowded or self.admission.crowds("one"))
+
+    def test_workspace_with_most_requests_crowds_and_a_light_one_does_not(self):
+        self.hold("flood", 5 * LEAST_CROWD)
+        self.hold("light", LEAST_CROWD)
+        self.assertTrue(self.admission.crowded)
+        self.assertTrue(self.admission.crowds("flood"))
+        self.assertFalse(self.admission.crowds("light") or self.admission.crowds("new"))
+
+    def test_workspaces_with_equal_shares_all_crowd(self):
+        self.hold("one", LEAST_CROWD)
+        self.hold("two", LEAST_CROWD)
+        self.assertTrue(self.admission.crowds("one") and self.admission.crowds("two"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_late.py
@@ -0,0 +1,55 @@
+"""A node whose event loop is late sends the callers that crowd it elsewhere."""
+
+import asyncio
+import unittest
+
+from railsail.core.looplag import LATE_SECONDS, SAMPLES
+from railsail.gateway.admission import LEAST_CROWD
+from railsail.node import LATE_FOR_SECONDS, Node
+from tests.platform.base import PlatformTestCase
+from tests.platform.standins import answering, hanging
+
+
+class LateNodeTests(PlatformTestCase):
+    def make_late(self, node: Node) -> None:
+        """Let the lag of ``node`` stay as if its loop were late, for long enough."""
+        node.lag.take = lambda seconds: None
+        for _ in range(SAMPLES):
+            type(node.lag).take(node.lag, LATE_SECONDS * 2)
+        node.lag._late_since -= 2 * LATE_FOR_SECONDS
+
+    async def crowd(self, node: Node) -> list[asyncio.Task]:
+        """Hold as many requests of the one workspace as crowd a node."""
+        calls = [asyncio.ensure_future(self.call(node, "/once/")) for _ in range(LEAST_CROWD)]
+        await self.until(lambda: node.admission.total == LEAST_CROWD)
+        return calls
+
+    async def test_crowding_workspace_is_refused_as_not_run_and_told_to_come_back_at_once(self):
+        node = await self.serve(hanging())
+        calls = await self.crowd(node)
+        self.make_late(node)
+        answer = await self.call(node, "/once/", Request_Id="r-2")
+        self.assertEqual(answer.status, 503)
+        self.assertLess(float(answer.headers["Retry-After"]), 0.1)
+        self.assertNotIn("r-2", [got.headers["Request-Id"] for got in self.replicas[0].received])
+        self.assertIn("this node is late", node.not_ready())
+        for call in calls:
+            call.cancel()
+
+    async def test_late_node_that_callers_do_not_crowd_serves(self):
+        node = await self.serve(answering())
+        self.make_late(node)
+        self.assertEqual((await self.call(node, "/once/")).status, 200)
+        self.assertEqual(node.not_ready(), [])
+
+    async def test_crowded_node_that_is_in_time_serves(self):
+        node = await self.serve(hanging())
+        calls = await self.crowd(node)
+        task = asyncio.ensure_future(self.call(node, "/once/", Request_Id="r-2"))
+        await self.until(lambda: node.admission.total == LEAST_CROWD + 1)
+        for call in [task, *calls]:
+            call.cancel()
+
+
+if __name__ == "__main__":
+    unittest.main()
