store: gathered changes that come together before watching again

Cause: each single change ended the watches of eight nodes, so that a group of changes, as when the replicas of a pool start, cost eight calls a change. The next watch is made 0.1 s later now and gets the rest of its group.

--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -20,6 +20,10 @@
 LOOK_SECONDS = 5.0
 # A store that has forgotten its history may do so again and again; lists are dear.
 RELIST_SECONDS = 0.3
+# Changes come in groups, as when replicas start or are replaced. A watch that has ended is made
+# anew so many seconds later, and gets the rest of its group with one call; a replica that leaves
+# serves on for seconds.
+GATHER_SECONDS = 0.1
 FIRST_PAUSE_SECONDS = 0.25
 MOST_PAUSE_SECONDS = 10.0
 
@@ -113,6 +117,8 @@
             for event in result.events:
                 self._seen[event.kind](event)
             version = max(version, result.version)
+            if result.events:
+                await asyncio.sleep(GATHER_SECONDS)
 
     def _note(self, kinds: tuple[str, ...], answered: bool, detail: str = "") -> None:
         self._answered[kinds[0]] = answered
--- /dev/null
+++ b/tests/store/test_watcher.py
@@ -0,0 +1,67 @@
+"""How many calls the watcher makes for changes that come together."""
+
+import asyncio
+import random
+import unittest
+from collections import deque
+
+from railsail.core.clock import Clock
+from railsail.core.events import EventLog
+from railsail.store.base import Listing, WatchEvent, WatchResult
+from railsail.store.watcher import GATHER_SECONDS, StoreWatcher
+
+KIND = "upstream"
+GROUP = 20
+
+
+class GroupStore:
+    """A store in which changes come while a watch waits, or between two watches."""
+
+    watches_many = False
+
+    def __init__(self) -> None:
+        self.pending: deque[WatchEvent] = deque()
+        self.watches = 0
+        self._changed = asyncio.Event()
+
+    def change(self, version: int) -> None:
+        self.pending.append(WatchEvent(KIND, f"r{version}", version, {}))
+        self._changed.set()
+
+    async def list(self, kind: str) -> Listing:
+        return Listing(0, ())
+
+    async def watch(self, kinds: tuple[str, ...], since: int, seconds: float) -> WatchResult:
+        self.watches += 1
+        while not self.pending:
+            self._changed.clear()
+            await self._changed.wait()
+        events = tuple(self.pending)
+        self.pending.clear()
+        return WatchResult(events[-1].version, events)
+
+
+class GroupTests(unittest.IsolatedAsyncioTestCase):
+    async def test_group_of_changes_takes_few_calls_and_none_is_lost(self):
+        store = GroupStore()
+        seen: list[int] = []
+        events = EventLog("n", Clock())
+        watcher = StoreWatcher(store, lambda: True, 30.0, events, random.Random(1))
+        watcher.follow(KIND, lambda listing: None, lambda event: seen.append(event.version))
+        task = asyncio.ensure_future(watcher.run())
+        while not store.watches:
+            await asyncio.sleep(0)
+        for version in range(1, GROUP + 1):
+            store.change(version)
+            # Every change finds the watch waiting, unless the watcher waits for the group.
+            for _ in range(10):
+                await asyncio.sleep(0)
+        while len(seen) < GROUP:
+            await asyncio.sleep(GATHER_SECONDS / 10)
+        task.cancel()
+        self.assertEqual(seen, list(range(1, GROUP + 1)))
+        self.assertLess(store.watches, GROUP / 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
