dispatch: made a new link to a dispatcher whose old one has gone silent

Cause: an entry leaves a dispatcher that is silent for half a second, and dials it again only when no link to it is open. A connection that carries nothing any more but stays open was never replaced: the entry stayed with another dispatcher for good, so that one cell had two. Such a node is now probed twice a second, and its link given up after 2 s without an answer. Ruled out: the store (each call has a connection and a time limit of its own), replicas (one connection a call, bounded by the request's deadline), callers (keep-alive probes). Two tests failed before: no new link, no probe.

--- a/railsail/dispatch/reach.py
+++ b/railsail/dispatch/reach.py
@@ -9,6 +9,11 @@
 from railsail.peers.hub import PeerHub
 from railsail.peers.messages import Probe
 
+# An open connection may carry nothing any more while a new one would. A node that was left and does
+# not answer probes for so many seconds gets a new link; a node that is only slow has answered by
+# then, and a link made anew would cost it more time.
+LINK_SILENT_SECONDS = 2.0
+
 
 class DispatcherReach:
     """Leave nodes that cannot be dialled or are silent, and come back to them.
@@ -67,10 +72,14 @@
     def tick(self) -> None:
         """Come back to nodes that were heard again; to be called about twice a second."""
         for node, left_at in list(self._left_at.items()):
-            if self._hub.connected(node) and self._hub.last_heard(node) > left_at:
+            if not self._hub.connected(node):
+                self._hub.dial(node)
+            elif self._hub.last_heard(node) > left_at:
                 self._come_back(node)
+            elif self._clock.monotonic() - left_at > LINK_SILENT_SECONDS:
+                self._hub.drop(node)
             else:
-                self._hub.dial(node)
+                self._hub.send(node, Probe())
 
     def _leave(self, node: str) -> None:
         self._left_at[node] = self._clock.monotonic()
