gateway: took the least limit from what counts as a crowd

The figure of 16 requests and its reason stood twice: below it callers are not why a node is late (admission), and the learnt limit never falls below it (concurrency). One constant serves both now; the value is the same, and so is the behaviour. The tests of both, of late nodes and of the pace pass.

--- a/railsail/gateway/concurrency.py
+++ b/railsail/gateway/concurrency.py
@@ -7,11 +7,13 @@
 Source: adaptive concurrency limits, as in TCP's congestion control (Jacobson, 1988).
 """
 
+from railsail.gateway.admission import LEAST_CROWD
+
 # Requests held at once by a node that has learnt nothing yet: 64 streams of 14 events a second, at
 # 0.23 ms an event of a whole core, take 40% of a node with half a core.
 FIRST_LIMIT = 64.0
-# The limit never falls below this; as many streams take half of a node with an eighth of a core.
-LEAST_LIMIT = 16.0
+# The limit never falls below what can keep a node busy.
+LEAST_LIMIT = float(LEAST_CROWD)
 # Changes of the limit with each sample of the loop's lag. Halved within a third of a second, and
 # doubled within three quarters, so that a stronger node has found its limit in a few seconds.
 DECREASE = 0.9
