routing: told in the log of a full node how many refused callers had been refused before

Cause: the log of a full node counted what it refused, and could not tell whether callers reach other nodes afterwards, which the refusal relies on. It now tells how many of them came back to it, as far as their deadlines show it.

--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -1,5 +1,6 @@
 """The headers of the platform's clients and replicas."""
 
+import contextlib
 import math
 import zlib
 
@@ -87,7 +88,11 @@
 
     def read_origin(self, headers: HTTPHeaders) -> Origin:
         """Return who sent a request, without reading the rest of it."""
-        return Origin(headers.get(REQUEST_ID, ""), _key(headers.get(KEY, "")))
+        # What is wrong with a request is told where all of it is read.
+        with contextlib.suppress(ValueError):
+            deadline = _number(headers.get(DEADLINE, ""), DEADLINE) / 1000
+            return _origin(headers, deadline)
+        return _origin(headers, 0.0)
 
     def request_headers(self, request: RoutedRequest, dispatch: Dispatch) -> HTTPHeaders:
         """Return the headers with which ``request`` is sent to a replica."""
@@ -121,6 +126,15 @@
         return headers
 
 
+def _origin(headers: HTTPHeaders, deadline: float) -> Origin:
+    return Origin(
+        headers.get(REQUEST_ID, ""),
+        _key(headers.get(KEY, "")),
+        headers.get("Host", ""),
+        deadline,
+    )
+
+
 def _end_to_end(headers: HTTPHeaders, dropped: frozenset[str]) -> HTTPHeaders:
     named = {word.strip().title() for word in headers.get("Connection", "").split(",")}
     kept = HTTPHeaders()
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import math
 import random
 from collections.abc import Callable
 
@@ -20,9 +19,10 @@
 from railsail.policy.programs import RequestInput, Verdict
 from railsail.routing.answer import StreamState
 from railsail.routing.client import ClientAnswer, ClientLeft
+from railsail.routing.crowding import CrowdLog
 from railsail.routing.defaults import DEFAULT_POLICY
 from railsail.routing.endings import Endings
-from railsail.routing.messages import RoutedRequest
+from railsail.routing.messages import Origin, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.relay import RETRY_SHARE, Relay, Routed
 from railsail.routing.returning import UsualDeadlines
@@ -33,8 +33,6 @@
 # A caller that is refused because this node alone is full is sent to another one without delay; the
 # spread, in seconds, keeps the callers of one moment from arriving there together.
 ELSEWHERE_SECONDS = (0.01, 0.08)
-# One of them is logged in so many seconds: a line for each would take the time that is missing.
-TELL_SECONDS = 1.0
 # A caller that came back may wait for so many of its objectives: it will hardly come back again, so
 # that a late answer is better than none; but after a few objectives callers leave.
 RETURN_WAIT_OBJECTIVES = 2.0
@@ -76,8 +74,7 @@
         self._rng: random.Random = kernel.rng
         self._routes = RouteTable()
         self._deadlines = UsualDeadlines()
-        self._told_at = -math.inf
-        self._untold = 0
+        self._crowd_log = CrowdLog(kernel)
 
     def configured(self, catalog: Catalog) -> None:
         """Take in the routes of a new version."""
@@ -88,7 +85,9 @@
     ) -> None:
         """Serve one request of a caller."""
         received_at = self._clock.monotonic()
-        if self._limit.full(self._admission.total) and await self._sent_elsewhere(headers, client):
+        if self._limit.full(self._admission.total) and await self._sent_elsewhere(
+            line, headers, client, received_at
+        ):
             return
         try:
             request = self._protocol.read_request(line.method, line.path, headers, body)
@@ -106,7 +105,13 @@
         seconds = self._clock.monotonic() - received_at
         self._endings.ended(request.id, routed, outcome, status, seconds)
 
-    async def _sent_elsewhere(self, headers: HTTPHeaders, client: ClientAnswer) -> bool:
+    async def _sent_elsewhere(
+        self,
+        line: RequestStartLine,
+        headers: HTTPHeaders,
+        client: ClientAnswer,
+        received_at: float,
+    ) -> bool:
         """Refuse a request of a workspace that crowds this full node, and say whether it did.
 
         Callers are sent to one node, and those of one workspace may bring it several times what it
@@ -118,7 +123,14 @@
         if not self._admission.crowds(workspace):
             return False
         self._metrics.sent_elsewhere.inc({"workspace": workspace})
-        self._tell_sent_elsewhere(origin.request_id, workspace)
+        self._crowd_log.refused(
+            origin.request_id,
+            workspace,
+            self._came_back(origin, line.path, received_at),
+            _NOT_RUN_STATUS,
+            self._admission.total,
+            self._limit.limit,
+        )
         retry_after = self._rng.uniform(*ELSEWHERE_SECONDS)
         answer = self._protocol.own_headers(origin.request_id, retry_after)
         # A caller that has left does not wait for the refusal any more.
@@ -126,25 +138,9 @@
             await client.give(_NOT_RUN_STATUS, answer, b"this node is full; try another\n")
         return True
 
-    def _tell_sent_elsewhere(self, request_id: str, workspace: str) -> None:
-        """Log one of the requests sent elsewhere each second, and how many there were since."""
-        self._untold += 1
-        now = self._clock.monotonic()
-        if now - self._told_at < TELL_SECONDS:
-            return
-        self._events.emit(
-            Kind.ENDED,
-            "sent elsewhere, since this node is full",
-            request_id,
-            workspace,
-            notable=True,
-            status=_NOT_RUN_STATUS,
-            held=self._admission.total,
-            limit=round(self._limit.limit),
-            requests_since=self._untold,
-        )
-        self._told_at = now
-        self._untold = 0
+    def _came_back(self, origin: Origin, path: str, now: float) -> bool:
+        route = self._routes.find(origin.host, path.partition("?")[0])
+        return route is not None and self._deadlines.seen(route.name, origin.deadline, now)
 
     async def _serve(
         self, request: RoutedRequest, client: ClientAnswer, received_at: float
--- a/railsail/routing/messages.py
+++ b/railsail/routing/messages.py
@@ -68,10 +68,16 @@
 
 @dataclass(frozen=True)
 class Origin:
-    """Who sent a request: its id, and the caller's bearer key, empty for none."""
+    """What tells who sent a request, and to which route.
+
+    ``key`` is the caller's bearer key, empty for none. ``deadline`` is in seconds from the
+    request's arrival, 0 for none.
+    """
 
     request_id: str
     key: str
+    host: str
+    deadline: float
 
 
 @dataclass(frozen=True)
--- a/tests/platform/test_late.py
+++ b/tests/platform/test_late.py
@@ -42,6 +42,17 @@
         for call in calls:
             call.cancel()
 
+    async def test_log_tells_whether_refused_callers_come_back_to_the_same_node(self):
+        node = await self.serve(hanging())
+        calls = await self.crowd(node)
+        self.make_late(node)
+        told = []
+        node.events.on_emit(lambda event: told.append(event.facts))
+        await self.call(node, "/once/", Request_Id="r-2", Deadline_Ms="3500")
+        self.assertEqual((told[0]["requests_since"], told[0]["came_back_since"]), (1, 1))
+        for call in calls:
+            call.cancel()
+
     async def test_late_node_that_callers_do_not_crowd_serves(self):
         node = await self.serve(answering())
         self.make_late(node)
