routing, membership: handed requests that a full node has no time for on to its peers

Cause: callers of one workspace may all reach one node, and come back to it when they are refused: of 2,988 requests of such a workspace, 1,130 of them repeats, each reached the same of 61 nodes. The node refused what it could not hold and told callers to try another one; so the time of one node decided what the workspace got of the whole fleet. Class: a local bound applied before a decision that is the fleet's.

The peer's port is told with its membership (`--forward-port`). What cannot be handed on is refused where its workspace crowds the node, and told to come back later instead of at once. The same cause elsewhere: the bounds on waiting requests of a workspace and of a node (256, 1,024) refused as well, and now hand on; a node without descriptors could neither accept nor call, and now asks callers to close their connections from a quarter of them on.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -56,6 +56,12 @@
     Option("caller_port", Port(), "TCP port for callers.", "8080"),
     Option("admin_port", Port(), "TCP port for operators and metrics.", "8081"),
     Option("peer_port", Port(), "TCP port for links from other daemons.", "8082"),
+    Option(
+        "forward_port",
+        Number(0, 65_535),
+        "TCP port for requests that other daemons hand on; 0 takes a free one.",
+        "0",
+    ),
     Option("listen_port", Number(0, 65_535), "Port to listen on for peers if it is mapped.", "0"),
     Option("failure_domain", Name(), "Failure domain of this node."),
     Option("region", Name(), "Region of this node.", "default"),
@@ -101,6 +107,12 @@
     ),
     Option("retry_window_seconds", Decimal(0.1, 3600), "Window of the repeats allowed.", "10"),
     Option("max_body_bytes", Number(1024, 64 << 20), "Largest request body.", str(4 << 20)),
+    Option(
+        "open_files",
+        Number(0, 100_000_000),
+        "Files and connections that this process may have open; 0 asks the system.",
+        "0",
+    ),
     Option("queue_per_workspace", Number(1, 100_000), "Waiting requests a workspace here.", "256"),
     Option("queue_total", Number(1, 100_000), "Waiting requests of all workspaces here.", "1024"),
     Option("cell_replicas", Number(1, 10_000), "Most replicas that one dispatcher serves.", "16"),
@@ -144,6 +156,7 @@
     caller_port: int
     admin_port: int
     peer_port: int
+    forward_port: int
     listen_port: int
     failure_domain: str
     region: str
@@ -161,6 +174,7 @@
     retry_slack: float
     retry_window_seconds: float
     max_body_bytes: int
+    open_files: int
     queue_per_workspace: int
     queue_total: int
     cell_replicas: int
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -15,8 +15,12 @@
         self.registry = Registry()
         self._left_out = LeftOut()
         self.requests = self._counter("railsail_requests_total", "Requests by pool and outcome.")
-        self.sent_elsewhere = self._counter(
-            "railsail_sent_elsewhere_total",
+        self.forwarded = self._counter(
+            "railsail_forwarded_total",
+            "Requests that another node answered because this one was full, by workspace.",
+        )
+        self.crowded_out = self._counter(
+            "railsail_crowded_out_total",
             "Requests refused because this node was full, by workspace.",
         )
         self.first_byte = self._histogram(
--- a/railsail/core/sockets.py
+++ b/railsail/core/sockets.py
@@ -1,7 +1,12 @@
-"""Options of sockets that the libraries leave at the system's defaults."""
+"""Connections to IP endpoints, and options of sockets that libraries leave at the defaults."""
 
+import asyncio
 import socket
 
+from tornado.iostream import IOStream, StreamClosedError
+
+from railsail.core.exceptions import RailsailError
+
 # A machine without power says nothing: bytes that it does not acknowledge for so long end the
 # connection, and so does its silence to a few probes on one that rests.
 UNACKNOWLEDGED_MS = 4000
@@ -10,6 +15,32 @@
 MOST_PROBES = 3
 
 
+class CannotConnect(RailsailError):
+    """There is no connection, and so nothing was sent."""
+
+
+async def open_stream(ip: str, port: int, seconds: float) -> IOStream:
+    """Return a new connection, made within ``seconds``; raise ``CannotConnect``.
+
+    An IP number needs no resolver, which the library's own client asks in a thread: 1.7 ms.
+    """
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    connection = socket.socket(family, socket.SOCK_STREAM)
+    detect_dead_peer(connection)
+    stream = IOStream(connection)
+    try:
+        async with asyncio.timeout(seconds):
+            await stream.connect((ip, port))
+    except (OSError, TimeoutError, StreamClosedError) as problem:
+        stream.close()
+        raise CannotConnect(type(problem).__name__) from None
+    except asyncio.CancelledError:
+        stream.close()
+        raise
+    stream.set_nodelay(True)
+    return stream
+
+
 def detect_dead_peer(connection: socket.socket) -> None:
     """Make ``connection`` end by itself within some seconds after its peer has lost power."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/railsail/gateway/admission.py
+++ b/railsail/gateway/admission.py
@@ -30,6 +30,11 @@
         """Return all requests held."""
         return self._sum
 
+    @property
+    def may_refuse(self) -> bool:
+        """Say whether enough is held for some workspace to be refused."""
+        return self._sum >= min(self._per_workspace, (self._total + 1) / 2)
+
     @property
     def crowded(self) -> bool:
         """Say whether enough is held to keep the node busy."""
@@ -40,17 +45,23 @@
         held = self.held(workspace)
         return held >= LEAST_CROWD and held * len(self._held) >= self._sum
 
-    def enter(self, workspace: str) -> NotRun | None:
-        """Hold one more request of ``workspace``, or return why not."""
+    def refusal(self, workspace: str) -> NotRun | None:
+        """Return why one more request of ``workspace`` would be refused, ``None`` if it is not."""
         held = self.held(workspace)
         if held >= self._per_workspace:
             return NotRun(Reason.QUEUE_FULL, "of the workspace", FULL_RETRY_SECONDS)
         if held >= (self._total - self._sum + held + 1) / 2:
             return NotRun(Reason.QUEUE_FULL, "of the node", FULL_RETRY_SECONDS)
-        self._held[workspace] = held + 1
-        self._sum += 1
         return None
 
+    def enter(self, workspace: str) -> NotRun | None:
+        """Hold one more request of ``workspace``, or return why not."""
+        refused = self.refusal(workspace)
+        if refused is None:
+            self._held[workspace] = self.held(workspace) + 1
+            self._sum += 1
+        return refused
+
     def leave(self, workspace: str) -> None:
         """Let go of a request of ``workspace``."""
         self._sum -= 1
--- a/railsail/gateway/concurrency.py
+++ b/railsail/gateway/concurrency.py
@@ -12,6 +12,9 @@
 # Requests held at once by a node that has learnt nothing yet: 64 streams of 14 events a second, at
 # 0.23 ms an event of a whole core, take 40% of a node with half a core.
 FIRST_LIMIT = 64.0
+# Requests handed on to other nodes at once by a node that has learnt nothing yet. Such a request
+# costs about a fifth of one that is served here.
+FIRST_FORWARDED = 320.0
 # The limit never falls below what can keep a node busy.
 LEAST_LIMIT = float(LEAST_CROWD)
 # Changes of the limit with each sample of the loop's lag. Halved within a third of a second, and
@@ -23,10 +26,15 @@
 
 
 class ConcurrencyLimit:
-    """Learn the limit from how the event loop does."""
+    """Learn the limit, which begins at ``first``, from how the event loop does."""
 
-    def __init__(self) -> None:
-        self.limit = FIRST_LIMIT
+    def __init__(self, first: float = FIRST_LIMIT) -> None:
+        self.limit = first
+
+    @property
+    def least(self) -> bool:
+        """Say whether the limit cannot fall further."""
+        return self.limit <= LEAST_LIMIT
 
     def full(self, held: int) -> bool:
         """Say whether a node that holds so many requests should hold no more."""
--- a/railsail/membership/pace.py
+++ b/railsail/membership/pace.py
@@ -45,7 +45,7 @@
             late = self._clock.monotonic() < self._late_until
             level = UNKNOWN_LEVEL if late else meter.level
             if level != self._membership.table.own.speed:
-                self._membership.set_own_speed(level)
+                self._membership.change_own(speed=level)
 
     def _note_lateness(self) -> None:
         now = self._clock.monotonic()
--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -99,13 +99,9 @@
         """Return all beliefs, for a peer that asks."""
         return MemberNews([_to_record(member) for member in self.table.all()])
 
-    def set_own_state(self, state: MemberState) -> None:
-        """Tell all that the state of this node has changed."""
-        self._pass_on([self.table.set_own_state(state)], "")
-
-    def set_own_speed(self, speed: int) -> None:
-        """Tell all that the speed of this node has changed."""
-        self._pass_on([self.table.set_own_speed(speed)], "")
+    def change_own(self, **changes: object) -> None:
+        """Change fields of this node's own entry, and tell all."""
+        self._pass_on([self.table.change_own(**changes)], "")
 
     def reachable(self, node: str) -> bool:
         """Say whether ``node`` may be given work, and no link to it has failed just now."""
--- a/railsail/membership/table.py
+++ b/railsail/membership/table.py
@@ -26,7 +26,8 @@
 class Member:
     """One member; ``node`` is its id, which is its peer endpoint ``ip:port``.
 
-    ``speed`` is the level that it measured of itself (see ``railsail.membership.speed``).
+    ``speed`` is the level that it measured of itself (see ``railsail.membership.speed``), and
+    ``forward_port`` the TCP port at which it takes requests of callers from other nodes, 0 if none.
     """
 
     node: str
@@ -37,6 +38,7 @@
     failure_domain: str
     region: str
     speed: int = 0
+    forward_port: int = 0
 
     @property
     def order(self) -> tuple[int, int, int]:
@@ -116,13 +118,9 @@
                 news.append(self.merge(belief, now))
         return [belief for belief in news if belief is not None]
 
-    def set_own_state(self, state: MemberState) -> Member:
-        """Change the state of this node, and return the belief to pass on."""
-        return self._renew(replace(self.own, sequence=self.own.sequence + 1, state=state))
-
-    def set_own_speed(self, speed: int) -> Member:
-        """Change the speed of this node, and return the belief to pass on."""
-        return self._renew(replace(self.own, sequence=self.own.sequence + 1, speed=speed))
+    def change_own(self, **changes: object) -> Member:
+        """Change fields of this node's own entry, and return the belief to pass on."""
+        return self._renew(replace(self.own, sequence=self.own.sequence + 1, **changes))
 
     def _refute(self, belief: Member) -> Member | None:
         stale = belief.start_id < self.own.start_id
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import math
 import random
+import resource
 import secrets
 from dataclasses import fields
 
 from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
 
 from railsail.admin import app as admin_app
 from railsail.conf.settings import Settings
@@ -31,7 +34,7 @@
 from railsail.gateway.answers import AnswerShelf
 from railsail.gateway.app import Gateway
 from railsail.gateway.claims import ClaimDesk
-from railsail.gateway.concurrency import ConcurrencyLimit
+from railsail.gateway.concurrency import FIRST_FORWARDED, ConcurrencyLimit
 from railsail.gateway.serve import Server
 from railsail.gateway.tries import Tries
 from railsail.gateway.verdicts import Judge
@@ -48,9 +51,11 @@
 from railsail.peers.messages import ConfigurationNews, Heartbeat, StateRequest, UpstreamNews
 from railsail.routing.budget import RetryBounds
 from railsail.routing.client import ClientServer
+from railsail.routing.forwarding import Forwarder
 from railsail.routing.front import RouteFront
 from railsail.routing.protocol import ROUTE_PROTOCOLS
 from railsail.routing.relay import Relay
+from railsail.routing.targets import ForwardTargets
 from railsail.store.base import STORES
 from railsail.store.watcher import StoreWatcher
 from railsail.upstreams.directory import KIND as UPSTREAM
@@ -66,6 +71,10 @@
 # A stopping node lets its peers take over before it goes on to wait for its requests.
 HAND_OVER_SECONDS = 0.5
 MOST_HEADER_BYTES = 32 << 10
+# The part of the files that a process may open that connections of callers may take. A node that
+# had none left could neither accept nor call: one that refused 500 requests a second came to its
+# 4,100 within eight seconds, since callers keep the connections of refused requests.
+CALLERS_SHARE = 0.25
 # Connections that may wait to be accepted; the system drops what comes beyond, and callers then
 # wait a second or more before they try again. A burst of callers brings several hundred at once.
 MOST_UNACCEPTED = 1024
@@ -179,7 +188,9 @@
         )
         self.gateway = Gateway(server, self.kernel, self._new_id)
         self.front: RouteFront | None = None
-        self.clients: ClientServer | None = None
+        self.forwarder: Forwarder | None = None
+        # The servers of callers, and of requests that other nodes hand on.
+        self.clients: list[ClientServer] = []
         if settings.caller_interface != NATIVE_INTERFACE:
             self._build_routes()
 
@@ -191,7 +202,10 @@
         )
         relay = Relay(protocol, self.directory, self.desk, bounds, self._fleet_size, self.kernel)
         limit = ConcurrencyLimit()
-        self.lag.on_sample(lambda: limit.adjust(self.lag.late, self.admission.total))
+        forwards = ConcurrencyLimit(FIRST_FORWARDED)
+        targets = ForwardTargets(self._usable_members, lambda: self.membership.table.own, self.rng)
+        self.forwarder = Forwarder(targets, forwards, self.kernel)
+        self.lag.on_sample(lambda: self._adjust_limits(limit, forwards))
         self.front = RouteFront(
             protocol,
             relay,
@@ -200,11 +214,26 @@
             self.gateway.callers,
             self._catalog,
             limit,
+            self.forwarder,
             self.kernel,
         )
-        self.clients = ClientServer(self.front.handle)
+        self.clients = [
+            ClientServer(self.front.handle, self._most_callers()),
+            ClientServer(self.front.handle_forwarded),
+        ]
         self.carrier.on_change(self.front.configured)
 
+    def _most_callers(self) -> float:
+        """Return how many connections of callers may be open before callers are asked to leave."""
+        allowed = self.settings.open_files or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        return math.inf if allowed == resource.RLIM_INFINITY else CALLERS_SHARE * allowed
+
+    def _adjust_limits(self, limit: ConcurrencyLimit, forwards: ConcurrencyLimit) -> None:
+        late = self.lag.late
+        limit.adjust(late, self.admission.total)
+        # What is handed on costs least, and is given up last.
+        forwards.adjust(late and limit.least, self.forwarder.total)
+
     def _connect(self) -> None:
         self.membership.describe_with(self._heartbeat)
         self.membership.watch_also(lambda: self.desk.dispatchers() | self.claims.batchers())
@@ -250,10 +279,13 @@
             nodes = [node for node in nodes if self.hub.connected(node)]
         return nodes
 
+    def _usable_members(self) -> list[Member]:
+        members = [self.membership.table.get(node) for node in self._usable()]
+        return [member for member in members if member is not None]
+
     def _fast_enough(self) -> list[str]:
         """Return the usable nodes that may dispatch."""
-        members = [self.membership.table.get(node) for node in self._usable()]
-        return [member.node for member in fast_enough(m for m in members if m is not None)]
+        return [member.node for member in fast_enough(self._usable_members())]
 
     def _watches(self) -> bool:
         nodes = [member.node for member in self.membership.table.usable()]
@@ -284,7 +316,7 @@
         """Open the ports, and become ready when there is a configuration."""
         await self.hub.start()
         self._listen(self.settings.admin_port, admin_app.application(self))
-        self._listen(self.settings.caller_port, self.clients or self.gateway.application())
+        self._listen_to_callers()
         self._tasks = [
             asyncio.ensure_future(part.run())
             for part in (self.membership, self.watcher, self.dispatchers, self.tree)
@@ -297,14 +329,26 @@
             await asyncio.wait_for(self.watcher.tried.wait(), FIRST_LOOK_SECONDS)
         self.lifecycle.advance(State.READY)
 
-    def _listen(self, port: int, application) -> None:
+    def _listen_to_callers(self) -> None:
+        if not self.clients:
+            self._listen(self.settings.caller_port, self.gateway.application())
+            return
+        callers, forwarded = self.clients
+        self._listen(self.settings.caller_port, callers)
+        port = self._listen(self.settings.forward_port, forwarded)
+        self.membership.change_own(forward_port=port)
+
+    def _listen(self, port: int, application) -> int:
+        """Serve ``application`` at ``port``, 0 for a free one, and return the port."""
         server = HTTPServer(
             application,
             max_body_size=self.settings.max_body_bytes,
             max_header_size=MOST_HEADER_BYTES,
         )
-        server.listen(port, self.settings.node_ip, backlog=MOST_UNACCEPTED)
+        sockets = bind_sockets(port, self.settings.node_ip, backlog=MOST_UNACCEPTED)
+        server.add_sockets(sockets)
         self._servers.append(server)
+        return sockets[0].getsockname()[1]
 
     async def _tick(self) -> None:
         while True:
@@ -358,9 +402,9 @@
         Requests that still run after ``drain_seconds`` are cut, with their outcome unknown.
         """
         self.lifecycle.advance(State.DRAINING)
-        if self.clients is not None:
-            self.clients.leave()
-        self.membership.set_own_state(MemberState.LEAVING)
+        for clients in self.clients:
+            clients.leave()
+        self.membership.change_own(state=MemberState.LEAVING)
         self.cells.forget()
         self.dispatchers.hand_over()
         self.desk.replan()
@@ -368,11 +412,17 @@
         ends = loop.time() + self.settings.drain_seconds
         # The balancer sends callers until it has seen that this node is not ready.
         await asyncio.sleep(max(self.settings.leave_seconds, HAND_OVER_SECONDS))
-        if self.clients is not None:
-            self.clients.close_idle()
-        while self.admission.total and loop.time() < ends:
+        for clients in self.clients:
+            clients.close_idle()
+        while self.requests and loop.time() < ends:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    @property
+    def requests(self) -> int:
+        """Return how many requests run here, or were handed on and are not answered yet."""
+        forwarded = self.forwarder.total if self.forwarder is not None else 0
+        return self.admission.total + forwarded
+
     async def stop(self) -> None:
         """Close everything, after claims of requests that were not run are given back."""
         self.lifecycle.advance(State.STOPPED)
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -38,6 +38,7 @@
     failure_domain: Text
     region: Text
     speed: Annotated[int, msgspec.Meta(ge=0, le=16)] = 0
+    forward_port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
 
 
 class UpstreamRecord(Message, frozen=True):
--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -59,6 +59,8 @@
         "Wait-Ms",
     }
 )
+# A caller that expects a word before it sends its body has sent it by then.
+_TO_THIS_NODE = frozenset({"Expect"})
 # What replicas say about themselves in answers means nothing in a request.
 _SAID_BY_REPLICAS = frozenset({SIGNATURE, NOT_RUN, "Instance-Id", "Weight-Versions"})
 _SET_BY_FLEET = _ORDERS | _SAID_BY_REPLICAS | {KEY, WORKSPACE, DEADLINE, "Expect"}
@@ -94,6 +96,16 @@
             return _origin(headers, deadline)
         return _origin(headers, 0.0)
 
+    def forward_headers(self, headers: HTTPHeaders, spent: float) -> HTTPHeaders:
+        """Return the headers with which a request is handed on to another node."""
+        kept = _end_to_end(headers, _TO_THIS_NODE)
+        # What is wrong with a request is told where all of it is read.
+        with contextlib.suppress(ValueError):
+            deadline = _number(kept.get(DEADLINE, ""), DEADLINE)
+            if deadline:
+                kept[DEADLINE] = str(max(1, math.floor(deadline - spent * 1000)))
+        return kept
+
     def request_headers(self, request: RoutedRequest, dispatch: Dispatch) -> HTTPHeaders:
         """Return the headers with which ``request`` is sent to a replica."""
         headers = request.headers.copy()
--- a/railsail/process.py
+++ b/railsail/process.py
@@ -49,7 +49,7 @@
     drained = asyncio.ensure_future(node.run_until_drained())
     hard = asyncio.ensure_future(cut.wait())
     await asyncio.wait([drained, hard], return_when=asyncio.FIRST_COMPLETED)
-    requests = node.admission.total
+    requests = node.requests
     await node.stop()
     get_logger().info("stop", requests_cut=requests)
     return EXIT_CUT if requests else EXIT_OK
--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -1,6 +1,7 @@
 """The callers' side of routes: connections, requests as they come, answers as they are given."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -52,6 +53,18 @@
         except StreamClosedError:
             raise ClientLeft from None
 
+    async def pass_on(self, data: bytes) -> None:
+        """Send bytes of an answer that another node has framed; ``close`` ends it."""
+        self.started = True
+        try:
+            await self._connection.stream.write(data)
+        except StreamClosedError:
+            raise ClientLeft from None
+
+    def close(self) -> None:
+        """Close the connection after an answer that another node has framed."""
+        self._connection.close()
+
     def end(self) -> None:
         """End the body as a whole one."""
         self._connection.finish()
@@ -71,10 +84,14 @@
 
 
 class ClientServer(HTTPServerConnectionDelegate):
-    """Accept connections of callers, and hand their requests to ``handler``."""
+    """Accept connections of callers, and hand their requests to ``handler``.
 
-    def __init__(self, handler: Handler) -> None:
+    While there are more than ``most_connections``, each answer asks its caller to close its own.
+    """
+
+    def __init__(self, handler: Handler, most_connections: float = math.inf) -> None:
         self._handler = handler
+        self._most_connections = most_connections
         self._tasks = TaskSet()
         self._connections: set[object] = set()
         self._idle: dict[object, HTTP1Connection] = {}
@@ -116,11 +133,14 @@
         """Take note that a request has begun to come."""
         self._idle.pop(server_conn, None)
 
+    def _closing(self) -> bool:
+        return self._leaving or len(self._connections) > self._most_connections
+
     def received(
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
     ) -> asyncio.Task:
         """Serve a request that was read whole, and return the task that does."""
-        answer = ClientAnswer(connection, lambda: self._leaving)
+        answer = ClientAnswer(connection, self._closing)
         return self._tasks.start(self._handler(line, headers, body, answer))
 
 
--- a/railsail/routing/crowding.py
+++ b/railsail/routing/crowding.py
@@ -23,6 +23,10 @@
         self._told_at = -math.inf
         self._counts: Counter[str] = Counter()
 
+    def forwarded(self) -> None:
+        """Take note of a request that another node answered."""
+        self._counts["forwarded_since"] += 1
+
     def refused(
         self, request_id: str, workspace: str, came_back: bool, status: int, held: int, limit: float
     ) -> None:
@@ -39,7 +43,7 @@
             return
         self._events.emit(
             Kind.ENDED,
-            "sent elsewhere, since this node is full",
+            "refused, since this node is full",
             request_id,
             workspace,
             notable=True,
--- a/railsail/routing/endings.py
+++ b/railsail/routing/endings.py
@@ -18,6 +18,17 @@
         total_ms = round(seconds * 1000)
         self._events.emit(Kind.ENDED, "the caller left", request_id, total_ms=total_ms)
 
+    def unknown(self, request_id: str, outcome: Unknown, seconds: float) -> None:
+        """Record that another node, which was handed a request, did not tell its outcome."""
+        self._events.emit(
+            Kind.ENDED,
+            outcome.detail,
+            request_id,
+            notable=True,
+            outcome=type(outcome).__name__.lower(),
+            total_ms=round(seconds * 1000),
+        )
+
     def ended(
         self,
         request_id: str,
--- /dev/null
+++ b/railsail/routing/forwarding.py
@@ -0,0 +1,135 @@
+"""Hand requests that this node has no time for on to other nodes, and their answers back.
+
+Callers of one workspace may all reach one node, whose time would then bound what the workspace gets
+of the whole fleet. To hand a request on costs a node a fraction of serving it: the answer is passed
+back as it comes, without a look into it. The other node serves the request as any of its own, asks
+the same dispatchers, and refuses it where there is no room.
+
+A request is sent to one other node at most. Once it was sent, only what that node says of it
+counts: if it says nothing, the outcome is unknown.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, RequestStartLine, parse_response_start_line
+from tornado.iostream import IOStream, StreamClosedError
+
+from railsail.conf.values import parse_endpoint
+from railsail.core.kernel import Kernel
+from railsail.core.outcomes import Completed, Unknown
+from railsail.core.sockets import CannotConnect, open_stream
+from railsail.gateway.concurrency import ConcurrencyLimit
+from railsail.membership.table import Member
+from railsail.routing.client import ClientAnswer
+from railsail.routing.targets import ForwardTargets
+
+# Nodes of a fleet reach each other within a few milliseconds; one that takes longer than this, in
+# seconds, is gone or has no time either.
+CONNECT_SECONDS = 0.25
+# Nodes that are tried one after the other until one can be connected to.
+MOST_TARGETS = 2
+# The other node gives the final answer at the deadline; this node waits so many seconds longer.
+GRACE_SECONDS = 0.2
+# Bytes of an answer that are passed back at once.
+CHUNK_BYTES = 64 << 10
+MOST_STATUS_LINE_BYTES = 1024
+
+
+@dataclass(frozen=True)
+class Forwarded:
+    """A request as it is handed on: its first line, headers and body.
+
+    ``ends_at`` is when its final answer is due, in seconds of the monotonic clock.
+    """
+
+    line: RequestStartLine
+    headers: HTTPHeaders
+    body: bytes
+    ends_at: float
+
+
+class Forwarder:
+    """Hand requests on, as many at once as ``limit`` allows."""
+
+    def __init__(self, targets: ForwardTargets, limit: ConcurrencyLimit, kernel: Kernel) -> None:
+        self._targets = targets
+        self._limit = limit
+        self._clock = kernel.clock
+        self.total = 0
+
+    async def forward(self, request: Forwarded, client: ClientAnswer) -> Completed | Unknown | None:
+        """Have another node answer ``request``; ``None`` says that none was sent it."""
+        if self._limit.full(self.total):
+            return None
+        self.total += 1
+        try:
+            return await self._forward(request, client)
+        finally:
+            self.total -= 1
+
+    async def _forward(
+        self, request: Forwarded, client: ClientAnswer
+    ) -> Completed | Unknown | None:
+        for _ in range(MOST_TARGETS):
+            target = self._targets.choose(self._clock.monotonic())
+            if target is None:
+                return None
+            stream = await self._connect(target)
+            if stream is not None:
+                return await self._have_answered(target, stream, request, client)
+        return None
+
+    async def _connect(self, target: Member) -> IOStream | None:
+        ip = parse_endpoint(target.node).ip
+        try:
+            return await open_stream(ip, target.forward_port, CONNECT_SECONDS)
+        except CannotConnect:
+            # Its neighbours tell the fleet, and the log, when a node is gone.
+            self._targets.failed(target.node, self._clock.monotonic())
+            return None
+
+    async def _have_answered(
+        self, target: Member, stream: IOStream, request: Forwarded, client: ClientAnswer
+    ) -> Completed | Unknown:
+        self._targets.began(target.node)
+        left = request.ends_at + GRACE_SECONDS - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                _send(stream, request)
+                status = await _pass_back(stream, client)
+        except TimeoutError:
+            return Unknown(f"{target.node} gave no whole answer in time", timed_out=True)
+        finally:
+            stream.close()
+            self._targets.ended(target.node)
+        if not status:
+            return Unknown(f"{target.node} took the request and gave no answer")
+        if stream.error is not None:
+            return Unknown(f"{target.node} broke off its answer: {stream.error}")
+        client.close()
+        return Completed(status, 0.0)
+
+
+def _send(stream: IOStream, request: Forwarded) -> None:
+    headers = request.headers.copy()
+    # The connection is for one request: its end shows where an answer ends without a look into it,
+    # and the caller is told by the other node to send no further request on its own connection.
+    headers["Connection"] = "close"
+    headers["Content-Length"] = str(len(request.body))
+    connection = HTTP1Connection(stream, is_client=True)
+    connection.write_headers(request.line, headers, request.body)
+
+
+async def _pass_back(stream: IOStream, client: ClientAnswer) -> int:
+    """Pass on all that comes, and return the status of the answer, 0 if none came."""
+    status = 0
+    try:
+        line = await stream.read_until(b"\r\n", max_bytes=MOST_STATUS_LINE_BYTES)
+        status = parse_response_start_line(line.decode("latin-1").strip()).code
+        await client.pass_on(line + await stream.read_bytes(CHUNK_BYTES, partial=True))
+        while True:
+            await client.pass_on(await stream.read_bytes(CHUNK_BYTES, partial=True))
+    except StreamClosedError:
+        return status
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -22,7 +22,8 @@
 from railsail.routing.crowding import CrowdLog
 from railsail.routing.defaults import DEFAULT_POLICY
 from railsail.routing.endings import Endings
-from railsail.routing.messages import Origin, RoutedRequest
+from railsail.routing.forwarding import Forwarded, Forwarder
+from railsail.routing.messages import Arrival, Origin, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.relay import RETRY_SHARE, Relay, Routed
 from railsail.routing.returning import UsualDeadlines
@@ -30,9 +31,6 @@
 
 LEAST_RETRY_SECONDS = 0.3
 MOST_RETRY_SECONDS = 2.5
-# A caller that is refused because this node alone is full is sent to another one without delay; the
-# spread, in seconds, keeps the callers of one moment from arriving there together.
-ELSEWHERE_SECONDS = (0.01, 0.08)
 # A caller that came back may wait for so many of its objectives: it will hardly come back again, so
 # that a late answer is better than none; but after a few objectives callers leave.
 RETURN_WAIT_OBJECTIVES = 2.0
@@ -58,6 +56,7 @@
         callers: Callers,
         catalog: Callable[[], Catalog],
         limit: ConcurrencyLimit,
+        forwarder: Forwarder,
         kernel: Kernel,
     ) -> None:
         self._protocol = protocol
@@ -67,6 +66,7 @@
         self._callers = callers
         self._catalog = catalog
         self._limit = limit
+        self._forwarder = forwarder
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
@@ -84,63 +84,113 @@
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, client: ClientAnswer
     ) -> None:
         """Serve one request of a caller."""
-        received_at = self._clock.monotonic()
-        if self._limit.full(self._admission.total) and await self._sent_elsewhere(
-            line, headers, client, received_at
-        ):
-            return
+        arrival = Arrival(line, headers, body, self._clock.monotonic())
+        if not await self._relieved(arrival, client, may_forward=True):
+            await self._serve_here(arrival, client)
+
+    async def handle_forwarded(
+        self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, client: ClientAnswer
+    ) -> None:
+        """Serve one request that another node handed on; it is not handed on again."""
+        arrival = Arrival(line, headers, body, self._clock.monotonic())
+        if not await self._relieved(arrival, client, may_forward=False):
+            await self._serve_here(arrival, client)
+
+    async def _serve_here(self, arrival: Arrival, client: ClientAnswer) -> None:
+        line = arrival.line
         try:
-            request = self._protocol.read_request(line.method, line.path, headers, body)
+            request = self._protocol.read_request(
+                line.method, line.path, arrival.headers, arrival.body
+            )
         except ValueError as problem:
-            await self._refuse(None, NotRun(Reason.BAD_REQUEST, str(problem)), client)
+            bad = NotRun(Reason.BAD_REQUEST, str(problem))
+            await self._refuse("", 0.0, bad, client)
             return
         try:
-            outcome, routed = await self._serve(request, client, received_at)
-            status = await self._answer(request, outcome, client)
+            outcome, routed = await self._serve(request, client, arrival.at)
+            status = await self._answer(request.id, request.deadline, outcome, client)
         except (ClientLeft, asyncio.CancelledError) as problem:
-            self._endings.left(request.id, self._clock.monotonic() - received_at)
+            self._endings.left(request.id, self._clock.monotonic() - arrival.at)
             if isinstance(problem, asyncio.CancelledError):
                 raise
             return
-        seconds = self._clock.monotonic() - received_at
+        seconds = self._clock.monotonic() - arrival.at
         self._endings.ended(request.id, routed, outcome, status, seconds)
 
-    async def _sent_elsewhere(
-        self,
-        line: RequestStartLine,
-        headers: HTTPHeaders,
-        client: ClientAnswer,
-        received_at: float,
-    ) -> bool:
-        """Refuse a request of a workspace that crowds this full node, and say whether it did.
+    async def _relieved(self, arrival: Arrival, client: ClientAnswer, may_forward: bool) -> bool:
+        """Relieve a node that is full of one request, and say whether it was relieved of it.
 
-        Callers are sent to one node, and those of one workspace may bring it several times what it
-        can do while others idle. Whatever is not needed to refuse is left out, logs too: at such a
-        node refusals alone may fill the time.
+        Callers of one workspace may all reach one node, and bring it several times what it can do
+        while others idle. Whatever is not needed to hand a request on, or to refuse it, is left
+        out, logs too: at such a node this alone may fill the time.
         """
-        origin = self._protocol.read_origin(headers)
+        full = self._limit.full(self._admission.total)
+        if not (full or self._admission.may_refuse):
+            return False
+        origin = self._protocol.read_origin(arrival.headers)
+        route = self._routes.find(origin.host, arrival.path)
+        if route is None:
+            return False
         workspace = self._callers.workspace_of(origin.key) or ""
+        if not full and self._admission.refusal(workspace) is None:
+            return False
+        if may_forward and await self._forwarded(arrival, origin, route, workspace, client):
+            return True
         if not self._admission.crowds(workspace):
             return False
-        self._metrics.sent_elsewhere.inc({"workspace": workspace})
+        await self._refuse_crowding(arrival, origin, route, workspace, client)
+        return True
+
+    async def _forwarded(
+        self,
+        arrival: Arrival,
+        origin: Origin,
+        route: Route,
+        workspace: str,
+        client: ClientAnswer,
+    ) -> bool:
+        longest = min(origin.deadline or route.timeout, route.timeout)
+        headers = self._protocol.forward_headers(
+            arrival.headers, self._clock.monotonic() - arrival.at
+        )
+        request = Forwarded(arrival.line, headers, arrival.body, arrival.at + longest)
+        try:
+            outcome = await self._forwarder.forward(request, client)
+            if outcome is None:
+                return False
+            await self._answer(origin.request_id, origin.deadline, outcome, client)
+        except ClientLeft:
+            # The connection to the other node is closed by now, which ends the work there.
+            return True
+        self._metrics.forwarded.inc({"workspace": workspace})
+        self._crowd_log.forwarded()
+        if isinstance(outcome, Unknown):
+            seconds = self._clock.monotonic() - arrival.at
+            self._endings.unknown(origin.request_id, outcome, seconds)
+        return True
+
+    async def _refuse_crowding(
+        self,
+        arrival: Arrival,
+        origin: Origin,
+        route: Route,
+        workspace: str,
+        client: ClientAnswer,
+    ) -> None:
+        self._metrics.crowded_out.inc({"workspace": workspace})
         self._crowd_log.refused(
             origin.request_id,
             workspace,
-            self._came_back(origin, line.path, received_at),
+            self._deadlines.seen(route.name, origin.deadline, arrival.at),
             _NOT_RUN_STATUS,
             self._admission.total,
             self._limit.limit,
         )
-        retry_after = self._rng.uniform(*ELSEWHERE_SECONDS)
-        answer = self._protocol.own_headers(origin.request_id, retry_after)
+        # Callers come back to the node that refused them, which needs time.
+        refused = NotRun(Reason.QUEUE_FULL, "this node is full")
         # A caller that has left does not wait for the refusal any more.
         with contextlib.suppress(ClientLeft):
-            await client.give(_NOT_RUN_STATUS, answer, b"this node is full; try another\n")
-        return True
-
-    def _came_back(self, origin: Origin, path: str, now: float) -> bool:
-        route = self._routes.find(origin.host, path.partition("?")[0])
-        return route is not None and self._deadlines.seen(route.name, origin.deadline, now)
+            await self._refuse(origin.request_id, origin.deadline, refused, client)
 
     async def _serve(
         self, request: RoutedRequest, client: ClientAnswer, received_at: float
@@ -239,31 +289,33 @@
         policy = self._catalog().policy(owner.policy) if owner else None
         return self._judge.run(policy or DEFAULT_POLICY, workspace, described)
 
-    async def _answer(self, request: RoutedRequest, outcome: Outcome, client: ClientAnswer) -> int:
+    async def _answer(
+        self, request_id: str, deadline: float, outcome: Outcome, client: ClientAnswer
+    ) -> int:
         """Answer what was not served, and return the status; 0 where the connection was closed."""
         if isinstance(outcome, Completed):
             return outcome.status
         if client.started:
             client.abort()
             return 0
-        return await self._refuse(request, outcome, client)
+        return await self._refuse(request_id, deadline, outcome, client)
 
     async def _refuse(
-        self, request: RoutedRequest | None, outcome: Outcome, client: ClientAnswer
+        self, request_id: str, deadline: float, outcome: Outcome, client: ClientAnswer
     ) -> int:
         status = _status(outcome)
         retry_after = None
         if status == _NOT_RUN_STATUS:
-            retry_after = outcome.come_back or self._retry_after(request)
-        headers = self._protocol.own_headers(request.id if request else "", retry_after)
+            retry_after = outcome.come_back or self._retry_after(deadline)
+        headers = self._protocol.own_headers(request_id, retry_after)
         await client.give(status, headers, f"{outcome.detail}\n".encode())
         return status
 
-    def _retry_after(self, request: RoutedRequest | None) -> float:
+    def _retry_after(self, deadline: float) -> float:
         # Spread, so that those who were refused together do not come back together.
         longest = MOST_RETRY_SECONDS
-        if request is not None and request.deadline:
-            longest = min(longest, RETRY_SHARE * request.deadline)
+        if deadline:
+            longest = min(longest, RETRY_SHARE * deadline)
         return self._rng.uniform(min(LEAST_RETRY_SECONDS, longest), longest)
 
 
--- a/railsail/routing/messages.py
+++ b/railsail/routing/messages.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 EVENT_STREAM = "text/event-stream"
 
@@ -66,6 +66,21 @@
     prompt: Prompt = Prompt()
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request as it came; ``at`` is when, in seconds of the monotonic clock."""
+
+    line: RequestStartLine
+    headers: HTTPHeaders
+    body: bytes
+    at: float
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.line.path.partition("?")[0]
+
+
 @dataclass(frozen=True)
 class Origin:
     """What tells who sent a request, and to which route.
--- a/railsail/routing/protocol.py
+++ b/railsail/routing/protocol.py
@@ -22,6 +22,12 @@
     def read_origin(self, headers: HTTPHeaders) -> Origin:
         """Return who sent a request, without reading the rest of it."""
 
+    def forward_headers(self, headers: HTTPHeaders, spent: float) -> HTTPHeaders:
+        """Return the headers with which a request is handed on to another node.
+
+        ``spent`` are the seconds since it came, by which its deadline is nearer.
+        """
+
     def request_headers(self, request: RoutedRequest, dispatch: Dispatch) -> HTTPHeaders:
         """Return the headers with which ``request`` is sent to a replica."""
 
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import Awaitable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
@@ -18,7 +17,7 @@
 
 from railsail.conf.values import parse_endpoint
 from railsail.core.exceptions import RailsailError
-from railsail.core.sockets import detect_dead_peer
+from railsail.core.sockets import CannotConnect, open_stream
 
 CONNECT_SECONDS = 2.0
 SILENT_SECONDS = 60.0
@@ -118,25 +117,14 @@
 
 
 async def _connect(endpoint: str, seconds: float) -> IOStream:
-    # An IP number needs no resolver, which the library's own client asks in a thread: 1.7 ms.
     target = parse_endpoint(endpoint)
-    family = socket.AF_INET6 if ":" in target.ip else socket.AF_INET
-    connection = socket.socket(family, socket.SOCK_STREAM)
-    detect_dead_peer(connection)
-    stream = IOStream(connection)
     try:
-        async with asyncio.timeout(seconds):
-            return await stream.connect((target.ip, target.port))
-    except (OSError, TimeoutError, StreamClosedError) as problem:
-        stream.close()
-        raise NotSent(f"the replica cannot be connected to: {type(problem).__name__}") from None
-    except asyncio.CancelledError:
-        stream.close()
-        raise
+        return await open_stream(target.ip, target.port, seconds)
+    except CannotConnect as problem:
+        raise NotSent(f"the replica cannot be connected to: {problem}") from None
 
 
 async def _exchange_on(stream: IOStream, request: HttpRequest, receiver: Receiver) -> None:
-    stream.set_nodelay(True)
     parameters = HTTP1ConnectionParameters(
         no_keep_alive=True, max_header_size=MOST_HEADER_BYTES, max_body_size=MOST_BODY_BYTES
     )
