gateway: kept the limit on requests handed on from rising while the node is late

Cause: found by a test of the two limits together: a late node whose limit on served requests was still falling took the other one for a node in time, and raised it.

--- a/railsail/gateway/concurrency.py
+++ b/railsail/gateway/concurrency.py
@@ -58,5 +58,6 @@
     def adjust(self, late: bool, served: int, forwarded: int) -> None:
         """Take in whether the loop was late while the node held so many of each."""
         self.served.adjust(late, served)
-        # What is handed on costs least, and is given up last.
-        self.forwarded.adjust(late and self.served.least, forwarded)
+        # What is handed on costs least, and is given up last; while the node is late it is no more.
+        if not late or self.served.least:
+            self.forwarded.adjust(late, forwarded)
--- a/tests/gateway/test_concurrency.py
+++ b/tests/gateway/test_concurrency.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from railsail.gateway.concurrency import FIRST_LIMIT, LEAST_LIMIT, ConcurrencyLimit
+from railsail.gateway.concurrency import (
+    FIRST_FORWARDED,
+    FIRST_LIMIT,
+    LEAST_LIMIT,
+    ConcurrencyLimit,
+    NodeLimits,
+)
 
 
 class Node:
@@ -51,5 +57,21 @@
         self.assertFalse(limit.full(15))
 
 
+class NodeLimitsTests(unittest.TestCase):
+    def test_what_is_handed_on_is_given_up_last(self):
+        limits = NodeLimits()
+        limits.adjust(True, 64, 300)
+        while not limits.served.least:
+            self.assertEqual(limits.forwarded.limit, FIRST_FORWARDED)
+            limits.adjust(True, 64, 300)
+        self.assertLess(limits.forwarded.limit, 300)
+
+    def test_both_rise_where_they_hold_requests_back(self):
+        limits = NodeLimits()
+        limits.adjust(False, 64, 10)
+        self.assertGreater(limits.served.limit, FIRST_LIMIT)
+        self.assertEqual(limits.forwarded.limit, FIRST_FORWARDED)
+
+
 if __name__ == "__main__":
     unittest.main()
