scheduling, routing: let nobody stand back without a fair window, and took no answer for an unknown outcome

Without `--fair-window-seconds` there is no share to be below, but an overload let every workspace use the longer reading queue; nobody does now. An answer of another node that is not in the protocol ended the handler without an answer to the caller; it is an unknown outcome (502).

--- a/railsail/routing/forwarding.py
+++ b/railsail/routing/forwarding.py
@@ -13,8 +13,13 @@
 from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httputil import HTTPHeaders, RequestStartLine, parse_response_start_line
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    RequestStartLine,
+    parse_response_start_line,
+)
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from railsail.conf.values import parse_endpoint
 from railsail.core.kernel import Kernel
@@ -131,5 +136,5 @@
         await client.pass_on(line + await stream.read_bytes(CHUNK_BYTES, partial=True))
         while True:
             await client.pass_on(await stream.read_bytes(CHUNK_BYTES, partial=True))
-    except StreamClosedError:
+    except (StreamClosedError, UnsatisfiableReadError, HTTPInputError):
         return status
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -9,7 +9,7 @@
 from railsail.core.outcomes import Reason
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
 from railsail.scheduling.health import CallResult, Peers
-from railsail.scheduling.placing import Openings, Placing, Standing, look
+from railsail.scheduling.placing import Placing, Standing, look
 from railsail.scheduling.returns import ReturnPlan
 from railsail.scheduling.room import LoadReport, ReplicaRoom
 from railsail.scheduling.tickets import Ticket, TicketKey
@@ -296,25 +296,16 @@
         # Whoever is first may wait for a replica that has its prompt's beginning; others go ahead
         # meanwhile, where replicas would be idle otherwise.
         for workspace in self.queue.workspaces()[:MOST_HEADS]:
-            found = self._next_of(workspace, openings, now)
-            if found is not None:
-                ticket, room = found
+            ticket = self.queue.head(workspace)
+            room = self._placing.choose(ticket, openings, now, self._standing(workspace, now))
+            if room is not None:
                 self.queue.take(ticket)
                 self._count(workspace, ticket.estimate)
                 return self._bind(ticket, room, now)
         return None
 
-    def _next_of(
-        self, workspace: str, openings: Openings, now: float
-    ) -> tuple[Ticket, ReplicaRoom] | None:
-        """Return which ticket of ``workspace`` is served now, and where."""
-        standing = self._standing(workspace, now)
-        ticket = self.queue.head(workspace)
-        room = self._placing.choose(ticket, openings, now, standing)
-        return (ticket, room) if room is not None else None
-
     def _standing(self, workspace: str, now: float) -> Standing:
-        if self.overloaded(now):
+        if self._usage.follows and self.overloaded(now):
             over = self._usage.over_share(workspace, now)
             return Standing.OVER if over else Standing.OWED
         return Standing.EVEN if self._unread.get(workspace) else Standing.FIRST
--- a/railsail/scheduling/usage.py
+++ b/railsail/scheduling/usage.py
@@ -48,6 +48,11 @@
         self._level = math.inf
         self._level_until = -math.inf
 
+    @property
+    def follows(self) -> bool:
+        """Say whether there is a window, and so a share of it."""
+        return self._window > 0
+
     def charge(self, workspace: str, cost: float, now: float) -> None:
         """Take in ``cost`` charged to ``workspace``; it is negative where an estimate was high."""
         if self._window:
--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -20,6 +20,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from railsail.gateway.admission import LEAST_CROWD
 from railsail.node import Node
@@ -158,6 +159,20 @@
         answer = await call
         self.assertFalse(answer.whole)
 
+    async def test_outcome_is_unknown_where_the_other_node_gives_no_answer_in_the_protocol(self):
+        async def garble(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"nonsense\r\n")
+            writer.close()
+
+        server = await asyncio.start_server(garble, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        full, idle = await self.serve_crowded()
+        port = server.sockets[0].getsockname()[1]
+        garbled = replace(idle.membership.table.own, forward_port=port)
+        full.forwarder._targets.choose = lambda now: garbled
+        self.assertEqual((await self.call(full, "/again/")).status, 502)
+
     async def test_without_another_node_the_crowding_workspace_is_refused(self):
         full, idle = await self.serve_crowded()
         await idle.drain()
--- a/tests/scheduling/test_standing.py
+++ b/tests/scheduling/test_standing.py
@@ -34,8 +34,8 @@
 class Cell:
     """A cell with calls of fixed length, and callers that ask at fixed rates."""
 
-    def __init__(self, slots: int = SLOTS) -> None:
-        self.dispatcher = CellDispatcher(lambda name: 1.0, random.Random(1), fair_window=4.0)
+    def __init__(self, slots: int = SLOTS, window: float = 4.0) -> None:
+        self.dispatcher = CellDispatcher(lambda name: 1.0, random.Random(1), fair_window=window)
         self.dispatcher.set_replicas({f"r{number}": slots for number in range(REPLICAS)})
         self.asked: dict[str, int] = {}
         self.served: dict[str, int] = {}
@@ -111,6 +111,12 @@
         capacity = REPLICAS * SLOTS / CALL_SECONDS
         self.assertGreater(cell.served["flood"] / (SECONDS - SETTLED_SECONDS), 0.9 * capacity)
 
+    def test_without_a_window_nobody_stands_back(self):
+        cell = Cell(window=0.0)
+        cell.run({"flood": 300.0})
+        capacity = REPLICAS * SLOTS / CALL_SECONDS
+        self.assertGreater(cell.served["flood"] / (SECONDS - SETTLED_SECONDS), 0.95 * capacity)
+
     def test_replicas_with_few_slots_are_used_whole(self):
         for slots in (1, 2, 6):
             with self.subTest(slots=slots):
