--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -88,7 +88,7 @@
         return full, idle
 
     def hold_lag(self, node: Node) -> None:
-        """Keep the lag of the test's own loop, which tells of the machine, from ``node``'s limits."""
+        """Keep the lag of the test's own loop from ``node``'s limits: it tells of the machine."""
         node.lag.take = lambda seconds: None
 
     async def asyncTearDown(self) -> None:
