scheduling, platform: computed the home of a beginning, the spare slots and a deadline once each

Cause: found by reading the change again. A dispatcher looked up the replica that should have a beginning twice for a ticket that goes elsewhere, built the shares of all workspaces twice for one level, and asked each free replica for its reserve in each look, though only workspaces that had their share need it. The platform's adapter read a deadline that may be bad in two copies.

No behaviour changes; no speed was measured.

--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -1,6 +1,5 @@
 """The headers of the platform's clients and replicas."""
 
-import contextlib
 import math
 import zlib
 
@@ -90,20 +89,19 @@
 
     def read_origin(self, headers: HTTPHeaders) -> Origin:
         """Return who sent a request, without reading the rest of it."""
-        # What is wrong with a request is told where all of it is read.
-        with contextlib.suppress(ValueError):
-            deadline = _number(headers.get(DEADLINE, ""), DEADLINE) / 1000
-            return _origin(headers, deadline)
-        return _origin(headers, 0.0)
+        return Origin(
+            headers.get(REQUEST_ID, ""),
+            _key(headers.get(KEY, "")),
+            headers.get("Host", ""),
+            _deadline_ms(headers) / 1000,
+        )
 
     def forward_headers(self, headers: HTTPHeaders, spent: float) -> HTTPHeaders:
         """Return the headers with which a request is handed on to another node."""
         kept = _end_to_end(headers, _TO_THIS_NODE)
-        # What is wrong with a request is told where all of it is read.
-        with contextlib.suppress(ValueError):
-            deadline = _number(kept.get(DEADLINE, ""), DEADLINE)
-            if deadline:
-                kept[DEADLINE] = str(max(1, math.floor(deadline - spent * 1000)))
+        deadline = _deadline_ms(kept)
+        if deadline:
+            kept[DEADLINE] = str(max(1, math.floor(deadline - spent * 1000)))
         return kept
 
     def request_headers(self, request: RoutedRequest, dispatch: Dispatch) -> HTTPHeaders:
@@ -138,13 +136,12 @@
         return headers
 
 
-def _origin(headers: HTTPHeaders, deadline: float) -> Origin:
-    return Origin(
-        headers.get(REQUEST_ID, ""),
-        _key(headers.get(KEY, "")),
-        headers.get("Host", ""),
-        deadline,
-    )
+def _deadline_ms(headers: HTTPHeaders) -> float:
+    """Return the deadline, 0 for none or a bad one: that is told where all of it is read."""
+    try:
+        return _number(headers.get(DEADLINE, ""), DEADLINE)
+    except ValueError:
+        return 0.0
 
 
 def _end_to_end(headers: HTTPHeaders, dropped: frozenset[str]) -> HTTPHeaders:
--- a/railsail/scheduling/placing.py
+++ b/railsail/scheduling/placing.py
@@ -56,14 +56,10 @@
 
 @dataclass(frozen=True)
 class Openings:
-    """The replicas that may be given calls at all, and those of them that have room now.
-
-    Those in ``spare`` have room for workspaces that had their share as well.
-    """
+    """The replicas that may be given calls at all, and those of them that have room now."""
 
     serving: list[ReplicaRoom]
     free: list[ReplicaRoom]
-    spare: list[ReplicaRoom]
 
 
 def look(rooms: Iterable[ReplicaRoom], now: float, urgent: bool = False) -> Openings:
@@ -71,8 +67,7 @@
     serving = [room for room in rooms if room.serves(now)]
     # The engine orders its own queue by priority, so urgent work may join it twice as deep.
     depth = 2 if urgent else 1
-    free = [room for room in serving if room.room(now, room.overlap() * depth) > 0]
-    return Openings(serving, free, [room for room in free if room.room(now) > room.reserve()])
+    return Openings(serving, [r for r in serving if r.room(now, r.overlap() * depth) > 0])
 
 
 class Placing:
@@ -103,13 +98,16 @@
             return self._emptiest(candidates)
         if ticket.shared_tokens < LONG_PREFIX_TOKENS:
             return self._near(ticket, candidates)
-        found = self._keeper(ticket, candidates, openings)
-        return found or self._elsewhere(ticket, candidates, openings, now)
+        home = self._home(ticket, openings)
+        found = self._keeper(ticket, candidates, home)
+        return found or self._elsewhere(ticket, candidates, home, now)
 
     def _candidates(
         self, ticket: Ticket, openings: Openings, now: float, standing: Standing
     ) -> list[ReplicaRoom]:
-        rooms = openings.spare if standing is Standing.OVER else openings.free
+        rooms = openings.free
+        if standing is Standing.OVER:
+            rooms = [room for room in rooms if room.room(now) > room.reserve()]
         share = _READ_SHARES.get(standing, 0.0)
         free = [room for room in rooms if room.reads_in_time(ticket, now, share)]
         others = [room for room in free if room.name != ticket.avoid]
@@ -126,13 +124,11 @@
         return _preferred(ticket, near)
 
     def _keeper(
-        self, ticket: Ticket, candidates: list[ReplicaRoom], openings: Openings
+        self, ticket: Ticket, candidates: list[ReplicaRoom], home: ReplicaRoom | None
     ) -> ReplicaRoom | None:
         """Return a candidate that has a long beginning in memory, or should have it."""
-        home = self._home(ticket, openings)
-        for room in candidates:
-            if room.name == home:
-                return room
+        if home in candidates:
+            return home
         holders = [room for room in candidates if room.has_prefix(ticket.prefix)]
         return _preferred(ticket, holders) if holders else None
 
@@ -140,7 +136,7 @@
         self,
         ticket: Ticket,
         candidates: list[ReplicaRoom],
-        openings: Openings,
+        home: ReplicaRoom | None,
         now: float,
     ) -> ReplicaRoom | None:
         """Return a candidate that would read a long beginning anew, if that is better than to wait.
@@ -149,28 +145,27 @@
         """
         waited = now - ticket.enqueued_at
         longer = HOME_WAIT * ticket.objective - waited
-        name = self._home(ticket, openings)
-        home = next((room for room in openings.serving if room.name == name), None)
         if longer > 0 and home is not None and home.reads_in_time(ticket, now, after=longer):
             return None
         if waited < PREFIX_WAIT * ticket.objective:
             candidates = [room for room in candidates if room.unread_seconds < HUNGRY_SECONDS]
         return self._emptiest(candidates) if candidates else None
 
-    def _home(self, ticket: Ticket, openings: Openings) -> str | None:
-        """Return the name of the replica that should have the ticket's beginning."""
+    def _home(self, ticket: Ticket, openings: Openings) -> ReplicaRoom | None:
+        """Return the replica that should have the ticket's beginning."""
         serving = [room for room in openings.serving if room.name != ticket.avoid]
         if not serving:
             return None
         if ticket.avoid:
-            return _preferred(ticket, serving).name
+            return _preferred(ticket, serving)
         among = frozenset(room.name for room in serving)
         if among != self._homes_among or len(self._homes) >= MOST_HOMES:
             self._homes_among = among
             self._homes = {}
         if ticket.prefix not in self._homes:
             self._homes[ticket.prefix] = _preferred(ticket, serving).name
-        return self._homes[ticket.prefix]
+        name = self._homes[ticket.prefix]
+        return next(room for room in serving if room.name == name)
 
 
 def _preferred(ticket: Ticket, rooms: list[ReplicaRoom]) -> ReplicaRoom:
--- a/railsail/scheduling/usage.py
+++ b/railsail/scheduling/usage.py
@@ -79,8 +79,9 @@
         if now >= self._level_until:
             self._turn(now)
             self._level_until = now + LEVEL_SECONDS
-            wanted = [(share.asked, self._weight_of(share.workspace)) for share in self._shares()]
-            self._level = max_min_level(wanted, sum(share.served for share in self._shares()))
+            shares = self._shares()
+            wanted = [(share.asked, self._weight_of(share.workspace)) for share in shares]
+            self._level = max_min_level(wanted, sum(share.served for share in shares))
         return self._level
 
     def largest(self, most: int, now: float) -> list[Share]:
