scheduling, upstreams, platform: kept to what cold replicas bear, to evacuations, and to replicas' lives

Cause: replicas that came back cold were filled at once and fell over again; no word of an evacuation was read; a replica that started again under its name kept the room, the beginnings and the calls of its life before; an entry that lacks fields was taken for a ready replica, and one that cannot be read left the replica known by its name in use.

Cold replicas get calls at even distances (scheduling/warmup.py): a dispatcher gives half of what all nodes together may send less one call, times the part of the fleet that it reaches, since two dispatchers may serve a cell at once and parts of a fleet dispatch each for itself. A replica that nobody could connect to is taken for cold when it is back, and so are those of a failure domain that was taken back. Evacuations are followed in the store, passed on between nodes with a version each, and compared by heartbeats. A new start drops the room and ends the calls of the life before. Entries are read strictly, and one that cannot be read names no replica, also where one was known.

test_states asked for a state of an entry without slots; such an entry names no replica now, so that it has slots there, and a new test asks that each missing field and wrong type is refused.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -106,6 +106,13 @@
         "retry_slack", Decimal(0, 1_000_000), "Repeats allowed beyond, by the whole fleet.", "10"
     ),
     Option("retry_window_seconds", Decimal(0.1, 3600), "Window of the repeats allowed.", "10"),
+    Option(
+        "cold_over",
+        Decimal(1, 1000),
+        "Calls that a cold replica may get in a second, as a multiple of those that it bears.",
+        "1",
+    ),
+    Option("cold_slack", Decimal(0, 1_000_000), "Calls that it may get beyond.", "0"),
     Option("max_body_bytes", Number(1024, 64 << 20), "Largest request body.", str(4 << 20)),
     Option(
         "open_files",
@@ -173,6 +180,8 @@
     retry_ratio: float
     retry_slack: float
     retry_window_seconds: float
+    cold_over: float
+    cold_slack: float
     max_body_bytes: int
     open_files: int
     queue_per_workspace: int
--- a/railsail/core/events.py
+++ b/railsail/core/events.py
@@ -29,6 +29,7 @@
     ENDED = "ended"
     MEMBER = "member"
     UPSTREAM = "upstream"
+    EVACUATION = "evacuation"
     CONFIGURATION = "configuration"
     STORE = "store"
     TOOK_OVER = "took-over"
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -8,6 +8,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
@@ -16,6 +17,7 @@
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.loads import LoadReports
 from railsail.objects.catalog import Catalog
+from railsail.objects.kinds import Pool
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
@@ -37,6 +39,7 @@
 from railsail.scheduling.health import CallResult
 from railsail.scheduling.room import LoadReport
 from railsail.scheduling.tickets import Ticket, TicketKey
+from railsail.scheduling.warmup import WarmupBound
 from railsail.upstreams.directory import UpstreamDirectory
 
 TICK_SECONDS = 0.25
@@ -51,6 +54,23 @@
 SHARES_TOLD = 5
 
 
+@dataclass(frozen=True)
+class ColdBounds:
+    """What the fleet may send to cold replicas, beyond what they bear.
+
+    All nodes together may send ``over`` times as many calls, and ``slack`` more, in any second;
+    ``share`` tells the part of the fleet that this node can reach, from 0 to 1.
+    """
+
+    over: float = 1.0
+    slack: float = 0.0
+    share: Callable[[], float] = lambda: 1.0
+
+    def of(self, pool: Pool) -> WarmupBound:
+        """Return the bound of the replicas of ``pool``."""
+        return WarmupBound(pool.warmup_rate, pool.cold_seconds, self.over, self.slack)
+
+
 class DispatcherService:
     """Hold the cell dispatchers of this node."""
 
@@ -64,6 +84,7 @@
         kernel: Kernel,
         use_prefixes: bool,
         fair_window: float,
+        cold: ColdBounds,
     ) -> None:
         self._cells = cells
         self._directory = directory
@@ -75,6 +96,7 @@
         self._rng = kernel.rng
         self._use_prefixes = use_prefixes
         self._fair_window = fair_window
+        self._cold = cold
         self._dispatchers: dict[Cell, CellDispatcher] = {}
         self._where: dict[TicketKey, Cell] = {}
         self._entry_starts: dict[str, int] = {}
@@ -149,6 +171,7 @@
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock.monotonic()
             for cell, dispatcher in list(self._dispatchers.items()):
+                self._set_cold(dispatcher, self._catalog().pool(cell.pool))
                 self._pump(cell, dispatcher)
                 self._loads.ask(cell, dispatcher)
                 self._tell_shares(cell, dispatcher, now)
@@ -194,11 +217,27 @@
         slots = pool.slots if pool else 0
         names = self._cells.cells(cell.pool).get(cell, [])
         leaving = [name for name in names if self._is_leaving(name)]
-        dispatcher.set_replicas({name: self._slots(name) or slots for name in names}, leaving)
+        found = {name: self._directory.get(name) for name in names}
+        lives = {name: upstream.born for name, upstream in found.items() if upstream}
+        dispatcher.set_replicas(
+            {name: self._slots(name) or slots for name in names}, leaving, lives
+        )
+        self._set_cold(dispatcher, pool)
+
+    def _set_cold(self, dispatcher: CellDispatcher, pool: Pool | None) -> None:
+        if pool is None or not pool.warmup_rate:
+            return
+        bound = self._cold.of(pool)
+        dispatcher.set_bound(bound, self._cold.share())
+        now = self._clock.monotonic()
+        for name in dispatcher.replicas:
+            seconds = self._directory.cold_seconds(name, bound.seconds)
+            if seconds > 0:
+                dispatcher.set_cold(name, seconds, now)
 
     def _is_leaving(self, name: str) -> bool:
         upstream = self._directory.get(name)
-        return upstream is None or upstream.leaving
+        return upstream is None or not self._directory.takes_work(upstream)
 
     def _slots(self, name: str) -> int:
         upstream = self._directory.get(name)
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -26,7 +26,7 @@
 from railsail.dispatch.entry import TicketDesk
 from railsail.dispatch.exchange import CellExchange
 from railsail.dispatch.loads import LoadReports
-from railsail.dispatch.service import DispatcherService
+from railsail.dispatch.service import ColdBounds, DispatcherService
 from railsail.dispatch.tree import ServiceTree
 from railsail.gateway.admission import Admission
 from railsail.gateway.answers import AnswerShelf
@@ -58,6 +58,7 @@
 from railsail.store.watcher import StoreWatcher
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.evacuations import KIND as EVACUATION
 
 WATCHERS = 8
 NATIVE_INTERFACE = "native"
@@ -127,12 +128,14 @@
         self.repository = ConfigurationRepository(self.store, self.clock, self.rng)
         flood = self.membership.flood
         self.carrier = ConfigurationCarrier(self.repository, flood, self.events, self.metrics)
-        self.directory = UpstreamDirectory(flood, self.events)
+        self.directory = UpstreamDirectory(flood, self.events, self.clock.monotonic)
         self.watcher = StoreWatcher(
             self.store, self._watches, settings.watch_seconds, self.events, self.rng
         )
         self.watcher.follow(CONFIGURATION, self.carrier.listed, self.carrier.seen, HEAD)
         self.watcher.follow(UPSTREAM, self.directory.listed, self.directory.seen)
+        evacuations = self.directory.evacuations
+        self.watcher.follow(EVACUATION, evacuations.listed, evacuations.seen)
         if settings.node_list == "store":
             self.watcher.follow(NODE, self.membership.listed, self.membership.seen)
 
@@ -156,6 +159,7 @@
             self.kernel,
             settings.affinity == "prefix",
             settings.fair_window_seconds,
+            ColdBounds(settings.cold_over, settings.cold_slack, self._reachable_share),
         )
         self.tree: ServiceTree | None = None
         if settings.scheduling == "fleet":
@@ -253,6 +257,10 @@
         """Return how many members there may be, those included that cannot be seen now."""
         return max(len(self.membership.table), len(self.settings.seeds))
 
+    def _reachable_share(self) -> float:
+        """Return the part of the fleet that this node can reach, from 0 to 1."""
+        return min(1.0, len(self._usable()) / max(1, len(self.membership.table)))
+
     def _new_id(self) -> str:
         return f"req-{self._id_rng.getrandbits(64):016x}"
 
--- a/railsail/objects/kinds.py
+++ b/railsail/objects/kinds.py
@@ -83,7 +83,9 @@
 
     ``upstream_kind`` names the plug-in that speaks to them. ``slots`` is the number of calls that a
     replica works on at once where it reports none; 0 lets the limit be learnt. ``first_estimate``
-    is the cost assumed of a request, in ``cost_unit``, until costs were seen.
+    is the cost assumed of a request, in ``cost_unit``, until costs were seen. A replica is cold for
+    ``cold_seconds`` after its start; while it is, it bears ``warmup_rate`` calls a second, 0 for
+    any number.
     """
 
     KIND: ClassVar[str] = "pool"
@@ -92,6 +94,8 @@
     cost_unit: CostUnit
     slots: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 0
     first_estimate: Annotated[float, msgspec.Meta(gt=0, le=1e9)] = 100.0
+    cold_seconds: Annotated[float, msgspec.Meta(ge=0, le=86_400)] = 0.0
+    warmup_rate: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
 
 
 class PoolShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -54,6 +54,16 @@
     sign_at: Natural
     sign_leaving: bool
     slots: Natural = 0
+    born: Natural = 0
+    cold: Natural = 0
+
+
+class DomainRecord(Message, frozen=True):
+    """Whether a failure domain is evacuated, at a version of the store."""
+
+    domain: Text
+    version: Natural
+    evacuated: bool
 
 
 class Heartbeat(Message, frozen=True, tag=1):
@@ -80,9 +90,10 @@
 
 
 class UpstreamNews(Message, frozen=True, tag=4):
-    """Replicas whose state is new to the sender."""
+    """Replicas and failure domains whose state is new to the sender."""
 
     upstreams: Annotated[list[UpstreamRecord], msgspec.Meta(max_length=5000)]
+    domains: Annotated[list[DomainRecord], msgspec.Meta(max_length=1000)] = []
 
 
 class ConfigurationNews(Message, frozen=True, tag=5):
--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -1,5 +1,7 @@
 """The platform's objects, and the product's objects that they mean."""
 
+from typing import Annotated
+
 import msgspec
 
 from railsail.objects.catalog import hash_key
@@ -48,14 +50,24 @@
     at: int
 
 
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+
+
 class Server(msgspec.Struct, frozen=True):
-    """A replica, as it lists itself."""
+    """A replica, as it lists itself.
 
-    service: str
-    addr: str
-    zone: str = ""
-    slots: int = 0
-    state: str = "ready"
+    Others may write such entries too; one that lacks a field, or has it in another type, names no
+    replica. ``cold_left_ms`` is how long the replica stayed cold from when it wrote the entry, and
+    ``born`` the Unix millisecond of its start.
+    """
+
+    service: Text
+    addr: Text
+    zone: Text
+    slots: Annotated[int, msgspec.Meta(ge=0)]
+    state: Text
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class Backend(msgspec.Struct, frozen=True):
@@ -91,10 +103,16 @@
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
-    """A service; ``engine`` is given where its replicas run a model."""
+    """A service; ``engine`` is given where its replicas run a model.
+
+    A replica is cold for ``cold_start_s`` after its start, and bears ``warmup_per_s`` requests a
+    second meanwhile; 0 where any number.
+    """
 
     name: str
     engine: Engine | None = None
+    cold_start_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 class Tenant(msgspec.Struct, frozen=True):
@@ -134,18 +152,20 @@
         "failure_domain": given.zone,
         "slots": given.slots,
         "state": "live" if given.state == "ready" else "leaving",
+        "born": given.born,
+        "cold": round(given.cold_left_ms),
     }
 
 
 def _pool(service: ServiceSpec) -> Pool:
     engine = service.engine
-    if engine is None:
-        return Pool(name=service.name, upstream_kind="service", cost_unit=CostUnit.CALLS)
     return Pool(
         name=service.name,
         upstream_kind="service",
-        cost_unit=CostUnit.TOKENS,
-        slots=engine.slots,
+        cost_unit=CostUnit.CALLS if engine is None else CostUnit.TOKENS,
+        slots=0 if engine is None else engine.slots,
+        cold_seconds=service.cold_start_s,
+        warmup_rate=service.warmup_per_s,
     )
 
 
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -30,6 +30,11 @@
     return msgspec.json.decode(spec, type=dict)
 
 
+def _nothing(spec: bytes) -> dict[str, object]:
+    """Return no fields, whatever ``spec`` holds: that there is an object says all."""
+    return {}
+
+
 @dataclass(frozen=True)
 class _Kind:
     """A kind of the platform: its name, how a spec is read, and the one object that is known.
@@ -53,6 +58,7 @@
 _KINDS = {
     "configuration": _Kind("config", configuration_value, "main", "head"),
     "upstream": _Kind("servers", replica_value),
+    "evacuation": _Kind("evacuations", _nothing),
     "node": _Kind("railsail-nodes", _plain),
 }
 
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -17,6 +17,7 @@
 from railsail.routing.messages import Dispatch, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.reach import ReplicaReach
+from railsail.routing.running import RunningCalls
 from railsail.scheduling.health import CallResult
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
@@ -100,6 +101,8 @@
         self._started_at = kernel.clock.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
         self._reach = ReplicaReach()
+        self._calls = RunningCalls()
+        directory.on_rebirth(self._calls.end)
 
     async def run(self, routed: Routed) -> Outcome:
         """Make attempts until there is an outcome that must stand, and return it."""
@@ -250,7 +253,7 @@
         left = routed.ends_at - self._clock.monotonic()
         try:
             async with asyncio.timeout(left):
-                await self._exchange_watched(routed, call, answer)
+                await self._calls.run(replica, self._exchange_watched(routed, call, answer))
         except NotSent as problem:
             routed.attempts -= 1
             self._reach.failed(replica, self._clock.monotonic())
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from railsail.core.outcomes import Reason
@@ -14,6 +14,7 @@
 from railsail.scheduling.room import LoadReport, ReplicaRoom
 from railsail.scheduling.tickets import Ticket, TicketKey
 from railsail.scheduling.usage import RecentUsage, Share
+from railsail.scheduling.warmup import WarmupBound
 
 # So many workspaces are looked at for a ticket that can be granted now. To look at more, or at more
 # tickets of each, let more in and fewer of them in time (docs/topics/decisions-under-load.md).
@@ -83,13 +84,27 @@
         self._returns = ReturnPlan(rng)
         self._usage = RecentUsage(fair_window, weight_of)
         self._expired_at = -math.inf
+        self._bound = WarmupBound()
+        self._fleet_share = 1.0
+        # When each replica started, where it says so: the start tells its lives apart.
+        self._lives: dict[str, int] = {}
         # How many calls of each workspace have not begun to be answered.
         self._unread: Counter[str] = Counter()
 
-    def set_replicas(self, slots: dict[str, int], leaving: Iterable[str] = ()) -> None:
-        """Serve exactly the replicas in ``slots``; a slot number of 0 is learnt."""
+    def set_replicas(
+        self,
+        slots: dict[str, int],
+        leaving: Iterable[str] = (),
+        lives: Mapping[str, int] | None = None,
+    ) -> None:
+        """Serve exactly the replicas in ``slots``; a slot number of 0 is learnt.
+
+        ``lives`` tells when each replica started, 0 or nothing where that is not known.
+        """
         for name in set(self.replicas) - set(slots):
             del self.replicas[name]
+        for name, life in (lives or {}).items():
+            self._set_life(name, life)
         for name, number in slots.items():
             if name not in self.replicas:
                 self._add_replica(name, number)
@@ -97,8 +112,38 @@
         for name, room in self.replicas.items():
             room.leaving = name in gone
 
+    def _set_life(self, name: str, life: int) -> None:
+        before = self._lives.get(name, 0)
+        self._lives[name] = life or before
+        if not life or not before or life == before:
+            return
+        # The replica started again under its name. It is empty: its room is made anew, and what
+        # ran there belongs to nothing any more.
+        self.replicas.pop(name, None)
+        for flight in self.flights.values():
+            if flight.replica == name:
+                flight.replica = ""
+
+    def set_bound(self, bound: WarmupBound, fleet_share: float = 1.0) -> None:
+        """Set what a cold replica bears, and the part of the fleet that is dispatched here."""
+        self._bound = bound
+        self._fleet_share = fleet_share
+        for room in self.replicas.values():
+            self._bind_warmup(room)
+
+    def _bind_warmup(self, room: ReplicaRoom) -> None:
+        room.warmup.bound = self._bound
+        room.warmup.share = self._fleet_share
+
+    def set_cold(self, replica: str, seconds: float, now: float) -> None:
+        """Take note that ``replica`` is cold for ``seconds`` from ``now`` on."""
+        room = self.replicas.get(replica)
+        if room is not None:
+            room.warmup.cold_for(seconds, now)
+
     def _add_replica(self, name: str, slots: int) -> None:
         room = ReplicaRoom(name, slots)
+        self._bind_warmup(room)
         for key, flight in self.flights.items():
             if flight.replica == name:
                 room.in_flight += 1
--- a/railsail/scheduling/health.py
+++ b/railsail/scheduling/health.py
@@ -50,6 +50,7 @@
         self._closed_seconds = FIRST_CLOSED_SECONDS
         self._tripped = False
         self._trial_runs = False
+        self._lost = False
 
     def closed(self, now: float) -> bool:
         """Say whether the replica is given nothing at ``now``."""
@@ -60,6 +61,14 @@
         """Say whether the replica was closed, and no call has done well since."""
         return self._tripped
 
+    @property
+    def lost(self) -> bool:
+        """Say whether the replica was closed because nobody could connect to it.
+
+        Its process may have ended, and what answers next may be a new one.
+        """
+        return self._tripped and self._lost
+
     @property
     def wants_trial(self) -> bool:
         """Say whether a replica that was closed may be given the one call that tries it."""
@@ -93,6 +102,7 @@
         if result is not CallResult.UNREACHABLE and not self._is_worse(peers):
             return
         self._tripped = True
+        self._lost = result is CallResult.UNREACHABLE
         self._closed_until = now + self._closed_seconds
         self._closed_seconds = min(self._closed_seconds * 2, MOST_CLOSED_SECONDS)
 
--- a/railsail/scheduling/placing.py
+++ b/railsail/scheduling/placing.py
@@ -98,7 +98,7 @@
             return self._emptiest(candidates)
         if ticket.shared_tokens < LONG_PREFIX_TOKENS:
             return self._near(ticket, candidates)
-        home = self._home(ticket, openings)
+        home = self._home(ticket, openings, now)
         found = self._keeper(ticket, candidates, home)
         return found or self._elsewhere(ticket, candidates, home, now)
 
@@ -151,9 +151,11 @@
             candidates = [room for room in candidates if room.unread_seconds < HUNGRY_SECONDS]
         return self._emptiest(candidates) if candidates else None
 
-    def _home(self, ticket: Ticket, openings: Openings) -> ReplicaRoom | None:
+    def _home(self, ticket: Ticket, openings: Openings, now: float) -> ReplicaRoom | None:
         """Return the replica that should have the ticket's beginning."""
         serving = [room for room in openings.serving if room.name != ticket.avoid]
+        # A cold replica has no beginnings in memory, and bears too little to be waited for.
+        serving = [room for room in serving if not room.warmup.cold(now)] or serving
         if not serving:
             return None
         if ticket.avoid:
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -10,6 +10,7 @@
 
 from railsail.scheduling.health import CallResult, Peers, ReplicaHealth
 from railsail.scheduling.tickets import Ticket, TicketKey
+from railsail.scheduling.warmup import Warmup
 
 LEAST_LIMIT = 1.0
 OVERLAP_SHARE = 24
@@ -94,6 +95,7 @@
         self._slots = slots
         self._limit = FIRST_LIMIT
         self.health = ReplicaHealth()
+        self.warmup = Warmup()
         self._usual_time = 0.0
         self._recent: deque[tuple[float, int]] = deque()
         self._unread: dict[TicketKey, Unread] = {}
@@ -133,6 +135,8 @@
         if self.health.tripped:
             # The replica was closed and is tried again, with one call at a time.
             return int(self.health.wants_trial)
+        if not self.warmup.allows(now):
+            return 0
         return max(0, int(self.limit) + extra - self.in_flight - self.foreign)
 
     @property
@@ -189,6 +193,9 @@
 
     def answered(self, key: TicketKey, now: float) -> None:
         """Take note that a good answer has begun, so that its prompt was read."""
+        if self.health.lost:
+            # It may be a new process under the old name, of which the platform has not told yet.
+            self.warmup.cold_for(self.warmup.bound.seconds, now)
         self.health.begun()
         unread = self._unread.get(key)
         self.forget(key)
@@ -222,6 +229,7 @@
         """Take note of a call granted."""
         self.in_flight += 1
         self.health.started()
+        self.warmup.started(now)
         self._remember(now)
 
     def ended(self, now: float) -> None:
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -7,20 +7,26 @@
 """
 
 import enum
+import operator
+import time
 import zlib
 from collections.abc import Callable
 from dataclasses import astuple, dataclass, replace
+from functools import reduce
 
 import msgspec
 
 from railsail.conf.values import parse_endpoint
 from railsail.core.events import EventLog, Kind
 from railsail.core.logs import get_logger
-from railsail.peers.messages import UpstreamNews, UpstreamRecord
+from railsail.peers.messages import DomainRecord, UpstreamNews, UpstreamRecord
 from railsail.store.base import Listing, WatchEvent
 from railsail.store.watcher import as_event
+from railsail.upstreams.evacuations import Evacuation, Evacuations
 
 KIND = "upstream"
+# Names of refused records that are remembered, so that each is told of once.
+MOST_REFUSED = 1000
 
 
 class Listed(enum.IntEnum):
@@ -36,7 +42,9 @@
     """One replica; ``endpoint`` is ``ip:port``, ``slots`` is 0 where the list does not tell them.
 
     ``version`` is that of the listed record. The sign was given when the record had
-    ``sign_version``, at ``sign_at`` milliseconds since the Unix epoch.
+    ``sign_version``, at ``sign_at`` milliseconds since the Unix epoch. ``born`` is when the replica
+    started, in the same unit, 0 where it does not say so: it tells lives under one name apart. The
+    replica was cold for ``cold`` milliseconds more when it wrote the record.
     """
 
     name: str
@@ -49,6 +57,8 @@
     sign_at: int = 0
     sign_leaving: bool = False
     slots: int = 0
+    born: int = 0
+    cold: int = 0
 
     @property
     def leaving(self) -> bool:
@@ -64,9 +74,22 @@
 class UpstreamDirectory:
     """Hold the records of all replicas; ``flood`` passes news to all neighbours but one."""
 
-    def __init__(self, flood: Callable[[UpstreamNews, str], None], events: EventLog) -> None:
+    def __init__(
+        self,
+        flood: Callable[[UpstreamNews, str], None],
+        events: EventLog,
+        monotonic: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._flood = flood
         self._events = events
+        self._monotonic = monotonic
+        self.evacuations = Evacuations(self._flood_domains, events, monotonic)
+        self.evacuations.on_change(self._changed)
+        # Until when a replica is cold, by the clock of this node, counted from when its record
+        # came: clocks of nodes differ, and may jump.
+        self._cold_until: dict[str, float] = {}
+        self._rebirth_listeners: list[Callable[[str], None]] = []
+        self._refused = RefusedRecords()
         self._upstreams: dict[str, Upstream] = {}
         self._digest = 0
         self._listeners: list[Callable[[], None]] = []
@@ -75,6 +98,33 @@
         """Call ``listener`` after each change."""
         self._listeners.append(listener)
 
+    def on_rebirth(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with the name of each replica that has started again under it."""
+        self._rebirth_listeners.append(listener)
+
+    def _changed(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    def _flood_domains(self, records: list[DomainRecord], source: str) -> None:
+        self._flood(UpstreamNews([], records), source)
+
+    def takes_work(self, upstream: Upstream) -> bool:
+        """Say whether ``upstream`` may be given new work."""
+        return not (upstream.leaving or self.evacuations.active(upstream.failure_domain))
+
+    def cold_seconds(self, name: str, after_evacuation: float) -> float:
+        """Return for how many seconds a replica will be cold, 0 or less if it is not.
+
+        After an evacuation it is taken for cold for ``after_evacuation`` seconds.
+        """
+        upstream = self._upstreams.get(name)
+        if upstream is None:
+            return 0.0
+        by_itself = self._cold_until.get(name, 0.0) - self._monotonic()
+        since_end = self.evacuations.seconds_since_end(upstream.failure_domain)
+        return max(by_itself, after_evacuation - since_end)
+
     def get(self, name: str) -> Upstream | None:
         """Return the replica of ``name``."""
         return self._upstreams.get(name)
@@ -92,7 +142,8 @@
     @property
     def digest(self) -> int:
         """Return a 32-bit sum over all records; equal directories have equal sums."""
-        return self._digest
+        sums = (_digest_of_domain(evacuation) for evacuation in self.evacuations.all())
+        return reduce(operator.xor, sums, self._digest)
 
     def listed(self, listing: Listing) -> None:
         """Take in a listing of the store; what it lacks is gone."""
@@ -109,6 +160,7 @@
 
     def received(self, node: str, news: UpstreamNews) -> None:
         """Take in news of a peer."""
+        self.evacuations.received(node, news.domains)
         self._take([_from_record(record) for record in news.upstreams], node)
 
     def sign(self, name: str, leaving: bool, at: float) -> None:
@@ -122,37 +174,66 @@
 
     def news(self) -> UpstreamNews:
         """Return all records, for a peer that asks."""
-        return UpstreamNews([_to_record(upstream) for upstream in self.all()])
+        records = [_to_record(upstream) for upstream in self.all()]
+        return UpstreamNews(records, self.evacuations.records())
 
     def _from_event(self, event: WatchEvent) -> Upstream | None:
         known = self._upstreams.get(event.name)
-        if event.value is None:
-            if known is None:
-                return None
-            return replace(known, version=event.version, listed=Listed.GONE)
-        return _parse(event)
+        parsed = _parse(event, self._refused) if event.value is not None else None
+        if parsed is not None or known is None:
+            return parsed
+        # A record that cannot be read names no replica, also where one was known by its name.
+        return replace(known, version=event.version, listed=Listed.GONE)
 
     def _take(self, candidates: list[Upstream | None], source: str) -> None:
         changed = []
+        matters = False
         for candidate in candidates:
             merged = self._merge(candidate) if candidate else None
             if merged is not None:
                 changed.append(merged)
+                matters |= self._put(merged)
         if not changed:
             return
-        for upstream in changed:
-            self._put(upstream)
         self._flood(UpstreamNews([_to_record(upstream) for upstream in changed]), source)
-        for listener in self._listeners:
-            listener()
+        if matters:
+            self._changed()
 
-    def _put(self, upstream: Upstream) -> None:
+    def _put(self, upstream: Upstream) -> bool:
+        """Keep a record, and say whether it changes more than how long a replica stays cold."""
         # The sum goes into every heartbeat, so that it is kept and not made from all records.
         known = self._upstreams.get(upstream.name)
         if known is not None:
             self._digest ^= _digest_of(known)
         self._digest ^= _digest_of(upstream)
         self._upstreams[upstream.name] = upstream
+        if known is None:
+            self._note_cold(upstream)
+            return True
+        if upstream.version > known.version:
+            self._note_cold(upstream)
+        if upstream.born and known.born and upstream.born != known.born:
+            self._tell_rebirth(upstream)
+        same = replace(known, version=upstream.version, cold=upstream.cold)
+        return same != upstream or upstream.cold > known.cold
+
+    def _note_cold(self, upstream: Upstream) -> None:
+        if upstream.cold:
+            self._cold_until[upstream.name] = self._monotonic() + upstream.cold / 1000
+        else:
+            self._cold_until.pop(upstream.name, None)
+
+    def _tell_rebirth(self, upstream: Upstream) -> None:
+        self._events.emit(
+            Kind.UPSTREAM,
+            "started again under its name",
+            replica=upstream.name,
+            pool=upstream.pool,
+            born_ms=upstream.born,
+            cold_ms=upstream.cold,
+        )
+        for listener in self._rebirth_listeners:
+            listener(upstream.name)
 
     def _merge(self, candidate: Upstream) -> Upstream | None:
         known = self._upstreams.get(candidate.name)
@@ -193,19 +274,49 @@
         )
 
 
-def _parse(event: WatchEvent) -> Upstream | None:
+class RefusedRecords:
+    """Tell once of each record that is refused, until a good one of its name comes."""
+
+    def __init__(self) -> None:
+        self._told: dict[str, str] = {}
+
+    def refused(self, name: str, reason: str) -> None:
+        """Take note that a record was refused for ``reason``."""
+        if self._told.get(name) == reason:
+            return
+        if len(self._told) >= MOST_REFUSED:
+            self._told.clear()
+        self._told[name] = reason
+        get_logger().warning("upstream record refused", name=name, reason=reason)
+
+    def accepted(self, name: str) -> None:
+        """Take note that the record of ``name`` was good."""
+        self._told.pop(name, None)
+
+
+def _parse(event: WatchEvent, refused: RefusedRecords) -> Upstream | None:
     value = event.value or {}
     try:
         endpoint = str(parse_endpoint(str(value["endpoint"])))
         listed = Listed.LEAVING if value.get("state") == "leaving" else Listed.LIVE
         domain = str(value.get("failure_domain", ""))
         slots = int(value.get("slots", 0))
-        return Upstream(
-            event.name, str(value["pool"]), endpoint, domain, event.version, listed, slots=slots
+        parsed = Upstream(
+            event.name,
+            str(value["pool"]),
+            endpoint,
+            domain,
+            event.version,
+            listed,
+            slots=slots,
+            born=int(value.get("born", 0)),
+            cold=int(value.get("cold", 0)),
         )
     except (KeyError, TypeError, ValueError) as problem:
-        get_logger().warning("upstream record refused", name=event.name, reason=str(problem))
+        refused.refused(event.name, f"{type(problem).__name__}: {problem}")
         return None
+    refused.accepted(event.name)
+    return parsed
 
 
 def _digest_of(upstream: Upstream) -> int:
@@ -213,6 +324,10 @@
     return zlib.crc32(text.encode())
 
 
+def _digest_of_domain(evacuation: Evacuation) -> int:
+    return zlib.crc32(f"{evacuation.domain} {evacuation.version}".encode())
+
+
 def _to_record(upstream: Upstream) -> UpstreamRecord:
     # Both have the same fields, in the same order.
     return UpstreamRecord(*astuple(upstream))
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -80,6 +80,12 @@
         self.assertEqual((engine.slots, plain.slots), (48, 0))
         self.assertEqual((engine.cost_unit, plain.cost_unit), ("tokens", "calls"))
 
+    def test_cold_starts(self):
+        service = {"name": "lm", "cold_start_s": 3.0, "warmup_per_s": 18.0}
+        value = configuration_value(json.dumps({"version": 1, "services": [service]}).encode())
+        (pool,) = [item for item in value["objects"] if item["kind"] == "pool"]
+        self.assertEqual((pool["cold_seconds"], pool["warmup_rate"]), (3.0, 18.0))
+
     def test_tenants(self):
         first, second = self.catalog.workspace("t1"), self.catalog.workspace("t2")
         self.assertEqual(first.key_hashes, (hash_key("k1"), hash_key("k2")))
@@ -92,14 +98,33 @@
                 configuration_value(spec)
 
 
+SERVER = {"service": "lm", "addr": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"}
+
+
 class ReplicaTests(unittest.TestCase):
     def test_states(self):
         for state, means in [("ready", "live"), ("draining", "leaving"), ("other", "leaving")]:
-            spec = {"service": "lm", "addr": "10.0.0.1:80", "zone": "z", "state": state}
-            value = replica_value(json.dumps(spec).encode())
+            value = replica_value(json.dumps(SERVER | {"state": state}).encode())
             self.assertEqual(value["state"], means)
             self.assertEqual((value["pool"], value["endpoint"]), ("lm", "10.0.0.1:80"))
 
+    def test_entry_that_lacks_a_field_or_has_another_type_names_no_replica(self):
+        lacking = [{k: v for k, v in SERVER.items() if k != name} for name in SERVER]
+        wrong = [SERVER | {"slots": value} for value in ("4", 4.5, -1, None, True)]
+        wrong += [SERVER | {"born": value} for value in ("1", 1.5, -1, None)]
+        wrong += [SERVER | {"addr": 7}, SERVER | {"zone": None}, SERVER | {"service": ""}]
+        wrong += [SERVER | {"cold_left_ms": "soon"}]
+        for spec in [*lacking, *wrong, 7, "text", [], None]:
+            with self.subTest(spec=spec), self.assertRaises(msgspec.DecodeError):
+                replica_value(json.dumps(spec).encode())
+        with self.assertRaises(msgspec.DecodeError):
+            replica_value(b'{"service": "\xff\xfe"}')
+
+    def test_start_and_cold_time(self):
+        spec = SERVER | {"born": 1768042062045, "cold_left_ms": 2986}
+        value = replica_value(json.dumps(spec).encode())
+        self.assertEqual((value["born"], value["cold"]), (1768042062045, 2986))
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/routing/test_running.py
@@ -0,0 +1,42 @@
+"""Calls end with the life of the replica that they were sent to."""
+
+import asyncio
+import unittest
+
+from railsail.routing.running import RunningCalls
+from railsail.upstreams.http import CutOff
+
+
+class RunningCallsTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.calls = RunningCalls()
+
+    async def start(self, replica: str) -> asyncio.Task:
+        task = asyncio.ensure_future(self.calls.run(replica, asyncio.sleep(60)))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return task
+
+    async def test_calls_of_a_replica_that_started_again_are_cut_off(self):
+        old, other = await self.start("r"), await self.start("other")
+        self.calls.end("r")
+        with self.assertRaises(CutOff):
+            await old
+        new = await self.start("r")
+        self.assertFalse(new.done() or other.done())
+        for task in (new, other):
+            task.cancel()
+
+    async def test_caller_that_leaves_cancels_its_call(self):
+        task = await self.start("r")
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+
+    async def test_call_that_ends_well_ends_well(self):
+        await self.calls.run("r", asyncio.sleep(0))
+        self.calls.end("r")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/scheduling/test_warmup.py
@@ -0,0 +1,141 @@
+"""Cold replicas get no more than they bear, whoever dispatches them."""
+
+import random
+import unittest
+
+from railsail.scheduling.dispatcher import CellDispatcher, Grant
+from railsail.scheduling.health import CallResult, Peers
+from railsail.scheduling.tickets import Ticket
+from railsail.scheduling.warmup import Warmup, WarmupBound
+
+BOUND = WarmupBound(per_second=18.0, seconds=3.0, over=1.5, slack=5.0)
+MOST_IN_A_SECOND = BOUND.per_second * BOUND.over + BOUND.slack
+
+
+def most_in_a_second(times: list[float]) -> int:
+    return max((sum(t <= u < t + 1.0 for u in times) for t in times), default=0)
+
+
+class WarmupTests(unittest.TestCase):
+    def setUp(self):
+        self.warmup = Warmup()
+        self.warmup.bound = BOUND
+
+    def calls(self, seconds: float, share: float = 1.0) -> list[float]:
+        """Return when calls are allowed of many that come all the time."""
+        self.warmup.share = share
+        times = []
+        for step in range(int(seconds * 1000)):
+            if self.warmup.allows(step / 1000):
+                self.warmup.started(step / 1000)
+                times.append(step / 1000)
+        return times
+
+    def test_cold_replica_gets_its_rate_and_no_more(self):
+        self.warmup.cold_for(3.0, 0.0)
+        times = self.calls(3.0)
+        self.assertLessEqual(2 * most_in_a_second(times), MOST_IN_A_SECOND)
+        self.assertGreaterEqual(len(times), 2.8 * BOUND.rate)
+
+    def test_two_dispatchers_together_keep_the_bound(self):
+        self.assertLessEqual(2 * BOUND.rate, MOST_IN_A_SECOND)
+
+    def test_parts_of_a_fleet_share_the_bound(self):
+        self.warmup.cold_for(10.0, 0.0)
+        self.assertLessEqual(len(self.calls(10.0, share=0.1)), 18)
+
+    def test_warm_replica_is_not_held_back(self):
+        self.assertEqual(len(self.calls(0.5)), 500)
+
+    def test_pool_without_a_bound_has_no_cold_replicas(self):
+        self.warmup.bound = WarmupBound()
+        self.warmup.cold_for(3.0, 0.0)
+        self.assertEqual(len(self.calls(0.5)), 500)
+
+
+class ColdReplicasTests(unittest.TestCase):
+    """A third of a pool comes back cold under a flood, as ``warmup`` describes the load."""
+
+    def setUp(self):
+        self.dispatcher = CellDispatcher(lambda workspace: 1.0, random.Random(5))
+        self.number = 0
+        self.granted: dict[str, list[float]] = {}
+        self.names = [f"r{n}" for n in range(9)]
+        self.dispatcher.set_bound(BOUND)
+        self.dispatcher.set_replicas(
+            dict.fromkeys(self.names, 32), lives=dict.fromkeys(self.names, 1)
+        )
+
+    def flood(self, begin: float, end: float, per_second: int = 600) -> None:
+        now = begin
+        while now < end:
+            self.number += 1
+            ticket = Ticket("e", self.number, 1, "one", 0.0, 100.0, now, patience=0.05)
+            self.take(self.dispatcher.offer(ticket, now), now)
+            now += 1 / per_second
+
+    def take(self, decisions, now: float) -> None:
+        for decision in decisions:
+            if isinstance(decision, Grant):
+                self.granted.setdefault(decision.replica, []).append(now)
+                # The shortest calls fill a replica with many in a second.
+                self.dispatcher.answered(decision.ticket.key, now)
+                self.dispatcher.release(decision.ticket.key, 100.0, now)
+
+    def test_replicas_that_come_back_cold_are_not_overrun(self):
+        cold = self.names[:3]
+        for name in cold:
+            self.dispatcher.set_cold(name, 3.0, 0.0)
+        self.flood(0.0, 3.0)
+        for name in cold:
+            self.assertLessEqual(2 * most_in_a_second(self.granted[name]), MOST_IN_A_SECOND)
+            self.assertGreaterEqual(len(self.granted[name]), 40)
+
+    def test_capacity_is_back_when_the_cold_time_is_over(self):
+        for name in self.names[:3]:
+            self.dispatcher.set_cold(name, 3.0, 0.0)
+        self.flood(3.1, 4.1)
+        shares = [len(self.granted[name]) for name in self.names]
+        self.assertGreater(min(shares), 40)
+
+    def test_dispatcher_that_takes_over_keeps_the_distance_from_calls_in_flight(self):
+        self.dispatcher.set_cold("r0", 3.0, 0.0)
+        room = self.dispatcher.replicas["r0"]
+        room.started(0.0)
+        self.assertEqual(room.room(0.01), 0)
+
+    def test_replica_that_started_anew_is_empty_and_owes_nothing(self):
+        ticket = Ticket("e", 1, 1, "one", 0.0, 100.0, 0.0, prefix=7, prompt_tokens=900)
+        (grant,) = self.dispatcher.offer(ticket, 0.0)
+        name = grant.replica
+        self.assertEqual(self.dispatcher.replicas[name].in_flight, 1)
+        lives = dict.fromkeys(self.names, 1) | {name: 2}
+        self.dispatcher.set_replicas(dict.fromkeys(self.names, 32), lives=lives)
+        room = self.dispatcher.replicas[name]
+        self.assertEqual(room.in_flight, 0)
+        self.assertFalse(room.has_prefix(7))
+        self.assertEqual(room.unread_seconds, 0.0)
+        # A late word of the life before changes nothing.
+        self.dispatcher.answered(ticket.key, 0.1)
+        self.dispatcher.release(ticket.key, 100.0, 0.1)
+        self.assertEqual(room.in_flight, 0)
+
+    def test_replica_that_could_not_be_reached_is_taken_for_cold_when_it_is_back(self):
+        room = self.dispatcher.replicas["r0"]
+        for _ in range(2):
+            room.failed(0.0, CallResult.UNREACHABLE, Peers())
+        room.started(1.0)
+        room.answered(("e", 1), 1.0)
+        self.assertTrue(room.warmup.cold(1.1))
+        self.assertFalse(room.warmup.cold(1.0 + BOUND.seconds))
+
+    def test_replica_that_answered_with_errors_is_not_taken_for_cold(self):
+        room = self.dispatcher.replicas["r0"]
+        for _ in range(2):
+            room.failed(0.0, CallResult.ERROR, Peers())
+        room.answered(("e", 1), 1.0)
+        self.assertFalse(room.warmup.cold(1.1))
+
+
+if __name__ == "__main__":
+    unittest.main()
