objects, scheduling: kept requests to the regions that their route and workspace allow

Cause: allowed_regions of routes and workspaces was not read, so that a request could be placed in any region.

Tests: scheduling/test_placing.RegionTests, platform/test_lives.RegionTests; without the change they fail.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -19,6 +19,7 @@
     IPAddress,
     Modules,
     Name,
+    NameMap,
     Number,
     Optional,
     Port,
@@ -113,6 +114,7 @@
         "1",
     ),
     Option("cold_slack", Decimal(0, 1_000_000), "Calls that it may get beyond.", "0"),
+    Option("domain_regions", NameMap(), "The region of each failure domain.", ""),
     Option("max_body_bytes", Number(1024, 64 << 20), "Largest request body.", str(4 << 20)),
     Option(
         "open_files",
@@ -182,6 +184,7 @@
     retry_window_seconds: float
     cold_over: float
     cold_slack: float
+    domain_regions: dict[str, str]
     max_body_bytes: int
     open_files: int
     queue_per_workspace: int
--- a/railsail/conf/values.py
+++ b/railsail/conf/values.py
@@ -166,6 +166,22 @@
         return names
 
 
+class NameMap:
+    """Names of one thing by names of another, ``name=name``, separated by commas."""
+
+    allowed = "name=name, separated by commas, such as hall-1=north,hall-2=north"
+    secret = False
+
+    def convert(self, text: str) -> dict[str, str]:
+        """Return the names."""
+        words = [word.strip() for word in text.split(",") if word.strip()]
+        pairs = [word.partition("=") for word in words]
+        for name, _, meant in pairs:
+            if not name.strip() or not meant.strip():
+                raise ValueError(f"{name!r} is not name=name")
+        return {name.strip(): meant.strip() for name, _, meant in pairs}
+
+
 class EndpointList:
     """Endpoints ``ip:port``, separated by commas."""
 
--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -23,7 +23,8 @@
     ``prompt_tokens`` are to be read, of which other prompts have the first ``shared_tokens`` as
     well, and ``objective`` is the time in seconds within which the answer should begin; 0 where
     they are not known. ``returned`` says that its caller was refused before. It may wait
-    ``patience`` seconds for its place, and would come back within ``returns_within`` seconds.
+    ``patience`` seconds for its place, and would come back within ``returns_within`` seconds. It
+    runs in one of ``regions``, in any where none are named.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     returned: bool = False
     patience: float = 0.0
     returns_within: float = 0.0
+    regions: tuple[str, ...] = ()
 
 
 class TicketRefused(RailsailError):
@@ -101,4 +103,5 @@
         round(asked.objective * 1000),
         round(asked.patience * 1000),
         round(asked.returns_within * 1000),
+        list(asked.regions),
     )
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -7,7 +7,7 @@
 import asyncio
 import math
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from railsail.core.events import Kind
@@ -40,7 +40,7 @@
 from railsail.scheduling.room import LoadReport
 from railsail.scheduling.tickets import Ticket, TicketKey
 from railsail.scheduling.warmup import WarmupBound
-from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.directory import Upstream, UpstreamDirectory
 
 TICK_SECONDS = 0.25
 # While tickets wait, a cell is looked at so often at most, and so often even if nothing was heard,
@@ -85,6 +85,7 @@
         use_prefixes: bool,
         fair_window: float,
         cold: ColdBounds,
+        domain_regions: Mapping[str, str],
     ) -> None:
         self._cells = cells
         self._directory = directory
@@ -97,6 +98,7 @@
         self._use_prefixes = use_prefixes
         self._fair_window = fair_window
         self._cold = cold
+        self._domain_regions = domain_regions
         self._dispatchers: dict[Cell, CellDispatcher] = {}
         self._where: dict[TicketKey, Cell] = {}
         self._entry_starts: dict[str, int] = {}
@@ -222,8 +224,12 @@
         dispatcher.set_replicas(
             {name: self._slots(name) or slots for name in names}, leaving, lives
         )
+        dispatcher.set_regions({name: self._region_of(u) for name, u in found.items() if u})
         self._set_cold(dispatcher, pool)
 
+    def _region_of(self, upstream: Upstream) -> str:
+        return self._domain_regions.get(upstream.failure_domain, "")
+
     def _set_cold(self, dispatcher: CellDispatcher, pool: Pool | None) -> None:
         if pool is None or not pool.warmup_rate:
             return
@@ -437,6 +443,7 @@
         returned=bool(message.flags & RETURNED_FLAG),
         patience=message.patience / 1000,
         returns_within=message.returns_within / 1000,
+        regions=tuple(message.regions),
     )
 
 
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -160,6 +160,7 @@
             settings.affinity == "prefix",
             settings.fair_window_seconds,
             ColdBounds(settings.cold_over, settings.cold_slack, self._reachable_share),
+            settings.domain_regions,
         )
         self.tree: ServiceTree | None = None
         if settings.scheduling == "fleet":
--- a/railsail/objects/kinds.py
+++ b/railsail/objects/kinds.py
@@ -11,6 +11,7 @@
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
 Program = Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]
+Regions = Annotated[tuple[str, ...], msgspec.Meta(max_length=64)]
 KeyHash = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
@@ -67,7 +68,8 @@
     """A customer of the fleet.
 
     ``key_hashes`` are the SHA-256 sums, in hexadecimal, of the bearer keys of its callers; none
-    lets nobody in. ``priority``, if it is given, goes before that of a route; 0 goes first.
+    lets nobody in. ``priority``, if it is given, goes before that of a route; 0 goes first. Its
+    requests run in one of ``regions``, where some are named.
     """
 
     KIND: ClassVar[str] = "workspace"
@@ -76,6 +78,7 @@
     policy: Name
     key_hashes: Annotated[tuple[KeyHash, ...], msgspec.Meta(max_length=64)]
     priority: Annotated[int, msgspec.Meta(ge=0, le=1000)] | None = None
+    regions: Regions = ()
 
 
 class Pool(Resource, frozen=True, forbid_unknown_fields=True):
@@ -114,7 +117,8 @@
     an answer (to the first event of a stream) and ``pause`` the longest time between two events;
     all in seconds, 0 for none. ``priority`` 0 goes first. ``max_attempts`` bounds the replicas
     that one request may be sent to. ``public`` routes need no key. ``affinity`` prefers the replica
-    that has the beginning of the prompt in memory.
+    that has the beginning of the prompt in memory. Requests run in one of ``regions``, where some
+    are named, and of those of their workspace.
     """
 
     KIND: ClassVar[str] = "route"
@@ -132,6 +136,7 @@
     pause: Annotated[float, msgspec.Meta(ge=0, le=86_400)] = 0.0
     priority: Annotated[int, msgspec.Meta(ge=0, le=1000)] = 0
     max_attempts: Annotated[int, msgspec.Meta(ge=1, le=100)] = 1
+    regions: Regions = ()
 
     @property
     def may_repeat(self) -> bool:
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -127,6 +127,7 @@
     objective: Natural = 0
     patience: Natural = 0
     returns_within: Natural = 0
+    regions: Annotated[list[Text], msgspec.Meta(max_length=64)] = []
 
 
 class Granted(Message, frozen=True, tag=11):
--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -94,6 +94,7 @@
     anonymous: bool = False
     sticky: bool = False
     resumable: bool = False
+    allowed_regions: list[str] = []
 
 
 class Engine(msgspec.Struct, frozen=True):
@@ -121,6 +122,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -186,6 +188,7 @@
         pause=route.gap_slo_ms / MS,
         priority=route.priority,
         max_attempts=route.max_attempts,
+        regions=tuple(route.allowed_regions),
     )
 
 
@@ -196,4 +199,5 @@
         policy=DEFAULT_POLICY.name,
         key_hashes=tuple(hash_key(key) for key in tenant.api_keys),
         priority=tenant.priority,
+        regions=tuple(tenant.allowed_regions),
     )
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -32,6 +32,8 @@
 # A caller that came back may wait for so many of its objectives: it will hardly come back again, so
 # that a late answer is better than none; but after a few objectives callers leave.
 RETURN_WAIT_OBJECTIVES = 2.0
+# The name of no region: requests that may run in it alone may run nowhere.
+NO_REGION = "-"
 
 
 class RouteFront:
@@ -193,8 +195,18 @@
             StreamState(client, request.last_event),
             received_at=received_at,
             returned=returned,
+            regions=self._regions(route, workspace),
         )
 
+    def _regions(self, route: Route, workspace: str) -> tuple[str, ...]:
+        """Return where a request may run, nothing for anywhere; both have to allow it."""
+        owner = self._catalog().workspace(workspace)
+        of_owner = owner.regions if owner is not None else ()
+        if not (route.regions and of_owner):
+            return route.regions or of_owner
+        # A region that nobody has lets the request run nowhere.
+        return tuple(r for r in route.regions if r in of_owner) or (NO_REGION,)
+
     def _verdict(self, request: RoutedRequest, route: Route, pool: Pool, workspace: str) -> Verdict:
         owner = self._catalog().workspace(workspace)
         priority = route.priority if owner is None or owner.priority is None else owner.priority
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -48,7 +48,7 @@
     have run it. ``replica`` was sent it last. ``waited`` are the seconds that it waited for places,
     ``first_after`` those from its arrival to the first byte of an answer, 0 if there is none;
     ``given_up`` says why no further attempt was made. ``returned`` says that its caller was
-    probably refused before.
+    probably refused before. It runs in one of ``regions``, in any where none are named.
     """
 
     request: RoutedRequest
@@ -69,6 +69,7 @@
     first_after: float = 0.0
     given_up: str = ""
     returned: bool = False
+    regions: tuple[str, ...] = ()
 
     @property
     def may_repeat(self) -> bool:
@@ -182,6 +183,7 @@
             routed.returned,
             patience,
             RETRY_SHARE * (routed.ends_at - self._clock.monotonic()),
+            routed.regions,
         )
 
     async def _send_booked(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -124,6 +124,11 @@
             if flight.replica == name:
                 flight.replica = ""
 
+    def set_regions(self, regions: Mapping[str, str]) -> None:
+        """Set the region of each replica."""
+        for name, room in self.replicas.items():
+            room.region = regions.get(name, "")
+
     def set_bound(self, bound: WarmupBound, fleet_share: float = 1.0) -> None:
         """Set what a cold replica bears, and the part of the fleet that is dispatched here."""
         self._bound = bound
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -91,6 +91,7 @@
         self.name = name
         self.in_flight = 0
         self.leaving = False
+        self.region = ""
         self.foreign = 0
         self._slots = slots
         self._limit = FIRST_LIMIT
--- a/railsail/scheduling/tickets.py
+++ b/railsail/scheduling/tickets.py
@@ -30,7 +30,8 @@
     are not known. ``returned`` says that the caller was refused before; it is served late rather
     than refused again. It may wait ``patience`` seconds for its place, 0 for as long as its
     entry lets it; its caller would come back within ``returns_within`` seconds, 0 for not at all.
-    A ``late`` ticket is served after all others.
+    A ``late`` ticket is served after all others. The request runs in one of ``regions``, in any
+    where none are named.
     """
 
     entry: str
@@ -50,12 +51,17 @@
     patience: float = 0.0
     returns_within: float = 0.0
     late: bool = False
+    regions: tuple[str, ...] = ()
 
     @property
     def key(self) -> TicketKey:
         """Return what names the ticket at its dispatcher."""
         return (self.entry, self.number)
 
+    def may_run_in(self, region: str) -> bool:
+        """Say whether the request may run in ``region``."""
+        return not self.regions or region in self.regions
+
     def has_expired(self, now: float) -> bool:
         """Say whether the ticket has waited for longer than it may."""
         return 0 < self.patience < now - self.enqueued_at
--- a/tests/platform/test_lives.py
+++ b/tests/platform/test_lives.py
@@ -111,5 +111,25 @@
         await self.until(lambda: not node.directory.get("i-0").leaving)
 
 
+class RegionTests(LivesTestCase):
+    async def test_routes_and_workspaces_keep_to_their_regions(self):
+        node = await self.serve(answering(), answering(), domain_regions="a=north,b=south")
+        self.list_in(self.replicas[1], "b")
+        await self.until(lambda: node.directory.get("i-1").failure_domain == "b")
+        limited = configuration(4, once={"allowed_regions": ["south"]})
+        self.store.put("config", "main", limited)
+        await self.until(lambda: node.carrier.catalog.version == 4)
+        for _ in range(5):
+            self.assertEqual((await self.call(node, "/once/")).status, 200)
+        self.assertEqual(self.received(), [0, 5])
+        limited = configuration(5, again={"allowed_regions": ["south"]})
+        limited["tenants"][0]["allowed_regions"] = ["north"]
+        self.store.put("config", "main", limited)
+        await self.until(lambda: node.carrier.catalog.version == 5)
+        self.assertEqual((await self.call(node, "/once/")).status, 200)
+        self.assertEqual((await self.call(node, "/again/")).status, 503)
+        self.assertEqual(self.received(), [1, 5])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_placing.py
+++ b/tests/scheduling/test_placing.py
@@ -103,5 +103,40 @@
         self.assertIsNot(self.choose(draft(1, 7)), home)
 
 
+class RegionTests(unittest.TestCase):
+    """Requests that may run in some regions only are placed in no other."""
+
+    def setUp(self):
+        self.placing = Placing(random.Random(3), True)
+        self.rooms = [ReplicaRoom(name, 8) for name in "abcdef"]
+        for room in self.rooms[:3]:
+            room.region = "north"
+        for room in self.rooms[3:]:
+            room.region = "south"
+
+    def regions(self, **changes) -> set[str]:
+        chosen = set()
+        for prefix in range(60):
+            ticket = replace(draft(prefix, prefix), **changes)
+            room = self.placing.choose(ticket, look(self.rooms, 0.0), 0.0)
+            chosen.add(room.region if room else "")
+        return chosen
+
+    def test_allowed_region_only(self):
+        self.assertEqual(self.regions(regions=("south",)), {"south"})
+
+    def test_also_where_its_own_replicas_are_full_or_just_failed_it(self):
+        for room in self.rooms[3:]:
+            room.started(0.0)
+            room.expect(("x", 1), 10 * MOST_UNREAD, 0.0)
+        self.assertEqual(self.regions(regions=("south",), avoid="d"), {""})
+
+    def test_any_region_where_none_is_named(self):
+        self.assertEqual(self.regions(), {"north", "south"})
+
+    def test_region_that_no_replica_has(self):
+        self.assertEqual(self.regions(regions=("-",)), {""})
+
+
 if __name__ == "__main__":
     unittest.main()
