--- /dev/null
+++ b/railsail/platform/salvage.py
@@ -0,0 +1,63 @@
+"""Read the good objects of an answer of the store that is no whole JSON.
+
+Others may write entries that hold bytes which nobody can read. One such entry must not hide the
+hundreds beside it, so that an answer that cannot be decoded is searched for the objects in it.
+"""
+
+import json
+import re
+
+from railsail.core.exceptions import StoreUnavailable
+
+# Each object of an answer begins with its metadata.
+_OBJECT = re.compile(r'\{\s*"metadata"\s*:')
+_NAME = re.compile(r'"name"\s*:\s*"([^"\\]+)"')
+_REVISION = re.compile(r'"revision"\s*:\s*(\d+)')
+_AT = re.compile(r'"at"\s*:\s*(\d+)')
+_MORE = re.compile(r'"more"\s*:\s*true')
+_GONE = re.compile(r'"gone"\s*:\s*true')
+_DECODER = json.JSONDecoder()
+
+
+def salvage(body: bytes) -> bytes:
+    """Return the answer ``body`` as JSON that can be decoded.
+
+    An object that cannot be read keeps its name and revision, and has no spec. Raise
+    ``StoreUnavailable`` where the answer does not even tell its revision.
+    """
+    text = body.decode("utf-8", "replace")
+    begins = [found.start() for found in _OBJECT.finditer(text)]
+    tail = text[begins[-1] :] if begins else text
+    at = _last(_AT, tail) or _last(_AT, text[: begins[0]] if begins else "")
+    if at is None:
+        raise StoreUnavailable("the store's answer cannot be read, nor the objects in it")
+    ends = [*begins[1:], len(text)]
+    items = []
+    events = []
+    for begin, end in zip(begins, ends, strict=True):
+        item = _read(text[begin:end])
+        if item is None:
+            continue
+        items.append(item)
+        around = text[max(0, begin - 60) : begin].rpartition("}")[2]
+        events.append({"object": item, "gone": bool(_GONE.search(around))})
+    more = _MORE.search(tail) is not None
+    return json.dumps({"items": items, "events": events, "at": at, "more": more}).encode()
+
+
+def _last(pattern: re.Pattern[str], text: str) -> int | None:
+    found = pattern.findall(text)
+    return int(found[-1]) if found else None
+
+
+def _read(text: str) -> dict[str, object] | None:
+    try:
+        item, _ = _DECODER.raw_decode(text)
+        return item
+    except ValueError:
+        name = _NAME.search(text)
+        revision = _REVISION.search(text)
+    if name is None:
+        return None
+    number = int(revision[1]) if revision else 0
+    return {"metadata": {"name": name[1], "revision": number}, "spec": None}
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -10,6 +10,7 @@
 
 from railsail.conf.values import Endpoint
 from railsail.core.exceptions import StoreUnavailable
+from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
 from railsail.platform.objects import (
     Changes,
@@ -18,6 +19,7 @@
     configuration_value,
     replica_value,
 )
+from railsail.platform.salvage import salvage
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
 from railsail.store.calls import GONE, NOT_FOUND, StoreCalls
 
@@ -92,7 +94,7 @@
             response = await self._call("list", "GET", _path(kind) + query)
             if response.code == NOT_FOUND:
                 return Listing(version or 0, tuple(objects))
-            page = _decode(response, ListPage)
+            page = _decode_many(response, ListPage)
             # What changed while later pages were read is told by a watch from the first one on.
             version = page.at if version is None else min(version, page.at)
             objects += [_object(kind, item) for item in page.items]
@@ -124,7 +126,7 @@
         response = await self._call("watch", "GET", path, waits=seconds)
         if response.code in (GONE, NOT_FOUND):
             return WatchResult(since, (), expired=True)
-        changes = _decode(response, Changes)
+        changes = _decode_many(response, Changes)
         events = [_event(kind, change.object, change.gone) for change in changes.events]
         return WatchResult(changes.at, tuple(events))
 
@@ -150,6 +152,18 @@
         raise StoreUnavailable(f"the store's answer cannot be read: {problem}") from None
 
 
+def _decode_many(response: HTTPResponse, shape: type):
+    """Return an answer about many objects, also where one of them makes it unreadable."""
+    try:
+        return msgspec.json.decode(response.body, type=shape)
+    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        get_logger().warning("the store's answer is searched for objects", reason=str(problem))
+    try:
+        return msgspec.json.decode(salvage(response.body), type=shape)
+    except msgspec.DecodeError as problem:
+        raise StoreUnavailable(f"the store's answer cannot be read: {problem}") from None
+
+
 def _object(kind: str, item: StoredItem) -> StoredObject:
     known = _KINDS[kind]
     name = known.to_product(item.metadata.name)
--- /dev/null
+++ b/tests/platform/test_salvage.py
@@ -0,0 +1,69 @@
+"""One entry that holds bytes which nobody can read hides no other."""
+
+import json
+import random
+import unittest
+
+import msgspec
+
+from railsail.core.exceptions import StoreUnavailable
+from railsail.platform.objects import Changes, ListPage
+from railsail.platform.salvage import salvage
+
+SPEC = {"service": "lm", "addr": "10.0.0.1:80", "zone": 'z{]"}', "slots": 4, "state": "ready"}
+TORN = [b'{"service":"lm","ad', b'"\xff\xfe', b"{{{", b'{"a":}', b"\x00\x01", b'"open', b"]]"]
+
+
+def item(number: int, spec: bytes) -> bytes:
+    return b'{"metadata":{"name":"i-%d","revision":%d},"spec":%s}' % (number, number, spec)
+
+
+def answer(torn: bytes, count: int = 5) -> list[bytes]:
+    good = json.dumps(SPEC).encode()
+    return [item(n, torn if n == 2 else good) for n in range(1, count + 1)]
+
+
+class SalvageTests(unittest.TestCase):
+    def test_list(self):
+        for torn in TORN:
+            body = b'{"items":[' + b",".join(answer(torn)) + b'],"more":true,"at":9}'
+            with self.subTest(torn=torn):
+                page = msgspec.json.decode(salvage(body), type=ListPage)
+                self.assertEqual([i.metadata.revision for i in page.items], [1, 2, 3, 4, 5])
+                self.assertEqual((page.at, page.more), (9, True))
+                specs = [json.loads(bytes(i.spec)) for i in page.items]
+                self.assertEqual(specs[2:], [SPEC] * 3)
+                self.assertNotIsInstance(specs[1], dict)
+
+    def test_watch(self):
+        for torn in TORN:
+            events = [
+                b'{"gone":%s,"object":%s}' % (b"true" if n == 3 else b"false", found)
+                for n, found in enumerate(answer(torn), 1)
+            ]
+            body = b'{"events":[' + b",".join(events) + b'],"at":9}'
+            with self.subTest(torn=torn):
+                changes = msgspec.json.decode(salvage(body), type=Changes)
+                told = [(e.object.metadata.name, e.gone) for e in changes.events]
+                self.assertEqual(told, [(f"i-{n}", n == 3) for n in range(1, 6)])
+
+    def test_answer_that_tells_nothing_is_refused(self):
+        for body in (b"", b"<html>", b'{"items":[', b"\xff"):
+            with self.subTest(body=body), self.assertRaises(StoreUnavailable):
+                salvage(body)
+
+    def test_no_bytes_make_it_fail_in_another_way(self):
+        rng = random.Random(4)
+        whole = b'{"items":[' + b",".join(answer(b"{}")) + b'],"more":false,"at":9}'
+        for _ in range(500):
+            body = bytearray(whole)
+            for _ in range(rng.randint(1, 20)):
+                body[rng.randrange(len(body))] = rng.randrange(256)
+            try:
+                json.loads(salvage(bytes(body)))
+            except StoreUnavailable:
+                continue
+
+
+if __name__ == "__main__":
+    unittest.main()
