store: let nodes that do not watch list once, and none watch before it knows the members

Cause: counted on a fleet of 62 nodes that starts, with each call printed: 844 of the 1,180 calls to the store in the first 24 seconds came before the first caller. A node that starts knows no members, so that every node took itself for one of the eight that watch, watched three kinds, and listed all of them once more when it learnt better. Ruled out: the watches themselves, which are 12 calls a second in all.

Change: the first watch is made a second after the start, when members are known, and to begin or end to watch asks for no list: a watch goes on from the version that the node has, or is told that history is gone.

Test: store/test_watcher.OthersTests, which fails without it.

--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -18,6 +18,9 @@
 LIST_SECONDS = 60.0
 LIST_SECONDS_OF_OTHERS = 600.0
 LOOK_SECONDS = 5.0
+# A node that starts hears of the others within this time, and takes itself for one of the few that
+# watch until then.
+LEARN_MEMBERS_SECONDS = 1.0
 # A store that has forgotten its history may do so again and again; lists are dear.
 RELIST_SECONDS = 0.3
 # Changes come in groups, as when replicas start or are replaced. A watch that has ended is made
@@ -52,6 +55,7 @@
         self._seen: dict[str, Seen] = {}
         self._answered: dict[str, bool] = {}
         self.reachable = False
+        self._started_at = 0.0
         self.tried = asyncio.Event()
 
     def follow(self, kind: str, listed: Listed, seen: Seen, name: str = "") -> None:
@@ -65,6 +69,7 @@
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
+        self._started_at = asyncio.get_running_loop().time()
         kinds = tuple(self._listed)
         groups = [kinds] if self._store.watches_many else [(kind,) for kind in kinds]
         await asyncio.gather(*(self._run_group(group) for group in groups))
@@ -104,13 +109,11 @@
         loop = asyncio.get_running_loop()
         begun = loop.time()
         share = self._rng.uniform(0.75, 1.25)
-        watching = self._watches()
-        period = share * (LIST_SECONDS if watching else LIST_SECONDS_OF_OTHERS)
-        while loop.time() - begun < period and self._watches() == watching:
-            if not watching:
+        await self._learn_members()
+        while (left := begun + share * self._list_seconds() - loop.time()) > 0:
+            if not self._watches():
                 await asyncio.sleep(LOOK_SECONDS)
                 continue
-            left = begun + period - loop.time()
             result = await self._store.watch(kinds, version, min(left, self._watch_seconds))
             if result.expired:
                 return
@@ -120,6 +123,15 @@
             if result.events:
                 await asyncio.sleep(GATHER_SECONDS)
 
+    async def _learn_members(self) -> None:
+        # Who watches follows from the members, and a node that starts knows none yet.
+        left = self._started_at + LEARN_MEMBERS_SECONDS - asyncio.get_running_loop().time()
+        if left > 0:
+            await asyncio.sleep(left)
+
+    def _list_seconds(self) -> float:
+        return LIST_SECONDS if self._watches() else LIST_SECONDS_OF_OTHERS
+
     def _note(self, kinds: tuple[str, ...], answered: bool, detail: str = "") -> None:
         self._answered[kinds[0]] = answered
         reachable = any(self._answered.values())
--- a/tests/store/test_watcher.py
+++ b/tests/store/test_watcher.py
@@ -4,9 +4,11 @@
 import random
 import unittest
 from collections import deque
+from unittest import mock
 
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog
+from railsail.store import watcher as watcher_module
 from railsail.store.base import Listing, WatchEvent, WatchResult
 from railsail.store.watcher import GATHER_SECONDS, StoreWatcher
 
@@ -63,5 +65,25 @@
         self.assertLess(store.watches, GROUP / 2)
 
 
+class OthersTests(unittest.IsolatedAsyncioTestCase):
+    """A node that does not watch lists once, also where it took itself for a watcher at first."""
+
+    async def test_node_that_learns_that_others_watch_does_not_watch_or_list_again(self):
+        store = GroupStore()
+        lists: list[Listing] = []
+        watching = [True]
+        events = EventLog("n", Clock())
+        with mock.patch.object(watcher_module, "LEARN_MEMBERS_SECONDS", 0.05):
+            watcher = StoreWatcher(store, lambda: watching[0], 2.0, events, random.Random(1))
+            watcher.follow(KIND, lists.append, lambda event: None)
+            task = asyncio.ensure_future(watcher.run())
+            while not lists:
+                await asyncio.sleep(0)
+            watching[0] = False
+            await asyncio.sleep(0.5)
+            task.cancel()
+        self.assertEqual((len(lists), store.watches), (1, 0))
+
+
 if __name__ == "__main__":
     unittest.main()
