scheduling, routing: told callers that come back from others by what was refused, not by their deadlines

Cause: a request was taken for a return where its deadline was 0.1 s shorter than the longest of its route.

Change: an entry makes a fingerprint of what a request has in common with its repeats (workspace, method, host, path, prompt parts, body), and the dispatcher that refuses it remembers that until shortly after it told its caller to come back. It tells the entry (Held) that such a ticket may wait longer. The log of a full node counts as come back what it refused itself; test_late asks that exactly.

--- a/railsail/cli/account.py
+++ b/railsail/cli/account.py
@@ -52,7 +52,7 @@
     @property
     def returned(self) -> bool:
         """Say whether its caller had probably been refused before."""
-        return bool(self.fact(Kind.RECEIVED, "returned"))
+        return any(self.fact(kind, "returned") for kind in (Kind.EXPIRED, Kind.RECEIVED))
 
 
 @dataclass
--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -24,7 +24,8 @@
     well, and ``objective`` is the time in seconds within which the answer should begin; 0 where
     they are not known. ``returned`` says that its caller was refused before. It may wait
     ``patience`` seconds for its place, and would come back within ``returns_within`` seconds. It
-    runs in one of ``regions``, in any where none are named.
+    runs in one of ``regions``, in any where none are named. A repeat of the request has the same
+    ``fingerprint``, 0 where there is none.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     patience: float = 0.0
     returns_within: float = 0.0
     regions: tuple[str, ...] = ()
+    fingerprint: int = 0
 
 
 class TicketRefused(RailsailError):
@@ -72,6 +74,8 @@
     refused: bool = False
     begun: bool = False
     granted: asyncio.Future = field(default_factory=asyncio.Future)
+    # The limit of its wait, while it waits.
+    limit: asyncio.Timeout | None = None
 
     @property
     def waiting(self) -> bool:
@@ -104,4 +108,5 @@
         round(asked.patience * 1000),
         round(asked.returns_within * 1000),
         list(asked.regions),
+        asked.fingerprint,
     )
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 from railsail.core.events import Fact, Kind
 from railsail.core.kernel import Kernel
@@ -21,6 +22,7 @@
     CounterRecord,
     FlightRecord,
     Granted,
+    Held,
     Moved,
     Place,
     Progress,
@@ -60,6 +62,7 @@
         self._told_at: dict[tuple[str, Cell], float] = {}
         hub.handle(Granted, self._granted)
         hub.handle(Refused, self._refused)
+        hub.handle(Held, self._held)
         hub.handle(Moved, self._moved)
         hub.on_up(self._link_up)
         hub.on_down(self._link_down)
@@ -95,7 +98,7 @@
         booking = self.place(want)
         try:
             # The dispatcher decides, and says when to come back, unless it is not heard in time.
-            async with asyncio.timeout(seconds + DECISION_SECONDS):
+            async with asyncio.timeout(seconds + DECISION_SECONDS) as booking.limit:
                 await booking.granted
         except TicketRefused as refusal:
             return self._refused_by_dispatcher(booking, refusal)
@@ -345,6 +348,17 @@
         del self._bookings[booking.number]
         booking.granted.set_exception(TicketRefused(reason, message.come_back / 1000))
 
+    def _held(self, node: str, message: Held) -> None:
+        booking = self._awaiting(message.number, message.attempt)
+        if booking is None or booking.limit is None:
+            return
+        # The caller was refused before: it will hardly come back once more.
+        patience = message.patience / 1000
+        booking.want = replace(booking.want, returned=True, patience=patience)
+        longest = booking.placed_at + patience + DECISION_SECONDS - self._clock.monotonic()
+        loop = asyncio.get_running_loop()
+        booking.limit.reschedule(max(loop.time() + longest, booking.limit.when() or 0.0))
+
     def _moved(self, node: str, message: Moved) -> None:
         booking = self._bookings.get(message.number)
         if booking is None or booking.attempt != message.attempt:
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -26,6 +26,7 @@
     CounterRecord,
     Granted,
     HandedOver,
+    Held,
     Place,
     Probe,
     ProbeReply,
@@ -35,7 +36,7 @@
     Resync,
 )
 from railsail.scheduling.cells import Cell
-from railsail.scheduling.dispatcher import CellDispatcher, Decision, Flight, Grant
+from railsail.scheduling.dispatcher import CellDispatcher, Decision, Flight, Grant, Hold
 from railsail.scheduling.health import CallResult
 from railsail.scheduling.room import LoadReport
 from railsail.scheduling.tickets import Ticket, TicketKey
@@ -393,6 +394,8 @@
                 message = Granted(
                     ticket.number, ticket.attempt, decision.replica, round(decision.counter)
                 )
+            elif isinstance(decision, Hold):
+                message = Held(ticket.number, ticket.attempt, round(ticket.patience * 1000))
             else:
                 self._where.pop(ticket.key, None)
                 if decision.reason is not Reason.NO_ROOM:
@@ -444,6 +447,7 @@
         patience=message.patience / 1000,
         returns_within=message.returns_within / 1000,
         regions=tuple(message.regions),
+        fingerprint=message.fingerprint,
     )
 
 
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -108,7 +108,8 @@
     """Place a ticket with the dispatcher of a cell.
 
     ``flags`` holds 1 for urgent work, and 2 for a request whose caller was refused before. The
-    ticket may wait for ``patience``, and its caller would come back after ``returns_within``.
+    ticket may wait for ``patience``, and its caller would come back after ``returns_within``, with
+    a request of the same ``fingerprint``.
     """
 
     number: Natural
@@ -128,6 +129,7 @@
     patience: Natural = 0
     returns_within: Natural = 0
     regions: Annotated[list[Text], msgspec.Meta(max_length=64)] = []
+    fingerprint: Natural = 0
 
 
 class Granted(Message, frozen=True, tag=11):
@@ -185,6 +187,14 @@
     attempt: Natural
 
 
+class Held(Message, frozen=True, tag=25):
+    """Say that a ticket's caller was refused before, and that it may wait for ``patience``."""
+
+    number: Natural
+    attempt: Natural
+    patience: Natural
+
+
 class Probe(Message, frozen=True, tag=18):
     """Ask a dispatcher that has been quiet for a word."""
 
@@ -339,6 +349,7 @@
     | Place
     | Granted
     | Refused
+    | Held
     | Cancel
     | Release
     | Progress
--- a/railsail/routing/crowding.py
+++ b/railsail/routing/crowding.py
@@ -32,9 +32,9 @@
     ) -> None:
         """Take note of a request that was refused as not run.
 
-        ``came_back`` says that its caller had been refused before: callers that come back to the
-        node that refused them are not helped by other nodes. The node held ``held`` requests, of at
-        most ``limit``.
+        ``came_back`` says that this node had refused it before: callers that come back to the node
+        that refused them are not helped by other nodes. The node held ``held`` requests, of at most
+        ``limit``.
         """
         self._counts["requests_since"] += 1
         self._counts["came_back_since"] += came_back
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -26,12 +26,8 @@
 from railsail.routing.refusals import Refusals
 from railsail.routing.relay import Relay, Routed
 from railsail.routing.relief import Relief
-from railsail.routing.returning import UsualDeadlines
 from railsail.routing.table import RouteTable, choose_pool
 
-# A caller that came back may wait for so many of its objectives: it will hardly come back again, so
-# that a late answer is better than none; but after a few objectives callers leave.
-RETURN_WAIT_OBJECTIVES = 2.0
 # The name of no region: requests that may run in it alone may run nowhere.
 NO_REGION = "-"
 
@@ -62,7 +58,6 @@
         self._endings = Endings(kernel)
         self._rng: random.Random = kernel.rng
         self._routes = RouteTable()
-        self._deadlines = UsualDeadlines()
         self._refusals = Refusals(protocol, kernel.rng)
         self._relief = Relief(
             protocol,
@@ -72,7 +67,6 @@
             limit,
             forwarder,
             self._refusals,
-            self._deadlines,
             kernel,
         )
 
@@ -166,10 +160,7 @@
     ) -> Routed:
         verdict = self._verdict(request, route, pool, workspace)
         longest = min(request.deadline or route.timeout, route.timeout)
-        returned = self._deadlines.seen(route.name, request.deadline, received_at)
         may_wait = verdict.may_wait
-        if returned:
-            may_wait = max(may_wait, RETURN_WAIT_OBJECTIVES * route.objective)
         self._events.emit(
             Kind.RECEIVED,
             request=request.id,
@@ -180,7 +171,6 @@
             deadline_ms=round(longest * 1000),
             may_wait_ms=round(may_wait * 1000),
             objective_ms=round(route.objective * 1000),
-            returned=int(returned),
             rank=verdict.rank,
         )
         return Routed(
@@ -194,7 +184,6 @@
             received_at + may_wait,
             StreamState(client, request.last_event),
             received_at=received_at,
-            returned=returned,
             regions=self._regions(route, workspace),
         )
 
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -1,6 +1,7 @@
 """Bring one routed request to replicas, and the answer back, in as many attempts as are safe."""
 
 import asyncio
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -47,8 +48,8 @@
     place. ``attempts`` counts the replicas that it was sent to; ``ran`` says that one of them may
     have run it. ``replica`` was sent it last. ``waited`` are the seconds that it waited for places,
     ``first_after`` those from its arrival to the first byte of an answer, 0 if there is none;
-    ``given_up`` says why no further attempt was made. ``returned`` says that its caller was
-    probably refused before. It runs in one of ``regions``, in any where none are named.
+    ``given_up`` says why no further attempt was made. It runs in one of ``regions``,
+    in any where none are named.
     """
 
     request: RoutedRequest
@@ -68,7 +69,6 @@
     waited: float = 0.0
     first_after: float = 0.0
     given_up: str = ""
-    returned: bool = False
     regions: tuple[str, ...] = ()
 
     @property
@@ -180,10 +180,11 @@
             prompt.tokens if routed.pool.cost_unit is CostUnit.TOKENS else 0,
             prompt.shared_tokens,
             routed.route.objective,
-            routed.returned,
+            False,
             patience,
             RETRY_SHARE * (routed.ends_at - self._clock.monotonic()),
             routed.regions,
+            fingerprint(routed.request, routed.workspace),
         )
 
     async def _send_booked(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
@@ -317,6 +318,13 @@
         return Completed(answer.answered.status, 0.0)
 
 
+def fingerprint(request: RoutedRequest, workspace: str) -> int:
+    """Return what a request has in common with its repeats, which bear other ids."""
+    parts = " ".join(f"{part.digest}:{part.tokens}" for part in request.prompt.parts)
+    head = f"{workspace} {request.method} {request.host} {request.target} {parts} "
+    return zlib.crc32(request.body, zlib.crc32(head.encode()))
+
+
 def estimate_cost(routed: Routed) -> float:
     """Return the expected cost of a request in the unit of its pool."""
     if routed.pool.cost_unit is not CostUnit.TOKENS:
--- a/railsail/routing/relief.py
+++ b/railsail/routing/relief.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -21,8 +22,8 @@
 from railsail.routing.forwarding import Forwarded, Forwarder
 from railsail.routing.messages import Arrival, Origin
 from railsail.routing.protocol import RouteProtocol
-from railsail.routing.refusals import Refusals
-from railsail.routing.returning import UsualDeadlines
+from railsail.routing.refusals import MOST_RETRY_SECONDS, Refusals
+from railsail.scheduling.returning import RefusedCallers
 
 
 @dataclass(frozen=True)
@@ -48,7 +49,6 @@
         limit: ConcurrencyLimit,
         forwarder: Forwarder,
         refusals: Refusals,
-        deadlines: UsualDeadlines,
         kernel: Kernel,
     ) -> None:
         self._protocol = protocol
@@ -58,11 +58,11 @@
         self._limit = limit
         self._forwarder = forwarder
         self._refusals = refusals
-        self._deadlines = deadlines
         self._clock = kernel.clock
         self._metrics = kernel.metrics
         self._endings = Endings(kernel)
         self._crowd_log = CrowdLog(kernel)
+        self._refused = RefusedCallers()
 
     async def relieved(self, arrival: Arrival, client: ClientAnswer, may_forward: bool) -> bool:
         """Relieve the node of a request if it is full, and say whether it was relieved of it."""
@@ -110,14 +110,23 @@
             self._endings.unknown(origin.request_id, outcome, seconds)
         return True
 
+    def _came_back(self, case: _Case) -> bool:
+        """Say whether this node refused the request before, and remember that it does now."""
+        arrival, origin = case.arrival, case.origin
+        head = f"{case.workspace} {arrival.line.method} {origin.host} {arrival.line.path} "
+        fingerprint = zlib.crc32(arrival.body, zlib.crc32(head.encode()))
+        now = self._clock.monotonic()
+        came_back = self._refused.comes_back(fingerprint, now)
+        self._refused.refused(fingerprint, MOST_RETRY_SECONDS, now)
+        return came_back
+
     async def _refuse(self, case: _Case) -> None:
         origin = case.origin
         self._metrics.crowded_out.inc({"workspace": case.workspace})
-        came_back = self._deadlines.seen(case.route.name, origin.deadline, case.arrival.at)
         self._crowd_log.refused(
             origin.request_id,
             case.workspace,
-            came_back,
+            self._came_back(case),
             self._admission.total,
             self._limit.limit,
         )
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -4,12 +4,13 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from railsail.core.outcomes import Reason
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
 from railsail.scheduling.health import CallResult, Peers
 from railsail.scheduling.placing import Placing, Standing, look
+from railsail.scheduling.returning import RETURN_WAIT_OBJECTIVES, RefusedCallers
 from railsail.scheduling.returns import ReturnPlan
 from railsail.scheduling.room import LoadReport, ReplicaRoom
 from railsail.scheduling.tickets import Ticket, TicketKey
@@ -45,7 +46,14 @@
     come_back: float = 0.0
 
 
-Decision = Grant | Refusal
+@dataclass(frozen=True)
+class Hold:
+    """Tell ``ticket``'s entry that its caller was refused before, and what it may wait now."""
+
+    ticket: Ticket
+
+
+Decision = Grant | Refusal | Hold
 
 
 @dataclass
@@ -82,6 +90,7 @@
         self.served: dict[str, float] = {}
         self._placing = Placing(rng, use_prefixes)
         self._returns = ReturnPlan(rng)
+        self._refused = RefusedCallers()
         self._usage = RecentUsage(fair_window, weight_of)
         self._expired_at = -math.inf
         self._bound = WarmupBound()
@@ -185,12 +194,17 @@
             return [self._decide_urgent(ticket, now)]
         self.queue.credit = self._usage.credit(now)
         # One that waits already is told again when its entry tells everything anew.
-        if ticket.key not in self.queue:
-            self._usage.asked(ticket.workspace, ticket.estimate, now)
-            if self._is_excess(ticket, now):
-                return [self._refuse(ticket, Reason.OVER_SHARE, now)]
+        if ticket.key in self.queue:
+            self.queue.push(ticket)
+            return []
+        came_back = self._refused.comes_back(ticket.fingerprint, now)
+        if came_back:
+            ticket = _returned(ticket)
+        self._usage.asked(ticket.workspace, ticket.estimate, now)
+        if self._is_excess(ticket, now):
+            return [self._refuse(ticket, Reason.OVER_SHARE, now)]
         self.queue.push(ticket)
-        return []
+        return [Hold(ticket)] if came_back else []
 
     def _is_excess(self, ticket: Ticket, now: float) -> bool:
         """Say whether a ticket would wait in place of others though its workspace had its share."""
@@ -223,6 +237,7 @@
         after = self._returns.promise(
             ticket.prompt_tokens, ticket.returns_within, self._read_rate(), now
         )
+        self._refused.refused(ticket.fingerprint, after, now)
         return Refusal(ticket, reason, after)
 
     def _refuse_expired(self, now: float) -> list[Decision]:
@@ -396,3 +411,9 @@
     def room(self, now: float) -> int:
         """Return how many more calls fit into the slots of the cell, without overlap."""
         return sum(room.room(now) for room in self.replicas.values())
+
+
+def _returned(ticket: Ticket) -> Ticket:
+    """Return the ticket of a caller that was refused before."""
+    longest = min(RETURN_WAIT_OBJECTIVES * ticket.objective, ticket.returns_within)
+    return replace(ticket, returned=True, patience=max(ticket.patience, longest))
--- a/railsail/scheduling/tickets.py
+++ b/railsail/scheduling/tickets.py
@@ -31,7 +31,7 @@
     than refused again. It may wait ``patience`` seconds for its place, 0 for as long as its
     entry lets it; its caller would come back within ``returns_within`` seconds, 0 for not at all.
     A ``late`` ticket is served after all others. The request runs in one of ``regions``, in any
-    where none are named.
+    where none are named. A repeat of it has the same ``fingerprint``, 0 where there is none.
     """
 
     entry: str
@@ -52,6 +52,7 @@
     returns_within: float = 0.0
     late: bool = False
     regions: tuple[str, ...] = ()
+    fingerprint: int = 0
 
     @property
     def key(self) -> TicketKey:
--- a/tests/platform/test_late.py
+++ b/tests/platform/test_late.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from railsail.core.looplag import LATE_SECONDS, SAMPLES
 from railsail.gateway.admission import LEAST_CROWD
 from railsail.membership.pace import LATE_FOR_SECONDS
 from railsail.node import Node
+from railsail.routing import crowding
 from railsail.routing.refusals import LEAST_RETRY_SECONDS
 from railsail.routing.relay import RETRY_SHARE
 from tests.platform.base import PlatformTestCase
@@ -52,9 +54,13 @@
         self.make_late(node)
         told = []
         node.events.on_emit(lambda event: told.append(event.facts))
-        await self.call(node, "/once/", Request_Id="r-2", Deadline_Ms="3500")
-        (facts,) = [facts for facts in told if "requests_since" in facts]
-        self.assertEqual((facts["requests_since"], facts["came_back_since"]), (1, 1))
+        with mock.patch.object(crowding, "TELL_SECONDS", 0.0):
+            await self.call(node, "/once/", body=b"one", Request_Id="r-2", Deadline_Ms="3500")
+            await self.call(node, "/once/", body=b"other", Request_Id="r-3")
+            await self.call(node, "/once/", body=b"one", Request_Id="r-4", Deadline_Ms="2500")
+        found = [facts for facts in told if "requests_since" in facts]
+        counts = [(facts["requests_since"], facts["came_back_since"]) for facts in found]
+        self.assertEqual(counts, [(1, 0), (1, 0), (1, 1)])
         for call in calls:
             call.cancel()
 
--- /dev/null
+++ b/tests/scheduling/test_returning.py
@@ -0,0 +1,137 @@
+"""Who came back is known from what was refused, and replayed with a flood that is refused once."""
+
+import random
+import unittest
+
+from railsail.scheduling.dispatcher import CellDispatcher, Grant, Hold, Refusal
+from railsail.scheduling.returning import (
+    COME_BACK_SLACK_SECONDS,
+    MOST_REMEMBERED,
+    RETURN_WAIT_OBJECTIVES,
+    RefusedCallers,
+)
+from railsail.scheduling.tickets import Ticket
+
+
+class RefusedCallersTests(unittest.TestCase):
+    def setUp(self):
+        self.refused = RefusedCallers()
+
+    def test_request_that_was_refused_comes_back_once(self):
+        self.refused.refused(7, 2.0, 0.0)
+        self.assertTrue(self.refused.comes_back(7, 2.1))
+        self.assertFalse(self.refused.comes_back(7, 2.1))
+
+    def test_first_try_of_another_is_none(self):
+        self.refused.refused(7, 2.0, 0.0)
+        self.assertFalse(self.refused.comes_back(8, 2.1))
+
+    def test_refusal_is_forgotten_when_its_caller_stays_away(self):
+        self.refused.refused(7, 2.0, 0.0)
+        self.assertFalse(self.refused.comes_back(7, 2.1 + COME_BACK_SLACK_SECONDS))
+
+    def test_equal_requests_come_back_as_often_as_they_were_refused(self):
+        for _ in range(3):
+            self.refused.refused(7, 2.0, 0.0)
+        self.assertEqual([self.refused.comes_back(7, 1.0) for _ in range(4)], [True] * 3 + [False])
+
+    def test_request_without_a_fingerprint_is_never_known(self):
+        self.refused.refused(0, 2.0, 0.0)
+        self.assertFalse(self.refused.comes_back(0, 1.0))
+
+    def test_memory_is_bounded(self):
+        for number in range(MOST_REMEMBERED + 10):
+            self.refused.refused(number + 1, 2.0, 0.0)
+        self.assertFalse(self.refused.comes_back(1, 1.0))
+        self.assertTrue(self.refused.comes_back(MOST_REMEMBERED + 10, 1.0))
+
+
+class FloodTests(unittest.TestCase):
+    """Twice what a cell can serve, each caller with a deadline of its own and one repeat."""
+
+    OBJECTIVE = 0.4
+    SECONDS = 0.2
+
+    def setUp(self):
+        self.dispatcher = CellDispatcher(lambda workspace: 1.0, random.Random(5))
+        self.dispatcher.set_replicas({"r0": 8})
+        self.number = 0
+
+    def ticket(self, fingerprint: int, now: float) -> Ticket:
+        self.number += 1
+        return Ticket(
+            "e",
+            self.number,
+            1,
+            "one",
+            0.0,
+            100.0,
+            now,
+            objective=self.OBJECTIVE,
+            patience=self.OBJECTIVE / 5,
+            returns_within=4.0,
+            fingerprint=fingerprint,
+        )
+
+    def play(self, seconds: float, per_second: int) -> tuple[list[float], list[float], int]:
+        """Return how long first tries and repeats waited before a refusal, and those held."""
+        coming = [(n / per_second, n + 1, False) for n in range(int(seconds * per_second))]
+        ending: list[tuple[float, Ticket]] = []
+        waits: dict[bool, list[float]] = {False: [], True: []}
+        held = 0
+        now = 0.0
+        repeats = set()
+        while coming or ending or len(self.dispatcher.queue):
+            now += 0.005
+            due = [item for item in coming if item[0] <= now]
+            coming = [item for item in coming if item[0] > now]
+            for ticket in [t for at, t in ending if at <= now]:
+                self.dispatcher.answered(ticket.key, now)
+                self.dispatcher.release(ticket.key, 100.0, now)
+            ending = [item for item in ending if item[0] > now]
+            decisions = []
+            for _, fingerprint, repeat in due:
+                ticket = self.ticket(fingerprint, now)
+                if repeat:
+                    repeats.add(ticket.number)
+                decisions += self.dispatcher.put(ticket, now)
+            decisions += self.dispatcher.pump(now)
+            for decision in decisions:
+                ticket = decision.ticket
+                repeat = ticket.number in repeats
+                if isinstance(decision, Grant):
+                    ending.append((now + self.SECONDS, ticket))
+                elif isinstance(decision, Refusal):
+                    waits[repeat].append(now - ticket.enqueued_at)
+                    if not repeat:
+                        coming.append((now + decision.come_back, ticket.fingerprint, True))
+                else:
+                    held += repeat
+        return waits[False], waits[True], held
+
+    def test_first_tries_are_refused_soon_and_repeats_are_known(self):
+        first, again, held = self.play(6.0, 80)
+        self.assertTrue(first and again)
+        # A first try is told within its patience and a look at the queue.
+        self.assertLess(max(first), self.OBJECTIVE / 5 + 0.011)
+        self.assertLess(max(again), RETURN_WAIT_OBJECTIVES * self.OBJECTIVE + 0.011)
+        # Each refused first try came back and was known.
+        self.assertEqual(held, len(first))
+
+    def test_nobody_is_taken_for_returned_where_nobody_was_refused(self):
+        first, again, held = self.play(4.0, 30)
+        self.assertEqual((first, again, held), ([], [], 0))
+
+    def test_entry_is_told_that_the_ticket_may_wait_longer(self):
+        for _ in range(9):
+            self.dispatcher.offer(self.ticket(0, 0.0), 0.0)
+        self.dispatcher.offer(self.ticket(77, 0.0), 0.0)
+        refusals = self.dispatcher.pump(0.09)
+        self.assertIn(77, [refusal.ticket.fingerprint for refusal in refusals])
+        (hold,) = self.dispatcher.offer(self.ticket(77, 1.0), 1.0)
+        self.assertIsInstance(hold, Hold)
+        self.assertAlmostEqual(hold.ticket.patience, RETURN_WAIT_OBJECTIVES * self.OBJECTIVE)
+
+
+if __name__ == "__main__":
+    unittest.main()
