--- a/railsail/scheduling/balance.py
+++ b/railsail/scheduling/balance.py
@@ -5,7 +5,7 @@
 whoever was behind a moment ago, and the fleet swings by a whole delay's service. So the sums only
 tilt the weights: a workspace that is behind by one scale counts double, one ahead half. The scale
 follows the measured rate of service and the delay, which keeps the loop stable (the gain times the
-delay is about one half). ``docs/internals/design/cells.md`` has the measurements.
+delay is about one half). ``docs/design/cells.md`` has the measurements.
 """
 
 from collections.abc import Callable, Mapping
--- a/railsail/scheduling/placing.py
+++ b/railsail/scheduling/placing.py
@@ -3,7 +3,7 @@
 A replica must have a free slot, and must be able to begin the answer in time. Among those, prompts
 that share a long beginning go to the replica that has it in memory: hashing names one for each
 beginning, so that every dispatcher names the same. Idea: the cache-aware load balancer of SGLang
-v0.4; ``docs/internals/design/routing.md`` has the measurements.
+v0.4; ``docs/design/routing.md`` has the measurements.
 """
 
 import enum
