--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -110,3 +110,27 @@
         list(asked.regions),
         asked.fingerprint,
     )
+
+
+def to_ticket(entry: str, message: Place, now: float) -> Ticket:
+    """Return the ticket that ``message`` of ``entry`` places, at ``now`` of this node's clock."""
+    return Ticket(
+        entry=entry,
+        number=message.number,
+        attempt=message.attempt,
+        workspace=message.workspace,
+        rank=message.rank / RANK_SCALE,
+        estimate=float(max(message.estimate, 1)),
+        enqueued_at=now - message.waited / 1000,
+        urgent=bool(message.flags & URGENT_FLAG),
+        prefix=message.prefix,
+        avoid=message.avoid,
+        prompt_tokens=message.prompt_tokens,
+        shared_tokens=message.shared_tokens,
+        objective=message.objective / 1000,
+        returned=bool(message.flags & RETURNED_FLAG),
+        patience=message.patience / 1000,
+        returns_within=message.returns_within / 1000,
+        regions=tuple(message.regions),
+        fingerprint=message.fingerprint,
+    )
--- /dev/null
+++ b/railsail/dispatch/replicas.py
@@ -0,0 +1,82 @@
+"""Tell the dispatcher of a cell which replicas there are, and what is known of each."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from railsail.core.clock import Clock
+from railsail.dispatch.cellmap import CellMap
+from railsail.objects.catalog import Catalog
+from railsail.objects.kinds import Pool
+from railsail.scheduling.cells import Cell
+from railsail.scheduling.dispatcher import CellDispatcher
+from railsail.scheduling.warmup import WarmupBound
+from railsail.upstreams.directory import Upstream, UpstreamDirectory
+
+
+@dataclass(frozen=True)
+class FleetBounds:
+    """What holds for the whole fleet, beyond what single replicas say.
+
+    All nodes together may send a cold replica ``cold_over`` times as many calls as it bears, and
+    ``cold_slack`` more, in any second; ``share`` tells the part of the fleet that this node can
+    reach, from 0 to 1. ``domain_regions`` names the region of each failure domain.
+    """
+
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
+    share: Callable[[], float] = lambda: 1.0
+    domain_regions: Mapping[str, str] = field(default_factory=dict)
+
+    def of_cold(self, pool: Pool) -> WarmupBound:
+        """Return what cold replicas of ``pool`` may be sent."""
+        return WarmupBound(pool.warmup_rate, pool.cold_seconds, self.cold_over, self.cold_slack)
+
+
+class CellReplicas:
+    """Bring what the directory and the configuration say of replicas to cell dispatchers."""
+
+    def __init__(
+        self,
+        cells: CellMap,
+        directory: UpstreamDirectory,
+        catalog: Callable[[], Catalog],
+        bounds: FleetBounds,
+        clock: Clock,
+    ) -> None:
+        self._cells = cells
+        self._directory = directory
+        self._catalog = catalog
+        self._bounds = bounds
+        self._clock = clock
+
+    def set_all(self, cell: Cell, dispatcher: CellDispatcher) -> None:
+        """Set all that is known of the replicas of ``cell``."""
+        pool = self._catalog().pool(cell.pool)
+        slots = pool.slots if pool else 0
+        names = self._cells.cells(cell.pool).get(cell, [])
+        found = {name: self._directory.get(name) for name in names}
+        known = {name: upstream for name, upstream in found.items() if upstream is not None}
+        leaving = [name for name in names if self._is_leaving(known.get(name))]
+        lives = {name: upstream.born for name, upstream in known.items()}
+        told = {name: upstream.slots for name, upstream in known.items()}
+        numbers = {name: told.get(name, 0) or slots for name in names}
+        dispatcher.set_replicas(numbers, leaving, lives)
+        regions = self._bounds.domain_regions
+        dispatcher.set_regions({n: regions.get(u.failure_domain, "") for n, u in known.items()})
+        self.set_cold(cell, dispatcher)
+
+    def _is_leaving(self, upstream: Upstream | None) -> bool:
+        return upstream is None or not self._directory.takes_work(upstream)
+
+    def set_cold(self, cell: Cell, dispatcher: CellDispatcher) -> None:
+        """Set which replicas are cold, and this node's part of what they may be sent."""
+        pool = self._catalog().pool(cell.pool)
+        if pool is None or not pool.warmup_rate:
+            return
+        bound = self._bounds.of_cold(pool)
+        dispatcher.set_bound(bound, self._bounds.share())
+        now = self._clock.monotonic()
+        for name in dispatcher.replicas:
+            seconds = self._directory.cold_seconds(name, bound.seconds)
+            if seconds > 0:
+                dispatcher.set_cold(name, seconds, now)
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -7,17 +7,16 @@
 import asyncio
 import math
 from collections import defaultdict
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Reason
-from railsail.dispatch.bookings import RANK_SCALE, RETURNED_FLAG, URGENT_FLAG, ticket_name, to_place
+from railsail.dispatch.bookings import ticket_name, to_place, to_ticket
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.loads import LoadReports
+from railsail.dispatch.replicas import CellReplicas
 from railsail.objects.catalog import Catalog
-from railsail.objects.kinds import Pool
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
@@ -40,8 +39,6 @@
 from railsail.scheduling.health import CallResult
 from railsail.scheduling.room import LoadReport
 from railsail.scheduling.tickets import Ticket, TicketKey
-from railsail.scheduling.warmup import WarmupBound
-from railsail.upstreams.directory import Upstream, UpstreamDirectory
 
 TICK_SECONDS = 0.25
 # While tickets wait, a cell is looked at so often at most, and so often even if nothing was heard,
@@ -55,41 +52,22 @@
 SHARES_TOLD = 5
 
 
-@dataclass(frozen=True)
-class ColdBounds:
-    """What the fleet may send to cold replicas, beyond what they bear.
-
-    All nodes together may send ``over`` times as many calls, and ``slack`` more, in any second;
-    ``share`` tells the part of the fleet that this node can reach, from 0 to 1.
-    """
-
-    over: float = 1.0
-    slack: float = 0.0
-    share: Callable[[], float] = lambda: 1.0
-
-    def of(self, pool: Pool) -> WarmupBound:
-        """Return the bound of the replicas of ``pool``."""
-        return WarmupBound(pool.warmup_rate, pool.cold_seconds, self.over, self.slack)
-
-
 class DispatcherService:
     """Hold the cell dispatchers of this node."""
 
     def __init__(
         self,
         cells: CellMap,
-        directory: UpstreamDirectory,
+        replicas: CellReplicas,
         catalog: Callable[[], Catalog],
         loads: LoadReports,
         hub: PeerHub,
         kernel: Kernel,
         use_prefixes: bool,
         fair_window: float,
-        cold: ColdBounds,
-        domain_regions: Mapping[str, str],
     ) -> None:
         self._cells = cells
-        self._directory = directory
+        self._replicas = replicas
         self._catalog = catalog
         self._hub = hub
         self._clock = kernel.clock
@@ -98,8 +76,6 @@
         self._rng = kernel.rng
         self._use_prefixes = use_prefixes
         self._fair_window = fair_window
-        self._cold = cold
-        self._domain_regions = domain_regions
         self._dispatchers: dict[Cell, CellDispatcher] = {}
         self._where: dict[TicketKey, Cell] = {}
         self._entry_starts: dict[str, int] = {}
@@ -118,7 +94,6 @@
         hub.handle(HandedOver, self._handed_over)
         hub.handle(Probe, lambda node, message: hub.send(node, ProbeReply()))
         hub.on_up(self._link_up)
-        directory.on_change(self.renew_replicas)
 
     def _link_up(self, peer: Identity) -> None:
         # A process that started anew counts its tickets from one again; what its past self had
@@ -147,7 +122,7 @@
     def renew_replicas(self) -> None:
         """Take in a change of the replicas, at once, so that a leaving one gets nothing more."""
         for cell, dispatcher in list(self._dispatchers.items()):
-            self._set_replicas(cell, dispatcher)
+            self._replicas.set_all(cell, dispatcher)
             self._pump(cell, dispatcher)
 
     def drop_entry(self, entry: str) -> None:
@@ -174,7 +149,7 @@
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock.monotonic()
             for cell, dispatcher in list(self._dispatchers.items()):
-                self._set_cold(dispatcher, self._catalog().pool(cell.pool))
+                self._replicas.set_cold(cell, dispatcher)
                 self._pump(cell, dispatcher)
                 self._loads.ask(cell, dispatcher)
                 self._tell_shares(cell, dispatcher, now)
@@ -205,7 +180,7 @@
                 self._weight, self._rng, self._use_prefixes, self._fair_window
             )
             self._dispatchers[cell] = dispatcher
-            self._set_replicas(cell, dispatcher)
+            self._replicas.set_all(cell, dispatcher)
             replicas = len(dispatcher.replicas)
             self._events.emit(Kind.TOOK_OVER, cell=str(cell), replicas=replicas)
             self._loads.ask(cell, dispatcher)
@@ -215,41 +190,6 @@
     def _weight(self, workspace: str) -> float:
         return self._catalog().class_of(workspace).weight
 
-    def _set_replicas(self, cell: Cell, dispatcher: CellDispatcher) -> None:
-        pool = self._catalog().pool(cell.pool)
-        slots = pool.slots if pool else 0
-        names = self._cells.cells(cell.pool).get(cell, [])
-        leaving = [name for name in names if self._is_leaving(name)]
-        found = {name: self._directory.get(name) for name in names}
-        lives = {name: upstream.born for name, upstream in found.items() if upstream}
-        dispatcher.set_replicas(
-            {name: self._slots(name) or slots for name in names}, leaving, lives
-        )
-        dispatcher.set_regions({name: self._region_of(u) for name, u in found.items() if u})
-        self._set_cold(dispatcher, pool)
-
-    def _region_of(self, upstream: Upstream) -> str:
-        return self._domain_regions.get(upstream.failure_domain, "")
-
-    def _set_cold(self, dispatcher: CellDispatcher, pool: Pool | None) -> None:
-        if pool is None or not pool.warmup_rate:
-            return
-        bound = self._cold.of(pool)
-        dispatcher.set_bound(bound, self._cold.share())
-        now = self._clock.monotonic()
-        for name in dispatcher.replicas:
-            seconds = self._directory.cold_seconds(name, bound.seconds)
-            if seconds > 0:
-                dispatcher.set_cold(name, seconds, now)
-
-    def _is_leaving(self, name: str) -> bool:
-        upstream = self._directory.get(name)
-        return upstream is None or not self._directory.takes_work(upstream)
-
-    def _slots(self, name: str) -> int:
-        upstream = self._directory.get(name)
-        return upstream.slots if upstream else 0
-
     def _place(self, node: str, message: Place) -> None:
         cell, dispatcher = self.dispatcher(message.pool, message.cell)
         self.offer(cell, dispatcher, node, message)
@@ -257,7 +197,7 @@
     def offer(self, cell: Cell, dispatcher: CellDispatcher, entry: str, message: Place) -> None:
         """Take in a ticket of ``entry`` for ``cell``."""
         now = self._clock.monotonic()
-        ticket = _to_ticket(entry, message, now)
+        ticket = to_ticket(entry, message, now)
         self._where[ticket.key] = cell
         if len(dispatcher.queue):
             self._carry_out(cell, dispatcher.put(ticket, now))
@@ -428,28 +368,5 @@
                 del self._where[key]
 
 
-def _to_ticket(entry: str, message: Place, now: float) -> Ticket:
-    return Ticket(
-        entry=entry,
-        number=message.number,
-        attempt=message.attempt,
-        workspace=message.workspace,
-        rank=message.rank / RANK_SCALE,
-        estimate=float(max(message.estimate, 1)),
-        enqueued_at=now - message.waited / 1000,
-        urgent=bool(message.flags & URGENT_FLAG),
-        prefix=message.prefix,
-        avoid=message.avoid,
-        prompt_tokens=message.prompt_tokens,
-        shared_tokens=message.shared_tokens,
-        objective=message.objective / 1000,
-        returned=bool(message.flags & RETURNED_FLAG),
-        patience=message.patience / 1000,
-        returns_within=message.returns_within / 1000,
-        regions=tuple(message.regions),
-        fingerprint=message.fingerprint,
-    )
-
-
 def _records(counters: dict[str, float]) -> list[CounterRecord]:
     return [CounterRecord(name, round(value)) for name, value in sorted(counters.items())]
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -26,7 +26,8 @@
 from railsail.dispatch.entry import TicketDesk
 from railsail.dispatch.exchange import CellExchange
 from railsail.dispatch.loads import LoadReports
-from railsail.dispatch.service import ColdBounds, DispatcherService
+from railsail.dispatch.replicas import CellReplicas, FleetBounds
+from railsail.dispatch.service import DispatcherService
 from railsail.dispatch.tree import ServiceTree
 from railsail.gateway.admission import Admission
 from railsail.gateway.answers import AnswerShelf
@@ -150,17 +151,22 @@
         )
         self.desk = TicketDesk(self.cells, self.hub, self.kernel)
         self.loads = LoadReports(self._catalog, self.directory, self.clock)
+        bounds = FleetBounds(
+            settings.cold_over,
+            settings.cold_slack,
+            self._reachable_share,
+            settings.domain_regions,
+        )
+        replicas = CellReplicas(self.cells, self.directory, self._catalog, bounds, self.clock)
         self.dispatchers = DispatcherService(
             self.cells,
-            self.directory,
+            replicas,
             self._catalog,
             self.loads,
             self.hub,
             self.kernel,
             settings.affinity == "prefix",
             settings.fair_window_seconds,
-            ColdBounds(settings.cold_over, settings.cold_slack, self._reachable_share),
-            settings.domain_regions,
         )
         self.tree: ServiceTree | None = None
         if settings.scheduling == "fleet":
@@ -233,6 +239,7 @@
         self.membership.describe_with(self._heartbeat)
         self.membership.watch_also(lambda: self.desk.dispatchers() | self.claims.batchers())
         self.membership.on_change(self._members_changed)
+        self.directory.on_change(self.dispatchers.renew_replicas)
         self.directory.on_change(self.desk.replan)
         self.carrier.on_change(self.gateway.callers.configured)
         self.carrier.on_change(self.judge.configured)
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -18,15 +18,13 @@
 
 from railsail.conf.values import parse_endpoint
 from railsail.core.events import EventLog, Kind
-from railsail.core.logs import get_logger
 from railsail.peers.messages import DomainRecord, UpstreamNews, UpstreamRecord
 from railsail.store.base import Listing, WatchEvent
 from railsail.store.watcher import as_event
 from railsail.upstreams.evacuations import Evacuation, Evacuations
+from railsail.upstreams.refused import RefusedRecords
 
 KIND = "upstream"
-# Names of refused records that are remembered, so that each is told of once.
-MOST_REFUSED = 1000
 
 
 class Listed(enum.IntEnum):
@@ -274,26 +272,6 @@
         )
 
 
-class RefusedRecords:
-    """Tell once of each record that is refused, until a good one of its name comes."""
-
-    def __init__(self) -> None:
-        self._told: dict[str, str] = {}
-
-    def refused(self, name: str, reason: str) -> None:
-        """Take note that a record was refused for ``reason``."""
-        if self._told.get(name) == reason:
-            return
-        if len(self._told) >= MOST_REFUSED:
-            self._told.clear()
-        self._told[name] = reason
-        get_logger().warning("upstream record refused", name=name, reason=reason)
-
-    def accepted(self, name: str) -> None:
-        """Take note that the record of ``name`` was good."""
-        self._told.pop(name, None)
-
-
 def _parse(event: WatchEvent, refused: RefusedRecords) -> Upstream | None:
     value = event.value or {}
     try:
--- a/tests/upstreams/test_directory.py
+++ b/tests/upstreams/test_directory.py
@@ -6,7 +6,7 @@
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog, Kind
 from railsail.store.base import Listing, StoredObject, WatchEvent
-from railsail.upstreams import directory as module
+from railsail.upstreams import refused as module
 from railsail.upstreams.directory import Listed, UpstreamDirectory
 
 SPEC = {"pool": "lm", "endpoint": "127.0.0.1:1", "failure_domain": "a", "state": "live", "slots": 4}
