tests: waited in the crowded-node tests for what they rely on: the other node's port, and limits of no load

Two premises were left to the machine's pace. A node hears of another's name before its port for requests that are handed on, and keeps its list of such nodes for half a second: called in between, it has nobody to hand on to (503 for all 20). And a loop that was late while the test's nodes started had let the other node's limit on requests fall from 64 to 16 before the lag was held, so that 4 of 20 were refused. The tests wait for the port now, and hold the limit as well.

--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -23,6 +23,7 @@
 from dataclasses import replace
 
 from railsail.gateway.admission import LEAST_CROWD
+from railsail.gateway.concurrency import FIRST_LIMIT
 from railsail.node import Node
 from tests.platform.base import LONGEST_SECONDS, PlatformTestCase, read_answer, request
 from tests.platform.standins import (
@@ -78,6 +79,7 @@
         await self.until(lambda: not idle.not_ready())
         self.hold_lag(full)
         self.hold_lag(idle)
+        await self.until(lambda: self.knows_port(full, idle))
         if not settings:
             full.front._relief._limit.limit = float(LEAST_CROWD)
         self.held = [
@@ -90,6 +92,13 @@
     def hold_lag(self, node: Node) -> None:
         """Keep the lag of the test's own loop from ``node``'s limits: it tells of the machine."""
         node.lag.take = lambda seconds: None
+        # What it told before this, while the node started, is forgotten too.
+        node.front._relief._limit.limit = FIRST_LIMIT
+
+    def knows_port(self, node: Node, other: Node) -> bool:
+        """Say whether ``node`` knows where ``other`` takes requests; it hears so after its name."""
+        member = node.membership.table.get(other.settings.node_id)
+        return member is not None and member.forward_port > 0
 
     async def asyncTearDown(self) -> None:
         for call in getattr(self, "held", ()):
@@ -190,6 +199,7 @@
         third = await self.add_node(seeds=f"127.0.0.1:{full.settings.peer_port}")
         await self.until(lambda: len(full.membership.table.usable()) == 3)
         self.hold_lag(third)
+        await self.until(lambda: self.knows_port(full, third))
         for server in idle._servers:
             server.stop()
         calls = [self.call(full, "/again/", Request_Id=f"r-{number}") for number in range(MORE)]
