routing, scheduling: named what a request asks of a pool, and looked at regions only where some are named

A deployment may allow cold replicas less than they bear (--cold-over below 1), which was refused as a setting. No behaviour changes otherwise.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -109,7 +109,7 @@
     Option("retry_window_seconds", Decimal(0.1, 3600), "Window of the repeats allowed.", "10"),
     Option(
         "cold_over",
-        Decimal(1, 1000),
+        Decimal(0, 1000),
         "Calls that a cold replica may get in a second, as a multiple of those that it bears.",
         "1",
     ),
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -168,23 +168,23 @@
 
     def _want(self, routed: Routed, patience: float) -> Want:
         prompt = routed.request.prompt
+        now = self._clock.monotonic()
         return Want(
-            routed.request.id,
-            routed.pool.name,
-            routed.workspace,
-            routed.verdict.rank,
-            estimate_cost(routed),
-            False,
-            prompt.affinity_key if routed.route.affinity else 0,
-            routed.avoid or self._reach.avoid(self._clock.monotonic()),
-            prompt.tokens if routed.pool.cost_unit is CostUnit.TOKENS else 0,
-            prompt.shared_tokens,
-            routed.route.objective,
-            False,
-            patience,
-            RETRY_SHARE * (routed.ends_at - self._clock.monotonic()),
-            routed.regions,
-            fingerprint(routed.request, routed.workspace),
+            request_id=routed.request.id,
+            pool=routed.pool.name,
+            workspace=routed.workspace,
+            rank=routed.verdict.rank,
+            estimate=estimate_cost(routed),
+            urgent=False,
+            prefix=prompt.affinity_key if routed.route.affinity else 0,
+            avoid=routed.avoid or self._reach.avoid(now),
+            prompt_tokens=prompt.tokens if routed.pool.cost_unit is CostUnit.TOKENS else 0,
+            shared_tokens=prompt.shared_tokens,
+            objective=routed.route.objective,
+            patience=patience,
+            returns_within=RETRY_SHARE * (routed.ends_at - now),
+            regions=routed.regions,
+            fingerprint=fingerprint(routed.request, routed.workspace),
         )
 
     async def _send_booked(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
--- a/railsail/scheduling/placing.py
+++ b/railsail/scheduling/placing.py
@@ -105,7 +105,9 @@
     def _candidates(
         self, ticket: Ticket, openings: Openings, now: float, standing: Standing
     ) -> list[ReplicaRoom]:
-        rooms = [room for room in openings.free if ticket.may_run_in(room.region)]
+        rooms = openings.free
+        if ticket.regions:
+            rooms = [room for room in rooms if ticket.may_run_in(room.region)]
         if standing is Standing.OVER:
             rooms = [room for room in rooms if room.room(now) > room.reserve()]
         share = _READ_SHARES.get(standing, 0.0)
@@ -155,10 +157,10 @@
         """Return the replica that should have the ticket's beginning."""
         able = [room for room in openings.serving if ticket.may_run_in(room.region)]
         serving = [room for room in able if room.name != ticket.avoid]
-        # A cold replica has no beginnings in memory, and bears too little to be waited for.
-        serving = [room for room in serving if not room.warmup.cold(now)] or serving
         if not serving:
             return None
+        # A cold replica has no beginnings in memory, and bears too little to be waited for.
+        serving = [room for room in serving if not room.warmup.cold(now)] or serving
         if ticket.avoid:
             return _preferred(ticket, serving)
         among = frozenset(room.name for room in serving)
