--- a/tests/gateway/test_concurrency.py
+++ b/tests/gateway/test_concurrency.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from railsail.core.looplag import STEP_SECONDS, LoopLag
 from railsail.gateway.concurrency import (
     FIRST_FORWARDED,
     FIRST_LIMIT,
@@ -58,6 +59,41 @@
         self.assertFalse(limit.full(15))
 
 
+class CrowdedDomainTests(unittest.TestCase):
+    """Most callers of a failure domain reach one node of half a core, which is never full."""
+
+    # Seconds of the node's time that an answer takes in each of its half seconds, and the longest
+    # turn of its loop.
+    SHARE_OF_ONE = 0.02
+    TURN = 0.002
+
+    def lag_of(self, held: int, backlog: float) -> float:
+        """Return the lag of a loop that holds so many requests, and has so much left to do."""
+        used = min(0.98, held * self.SHARE_OF_ONE)
+        return backlog + self.TURN * used / (1 - used)
+
+    def play(self, decide) -> float:
+        """Return the mean lag over ten seconds in which as many come as the node can just do."""
+        lag = LoopLag(lambda: 0.0)
+        limit = ConcurrencyLimit()
+        backlog = 0.0
+        lags = []
+        for _ in range(200):
+            held = min(52, round(limit.limit))
+            backlog = max(0.0, backlog + (held * self.SHARE_OF_ONE - 1.0) * STEP_SECONDS)
+            lag.take(self.lag_of(held, backlog))
+            limit.adjust(decide(lag), held)
+            lags.append(lag.seconds)
+        return sum(lags[20:]) / len(lags[20:])
+
+    def test_requests_are_handed_on_before_callers_feel_the_lag(self):
+        early = self.play(lambda lag: lag.busy)
+        late = self.play(lambda lag: lag.late)
+        # A request passes the loop about six times until its answer begins.
+        self.assertLess(6 * early, 0.25 / 4)
+        self.assertLess(early, 0.7 * late)
+
+
 class NodeLimitsTests(unittest.TestCase):
     def test_what_is_handed_on_is_given_up_last(self):
         limits = NodeLimits()
