membership, upstreams: made records of news without copying their fields deeply

Cause: a profile of 48 nodes with nothing to do but to tell each other of members: dataclasses.astuple, which copies each field deeply, took 1.7 of 7.6 s. A record of a member took 15.7 microseconds to make and 7.1 to read, now 0.4 to 0.7 and 4.9 (best of five runs of 20,000, one core, other work beside). The whole daemon's share was not told apart from what else ran on the machine (0.016 and 0.019 of a core a node). No behaviour changes.

--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -7,7 +7,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import astuple, replace
+from dataclasses import fields
+from operator import attrgetter
 
 import msgspec
 
@@ -255,11 +256,15 @@
     return mine and record.state >= MemberState.SUSPECT
 
 
+# Both have the same fields, in the same order. ``dataclasses.astuple`` would copy each one deeply:
+# 15.7 microseconds a record, with this 0.7 (best of five runs of 20,000, one core).
+_fields = attrgetter(*(field.name for field in fields(Member)))
+
+
 def _to_record(member: Member) -> MemberRecord:
-    # Both have the same fields, in the same order.
-    return MemberRecord(*astuple(member))
+    return MemberRecord(*_fields(member))
 
 
 def _from_record(record: MemberRecord) -> Member:
-    member = Member(*msgspec.structs.astuple(record))
-    return replace(member, state=MemberState(record.state))
+    node, start_id, sequence, state, *rest = msgspec.structs.astuple(record)
+    return Member(node, start_id, sequence, MemberState(state), *rest)
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -11,8 +11,9 @@
 import time
 import zlib
 from collections.abc import Callable
-from dataclasses import astuple, dataclass, replace
+from dataclasses import dataclass, fields, replace
 from functools import reduce
+from operator import attrgetter
 
 import msgspec
 
@@ -306,11 +307,14 @@
     return zlib.crc32(f"{evacuation.domain} {evacuation.version}".encode())
 
 
+# Both have the same fields, in the same order.
+_fields = attrgetter(*(field.name for field in fields(Upstream)))
+
+
 def _to_record(upstream: Upstream) -> UpstreamRecord:
-    # Both have the same fields, in the same order.
-    return UpstreamRecord(*astuple(upstream))
+    return UpstreamRecord(*_fields(upstream))
 
 
 def _from_record(record: UpstreamRecord) -> Upstream:
-    upstream = Upstream(*msgspec.structs.astuple(record))
-    return replace(upstream, listed=Listed(record.listed))
+    name, pool, endpoint, domain, version, listed, *rest = msgspec.structs.astuple(record)
+    return Upstream(name, pool, endpoint, domain, version, Listed(listed), *rest)
