--- a/railsail/platform/salvage.py
+++ b/railsail/platform/salvage.py
@@ -16,6 +16,8 @@
 _AT = re.compile(r'"at"\s*:\s*(\d+)')
 _MORE = re.compile(r'"more"\s*:\s*true')
 _GONE = re.compile(r'"gone"\s*:\s*true')
+# More characters than a change has before its object.
+_CHANGE_HEAD = 60
 _DECODER = json.JSONDecoder()
 
 
@@ -39,8 +41,9 @@
         if item is None:
             continue
         items.append(item)
-        around = text[max(0, begin - 60) : begin].rpartition("}")[2]
-        events.append({"object": item, "gone": bool(_GONE.search(around))})
+        # A change says whether its object is gone just before it, and after the one before that.
+        before = text[max(0, begin - _CHANGE_HEAD) : begin].rpartition("}")[2]
+        events.append({"object": item, "gone": _GONE.search(before) is not None})
     more = _MORE.search(tail) is not None
     return json.dumps({"items": items, "events": events, "at": at, "more": more}).encode()
 
