scheduling, routing: made the fingerprint of a request in one place

Found by reading the change again: the entry and a full node each built what a request has in common with its repeats, by the same sum over nearly the same words. Both call scheduling.returning.fingerprint now.

--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -1,7 +1,6 @@
 """Bring one routed request to replicas, and the answer back, in as many attempts as are safe."""
 
 import asyncio
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -20,6 +19,7 @@
 from railsail.routing.reach import ReplicaReach
 from railsail.routing.running import RunningCalls
 from railsail.scheduling.health import CallResult
+from railsail.scheduling.returning import fingerprint
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.sse import BadStream
@@ -184,7 +184,7 @@
             patience=patience,
             returns_within=RETRY_SHARE * (routed.ends_at - now),
             regions=routed.regions,
-            fingerprint=fingerprint(routed.request, routed.workspace),
+            fingerprint=_fingerprint(routed),
         )
 
     async def _send_booked(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
@@ -318,11 +318,11 @@
         return Completed(answer.answered.status, 0.0)
 
 
-def fingerprint(request: RoutedRequest, workspace: str) -> int:
-    """Return what a request has in common with its repeats, which bear other ids."""
+def _fingerprint(routed: Routed) -> int:
+    request = routed.request
     parts = " ".join(f"{part.digest}:{part.tokens}" for part in request.prompt.parts)
-    head = f"{workspace} {request.method} {request.host} {request.target} {parts} "
-    return zlib.crc32(request.body, zlib.crc32(head.encode()))
+    head = (routed.workspace, request.method, request.host, request.target, parts)
+    return fingerprint(head, request.body)
 
 
 def estimate_cost(routed: Routed) -> float:
--- a/railsail/routing/relief.py
+++ b/railsail/routing/relief.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -23,7 +22,7 @@
 from railsail.routing.messages import Arrival, Origin
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.refusals import MOST_RETRY_SECONDS, Refusals
-from railsail.scheduling.returning import RefusedCallers
+from railsail.scheduling.returning import RefusedCallers, fingerprint
 
 
 @dataclass(frozen=True)
@@ -113,11 +112,11 @@
     def _came_back(self, case: _Case) -> bool:
         """Say whether this node refused the request before, and remember that it does now."""
         arrival, origin = case.arrival, case.origin
-        head = f"{case.workspace} {arrival.line.method} {origin.host} {arrival.line.path} "
-        fingerprint = zlib.crc32(arrival.body, zlib.crc32(head.encode()))
+        head = (case.workspace, arrival.line.method, origin.host, arrival.line.path)
+        known_by = fingerprint(head, arrival.body)
         now = self._clock.monotonic()
-        came_back = self._refused.comes_back(fingerprint, now)
-        self._refused.refused(fingerprint, MOST_RETRY_SECONDS, now)
+        came_back = self._refused.comes_back(known_by, now)
+        self._refused.refused(known_by, MOST_RETRY_SECONDS, now)
         return came_back
 
     async def _refuse(self, case: _Case) -> None:
--- a/railsail/scheduling/returning.py
+++ b/railsail/scheduling/returning.py
@@ -11,7 +11,9 @@
 fingerprint; and it comes when it was told to, so that it is remembered until shortly after.
 """
 
+import zlib
 from collections import Counter, deque
+from collections.abc import Iterable
 
 # A caller that was told when to come back takes so many seconds more: for a connection of its own,
 # and for the way to the dispatcher.
@@ -24,6 +26,15 @@
 RETURN_WAIT_OBJECTIVES = 2.0
 
 
+def fingerprint(head: Iterable[str], body: bytes) -> int:
+    """Return what a request has in common with its repeats, which bear other ids.
+
+    ``head`` are its workspace, method, host and path, and the parts of its prompt.
+    """
+    words = "".join(f"{word} " for word in head)
+    return zlib.crc32(body, zlib.crc32(words.encode()))
+
+
 class RefusedCallers:
     """Remember refusals by fingerprint; times are in seconds of the dispatcher's clock."""
 
