core, routing, gateway: told in the log which arrivals are one request

Cause: logs name arrivals by ids that differ with each one, so that they cannot tell a request that ends each replica from replicas that end by themselves.

--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from railsail.core.events import Kind
+from railsail.core.fingerprints import fingerprint_name, request_fingerprint
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason
 from railsail.gateway.admission import Admission
@@ -90,8 +91,17 @@
         ends_at = now + (request.deadline or LONGEST_CALL_SECONDS)
         word = "once" if verdict.never_repeat else "repeatable"
         detail = f"{pool.name} rank {verdict.rank:g} may wait {verdict.may_wait:g} s, {word}"
-        self._events.emit(Kind.RECEIVED, detail, request_id, workspace)
-        return Served(request_id, workspace, request, pool, verdict, sink, ends_at)
+        known_by = request_fingerprint((workspace, request.method, request.path), request.body)
+        self._events.emit(
+            Kind.RECEIVED,
+            detail,
+            request_id,
+            workspace,
+            fingerprint=fingerprint_name(known_by),
+        )
+        return Served(
+            request_id, workspace, request, pool, verdict, sink, ends_at, fingerprint=known_by
+        )
 
     async def _run(self, served: Served) -> Result:
         if not (served.verdict.never_repeat and served.request.key):
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -33,7 +33,8 @@
     """One request on its way through this node.
 
     ``ends_at`` is in seconds of the monotonic clock. ``avoid`` names the replica that did not run
-    it at the last try. ``sent`` says that it may have run.
+    it at the last try. ``sent`` says that it may have run. Its repeats have the same
+    ``fingerprint``.
     """
 
     id: str
@@ -45,6 +46,7 @@
     ends_at: float
     avoid: str = ""
     sent: bool = False
+    fingerprint: int = 0
 
 
 class Tries:
@@ -114,6 +116,7 @@
             served.verdict.may_wait == 0,
             served.request.prefix,
             served.avoid,
+            fingerprint=served.fingerprint,
         )
 
     def _wait_seconds(self, served: Served) -> float:
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from railsail.core.events import Kind
+from railsail.core.fingerprints import fingerprint_name, request_fingerprint
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import NotRun, Outcome, Reason
 from railsail.gateway.admission import Admission
@@ -161,6 +162,8 @@
         verdict = self._verdict(request, route, pool, workspace)
         longest = min(request.deadline or route.timeout, route.timeout)
         may_wait = verdict.may_wait
+        head = (workspace, request.method, request.host, request.target)
+        known_by = request_fingerprint(head, request.body)
         self._events.emit(
             Kind.RECEIVED,
             request=request.id,
@@ -172,6 +175,7 @@
             may_wait_ms=round(may_wait * 1000),
             objective_ms=round(route.objective * 1000),
             rank=verdict.rank,
+            fingerprint=fingerprint_name(known_by),
         )
         return Routed(
             request,
@@ -185,6 +189,7 @@
             StreamState(client, request.last_event),
             received_at=received_at,
             regions=self._regions(route, workspace),
+            fingerprint=known_by,
         )
 
     def _regions(self, route: Route, workspace: str) -> tuple[str, ...]:
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -19,7 +19,6 @@
 from railsail.routing.reach import ReplicaReach
 from railsail.routing.running import RunningCalls
 from railsail.scheduling.health import CallResult
-from railsail.scheduling.returning import fingerprint
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.sse import BadStream
@@ -49,7 +48,7 @@
     have run it. ``replica`` was sent it last. ``waited`` are the seconds that it waited for places,
     ``first_after`` those from its arrival to the first byte of an answer, 0 if there is none;
     ``given_up`` says why no further attempt was made. It runs in one of ``regions``,
-    in any where none are named.
+    in any where none are named. Its repeats have the same ``fingerprint``.
     """
 
     request: RoutedRequest
@@ -70,6 +69,7 @@
     first_after: float = 0.0
     given_up: str = ""
     regions: tuple[str, ...] = ()
+    fingerprint: int = 0
 
     @property
     def may_repeat(self) -> bool:
@@ -184,7 +184,7 @@
             patience=patience,
             returns_within=RETRY_SHARE * (routed.ends_at - now),
             regions=routed.regions,
-            fingerprint=_fingerprint(routed),
+            fingerprint=routed.fingerprint,
         )
 
     async def _send_booked(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
@@ -318,13 +318,6 @@
         return Completed(answer.answered.status, 0.0)
 
 
-def _fingerprint(routed: Routed) -> int:
-    request = routed.request
-    parts = " ".join(f"{part.digest}:{part.tokens}" for part in request.prompt.parts)
-    head = (routed.workspace, request.method, request.host, request.target, parts)
-    return fingerprint(head, request.body)
-
-
 def estimate_cost(routed: Routed) -> float:
     """Return the expected cost of a request in the unit of its pool."""
     if routed.pool.cost_unit is not CostUnit.TOKENS:
--- a/railsail/routing/relief.py
+++ b/railsail/routing/relief.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from railsail.core.fingerprints import request_fingerprint
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import NotRun, Reason, Unknown
 from railsail.gateway.admission import Admission
@@ -22,7 +23,7 @@
 from railsail.routing.messages import Arrival, Origin
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.refusals import MOST_RETRY_SECONDS, Refusals
-from railsail.scheduling.returning import RefusedCallers, fingerprint
+from railsail.scheduling.returning import RefusedCallers
 
 
 @dataclass(frozen=True)
@@ -113,7 +114,7 @@
         """Say whether this node refused the request before, and remember that it does now."""
         arrival, origin = case.arrival, case.origin
         head = (case.workspace, arrival.line.method, origin.host, arrival.line.path)
-        known_by = fingerprint(head, arrival.body)
+        known_by = request_fingerprint(head, arrival.body)
         now = self._clock.monotonic()
         came_back = self._refused.comes_back(known_by, now)
         self._refused.refused(known_by, MOST_RETRY_SECONDS, now)
--- a/railsail/scheduling/returning.py
+++ b/railsail/scheduling/returning.py
@@ -7,13 +7,11 @@
 differ from the first try on, nine of ten first tries were taken for returns, all of them were let
 wait, and 99 in 100 refusals came 0.6 s late (one played flood of 62 nodes).
 
-A repeat has its first try's workspace, host, path, body and prompt, of which the entry makes a
-fingerprint; and it comes when it was told to, so that it is remembered until shortly after.
+A repeat has the fingerprint of its first try; and it comes when it was told to, so that it is
+remembered until shortly after.
 """
 
-import zlib
 from collections import Counter, deque
-from collections.abc import Iterable
 
 # A caller that was told when to come back takes so many seconds more: for a connection of its own,
 # and for the way to the dispatcher.
@@ -26,15 +24,6 @@
 RETURN_WAIT_OBJECTIVES = 2.0
 
 
-def fingerprint(head: Iterable[str], body: bytes) -> int:
-    """Return what a request has in common with its repeats, which bear other ids.
-
-    ``head`` are its workspace, method, host and path, and the parts of its prompt.
-    """
-    words = "".join(f"{word} " for word in head)
-    return zlib.crc32(body, zlib.crc32(words.encode()))
-
-
 class RefusedCallers:
     """Remember refusals by fingerprint; times are in seconds of the dispatcher's clock."""
 
