--- a/railsail/standins/batching.py
+++ b/railsail/standins/batching.py
@@ -5,6 +5,7 @@
 import json
 import time
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 RESUME_SECONDS = 5.0
@@ -73,6 +74,9 @@
         self.runs: dict[str, Run] = {}
         self.log: list[Run] = []
         self.refused = 0
+        # When it crashed, in seconds since the Unix epoch.
+        self.crashed_at = 0.0
+        self.on_crash: Callable[[], None] = lambda: None
         self._queue: list[tuple[int, int, Run]] = []
         self._sequence = 0
         self._running = 0
@@ -89,6 +93,11 @@
         heapq.heappush(self._queue, (run.priority, self._sequence, run))
         self._start_next()
 
+    def crash(self) -> None:
+        """End as a killed process does: the port is dead, and so are all connections."""
+        self.crashed_at = time.time()
+        self.on_crash()
+
     def _use_prefix(self, prefix: int) -> bool:
         if not prefix or not self.settings.cached_prefixes:
             return False
--- a/railsail/standins/engine.py
+++ b/railsail/standins/engine.py
@@ -1,7 +1,8 @@
 """A stand-in of a model engine: it batches continuously, honours priorities, resumes and cancels.
 
-A request's output length is in ``metadata.output_tokens``, which the router does not look at. The
-log of all runs is at ``GET /standin/log``; ``PUT /standin/faults`` sets ``Faults``.
+A request's output length is in ``metadata.output_tokens``, which the router does not look at; one
+with ``metadata.crash`` ends the engine. The log of all runs is at ``GET /standin/log``; ``PUT
+/standin/faults`` sets ``Faults``.
 """
 
 import json
@@ -13,6 +14,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import HTTPError, RequestHandler
 
+from railsail.core.tasks import TaskSet
 from railsail.standins.batching import Engine, EngineSettings, Faults, Run
 from railsail.standins.listening import listen
 
@@ -87,6 +89,10 @@
         if self.engine.faults.fail:
             raise HTTPError(500)
         body = json.loads(self.request.body)
+        if body.get("metadata", {}).get("crash"):
+            self.request.connection.stream.close()
+            self.engine.crash()
+            return
         run, prefix = self._new_run(body)
         self.engine.submit(run, prefix)
         if body.get("stream"):
@@ -172,4 +178,12 @@
         (r"/standin/log", _Log),
         (r"/standin/faults", _Faults),
     ]
-    return engine, listen(routes, {"engine": engine}, ip, port)
+    server = listen(routes, {"engine": engine}, ip, port)
+    ending = TaskSet()
+
+    def end() -> None:
+        server.stop()
+        ending.start(server.close_all_connections())
+
+    engine.on_crash = end
+    return engine, server
--- a/tests/platform/base.py
+++ b/tests/platform/base.py
@@ -113,7 +113,7 @@
             "plugins": "railsail.platform",
             "caller-interface": "prepared",
             "leave-seconds": "0",
-            **more,
+            **{name.replace("_", "-"): value for name, value in more.items()},
         }
         settings = parse([f"--{name}={value}" for name, value in values.items()], {}).settings
         node = Node(settings, rng=random.Random(7))
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -58,11 +58,34 @@
     def initialize(self, store: PlatformStoreStandin) -> None:
         self.store = store
 
-    async def get(self) -> None:
-        self.store.calls.append(self.request.uri)
+    def check_xsrf_cookie(self) -> None:
+        pass
+
+    def prepare(self) -> None:
+        self.store.calls.append(f"{self.request.method} {self.request.uri}")
         if self.store.down:
             self.set_status(503)
+            self.finish()
+
+    def post(self) -> None:
+        item = json.loads(self.request.body)
+        self._write(self.request.path.split("/")[2], item["metadata"]["name"], 0, item["spec"])
+
+    def put(self) -> None:
+        kind, name = self.request.path.split("/")[2:]
+        item = json.loads(self.request.body)
+        self._write(kind, name, item["metadata"]["revision"], item["spec"])
+
+    def _write(self, kind: str, name: str, expected: int, spec: object) -> None:
+        held = self.store.objects.get((kind, name))
+        if (held["metadata"]["revision"] if held else 0) != expected:
+            self.set_status(409)
+            self.finish(json.dumps(held))
             return
+        self.store.put(kind, name, spec)
+        self.finish(json.dumps(self.store.objects[(kind, name)]))
+
+    async def get(self) -> None:
         parts = self.request.path.split("/")[2:]
         if len(parts) == 2:
             item = self.store.objects.get((parts[0], parts[1]))
@@ -111,6 +134,7 @@
     line: str
     headers: dict[str, str]
     body: bytes
+    at: float = 0.0
 
 
 Script = Callable[["ReplicaStandin", Received, asyncio.StreamWriter], Awaitable[None]]
@@ -125,18 +149,22 @@
     received: list[Received] = field(default_factory=list)
     left: int = 0
     port: int = 0
+    # Told when the replica crashes.
+    crashed: Callable[["ReplicaStandin"], None] | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             line, *rest = head.strip().split("\r\n")
             headers = dict(item.split(": ", 1) for item in rest)
             body = await reader.readexactly(int(headers.get("Content-Length", "0")))
-            request = Received(line, headers, body)
+            request = Received(line, headers, body, asyncio.get_running_loop().time())
             self.received.append(request)
             running = asyncio.ensure_future(self.script(self, request, writer))
             gone = asyncio.ensure_future(reader.read(1))
@@ -148,11 +176,20 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     def stop(self) -> None:
         self._server.close()
 
+    def crash(self) -> None:
+        """End as a killed process does: all connections are reset, and the port is dead."""
+        self.stop()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        if self.crashed is not None:
+            self.crashed(self)
+
 
 def head(request: Received, status: str = "200 OK", **headers: str) -> bytes:
     """Return the head of an answer to ``request``; headers are named with underscores."""
@@ -192,6 +229,19 @@
     return script
 
 
+def ending_under(body: bytes, otherwise: Script, seconds: float = 0.02) -> Script:
+    """Crash ``seconds`` after a request with ``body`` begins to run; serve others as told."""
+
+    async def script(replica: ReplicaStandin, request: Received, writer) -> None:
+        if request.body != body:
+            await otherwise(replica, request, writer)
+            return
+        await asyncio.sleep(seconds)
+        replica.crash()
+
+    return script
+
+
 def hanging() -> Script:
     """Take the request, and say nothing."""
 
