core, membership: counted the time of a suspension, and no peer's silence during a pause of one's own

Cause: the steady clock of the system stands still while a machine is suspended, so that a daemon believed for seconds too long what it had heard, and whatever deadlines it held. Clock and the timers of the daemon's loop use the clock that counts it, in one place. The counterpart: a process that stood still heard nobody meanwhile, and suspected all its neighbours aloud, as it had done after a freeze before. Each pause of a second or more is told: suspicion and silence count from its end, and two neighbours are asked what was missed.

--- a/railsail/core/clock.py
+++ b/railsail/core/clock.py
@@ -1,17 +1,35 @@
 """Clocks that every part takes as an argument, so that tests and golden files are exact."""
 
+import asyncio
 import time
 from datetime import UTC, datetime
 
 _COUNTER_BITS = 16
+# The usual steady clock stands still while a machine is suspended, so that whatever is counted by
+# it is believed for too long: that peers live, that a deadline has not passed. Where the system has
+# no such clock, machines are taken not to be suspended.
+_STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
+def steady_seconds() -> float:
+    """Return seconds from an arbitrary start, those of a suspension included; never goes back."""
+    return time.clock_gettime(_STEADY_CLOCK)
+
+
+class SteadyEventLoop(asyncio.SelectorEventLoop):
+    """An event loop whose timers count the time of a suspension too."""
+
+    def time(self) -> float:
+        """Return the time of the loop's timers, in seconds."""
+        return steady_seconds()
 
 
 class Clock:
     """Tell the time of this machine."""
 
     def monotonic(self) -> float:
-        """Return seconds from an arbitrary start; never goes back."""
-        return time.monotonic()
+        """Return seconds from an arbitrary start, those of a suspension included."""
+        return steady_seconds()
 
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
--- a/railsail/core/kernel.py
+++ b/railsail/core/kernel.py
@@ -1,18 +1,20 @@
 """What every part of a daemon shares."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog
 from railsail.core.metrics import Metrics
+from railsail.core.pauses import Pauses
 
 
 @dataclass(frozen=True)
 class Kernel:
-    """The clock, the seeded generator, the time line and the metrics of one daemon."""
+    """The clock, the seeded generator, the time line, the metrics and the pauses of one daemon."""
 
     clock: Clock
     rng: random.Random
     events: EventLog
     metrics: Metrics
+    pauses: Pauses = field(default_factory=Pauses)
--- a/railsail/core/logs.py
+++ b/railsail/core/logs.py
@@ -11,7 +11,6 @@
 import os
 import select
 import sys
-import time
 from collections.abc import Callable, MutableMapping
 from dataclasses import dataclass
 from typing import TextIO
@@ -19,6 +18,8 @@
 import msgspec
 import structlog
 
+from railsail.core.clock import steady_seconds
+
 DEFAULT_LINES_PER_SECOND = 200
 # A pipe that can be written to takes this much at once (POSIX, PIPE_BUF on Linux).
 MOST_LINE_BYTES = 4096
@@ -97,7 +98,7 @@
     """The step of structlog that leaves lines out; lines with ``ordinary`` go first."""
 
     def __init__(
-        self, per_second: float, left_out: LeftOut, clock: Callable[[], float] = time.monotonic
+        self, per_second: float, left_out: LeftOut, clock: Callable[[], float] = steady_seconds
     ) -> None:
         self._budget = LineBudget(per_second, clock())
         self._left_out = left_out
--- a/railsail/core/looplag.py
+++ b/railsail/core/looplag.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from statistics import median
 
+from railsail.core.pauses import PAUSE_SECONDS, Pauses
+
 # Seconds between samples: short beside the objectives of requests, and 0.1% of a core.
 STEP_SECONDS = 0.05
 # The median of so many samples counts, so that one long turn of the loop is no overload.
@@ -24,10 +26,11 @@
 
 
 class LoopLag:
-    """Follow the lag of the loop; ``clock`` tells seconds."""
+    """Follow the lag of the loop; ``clock`` tells seconds, ``pauses`` is told of long ones."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], pauses: Pauses | None = None) -> None:
         self._clock = clock
+        self._pauses = pauses or Pauses()
         self._samples: deque[float] = deque([0.0] * SAMPLES, maxlen=SAMPLES)
         self._late_since = math.inf
         self._listeners: list[Callable[[], None]] = []
@@ -57,6 +60,8 @@
 
     def take(self, seconds: float) -> None:
         """Take in that a timer came ``seconds`` late."""
+        if seconds >= PAUSE_SECONDS:
+            self._pauses.ended(seconds, self._clock())
         self._samples.append(max(0.0, seconds))
         if not self.late:
             self._late_since = math.inf
--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -35,6 +35,8 @@
 SEEDS_AT_ONCE = 3
 # Neighbours whose sums differ for this many heartbeats exchange all they have.
 DIFFERENCES_TO_ASK = 3
+# After a pause a node asks so many neighbours what it has missed; one of them may be gone.
+NEIGHBOURS_TO_ASK = 2
 
 
 class Membership:
@@ -63,6 +65,7 @@
         self._doubted_until = 0.0
         hub.handle(MemberNews, self._received)
         hub.on_up(self._link_up)
+        kernel.pauses.on_end(self._resumed)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the table."""
@@ -167,6 +170,19 @@
         for node in set(self._watched_since) - watched:
             del self._watched_since[node]
 
+    def _resumed(self, paused_seconds: float) -> None:
+        """Begin anew after a pause of this process: nobody was silent, and much may have changed.
+
+        A node that took its own pause for the others' would suspect all of them aloud.
+        """
+        now = self._clock.monotonic()
+        for node in self._watched_since:
+            self._watched_since[node] = now
+        self.table.resumed(now)
+        request = StateRequest(self._heartbeat().configuration)
+        for node in self._neighbours[:NEIGHBOURS_TO_ASK]:
+            self._hub.send(node, request)
+
     def _ask_dispatchers(self, now: float, heartbeat: Heartbeat) -> None:
         # A link on which answers come needs no heartbeat of its own.
         for node in set(self._watched_since) - set(self._neighbours):
--- a/railsail/membership/table.py
+++ b/railsail/membership/table.py
@@ -109,6 +109,11 @@
             return None
         return self.merge(replace(known, state=MemberState.SUSPECT), now)
 
+    def resumed(self, now: float) -> None:
+        """Count all suspicions from ``now``: a refutation may have come while nobody listened."""
+        for node in self._suspected_at:
+            self._suspected_at[node] = now
+
     def expire(self, now: float, patience: float) -> list[Member]:
         """Declare dead whoever was suspect for ``patience`` seconds; return the new beliefs."""
         news = []
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -98,7 +98,8 @@
         self.metrics = Metrics()
         self.events = EventLog(settings.node_id, self.clock)
         self.kernel = Kernel(self.clock, self.rng, self.events, self.metrics)
-        self.lag = LoopLag(self.clock.monotonic)
+        self.lag = LoopLag(self.clock.monotonic, self.kernel.pauses)
+        self.kernel.pauses.on_end(self._paused)
         self._draining = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._servers: list[HTTPServer] = []
@@ -361,6 +362,9 @@
         if self.carrier.catalog.version > request.configuration:
             self.hub.send(node, self.carrier.news_since(request.configuration))
 
+    def _paused(self, seconds: float) -> None:
+        self.events.emit(Kind.STATE, "the process stood still", paused_ms=round(seconds * 1000))
+
     def _state_changed(self, state: State) -> None:
         self.events.emit(Kind.STATE, state=state)
 
--- a/railsail/process.py
+++ b/railsail/process.py
@@ -8,6 +8,7 @@
 
 import railsail
 from railsail.conf.settings import Settings, parse
+from railsail.core.clock import SteadyEventLoop
 from railsail.core.decisions import DecisionLog
 from railsail.core.exceptions import ImproperlyConfigured
 from railsail.core.logs import LeftOut, configure_logs, get_logger
@@ -30,7 +31,8 @@
         sys.exit(EXIT_OK)
     settings = parsed.settings
     left_out = configure_logs(settings.log_level, settings.node_id, settings.log_lines_per_second)
-    sys.exit(asyncio.run(_run(settings, left_out)))
+    with asyncio.Runner(loop_factory=SteadyEventLoop) as runner:
+        sys.exit(runner.run(_run(settings, left_out)))
 
 
 async def _run(settings: Settings, left_out: LeftOut) -> int:
--- a/railsail/quarantine/observer.py
+++ b/railsail/quarantine/observer.py
@@ -17,12 +17,14 @@
 from railsail.quarantine.table import ReplicaEnd
 from railsail.upstreams.directory import Upstream, UpstreamDirectory
 
-# A port that nobody listens at refuses within a round trip; one that is not heard of in this time
-# is out of reach.
-CONNECT_SECONDS = 0.25
-# A process that is being killed may accept for a moment after it has closed its connections; a
+# A port that nobody listens at refuses within a round trip, which takes 40 ms between the regions of
+# one fleet. Repeats of the request wait for the first look, so that it must not take longer.
+FIRST_LOOK_SECONDS = 0.05
+# A process that is being killed may accept for a moment after it has closed its connections, and
+# answers may be lost: so long after the first look are two more, each of so many seconds at most. A
 # replica takes a second or more to come back.
-PAUSES_SECONDS = (0.0, 0.1, 0.3)
+LATER_LOOKS_AFTER_SECONDS = (0.1, 0.3)
+LATER_LOOK_SECONDS = 0.25
 # Calls that broke off so long before belong to the same end: their callers notice within this time.
 NOTED_SECONDS = 1.0
 
@@ -48,6 +50,8 @@
         # When each request broke off or was given up, by replica.
         self._noted: dict[str, dict[int, float]] = {}
         self._checked: set[str] = set()
+        # Replicas that are looked at for the first time since they broke off a call.
+        self._first_looks: set[str] = set()
         directory.on_rebirth(self._reborn)
 
     def stop(self) -> None:
@@ -55,8 +59,8 @@
         self._tasks.cancel()
 
     def checks(self, request: int) -> bool:
-        """Say whether it is being found out if a replica has ended under ``request``."""
-        return any(request in self._noted.get(replica, ()) for replica in self._checked)
+        """Say whether it will be known in a moment if a replica has ended under ``request``."""
+        return any(request in self._noted.get(replica, ()) for replica in self._first_looks)
 
     def broke_off(self, replica: str, request: int) -> None:
         """Take note that ``replica`` broke off its answer to ``request``."""
@@ -64,6 +68,7 @@
         upstream = self._directory.get(replica)
         if upstream is not None and replica not in self._checked:
             self._checked.add(replica)
+            self._first_looks.add(replica)
             self._tasks.start(self._check(upstream))
 
     def given_up(self, replica: str, request: int) -> None:
@@ -79,14 +84,22 @@
 
     async def _check(self, upstream: Upstream) -> None:
         try:
-            for pause in PAUSES_SECONDS:
-                await asyncio.sleep(pause)
-                if await refuses_connections(upstream.endpoint):
-                    self._ended(upstream)
-                    return
+            if await self._has_ended(upstream):
+                self._ended(upstream)
         finally:
+            self._first_looks.discard(upstream.name)
             self._checked.discard(upstream.name)
 
+    async def _has_ended(self, upstream: Upstream) -> bool:
+        if await refuses_connections(upstream.endpoint, FIRST_LOOK_SECONDS):
+            return True
+        self._first_looks.discard(upstream.name)
+        for pause in LATER_LOOKS_AFTER_SECONDS:
+            await asyncio.sleep(pause)
+            if await refuses_connections(upstream.endpoint, LATER_LOOK_SECONDS):
+                return True
+        return False
+
     def _reborn(self, before: Upstream) -> None:
         self._ended(before)
 
@@ -101,11 +114,11 @@
             self._quarantine.ended(end)
 
 
-async def refuses_connections(endpoint: str) -> bool:
-    """Say whether nobody listens at ``endpoint``, though its host answers."""
+async def refuses_connections(endpoint: str, seconds: float) -> bool:
+    """Say whether nobody listens at ``endpoint``, as its host answers within ``seconds``."""
     target = parse_endpoint(endpoint)
     try:
-        stream = await open_stream(target.ip, target.port, CONNECT_SECONDS)
+        stream = await open_stream(target.ip, target.port, seconds)
     except CannotConnect as problem:
         return problem.refused
     stream.close()
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -99,6 +99,7 @@
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
+        self._pauses = kernel.pauses
         self._started_at = kernel.clock.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
         self._reach = ReplicaReach()
@@ -282,7 +283,9 @@
         loop = asyncio.get_running_loop()
         try:
             while not task.done():
-                quiet_until = answer.progressed_at + _patience(routed)
+                # While this process stood still it could not hear the replica.
+                heard_at = max(answer.progressed_at, self._pauses.ended_at)
+                quiet_until = heard_at + _patience(routed)
                 if loop.time() >= quiet_until:
                     raise CutOff("the replica fell silent")
                 await asyncio.wait([task], timeout=quiet_until - loop.time())
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -8,7 +8,6 @@
 
 import enum
 import operator
-import time
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, fields, replace
@@ -18,6 +17,7 @@
 import msgspec
 
 from railsail.conf.values import parse_endpoint
+from railsail.core.clock import steady_seconds
 from railsail.core.events import EventLog, Kind
 from railsail.peers.messages import DomainRecord, UpstreamNews, UpstreamRecord
 from railsail.store.base import Listing, WatchEvent
@@ -77,7 +77,7 @@
         self,
         flood: Callable[[UpstreamNews, str], None],
         events: EventLog,
-        monotonic: Callable[[], float] = time.monotonic,
+        monotonic: Callable[[], float] = steady_seconds,
     ) -> None:
         self._flood = flood
         self._events = events
--- a/railsail/upstreams/service.py
+++ b/railsail/upstreams/service.py
@@ -1,9 +1,8 @@
 """Plain services: any method, an answer of known length, no streams to resume."""
 
-import time
-
 from tornado.httputil import HTTPHeaders
 
+from railsail.core.clock import steady_seconds
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from railsail.objects.kinds import CostUnit
 from railsail.upstreams.base import UPSTREAM_KINDS, AnswerSink, UpstreamCall, UpstreamKind
@@ -62,7 +61,7 @@
 
     async def run(self, call: UpstreamCall, sink: AnswerSink) -> Outcome:
         """Make the call once; an answer of 500 or above leaves open whether it ran."""
-        started = time.monotonic()
+        started = steady_seconds()
         answer = _Answer(call, sink)
         headers = {
             **call.headers,
@@ -87,5 +86,5 @@
 
     def _cost(self, call: UpstreamCall, started: float) -> float:
         if call.cost_unit is CostUnit.MILLISECONDS:
-            return max(1.0, (time.monotonic() - started) * 1000)
+            return max(1.0, (steady_seconds() - started) * 1000)
         return 1.0
--- /dev/null
+++ b/tests/core/test_pauses.py
@@ -0,0 +1,27 @@
+import unittest
+
+from railsail.core.looplag import SAMPLES, LoopLag
+from railsail.core.pauses import PAUSE_SECONDS, Pauses
+
+
+class PauseTests(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.told: list[float] = []
+        self.pauses = Pauses()
+        self.pauses.on_end(self.told.append)
+        self.lag = LoopLag(lambda: self.now, self.pauses)
+
+    def test_long_sample_is_a_pause(self):
+        self.lag.take(PAUSE_SECONDS + 3.0)
+        self.assertEqual(self.told, [PAUSE_SECONDS + 3.0])
+        self.assertEqual(self.pauses.ended_at, 100.0)
+
+    def test_load_is_none(self):
+        for _ in range(SAMPLES):
+            self.lag.take(PAUSE_SECONDS / 2)
+        self.assertEqual(self.told, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
