--- a/railsail/quarantine/observer.py
+++ b/railsail/quarantine/observer.py
@@ -17,8 +17,8 @@
 from railsail.quarantine.table import ReplicaEnd
 from railsail.upstreams.directory import Upstream, UpstreamDirectory
 
-# A port that nobody listens at refuses within a round trip, which takes 40 ms between the regions of
-# one fleet. Repeats of the request wait for the first look, so that it must not take longer.
+# A port that nobody listens at refuses within a round trip: 40 ms between the regions of one fleet.
+# Repeats of the request wait for the first look, so that it must not take much longer.
 FIRST_LOOK_SECONDS = 0.05
 # A process that is being killed may accept for a moment after it has closed its connections, and
 # answers may be lost: so long after the first look are two more, each of so many seconds at most. A
