quarantine, tests: told who hears of an end and when, who is blamed, and what callers get

Tests of the questions that it has to answer: a node that loses its peers, nodes without the store, nodes that start anew, one or all of them, streams, requests handed on, callers that leave, what callers are told, other requests of the same caller, an operator's word, a popular request and different ones while replicas end by themselves, connections that are reset. One failed first: callers that leave before the answer begins left nobody whose call breaks off, so that none of 30 sends told of the replicas that ended; the dispatcher looks at such a replica as well, a tenth of a second later.

--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -309,7 +309,7 @@
             self._quarantine.served(flight.fingerprint)
         elif result is CallResult.BROKE_OFF:
             self._ends.broke_off(flight.replica, flight.fingerprint)
-        elif result is CallResult.CALLER_LEFT:
+        elif result is CallResult.CALLER_LEFT and flight.unread:
             self._ends.given_up(flight.replica, flight.fingerprint)
 
     def _progress(self, node: str, message: Progress) -> None:
--- a/railsail/quarantine/ledger.py
+++ b/railsail/quarantine/ledger.py
@@ -144,7 +144,7 @@
     def _wanted(self) -> StoredQuarantine:
         """Return what this node would have the store hold."""
         least = ENDS_TO_WRITE_ALONE if self._alone() else ENDS_TO_WRITE
-        standings = [s for s in self._quarantine.standings() if len(s.ends) >= least]
+        standings = self._quarantine.standings(least)
         blamed = {standing.request for standing in standings}
         ends = {end.key: end for standing in standings for end in standing.ends}
         held = {int(word, 16) for _, _, word in self._written}
--- a/railsail/quarantine/observer.py
+++ b/railsail/quarantine/observer.py
@@ -65,15 +65,23 @@
     def broke_off(self, replica: str, request: int) -> None:
         """Take note that ``replica`` broke off its answer to ``request``."""
         self._note(replica, request)
-        upstream = self._directory.get(replica)
-        if upstream is not None and replica not in self._checked:
-            self._checked.add(replica)
+        if replica not in self._checked:
             self._first_looks.add(replica)
-            self._tasks.start(self._check(upstream))
+        self._start_check(replica)
 
     def given_up(self, replica: str, request: int) -> None:
-        """Take note that the caller of ``request`` left while ``replica`` ran it."""
+        """Take note that the caller of ``request`` left before ``replica`` began its answer.
+
+        Nobody waits for an answer that would break off; the replica may end all the same.
+        """
         self._note(replica, request)
+        self._start_check(replica)
+
+    def _start_check(self, replica: str) -> None:
+        upstream = self._directory.get(replica)
+        if upstream is not None and replica not in self._checked:
+            self._checked.add(replica)
+            self._tasks.start(self._check(upstream))
 
     def _note(self, replica: str, request: int) -> None:
         now = self._clock.monotonic()
@@ -91,12 +99,13 @@
             self._checked.discard(upstream.name)
 
     async def _has_ended(self, upstream: Upstream) -> bool:
-        if await refuses_connections(upstream.endpoint, FIRST_LOOK_SECONDS):
+        endpoint = upstream.endpoint
+        if upstream.name in self._first_looks and await refuses(endpoint, FIRST_LOOK_SECONDS):
             return True
         self._first_looks.discard(upstream.name)
         for pause in LATER_LOOKS_AFTER_SECONDS:
             await asyncio.sleep(pause)
-            if await refuses_connections(upstream.endpoint, LATER_LOOK_SECONDS):
+            if await refuses(endpoint, LATER_LOOK_SECONDS):
                 return True
         return False
 
@@ -114,7 +123,7 @@
             self._quarantine.ended(end)
 
 
-async def refuses_connections(endpoint: str, seconds: float) -> bool:
+async def refuses(endpoint: str, seconds: float) -> bool:
     """Say whether nobody listens at ``endpoint``, as its host answers within ``seconds``."""
     target = parse_endpoint(endpoint)
     try:
--- a/railsail/quarantine/service.py
+++ b/railsail/quarantine/service.py
@@ -135,9 +135,9 @@
                     held_ms=round((standing.held_until - now) * 1000),
                 )
 
-    def standings(self) -> list[Standing]:
-        """Return the requests under which replicas ended, those with most ends first."""
-        return self.table.standings()
+    def standings(self, least: int = 1) -> list[Standing]:
+        """Return the requests under which ``least`` replicas ended, those with most ends first."""
+        return self.table.standings(least)
 
     def compare(self, node: str, heartbeat: Heartbeat) -> None:
         """Tell ``node`` all that is known here, if its heartbeat says that it knows otherwise."""
--- a/railsail/quarantine/table.py
+++ b/railsail/quarantine/table.py
@@ -116,10 +116,11 @@
             held_until = ends[-1].at + min(hold, MOST_HOLD_SECONDS)
         return Standing(request, tuple(ends), held_until)
 
-    def standings(self) -> list[Standing]:
-        """Return the requests under which replicas ended, those with most ends first."""
-        found = [self.standing(request) for request in self._by_request]
-        ended = [standing for standing in found if standing.ends]
+    def standings(self, least: int = 1) -> list[Standing]:
+        """Return the requests under which ``least`` replicas ended, those with most ends first."""
+        candidates = [r for r, keys in self._by_request.items() if len(keys) >= least]
+        found = [self.standing(request) for request in candidates]
+        ended = [standing for standing in found if len(standing.ends) >= least]
         return sorted(ended, key=lambda standing: (-len(standing.ends), standing.request))
 
     def _counted(self, request: int) -> list[ReplicaEnd]:
@@ -182,7 +183,7 @@
             if now - end.at > KEPT_SECONDS:
                 self._drop(end.key)
         if len(self._ends) >= MOST_ENDS:
-            held = {s.request for s in self.standings() if s.held_until > now}
+            held = {s.request for s in self.standings(ENDS_TO_HOLD) if s.held_until > now}
             needless = [end for end in self._ends.values() if not end.requests & held]
             oldest = min(needless or self._ends.values(), key=lambda end: end.at)
             self._drop(oldest.key)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -179,14 +179,24 @@
             self._writers.discard(writer)
             writer.close()
 
+    @property
+    def running(self) -> int:
+        """Return how many connections are open."""
+        return len(self._writers)
+
+    def reset_connections(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def stop(self) -> None:
         self._server.close()
 
     def crash(self) -> None:
         """End as a killed process does: all connections are reset, and the port is dead."""
+        if not self._server.is_serving():
+            return
         self.stop()
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self.reset_connections()
         if self.crashed is not None:
             self.crashed(self)
 
@@ -236,8 +246,9 @@
         if request.body != body:
             await otherwise(replica, request, writer)
             return
-        await asyncio.sleep(seconds)
-        replica.crash()
+        # It ends also where the caller has left by then.
+        asyncio.get_running_loop().call_later(seconds, replica.crash)
+        await asyncio.sleep(3600)
 
     return script
 
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -12,10 +12,11 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from railsail.node import Node
-from tests.platform.base import Answer, PlatformTestCase
-from tests.platform.standins import ReplicaStandin, answering, ending_under
+from tests.platform.base import Answer, PlatformTestCase, read_answer, request
+from tests.platform.standins import LOOPBACK, ReplicaStandin, answering, ending_under
 
 HARMFUL = b"this one ends replicas"
 # Whoever is in touch has heard of the third end after so many seconds; deployments allow 3 to 5.
@@ -77,6 +78,21 @@
         self.assertGreaterEqual(len(self.ended_at), 3)
         return [at for at in self.sends() if at > self.ended_at[2] + HEARD_SECONDS]
 
+    async def end_three(self, nodes: list[Node]) -> None:
+        while len(self.ended_at) < 3:
+            await self.send_again(nodes, sends=len(nodes))
+
+    def cut_from_peers(self, node: Node) -> None:
+        """Let ``node`` hear nothing more of its peers, nor they of it."""
+        for other in self.nodes:
+            if other is not node:
+                other.hub.drop(node.settings.node_id)
+        patch = mock.patch.object(node.hub, "_serve", mock.AsyncMock())
+        patch.start()
+        self.addCleanup(patch.stop)
+        for peer in node.hub.peers():
+            node.hub.drop(peer)
+
     async def send_again(
         self, nodes: list[Node], sends: int = SENDS, target: str = "/again/7"
     ) -> list[Answer]:
@@ -103,11 +119,158 @@
             seeds=nodes[0].settings.node_id, peer_secret="a secret of its own"
         )
         await self.until(lambda: len(lone.directory.all()) >= 4 and not lone.not_ready())
-        while len(self.ended_at) < 3:
-            await self.send_again(nodes, sends=2)
+        await self.end_three(nodes)
         await self.send_again([lone], sends=20)
         self.assertLessEqual(len(self.late_sends()), MOST_LATE_SENDS)
 
+    async def test_node_that_loses_its_peers_hears_of_it_from_the_store(self):
+        nodes = await self.serve_fleet()
+        lone = nodes[2]
+        self.cut_from_peers(lone)
+        await self.until(lambda: lone.membership.alone)
+        await self.end_three(nodes[:2])
+        await self.send_again([lone], sends=20)
+        self.assertEqual(self.late_sends(), [])
+
+    async def test_nodes_without_the_store_hear_of_it_from_their_peers(self):
+        nodes = await self.serve_fleet()
+        self.store.down = True
+        await self.until(lambda: not any(node.watcher.reachable for node in nodes))
+        await self.end_three(nodes[:1])
+        await self.send_again(nodes[1:], sends=20)
+        self.assertEqual(self.late_sends(), [])
+
+    async def test_all_nodes_that_start_again_at_once_know_it(self):
+        nodes = await self.serve_fleet(nodes=2)
+        await self.end_three(nodes)
+        await self.until(lambda: ("railsail-quarantine", "requests") in self.store.objects)
+        await asyncio.sleep(HEARD_SECONDS)
+        for node in nodes:
+            await node.stop()
+        self.nodes.clear()
+        again = [await self.add_node() for _ in range(2)]
+        await self.until(lambda: not any(node.not_ready() for node in again))
+        answers = await self.send_again(again, sends=6)
+        self.assertEqual({answer.status for answer in answers}, {503})
+        self.assertEqual(self.late_sends(), [])
+
+    async def test_node_that_starts_while_the_store_is_away_hears_of_it_from_its_peers(self):
+        nodes = await self.serve_fleet(nodes=2)
+        await self.end_three(nodes)
+        self.store.down = True
+        late = await self.add_node(seeds=nodes[0].settings.node_id)
+        await self.until(lambda: not late.not_ready())
+        await self.until(lambda: late.quarantine.standings(3))
+        answers = await self.send_again([late], sends=6)
+        self.assertEqual({answer.status for answer in answers}, {503})
+
+    async def test_streams_and_requests_that_were_handed_on_are_the_same_request(self):
+        nodes = await self.serve_fleet(nodes=2)
+        await self.send_again(nodes, sends=20, target="/stream/7")
+        ended = len(self.ended_at)
+        self.assertLessEqual(ended, 4)
+        port = nodes[0].membership.table.own.forward_port
+        reader, writer = await asyncio.open_connection(LOOPBACK, port)
+        writer.write(request("/stream/7", body=HARMFUL, Request_Id="handed-on"))
+        answer = await read_answer(reader)
+        writer.close()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(len(self.ended_at), ended)
+
+    async def test_request_whose_callers_leave_at_once_is_found_out_too(self):
+        nodes = await self.serve_fleet(nodes=1)
+        for number in range(30):
+            _, writer = await self.connect(nodes[0])
+            writer.write(request("/again/7", body=HARMFUL, Request_Id=f"l-{number}"))
+            await asyncio.sleep(0.01)
+            writer.close()
+            await asyncio.sleep(SEND_SECONDS)
+        self.assertEqual(self.late_sends()[MOST_LATE_SENDS:], [])
+
+
+class AnswerTests(QuarantineTestCase):
+    async def test_what_ran_is_unknown_and_what_did_not_run_says_so_at_once(self):
+        nodes = await self.serve_fleet(nodes=2)
+        answers = await self.send_again(nodes, sends=12)
+        statuses = [answer.status for answer in answers]
+        self.assertEqual(set(statuses), {502, 503})
+        held = [answer for answer in answers if answer.status == 503]
+        self.assertEqual(len(self.sends()), len(self.ended_at))
+        self.assertGreater(float(held[-1].headers["Retry-After"]), 60.0)
+        self.assertIn(b"replicas ended", held[-1].body)
+
+    async def test_other_requests_of_the_same_caller_are_served(self):
+        nodes = await self.serve_fleet(nodes=2)
+        await self.end_three(nodes)
+        await self.until(lambda: len(self.replicas) >= 7)
+        await self.until(lambda: all(self.knows_live(node) for node in nodes))
+        for number in range(10):
+            answer = await self.call(nodes[0], f"/again/{number}", Request_Id=f"o-{number}")
+            self.assertEqual(answer.status, 200)
+
+    def knows_live(self, node: Node) -> bool:
+        live = [upstream for upstream in node.directory.all() if not upstream.leaving]
+        return len(live) == 4
+
+    async def test_operator_lifts_it_everywhere(self):
+        nodes = await self.serve_fleet(nodes=2)
+        await self.end_three(nodes)
+        await self.until(lambda: all(node.quarantine.standings(3) for node in nodes))
+        (standing,) = nodes[0].quarantine.standings(3)
+        self.assertTrue(nodes[1].quarantine.lift(standing.request))
+        await self.until(lambda: not any(node.quarantine.standings() for node in nodes))
+        self.assertFalse(nodes[1].quarantine.lift(standing.request))
+        ended = len(self.ended_at)
+        await self.send_again(nodes, sends=2)
+        self.assertGreater(len(self.ended_at), ended)
+
+
+class InnocentTests(QuarantineTestCase):
+    """Replicas that end by themselves, with nobody to blame."""
+
+    async def end_by_themselves(self, target: str) -> list[Answer]:
+        """End a replica each fifth of a second for three, while requests run on all of them."""
+        node = self.nodes[0]
+        calls = []
+        for number in range(150):
+            path = target.format(number)
+            call = self.call(node, path, Request_Id=f"i-{number}", Deadline_Ms="2000")
+            calls.append(asyncio.ensure_future(call))
+            if number % 10 == 9:
+                running = [r for r in self.replicas if r.running]
+                if running:
+                    running[0].crash()
+            await asyncio.sleep(0.02)
+        return await asyncio.gather(*calls)
+
+    async def test_popular_request_is_not_held(self):
+        await self.serve_fleet(nodes=1)
+        await self.end_by_themselves("/again/popular")
+        self.assertGreaterEqual(len(self.ended_at), 10)
+        self.assertEqual(self.nodes[0].quarantine.standings(3), [])
+        answer = await self.call(self.nodes[0], "/again/popular", Request_Id="after")
+        self.assertEqual(answer.status, 200)
+
+    async def test_different_requests_are_not_held(self):
+        await self.serve_fleet(nodes=1)
+        answers = await self.end_by_themselves("/again/{}")
+        self.assertEqual(self.nodes[0].quarantine.standings(3), [])
+        served = sum(answer.status == 200 for answer in answers)
+        self.assertGreater(served, len(answers) / 2)
+
+    async def test_connections_that_are_reset_are_no_ends(self):
+        node = (await self.serve_fleet(nodes=1))[0]
+        calls = [
+            asyncio.ensure_future(self.call(node, f"/once/{n}", Request_Id=f"c-{n}"))
+            for n in range(8)
+        ]
+        await self.until(lambda: sum(r.running for r in self.replicas) >= 4)
+        for replica in self.replicas:
+            replica.reset_connections()
+        await asyncio.gather(*calls)
+        await asyncio.sleep(HEARD_SECONDS)
+        self.assertEqual(node.quarantine.standings(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/quarantine/test_table.py
@@ -0,0 +1,165 @@
+"""Which request is blamed for the end of replicas, and what clears it."""
+
+import random
+import unittest
+
+from railsail.quarantine.table import (
+    ENDS_TO_HOLD,
+    HOLD_SECONDS,
+    KEPT_SECONDS,
+    MOMENT_SECONDS,
+    MOST_ENDS,
+    MOST_HOLD_SECONDS,
+    MOST_SERVED,
+    SERVED_SECONDS,
+    QuarantineTable,
+    ReplicaEnd,
+)
+
+HARMFUL, OTHER, POPULAR = 7, 8, 9
+
+
+class TableTestCase(unittest.TestCase):
+    def setUp(self):
+        self.table = QuarantineTable()
+        self.now = 1000.0
+        self.number = 0
+
+    def end(self, *requests: int, after: float = 1.0) -> None:
+        """Let a replica end that runs ``requests``, ``after`` seconds."""
+        self.now += after
+        self.number += 1
+        end = ReplicaEnd(f"i-{self.number}", 0, self.now, frozenset(requests))
+        self.table.ended(end, self.now)
+
+    def held(self, request: int) -> bool:
+        return self.table.standing(request).held_until > self.now
+
+
+class BlameTests(TableTestCase):
+    def test_request_under_which_three_replicas_ended_is_held(self):
+        for number in range(ENDS_TO_HOLD):
+            self.assertFalse(self.held(HARMFUL))
+            self.end(HARMFUL, 100 + number, 200 + number)
+        self.assertTrue(self.held(HARMFUL))
+        self.assertFalse(self.held(100))
+
+    def test_same_end_told_twice_counts_once(self):
+        end = ReplicaEnd("i-1", 0, self.now, frozenset([HARMFUL]))
+        for _ in range(ENDS_TO_HOLD):
+            self.table.ended(end, self.now)
+        self.assertEqual(len(self.table.standing(HARMFUL).ends), 1)
+
+    def test_lives_under_one_name_count_each(self):
+        for life in range(ENDS_TO_HOLD):
+            self.now += 1.0
+            self.table.ended(ReplicaEnd("i-1", life + 1, self.now, frozenset([HARMFUL])), self.now)
+        self.assertTrue(self.held(HARMFUL))
+
+    def test_request_that_many_ask_for_and_that_is_served_is_not_blamed(self):
+        self.table.served(POPULAR, self.now)
+        for number in range(ENDS_TO_HOLD + 2):
+            self.end(POPULAR, 100 + number)
+        self.assertEqual(self.table.standing(POPULAR).ends, ())
+
+    def test_it_counts_only_as_long_as_it_was_served_lately(self):
+        self.table.served(POPULAR, self.now)
+        self.end(POPULAR, after=SERVED_SECONDS + 1.0)
+        self.assertEqual(len(self.table.standing(POPULAR).ends), 1)
+
+    def test_success_clears_of_all_ends_before(self):
+        for _ in range(ENDS_TO_HOLD):
+            self.end(POPULAR)
+        self.assertTrue(self.held(POPULAR))
+        self.assertTrue(self.table.served(POPULAR, self.now + 0.1))
+        self.assertFalse(self.held(POPULAR))
+
+    def test_host_that_takes_its_replicas_along_blames_nobody_who_ran_on_a_part_of_them(self):
+        for number in range(10):
+            shared = (POPULAR,) if number % 2 else ()
+            self.end(100 + number, *shared, after=0.001)
+        self.assertEqual(self.table.standing(POPULAR).ends, ())
+
+    def test_request_that_ran_on_all_of_them_may_be_why(self):
+        for number in range(ENDS_TO_HOLD):
+            self.end(HARMFUL, 100 + number, after=MOMENT_SECONDS / 10)
+        self.assertTrue(self.held(HARMFUL))
+
+    def test_two_harmful_requests_at_once_are_both_held(self):
+        for _ in range(ENDS_TO_HOLD):
+            self.end(HARMFUL, after=1.0)
+            self.end(OTHER, after=0.01)
+        self.assertTrue(self.held(HARMFUL))
+        self.assertTrue(self.held(OTHER))
+
+
+class TimeTests(TableTestCase):
+    def test_each_further_end_doubles_the_time(self):
+        for _ in range(ENDS_TO_HOLD):
+            self.end(HARMFUL)
+        self.now += HOLD_SECONDS
+        self.assertFalse(self.held(HARMFUL))
+        self.end(HARMFUL)
+        self.now += HOLD_SECONDS * 2 - 1.0
+        self.assertTrue(self.held(HARMFUL))
+
+    def test_there_is_a_longest_time(self):
+        for _ in range(20):
+            self.end(HARMFUL)
+        left = self.table.standing(HARMFUL).held_until - self.now
+        self.assertEqual(left, MOST_HOLD_SECONDS)
+
+    def test_ends_are_forgotten(self):
+        self.end(HARMFUL)
+        self.end(OTHER, after=KEPT_SECONDS + 1.0)
+        self.assertFalse(self.table.known(HARMFUL))
+
+
+class BoundTests(TableTestCase):
+    def test_memory_is_bounded_and_keeps_what_is_held(self):
+        for _ in range(ENDS_TO_HOLD):
+            self.end(HARMFUL)
+        self.now += 2 * MOMENT_SECONDS
+        for number in range(2 * MOST_ENDS):
+            self.end(10_000 + number, after=0.01)
+        self.assertLessEqual(len(self.table.ends()), MOST_ENDS)
+        self.assertTrue(self.held(HARMFUL))
+
+    def test_served_requests_are_bounded(self):
+        for number in range(MOST_SERVED + 10):
+            self.table.served(number + 1, self.now)
+        self.assertEqual(len(self.table._served_at), MOST_SERVED)
+
+
+class MergeTests(unittest.TestCase):
+    def test_order_and_repeats_of_news_do_not_matter(self):
+        rng = random.Random(7)
+        ends = [
+            ReplicaEnd(f"i-{n % 9}", n % 2, 1000.0 + n, frozenset(rng.sample(range(1, 20), 5)))
+            for n in range(30)
+        ]
+        digests = set()
+        standings = set()
+        for _ in range(5):
+            rng.shuffle(ends)
+            table = QuarantineTable()
+            for end in [*ends, *ends[:10]]:
+                table.merge(end, 1100.0)
+            table.clear(3, 1050.0)
+            digests.add(table.digest)
+            standings.add(tuple((s.request, len(s.ends)) for s in table.standings()))
+        self.assertEqual((len(digests), len(standings)), (1, 1))
+
+    def test_forgotten_table_has_the_digest_of_an_empty_one(self):
+        table = QuarantineTable()
+        table.merge(ReplicaEnd("i-1", 0, 1000.0, frozenset([HARMFUL])), 1000.0)
+        table.clear(HARMFUL, 1001.0)
+        self.assertNotEqual(table.digest, 0)
+        table.merge(ReplicaEnd("i-2", 0, 9000.0, frozenset()), 9000.0)
+        table.merge(ReplicaEnd("i-3", 0, 99_000.0, frozenset()), 99_000.0)
+        table._drop(("i-3", 0))
+        self.assertEqual(table.digest, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
