store, core, routing: let no input end a part of node after node

Cause: the same class as a request that ends replicas: what one part cannot take moves on to the next one, and each learns alone. Found by reading: an object on which a listener fails ended the watch of its kind for good, at each node that watches; a part of the daemon that failed once was gone, and nothing said so; a request on which the daemon's own code fails left its caller without an answer until its deadline. Figures: the tests of the watcher, of parts and of the handler fail without (10 s without a later change, no second run, no answer in 2 s).

--- a/railsail/node.py
+++ b/railsail/node.py
@@ -22,6 +22,7 @@
 from railsail.core.looplag import LoopLag
 from railsail.core.metrics import Metrics
 from railsail.core.registry import load_plugins
+from railsail.core.tasks import keep_running
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.entry import TicketDesk
 from railsail.dispatch.exchange import CellExchange
@@ -373,14 +374,10 @@
         await self.hub.start()
         self._listen(self.settings.admin_port, admin_app.application(self))
         self._listen_to_callers()
-        self._tasks = [
-            asyncio.ensure_future(part.run())
-            for part in (self.membership, self.watcher, self.dispatchers, self.tree)
-            if part is not None
-        ]
-        self._tasks.append(asyncio.ensure_future(self.lag.run()))
-        self._tasks.append(asyncio.ensure_future(self._tick()))
-        self._tasks.append(asyncio.ensure_future(self.pace.run()))
+        parts = [self.membership, self.watcher, self.dispatchers, self.tree, self.lag, self.pace]
+        runs = {type(part).__name__: part.run for part in parts if part is not None}
+        runs["Node"] = self._tick
+        self._tasks = [asyncio.ensure_future(keep_running(run, name)) for name, run in runs.items()]
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.watcher.tried.wait(), FIRST_LOOK_SECONDS)
         self.lifecycle.advance(State.READY)
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -9,7 +9,8 @@
 from railsail.core.events import Kind
 from railsail.core.fingerprints import fingerprint_name, request_fingerprint
 from railsail.core.kernel import Kernel
-from railsail.core.outcomes import NotRun, Outcome, Reason
+from railsail.core.logs import get_logger
+from railsail.core.outcomes import NotRun, Outcome, Reason, Unknown
 from railsail.gateway.admission import Admission
 from railsail.gateway.callers import Callers
 from railsail.gateway.concurrency import ConcurrencyLimit
@@ -105,7 +106,7 @@
             await self._refusals.answer("", 0.0, bad, client)
             return
         try:
-            outcome, routed = await self._serve(request, client, arrival.at)
+            outcome, routed = await self._serve_safely(request, client, arrival.at)
             status = await self._refusals.answer(request.id, request.deadline, outcome, client)
         except (ClientLeft, asyncio.CancelledError) as problem:
             self._endings.left(request.id, self._clock.monotonic() - arrival.at)
@@ -115,6 +116,18 @@
         seconds = self._clock.monotonic() - arrival.at
         self._endings.ended(request.id, routed, outcome, status, seconds)
 
+    async def _serve_safely(
+        self, request: RoutedRequest, client: ClientAnswer, received_at: float
+    ) -> tuple[Outcome, Routed | None]:
+        try:
+            return await self._serve(request, client, received_at)
+        except ClientLeft:
+            raise
+        except Exception:
+            # Without an answer its caller would wait until its deadline, at one node after another.
+            get_logger().exception("request failed here", request=request.id)
+            return Unknown("this node failed while it served the request"), None
+
     async def _serve(
         self, request: RoutedRequest, client: ClientAnswer, received_at: float
     ) -> tuple[Outcome, Routed | None]:
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -9,9 +9,11 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import TypeVar
 
 from railsail.core.events import EventLog, Kind
 from railsail.core.exceptions import StoreUnavailable
+from railsail.core.logs import get_logger
 from railsail.store.base import Listing, Store, StoredObject, WatchEvent
 from railsail.store.journal import Backoff
 
@@ -31,6 +33,7 @@
 FIRST_PAUSE_SECONDS = 0.25
 MOST_PAUSE_SECONDS = 10.0
 
+T = TypeVar("T", Listing, WatchEvent)
 Listed = Callable[[Listing], None]
 Seen = Callable[[WatchEvent], None]
 
@@ -100,13 +103,13 @@
             listed = self._listed[kind]
             if self._names[kind]:
                 stored = await self._store.get(kind, self._names[kind])
-                listed(Listing(0, (stored,) if stored else ()))
+                self._tell(kind, listed, Listing(0, (stored,) if stored else ()))
                 if stored is not None and len(kinds) == 1:
                     # Nothing else is followed here, so that its own last change is a beginning.
                     versions.append(stored.version)
                 continue
             listing = await self._store.list(kind)
-            listed(listing)
+            self._tell(kind, listed, listing)
             versions.append(listing.version)
         return min(versions, default=0)
 
@@ -125,11 +128,18 @@
             if result.expired:
                 return
             for event in result.events:
-                self._seen[event.kind](event)
+                self._tell(event.kind, self._seen[event.kind], event)
             version = max(version, result.version)
             if result.events:
                 await asyncio.sleep(GATHER_SECONDS)
 
+    def _tell(self, kind: str, listener: Callable[[T], None], news: T) -> None:
+        try:
+            listener(news)
+        except Exception:
+            # One object that its listener cannot take must not end the watch at node after node.
+            get_logger().exception("objects not taken in", kind=kind)
+
     async def _learn_members(self) -> None:
         # Who watches follows from the members, and a node that starts knows none yet.
         left = self._started_at + LEARN_MEMBERS_SECONDS - asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/core/test_tasks.py
@@ -0,0 +1,40 @@
+"""Parts of a daemon that run for as long as it does."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from railsail.core import tasks
+from railsail.core.tasks import keep_running
+
+
+class KeepRunningTests(unittest.IsolatedAsyncioTestCase):
+    """A part that failed once was gone for good, and nothing said so."""
+
+    async def asyncSetUp(self) -> None:
+        self.runs = 0
+        self.again = asyncio.Event()
+        patch = mock.patch.object(tasks, "RESTART_SECONDS", 0.01)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def part(self) -> None:
+        self.runs += 1
+        if self.runs == 1:
+            raise LookupError("an input that no test thought of")
+        self.again.set()
+        await asyncio.sleep(3600)
+
+    async def test_part_that_fails_runs_again_and_is_told_of(self):
+        with mock.patch.object(tasks, "get_logger") as logger:
+            task = asyncio.ensure_future(keep_running(self.part, "watcher"))
+            await asyncio.wait_for(self.again.wait(), 10.0)
+        self.assertEqual(self.runs, 2)
+        logger().exception.assert_called_once()
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from railsail.node import Node
 from tests.platform.base import KEY, PlatformTestCase, configuration, read_answer, request
@@ -169,6 +170,19 @@
         await self.until(lambda: self.replicas[0].left == 1)
 
 
+class FailingHandlerTests(PlatformTestCase):
+    """A request on which a daemon's own code fails left its caller to wait until its deadline."""
+
+    async def test_caller_is_told_at_once_that_nobody_knows(self):
+        node = await self.serve(answering())
+        failure = mock.Mock(side_effect=LookupError("a request that no test thought of"))
+        with mock.patch.object(node.front, "_begin", failure):
+            answer = await asyncio.wait_for(self.call(node, "/again/"), 2.0)
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(node.requests, 0)
+        self.assertEqual((await self.call(node, "/again/")).status, 200)
+
+
 class RepeatTests(PlatformTestCase):
     async def test_idempotent_request_is_tried_at_another_replica(self):
         node = await self.serve(closing(), answering())
--- a/tests/store/test_watcher.py
+++ b/tests/store/test_watcher.py
@@ -65,6 +65,34 @@
         self.assertLess(store.watches, GROUP / 2)
 
 
+class FailingListenerTests(unittest.IsolatedAsyncioTestCase):
+    """An object that a listener fails on ended the watch of its kind, at one node after another."""
+
+    async def test_later_changes_are_followed(self):
+        store = GroupStore()
+        seen: list[int] = []
+
+        def take(event: WatchEvent) -> None:
+            if event.version == 1:
+                raise LookupError("an object that no test thought of")
+            seen.append(event.version)
+
+        events = EventLog("n", Clock())
+        watcher = StoreWatcher(store, lambda: True, 30.0, events, random.Random(1))
+        watcher.follow(KIND, lambda listing: None, take)
+        task = asyncio.ensure_future(watcher.run())
+        store.change(1)
+        store.change(2)
+        async with asyncio.timeout(10.0):
+            while not seen:
+                await asyncio.sleep(0.01)
+            store.change(3)
+            while len(seen) < 2:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        self.assertEqual(seen, [2, 3])
+
+
 class OthersTests(unittest.IsolatedAsyncioTestCase):
     """A node that does not watch lists once, also where it took itself for a watcher at first."""
 
