admin, cli: showed requests under which replicas ended, and let operators lift them

Cause: a verdict needs somebody who can see and correct it. railsail quarantine list and lift, GET and DELETE at the operators' interface, and a sentence of explain that names the replicas that ended. An operator's word reaches all nodes as an end does. Also: the nodes that watch the store are named in each failure domain, two at least, since a domain that is cut off from its peers may reach the store all the same; over 62 nodes in three domains, eight named for the fleet as a whole leave a given domain without any in 3 of 100 fleets (worked out). Six of nine nodes watch on a small site in place of eight.

--- a/railsail/admin/app.py
+++ b/railsail/admin/app.py
@@ -10,10 +10,12 @@
 from railsail.configuration.changes import ConfigurationConflict, Proposal, snapshot
 from railsail.core.checks import Finding, error
 from railsail.core.exceptions import ImproperlyConfigured, StoreUnavailable
+from railsail.core.fingerprints import fingerprint_name
 from railsail.objects.catalog import Operation
 from railsail.objects.checks import check_catalog
 from railsail.objects.kinds import KINDS
 from railsail.objects.parse import parse_resource
+from railsail.quarantine.table import Standing
 
 MOST_EVENTS = 4096
 MOST_BODY_BYTES = 2 << 20
@@ -148,6 +150,29 @@
             self.reply({"version": committed.catalog.version, "id": proposal.id})
 
 
+class _Quarantine(_Handler):
+    def get(self) -> None:
+        now = self.node.clock.monotonic()
+        requests = [_quarantine_row(s, now) for s in self.node.quarantine.standings()]
+        self.reply({"requests": requests})
+
+
+class _QuarantinedRequest(_Handler):
+    def delete(self, name: str) -> None:
+        if not self.node.quarantine.lift(int(name, 16)):
+            raise HTTPError(404, reason=f"no replica ended under request {name}")
+        self.reply({"request": name, "state": "cleared"})
+
+
+def _quarantine_row(standing: Standing, now: float) -> dict[str, object]:
+    return {
+        "request": fingerprint_name(standing.request),
+        "ends": len(standing.ends),
+        "replicas": standing.replicas,
+        "held_seconds": max(0, round(standing.held_until - now)),
+    }
+
+
 class _Drain(_Handler):
     def post(self) -> None:
         self.node.begin_drain("operator")
@@ -201,5 +226,7 @@
         (r"/v1/objects", _Objects, share),
         (r"/v1/changes", _Changes, share),
         (r"/v1/drain", _Drain, share),
+        (r"/v1/quarantine", _Quarantine, share),
+        (r"/v1/quarantine/([0-9a-f]{16})", _QuarantinedRequest, share),
     ]
     return Application(rules, log_function=lambda handler: None)
--- a/railsail/admin/status.py
+++ b/railsail/admin/status.py
@@ -5,12 +5,14 @@
 from railsail.conf.settings import Settings
 from railsail.configuration.carrier import ConfigurationCarrier
 from railsail.configuration.repository import ConfigurationRepository
+from railsail.core.clock import Clock
 from railsail.core.events import EventLog
 from railsail.core.lifecycle import Lifecycle
 from railsail.core.metrics import Metrics
 from railsail.dispatch.service import DispatcherService
 from railsail.gateway.admission import Admission
 from railsail.membership.service import Membership
+from railsail.quarantine.service import Quarantine
 from railsail.store.watcher import StoreWatcher
 from railsail.upstreams.directory import UpstreamDirectory
 
@@ -30,6 +32,8 @@
     dispatchers: DispatcherService
     events: EventLog
     metrics: Metrics
+    clock: Clock
+    quarantine: Quarantine
 
     def not_ready(self) -> list[str]:
         """Return the reasons why the balancer must send no callers."""
--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -66,6 +66,12 @@
         for line in own
         if line.event == Kind.RETRIED
     ]
+    parts += [
+        f"Replicas that ended while they ran the same request: {line.facts.get('replicas')}; "
+        f"it is held back for {line.facts.get('held_ms')} ms more."
+        for line in own
+        if line.event == Kind.QUARANTINED
+    ]
     if "given_up" in facts:
         parts.append(f"No further attempt was made, since {facts['given_up']}.")
     return " ".join(parts)
--- a/railsail/cli/main.py
+++ b/railsail/cli/main.py
@@ -49,6 +49,7 @@
         self._output = output
         self._secret = os.environ.get(ENVIRONMENT_PREFIX + "ADMIN_SECRET", "")
         self.config = ConfigCommands(self)
+        self.quarantine = QuarantineCommands(self)
 
     def check(self, *files: str) -> None:
         """Check the objects in FILES (JSON, or folders of it) without a daemon."""
@@ -209,6 +210,24 @@
         complain(f"version {versions.pop()} is in force everywhere")
 
 
+class QuarantineCommands:
+    """Look at requests under which replicas ended, and let them run again."""
+
+    def __init__(self, tool: Railsail) -> None:
+        self._tool = tool
+
+    def list(self) -> None:
+        """Show the requests under which replicas ended, and for how long each is held back."""
+        body = self._tool._call("GET", "/v1/quarantine").body
+        rows = [{**row, "replicas": " ".join(row["replicas"])} for row in body["requests"]]
+        show(rows, ("request", "ends", "held_seconds", "replicas"), self._tool._output)
+
+    def lift(self, request: str) -> None:
+        """Let REQUEST, a fingerprint as the list shows it, run again at all daemons."""
+        reply = self._tool._call("DELETE", f"/v1/quarantine/{request}")
+        print(reply.body["state"])
+
+
 def _status_row(endpoint: str, reply: Reply) -> dict[str, object]:
     if reply.status != 200:
         return {"node": endpoint, "state": "no answer", "version": "?"}
@@ -236,10 +255,13 @@
     }
 
 
+_GROUPS = (("", Railsail), ("config ", ConfigCommands), ("quarantine ", QuarantineCommands))
+
+
 def commands_help() -> str:
     """Return the help of the whole tool: what it is, and a line a command."""
     lines = [inspect.cleandoc(Railsail.__doc__), "", "Commands:"]
-    for prefix, group in (("", Railsail), ("config ", ConfigCommands)):
+    for prefix, group in _GROUPS:
         for name, command in inspect.getmembers(group, inspect.isfunction):
             if not name.startswith("_"):
                 first = inspect.cleandoc(command.__doc__).splitlines()[0]
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -39,11 +39,11 @@
 from railsail.gateway.tries import Tries
 from railsail.gateway.verdicts import Judge
 from railsail.membership.pace import OwnPace
-from railsail.membership.placement import rank
 from railsail.membership.service import KIND as NODE
 from railsail.membership.service import Membership
 from railsail.membership.speed import fast_enough
 from railsail.membership.table import Member, MemberState, MemberTable
+from railsail.membership.watchers import store_watchers
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Pool
 from railsail.peers.hub import PeerHub
@@ -67,7 +67,6 @@
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.evacuations import KIND as EVACUATION
 
-WATCHERS = 8
 NATIVE_INTERFACE = "native"
 FIRST_LOOK_SECONDS = 3.0
 TICK_SECONDS = 0.5
@@ -333,8 +332,7 @@
             # Nobody tells this node what those that watch hear.
             return True
         if self._watchers is None:
-            nodes = [member.node for member in self.membership.table.usable()]
-            self._watchers = set(rank("store watchers", nodes)[:WATCHERS])
+            self._watchers = store_watchers(self.membership.table.usable())
         return self.settings.node_id in self._watchers
 
     def _heartbeat(self) -> Heartbeat:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -21,6 +21,27 @@
         parsed = [parse_line(line) for line in lines]
         return tell_story("r-1", [line for line in parsed if line is not None])
 
+    def test_request_that_is_held_back_names_the_replicas_that_ended(self):
+        story = self.tell(
+            text("received", "a", 0, request="r-1", fingerprint="0f"),
+            text("quarantined", "a", 1, request="r-1", replicas="i-1 i-2 i-3", held_ms=119000),
+            text(
+                "ended",
+                "a",
+                2,
+                request="r-1",
+                outcome="notrun",
+                reason="quarantined",
+                total_ms=2,
+                detail="3 replicas ended while they ran this request",
+            ),
+        )
+        self.assertEqual(
+            story.cause,
+            "notrun after 2 ms: 3 replicas ended while they ran this request. Replicas that ended "
+            "while they ran the same request: i-1 i-2 i-3; it is held back for 119000 ms more.",
+        )
+
     def test_refused_request_is_explained_by_its_dispatcher(self):
         story = self.tell(
             text("received", "a", 0, request="r-1", route="drafts"),
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -6,9 +6,13 @@
 """
 
 import asyncio
+import json
 import time
 import unittest
 
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+
+from railsail.standins.fleet import ADMIN_SECRET
 from tests.fleet.base import FAST, FleetTestCase
 
 # Whoever is in touch has heard of the third end after so many seconds; deployments allow 3 to 5.
@@ -70,6 +74,38 @@
         late = [at for at in ends if at > ends[2] + HEARD_SECONDS]
         self.assertLessEqual(len(late), MOST_LATE_ENDS)
 
+    async def test_operator_sees_it_and_lifts_it(self):
+        node = self.fleet.nodes[0]
+        while not node.quarantine.standings(3):
+            await self.end_engine(node)
+        body = (await self.operate(node, "GET", "/v1/quarantine")).body
+        (row,) = json.loads(body)["requests"]
+        self.assertEqual(row["ends"], 3)
+        self.assertEqual(len(row["replicas"]), 3)
+        self.assertGreater(row["held_seconds"], 60)
+        path = f"/v1/quarantine/{row['request']}"
+        self.assertEqual((await self.operate(node, "DELETE", path)).code, 200)
+        self.assertEqual((await self.operate(node, "DELETE", path)).code, 404)
+        await self.until(lambda: not any(n.quarantine.standings() for n in self.fleet.nodes))
+
+    async def test_caller_of_a_held_request_is_told_why_and_for_how_long(self):
+        node = self.fleet.nodes[0]
+        while not node.quarantine.standings(3):
+            await self.end_engine(node)
+        response = await self.end_engine(self.fleet.nodes[1])
+        self.assertEqual(response.code, 503)
+        self.assertEqual(response.headers["X-Railsail-Outcome"], "not-run")
+        self.assertEqual(response.headers["X-Railsail-Reason"], "quarantined")
+        self.assertGreater(int(response.headers["Retry-After"]), 60)
+
+    async def operate(self, node, method: str, path: str) -> HTTPResponse:
+        request = HTTPRequest(
+            f"http://{node.settings.node_ip}:{node.settings.admin_port}{path}",
+            method=method,
+            headers={"Authorization": f"Bearer {ADMIN_SECRET}"},
+        )
+        return await AsyncHTTPClient(force_instance=True).fetch(request, raise_error=False)
+
 
 if __name__ == "__main__":
     unittest.main()
