--- a/railsail/quarantine/service.py
+++ b/railsail/quarantine/service.py
@@ -17,7 +17,6 @@
 from railsail.peers.messages import Heartbeat, QuarantineNews, ReplicaEndRecord
 from railsail.quarantine.table import EndKey, QuarantineTable, ReplicaEnd, Standing
 
-
 # A node whose heartbeats say that it knows something else is told all so often at most: news of
 # single ends are on their way meanwhile, and all of it may be 75 KB.
 TELL_AGAIN_SECONDS = 2.0
