gateway: never told a request that may have run as not run

Cause: the model interface returned the outcome of the last try; where that one was refused after a try of unknown outcome, the caller was told that nothing had run, and the key of a claimed request was given back. Routes told the truth already; both use one function now. Found by the benchmark, where the first arrival of a request that had ended three engines counted as not run. The benchmark's figures are of two runs each.

--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -7,9 +7,10 @@
 daemon in turn; in the second one an engine ends each second by itself. In both, one popular request
 and as many different ones are sent beside. ``--off`` remembers nothing of requests, as a pair.
 
-Without a memory (--off; one run each of 24 s): 107 engines end, 89 of them over 3 s after the
-third; with it 3 end, none of them later. Beside it 0.65 of the popular request and 0.71 of the
-different ones are served without, all 238 of each with it.
+Without a memory (--off), two runs of 24 s: 107 and 108 engines end, 89 and 90 of them over 3 s
+after the third; with it, two runs, 3 and 3, none of them later. Beside it 0.65 to 0.71 of both the
+popular request and the different ones are served without, all with it. Where engines end by
+themselves 0.983 and 0.987 are served without, 0.987 and 0.983 with it, and none is held back.
 """
 
 import asyncio
--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -64,3 +64,10 @@
 
 
 Outcome = Completed | NotRun | Unknown
+
+
+def truth_of(outcome: Outcome, ran: bool) -> Outcome:
+    """Return ``outcome``, but never "not run" where an earlier attempt ``ran``, or may have."""
+    if isinstance(outcome, NotRun) and ran:
+        return Unknown(f"an earlier attempt may have run; the last one: {outcome.detail}")
+    return outcome
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -6,7 +6,7 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
 from railsail.core.tasks import TaskSet
 from railsail.dispatch.bookings import Booking, Want
 from railsail.dispatch.entry import TicketDesk
@@ -33,7 +33,8 @@
     """One request on its way through this node.
 
     ``ends_at`` is in seconds of the monotonic clock. ``avoid`` names the replica that did not run
-    it at the last try. ``sent`` says that it may have run. Its repeats have the same
+    it at the last try. ``sent`` says that it may have run, ``ran`` that an earlier try of it may
+    have. Its repeats have the same
     ``fingerprint``.
     """
 
@@ -46,6 +47,7 @@
     ends_at: float
     avoid: str = ""
     sent: bool = False
+    ran: bool = False
     fingerprint: int = 0
 
 
@@ -78,9 +80,9 @@
         for _ in range(MOST_TRIES):
             outcome = await self._try_once(served)
             if not self._try_again(served, outcome):
-                return outcome
+                break
             self._events.emit(Kind.RETRIED, str(outcome), served.id, served.workspace)
-        return outcome
+        return truth_of(outcome, served.ran)
 
     def _try_again(self, served: Served, outcome: Outcome) -> bool:
         if served.sink.started or self._clock.monotonic() >= served.ends_at:
@@ -167,8 +169,10 @@
         if isinstance(outcome, Completed) and outcome.status < 400:
             self._estimator.observe(served.workspace, served.pool.name, cost)
         self._desk.release(booking, cost, _learnt(outcome))
+        if isinstance(outcome, Unknown):
+            served.ran = True
         if isinstance(outcome, NotRun):
-            served.sent = False
+            served.sent = served.ran
             served.avoid = replica
             if outcome.detail == LEAVING:
                 self._directory.sign(replica, True, self._clock.wall())
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -6,7 +6,7 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
 from railsail.dispatch.bookings import Booking, Want
 from railsail.dispatch.entry import TicketDesk
 from railsail.objects.kinds import CostUnit, Pool, Route
@@ -113,7 +113,7 @@
         while True:
             outcome = await self._attempt(routed)
             if not self._go_on(routed, outcome, budget):
-                return _truth(routed, outcome)
+                return truth_of(outcome, routed.ran)
             self._events.emit(
                 Kind.RETRIED,
                 outcome.detail,
@@ -350,10 +350,3 @@
     if isinstance(outcome, Unknown) and outcome.broke_off:
         return CallResult.BROKE_OFF
     return CallResult.ERROR
-
-
-def _truth(routed: Routed, outcome: Outcome) -> Outcome:
-    """Return ``outcome``, but never "not run" for what an earlier attempt may have run."""
-    if isinstance(outcome, NotRun) and routed.ran:
-        return Unknown(f"an earlier attempt may have run; the last one: {outcome.detail}")
-    return outcome
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -98,6 +98,16 @@
         self.assertEqual(response.headers["X-Railsail-Reason"], "quarantined")
         self.assertGreater(int(response.headers["Retry-After"]), 60)
 
+    async def test_request_that_ran_is_never_told_as_not_run(self):
+        """Its own repeats end engines until it is held; then the last word was that it did not run.
+
+        Any refusal after an attempt of unknown outcome was told so; a claimed key was given back.
+        """
+        response = await self.end_engine(self.fleet.nodes[0])
+        self.assertGreaterEqual(len(self.ends()), 1)
+        self.assertEqual(response.code, 502)
+        self.assertEqual(response.headers["X-Railsail-Outcome"], "unknown")
+
     async def operate(self, node, method: str, path: str) -> HTTPResponse:
         request = HTTPRequest(
             f"http://{node.settings.node_ip}:{node.settings.admin_port}{path}",
