dispatch, quarantine: took what trials tell, and the log of shares, out of the dispatchers' service

What dispatchers learn of requests from calls that end is a module of the package that needs it, the log of an overload one of its own.

--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-import math
-from collections import defaultdict
 from collections.abc import Callable
 
 from railsail.core.events import Kind
@@ -16,6 +14,7 @@
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.loads import LoadReports
 from railsail.dispatch.replicas import CellReplicas
+from railsail.dispatch.shares import SharesLog
 from railsail.objects.catalog import Catalog
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
@@ -34,8 +33,7 @@
     Release,
     Resync,
 )
-from railsail.quarantine.observer import EndObserver
-from railsail.quarantine.service import Quarantine
+from railsail.quarantine.trials import Trials
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import (
     CellDispatcher,
@@ -61,10 +59,6 @@
 # A request that is being tried again decides within about so many seconds whether others of the
 # same may run.
 TRIAL_SECONDS = 1.0
-# While not all can be served, a line each so many seconds tells how the largest so many demands
-# were met: most workspaces are small, and served whole.
-SHARES_SECONDS = 1.0
-SHARES_TOLD = 5
 
 
 class DispatcherService:
@@ -80,8 +74,7 @@
         kernel: Kernel,
         use_prefixes: bool,
         fair_window: float,
-        quarantine: Quarantine,
-        ends: EndObserver,
+        trials: Trials,
     ) -> None:
         self._cells = cells
         self._replicas = replicas
@@ -93,14 +86,13 @@
         self._rng = kernel.rng
         self._use_prefixes = use_prefixes
         self._fair_window = fair_window
-        self._quarantine = quarantine
-        self._ends = ends
+        self._trials = trials
         self._dispatchers: dict[Cell, CellDispatcher] = {}
         self._where: dict[TicketKey, Cell] = {}
         self._entry_starts: dict[str, int] = {}
         self._used_at: dict[Cell, float] = {}
         self._to_look_at: set[Cell] = set()
-        self._shares_told: defaultdict[Cell, float] = defaultdict(lambda: -math.inf)
+        self._shares = SharesLog(kernel.events)
         self._loads = loads
         loads.on_report(self._reported)
         self._pumped: list[Callable[[Cell, CellDispatcher], None]] = []
@@ -171,25 +163,9 @@
                 self._replicas.set_cold(cell, dispatcher)
                 self._pump(cell, dispatcher)
                 self._loads.ask(cell, dispatcher)
-                self._tell_shares(cell, dispatcher, now)
+                self._shares.tell(cell, dispatcher, now)
                 self._drop_idle(cell, dispatcher, now)
 
-    def _tell_shares(self, cell: Cell, dispatcher: CellDispatcher, now: float) -> None:
-        """Tell each second of an overload how it was shared."""
-        if not dispatcher.overloaded(now) or now - self._shares_told[cell] < SHARES_SECONDS:
-            return
-        self._shares_told[cell] = now
-        largest = dispatcher.largest_shares(SHARES_TOLD, now)
-        told = (f"{s.workspace} {s.served:.0f} of {s.asked:.0f}" for s in largest)
-        level = dispatcher.level(now)
-        self._events.emit(
-            Kind.SHARES,
-            ", ".join(told),
-            cell=str(cell),
-            share=round(level) if level < math.inf else "all",
-            waiting=len(dispatcher.queue),
-        )
-
     def dispatcher(self, pool: str, number: int) -> tuple[Cell, CellDispatcher]:
         """Return a cell and its dispatcher, which is made if there is none yet."""
         cell = self._cells.cell(pool, number)
@@ -219,7 +195,7 @@
         }
 
     def _place(self, node: str, message: Place) -> None:
-        if self._ends.checks(message.fingerprint):
+        if self._trials.undecided(message.fingerprint):
             # Whether a replica has ended under it is known in a moment, which spares another one.
             loop = asyncio.get_running_loop()
             loop.call_later(CHECK_AGAIN_SECONDS, self._place, node, message)
@@ -231,7 +207,7 @@
         """Take in a ticket of ``entry`` for ``cell``."""
         now = self._clock.monotonic()
         ticket = to_ticket(entry, message, now)
-        if self._is_second_trial(dispatcher, ticket):
+        if self._trials.is_second(dispatcher, ticket):
             reason = Reason.QUARANTINED
             self._carry_out(cell, [Refusal(ticket, reason, TRIAL_SECONDS)])
             return
@@ -242,16 +218,6 @@
             self._carry_out(cell, dispatcher.offer(ticket, now))
         self._pump_ended(cell, dispatcher)
 
-    def _is_second_trial(self, dispatcher: CellDispatcher, ticket: Ticket) -> bool:
-        """Say whether ``ticket`` asks to run beside another of a request that may end replicas.
-
-        One at a time shows whether it does, and costs one replica at most.
-        """
-        if not self._quarantine.suspected(ticket.fingerprint):
-            return False
-        known = ticket.key in dispatcher.queue or ticket.key in dispatcher.flights
-        return not known and dispatcher.holds(ticket.fingerprint)
-
     def _cancel(self, node: str, message: Cancel) -> None:
         key = (node, message.number)
         found = self._find(key)
@@ -295,23 +261,12 @@
         cell, dispatcher = found
         now = self._clock.monotonic()
         result = CallResult(message.result)
-        self._learn(dispatcher.flights.get(key), result)
+        self._trials.ended(dispatcher.flights.get(key), result)
         dispatcher.release_attempt(key, message.attempt, float(message.cost), now, result)
         if key not in dispatcher.flights and key not in dispatcher.queue:
             del self._where[key]
         self._room_changed(cell, dispatcher)
 
-    def _learn(self, flight: Flight | None, result: CallResult) -> None:
-        """Take note of what the end of a call tells of its request."""
-        if flight is None or not flight.fingerprint or not flight.replica:
-            return
-        if result is CallResult.GOOD:
-            self._quarantine.served(flight.fingerprint)
-        elif result is CallResult.BROKE_OFF:
-            self._ends.broke_off(flight.replica, flight.fingerprint)
-        elif result is CallResult.CALLER_LEFT and flight.unread:
-            self._ends.given_up(flight.replica, flight.fingerprint)
-
     def _progress(self, node: str, message: Progress) -> None:
         key = (node, message.number)
         found = self._find(key)
@@ -418,7 +373,7 @@
         if idle and not mine and now - self._used_at[cell] > IDLE_SECONDS:
             del self._dispatchers[cell]
             del self._used_at[cell]
-            self._shares_told.pop(cell, None)
+            self._shares.forget(cell)
 
     def _forget_keys(self) -> None:
         for key, cell in list(self._where.items()):
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -54,6 +54,7 @@
 from railsail.quarantine.ledger import QuarantineLedger
 from railsail.quarantine.observer import EndObserver
 from railsail.quarantine.service import Quarantine
+from railsail.quarantine.trials import Trials
 from railsail.routing.budget import RetryBounds
 from railsail.routing.client import ClientServer, most_connections
 from railsail.routing.forwarding import Forwarder
@@ -176,8 +177,7 @@
             self.kernel,
             settings.affinity == "prefix",
             settings.fair_window_seconds,
-            self.quarantine,
-            self.ends,
+            Trials(self.quarantine, self.ends),
         )
         self.tree: ServiceTree | None = None
         if settings.scheduling == "fleet":
