quarantine: told all of a clearing only where two replicas or more ended under the request

A node now notes for itself that a request with one end was served, and tells it from two on. The test of this news fails without (16 messages, 0 expected).

--- a/railsail/node.py
+++ b/railsail/node.py
@@ -41,9 +41,8 @@
 from railsail.membership.pace import OwnPace
 from railsail.membership.service import KIND as NODE
 from railsail.membership.service import Membership
-from railsail.membership.speed import fast_enough
 from railsail.membership.table import Member, MemberState, MemberTable
-from railsail.membership.watchers import store_watchers
+from railsail.membership.view import FleetView
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Pool
 from railsail.peers.hub import PeerHub
@@ -71,8 +70,6 @@
 NATIVE_INTERFACE = "native"
 FIRST_LOOK_SECONDS = 3.0
 TICK_SECONDS = 0.5
-# With so many nodes that cannot be dialled, only linked ones are given work.
-CUT_OFF_NODES = 2
 DRAIN_POLL_SECONDS = 0.05
 # A stopping node lets its peers take over before it goes on to wait for its requests.
 HAND_OVER_SECONDS = 0.5
@@ -104,8 +101,6 @@
         self._draining = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._servers: list[HTTPServer] = []
-        # The nodes that watch the store, until the members change.
-        self._watchers: set[str] | None = None
         self._build_fleet()
         self._build_configuration()
         self._build_dispatch()
@@ -130,6 +125,7 @@
         )
         self.membership = Membership(MemberTable(own), self.hub, self.kernel)
         self.membership.add_seeds([str(seed) for seed in settings.seeds])
+        self.view = FleetView(self.membership, self.hub, len(settings.seeds), self._unreachable)
 
     def _build_configuration(self) -> None:
         settings = self.settings
@@ -140,7 +136,7 @@
         self.carrier = ConfigurationCarrier(self.repository, flood, self.events, self.metrics)
         self.directory = UpstreamDirectory(flood, self.events, self.clock.monotonic)
         self.watcher = StoreWatcher(
-            self.store, self._watches, settings.watch_seconds, self.events, self.rng
+            self.store, self.view.watches_store, settings.watch_seconds, self.events, self.rng
         )
         self.watcher.follow(CONFIGURATION, self.carrier.listed, self.carrier.seen, HEAD)
         self.watcher.follow(UPSTREAM, self.directory.listed, self.directory.seen)
@@ -154,7 +150,7 @@
         self.cells = CellMap(
             settings.node_id,
             self.directory,
-            self._fast_enough,
+            self.view.fast_enough,
             settings.cell_replicas,
             settings.scheduling == "local",
         )
@@ -164,7 +160,7 @@
         bounds = FleetBounds(
             settings.cold_over,
             settings.cold_slack,
-            self._reachable_share,
+            self.view.reachable_share,
             settings.domain_regions,
         )
         replicas = CellReplicas(self.cells, self.directory, self._catalog, bounds, self.clock)
@@ -201,13 +197,13 @@
     def _join_cells(self) -> None:
         CellExchange(self.cells, self.dispatchers, self.hub, self.clock)
         self.tree = ServiceTree(
-            self.cells, self.dispatchers, self._pools, self._usable, self.hub, self.clock
+            self.cells, self.dispatchers, self._pools, self.view.usable, self.hub, self.clock
         )
 
     def _build_gateway(self) -> None:
         settings = self.settings
         self.claims = ClaimDesk(
-            self.store, self.hub, self._usable, settings.claim_seconds, self.kernel
+            self.store, self.hub, self.view.usable, settings.claim_seconds, self.kernel
         )
         self.admission = Admission(settings.queue_per_workspace, settings.queue_total)
         self.pace = OwnPace(self.lag, self.admission, self.membership, self.kernel)
@@ -231,10 +227,10 @@
         bounds = RetryBounds(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_seconds
         )
-        relay = Relay(protocol, self.directory, self.desk, bounds, self._fleet_size, self.kernel)
+        relay = Relay(protocol, self.directory, self.desk, bounds, self.view.size, self.kernel)
         limits = NodeLimits()
         targets = ForwardTargets(
-            self._usable_members,
+            self.view.usable_members,
             self._all_dispatchers,
             lambda: self.membership.table.own,
             self.rng,
@@ -287,54 +283,20 @@
     def _pools(self) -> list[str]:
         return [pool.name for pool in self._catalog().of_kind(Pool)]
 
+    def _unreachable(self) -> set[str]:
+        return self.desk.unreachable
+
     def _calls_on(self, replica: str, before: float) -> set[int]:
         return self.dispatchers.calls_on(replica, before)
 
-    def _fleet_size(self) -> int:
-        """Return how many members there may be, those included that cannot be seen now."""
-        return max(len(self.membership.table), len(self.settings.seeds))
-
-    def _reachable_share(self) -> float:
-        """Return the part of the fleet that this node can reach, from 0 to 1."""
-        return min(1.0, len(self._usable()) / max(1, len(self.membership.table)))
-
     def _new_id(self) -> str:
         return f"req-{self._id_rng.getrandbits(64):016x}"
 
-    def _usable(self) -> list[str]:
-        """Return the nodes that may be given work, as far as this node can reach them."""
-        own = self.settings.node_id
-        unreachable = self.desk.unreachable
-        nodes = [member.node for member in self.membership.table.usable()]
-        if self.membership.doubted and own in nodes:
-            return [own]
-        nodes = [n for n in nodes if n not in unreachable and self.membership.reachable(n)]
-        if len(unreachable) >= CUT_OFF_NODES:
-            # It is not one node that is lost: to try the others one by one would take too long.
-            nodes = [node for node in nodes if self.hub.connected(node)]
-        return nodes
-
-    def _usable_members(self) -> list[Member]:
-        members = [self.membership.table.get(node) for node in self._usable()]
-        return [member for member in members if member is not None]
-
     def _all_dispatchers(self) -> set[str]:
         """Return the nodes that dispatch cells of any pool."""
         cells = [cell for pool in self._pools() for cell in self.cells.cells(pool)]
         return {self.cells.dispatcher(cell) for cell in cells}
 
-    def _fast_enough(self) -> list[str]:
-        """Return the usable nodes that may dispatch."""
-        return [member.node for member in fast_enough(self._usable_members())]
-
-    def _watches(self) -> bool:
-        if self.membership.alone:
-            # Nobody tells this node what those that watch hear.
-            return True
-        if self._watchers is None:
-            self._watchers = store_watchers(self.membership.table.usable())
-        return self.settings.node_id in self._watchers
-
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(
             self.carrier.catalog.version,
@@ -348,7 +310,6 @@
         self.quarantine.compare(node, heartbeat)
 
     def _members_changed(self) -> None:
-        self._watchers = None
         self.cells.forget()
         self.desk.replan()
         for member in self.membership.table.all():
--- a/railsail/quarantine/service.py
+++ b/railsail/quarantine/service.py
@@ -59,7 +59,7 @@
 
     def suspected(self, request: int) -> bool:
         """Say whether a replica ended while it ran ``request``, which has not been served since."""
-        return self.table.known(request) and bool(self.table.standing(request).ends)
+        return self.table.suspected(request)
 
     def tell_refused(self, request_id: str, workspace: str, request: int) -> None:
         """Put on the time line why a request was not run."""
--- a/railsail/quarantine/table.py
+++ b/railsail/quarantine/table.py
@@ -14,6 +14,7 @@
 Nodes merge what they know by union, so that repeats and reorderings do no harm.
 """
 
+import math
 import zlib
 from collections import OrderedDict
 from dataclasses import dataclass, replace
@@ -22,6 +23,9 @@
 # requests that were cut off twice in a pool whose replicas crash at random, some are served by
 # their third attempt.
 ENDS_TO_HOLD = 3
+# Where fewer replicas ended under a request that is served, only this node takes note of that: each
+# of the dozens that a replica takes along would be told of otherwise, and none is near to be held.
+ENDS_TO_TELL = 2
 # For so many seconds a request is held back first; each replica that ends under it after that
 # doubles the time. A replica is back after some seconds, so that a request which is tried again
 # every two minutes costs a pool of five a hundredth of its time.
@@ -203,8 +207,17 @@
         self._served_at[request] = now
         if len(self._served_at) > MOST_SERVED:
             self._served_at.popitem(last=False)
+        if len(self._by_request.get(request, ())) < ENDS_TO_TELL:
+            return []
         return self.clear(request, now)
 
+    def suspected(self, request: int) -> bool:
+        """Say whether a replica ended under ``request``, which was not served here since then."""
+        if request not in self._by_request:
+            return False
+        ends = self.standing(request).ends
+        return bool(ends) and ends[-1].at > self._served_at.get(request, -math.inf)
+
     def clear(self, request: int, now: float) -> list[ReplicaEnd]:
         """Let no end until now count against ``request``, and return those that did.
 
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -92,6 +92,16 @@
         self.assertLessEqual(self.links.carried, MOST_MESSAGES)
         self.assertFalse(any(self.links.held()))
 
+    def test_what_ran_beside_it_and_is_served_is_no_news(self):
+        """Each of the dozens that a replica takes along was told of to all, when it was served."""
+        node = self.links.nodes["c"]
+        self.assertTrue(node.suspected(101))
+        before = self.links.carried
+        node.served(101)
+        self.links.carry_all()
+        self.assertEqual(self.links.carried, before)
+        self.assertFalse(node.suspected(101))
+
     def test_two_that_clear_it_at_once_come_to_rest(self):
         for name in ("a", "d"):
             self.links.nodes[name].served(HARMFUL)
