--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -34,8 +34,7 @@
 
     ``ends_at`` is in seconds of the monotonic clock. ``avoid`` names the replica that did not run
     it at the last try. ``sent`` says that it may have run, ``ran`` that an earlier try of it may
-    have. Its repeats have the same
-    ``fingerprint``.
+    have. Its repeats have the same ``fingerprint``.
     """
 
     id: str
