--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -35,14 +35,8 @@
 from railsail.peers.records import CounterRecord
 from railsail.quarantine.trials import Trials
 from railsail.scheduling.cells import Cell
-from railsail.scheduling.dispatcher import (
-    CellDispatcher,
-    Decision,
-    Flight,
-    Grant,
-    Hold,
-    Refusal,
-)
+from railsail.scheduling.decisions import Decision, Flight, Grant, Hold, Refusal
+from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.health import CallResult
 from railsail.scheduling.room import LoadReport
 from railsail.scheduling.tickets import Ticket, TicketKey
--- a/railsail/quarantine/trials.py
+++ b/railsail/quarantine/trials.py
@@ -2,7 +2,8 @@
 
 from railsail.quarantine.observer import EndObserver
 from railsail.quarantine.service import Quarantine
-from railsail.scheduling.dispatcher import CellDispatcher, Flight
+from railsail.scheduling.decisions import Flight
+from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.health import CallResult
 from railsail.scheduling.tickets import Ticket
 
--- /dev/null
+++ b/railsail/scheduling/decisions.py
@@ -0,0 +1,54 @@
+"""What a cell's dispatcher decides of tickets, and what it knows of requests in flight."""
+
+from dataclasses import dataclass
+
+from railsail.core.outcomes import Reason
+from railsail.scheduling.tickets import Ticket
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Tell the entry to call ``replica``; ``counter`` is the workspace's, after the charge."""
+
+    ticket: Ticket
+    replica: str
+    counter: float
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Tell ``ticket``'s entry that the request cannot be served now.
+
+    ``come_back`` is the time in seconds after which its caller should, 0 where it is not known.
+    """
+
+    ticket: Ticket
+    reason: Reason
+    come_back: float = 0.0
+
+
+@dataclass(frozen=True)
+class Hold:
+    """Tell ``ticket``'s entry that its caller was refused before, and what it may wait now."""
+
+    ticket: Ticket
+
+
+Decision = Grant | Refusal | Hold
+
+
+@dataclass
+class Flight:
+    """A granted request that has not been released; ``charged`` is in cost units.
+
+    ``unread`` are the tokens of its prompt until its answer begins, and 0 from then on. Repeats of
+    the request have the same ``fingerprint``, 0 where there is none.
+    """
+
+    attempt: int
+    workspace: str
+    replica: str
+    charged: float
+    started_at: float
+    unread: int = 0
+    fingerprint: int = 0
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -5,7 +5,7 @@
 from railsail.core.lifecycle import State
 from railsail.peers.messages import Cancel, Granted, Place, Release
 from railsail.scheduling.cells import Cell
-from railsail.scheduling.dispatcher import Flight
+from railsail.scheduling.decisions import Flight
 from railsail.standins.batching import EngineSettings
 from tests.fleet.base import FleetTestCase, whole
 
--- a/tests/scheduling/test_expiry.py
+++ b/tests/scheduling/test_expiry.py
@@ -4,7 +4,8 @@
 import unittest
 
 from railsail.core.outcomes import Reason
-from railsail.scheduling.dispatcher import CellDispatcher, Grant, Refusal
+from railsail.scheduling.decisions import Grant, Refusal
+from railsail.scheduling.dispatcher import CellDispatcher
 from tests.scheduling.test_fairqueue import ticket
 
 
--- a/tests/scheduling/test_fairqueue.py
+++ b/tests/scheduling/test_fairqueue.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from railsail.scheduling.dispatcher import CellDispatcher, Grant, Refusal
+from railsail.scheduling.decisions import Grant, Refusal
+from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.fairqueue import FairQueue
 from railsail.scheduling.health import CallResult
 from railsail.scheduling.tickets import Ticket
--- a/tests/scheduling/test_health.py
+++ b/tests/scheduling/test_health.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from railsail.scheduling.dispatcher import CellDispatcher, Grant
+from railsail.scheduling.decisions import Grant
+from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.health import CallResult, Peers, ReplicaHealth
 from railsail.scheduling.tickets import Ticket
 
--- a/tests/scheduling/test_returning.py
+++ b/tests/scheduling/test_returning.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from railsail.scheduling.dispatcher import CellDispatcher, Grant, Hold, Refusal
+from railsail.scheduling.decisions import Grant, Hold, Refusal
+from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.returning import (
     COME_BACK_SLACK_SECONDS,
     MOST_REMEMBERED,
--- a/tests/scheduling/test_standing.py
+++ b/tests/scheduling/test_standing.py
@@ -16,7 +16,8 @@
 import random
 import unittest
 
-from railsail.scheduling.dispatcher import CellDispatcher, Grant
+from railsail.scheduling.decisions import Grant
+from railsail.scheduling.dispatcher import CellDispatcher
 from tests.scheduling.test_fairqueue import ticket
 
 STEP_SECONDS = 0.005
--- a/tests/scheduling/test_usage.py
+++ b/tests/scheduling/test_usage.py
@@ -4,7 +4,8 @@
 import random
 import unittest
 
-from railsail.scheduling.dispatcher import CellDispatcher, Grant, Refusal
+from railsail.scheduling.decisions import Grant, Refusal
+from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.usage import RecentUsage, max_min_level
 from tests.scheduling.test_fairqueue import ticket
 
