tests: let a crowded workspace's requests wait while the test's loop stands still

A request waits a fifth of its objective for a place, 0.4 s here, and both nodes share the loop, whose turns took up to 0.39 s. No assertion changes.

--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -27,7 +27,7 @@
 from railsail.gateway.concurrency import FIRST_LIMIT
 from railsail.node import Node
 from railsail.routing import forwarding
-from tests.platform.base import LONGEST_SECONDS, PlatformTestCase, read_answer, request
+from tests.platform.base import LONGEST_SECONDS, ROUTES, PlatformTestCase, read_answer, request
 from tests.platform.standins import (
     BREAK_SECONDS,
     SEAL,
@@ -70,6 +70,10 @@
     await writer.drain()
 
 
+# A request may wait for as long as its deadline allows.
+LONG_OBJECTIVE_MS = 20_000
+
+
 class CrowdedNodeTests(PlatformTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -122,6 +126,10 @@
         self.assertEqual([answer.status for answer in answers], [200] * MORE)
 
     async def test_bound_on_a_workspace_at_one_node_does_not_bind_it_in_the_fleet(self):
+        # A wait for a place, a fifth of the objective, would end while the loop stands still.
+        patch = mock.patch.dict(ROUTES["again"], {"slo_ms": LONG_OBJECTIVE_MS})
+        patch.start()
+        self.addCleanup(patch.stop)
         full, _ = await self.serve_crowded(queue_per_workspace=str(LEAST_CROWD))
         calls = [self.call(full, "/again/", Request_Id=f"r-{number}") for number in range(MORE)]
         answers = await asyncio.gather(*calls)
