tests: held three more premises of the crowded node against a loop that stands still

Cause, shown by letting the test's loop stand still for 0.45 s again and again (503 for all, as recorded, in two of the three tests on the first try): three waits of the product pass while the one loop that both nodes and the replica share does not run. - The wait for a place is a fifth of the route's objective, 0.4 s. - The replica is taken for silent 0.8 s after the requests that fill the node, which the test lets hang, were sent; it then gets nothing, and it is the only one. - The route's timeout and the caller's deadline, 4 s.

Ruled out: the connection between the nodes, which was given time before and still failed here.

Change: these waits are long for this class, as one of its tests had it before. No assertion changed.

--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -26,8 +26,16 @@
 from railsail.gateway.admission import LEAST_CROWD
 from railsail.gateway.concurrency import FIRST_LIMIT
 from railsail.node import Node
-from railsail.routing import forwarding
-from tests.platform.base import LONGEST_SECONDS, ROUTES, PlatformTestCase, read_answer, request
+from railsail.routing import forwarding, relay
+from railsail.scheduling import room
+from tests.platform.base import (
+    LONGEST_SECONDS,
+    ROUTES,
+    Answer,
+    PlatformTestCase,
+    read_answer,
+    request,
+)
 from tests.platform.standins import (
     BREAK_SECONDS,
     SEAL,
@@ -78,8 +86,17 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         # Both nodes share the test's loop: a turn that takes long on a busy machine, a quarter of a
-        # second in all, would be taken for a node that cannot be connected to.
-        patch = mock.patch.object(forwarding, "CONNECT_SECONDS", LONGEST_SECONDS)
+        # second in all, would be taken for a node that cannot be connected to, or 0.4 s for a
+        # replica; and a wait for a place, a fifth of the objective, or a deadline would pass.
+        self.hold(mock.patch.object(forwarding, "CONNECT_SECONDS", LONGEST_SECONDS))
+        self.hold(mock.patch.object(relay, "CONNECT_SECONDS", LONGEST_SECONDS))
+        # The requests that fill the node stay without an answer, so that its replica looks silent
+        # 0.8 s later.
+        self.hold(mock.patch.object(room, "SILENT_SECONDS", LONGEST_SECONDS))
+        long = {"slo_ms": LONG_OBJECTIVE_MS, "timeout_ms": LONG_OBJECTIVE_MS}
+        self.hold(mock.patch.dict(ROUTES["again"], long))
+
+    def hold(self, patch) -> None:
         patch.start()
         self.addCleanup(patch.stop)
 
@@ -114,6 +131,17 @@
         member = node.membership.table.get(other.settings.node_id)
         return member is not None and member.forward_port > 0
 
+    async def call_many(self, node: Node) -> list[Answer]:
+        """Make ``MORE`` calls at once that may take long."""
+        deadline = str(LONG_OBJECTIVE_MS)
+        numbers = range(MORE)
+        return await asyncio.gather(
+            *(
+                self.call(node, "/again/", Request_Id=f"r-{n}", Deadline_Ms=deadline)
+                for n in numbers
+            )
+        )
+
     async def asyncTearDown(self) -> None:
         for call in getattr(self, "held", ()):
             call.cancel()
@@ -121,18 +149,12 @@
 
     async def test_requests_beyond_what_the_node_holds_are_served(self):
         full, _ = await self.serve_crowded()
-        calls = [self.call(full, "/again/", Request_Id=f"r-{number}") for number in range(MORE)]
-        answers = await asyncio.gather(*calls)
+        answers = await self.call_many(full)
         self.assertEqual([answer.status for answer in answers], [200] * MORE)
 
     async def test_bound_on_a_workspace_at_one_node_does_not_bind_it_in_the_fleet(self):
-        # A wait for a place, a fifth of the objective, would end while the loop stands still.
-        patch = mock.patch.dict(ROUTES["again"], {"slo_ms": LONG_OBJECTIVE_MS})
-        patch.start()
-        self.addCleanup(patch.stop)
         full, _ = await self.serve_crowded(queue_per_workspace=str(LEAST_CROWD))
-        calls = [self.call(full, "/again/", Request_Id=f"r-{number}") for number in range(MORE)]
-        answers = await asyncio.gather(*calls)
+        answers = await self.call_many(full)
         self.assertEqual([answer.status for answer in answers], [200] * MORE)
 
     async def test_connection_ends_with_an_answer_of_another_node(self):
@@ -220,8 +242,7 @@
         await self.until(lambda: self.knows_port(full, third))
         for server in idle._servers:
             server.stop()
-        calls = [self.call(full, "/again/", Request_Id=f"r-{number}") for number in range(MORE)]
-        answers = await asyncio.gather(*calls)
+        answers = await self.call_many(full)
         self.assertEqual([answer.status for answer in answers], [200] * MORE)
         self.assertEqual(third.membership.table.own.forward_port > 0, True)
 
