upstreams, routing, dispatch: logged what answers say of their replicas

Sight for the replicas that leave or ask for rest: nothing told whether a head that says so came at all, and on which way. Each answer of a replica, on every way (routes, the model interface, load questions, cancels, resumed streams), is heard before its receiver may refuse it, and one line names the replica, the status, and the rest that it asks for. No decision changes. The stand-in of an engine can say both.

--- a/railsail/dispatch/loads.py
+++ b/railsail/dispatch/loads.py
@@ -11,6 +11,8 @@
 from railsail.scheduling.room import LoadReport
 from railsail.upstreams.base import UpstreamKind
 from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.heard import HeardSigns
+from railsail.upstreams.signs import read_signs
 
 BUSY_SECONDS = 1.0
 IDLE_SECONDS = 5.0
@@ -20,10 +22,15 @@
     """Ask for load reports, and pass them on; a replica's own word that it leaves is a sign."""
 
     def __init__(
-        self, catalog: Callable[[], Catalog], directory: UpstreamDirectory, clock: Clock
+        self,
+        catalog: Callable[[], Catalog],
+        directory: UpstreamDirectory,
+        heard: HeardSigns,
+        clock: Clock,
     ) -> None:
         self._catalog = catalog
         self._directory = directory
+        self._heard = heard
         self._clock = clock
         self._asked_at: dict[str, float] = {}
         self._kinds: dict[str, UpstreamKind] = {}
@@ -59,7 +66,9 @@
 
     async def _ask(self, cell: Cell, name: str, kind: UpstreamKind) -> None:
         upstream = self._directory.get(name)
-        report = await kind.load(upstream.endpoint) if upstream else None
+        if upstream is None:
+            return
+        report = await kind.load(upstream.endpoint, self._heard.listener(name, read_signs))
         if report is None:
             return
         self._directory.sign(name, report.leaving, self._clock.wall())
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -20,7 +20,9 @@
 from railsail.scheduling.retries import RetryBudget
 from railsail.upstreams.base import UpstreamCall, UpstreamKind
 from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.heard import HeardSigns
 from railsail.upstreams.refusals import LEAVING
+from railsail.upstreams.signs import read_signs
 
 MOST_TRIES = 5
 # Urgent work is decided at once; the second allows for a dispatcher that must be replaced.
@@ -59,12 +61,14 @@
         directory: UpstreamDirectory,
         desk: TicketDesk,
         kind_of: Callable[[str], UpstreamKind | None],
+        heard: HeardSigns,
         kernel: Kernel,
     ) -> None:
         self._catalog = catalog
         self._directory = directory
         self._desk = desk
         self._kind_of = kind_of
+        self._heard = heard
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
@@ -130,7 +134,7 @@
         if upstream is None or kind is None:
             self._desk.release(booking, 0.0, CallResult.NOTHING)
             return NotRun(Reason.UNREACHABLE, f"{replica} is not known here")
-        call = self._upstream_call(served, upstream.endpoint)
+        call = self._upstream_call(served, replica, upstream.endpoint)
         served.sink.meter(ChargeMeter(booking.charged), self._desk, booking)
         self._events.emit(Kind.SENT, replica, served.id, served.workspace)
         outcome: Outcome = Unknown(CANCELLED)
@@ -148,7 +152,7 @@
             self._settle(served, booking, replica, outcome)
         return outcome
 
-    def _upstream_call(self, served: Served, endpoint: str) -> UpstreamCall:
+    def _upstream_call(self, served: Served, replica: str, endpoint: str) -> UpstreamCall:
         request = served.request
         return UpstreamCall(
             endpoint,
@@ -161,6 +165,7 @@
             self._catalog().class_of(served.workspace).engine_priority,
             request.stream,
             served.pool.cost_unit,
+            self._heard.listener(replica, read_signs),
         )
 
     def _settle(self, served: Served, booking: Booking, replica: str, outcome: Outcome) -> None:
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -66,6 +66,7 @@
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.evacuations import KIND as EVACUATION
+from railsail.upstreams.heard import HeardSigns
 
 NATIVE_INTERFACE = "native"
 FIRST_LOOK_SECONDS = 3.0
@@ -156,7 +157,8 @@
         )
         self._build_quarantine()
         self.desk = TicketDesk(self.cells, self.hub, self.quarantine, self.kernel)
-        self.loads = LoadReports(self._catalog, self.directory, self.clock)
+        self.heard = HeardSigns(self.kernel)
+        self.loads = LoadReports(self._catalog, self.directory, self.heard, self.clock)
         bounds = FleetBounds(
             settings.cold_over,
             settings.cold_slack,
@@ -208,7 +210,8 @@
         self.admission = Admission(settings.queue_per_workspace, settings.queue_total)
         self.pace = OwnPace(self.lag, self.admission, self.membership, self.kernel)
         self.judge = Judge(self._catalog, self.admission, self.metrics)
-        tries = Tries(self._catalog, self.directory, self.desk, self.loads.kind_of, self.kernel)
+        kind_of = self.loads.kind_of
+        tries = Tries(self._catalog, self.directory, self.desk, kind_of, self.heard, self.kernel)
         shelf = AnswerShelf(self.hub, self.membership.gone, self.rng)
         server = Server(
             self._catalog, self.judge, tries, self.claims, shelf, self.admission, self.kernel
@@ -227,7 +230,15 @@
         bounds = RetryBounds(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_seconds
         )
-        relay = Relay(protocol, self.directory, self.desk, bounds, self.view.size, self.kernel)
+        relay = Relay(
+            protocol,
+            self.directory,
+            self.desk,
+            bounds,
+            self.view.size,
+            self.heard,
+            self.kernel,
+        )
         limits = NodeLimits()
         targets = ForwardTargets(
             self.view.usable_members,
--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -14,6 +14,7 @@
     RoutedRequest,
 )
 from railsail.routing.protocol import ROUTE_PROTOCOLS
+from railsail.upstreams.signs import AnswerSigns, read_rest
 
 REQUEST_ID = "Request-Id"
 DEADLINE = "Deadline-Ms"
@@ -25,6 +26,9 @@
 REPLICA = "Expect-Instance"
 SIGNATURE = "Response-Seal"
 NOT_RUN = "Not-Run"
+# In answers of any kind: the replica that gives them is going to end.
+LEAVING = "Server-Leaving"
+_NOT_LEAVING = ("", "0")
 KEY = "Authorization"
 _MISDIRECTED = 421
 _BEARER = "bearer "
@@ -61,7 +65,7 @@
 # A caller that expects a word before it sends its body has sent it by then.
 _TO_THIS_NODE = frozenset({"Expect"})
 # What replicas say about themselves in answers means nothing in a request.
-_SAID_BY_REPLICAS = frozenset({SIGNATURE, NOT_RUN, "Instance-Id", "Weight-Versions"})
+_SAID_BY_REPLICAS = frozenset({SIGNATURE, NOT_RUN, LEAVING, "Instance-Id", "Weight-Versions"})
 _SET_BY_FLEET = _ORDERS | _SAID_BY_REPLICAS | {KEY, WORKSPACE, DEADLINE, "Expect"}
 
 
@@ -126,6 +130,11 @@
             signed=SIGNATURE in headers,
         )
 
+    def read_signs(self, status: int, headers: HTTPHeaders, wall: float) -> AnswerSigns:
+        """Return what the head of a replica's answer says of the replica itself."""
+        leaving = headers.get(LEAVING, "").strip() not in _NOT_LEAVING
+        return AnswerSigns(leaving, read_rest(status, headers, wall))
+
     def own_headers(self, request_id: str, retry_after: float | None) -> HTTPHeaders:
         """Return the headers of an answer of the fleet's own."""
         headers = HTTPHeaders({"Content-Type": "text/plain"})
--- a/railsail/routing/protocol.py
+++ b/railsail/routing/protocol.py
@@ -9,6 +9,7 @@
 
 from railsail.core.registry import Registry
 from railsail.routing.messages import AnswerHead, Dispatch, Origin, RoutedRequest
+from railsail.upstreams.signs import AnswerSigns
 
 
 class RouteProtocol(Protocol):
@@ -34,6 +35,12 @@
     def read_answer(self, status: int, headers: HTTPHeaders) -> AnswerHead:
         """Return what the head of a replica's answer says."""
 
+    def read_signs(self, status: int, headers: HTTPHeaders, wall: float) -> AnswerSigns:
+        """Return what the head of a replica's answer says of the replica itself.
+
+        ``wall`` is now, in seconds since the Unix epoch.
+        """
+
     def own_headers(self, request_id: str, retry_after: float | None) -> HTTPHeaders:
         """Return the headers of an answer of the fleet's own; ``retry_after`` is in seconds."""
 
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -20,6 +20,7 @@
 from railsail.routing.running import RunningCalls
 from railsail.scheduling.health import CallResult
 from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.heard import HeardSigns
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.sse import BadStream
 
@@ -89,6 +90,7 @@
         desk: TicketDesk,
         bounds: RetryBounds,
         members: Callable[[], int],
+        heard: HeardSigns,
         kernel: Kernel,
     ) -> None:
         self._protocol = protocol
@@ -96,6 +98,7 @@
         self._desk = desk
         self._bounds = bounds
         self._members = members
+        self._heard = heard
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
@@ -227,6 +230,7 @@
             request.body,
             open_ended=True,
             connect_seconds=min(CONNECT_SECONDS, left),
+            on_head=self._heard.listener(replica, self._protocol.read_signs),
         )
         answer = ReplicaAnswer(
             self._protocol,
--- a/railsail/standins/batching.py
+++ b/railsail/standins/batching.py
@@ -31,7 +31,9 @@
     """The faults in force.
 
     ``cut_after`` closes each stream once after so many events, ``cross`` labels every answer with
-    another id, ``duplicate`` sends each event twice, ``fail`` answers 500.
+    another id, ``duplicate`` sends each event twice, ``fail`` answers 500. ``says_leaving`` says in
+    all answers that the engine leaves, while it serves on; with ``rest`` it turns calls away and
+    asks for so many seconds of rest.
     """
 
     leaving: bool = False
@@ -39,6 +41,8 @@
     cross: bool = False
     duplicate: bool = False
     fail: bool = False
+    says_leaving: bool = False
+    rest: str = ""
 
 
 @dataclass
--- a/railsail/standins/engine.py
+++ b/railsail/standins/engine.py
@@ -25,16 +25,26 @@
 class _Handler(RequestHandler):
     def initialize(self, engine: Engine) -> None:
         self.engine = engine
+        self.set_default_headers()
         self._run: Run | None = None
 
     def check_xsrf_cookie(self) -> None:
         pass
 
+    def set_default_headers(self) -> None:
+        # Called before ``initialize`` too, when no engine is known.
+        engine = getattr(self, "engine", None)
+        if engine is not None and engine.faults.says_leaving:
+            self.set_header("X-Leaving", "true")
+
     def refuse(self) -> None:
         self.engine.refused += 1
         self.set_status(503)
         self.set_header("X-Not-Run", "true")
-        self.set_header("X-Leaving", "true")
+        if self.engine.faults.rest:
+            self.set_header("Retry-After", self.engine.faults.rest)
+        else:
+            self.set_header("X-Leaving", "true")
         self.finish()
 
     def on_connection_close(self) -> None:
@@ -83,7 +93,7 @@
 
 class _Completions(_Handler):
     async def post(self) -> None:
-        if self.engine.faults.leaving:
+        if self.engine.faults.leaving or self.engine.faults.rest:
             self.refuse()
             return
         if self.engine.faults.fail:
--- a/railsail/upstreams/base.py
+++ b/railsail/upstreams/base.py
@@ -7,6 +7,7 @@
 from railsail.core.outcomes import Outcome
 from railsail.objects.kinds import CostUnit
 from railsail.scheduling.room import LoadReport
+from railsail.upstreams.http import HeadListener, ignore_head
 
 
 @dataclass(frozen=True)
@@ -14,7 +15,8 @@
     """One call to one replica.
 
     ``endpoint`` is ``ip:port``. ``priority`` is passed to kinds that honour one, lower first.
-    ``stream`` says that the caller asked for an event stream.
+    ``stream`` says that the caller asked for an event stream. ``on_head`` hears the head of each
+    answer of the replica to this call, whatever becomes of it.
     """
 
     endpoint: str
@@ -27,6 +29,7 @@
     priority: int
     stream: bool
     cost_unit: CostUnit
+    on_head: HeadListener = ignore_head
 
 
 class AnswerSink(Protocol):
@@ -60,8 +63,11 @@
         """
         raise NotImplementedError
 
-    async def load(self, endpoint: str) -> LoadReport | None:
-        """Return the load that the replica reports, or ``None`` if it did not answer."""
+    async def load(self, endpoint: str, on_head: HeadListener) -> LoadReport | None:
+        """Return the load that the replica reports, or ``None`` if it did not answer.
+
+        ``on_head`` hears the head of its answer.
+        """
         return None
 
     async def cancel(self, call: UpstreamCall) -> None:
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -14,7 +14,15 @@
 from railsail.objects.kinds import UPSTREAM_KINDS
 from railsail.scheduling.room import LoadReport
 from railsail.upstreams.base import AnswerSink, UpstreamCall, UpstreamKind
-from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange, fetch
+from railsail.upstreams.http import (
+    Collector,
+    CutOff,
+    HeadListener,
+    HttpRequest,
+    NotSent,
+    exchange,
+    fetch,
+)
 from railsail.upstreams.refusals import refusal
 from railsail.upstreams.sse import BadStream, EventSplitter, StreamEvent
 
@@ -164,7 +172,8 @@
                 return outcome
             await asyncio.sleep(RESUME_PAUSE_SECONDS * attempt)
             path = f"/v1/streams/{call.request_id}?after={answer.next_number}"
-            request = HttpRequest(call.endpoint, "GET", path, {"X-Request-Id": call.request_id})
+            headers = {"X-Request-Id": call.request_id}
+            request = HttpRequest(call.endpoint, "GET", path, headers, on_head=call.on_head)
         return Unknown(problem, answer.cost, broke_off=True)
 
     async def _judge_stream(
@@ -180,9 +189,10 @@
             return Unknown("the engine does not know the stream any more", answer.cost)
         return None
 
-    async def load(self, endpoint: str) -> LoadReport | None:
+    async def load(self, endpoint: str, on_head: HeadListener) -> LoadReport | None:
         """Return the load that the engine reports, or ``None`` if it did not answer."""
-        answer = await fetch(HttpRequest(endpoint, "GET", "/v1/load", {}), SHORT_CALL_SECONDS)
+        request = HttpRequest(endpoint, "GET", "/v1/load", {}, on_head=on_head)
+        answer = await fetch(request, SHORT_CALL_SECONDS)
         if answer is None or answer.status != 200:
             return None
         try:
@@ -193,7 +203,8 @@
     async def cancel(self, call: UpstreamCall) -> None:
         """Tell the engine to stop a stream."""
         path = f"/v1/streams/{call.request_id}/cancel"
-        await fetch(HttpRequest(call.endpoint, "POST", path, {}), SHORT_CALL_SECONDS)
+        request = HttpRequest(call.endpoint, "POST", path, {}, on_head=call.on_head)
+        await fetch(request, SHORT_CALL_SECONDS)
 
 
 def _request(call: UpstreamCall) -> HttpRequest:
@@ -203,7 +214,9 @@
         "X-Workspace": call.workspace,
         "X-Priority": str(call.priority),
     }
-    return HttpRequest(call.endpoint, call.method, call.path, headers, call.body)
+    return HttpRequest(
+        call.endpoint, call.method, call.path, headers, call.body, on_head=call.on_head
+    )
 
 
 def _parse_load(body: dict[str, object]) -> LoadReport:
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -40,12 +40,20 @@
     """The request was written at least in part, and no whole answer came."""
 
 
+HeadListener = Callable[[int, HTTPHeaders], None]
+
+
+def ignore_head(status: int, headers: HTTPHeaders) -> None:
+    """Take no note of what an answer says of its replica."""
+
+
 @dataclass(frozen=True)
 class HttpRequest:
     """What is sent; ``endpoint`` is ``ip:port``.
 
     ``open_ended`` says that an answer without a length is whole when its connection was closed in
-    order. ``connect_seconds`` bounds the time to connect.
+    order. ``connect_seconds`` bounds the time to connect. ``on_head`` hears status and headers of
+    any answer before its receiver does, which may refuse it.
     """
 
     endpoint: str
@@ -55,6 +63,7 @@
     body: bytes = b""
     open_ended: bool = False
     connect_seconds: float = CONNECT_SECONDS
+    on_head: HeadListener = ignore_head
 
 
 class Receiver(Protocol):
@@ -68,9 +77,10 @@
 
 
 class _Delegate(HTTPMessageDelegate):
-    def __init__(self, receiver: Receiver, stream: IOStream) -> None:
+    def __init__(self, receiver: Receiver, stream: IOStream, on_head: HeadListener) -> None:
         self._receiver = receiver
         self._stream = stream
+        self._on_head = on_head
         self.error: Exception | None = None
         self._loop = asyncio.get_running_loop()
         self.whole = False
@@ -83,6 +93,7 @@
     ) -> Awaitable[None] | None:
         self.framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         self.framed = self.framed or start_line.code in (204, 304)
+        self._on_head(start_line.code, headers)
         return self._guard(self._receiver.head(start_line.code, headers))
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -137,7 +148,7 @@
         no_keep_alive=True, max_header_size=MOST_HEADER_BYTES, max_body_size=MOST_BODY_BYTES
     )
     connection = HTTP1Connection(stream, is_client=True, params=parameters)
-    delegate = _Delegate(receiver, stream)
+    delegate = _Delegate(receiver, stream, request.on_head)
     watch = asyncio.ensure_future(_close_when_silent(stream, delegate))
     try:
         start = RequestStartLine(request.method, request.path, "")
--- a/railsail/upstreams/service.py
+++ b/railsail/upstreams/service.py
@@ -68,7 +68,9 @@
             "X-Request-Id": call.request_id,
             "X-Workspace": call.workspace,
         }
-        request = HttpRequest(call.endpoint, call.method, call.path, headers, call.body)
+        request = HttpRequest(
+            call.endpoint, call.method, call.path, headers, call.body, on_head=call.on_head
+        )
         try:
             await exchange(request, answer)
         except NotSent as problem:
--- /dev/null
+++ b/railsail/upstreams/signs.py
@@ -0,0 +1,64 @@
+"""What replicas say about themselves in the head of any answer, whatever it says of the request.
+
+The words are ``X-Leaving`` (see ``docs/ref/upstreams.md``) and ``Retry-After`` (RFC 9110, section
+10.2.3); a platform with words of its own has them translated by its adapter.
+"""
+
+import math
+from dataclasses import dataclass
+from datetime import UTC
+from email.utils import parsedate_to_datetime
+
+from tornado.httputil import HTTPHeaders
+
+# A replica is given no longer rest than this, in seconds, so that one bad answer does not close it
+# to a node for good; replicas that restart or shed load ask for seconds.
+MOST_REST_SECONDS = 3600.0
+# The answers with which a replica turns a request away.
+_TURNED_AWAY = (429, 503)
+
+
+@dataclass(frozen=True)
+class AnswerSigns:
+    """What one answer says of its replica.
+
+    ``leaving`` says that it is to get no new work. It wants nothing from this node for ``rest``
+    seconds, 0 where it does not say so.
+    """
+
+    leaving: bool = False
+    rest: float = 0.0
+
+
+def read_signs(status: int, headers: HTTPHeaders, wall: float) -> AnswerSigns:
+    """Return the signs of an answer; ``wall`` is now, in seconds since the Unix epoch."""
+    leaving = headers.get("X-Leaving", "").strip().lower() == "true"
+    return AnswerSigns(leaving, read_rest(status, headers, wall))
+
+
+def read_rest(status: int, headers: HTTPHeaders, wall: float) -> float:
+    """Return for how many seconds an answer that turns a request away asks for rest.
+
+    A value that is neither a number nor a date asks for none.
+    """
+    text = headers.get("Retry-After", "").strip()
+    if not text or status not in _TURNED_AWAY:
+        return 0.0
+    return min(max(0.0, _seconds(text, wall)), MOST_REST_SECONDS)
+
+
+def _seconds(text: str, wall: float) -> float:
+    try:
+        seconds = float(text)
+    except ValueError:
+        return _seconds_until(text, wall)
+    return seconds if math.isfinite(seconds) else 0.0
+
+
+def _seconds_until(text: str, wall: float) -> float:
+    try:
+        date = parsedate_to_datetime(text)
+    except (TypeError, ValueError, IndexError, OverflowError):
+        return 0.0
+    # A date without a zone is in Greenwich's.
+    return (date if date.tzinfo else date.replace(tzinfo=UTC)).timestamp() - wall
