--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -253,6 +253,18 @@
         # The other node is full as well, but nobody crowds it.
         self.assertEqual((answer.status, full.forwarder.total, idle.forwarder.total), (200, 0, 0))
 
+    async def test_node_that_hands_on_hears_that_a_replica_leaves(self):
+        async def leaving(replica: ReplicaStandin, got: Received, writer) -> None:
+            told = {"Response_Seal": SEAL, "Content_Length": "0", "Server_Leaving": "1"}
+            writer.write(head(got, **told))
+            await writer.drain()
+
+        full, idle = await self.serve_crowded()
+        self.replicas[0].script = leaving
+        self.assertEqual((await self.call(full, "/again/")).status, 200)
+        await self.until(lambda: idle.directory.get("i-0").leaving)
+        await self.until(lambda: full.directory.get("i-0").leaving)
+
     async def test_stopping_node_waits_for_what_it_handed_on(self):
         full, _ = await self.serve_crowded()
         call = asyncio.ensure_future(self.call(full, "/resume/"))
