peers: made builds of several levels one fleet

Cause: a build reads messages with just the fields that it knows, and the messages had got fields while the version of the protocol stayed. Three daemons of each of two builds that landed closed links 233 times in 18 s ("Expected `array` of at most length 4, got 5").

Change: each link has a level. The dialling side offers the levels that it speaks as websocket subprotocols, which builds before this one ignore; without one, the peer is of the oldest level, or of the one that its heartbeats show. A peer is sent no message, field or value newer than its level. Tickets get one field, the replicas that they exclude; other nodes of this build are sent it.

Ruled out: a higher version in the handshake, which builds that landed refuse; fields that a reader ignores, since those builds do not.

Measured: what each level is sent is held to literal arrays of the former builds; hubs of which one offers no subprotocol link either way (closed at once before). Builds as processes: not run yet.

--- a/railsail/peers/base.py
+++ b/railsail/peers/base.py
@@ -1,6 +1,8 @@
 """What all messages between daemons are made of: their base, and the types of their fields."""
 
-from typing import Annotated, ClassVar
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Annotated, ClassVar, Self
 
 import msgspec
 
@@ -16,7 +18,20 @@
 class Message(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """The base of all messages.
 
-    A ``PATIENT`` message may wait a little for others to share its frame.
+    A ``PATIENT`` message may wait a little for others to share its frame. Peers know it from the
+    level ``SINCE`` on; ``COUNTS`` tells, by the last level that it held for, how many of its fields
+    they know where that is not all (see ``railsail.peers.levels``).
     """
 
     PATIENT: ClassVar[bool] = False
+    SINCE: ClassVar[int] = 0
+    COUNTS: ClassVar[Mapping[int, int]] = MappingProxyType({})
+
+    def count_at(self, level: int) -> int:
+        """Return how many fields peers of ``level`` know."""
+        held = [last for last in self.COUNTS if level <= last]
+        return self.COUNTS[min(held)] if held else len(self.__struct_fields__)
+
+    def for_level(self, level: int) -> Self:
+        """Return the message with values that peers of ``level`` know."""
+        return self
--- a/railsail/peers/codec.py
+++ b/railsail/peers/codec.py
@@ -10,6 +10,7 @@
 from railsail.core.exceptions import ProtocolError
 from railsail.peers.base import Message
 from railsail.peers.handshake import AnyHandshake
+from railsail.peers.levels import NEWEST, to_array
 from railsail.peers.messages import AnyMessage
 
 MOST_FRAME_BYTES = 1 << 20
@@ -17,8 +18,10 @@
 TIME_MODULUS = 1 << 16
 
 
-def encode_message(message: Message) -> bytes:
-    """Return ``message`` as one CBOR item."""
+def encode_message(message: Message, level: int = NEWEST) -> bytes:
+    """Return ``message`` as one CBOR item that peers of ``level`` read."""
+    if level < NEWEST:
+        return cbor2.dumps(to_array(message, level))
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
@@ -37,11 +40,22 @@
 
 def decode_frame(data: bytes) -> tuple[int, list[AnyMessage]]:
     """Return time and messages of a frame; raise ``ProtocolError`` if anything is wrong with it."""
+    items = load_frame(data)
+    return items[0] % TIME_MODULUS, read_messages(items)
+
+
+def load_frame(data: bytes) -> list:
+    """Return a frame as its time and raw messages; raise ``ProtocolError`` if it is none."""
     items = _load(data)
     if not isinstance(items, list) or not items or not isinstance(items[0], int):
         raise ProtocolError("a frame must be an array that begins with a time")
+    return items
+
+
+def read_messages(items: list) -> list[AnyMessage]:
+    """Return the messages of a frame; raise ``ProtocolError`` if one cannot be read."""
     try:
-        return items[0] % TIME_MODULUS, [msgspec.convert(item, AnyMessage) for item in items[1:]]
+        return [msgspec.convert(item, AnyMessage) for item in items[1:]]
     except msgspec.ValidationError as problem:
         raise ProtocolError(f"invalid message: {problem}") from None
 
--- a/railsail/peers/hub.py
+++ b/railsail/peers/hub.py
@@ -18,6 +18,7 @@
 from railsail.core.tasks import TaskSet
 from railsail.peers.base import Message
 from railsail.peers.codec import MOST_FRAME_BYTES
+from railsail.peers.levels import SUBPROTOCOLS, choose
 from railsail.peers.link import Identity, Link, accept_handshake, join_handshake
 from railsail.peers.messages import AnyMessage
 
@@ -89,6 +90,8 @@
             compression=None,
             ping_interval=None,
             max_size=MOST_FRAME_BYTES,
+            subprotocols=SUBPROTOCOLS,
+            select_subprotocol=choose,
         )
 
     async def stop(self) -> None:
@@ -187,6 +190,7 @@
                     ping_interval=None,
                     close_timeout=1,
                     max_size=MOST_FRAME_BYTES,
+                    subprotocols=SUBPROTOCOLS,
                     proxy=None,
                     local_addr=(parse_endpoint(self.own.node).ip, 0),
                 )
--- a/railsail/peers/link.py
+++ b/railsail/peers/link.py
@@ -14,8 +14,16 @@
 from railsail.core.metrics import Metrics
 from railsail.peers import auth
 from railsail.peers.base import PROTOCOL_VERSION, Message
-from railsail.peers.codec import decode_frame, decode_handshake, encode_message, join_frame
+from railsail.peers.codec import (
+    TIME_MODULUS,
+    decode_handshake,
+    encode_message,
+    join_frame,
+    load_frame,
+    read_messages,
+)
 from railsail.peers.handshake import Accept, Challenge, Join
+from railsail.peers.levels import QUARANTINE, negotiated, shown
 from railsail.peers.messages import AnyMessage
 
 MOST_QUEUED = 10_000
@@ -30,6 +38,7 @@
     """What a link needs of a websocket, on either side."""
 
     transport: asyncio.Transport
+    subprotocol: str | None
 
     async def send(self, data: bytes) -> None:
         """Send one binary message."""
@@ -91,6 +100,8 @@
 
     def __init__(self, socket: Socket, peer: Identity, events: EventLog, metrics: Metrics) -> None:
         self.peer = peer
+        # What the peer understands; see ``railsail.peers.levels``.
+        self.level = negotiated(socket.subprotocol)
         self._socket = socket
         self._events = events
         self._metrics = metrics
@@ -99,10 +110,15 @@
         self._overflown = False
 
     def send(self, message: Message) -> None:
-        """Queue ``message``; a link whose queue overflows is closed, and both sides start anew."""
+        """Queue ``message``; a link whose queue overflows is closed, and both sides start anew.
+
+        A message that the peer's build does not know is not sent.
+        """
+        if self.level < message.SINCE:
+            return
         if len(self._queue) >= MOST_QUEUED:
             self._overflown = True
-        encoded = encode_message(message)
+        encoded = encode_message(message, self.level)
         kind = {"kind": type(message).__name__}
         self._metrics.peer_messages.inc(kind)
         self._metrics.peer_bytes.add(kind, len(encoded))
@@ -134,9 +150,11 @@
         with contextlib.suppress(ConnectionClosed, OSError):
             while True:
                 data = await self._socket.recv()
-                time_ms, messages = decode_frame(data)
-                self._observe(time_ms)
-                for message in messages:
+                items = load_frame(data)
+                if self.level < QUARANTINE:
+                    self.level = shown(items)
+                self._observe(items[0] % TIME_MODULUS)
+                for message in read_messages(items):
                     receive(message)
 
     async def _write(self) -> None:
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -5,11 +5,14 @@
 units, times are whole milliseconds, because small whole numbers are short in CBOR.
 """
 
-from typing import Annotated, ClassVar
+from collections.abc import Mapping
+from typing import Annotated, ClassVar, Self
 
 import msgspec
 
+from railsail.core.outcomes import Reason
 from railsail.peers.base import Blob, Digest, Message, Natural, Signed, Text
+from railsail.peers.levels import OLDEST, QUARANTINE
 from railsail.peers.records import (
     CounterRecord,
     DomainRecord,
@@ -20,11 +23,19 @@
     UpstreamRecord,
 )
 
+# Replicas that one ticket can name as excluded: as many as a cell has.
+MOST_EXCLUDED = 64
+
+# Results of calls as peers without those of the quarantine know them: an answer that broke off is
+# an error, and a caller that left tells nothing.
+_OLD_RESULTS = {4: 2, 5: 0}
+
 
 class Heartbeat(Message, frozen=True, tag=1):
     """Say that the sender lives, and what it knows, so that differences are seen."""
 
     PATIENT: ClassVar[bool] = True
+    COUNTS: ClassVar[Mapping[int, int]] = {OLDEST: 4}
 
     configuration: Natural
     members: Natural
@@ -63,6 +74,8 @@
 class QuarantineNews(Message, frozen=True, tag=6):
     """Replicas that ended while they ran requests, as far as that is new to the sender."""
 
+    SINCE: ClassVar[int] = QUARANTINE
+
     ends: Annotated[list[ReplicaEndRecord], msgspec.Meta(max_length=1000)]
 
 
@@ -71,9 +84,11 @@
 
     ``flags`` holds 1 for urgent work, and 2 for a request whose caller was refused before. The
     ticket may wait for ``patience``, and its caller would come back after ``returns_within``, with
-    a request of the same ``fingerprint``.
+    a request of the same ``fingerprint``. Its entry may not send it to the replicas ``excluded``.
     """
 
+    COUNTS: ClassVar[Mapping[int, int]] = {QUARANTINE: 18}
+
     number: Natural
     attempt: Natural
     cell: Natural
@@ -92,6 +107,7 @@
     returns_within: Natural = 0
     regions: Annotated[list[Text], msgspec.Meta(max_length=64)] = []
     fingerprint: Natural = 0
+    excluded: Annotated[list[Text], msgspec.Meta(max_length=MOST_EXCLUDED)] = []
 
 
 class Granted(Message, frozen=True, tag=11):
@@ -114,6 +130,12 @@
     reason: Text
     come_back: Natural = 0
 
+    def for_level(self, level: int) -> Self:
+        """Return the message with a reason that peers of ``level`` know."""
+        if level >= QUARANTINE or self.reason != Reason.QUARANTINED:
+            return self
+        return Refused(self.number, self.attempt, Reason.EXPIRED, self.come_back)
+
 
 class Cancel(Message, frozen=True, tag=13):
     """Take a ticket back that waits."""
@@ -133,6 +155,13 @@
     cost: Natural
     result: Annotated[int, msgspec.Meta(ge=0, le=5)]
 
+    def for_level(self, level: int) -> Self:
+        """Return the message with a result that peers of ``level`` know."""
+        if level >= QUARANTINE:
+            return self
+        result = _OLD_RESULTS.get(self.result, self.result)
+        return Release(self.number, self.attempt, self.cost, result)
+
 
 class Progress(Message, frozen=True, tag=15):
     """Raise the charge of a running request to ``charged`` in all."""
--- a/railsail/peers/records.py
+++ b/railsail/peers/records.py
@@ -1,10 +1,12 @@
 """Records that messages between daemons hold lists of."""
 
-from typing import Annotated
+from collections.abc import Mapping
+from typing import Annotated, ClassVar
 
 import msgspec
 
 from railsail.peers.base import Message, Natural, Signed, Text
+from railsail.peers.levels import OLDEST
 
 
 class MemberRecord(Message, frozen=True):
@@ -63,6 +65,8 @@
 class FlightRecord(Message, frozen=True):
     """A request in flight, told to a new dispatcher."""
 
+    COUNTS: ClassVar[Mapping[int, int]] = {OLDEST: 7}
+
     number: Natural
     attempt: Natural
     workspace: Text
--- /dev/null
+++ b/tests/peers/test_levels.py
@@ -0,0 +1,164 @@
+"""Builds run side by side while nodes are replaced one after the other, and are one fleet.
+
+Six nodes of two builds closed links 233 times in eighteen seconds, "Expected `array` of at most
+length 4, got 5": a heartbeat and the record of a flight had got a field more, and a build reads
+messages with just the fields that it knows. The arrays below are what builds of each level send.
+"""
+
+import asyncio
+import unittest
+
+import cbor2
+
+from railsail.core.clock import Clock
+from railsail.core.events import EventLog
+from railsail.core.metrics import Metrics
+from railsail.core.outcomes import Reason
+from railsail.peers import hub as hub_module
+from railsail.peers.codec import decode_frame, encode_message, join_frame
+from railsail.peers.hub import PeerHub
+from railsail.peers.levels import NEWEST, OLDEST, QUARANTINE, negotiated, shown
+from railsail.peers.link import Identity
+from railsail.peers.messages import (
+    Heartbeat,
+    Passed,
+    Place,
+    QuarantineNews,
+    Refused,
+    Release,
+    Resync,
+)
+from railsail.peers.records import FlightRecord
+from railsail.scheduling.health import CallResult
+from railsail.standins.fleet import free_ports
+
+PLACE = Place(1, 2, 0, "lm", "w", -500, 10, 3, fingerprint=9, excluded=["i-1"])
+# What a ticket is for peers that know no replicas that it excludes.
+SHORT_PLACE = [10, 1, 2, 0, "lm", "w", -500, 10, 3, 0, 0, "", 0, 0, 0, 0, 0, [], 9]
+FLIGHT = FlightRecord(4, 1, "w", "i-2", 10, 50, 7, 9)
+
+
+def sent(message, level: int) -> list:
+    return cbor2.loads(encode_message(message, level))
+
+
+class ArrayTests(unittest.TestCase):
+    def test_heartbeat(self):
+        beat = Heartbeat(3, 1, 2, True, 77)
+        self.assertEqual(sent(beat, OLDEST), [1, 3, 1, 2, True])
+        self.assertEqual(sent(beat, QUARANTINE), [1, 3, 1, 2, True, 77])
+        self.assertEqual(sent(beat, NEWEST), [1, 3, 1, 2, True, 77])
+
+    def test_ticket(self):
+        for level in (OLDEST, QUARANTINE):
+            self.assertEqual(sent(PLACE, level), SHORT_PLACE)
+        self.assertEqual(sent(PLACE, NEWEST), [*SHORT_PLACE, ["i-1"]])
+
+    def test_what_other_messages_hold(self):
+        resync = Resync("lm", 0, [PLACE], [FLIGHT], [])
+        old = [16, "lm", 0, [SHORT_PLACE], [[4, 1, "w", "i-2", 10, 50, 7]], []]
+        self.assertEqual(sent(resync, OLDEST), old)
+        former = [16, "lm", 0, [SHORT_PLACE], [[4, 1, "w", "i-2", 10, 50, 7, 9]], []]
+        self.assertEqual(sent(resync, QUARANTINE), former)
+        self.assertEqual(sent(Passed("n", 1, PLACE), QUARANTINE), [23, "n", 1, SHORT_PLACE])
+
+    def test_values_that_the_oldest_do_not_know(self):
+        refused = Refused(1, 1, Reason.QUARANTINED, 900)
+        self.assertEqual(sent(refused, OLDEST), [12, 1, 1, "wait-expired", 900])
+        self.assertEqual(sent(refused, QUARANTINE), [12, 1, 1, "quarantined", 900])
+        results = {CallResult.BROKE_OFF: 2, CallResult.CALLER_LEFT: 0, CallResult.GOOD: 1}
+        for result, known in results.items():
+            self.assertEqual(sent(Release(1, 1, 0, result), OLDEST)[-1], known)
+            self.assertEqual(sent(Release(1, 1, 0, result), QUARANTINE)[-1], result)
+
+    def test_what_each_level_sends_is_read(self):
+        resync = Resync("lm", 0, [PLACE], [FLIGHT], [])
+        for level in (OLDEST, QUARANTINE, NEWEST):
+            for message in (Heartbeat(3, 1, 2, True, 77), PLACE, resync):
+                with self.subTest(level=level, message=message):
+                    frame = join_frame(1, [encode_message(message, level)])
+                    self.assertIs(type(decode_frame(frame)[1][0]), type(message))
+
+
+class LevelTests(unittest.TestCase):
+    def test_subprotocol_names_the_level(self):
+        self.assertEqual(negotiated(None), OLDEST)
+        self.assertEqual(negotiated(f"railsail.{NEWEST}"), NEWEST)
+
+    def test_peer_without_one_shows_its_level(self):
+        self.assertEqual(shown([5, [1, 3, 1, 2, False]]), OLDEST)
+        self.assertEqual(shown([5, [1, 3, 1, 2, False, 0]]), QUARANTINE)
+        self.assertEqual(shown([5, [19], [6, []]]), QUARANTINE)
+        self.assertEqual(shown([5, [], 7, ["x"]]), OLDEST)
+
+
+class LinkTests(unittest.IsolatedAsyncioTestCase):
+    """Two hubs, of which one offers and takes no subprotocol, as builds before level 2."""
+
+    async def asyncSetUp(self) -> None:
+        self.hubs: list[PeerHub] = []
+
+    async def asyncTearDown(self) -> None:
+        for hub in self.hubs:
+            await hub.stop()
+
+    async def hub(self) -> PeerHub:
+        port = free_ports(1)[0]
+        node = f"127.0.0.1:{port}"
+        clock = Clock()
+        hub = PeerHub(
+            Identity(node, 1), ("127.0.0.1", port), "s", clock, EventLog(node, clock), Metrics()
+        )
+        await hub.start()
+        self.hubs.append(hub)
+        return hub
+
+    async def linked(self, dialling_is_old: bool, accepting_is_old: bool) -> tuple[PeerHub, ...]:
+        spoken = hub_module.SUBPROTOCOLS
+        self.addCleanup(setattr, hub_module, "SUBPROTOCOLS", spoken)
+        hub_module.SUBPROTOCOLS = None if accepting_is_old else spoken
+        accepting = await self.hub()
+        hub_module.SUBPROTOCOLS = None if dialling_is_old else spoken
+        dialling = await self.hub()
+        dialling.dial(accepting.own.node)
+        async with asyncio.timeout(30.0):
+            while not (dialling.peers() and accepting.peers()):
+                await asyncio.sleep(0.01)
+        return dialling, accepting
+
+    def levels(self) -> list[int]:
+        return [link.level for hub in self.hubs for links in hub._links.values() for link in links]
+
+    async def test_both_sides_of_new_builds_speak_the_newest_level(self):
+        await self.linked(False, False)
+        self.assertEqual(self.levels(), [NEWEST, NEWEST])
+
+    async def test_links_with_an_older_build_come_up_either_way(self):
+        for old in ((True, False), (False, True)):
+            with self.subTest(old=old):
+                self.hubs.clear()
+                await self.linked(*old)
+                self.assertEqual(self.levels(), [OLDEST, OLDEST])
+
+    async def test_peer_that_shows_more_is_sent_more(self):
+        dialling, accepting = await self.linked(True, False)
+        got = []
+        dialling.handle(QuarantineNews, lambda node, message: got.append(message))
+        dialling.handle(Heartbeat, lambda node, message: got.append(message))
+        accepting.send(dialling.own.node, QuarantineNews([]))
+        accepting.send(dialling.own.node, Heartbeat(1, 2, 3))
+        link = accepting._links[dialling.own.node][0]
+        dialling._links[accepting.own.node][0].level = QUARANTINE
+        dialling.send(accepting.own.node, Heartbeat(1, 2, 3))
+        async with asyncio.timeout(30.0):
+            while link.level < QUARANTINE or not got:
+                await asyncio.sleep(0.01)
+            self.assertEqual(got, [Heartbeat(1, 2, 3)])
+            accepting.send(dialling.own.node, QuarantineNews([]))
+            while len(got) < 2:
+                await asyncio.sleep(0.01)
+        self.assertEqual(got[1], QuarantineNews([]))
+
+
+if __name__ == "__main__":
+    unittest.main()
