upstreams, dispatch, routing: sent nothing to replicas that said in answers that they leave, or want rest

Cause: the heads of replicas' answers were read for the request alone. A header that says that the replica leaves was read only in a refusal, to word its reason; a time to stay away was read nowhere, and the refusal counted as an error of the replica. Class: what a part says of itself on one way is heard on another way only.

Ruled out: that it is read and lost (no line of the new log told it), and that requests were booked before (they reached the replica for thirteen seconds).

Change: - Each answer of a replica, on every way, is heard before its receiver may refuse it: routes, the model interface, load questions, cancels, resumed streams. - The directory alone decides whether a replica leaves, and one line tells source and age. A sign holds for the life of the replica; a record of the same life no longer takes it back. - Rest is kept by the node that was asked. It is no error of the replica, lengthens and never shortens, and after it one request tries the replica before others follow. - A grant is looked at again when its request is sent. One that may not be sent is given back without charge, the dispatcher is told, and the next ticket names the replicas at rest. Where all rest, the caller hears at once when the first is free.

A load report takes back only what load reports had said; one that says nothing of leaving takes back no answer's word.

--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -40,12 +40,14 @@
     """The request did not run; ``retry_after`` is in seconds.
 
     ``come_back`` is the time in seconds that a dispatcher planned for it, 0 where none did.
+    ``asked_rest`` says that the replica turned the request away and named a time to stay away.
     """
 
     reason: Reason
     detail: str = ""
     retry_after: float = 1.0
     come_back: float = field(default=0.0, repr=False)
+    asked_rest: bool = field(default=False, repr=False)
 
 
 @dataclass(frozen=True)
@@ -54,13 +56,15 @@
 
     ``cost`` is what is known to have been used, in cost units of the pool. ``timed_out`` says that
     the time for an answer had passed, ``broke_off`` that the replica ended its answer or connection
-    early, or that nothing more came from it: its process may have ended.
+    early, or that nothing more came from it: its process may have ended. ``asked_rest`` says that
+    its answer named a time to stay away.
     """
 
     detail: str
     cost: float = 0.0
     timed_out: bool = field(default=False, repr=False)
     broke_off: bool = field(default=False, repr=False)
+    asked_rest: bool = field(default=False, repr=False)
 
 
 Outcome = Completed | NotRun | Unknown
--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -25,7 +25,7 @@
     they are not known. ``returned`` says that its caller was refused before. It may wait
     ``patience`` seconds for its place, and would come back within ``returns_within`` seconds. It
     runs in one of ``regions``, in any where none are named. A repeat of the request has the same
-    ``fingerprint``, 0 where there is none.
+    ``fingerprint``, 0 where there is none. The replicas ``excluded`` asked the entry for rest.
     """
 
     request_id: str
@@ -44,6 +44,7 @@
     returns_within: float = 0.0
     regions: tuple[str, ...] = ()
     fingerprint: int = 0
+    excluded: tuple[str, ...] = ()
 
 
 class TicketRefused(RailsailError):
@@ -109,6 +110,7 @@
         round(asked.returns_within * 1000),
         list(asked.regions),
         asked.fingerprint,
+        list(asked.excluded),
     )
 
 
@@ -133,4 +135,5 @@
         returns_within=message.returns_within / 1000,
         regions=tuple(message.regions),
         fingerprint=message.fingerprint,
+        excluded=tuple(message.excluded),
     )
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -13,6 +13,7 @@
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.bookings import Booking, TicketRefused, Want, ticket_name, to_place
 from railsail.dispatch.cellmap import CellMap
+from railsail.dispatch.gate import SendGate
 from railsail.dispatch.reach import DispatcherReach
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
@@ -37,6 +38,10 @@
 # A dispatcher's refusal may come this long after the wait has ended: a look at its queue, and a way
 # back to the entry.
 DECISION_SECONDS = 0.025
+# A request is refused after so many grants of replicas that it cannot be sent to. Dispatchers are
+# told with the next ticket, so that the second grant is good unless something changed meanwhile or
+# the dispatcher is of an older build.
+MOST_GRANTS = 8
 _REFUSALS = {
     Reason.EXPIRED: "no replica had room in time",
     Reason.OVER_SHARE: "its workspace had its share of the replicas while others waited",
@@ -48,11 +53,17 @@
     """Hold the bookings of this node, and tell dispatchers of them."""
 
     def __init__(
-        self, cells: CellMap, hub: PeerHub, quarantine: Quarantine, kernel: Kernel
+        self,
+        cells: CellMap,
+        hub: PeerHub,
+        quarantine: Quarantine,
+        gate: SendGate,
+        kernel: Kernel,
     ) -> None:
         self._cells = cells
         self._hub = hub
         self._quarantine = quarantine
+        self._gate = gate
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
@@ -87,25 +98,63 @@
     def __len__(self) -> int:
         return len(self._bookings)
 
-    def place(self, want: Want) -> Booking:
-        """Place a ticket, and return its booking, which ends with a grant or ``TicketRefused``."""
+    def place(self, want: Want, asked_at: float) -> Booking:
+        """Place a ticket, and return its booking, which ends with a grant or ``TicketRefused``.
+
+        It has waited since ``asked_at``.
+        """
         cell = self._choose_cell(want)
         node = self._cells.dispatcher(cell)
-        booking = Booking(self._next_number, want, self._clock.monotonic(), cell, node)
+        booking = Booking(self._next_number, want, asked_at, cell, node)
         self._next_number += 1
         self._bookings[booking.number] = booking
         self._send_place(booking)
         return booking
 
     async def obtain(self, want: Want, seconds: float) -> Booking | NotRun:
-        """Wait at most ``seconds`` for a replica, and return the booking that has one."""
-        refusal = self._quarantined(want)
+        """Wait at most ``seconds`` for a replica, and return the booking that has one.
+
+        The replica may be sent the request at once.
+        """
+        asked_at = self._clock.monotonic()
+        closed = ""
+        for _ in range(MOST_GRANTS):
+            want = replace(want, excluded=self._gate.excluded(want.pool))
+            booking = await self._obtain_any(want, asked_at, seconds)
+            if isinstance(booking, NotRun):
+                return booking
+            closed = self._gate.admit(booking.replica)
+            if not closed:
+                return booking
+            self._turn_back(booking, closed)
+            want = replace(want, avoid=booking.replica)
+        return NotRun(Reason.NO_ROOM, f"the replica that was granted last is not sent to: {closed}")
+
+    def _turn_back(self, booking: Booking, closed: str) -> None:
+        """Give back a replica that the dispatcher granted and this node may not send to."""
+        self._events.emit(
+            Kind.GRANT_RETURNED,
+            closed,
+            booking.want.request_id,
+            booking.want.workspace,
+            replica=booking.replica,
+            dispatcher=booking.node,
+            ticket=self._ticket_name(booking),
+        )
+        self._metrics.returned.inc({})
+        self._gate.tell(booking.node, booking.replica)
+        self.withdraw(booking)
+
+    async def _obtain_any(self, want: Want, asked_at: float, seconds: float) -> Booking | NotRun:
+        """Wait for a replica until ``seconds`` after ``asked_at``."""
+        refusal = self._quarantined(want) or self._gate.refusal(want)
         if refusal is not None:
             return refusal
-        booking = self.place(want)
+        booking = self.place(want, asked_at)
+        left = asked_at + seconds - self._clock.monotonic()
         try:
             # The dispatcher decides, and says when to come back, unless it is not heard in time.
-            async with asyncio.timeout(seconds + DECISION_SECONDS) as booking.limit:
+            async with asyncio.timeout(left + DECISION_SECONDS) as booking.limit:
                 await booking.granted
         except TicketRefused as refusal:
             return self._refused_by_dispatcher(booking, refusal)
--- a/railsail/dispatch/loads.py
+++ b/railsail/dispatch/loads.py
@@ -12,7 +12,8 @@
 from railsail.upstreams.base import UpstreamKind
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.heard import HeardSigns
-from railsail.upstreams.signs import read_signs
+from railsail.upstreams.rests import Rests
+from railsail.upstreams.signs import Source, read_signs
 
 BUSY_SECONDS = 1.0
 IDLE_SECONDS = 5.0
@@ -26,13 +27,17 @@
         catalog: Callable[[], Catalog],
         directory: UpstreamDirectory,
         heard: HeardSigns,
+        rests: Rests,
         clock: Clock,
     ) -> None:
         self._catalog = catalog
         self._directory = directory
         self._heard = heard
+        self._rests = rests
         self._clock = clock
         self._asked_at: dict[str, float] = {}
+        # Replicas whose load reports said that they leave.
+        self._said_leaving: set[str] = set()
         self._kinds: dict[str, UpstreamKind] = {}
         self._listeners: list[Callable[[Cell, str, LoadReport], None]] = []
         self._tasks = TaskSet()
@@ -51,6 +56,18 @@
             self._kinds[name] = UPSTREAM_KINDS.get(name)()
         return self._kinds[name]
 
+    def _tell_leaving(self, name: str, leaving: bool) -> None:
+        """Take note of a report's word; one that does not say so takes back only another report's.
+
+        A replica may say that it leaves in its answers alone.
+        """
+        if leaving:
+            self._said_leaving.add(name)
+            self._directory.sign_leaving(name, Source.LOAD, self._clock.wall())
+        elif name in self._said_leaving:
+            self._said_leaving.discard(name)
+            self._directory.withdraw(name, Source.LOAD, self._clock.wall())
+
     def ask(self, cell: Cell, dispatcher: CellDispatcher) -> None:
         """Ask the replicas of ``cell`` whose report is due."""
         kind = self.kind_of(cell.pool)
@@ -60,6 +77,8 @@
         busy = bool(dispatcher.flights) or bool(len(dispatcher.queue))
         period = BUSY_SECONDS if busy else IDLE_SECONDS
         for name in dispatcher.replicas:
+            if self._rests.resting(name, now):
+                continue
             if now - self._asked_at.get(name, -IDLE_SECONDS) >= period:
                 self._asked_at[name] = now
                 self._tasks.start(self._ask(cell, name, kind))
@@ -71,6 +90,6 @@
         report = await kind.load(upstream.endpoint, self._heard.listener(name, read_signs))
         if report is None:
             return
-        self._directory.sign(name, report.leaving, self._clock.wall())
+        self._tell_leaving(name, report.leaving)
         for listener in self._listeners:
             listener(cell, name, report)
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -21,7 +21,6 @@
 from railsail.upstreams.base import UpstreamCall, UpstreamKind
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.heard import HeardSigns
-from railsail.upstreams.refusals import LEAVING
 from railsail.upstreams.signs import read_signs
 
 MOST_TRIES = 5
@@ -178,8 +177,6 @@
         if isinstance(outcome, NotRun):
             served.sent = served.ran
             served.avoid = replica
-            if outcome.detail == LEAVING:
-                self._directory.sign(replica, True, self._clock.wall())
 
     def _cancel(self, kind: UpstreamKind, call: UpstreamCall) -> None:
         self._cancels.start(kind.cancel(call))
@@ -190,6 +187,9 @@
         return CallResult.GOOD
     if isinstance(outcome, Unknown) and outcome.detail == CANCELLED:
         return CallResult.CALLER_LEFT
+    if outcome.asked_rest:
+        # Rest is asked of one node; to others the replica may be as good as before.
+        return CallResult.NOTHING
     if isinstance(outcome, NotRun) and outcome.reason is Reason.UNREACHABLE:
         return CallResult.UNREACHABLE
     if isinstance(outcome, Unknown) and outcome.broke_off:
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -26,6 +26,7 @@
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.entry import TicketDesk
 from railsail.dispatch.exchange import CellExchange
+from railsail.dispatch.gate import SendGate
 from railsail.dispatch.loads import LoadReports
 from railsail.dispatch.replicas import CellReplicas, FleetBounds
 from railsail.dispatch.service import DispatcherService
@@ -67,6 +68,7 @@
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.evacuations import KIND as EVACUATION
 from railsail.upstreams.heard import HeardSigns
+from railsail.upstreams.rests import Rests
 
 NATIVE_INTERFACE = "native"
 FIRST_LOOK_SECONDS = 3.0
@@ -135,7 +137,9 @@
         self.repository = ConfigurationRepository(self.store, self.clock, self.rng)
         flood = self.membership.flood
         self.carrier = ConfigurationCarrier(self.repository, flood, self.events, self.metrics)
-        self.directory = UpstreamDirectory(flood, self.events, self.clock.monotonic)
+        self.directory = UpstreamDirectory(
+            flood, self.events, self.clock.monotonic, self.clock.wall
+        )
         self.watcher = StoreWatcher(
             self.store, self.view.watches_store, settings.watch_seconds, self.events, self.rng
         )
@@ -156,9 +160,11 @@
             settings.scheduling == "local",
         )
         self._build_quarantine()
-        self.desk = TicketDesk(self.cells, self.hub, self.quarantine, self.kernel)
-        self.heard = HeardSigns(self.kernel)
-        self.loads = LoadReports(self._catalog, self.directory, self.heard, self.clock)
+        rests = Rests()
+        gate = SendGate(self.directory, rests, settings.domain_regions, self.hub, self.kernel)
+        self.desk = TicketDesk(self.cells, self.hub, self.quarantine, gate, self.kernel)
+        self.heard = HeardSigns(self.directory, rests, self.kernel)
+        self.loads = LoadReports(self._catalog, self.directory, self.heard, rests, self.clock)
         bounds = FleetBounds(
             settings.cold_over,
             settings.cold_slack,
--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -14,7 +14,7 @@
     RoutedRequest,
 )
 from railsail.routing.protocol import ROUTE_PROTOCOLS
-from railsail.upstreams.signs import AnswerSigns, read_rest
+from railsail.upstreams.signs import AnswerSigns, asks_rest, read_rest
 
 REQUEST_ID = "Request-Id"
 DEADLINE = "Deadline-Ms"
@@ -128,6 +128,7 @@
             misdirected=status == _MISDIRECTED,
             request_id=headers.get(REQUEST_ID, ""),
             signed=SIGNATURE in headers,
+            asks_rest=asks_rest(status, headers),
         )
 
     def read_signs(self, status: int, headers: HTTPHeaders, wall: float) -> AnswerSigns:
--- a/railsail/routing/messages.py
+++ b/railsail/routing/messages.py
@@ -115,7 +115,8 @@
     ``headers`` are those that are passed on. ``not_run`` says that the replica did not run the
     request, ``misdirected`` that another replica has the address now. ``request_id`` names the
     request that is answered, empty where the replica named none. ``signed`` says that the answer
-    bears the replica's signature.
+    bears the replica's signature, ``asks_rest`` that the replica turned the request away and named
+    a time to stay away.
     """
 
     status: int
@@ -124,6 +125,7 @@
     misdirected: bool = False
     request_id: str = ""
     signed: bool = False
+    asks_rest: bool = False
 
     @property
     def success(self) -> bool:
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -22,6 +22,7 @@
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.heard import HeardSigns
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
+from railsail.upstreams.signs import Source
 from railsail.upstreams.sse import BadStream
 
 CONNECT_SECONDS = 0.4
@@ -301,20 +302,20 @@
         head = answer.answered
         self._reach.reached(replica)
         if head.misdirected:
-            self._directory.sign(replica, True, self._clock.wall())
+            self._directory.sign_leaving(replica, Source.MISDIRECTED, self._clock.wall())
             return NotRun(Reason.REFUSED, "another replica has the address")
         if head.not_run:
-            return NotRun(Reason.REFUSED, f"status {head.status}")
+            return NotRun(Reason.REFUSED, f"status {head.status}", asked_rest=head.asks_rest)
         routed.ran = True
         if answer.streams:
             return self._end_stream(routed, answer)
         if routed.stream.head is not None:
             return Unknown(f"status {head.status} in the middle of a stream")
         if head.status >= 500 and routed.may_repeat and routed.attempts < routed.route.max_attempts:
-            return Unknown(f"status {head.status}")
+            return Unknown(f"status {head.status}", asked_rest=head.asks_rest)
         if head.status in (503, 429, 408):
             # The status would promise that nothing ran, which the replica did not say.
-            return Unknown(f"status {head.status}")
+            return Unknown(f"status {head.status}", asked_rest=head.asks_rest)
         await routed.client.give(head.status, head.headers, answer.body())
         return Completed(head.status, 0.0)
 
@@ -347,6 +348,9 @@
 def _learnt(outcome: Outcome) -> CallResult:
     if isinstance(outcome, Completed):
         return CallResult.GOOD if outcome.status < 500 else CallResult.ERROR
+    if outcome.asked_rest:
+        # Rest is asked of one node; to others the replica may be as good as before.
+        return CallResult.NOTHING
     if isinstance(outcome, NotRun) and outcome.reason is Reason.UNREACHABLE:
         return CallResult.UNREACHABLE
     if isinstance(outcome, NotRun) and outcome.reason is not Reason.REFUSED:
--- a/railsail/scheduling/placing.py
+++ b/railsail/scheduling/placing.py
@@ -106,8 +106,8 @@
         self, ticket: Ticket, openings: Openings, now: float, standing: Standing
     ) -> list[ReplicaRoom]:
         rooms = openings.free
-        if ticket.regions:
-            rooms = [room for room in rooms if ticket.may_run_in(room.region)]
+        if ticket.regions or ticket.excluded:
+            rooms = [room for room in rooms if ticket.may_run_on(room.name, room.region)]
         if standing is Standing.OVER:
             rooms = [room for room in rooms if room.room(now) > room.reserve()]
         share = _READ_SHARES.get(standing, 0.0)
@@ -155,7 +155,7 @@
 
     def _home(self, ticket: Ticket, openings: Openings, now: float) -> ReplicaRoom | None:
         """Return the replica that should have the ticket's beginning."""
-        able = [room for room in openings.serving if ticket.may_run_in(room.region)]
+        able = [r for r in openings.serving if ticket.may_run_on(r.name, r.region)]
         serving = [room for room in able if room.name != ticket.avoid]
         if not serving:
             return None
--- a/railsail/scheduling/tickets.py
+++ b/railsail/scheduling/tickets.py
@@ -31,7 +31,8 @@
     than refused again, after all others. It may wait ``patience`` seconds for its place, 0 for as
     long as its entry lets it; its caller would come back within ``returns_within`` seconds, 0 for
     not at all. The request runs in one of ``regions``, in any
-    where none are named. A repeat of it has the same ``fingerprint``, 0 where there is none.
+    where none are named. A repeat of it has the same ``fingerprint``, 0 where there is none. Its
+    entry may not send it to the replicas ``excluded``.
     """
 
     entry: str
@@ -52,6 +53,7 @@
     returns_within: float = 0.0
     regions: tuple[str, ...] = ()
     fingerprint: int = 0
+    excluded: tuple[str, ...] = ()
 
     @property
     def key(self) -> TicketKey:
@@ -62,6 +64,10 @@
         """Say whether the request may run in ``region``."""
         return not self.regions or region in self.regions
 
+    def may_run_on(self, replica: str, region: str) -> bool:
+        """Say whether the request may run on ``replica``, which is in ``region``."""
+        return replica not in self.excluded and self.may_run_in(region)
+
     def has_expired(self, now: float) -> bool:
         """Say whether the ticket has waited for longer than it may."""
         return 0 < self.patience < now - self.enqueued_at
--- a/railsail/standins/engine.py
+++ b/railsail/standins/engine.py
@@ -34,9 +34,12 @@
     def set_default_headers(self) -> None:
         # Called before ``initialize`` too, when no engine is known.
         engine = getattr(self, "engine", None)
-        if engine is not None and engine.faults.says_leaving:
+        if engine is not None and self.says_leaving(engine.faults):
             self.set_header("X-Leaving", "true")
 
+    def says_leaving(self, faults: Faults) -> bool:
+        return faults.says_leaving
+
     def refuse(self) -> None:
         self.engine.refused += 1
         self.set_status(503)
@@ -156,6 +159,9 @@
 
 
 class _Load(_Handler):
+    def says_leaving(self, faults: Faults) -> bool:
+        return faults.load_says_leaving
+
     def get(self) -> None:
         self.finish(self.engine.load())
 
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -1,13 +1,19 @@
 """All replicas that the fleet knows, and which of them are leaving.
 
-Two sources say so: the platform's list, which lags, with a version per record; and signs, by which
-a daemon tells that a replica itself, or its failures, said that it leaves. The newest sign wins
-among signs. A new version of the listed record clears older signs. Records merge by these numbers,
-so that repeats and reorderings do no harm.
+This is the one place that decides it. The platform's list says so, which lags and may be away, with
+a version per record; and signs do: a daemon's word that the replica itself said so in an answer or
+a load report, or that another one has its address. Either suffices. Among signs the newest wins.
+
+A replica that leaves does not change its mind: a sign holds for its life, whatever the list says of
+that life later, since a record may have been written before the replica decided, and come late. A
+new life is told by the time of its start or, where records lack that, by another address, or by a
+new record long after the sign. Records merge by their numbers, so that repeats and reorderings do
+no harm.
 """
 
 import enum
 import operator
+import time
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, fields, replace
@@ -25,8 +31,13 @@
 from railsail.store.watcher import as_event
 from railsail.upstreams.evacuations import Evacuation, Evacuations
 from railsail.upstreams.refused import RefusedRecords
+from railsail.upstreams.signs import Source
 
 KIND = "upstream"
+# A replica that says that it leaves has ended so many seconds later: platforms keep one for seconds
+# up to a minute or so. A new record that calls it live after that is of a new life, also where it
+# tells no start.
+LEAVING_SECONDS = 300.0
 
 
 class Listed(enum.IntEnum):
@@ -67,8 +78,8 @@
 
     @property
     def signed_leaving(self) -> bool:
-        """Say whether a sign that still counts says that the replica leaves."""
-        return self.sign_leaving and self.sign_version >= self.version
+        """Say whether a sign says that the replica leaves, and not one of a life before."""
+        return self.sign_leaving and self.sign_at >= self.born
 
 
 class UpstreamDirectory:
@@ -79,10 +90,14 @@
         flood: Callable[[UpstreamNews, str], None],
         events: EventLog,
         monotonic: Callable[[], float] = steady_seconds,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         self._flood = flood
         self._events = events
         self._monotonic = monotonic
+        self._wall = wall
+        # When this node heard first that a replica leaves, in seconds of its own clock.
+        self._signed_at: dict[str, float] = {}
         self.evacuations = Evacuations(self._flood_domains, events, monotonic)
         self.evacuations.on_change(self._changed)
         # Until when a replica is cold, by the clock of this node, counted from when its record
@@ -152,25 +167,38 @@
         for upstream in self.all():
             if upstream.name not in names and upstream.version < listing.version:
                 events.append(WatchEvent(KIND, upstream.name, listing.version, None))
-        self._take([self._from_event(event) for event in events], "")
+        self._take([self._from_event(event) for event in events], "", Source.LIST)
 
     def seen(self, event: WatchEvent) -> None:
         """Take in a watch event of the store."""
-        self._take([self._from_event(event)], "")
+        self._take([self._from_event(event)], "", Source.LIST)
 
     def received(self, node: str, news: UpstreamNews) -> None:
         """Take in news of a peer."""
         self.evacuations.received(node, news.domains)
-        self._take([_from_record(record) for record in news.upstreams], node)
+        self._take([_from_record(record) for record in news.upstreams], node, Source.PEER)
 
-    def sign(self, name: str, leaving: bool, at: float) -> None:
-        """Take note that a replica itself, or a failed call, said whether it leaves."""
+    def sign_leaving(self, name: str, source: Source, at: float) -> None:
+        """Take note that a replica leaves, as ``source`` said; ``at`` is now, of the wall clock."""
         known = self._upstreams.get(name)
-        if known is None or known.signed_leaving == leaving:
-            return
-        at_ms = max(int(at * 1000), known.sign_at + 1)
+        if known is not None and not known.signed_leaving:
+            self._sign(known, True, source, at)
+
+    def withdraw(self, name: str, source: Source, at: float) -> None:
+        """Take note that a replica leaves no more, as the ``source`` that had said so says now."""
+        known = self._upstreams.get(name)
+        if known is not None and known.signed_leaving:
+            self._sign(known, False, source, at)
+
+    def _sign(self, known: Upstream, leaving: bool, source: Source, at: float) -> None:
+        # Clocks of nodes and replicas differ: a sign is never older than the life that it is of.
+        at_ms = max(int(at * 1000), known.sign_at + 1, known.born)
         signed = replace(known, sign_version=known.version, sign_at=at_ms, sign_leaving=leaving)
-        self._take([signed], "")
+        self._take([signed], "", source)
+
+    def news_of(self, upstream: Upstream) -> UpstreamNews:
+        """Return what is known of one replica, for a peer that seems not to know it."""
+        return UpstreamNews([_to_record(upstream)])
 
     def news(self) -> UpstreamNews:
         """Return all records, for a peer that asks."""
@@ -185,17 +213,17 @@
         # A record that cannot be read names no replica, also where one was known by its name.
         return replace(known, version=event.version, listed=Listed.GONE)
 
-    def _take(self, candidates: list[Upstream | None], source: str) -> None:
+    def _take(self, candidates: list[Upstream | None], node: str, source: Source) -> None:
         changed = []
         matters = False
         for candidate in candidates:
-            merged = self._merge(candidate) if candidate else None
+            merged = self._merge(candidate, source) if candidate else None
             if merged is not None:
                 changed.append(merged)
                 matters |= self._put(merged)
         if not changed:
             return
-        self._flood(UpstreamNews([_to_record(upstream) for upstream in changed]), source)
+        self._flood(UpstreamNews([_to_record(upstream) for upstream in changed]), node)
         if matters:
             self._changed()
 
@@ -235,10 +263,10 @@
         for listener in self._rebirth_listeners:
             listener(before)
 
-    def _merge(self, candidate: Upstream) -> Upstream | None:
+    def _merge(self, candidate: Upstream, source: Source) -> Upstream | None:
         known = self._upstreams.get(candidate.name)
         if known is None:
-            self._tell(candidate)
+            self._tell(candidate, source)
             return candidate
         merged = known
         if candidate.version > known.version:
@@ -248,7 +276,10 @@
                 sign_at=known.sign_at,
                 sign_leaving=known.sign_leaving,
             )
-        if candidate.sign_at > known.sign_at:
+            if known.sign_leaving and self._is_new_life(known, candidate):
+                # All nodes that see the new life give it the same sign, which is the newest.
+                merged = replace(merged, sign_at=known.sign_at + 1, sign_leaving=False)
+        if candidate.sign_at > merged.sign_at and _may_be_same_life(candidate, merged):
             merged = replace(
                 merged,
                 sign_version=candidate.sign_version,
@@ -258,10 +289,24 @@
         if merged == known:
             return None
         if merged.leaving != known.leaving:
-            self._tell(merged)
+            self._tell(merged, source)
         return merged
 
-    def _tell(self, upstream: Upstream) -> None:
+    def _is_new_life(self, known: Upstream, candidate: Upstream) -> bool:
+        """Say whether the newer record ``candidate`` is of another life than the sign known."""
+        if known.born and candidate.born:
+            return candidate.born != known.born
+        if candidate.endpoint != known.endpoint:
+            return True
+        signed_at = self._signed_at.get(known.name, self._monotonic())
+        long_ago = self._monotonic() - signed_at > LEAVING_SECONDS
+        return long_ago and candidate.listed is Listed.LIVE
+
+    def _tell(self, upstream: Upstream, source: Source) -> None:
+        if upstream.signed_leaving:
+            self._signed_at.setdefault(upstream.name, self._monotonic())
+        else:
+            self._signed_at.pop(upstream.name, None)
         word = "leaving" if upstream.leaving else "live"
         self._events.emit(
             Kind.UPSTREAM,
@@ -271,8 +316,18 @@
             listed=upstream.listed.name.lower(),
             listed_version=upstream.version,
             signed=str(upstream.signed_leaving).lower(),
+            source=source,
+            sign_age_ms=self._sign_age_ms(upstream),
         )
 
+    def _sign_age_ms(self, upstream: Upstream) -> int:
+        """Return how old the sign of a replica that leaves is, by the clocks of two nodes."""
+        return round(self._wall() * 1000) - upstream.sign_at if upstream.signed_leaving else 0
+
+
+def _may_be_same_life(one: Upstream, other: Upstream) -> bool:
+    return one.born == other.born or not (one.born and other.born)
+
 
 def _parse(event: WatchEvent, refused: RefusedRecords) -> Upstream | None:
     value = event.value or {}
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -24,6 +24,7 @@
     fetch,
 )
 from railsail.upstreams.refusals import refusal
+from railsail.upstreams.signs import asks_rest
 from railsail.upstreams.sse import BadStream, EventSplitter, StreamEvent
 
 RESUME_TRIES = 4
@@ -134,7 +135,8 @@
         if answer.headers.get("X-Request-Id") != call.request_id:
             return Unknown("the answer bore another request's id")
         if answer.status >= _SERVER_ERROR:
-            return Unknown(f"status {answer.status}")
+            asked_rest = asks_rest(answer.status, answer.headers)
+            return Unknown(f"status {answer.status}", asked_rest=asked_rest)
         cost = 0.0
         if answer.status < 400:
             try:
@@ -183,6 +185,8 @@
             return Completed(answer.status, answer.cost)
         if answer.refused is not None and attempt == 0:
             return answer.refused
+        if attempt > 0 and asks_rest(answer.status, answer.other.headers):
+            return Unknown("the engine turned the stream away", answer.cost, asked_rest=True)
         if attempt == 0 and answer.status >= 400 and not answer.events:
             return await self._pass_on_whole(call, sink, answer.other)
         if attempt > 0 and answer.status == 404:
--- a/railsail/upstreams/heard.py
+++ b/railsail/upstreams/heard.py
@@ -6,18 +6,27 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
+from railsail.upstreams.directory import Upstream, UpstreamDirectory
 from railsail.upstreams.http import HeadListener
-from railsail.upstreams.signs import AnswerSigns
+from railsail.upstreams.rests import Rests
+from railsail.upstreams.signs import AnswerSigns, Source
 
 SignReader = Callable[[int, HTTPHeaders, float], AnswerSigns]
 
 
 class HeardSigns:
-    """Hear the heads of replicas' answers."""
+    """Hear the heads of replicas' answers.
 
-    def __init__(self, kernel: Kernel) -> None:
+    That a replica leaves is told to all nodes, through the directory; that it wants rest concerns
+    this node alone.
+    """
+
+    def __init__(self, directory: UpstreamDirectory, rests: Rests, kernel: Kernel) -> None:
+        self._directory = directory
+        self._rests = rests
         self._clock = kernel.clock
         self._events = kernel.events
+        directory.on_rebirth(self._reborn)
 
     def listener(self, replica: str, read: SignReader) -> HeadListener:
         """Return what hears the heads of answers of ``replica``, whose signs are ``read``."""
@@ -29,10 +38,11 @@
 
     def _heard(self, replica: str, status: int, signs: AnswerSigns) -> None:
         if signs.leaving:
-            self._events.emit(
-                Kind.UPSTREAM, "said in an answer that it leaves", replica=replica, status=status
-            )
-        if signs.rest:
+            self._directory.sign_leaving(replica, Source.ANSWER, self._clock.wall())
+        now = self._clock.monotonic()
+        if not signs.rest:
+            self._rests.answered(replica, now)
+        elif self._rests.asked(replica, signs.rest, now):
             self._events.emit(
                 Kind.UPSTREAM,
                 "asked this node for rest",
@@ -40,3 +50,7 @@
                 status=status,
                 rest_ms=round(signs.rest * 1000),
             )
+
+    def _reborn(self, before: Upstream) -> None:
+        # What started again has asked for nothing.
+        self._rests.forget(before.name)
--- a/railsail/upstreams/service.py
+++ b/railsail/upstreams/service.py
@@ -8,6 +8,7 @@
 from railsail.upstreams.base import AnswerSink, UpstreamCall, UpstreamKind
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.refusals import refusal
+from railsail.upstreams.signs import asks_rest
 
 _SERVER_ERROR = 500
 MOST_HELD_BYTES = 64 << 10
@@ -24,10 +25,12 @@
         self.status = 0
         self.refused: NotRun | None = None
         self.crossed = False
+        self.asked_rest = False
 
     async def head(self, status: int, headers: HTTPHeaders) -> None:
         self.status = status
         self.refused = refusal(status, headers)
+        self.asked_rest = asks_rest(status, headers)
         self.crossed = headers.get("X-Request-Id", self._call.request_id) != self._call.request_id
         self._content_type = headers.get("Content-Type", "application/octet-stream")
 
@@ -82,7 +85,8 @@
         if answer.crossed:
             return Unknown("the answer bore another request's id", self._cost(call, started))
         if answer.status >= _SERVER_ERROR:
-            return Unknown(f"status {answer.status}", self._cost(call, started))
+            cost = self._cost(call, started)
+            return Unknown(f"status {answer.status}", cost, asked_rest=answer.asked_rest)
         await answer.end()
         return Completed(answer.status, self._cost(call, started))
 
--- a/railsail/upstreams/signs.py
+++ b/railsail/upstreams/signs.py
@@ -4,6 +4,7 @@
 10.2.3); a platform with words of its own has them translated by its adapter.
 """
 
+import enum
 import math
 from dataclasses import dataclass
 from datetime import UTC
@@ -18,6 +19,16 @@
 _TURNED_AWAY = (429, 503)
 
 
+class Source(enum.StrEnum):
+    """What said that a replica leaves, as logs name it."""
+
+    LIST = "list"
+    ANSWER = "answer"
+    LOAD = "load report"
+    MISDIRECTED = "another replica at its address"
+    PEER = "peer"
+
+
 @dataclass(frozen=True)
 class AnswerSigns:
     """What one answer says of its replica.
@@ -36,14 +47,19 @@
     return AnswerSigns(leaving, read_rest(status, headers, wall))
 
 
+def asks_rest(status: int, headers: HTTPHeaders) -> bool:
+    """Say whether an answer turns a request away and names a time to stay away."""
+    return status in _TURNED_AWAY and "Retry-After" in headers
+
+
 def read_rest(status: int, headers: HTTPHeaders, wall: float) -> float:
     """Return for how many seconds an answer that turns a request away asks for rest.
 
     A value that is neither a number nor a date asks for none.
     """
-    text = headers.get("Retry-After", "").strip()
-    if not text or status not in _TURNED_AWAY:
+    if not asks_rest(status, headers):
         return 0.0
+    text = headers["Retry-After"].strip()
     return min(max(0.0, _seconds(text, wall)), MOST_REST_SECONDS)
 
 
--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -260,6 +260,7 @@
             await writer.drain()
 
         full, idle = await self.serve_crowded()
+        await self.until(lambda: len(self.replicas[0].received) == LEAST_CROWD)
         self.replicas[0].script = leaving
         self.assertEqual((await self.call(full, "/again/")).status, 200)
         await self.until(lambda: idle.directory.get("i-0").leaving)
