tests: reproduced a store that comes back older

A replica that leaves, starts or is not written again after the store came back from a copy is not known to the node within 30 s, where two are allowed, since the lower revision of its record loses against the one known.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -24,6 +24,8 @@
         self.objects: dict[tuple[str, str], dict] = {}
         self.changes: list[tuple[str, dict, bool]] = []
         self.forgotten = 0
+        # How often it came back from a copy; told with each answer once it did.
+        self.era = 0
         self.down = False
         self.calls: list[str] = []
         self.changed = asyncio.Event()
@@ -50,10 +52,31 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self) -> "StoreCopy":
+        """Return what the store holds now."""
+        return StoreCopy(self.revision, json.loads(json.dumps(list(self.objects.items()))))
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Come back from a copy: what was written since is lost, and revisions go back."""
+        self.revision = copy.revision
+        self.objects = {(kind, name): item for (kind, name), item in copy.items}
+        self.changes = [c for c in self.changes if c[1]["metadata"]["revision"] <= copy.revision]
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def stop(self) -> None:
         self._server.stop()
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """A copy of a store at a revision."""
+
+    revision: int
+    items: list
+
+
 class _Objects(RequestHandler):
     def initialize(self, store: PlatformStoreStandin) -> None:
         self.store = store
@@ -63,6 +86,8 @@
 
     def prepare(self) -> None:
         self.store.calls.append(f"{self.request.method} {self.request.uri}")
+        if self.store.era:
+            self.set_header("Store-Era", str(self.store.era))
         if self.store.down:
             self.set_status(503)
             self.finish()
@@ -106,7 +131,7 @@
         self.finish(json.dumps({"items": items, "more": more, "at": self.store.revision}))
 
     async def _watch(self, kind: str, since: int) -> None:
-        if since < self.store.forgotten:
+        if since < self.store.forgotten or since > self.store.revision:
             self.set_status(410)
             return
         seconds = int(self.get_query_argument("wait_ms")) / 1000
@@ -116,6 +141,8 @@
             waiting = asyncio.ensure_future(self.store.changed.wait())
             await asyncio.wait([waiting], timeout=ends - loop.time())
             waiting.cancel()
+        if self.store.era:
+            self.set_header("Store-Era", str(self.store.era))
         body = {"events": self._events(kind, since), "at": self.store.revision}
         self.finish(json.dumps(body))
 
