store, upstreams: took in changes of a store that came back older

Cause: versions were the store's revisions. A store that comes back from a copy gives them out again, so that a record written afterwards has a lower version than the one known and loses; a watch from a revision that has been passed again misses what lies between; and a conditional write may meet the revision that it expects on a change that nobody saw.

Change: a version is the store's era and the revision, the era in the upper bits, made in the adapter. Whatever is read in a later era is newer, on all nodes, without a change of messages; builds that know no eras take these versions from their peers. A watch whose answer is of another era asks for a list; a write that expects an earlier era is a conflict.

A replica known to leave goes on leaving where the older copy calls it ready. Requests that end replicas are written again where the copy lacks them.

Ruled out: forgetting all versions in a new era, since peers that have not heard of it would bring the old records back.

Left: claims of idempotency keys that the copy lacks are kept in the memory of their batcher only.

--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -9,7 +9,7 @@
 from tornado.httpclient import HTTPResponse
 
 from railsail.conf.values import Endpoint
-from railsail.core.exceptions import StoreUnavailable
+from railsail.core.exceptions import StoreConflict, StoreUnavailable
 from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
 from railsail.platform.objects import (
@@ -22,10 +22,15 @@
 from railsail.platform.salvage import salvage
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
 from railsail.store.calls import GONE, NOT_FOUND, StoreCalls
+from railsail.store.versions import era_of, revision_of, to_version
 
 CALL_SECONDS = 2.0
 MOST_BYTES = 64 << 20
 MOST_PAGES = 1000
+# In all answers, once the store has come back from an older copy: how often it did.
+ERA = "Store-Era"
+# Versions are whole numbers below 2 ** 62, of which 2 ** 40 are revisions.
+MOST_ERA_DIGITS = 6
 
 
 def _plain(spec: bytes) -> dict[str, object]:
@@ -75,6 +80,8 @@
 
     def __init__(self, endpoints: Sequence[Endpoint], metrics: Metrics, rng: random.Random) -> None:
         self._base = f"http://{endpoints[0]}"
+        # The latest era that an answer told.
+        self._known_era = 0
         self._calls = StoreCalls(metrics, CALL_SECONDS, MOST_BYTES)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
@@ -83,22 +90,27 @@
         response = await self._call("get", "GET", path)
         if response.code == NOT_FOUND:
             return None
-        return _object(kind, _decode(response, StoredItem))
+        return _object(kind, _decode(response, StoredItem), _era(response))
 
     async def list(self, kind: str) -> Listing:
         """Return all objects of ``kind``."""
         objects: list[StoredObject] = []
         after = ""
         version: int | None = None
+        era = 0
         for _ in range(MOST_PAGES):
             query = f"?since_rev={quote(after)}" if after else ""
             response = await self._call("list", "GET", _path(kind) + query)
+            if after and _era(response) != era:
+                raise StoreUnavailable("the store came back from a copy while it was listed")
+            era = _era(response)
             if response.code == NOT_FOUND:
-                return Listing(version or 0, tuple(objects))
+                return Listing(version or to_version(era, 0), tuple(objects))
             page = _decode_many(response, ListPage)
             # What changed while later pages were read is told by a watch from the first one on.
-            version = page.at if version is None else min(version, page.at)
-            objects += [_object(kind, item) for item in page.items]
+            at = to_version(era, page.at)
+            version = at if version is None else min(version, at)
+            objects += [_object(kind, item, era) for item in page.items]
             if not page.more or not page.items:
                 break
             after = page.items[-1].metadata.name
@@ -106,30 +118,37 @@
 
     async def put(self, kind: str, name: str, value: dict[str, object], expected: int) -> int:
         """Write an object if its version is ``expected``, and return the new version."""
+        self._check_era(expected)
         metadata: dict[str, object] = {"name": name}
         body = {"metadata": metadata, "spec": value}
         if expected:
-            metadata["revision"] = expected
+            metadata["revision"] = revision_of(expected)
             path, method = f"{_path(kind)}/{quote(name)}", "PUT"
         else:
             path, method = _path(kind), "POST"
         response = await self._call("put", method, path, msgspec.json.encode(body))
-        return _decode(response, StoredItem).metadata.revision
+        return to_version(_era(response), _decode(response, StoredItem).metadata.revision)
 
     async def delete(self, kind: str, name: str, expected: int) -> None:
         """Delete an object if its version is ``expected``."""
-        await self._call("delete", "DELETE", f"{_path(kind)}/{quote(name)}?revision={expected}")
+        self._check_era(expected)
+        path = f"{_path(kind)}/{quote(name)}?revision={revision_of(expected)}"
+        await self._call("delete", "DELETE", path)
 
     async def watch(self, kinds: tuple[str, ...], since: int, seconds: float) -> WatchResult:
         """Wait at most ``seconds`` for changes of the one kind of ``kinds`` after ``since``."""
         (kind,) = kinds
-        path = f"{_path(kind)}?watch={since}&wait_ms={int(seconds * 1000)}"
+        path = f"{_path(kind)}?watch={revision_of(since)}&wait_ms={int(seconds * 1000)}"
         response = await self._call("watch", "GET", path, waits=seconds)
         if response.code in (GONE, NOT_FOUND):
             return WatchResult(since, (), expired=True)
+        era = _era(response)
+        if era != era_of(since):
+            # The store knows the revision again, or for the first time, as that of another change.
+            return WatchResult(since, (), expired=True)
         changes = _decode_many(response, Changes)
-        events = [_event(kind, change.object, change.gone) for change in changes.events]
-        return WatchResult(changes.at, tuple(events))
+        events = [_event(kind, change.object, change.gone, era) for change in changes.events]
+        return WatchResult(to_version(era, changes.at), tuple(events))
 
     async def _call(
         self,
@@ -139,13 +158,34 @@
         body: bytes | None = None,
         waits: float = 0.0,
     ) -> HTTPResponse:
-        return await self._calls.call(operation, method, f"{self._base}{path}", body, waits)
+        url = f"{self._base}{path}"
+        response = await self._calls.call(operation, method, url, body, waits)
+        self._known_era = max(self._known_era, _era(response))
+        return response
+
+    def _check_era(self, expected: int) -> None:
+        """Raise ``StoreConflict`` if ``expected`` was read before the store came back from a copy.
+
+        Its revision may have been given out again, to a change that nobody here has seen.
+        """
+        if expected and era_of(expected) < self._known_era:
+            raise StoreConflict("the version expected is of an earlier era")
 
 
 def _path(kind: str) -> str:
     return f"/objects/{_KINDS[kind].path}"
 
 
+def _era(response: HTTPResponse) -> int:
+    """Return how often the store has come back from a copy, 0 where it does not say so."""
+    text = response.headers.get(ERA, "").strip()
+    if not text:
+        return 0
+    if not text.isascii() or not text.isdigit() or len(text) > MOST_ERA_DIGITS:
+        raise StoreUnavailable(f"the store's era cannot be read: {text!r}")
+    return int(text)
+
+
 def _decode(response: HTTPResponse, shape: type):
     try:
         return msgspec.json.decode(response.body, type=shape)
@@ -165,7 +205,7 @@
         raise StoreUnavailable(f"the store's answer cannot be read: {problem}") from None
 
 
-def _object(kind: str, item: StoredItem) -> StoredObject:
+def _object(kind: str, item: StoredItem, era: int) -> StoredObject:
     known = _KINDS[kind]
     name = known.to_product(item.metadata.name)
     try:
@@ -175,12 +215,12 @@
             raise StoreUnavailable(f"{kind}/{name} cannot be read: {problem}") from None
         # One of many that cannot be read must not hide the others; its listener refuses it.
         value = {}
-    return StoredObject(kind, name, item.metadata.revision, value)
+    return StoredObject(kind, name, to_version(era, item.metadata.revision), value)
 
 
-def _event(kind: str, item: StoredItem, gone: bool) -> WatchEvent:
+def _event(kind: str, item: StoredItem, gone: bool, era: int) -> WatchEvent:
     if gone:
         name = _KINDS[kind].to_product(item.metadata.name)
-        return WatchEvent(kind, name, item.metadata.revision, None)
-    stored = _object(kind, item)
+        return WatchEvent(kind, name, to_version(era, item.metadata.revision), None)
+    stored = _object(kind, item, era)
     return WatchEvent(kind, stored.name, stored.version, stored.value)
--- a/railsail/quarantine/ledger.py
+++ b/railsail/quarantine/ledger.py
@@ -95,6 +95,10 @@
         """Take in a listing of the store."""
         for stored in listing.objects:
             self._read(stored.name, stored.value)
+        if all(stored.name != NAME for stored in listing.objects):
+            # A store that came back from a copy may have lost it.
+            self._written = set()
+            self._changed()
 
     def seen(self, event: WatchEvent) -> None:
         """Take in a watch event of the store."""
--- a/railsail/store/base.py
+++ b/railsail/store/base.py
@@ -1,7 +1,8 @@
 """The typed interface to the platform's object API.
 
-Versions are whole numbers given by the platform; they rise with every write to any object. A
-conditional write names the version that it expects, 0 for an object that must not exist yet.
+Versions are whole numbers given by the platform; they rise with every write to any object, also
+where the store comes back from an older copy (see ``railsail.store.versions``). A conditional write
+names the version that it expects, 0 for an object that must not exist yet.
 """
 
 from dataclasses import dataclass
@@ -22,10 +23,15 @@
 
 @dataclass(frozen=True)
 class Listing:
-    """All objects of a kind, and the platform's ``version`` at that moment."""
+    """All objects of a kind, and the platform's ``version`` at that moment.
+
+    ``settled`` is false where the store has just come back: objects may have lapsed meanwhile, or
+    be missing from the copy that it came back from, and be written again in a moment.
+    """
 
     version: int
     objects: tuple[StoredObject, ...]
+    settled: bool = True
 
 
 @dataclass(frozen=True)
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -8,13 +8,16 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TypeVar
 
 from railsail.core.events import EventLog, Kind
 from railsail.core.exceptions import StoreUnavailable
 from railsail.core.logs import get_logger
-from railsail.store.base import Listing, Store, StoredObject, WatchEvent
+from railsail.store.absence import RETURN_SECONDS, StoreAbsence
+from railsail.store.base import Listing, Store, StoredObject, WatchEvent, WatchResult
 from railsail.store.journal import Backoff
 
 LIST_SECONDS = 60.0
@@ -59,6 +62,9 @@
         self._seconds: dict[str, float] = {}
         self._seen: dict[str, Seen] = {}
         self._answered: dict[str, bool] = {}
+        # By kind, whether its last listing may lack objects that are written again in a moment.
+        self._absences: defaultdict[str, StoreAbsence] = defaultdict(StoreAbsence)
+        self._unsettled: set[str] = set()
         self.reachable = False
         self._started_at = 0.0
         self.tried = asyncio.Event()
@@ -86,7 +92,9 @@
     async def _run_group(self, kinds: tuple[str, ...]) -> None:
         longest = min(MOST_PAUSE_SECONDS, self._watch_seconds)
         backoff = Backoff(self._rng, FIRST_PAUSE_SECONDS, longest)
+        loop = asyncio.get_running_loop()
         while True:
+            asked_at = loop.time()
             try:
                 version = await self._list_all(kinds)
                 self._note(kinds, True)
@@ -94,6 +102,8 @@
                 await self._follow_from(kinds, version)
                 await asyncio.sleep(RELIST_SECONDS)
             except StoreUnavailable as problem:
+                for kind in kinds:
+                    self._absences[kind].failed(asked_at, loop.time(), 0.0)
                 self._note(kinds, False, str(problem))
                 await asyncio.sleep(backoff.pause())
 
@@ -109,22 +119,33 @@
                     versions.append(stored.version)
                 continue
             listing = await self._store.list(kind)
-            self._tell(kind, listed, listing)
+            self._tell(kind, listed, replace(listing, settled=self._settles(kind, listing)))
             versions.append(listing.version)
         return min(versions, default=0)
 
+    def _settles(self, kind: str, listing: Listing) -> bool:
+        now = asyncio.get_running_loop().time()
+        if self._absences[kind].answered(listing.version, now):
+            self._unsettled.add(kind)
+            return False
+        self._unsettled.discard(kind)
+        return True
+
     async def _follow_from(self, kinds: tuple[str, ...], version: int) -> None:
         # Jitter keeps the nodes of a fleet from listing in step.
         loop = asyncio.get_running_loop()
         begun = loop.time()
         share = self._rng.uniform(0.75, 1.25)
         await self._learn_members()
-        while (left := begun + share * self._list_seconds() - loop.time()) > 0:
+        seconds = share * self._list_seconds()
+        if self._unsettled & set(kinds) and self._watches():
+            seconds = RETURN_SECONDS
+        while (left := begun + seconds - loop.time()) > 0:
             if not self._watches():
                 await asyncio.sleep(LOOK_SECONDS)
                 continue
             longest = min(self._seconds[kind] for kind in kinds)
-            result = await self._store.watch(kinds, version, min(left, longest))
+            result = await self._watch(kinds, version, min(left, longest))
             if result.expired:
                 return
             for event in result.events:
@@ -133,6 +154,16 @@
             if result.events:
                 await asyncio.sleep(GATHER_SECONDS)
 
+    async def _watch(self, kinds: tuple[str, ...], version: int, seconds: float) -> WatchResult:
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        try:
+            return await self._store.watch(kinds, version, seconds)
+        except StoreUnavailable:
+            for kind in kinds:
+                self._absences[kind].failed(asked_at, loop.time(), seconds)
+            raise
+
     def _tell(self, kind: str, listener: Callable[[T], None], news: T) -> None:
         try:
             listener(news)
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -28,6 +28,7 @@
 from railsail.peers.messages import UpstreamNews
 from railsail.peers.records import DomainRecord, UpstreamRecord
 from railsail.store.base import Listing, WatchEvent
+from railsail.store.versions import era_of
 from railsail.store.watcher import as_event
 from railsail.upstreams.evacuations import Evacuation, Evacuations
 from railsail.upstreams.refused import RefusedRecords
@@ -98,6 +99,8 @@
         self._wall = wall
         # When this node heard first that a replica leaves, in seconds of its own clock.
         self._signed_at: dict[str, float] = {}
+        # Replicas that the list called leaving and has not called live since.
+        self._listed_leaving: set[str] = set()
         self.evacuations = Evacuations(self._flood_domains, events, monotonic)
         self.evacuations.on_change(self._changed)
         # Until when a replica is cold, by the clock of this node, counted from when its record
@@ -161,10 +164,10 @@
         return reduce(operator.xor, sums, self._digest)
 
     def listed(self, listing: Listing) -> None:
-        """Take in a listing of the store; what it lacks is gone."""
+        """Take in a listing of the store; what it lacks is gone, unless it is not settled yet."""
         names = {stored.name for stored in listing.objects}
         events = [as_event(stored) for stored in listing.objects]
-        for upstream in self.all():
+        for upstream in self.all() if listing.settled else ():
             if upstream.name not in names and upstream.version < listing.version:
                 events.append(WatchEvent(KIND, upstream.name, listing.version, None))
         self._take([self._from_event(event) for event in events], "", Source.LIST)
@@ -235,6 +238,10 @@
             self._digest ^= _digest_of(known)
         self._digest ^= _digest_of(upstream)
         self._upstreams[upstream.name] = upstream
+        if upstream.listed is Listed.LEAVING:
+            self._listed_leaving.add(upstream.name)
+        elif upstream.listed is Listed.LIVE:
+            self._listed_leaving.discard(upstream.name)
         if known is None:
             self._note_cold(upstream)
             return True
@@ -276,6 +283,8 @@
                 sign_at=known.sign_at,
                 sign_leaving=known.sign_leaving,
             )
+            if self._is_older_word(known, candidate):
+                merged = self._kept_leaving(merged)
             if known.sign_leaving and self._is_new_life(known, candidate):
                 # All nodes that see the new life give it the same sign, which is the newest.
                 merged = replace(merged, sign_at=known.sign_at + 1, sign_leaving=False)
@@ -292,6 +301,21 @@
             self._tell(merged, source)
         return merged
 
+    def _is_older_word(self, known: Upstream, candidate: Upstream) -> bool:
+        """Say whether a record that calls a replica live may be older than what is known of it.
+
+        Where the store came back from a copy, its records may be from before the replica decided to
+        leave.
+        """
+        returned = era_of(candidate.version) > era_of(known.version)
+        return returned and candidate.listed is Listed.LIVE and known.name in self._listed_leaving
+
+    def _kept_leaving(self, upstream: Upstream) -> Upstream:
+        # Each node that sees the record makes the same sign, so that it is told on only once.
+        sign_at = max(upstream.sign_at + 1, upstream.born)
+        sign_version = upstream.version
+        return replace(upstream, sign_version=sign_version, sign_at=sign_at, sign_leaving=True)
+
     def _is_new_life(self, known: Upstream, candidate: Upstream) -> bool:
         """Say whether the newer record ``candidate`` is of another life than the sign known."""
         if known.born and candidate.born:
--- a/railsail/upstreams/evacuations.py
+++ b/railsail/upstreams/evacuations.py
@@ -63,10 +63,13 @@
         return [self._known[domain] for domain in sorted(self._known)]
 
     def listed(self, listing: Listing) -> None:
-        """Take in a listing of the store; a domain that it lacks is in use again."""
+        """Take in a listing of the store; a domain that it lacks is in use again.
+
+        One that is not settled yet may lack evacuations that the operator writes again.
+        """
         found = [Evacuation(stored.name, stored.version, True) for stored in listing.objects]
         names = {evacuation.domain for evacuation in found}
-        for known in self.all():
+        for known in self.all() if listing.settled else ():
             if known.domain not in names and known.evacuated:
                 found.append(Evacuation(known.domain, listing.version, False))
         self._take(found, "")
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -139,6 +139,16 @@
         await self.end_three(nodes[:2])
         await self.nothing_is_sent_by([lone])
 
+    async def test_store_that_came_back_without_it_is_told_again(self):
+        nodes = await self.serve_fleet(nodes=2)
+        copy = self.store.copy()
+        await self.end_three(nodes)
+        held = ("railsail-quarantine", "requests")
+        await self.until(lambda: held in self.store.objects)
+        self.store.restore(copy)
+        self.assertNotIn(held, self.store.objects)
+        await self.until(lambda: held in self.store.objects)
+
     async def test_nodes_without_the_store_hear_of_it_from_their_peers(self):
         nodes = await self.serve_fleet()
         self.store.down = True
--- a/tests/platform/test_restored.py
+++ b/tests/platform/test_restored.py
@@ -28,11 +28,11 @@
         ]
         return {answer.status for answer in answers}
 
-    async def advance(self, node: Node) -> None:
+    async def advance(self, node: Node, first: int = 0) -> None:
         """Write what the copy will lack, and wait until ``node`` has seen it."""
         states = {u.name: "draining" if u.leaving else "ready" for u in node.directory.all()}
         for slots in range(10, 10 + LOST):
-            for replica in self.replicas:
+            for replica in self.replicas[first:]:
                 self.list_replica(replica, states[replica.name], slots)
         last = self.replicas[-1].name
         await self.until(lambda: node.directory.get(last).slots == 9 + LOST)
@@ -108,13 +108,13 @@
 
     async def test_domain_whose_evacuation_the_copy_lacks_gets_nothing(self):
         node = await self.serve(answering(), answering())
-        copy = self.store.copy()
-        await self.advance(node)
         spec = {"service": "desk", "addr": f"{LOOPBACK}:{self.replicas[0].port}", "zone": "b"}
         self.store.put("servers", "i-0", spec | {"slots": 4, "state": "ready", "seq": 1})
         await self.until(lambda: node.directory.get("i-0").failure_domain == "b")
+        copy = self.store.copy()
         self.store.put("evacuations", "b", {})
         await self.until(lambda: node.directory.evacuations.active("b"))
+        await self.advance(node, first=1)
         before = self.received()[0]
         self.store.restore(copy)
         asked = len(self.store.calls)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,7 +4,7 @@
 import unittest
 
 from railsail.conf.values import Endpoint
-from railsail.core.exceptions import StoreUnavailable
+from railsail.core.exceptions import StoreConflict, StoreUnavailable
 from railsail.core.metrics import Metrics
 from railsail.platform.store import PlatformStore
 from tests.platform.standins import LOOPBACK, PlatformStoreStandin
@@ -47,6 +47,48 @@
         self.standin.forget_history()
         self.assertTrue((await self.store.watch(("upstream",), 0, 0.1)).expired)
 
+    async def test_versions_rise_where_revisions_go_back(self):
+        self.standin.put("servers", "i-1", SERVER)
+        copy = self.standin.copy()
+        for slots in range(20):
+            self.standin.put("servers", "i-1", SERVER | {"slots": slots})
+        before = (await self.store.list("upstream")).objects[0].version
+        self.standin.restore(copy)
+        listing = await self.store.list("upstream")
+        self.assertEqual((self.standin.revision, listing.objects[0].value["slots"]), (1, 4))
+        self.assertGreater(listing.objects[0].version, before)
+        self.assertGreaterEqual(listing.version, listing.objects[0].version)
+
+    async def test_watch_from_an_earlier_era_asks_for_a_list(self):
+        self.standin.put("servers", "i-1", SERVER)
+        copy = self.standin.copy()
+        since = (await self.store.list("upstream")).version
+        self.standin.restore(copy)
+        self.standin.put("servers", "i-2", SERVER)
+        self.assertTrue((await self.store.watch(("upstream",), since, 0.1)).expired)
+
+    async def test_watch_goes_on_in_its_era(self):
+        self.standin.restore(self.standin.copy())
+        since = (await self.store.list("upstream")).version
+        self.standin.put("servers", "i-1", SERVER)
+        result = await self.store.watch(("upstream",), since, 0.1)
+        self.assertEqual([event.version for event in result.events], [result.version])
+        self.assertGreater(result.version, since)
+
+    async def test_write_that_expects_a_version_of_an_earlier_era_is_a_conflict(self):
+        value = {"ends": []}
+        first = await self.store.put("quarantine", "requests", value, 0)
+        self.standin.restore(self.standin.copy())
+        stored = await self.store.get("quarantine", "requests")
+        with self.assertRaises(StoreConflict):
+            await self.store.put("quarantine", "requests", value, first)
+        self.assertGreater(await self.store.put("quarantine", "requests", value, stored.version), 0)
+
+    async def test_era_that_cannot_be_read_is_unavailable(self):
+        self.standin.era = "next"
+        with self.assertRaises(StoreUnavailable):
+            await self.store.list("upstream")
+
     async def test_store_that_refuses_or_cannot_be_read_is_unavailable(self):
         self.standin.down = True
         with self.assertRaises(StoreUnavailable):
