--- /dev/null
+++ b/benchmarks/builds.py
@@ -0,0 +1,172 @@
+"""Daemons of two builds side by side, while they are replaced one after the other.
+
+    python -m benchmarks.builds --other=DIR [--seconds=18] [--per-build=3]
+
+DIR holds the sources of another build. Half of the daemons are of it, half of this one, in front
+of four engines; after a third of the time the others are replaced by this build, one a second.
+Figures: links that a daemon closed because it could not read a message, requests sent and served.
+
+Between two builds without levels 121 links were closed, 90 of them side by side; between either of
+these and this build none (18 s, three daemons of each build, one run each).
+"""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import fire
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from benchmarks.quarantine import SETTINGS, _objects
+from railsail.core.logs import configure_logs
+from railsail.standins.fleet import ADMIN_SECRET, PEER_SECRET, StandinFleet, free_ports
+
+ROOT = Path(__file__).parents[1]
+ENGINES = 4
+EVERY_SECONDS = 0.05
+READY_SECONDS = 8.0
+CLOSED = b"link closed"
+
+
+@dataclass
+class Daemon:
+    """One daemon process, and where it logs."""
+
+    ports: list[int]
+    process: subprocess.Popen
+    log: Path
+
+    def closed_links(self) -> int:
+        """Return how often it closed a link because of what came over it."""
+        return self.log.read_bytes().count(CLOSED)
+
+    def end(self) -> None:
+        """End the process in order."""
+        self.process.terminate()
+        self.process.wait(20)
+
+
+@dataclass
+class Run:
+    """The processes of one run, and what became of its requests."""
+
+    fleet: StandinFleet
+    folder: Path
+    daemons: list[Daemon] = field(default_factory=list)
+    ended: list[Daemon] = field(default_factory=list)
+    sent: int = 0
+    served: int = 0
+
+    def start(self, sources: Path) -> None:
+        """Start a daemon of the build in ``sources``."""
+        ports = free_ports(3)
+        log = self.folder / f"{ports[0]}.log"
+        flags = [
+            f"--caller-port={ports[0]}",
+            f"--admin-port={ports[1]}",
+            f"--peer-port={ports[2]}",
+            "--failure-domain=a",
+            f"--store={self.fleet.store_endpoint}",
+            f"--peer-secret={PEER_SECRET}",
+            f"--admin-secret={ADMIN_SECRET}",
+            "--leave-seconds=1",
+            "--log-level=warning",
+        ]
+        self.fleet.store.put("node", f"127.0.0.1:{ports[2]}", {"state": "live"})
+        with log.open("wb") as out:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "railsail.daemon", *flags],
+                cwd=sources,
+                env=os.environ | {"PYTHONPATH": str(sources)},
+                stdout=out,
+                stderr=out,
+            )
+        self.daemons.append(Daemon(ports, process, log))
+
+    def replace(self, daemon: Daemon, sources: Path) -> None:
+        """End a daemon and start one of the build in ``sources``."""
+        self.daemons.remove(daemon)
+        self.ended.append(daemon)
+        daemon.end()
+        self.start(sources)
+
+    async def ask(self) -> None:
+        """Send one request to the next daemon, and count what becomes of it."""
+        daemon = self.daemons[self.sent % len(self.daemons)]
+        self.sent += 1
+        body = {
+            "model": "model",
+            "messages": [{"role": "user", "content": "hello"}],
+            "metadata": {"output_tokens": "20"},
+        }
+        request = HTTPRequest(
+            f"http://127.0.0.1:{daemon.ports[0]}/v1/chat/completions",
+            method="POST",
+            headers={"Authorization": "Bearer key-of-one", "X-Deadline-Seconds": "8"},
+            body=json.dumps(body),
+            request_timeout=10.0,
+        )
+        client = AsyncHTTPClient(force_instance=True, max_clients=1000)
+        try:
+            response = await client.fetch(request, raise_error=False)
+        except (OSError, HTTPClientError):
+            # The daemon was being replaced.
+            return
+        self.served += response.code == 200
+
+    async def ask_for(self, seconds: float) -> None:
+        """Send requests for so long."""
+        calls = []
+        ends_at = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < ends_at:
+            calls.append(asyncio.ensure_future(self.ask()))
+            await asyncio.sleep(EVERY_SECONDS)
+        await asyncio.gather(*calls)
+
+    def closed_links(self) -> int:
+        """Return how often any daemon closed a link because of what came over it."""
+        return sum(daemon.closed_links() for daemon in (*self.daemons, *self.ended))
+
+
+async def _play(other: Path, seconds: float, per_build: int, folder: Path) -> None:
+    fleet = StandinFleet.start(seed=7)
+    for number in range(ENGINES):
+        fleet.add_engine(f"model-{number}", "model", SETTINGS)
+    fleet.configure(_objects())
+    run = Run(fleet, folder)
+    for _ in range(per_build):
+        run.start(other)
+        run.start(ROOT)
+    olds = run.daemons[::2]
+    await asyncio.sleep(READY_SECONDS)
+    await run.ask_for(seconds / 3)
+    print("side by side:", {"links closed": run.closed_links(), "sent, served": _sums(run)})
+    asking = asyncio.ensure_future(run.ask_for(seconds * 2 / 3))
+    for daemon in olds:
+        await asyncio.sleep(1.0)
+        await asyncio.to_thread(run.replace, daemon, ROOT)
+    await asking
+    print("replaced:", {"links closed": run.closed_links(), "sent, served": _sums(run)})
+    for daemon in run.daemons:
+        daemon.end()
+    await fleet.stop()
+
+
+def _sums(run: Run) -> tuple[int, int]:
+    return run.sent, run.served
+
+
+def main(other: str, seconds: float = 18.0, per_build: int = 3) -> None:
+    """Play one run, and print its figures."""
+    configure_logs("critical", "benchmark")
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(_play(Path(other).resolve(), seconds, per_build, Path(folder)))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
