store: made no calls to a store that asked for rest

The same cause as with replicas: the store's 429 and 503 may name a time to stay away, which nothing read; each kind that is followed went on calling at its own pace. Now an endpoint that names a time is left alone for it, 10 s at most, by all parts of the daemon. A stand-in that asks for 0.3 s got 3 of 3 calls in that time before, 1 now.

--- a/railsail/store/calls.py
+++ b/railsail/store/calls.py
@@ -1,11 +1,14 @@
 """Calls to a store over HTTP: made once each, counted, and told apart by how they ended."""
 
 import asyncio
+import time
+from urllib.parse import urlsplit
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
 from railsail.core.metrics import Metrics
+from railsail.core.retryafter import retry_after_seconds
 
 CONNECT_SECONDS = 1.0
 MOST_CALLS = 64
@@ -13,6 +16,10 @@
 CONFLICT = 409
 GONE = 410
 _NO_ANSWER = 599
+_TURNED_AWAY = (429, 503)
+# A store that turns calls away and names a time is left alone for so long, in seconds at most: as
+# long as the longest pause of those that follow it, since without it nodes learn nothing new.
+MOST_REST_SECONDS = 10.0
 
 
 class StoreCalls:
@@ -21,6 +28,8 @@
     def __init__(self, metrics: Metrics, seconds: float, most_bytes: int) -> None:
         self._metrics = metrics
         self._seconds = seconds
+        # Until when each endpoint wants no calls, by the clock of the event loop.
+        self._rests_until: dict[str, float] = {}
         self._client = AsyncHTTPClient(
             force_instance=True, max_clients=MOST_CALLS, max_body_size=most_bytes
         )
@@ -36,7 +45,12 @@
         """Return the answer of a call, which may wait for ``waits`` seconds by its own wish.
 
         Raise ``StoreConflict`` or ``StoreUnavailable``; a read may answer that nothing is there.
+        No call is made while the store wants none.
         """
+        endpoint = urlsplit(url).netloc
+        if asyncio.get_running_loop().time() < self._rests_until.get(endpoint, 0.0):
+            self._metrics.store_calls.inc({"operation": operation, "result": "held"})
+            raise StoreUnavailable(f"{method} {url}: not called, the store asked for rest")
         request = HTTPRequest(
             url,
             method=method,
@@ -50,6 +64,7 @@
             response = await self._fetch(request)
         except (OSError, HTTPClientError) as problem:
             response = HTTPResponse(request, _NO_ANSWER, error=problem)
+        self._note_rest(endpoint, response)
         result = _classify(response, method)
         self._metrics.store_calls.inc({"operation": operation, "result": result})
         if result == "conflict":
@@ -58,6 +73,13 @@
             raise StoreUnavailable(f"{method} {url}: {response.error or response.code}")
         return response
 
+    def _note_rest(self, endpoint: str, response: HTTPResponse) -> None:
+        if response.code not in _TURNED_AWAY:
+            return
+        seconds = retry_after_seconds(response.headers.get("Retry-After", ""), time.time())
+        until = asyncio.get_running_loop().time() + min(seconds, MOST_REST_SECONDS)
+        self._rests_until[endpoint] = max(self._rests_until.get(endpoint, 0.0), until)
+
     async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
         # The library complains about a fetch that is cancelled and then fails, so that a cancelled
         # caller leaves the fetch to end by itself.
--- a/railsail/upstreams/signs.py
+++ b/railsail/upstreams/signs.py
@@ -5,13 +5,12 @@
 """
 
 import enum
-import math
 from dataclasses import dataclass
-from datetime import UTC
-from email.utils import parsedate_to_datetime
 
 from tornado.httputil import HTTPHeaders
 
+from railsail.core.retryafter import retry_after_seconds
+
 # A replica is given no longer rest than this, in seconds, so that one bad answer does not close it
 # to a node for good; replicas that restart or shed load ask for seconds.
 MOST_REST_SECONDS = 3600.0
@@ -53,28 +52,8 @@
 
 
 def read_rest(status: int, headers: HTTPHeaders, wall: float) -> float:
-    """Return for how many seconds an answer that turns a request away asks for rest.
-
-    A value that is neither a number nor a date asks for none.
-    """
+    """Return for how many seconds an answer that turns a request away asks for rest."""
     if not asks_rest(status, headers):
         return 0.0
-    text = headers["Retry-After"].strip()
-    return min(max(0.0, _seconds(text, wall)), MOST_REST_SECONDS)
-
-
-def _seconds(text: str, wall: float) -> float:
-    try:
-        seconds = float(text)
-    except ValueError:
-        return _seconds_until(text, wall)
-    return seconds if math.isfinite(seconds) else 0.0
-
-
-def _seconds_until(text: str, wall: float) -> float:
-    try:
-        date = parsedate_to_datetime(text)
-    except (TypeError, ValueError, IndexError, OverflowError):
-        return 0.0
-    # A date without a zone is in Greenwich's.
-    return (date if date.tzinfo else date.replace(tzinfo=UTC)).timestamp() - wall
+    seconds = retry_after_seconds(headers["Retry-After"], wall)
+    return min(seconds, MOST_REST_SECONDS)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -27,6 +27,8 @@
         # How often it came back from a copy; told with each answer once it did.
         self.era = 0
         self.down = False
+        # The time to stay away that it names while it is down.
+        self.retry_after = ""
         self.calls: list[str] = []
         self.changed = asyncio.Event()
         self.port = free_ports(1)[0]
@@ -90,6 +92,8 @@
             self.set_header("Store-Era", str(self.store.era))
         if self.store.down:
             self.set_status(503)
+            if self.store.retry_after:
+                self.set_header("Retry-After", self.store.retry_after)
             self.finish()
 
     def post(self) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """The client of the platform's store, against a stand-in."""
 
+import asyncio
 import random
 import unittest
 
@@ -94,6 +95,17 @@
         with self.assertRaises(StoreUnavailable):
             await self.store.list("upstream")
 
+    async def test_store_that_asks_for_rest_gets_it(self):
+        self.standin.down = True
+        self.standin.retry_after = "0.3"
+        for kind in ("upstream", "evacuation", "upstream"):
+            with self.assertRaises(StoreUnavailable):
+                await self.store.list(kind)
+        self.assertEqual(len(self.standin.calls), 1)
+        self.standin.down = False
+        await asyncio.sleep(0.35)
+        await self.store.list("upstream")
+
     async def test_configuration_that_cannot_be_read_is_unavailable(self):
         self.standin.put("config", "main", {"version": "x"})
         with self.assertRaises(StoreUnavailable):
