upstreams, dispatch: read records of an older copy by their life, and looked at rests at once

A store that came back from a copy may hold the record of a former life of a replica: it was taken for a new start, which ended its calls, and again when the replica wrote its own. A sign heard after the list had said leaving had no time, so that a replica without a start of its own never came back. Each request looked at and sorted all replicas while any rested; now the first that may be sent to ends the look. Tests for the first two, failing before.

--- a/railsail/dispatch/gate.py
+++ b/railsail/dispatch/gate.py
@@ -5,6 +5,7 @@
 at again when its request is sent.
 """
 
+import math
 import random
 from collections.abc import Mapping
 
@@ -72,15 +73,27 @@
         """
         if not self._rests:
             return None
-        now = self._clock.monotonic()
-        able = [u for u in self._directory.of_pool(want.pool) if self._may_run(want, u)]
-        left = [self._rests.seconds_left(upstream.name, now) for upstream in able]
-        if not left or min(left) <= 0:
+        first = self._first_end(want)
+        if first <= 0:
             return None
-        detail = f"all {len(able)} replicas asked this node for rest"
-        after = min(left) + self._rng.uniform(0.0, COME_BACK_SPREAD_SECONDS)
+        after = first + self._rng.uniform(0.0, COME_BACK_SPREAD_SECONDS)
+        detail = "all replicas asked this node for rest"
         return NotRun(Reason.NO_ROOM, detail, retry_after=after, come_back=after)
 
+    def _first_end(self, want: Want) -> float:
+        """Return after how many seconds a replica may be sent ``want``, 0 if one may now.
+
+        Where no replica takes work at all, it is 0 too: the dispatcher decides.
+        """
+        now = self._clock.monotonic()
+        first = math.inf
+        for upstream in self._directory.each_of_pool(want.pool):
+            if self._may_run(want, upstream):
+                first = min(first, self._rests.seconds_left(upstream.name, now))
+                if first <= 0:
+                    break
+        return first if math.isfinite(first) else 0.0
+
     def _may_run(self, want: Want, upstream: Upstream) -> bool:
         if not self._directory.takes_work(upstream):
             return False
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -15,7 +15,7 @@
 import operator
 import time
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, fields, replace
 from functools import reduce
 from operator import attrgetter
@@ -149,9 +149,13 @@
 
     def of_pool(self, pool: str) -> list[Upstream]:
         """Return the replicas of ``pool`` that are not gone, by name."""
-        chosen = [u for u in self._upstreams.values() if u.pool == pool]
-        present = [upstream for upstream in chosen if upstream.listed is not Listed.GONE]
-        return sorted(present, key=lambda upstream: upstream.name)
+        return sorted(self.each_of_pool(pool), key=lambda upstream: upstream.name)
+
+    def each_of_pool(self, pool: str) -> Iterator[Upstream]:
+        """Give the replicas of ``pool`` that are not gone, in any order."""
+        for upstream in self._upstreams.values():
+            if upstream.pool == pool and upstream.listed is not Listed.GONE:
+                yield upstream
 
     def all(self) -> list[Upstream]:
         """Return all records, by name."""
@@ -242,6 +246,7 @@
             self._listed_leaving.add(upstream.name)
         elif upstream.listed is Listed.LIVE:
             self._listed_leaving.discard(upstream.name)
+        self._note_sign(upstream)
         if known is None:
             self._note_cold(upstream)
             return True
@@ -252,6 +257,12 @@
         same = replace(known, version=upstream.version, cold=upstream.cold)
         return same != upstream or upstream.cold > known.cold
 
+    def _note_sign(self, upstream: Upstream) -> None:
+        if upstream.signed_leaving:
+            self._signed_at.setdefault(upstream.name, self._monotonic())
+        else:
+            self._signed_at.pop(upstream.name, None)
+
     def _note_cold(self, upstream: Upstream) -> None:
         if upstream.cold:
             self._cold_until[upstream.name] = self._monotonic() + upstream.cold / 1000
@@ -276,7 +287,9 @@
             self._tell(candidate, source)
             return candidate
         merged = known
-        if candidate.version > known.version:
+        if _is_former_life(candidate, known):
+            merged = replace(known, version=candidate.version)
+        elif candidate.version > known.version:
             merged = replace(
                 candidate,
                 sign_version=known.sign_version,
@@ -327,10 +340,6 @@
         return long_ago and candidate.listed is Listed.LIVE
 
     def _tell(self, upstream: Upstream, source: Source) -> None:
-        if upstream.signed_leaving:
-            self._signed_at.setdefault(upstream.name, self._monotonic())
-        else:
-            self._signed_at.pop(upstream.name, None)
         word = "leaving" if upstream.leaving else "live"
         self._events.emit(
             Kind.UPSTREAM,
@@ -349,6 +358,12 @@
         return round(self._wall() * 1000) - upstream.sign_at if upstream.signed_leaving else 0
 
 
+def _is_former_life(candidate: Upstream, known: Upstream) -> bool:
+    """Say whether a store that came back from a copy holds the record of a life before."""
+    returned = era_of(candidate.version) > era_of(known.version)
+    return returned and 0 < candidate.born < known.born
+
+
 def _may_be_same_life(one: Upstream, other: Upstream) -> bool:
     return one.born == other.born or not (one.born and other.born)
 
--- a/tests/upstreams/test_directory.py
+++ b/tests/upstreams/test_directory.py
@@ -6,6 +6,7 @@
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog, Kind
 from railsail.store.base import Listing, StoredObject, WatchEvent
+from railsail.store.versions import to_version
 from railsail.upstreams import refused as module
 from railsail.upstreams.directory import LEAVING_SECONDS, Listed, UpstreamDirectory
 from railsail.upstreams.signs import Source
@@ -132,6 +133,40 @@
         self.see(2, endpoint="127.0.0.1:2")
         self.assertFalse(self.leaves())
 
+    def test_record_of_a_former_life_from_an_older_copy_changes_nothing(self):
+        told = []
+        self.directory.on_rebirth(lambda before: told.append(before.name))
+        self.see(1, born=BORN)
+        self.see(2, born=BORN + 5000, slots=9)
+        self.assertEqual(told, ["r"])
+        self.see(to_version(1, 1), born=BORN)
+        self.assertEqual((told, self.directory.get("r").slots), (["r"], 9))
+        self.see(to_version(1, 2), born=BORN + 5000, slots=8)
+        self.assertEqual((told, self.directory.get("r").slots), (["r"], 8))
+
+    def test_replica_that_the_list_called_leaving_too_gets_work_long_after(self):
+        self.see(1)
+        self.see(2, state="leaving")
+        self.sign()
+        self.now += LEAVING_SECONDS + 1
+        self.see(3)
+        self.assertFalse(self.leaves())
+
+    def test_older_copy_does_not_bring_back_what_the_list_called_leaving(self):
+        for gone in (False, True):
+            with self.subTest(gone=gone):
+                self.directory = self.make(self.flooded)
+                self.see(1, state="leaving")
+                if gone:
+                    self.directory.seen(WatchEvent("upstream", "r", 2, None))
+                self.see(to_version(1, 1))
+                self.assertTrue(self.leaves())
+
+    def test_replica_that_the_list_calls_live_again_in_its_era_gets_work(self):
+        self.see(1, state="leaving")
+        self.see(2)
+        self.assertFalse(self.leaves())
+
     def test_replica_without_a_start_gets_work_long_after(self):
         self.see(1)
         self.sign()
