--- a/railsail/dispatch/gate.py
+++ b/railsail/dispatch/gate.py
@@ -14,7 +14,8 @@
 from railsail.dispatch.bookings import Want
 from railsail.peers.hub import PeerHub
 from railsail.peers.messages import MOST_EXCLUDED
-from railsail.upstreams.directory import Upstream, UpstreamDirectory
+from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.records import Upstream
 from railsail.upstreams.rests import Rests
 
 # Callers that find all replicas at rest come back within so many seconds after the first one is
--- a/railsail/dispatch/replicas.py
+++ b/railsail/dispatch/replicas.py
@@ -10,7 +10,8 @@
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.warmup import WarmupBound
-from railsail.upstreams.directory import Upstream, UpstreamDirectory
+from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.records import Upstream
 
 
 @dataclass(frozen=True)
--- a/railsail/quarantine/observer.py
+++ b/railsail/quarantine/observer.py
@@ -15,7 +15,8 @@
 from railsail.core.tasks import TaskSet
 from railsail.quarantine.service import Quarantine
 from railsail.quarantine.table import ReplicaEnd
-from railsail.upstreams.directory import Upstream, UpstreamDirectory
+from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.records import Upstream
 
 # A port that nobody listens at refuses within a round trip: 40 ms between the regions of one fleet.
 # Repeats of the request wait for the first look, so that it must not take much longer.
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -2,85 +2,37 @@
 
 This is the one place that decides it. The platform's list says so, which lags and may be away, with
 a version per record; and signs do: a daemon's word that the replica itself said so in an answer or
-a load report, or that another one has its address. Either suffices. Among signs the newest wins.
-
-A replica that leaves does not change its mind: a sign holds for its life, whatever the list says of
-that life later, since a record may have been written before the replica decided, and come late. A
-new life is told by the time of its start or, where records lack that, by another address, or by a
-new record long after the sign. Records merge by their numbers, so that repeats and reorderings do
-no harm.
+a load report, or that another one has its address. Either suffices. How records merge is told in
+``railsail.upstreams.merging``.
 """
 
-import enum
 import operator
 import time
 import zlib
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, fields, replace
+from dataclasses import replace
 from functools import reduce
-from operator import attrgetter
-
-import msgspec
 
-from railsail.conf.values import parse_endpoint
 from railsail.core.clock import steady_seconds
 from railsail.core.events import EventLog, Kind
 from railsail.peers.messages import UpstreamNews
-from railsail.peers.records import DomainRecord, UpstreamRecord
+from railsail.peers.records import DomainRecord
 from railsail.store.base import Listing, WatchEvent
-from railsail.store.versions import era_of
 from railsail.store.watcher import as_event
 from railsail.upstreams.evacuations import Evacuation, Evacuations
+from railsail.upstreams.merging import RecordMerger
+from railsail.upstreams.records import (
+    Listed,
+    Upstream,
+    digest_of,
+    from_record,
+    parse_record,
+    to_record,
+)
 from railsail.upstreams.refused import RefusedRecords
 from railsail.upstreams.signs import Source
 
 KIND = "upstream"
-# A replica that says that it leaves has ended so many seconds later: platforms keep one for seconds
-# up to a minute or so. A new record that calls it live after that is of a new life, also where it
-# tells no start.
-LEAVING_SECONDS = 300.0
-
-
-class Listed(enum.IntEnum):
-    """What the platform's list says of a replica."""
-
-    LIVE = 0
-    LEAVING = 1
-    GONE = 2
-
-
-@dataclass(frozen=True)
-class Upstream:
-    """One replica; ``endpoint`` is ``ip:port``, ``slots`` is 0 where the list does not tell them.
-
-    ``version`` is that of the listed record. The sign was given when the record had
-    ``sign_version``, at ``sign_at`` milliseconds since the Unix epoch. ``born`` is when the replica
-    started, in the same unit, 0 where it does not say so: it tells lives under one name apart. The
-    replica was cold for ``cold`` milliseconds more when it wrote the record.
-    """
-
-    name: str
-    pool: str
-    endpoint: str
-    failure_domain: str
-    version: int
-    listed: Listed
-    sign_version: int = 0
-    sign_at: int = 0
-    sign_leaving: bool = False
-    slots: int = 0
-    born: int = 0
-    cold: int = 0
-
-    @property
-    def leaving(self) -> bool:
-        """Say whether the replica must get no new work."""
-        return self.signed_leaving or self.listed is not Listed.LIVE
-
-    @property
-    def signed_leaving(self) -> bool:
-        """Say whether a sign says that the replica leaves, and not one of a life before."""
-        return self.sign_leaving and self.sign_at >= self.born
 
 
 class UpstreamDirectory:
@@ -97,10 +49,7 @@
         self._events = events
         self._monotonic = monotonic
         self._wall = wall
-        # When this node heard first that a replica leaves, in seconds of its own clock.
-        self._signed_at: dict[str, float] = {}
-        # Replicas that the list called leaving and has not called live since.
-        self._listed_leaving: set[str] = set()
+        self._merger = RecordMerger(monotonic)
         self.evacuations = Evacuations(self._flood_domains, events, monotonic)
         self.evacuations.on_change(self._changed)
         # Until when a replica is cold, by the clock of this node, counted from when its record
@@ -183,7 +132,7 @@
     def received(self, node: str, news: UpstreamNews) -> None:
         """Take in news of a peer."""
         self.evacuations.received(node, news.domains)
-        self._take([_from_record(record) for record in news.upstreams], node, Source.PEER)
+        self._take([from_record(record) for record in news.upstreams], node, Source.PEER)
 
     def sign_leaving(self, name: str, source: Source, at: float) -> None:
         """Take note that a replica leaves, as ``source`` said; ``at`` is now, of the wall clock."""
@@ -205,16 +154,16 @@
 
     def news_of(self, upstream: Upstream) -> UpstreamNews:
         """Return what is known of one replica, for a peer that seems not to know it."""
-        return UpstreamNews([_to_record(upstream)])
+        return UpstreamNews([to_record(upstream)])
 
     def news(self) -> UpstreamNews:
         """Return all records, for a peer that asks."""
-        records = [_to_record(upstream) for upstream in self.all()]
+        records = [to_record(upstream) for upstream in self.all()]
         return UpstreamNews(records, self.evacuations.records())
 
     def _from_event(self, event: WatchEvent) -> Upstream | None:
         known = self._upstreams.get(event.name)
-        parsed = _parse(event, self._refused) if event.value is not None else None
+        parsed = parse_record(event, self._refused) if event.value is not None else None
         if parsed is not None or known is None:
             return parsed
         # A record that cannot be read names no replica, also where one was known by its name.
@@ -230,7 +179,7 @@
                 matters |= self._put(merged)
         if not changed:
             return
-        self._flood(UpstreamNews([_to_record(upstream) for upstream in changed]), node)
+        self._flood(UpstreamNews([to_record(upstream) for upstream in changed]), node)
         if matters:
             self._changed()
 
@@ -239,14 +188,10 @@
         # The sum goes into every heartbeat, so that it is kept and not made from all records.
         known = self._upstreams.get(upstream.name)
         if known is not None:
-            self._digest ^= _digest_of(known)
-        self._digest ^= _digest_of(upstream)
+            self._digest ^= digest_of(known)
+        self._digest ^= digest_of(upstream)
         self._upstreams[upstream.name] = upstream
-        if upstream.listed is Listed.LEAVING:
-            self._listed_leaving.add(upstream.name)
-        elif upstream.listed is Listed.LIVE:
-            self._listed_leaving.discard(upstream.name)
-        self._note_sign(upstream)
+        self._merger.kept(upstream)
         if known is None:
             self._note_cold(upstream)
             return True
@@ -257,12 +202,6 @@
         same = replace(known, version=upstream.version, cold=upstream.cold)
         return same != upstream or upstream.cold > known.cold
 
-    def _note_sign(self, upstream: Upstream) -> None:
-        if upstream.signed_leaving:
-            self._signed_at.setdefault(upstream.name, self._monotonic())
-        else:
-            self._signed_at.pop(upstream.name, None)
-
     def _note_cold(self, upstream: Upstream) -> None:
         if upstream.cold:
             self._cold_until[upstream.name] = self._monotonic() + upstream.cold / 1000
@@ -286,59 +225,13 @@
         if known is None:
             self._tell(candidate, source)
             return candidate
-        merged = known
-        if _is_former_life(candidate, known):
-            merged = replace(known, version=candidate.version)
-        elif candidate.version > known.version:
-            merged = replace(
-                candidate,
-                sign_version=known.sign_version,
-                sign_at=known.sign_at,
-                sign_leaving=known.sign_leaving,
-            )
-            if self._is_older_word(known, candidate):
-                merged = self._kept_leaving(merged)
-            if known.sign_leaving and self._is_new_life(known, candidate):
-                # All nodes that see the new life give it the same sign, which is the newest.
-                merged = replace(merged, sign_at=known.sign_at + 1, sign_leaving=False)
-        if candidate.sign_at > merged.sign_at and _may_be_same_life(candidate, merged):
-            merged = replace(
-                merged,
-                sign_version=candidate.sign_version,
-                sign_at=candidate.sign_at,
-                sign_leaving=candidate.sign_leaving,
-            )
+        merged = self._merger.merge(known, candidate)
         if merged == known:
             return None
         if merged.leaving != known.leaving:
             self._tell(merged, source)
         return merged
 
-    def _is_older_word(self, known: Upstream, candidate: Upstream) -> bool:
-        """Say whether a record that calls a replica live may be older than what is known of it.
-
-        Where the store came back from a copy, its records may be from before the replica decided to
-        leave.
-        """
-        returned = era_of(candidate.version) > era_of(known.version)
-        return returned and candidate.listed is Listed.LIVE and known.name in self._listed_leaving
-
-    def _kept_leaving(self, upstream: Upstream) -> Upstream:
-        # Each node that sees the record makes the same sign, so that it is told on only once.
-        sign_at = max(upstream.sign_at + 1, upstream.born)
-        sign_version = upstream.version
-        return replace(upstream, sign_version=sign_version, sign_at=sign_at, sign_leaving=True)
-
-    def _is_new_life(self, known: Upstream, candidate: Upstream) -> bool:
-        """Say whether the newer record ``candidate`` is of another life than the sign known."""
-        if known.born and candidate.born:
-            return candidate.born != known.born
-        if candidate.endpoint != known.endpoint:
-            return True
-        signed_at = self._signed_at.get(known.name, self._monotonic())
-        long_ago = self._monotonic() - signed_at > LEAVING_SECONDS
-        return long_ago and candidate.listed is Listed.LIVE
-
     def _tell(self, upstream: Upstream, source: Source) -> None:
         word = "leaving" if upstream.leaving else "live"
         self._events.emit(
@@ -350,7 +243,7 @@
             listed_version=upstream.version,
             signed=str(upstream.signed_leaving).lower(),
             source=source,
-            sign_age_ms=self._sign_age_ms(upstream),
+            sign_age_ms=self._sign_age_ms(upstream) if source is not Source.LIST else 0,
         )
 
     def _sign_age_ms(self, upstream: Upstream) -> int:
@@ -358,58 +251,5 @@
         return round(self._wall() * 1000) - upstream.sign_at if upstream.signed_leaving else 0
 
 
-def _is_former_life(candidate: Upstream, known: Upstream) -> bool:
-    """Say whether a store that came back from a copy holds the record of a life before."""
-    returned = era_of(candidate.version) > era_of(known.version)
-    return returned and 0 < candidate.born < known.born
-
-
-def _may_be_same_life(one: Upstream, other: Upstream) -> bool:
-    return one.born == other.born or not (one.born and other.born)
-
-
-def _parse(event: WatchEvent, refused: RefusedRecords) -> Upstream | None:
-    value = event.value or {}
-    try:
-        endpoint = str(parse_endpoint(str(value["endpoint"])))
-        listed = Listed.LEAVING if value.get("state") == "leaving" else Listed.LIVE
-        domain = str(value.get("failure_domain", ""))
-        slots = int(value.get("slots", 0))
-        parsed = Upstream(
-            event.name,
-            str(value["pool"]),
-            endpoint,
-            domain,
-            event.version,
-            listed,
-            slots=slots,
-            born=int(value.get("born", 0)),
-            cold=int(value.get("cold", 0)),
-        )
-    except (KeyError, TypeError, ValueError) as problem:
-        refused.refused(event.name, f"{type(problem).__name__}: {problem}")
-        return None
-    refused.accepted(event.name)
-    return parsed
-
-
-def _digest_of(upstream: Upstream) -> int:
-    text = f"{upstream.name} {upstream.version} {upstream.sign_version} {upstream.sign_at}"
-    return zlib.crc32(text.encode())
-
-
 def _digest_of_domain(evacuation: Evacuation) -> int:
     return zlib.crc32(f"{evacuation.domain} {evacuation.version}".encode())
-
-
-# Both have the same fields, in the same order.
-_fields = attrgetter(*(field.name for field in fields(Upstream)))
-
-
-def _to_record(upstream: Upstream) -> UpstreamRecord:
-    return UpstreamRecord(*_fields(upstream))
-
-
-def _from_record(record: UpstreamRecord) -> Upstream:
-    name, pool, endpoint, domain, version, listed, *rest = msgspec.structs.astuple(record)
-    return Upstream(name, pool, endpoint, domain, version, Listed(listed), *rest)
--- a/railsail/upstreams/heard.py
+++ b/railsail/upstreams/heard.py
@@ -6,8 +6,9 @@
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.upstreams.directory import Upstream, UpstreamDirectory
+from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.http import HeadListener
+from railsail.upstreams.records import Upstream
 from railsail.upstreams.rests import Rests
 from railsail.upstreams.signs import AnswerSigns, Source
 
--- a/tests/upstreams/test_directory.py
+++ b/tests/upstreams/test_directory.py
@@ -8,7 +8,9 @@
 from railsail.store.base import Listing, StoredObject, WatchEvent
 from railsail.store.versions import to_version
 from railsail.upstreams import refused as module
-from railsail.upstreams.directory import LEAVING_SECONDS, Listed, UpstreamDirectory
+from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.merging import LEAVING_SECONDS
+from railsail.upstreams.records import Listed
 from railsail.upstreams.signs import Source
 
 SPEC = {"pool": "lm", "endpoint": "127.0.0.1:1", "failure_domain": "a", "state": "live", "slots": 4}
