node, peers: watched the store beside builds that know no eras

Found on reading: builds that landed tell the store's changes with its bare revisions, which lose against the versions with an era that nodes of this build have told them. Where the few nodes that watch are all of such builds, the fleet would hear of no change while it is being replaced. A node that has a link to an older build watches too, where the store has an era. A test fails without it.

The stand-in of an older build in the tests of links took a subprotocol all the same; it does not any more.

--- a/railsail/node.py
+++ b/railsail/node.py
@@ -141,7 +141,7 @@
             flood, self.events, self.clock.monotonic, self.clock.wall
         )
         self.watcher = StoreWatcher(
-            self.store, self.view.watches_store, settings.watch_seconds, self.events, self.rng
+            self.store, self._watches_store, settings.watch_seconds, self.events, self.rng
         )
         self.watcher.follow(CONFIGURATION, self.carrier.listed, self.carrier.seen, HEAD)
         self.watcher.follow(UPSTREAM, self.directory.listed, self.directory.seen)
@@ -300,6 +300,11 @@
     def _pools(self) -> list[str]:
         return [pool.name for pool in self._catalog().of_kind(Pool)]
 
+    def _watches_store(self) -> bool:
+        # Builds that know no eras tell changes with versions that lose against those of this build,
+        # so that where such a peer may be among the few that watch, this node watches as well.
+        return self.view.watches_store() or (self.watcher.era > 0 and self.hub.has_older_peers())
+
     def _unreachable(self) -> set[str]:
         return self.desk.unreachable
 
--- a/railsail/store/absence.py
+++ b/railsail/store/absence.py
@@ -21,6 +21,11 @@
         self._since: float | None = None
         self._era: int | None = None
 
+    @property
+    def era(self) -> int:
+        """Return the era of the last listing, 0 before the first one."""
+        return self._era or 0
+
     def failed(self, asked_at: float, now: float, waits: float) -> None:
         """Take note that a call of ``asked_at``, which waits by its own wish, was not answered.
 
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -69,6 +69,11 @@
         self._started_at = 0.0
         self.tried = asyncio.Event()
 
+    @property
+    def era(self) -> int:
+        """Return the latest era of the store that a listing told."""
+        return max((absence.era for absence in self._absences.values()), default=0)
+
     def follow(
         self, kind: str, listed: Listed, seen: Seen, name: str = "", seconds: float = 0.0
     ) -> None:
--- a/tests/peers/test_levels.py
+++ b/tests/peers/test_levels.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+import contextlib
 import unittest
+from unittest import mock
 
 import cbor2
 
@@ -38,6 +40,16 @@
 FLIGHT = FlightRecord(4, 1, "w", "i-2", 10, 50, 7, 9)
 
 
+@contextlib.contextmanager
+def older_build():
+    """Let hubs start and dial as builds before level 2 do: they offer and take no subprotocol."""
+    with (
+        mock.patch.object(hub_module, "SUBPROTOCOLS", None),
+        mock.patch.object(hub_module, "choose", None),
+    ):
+        yield
+
+
 def sent(message, level: int) -> list:
     return cbor2.loads(encode_message(message, level))
 
@@ -114,16 +126,14 @@
         return hub
 
     async def linked(self, dialling_is_old: bool, accepting_is_old: bool) -> tuple[PeerHub, ...]:
-        spoken = hub_module.SUBPROTOCOLS
-        self.addCleanup(setattr, hub_module, "SUBPROTOCOLS", spoken)
-        hub_module.SUBPROTOCOLS = None if accepting_is_old else spoken
-        accepting = await self.hub()
-        hub_module.SUBPROTOCOLS = None if dialling_is_old else spoken
+        with older_build() if accepting_is_old else contextlib.nullcontext():
+            accepting = await self.hub()
         dialling = await self.hub()
-        dialling.dial(accepting.own.node)
-        async with asyncio.timeout(30.0):
-            while not (dialling.peers() and accepting.peers()):
-                await asyncio.sleep(0.01)
+        with older_build() if dialling_is_old else contextlib.nullcontext():
+            dialling.dial(accepting.own.node)
+            async with asyncio.timeout(30.0):
+                while not (dialling.peers() and accepting.peers()):
+                    await asyncio.sleep(0.01)
         return dialling, accepting
 
     def levels(self) -> list[int]:
--- a/tests/platform/test_restored.py
+++ b/tests/platform/test_restored.py
@@ -9,6 +9,7 @@
 import unittest
 
 from railsail.node import Node
+from tests.peers.test_levels import older_build
 from tests.platform.base import PlatformTestCase, configuration
 from tests.platform.standins import LOOPBACK, answering
 
@@ -125,6 +126,20 @@
         await self.call_often(node)
         self.assertEqual(self.received()[0], before)
 
+    async def test_node_beside_a_build_that_knows_no_eras_watches_for_it(self):
+        await self.serve(answering())
+        self.store.restore(self.store.copy())
+        with older_build():
+            older = await self.add_node()
+        node = await self.add_node(seeds=f"{LOOPBACK}:{older.settings.peer_port}")
+        await self.until(lambda: not node.not_ready() and node.watcher.era)
+        node.view.watches_store = lambda: False
+        await self.until(node.hub.has_older_peers)
+        self.assertTrue(node._watches_store())
+        self.store.era = 0
+        node.watcher._absences.clear()
+        self.assertFalse(node._watches_store())
+
     async def test_configuration_does_not_go_back(self):
         node = await self.serve(answering())
         copy = self.store.copy()
