--- /dev/null
+++ b/railsail/dispatch/acquire.py
@@ -0,0 +1,135 @@
+"""Acquire a replica for a request: wait for a grant, and look whether it may be used.
+
+What is known to be in vain is refused before anything is placed: a request that is held back
+because replicas ended under it, or one whose replicas all asked this node for rest.
+"""
+
+import asyncio
+from dataclasses import replace
+
+from railsail.core.events import Fact, Kind
+from railsail.core.kernel import Kernel
+from railsail.core.outcomes import NotRun, Reason
+from railsail.dispatch.bookings import Booking, TicketRefused, Want
+from railsail.dispatch.entry import DECISION_SECONDS, TicketDesk
+from railsail.dispatch.gate import SendGate
+from railsail.quarantine.service import Quarantine
+
+# A request is refused after so many grants of replicas that it cannot be sent to. Dispatchers are
+# told with the next ticket, so that the second grant is good unless something changed meanwhile or
+# the dispatcher is of an older build.
+MOST_GRANTS = 8
+_REFUSALS = {
+    Reason.EXPIRED: "no replica had room in time",
+    Reason.OVER_SHARE: "its workspace had its share of the replicas while others waited",
+    Reason.QUARANTINED: "a replica ended while it ran this request, which is being tried again",
+}
+
+
+class ReplicaAcquirer:
+    """Acquire replicas through the tickets of ``desk``."""
+
+    def __init__(
+        self, desk: TicketDesk, gate: SendGate, quarantine: Quarantine, kernel: Kernel
+    ) -> None:
+        self._desk = desk
+        self._gate = gate
+        self._quarantine = quarantine
+        self._clock = kernel.clock
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+
+    async def acquire(self, want: Want, seconds: float) -> Booking | NotRun:
+        """Wait at most ``seconds`` for a replica, and return the booking that has one.
+
+        The replica may be sent the request at once.
+        """
+        asked_at = self._clock.monotonic()
+        closed = ""
+        for _ in range(MOST_GRANTS):
+            want = replace(want, excluded=self._gate.excluded(want.pool))
+            booking = await self._wait_for_any(want, asked_at, seconds)
+            if isinstance(booking, NotRun):
+                return booking
+            closed = self._gate.admit(booking.replica)
+            if not closed:
+                return booking
+            self._turn_back(booking, closed)
+            want = replace(want, avoid=booking.replica)
+        return NotRun(Reason.NO_ROOM, f"the replica that was granted last is not sent to: {closed}")
+
+    def _turn_back(self, booking: Booking, closed: str) -> None:
+        """Give back a replica that the dispatcher granted and this node may not send to."""
+        self._events.emit(
+            Kind.GRANT_RETURNED,
+            closed,
+            booking.want.request_id,
+            booking.want.workspace,
+            replica=booking.replica,
+            dispatcher=booking.node,
+            ticket=self._desk.ticket_name(booking),
+        )
+        self._metrics.returned.inc({})
+        self._gate.tell(booking.node, booking.replica)
+        self._desk.withdraw(booking)
+
+    async def _wait_for_any(self, want: Want, asked_at: float, seconds: float) -> Booking | NotRun:
+        """Wait for a replica until ``seconds`` after ``asked_at``."""
+        refusal = self._quarantined(want) or self._gate.refusal(want)
+        if refusal is not None:
+            return refusal
+        booking = self._desk.place(want, asked_at)
+        left = asked_at + seconds - self._clock.monotonic()
+        try:
+            # The dispatcher decides, and says when to come back, unless it is not heard in time.
+            async with asyncio.timeout(left + DECISION_SECONDS) as booking.limit:
+                await booking.granted
+        except TicketRefused as refusal:
+            return self._refused_by_dispatcher(booking, refusal)
+        except TimeoutError:
+            self._tell_expired(
+                booking,
+                cell=str(booking.cell),
+                dispatcher_heard_ms_ago=self._desk.quiet_ms(booking),
+            )
+            self._desk.withdraw(booking)
+            return NotRun(Reason.EXPIRED, _REFUSALS[Reason.EXPIRED])
+        except asyncio.CancelledError:
+            self._desk.withdraw(booking)
+            raise
+        refusal = self._quarantined(want)
+        if refusal is not None:
+            # Another replica has ended under the same request while this one waited.
+            self._desk.withdraw(booking)
+            return refusal
+        return booking
+
+    def _quarantined(self, want: Want) -> NotRun | None:
+        refusal = self._quarantine.refusal(want.fingerprint)
+        if refusal is not None:
+            self._quarantine.tell_refused(want.request_id, want.workspace, want.fingerprint)
+        return refusal
+
+    def _refused_by_dispatcher(self, booking: Booking, refusal: TicketRefused) -> NotRun:
+        self._tell_expired(
+            booking,
+            "refused by the dispatcher",
+            reason=refusal.reason,
+            returned=int(booking.want.returned),
+            come_back_ms=round(refusal.come_back * 1000),
+        )
+        detail = _REFUSALS.get(refusal.reason, "decided by the dispatcher")
+        return NotRun(refusal.reason, detail, come_back=refusal.come_back)
+
+    def _tell_expired(self, booking: Booking, detail: str = "", **facts: Fact) -> None:
+        waited = self._clock.monotonic() - booking.placed_at
+        self._events.emit(
+            Kind.EXPIRED,
+            detail,
+            booking.want.request_id,
+            booking.want.workspace,
+            ticket=self._desk.ticket_name(booking),
+            dispatcher=booking.node,
+            waited_ms=round(waited * 1000),
+            **facts,
+        )
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -8,12 +8,11 @@
 import asyncio
 from dataclasses import replace
 
-from railsail.core.events import Fact, Kind
+from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.core.outcomes import NotRun, Reason
+from railsail.core.outcomes import Reason
 from railsail.dispatch.bookings import Booking, TicketRefused, Want, ticket_name, to_place
 from railsail.dispatch.cellmap import CellMap
-from railsail.dispatch.gate import SendGate
 from railsail.dispatch.reach import DispatcherReach
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
@@ -30,7 +29,6 @@
     Resync,
 )
 from railsail.peers.records import CounterRecord, FlightRecord
-from railsail.quarantine.service import Quarantine
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.health import CallResult
 
@@ -38,15 +36,6 @@
 # A dispatcher's refusal may come this long after the wait has ended: a look at its queue, and a way
 # back to the entry.
 DECISION_SECONDS = 0.025
-# A request is refused after so many grants of replicas that it cannot be sent to. Dispatchers are
-# told with the next ticket, so that the second grant is good unless something changed meanwhile or
-# the dispatcher is of an older build.
-MOST_GRANTS = 8
-_REFUSALS = {
-    Reason.EXPIRED: "no replica had room in time",
-    Reason.OVER_SHARE: "its workspace had its share of the replicas while others waited",
-    Reason.QUARANTINED: "a replica ended while it ran this request, which is being tried again",
-}
 
 
 class TicketDesk:
@@ -56,14 +45,10 @@
         self,
         cells: CellMap,
         hub: PeerHub,
-        quarantine: Quarantine,
-        gate: SendGate,
         kernel: Kernel,
     ) -> None:
         self._cells = cells
         self._hub = hub
-        self._quarantine = quarantine
-        self._gate = gate
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
@@ -111,108 +96,14 @@
         self._send_place(booking)
         return booking
 
-    async def obtain(self, want: Want, seconds: float) -> Booking | NotRun:
-        """Wait at most ``seconds`` for a replica, and return the booking that has one.
-
-        The replica may be sent the request at once.
-        """
-        asked_at = self._clock.monotonic()
-        closed = ""
-        for _ in range(MOST_GRANTS):
-            want = replace(want, excluded=self._gate.excluded(want.pool))
-            booking = await self._obtain_any(want, asked_at, seconds)
-            if isinstance(booking, NotRun):
-                return booking
-            closed = self._gate.admit(booking.replica)
-            if not closed:
-                return booking
-            self._turn_back(booking, closed)
-            want = replace(want, avoid=booking.replica)
-        return NotRun(Reason.NO_ROOM, f"the replica that was granted last is not sent to: {closed}")
-
-    def _turn_back(self, booking: Booking, closed: str) -> None:
-        """Give back a replica that the dispatcher granted and this node may not send to."""
-        self._events.emit(
-            Kind.GRANT_RETURNED,
-            closed,
-            booking.want.request_id,
-            booking.want.workspace,
-            replica=booking.replica,
-            dispatcher=booking.node,
-            ticket=self._ticket_name(booking),
-        )
-        self._metrics.returned.inc({})
-        self._gate.tell(booking.node, booking.replica)
-        self.withdraw(booking)
-
-    async def _obtain_any(self, want: Want, asked_at: float, seconds: float) -> Booking | NotRun:
-        """Wait for a replica until ``seconds`` after ``asked_at``."""
-        refusal = self._quarantined(want) or self._gate.refusal(want)
-        if refusal is not None:
-            return refusal
-        booking = self.place(want, asked_at)
-        left = asked_at + seconds - self._clock.monotonic()
-        try:
-            # The dispatcher decides, and says when to come back, unless it is not heard in time.
-            async with asyncio.timeout(left + DECISION_SECONDS) as booking.limit:
-                await booking.granted
-        except TicketRefused as refusal:
-            return self._refused_by_dispatcher(booking, refusal)
-        except TimeoutError:
-            self._tell_expired(
-                booking,
-                cell=str(booking.cell),
-                dispatcher_heard_ms_ago=self._quiet_ms(booking),
-            )
-            self.withdraw(booking)
-            return NotRun(Reason.EXPIRED, _REFUSALS[Reason.EXPIRED])
-        except asyncio.CancelledError:
-            self.withdraw(booking)
-            raise
-        refusal = self._quarantined(want)
-        if refusal is not None:
-            # Another replica has ended under the same request while this one waited.
-            self.withdraw(booking)
-            return refusal
-        return booking
-
-    def _quarantined(self, want: Want) -> NotRun | None:
-        refusal = self._quarantine.refusal(want.fingerprint)
-        if refusal is not None:
-            self._quarantine.tell_refused(want.request_id, want.workspace, want.fingerprint)
-        return refusal
-
-    def _refused_by_dispatcher(self, booking: Booking, refusal: TicketRefused) -> NotRun:
-        self._tell_expired(
-            booking,
-            "refused by the dispatcher",
-            reason=refusal.reason,
-            returned=int(booking.want.returned),
-            come_back_ms=round(refusal.come_back * 1000),
-        )
-        detail = _REFUSALS.get(refusal.reason, "decided by the dispatcher")
-        return NotRun(refusal.reason, detail, come_back=refusal.come_back)
-
-    def _quiet_ms(self, booking: Booking) -> int:
+    def quiet_ms(self, booking: Booking) -> int:
         """Return for how many milliseconds the dispatcher of ``booking`` has not been heard."""
         if booking.node == self._hub.own.node:
             return 0
         return round((self._clock.monotonic() - self._hub.last_heard(booking.node)) * 1000)
 
-    def _tell_expired(self, booking: Booking, detail: str = "", **facts: Fact) -> None:
-        waited = self._clock.monotonic() - booking.placed_at
-        self._events.emit(
-            Kind.EXPIRED,
-            detail,
-            booking.want.request_id,
-            booking.want.workspace,
-            ticket=self._ticket_name(booking),
-            dispatcher=booking.node,
-            waited_ms=round(waited * 1000),
-            **facts,
-        )
-
-    def _ticket_name(self, booking: Booking) -> str:
+    def ticket_name(self, booking: Booking) -> str:
+        """Return how logs name the ticket of ``booking``."""
         return ticket_name(self._hub.own.node, booking.number)
 
     def _choose_cell(self, want: Want) -> Cell:
@@ -266,7 +157,7 @@
                 Kind.PLACED,
                 "the cell has another dispatcher",
                 booking.want.request_id,
-                ticket=self._ticket_name(booking),
+                ticket=self.ticket_name(booking),
                 cell=str(cell),
                 dispatcher=node,
                 before=booking.node,
@@ -386,7 +277,7 @@
             workspace=booking.want.workspace,
             replica=message.replica,
             dispatcher=node,
-            ticket=self._ticket_name(booking),
+            ticket=self.ticket_name(booking),
             waited_ms=round((booking.granted_at - booking.placed_at) * 1000),
         )
         booking.granted.set_result(message.replica)
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -8,6 +8,7 @@
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
 from railsail.core.tasks import TaskSet
+from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.bookings import Booking, Want
 from railsail.dispatch.entry import TicketDesk
 from railsail.gateway.requests import CallerRequest
@@ -59,6 +60,7 @@
         catalog: Callable[[], Catalog],
         directory: UpstreamDirectory,
         desk: TicketDesk,
+        acquirer: ReplicaAcquirer,
         kind_of: Callable[[str], UpstreamKind | None],
         heard: HeardSigns,
         kernel: Kernel,
@@ -66,6 +68,7 @@
         self._catalog = catalog
         self._directory = directory
         self._desk = desk
+        self._acquirer = acquirer
         self._kind_of = kind_of
         self._heard = heard
         self._clock = kernel.clock
@@ -103,7 +106,7 @@
     async def _try_once(self, served: Served) -> Outcome:
         want = self._want(served)
         self._events.emit(Kind.QUEUED, want.pool, served.id, served.workspace)
-        booking = await self._desk.obtain(want, self._wait_seconds(served))
+        booking = await self._acquirer.acquire(want, self._wait_seconds(served))
         if isinstance(booking, NotRun):
             return booking
         return await self._call(served, booking, booking.replica)
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -23,6 +23,7 @@
 from railsail.core.metrics import Metrics
 from railsail.core.registry import load_plugins
 from railsail.core.tasks import keep_running
+from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.entry import TicketDesk
 from railsail.dispatch.exchange import CellExchange
@@ -162,7 +163,8 @@
         self._build_quarantine()
         rests = Rests()
         gate = SendGate(self.directory, rests, settings.domain_regions, self.hub, self.kernel)
-        self.desk = TicketDesk(self.cells, self.hub, self.quarantine, gate, self.kernel)
+        self.desk = TicketDesk(self.cells, self.hub, self.kernel)
+        self.acquirer = ReplicaAcquirer(self.desk, gate, self.quarantine, self.kernel)
         self.heard = HeardSigns(self.directory, rests, self.kernel)
         self.loads = LoadReports(self._catalog, self.directory, self.heard, rests, self.clock)
         bounds = FleetBounds(
@@ -217,7 +219,15 @@
         self.pace = OwnPace(self.lag, self.admission, self.membership, self.kernel)
         self.judge = Judge(self._catalog, self.admission, self.metrics)
         kind_of = self.loads.kind_of
-        tries = Tries(self._catalog, self.directory, self.desk, kind_of, self.heard, self.kernel)
+        tries = Tries(
+            self._catalog,
+            self.directory,
+            self.desk,
+            self.acquirer,
+            kind_of,
+            self.heard,
+            self.kernel,
+        )
         shelf = AnswerShelf(self.hub, self.membership.gone, self.rng)
         server = Server(
             self._catalog, self.judge, tries, self.claims, shelf, self.admission, self.kernel
@@ -240,6 +250,7 @@
             protocol,
             self.directory,
             self.desk,
+            self.acquirer,
             bounds,
             self.view.size,
             self.heard,
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -7,6 +7,7 @@
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
+from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.bookings import Booking, Want
 from railsail.dispatch.entry import TicketDesk
 from railsail.objects.kinds import CostUnit, Pool, Route
@@ -89,6 +90,7 @@
         protocol: RouteProtocol,
         directory: UpstreamDirectory,
         desk: TicketDesk,
+        acquirer: ReplicaAcquirer,
         bounds: RetryBounds,
         members: Callable[[], int],
         heard: HeardSigns,
@@ -97,6 +99,7 @@
         self._protocol = protocol
         self._directory = directory
         self._desk = desk
+        self._acquirer = acquirer
         self._bounds = bounds
         self._members = members
         self._heard = heard
@@ -160,7 +163,7 @@
     async def _attempt(self, routed: Routed) -> Outcome:
         asked_at = self._clock.monotonic()
         wait = self._wait_seconds(routed)
-        booking = await self._desk.obtain(self._want(routed, wait), wait)
+        booking = await self._acquirer.acquire(self._want(routed, wait), wait)
         routed.waited += self._clock.monotonic() - asked_at
         if isinstance(booking, NotRun):
             return booking
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -10,8 +10,9 @@
 from railsail.core.kernel import Kernel
 from railsail.core.metrics import Metrics
 from railsail.core.outcomes import NotRun, Reason
+from railsail.dispatch.acquire import MOST_GRANTS, ReplicaAcquirer
 from railsail.dispatch.bookings import Want
-from railsail.dispatch.entry import MOST_GRANTS, TicketDesk
+from railsail.dispatch.entry import TicketDesk
 from railsail.dispatch.gate import COME_BACK_SPREAD_SECONDS, SendGate
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
@@ -93,14 +94,15 @@
         self.rests = Rests()
         gate = SendGate(self.directory, self.rests, {"a": "north"}, self.hub, kernel)
         quarantine = Quarantine(lambda *told: None, self.hub, kernel)
-        self.desk = TicketDesk(self.cells, self.hub, quarantine, gate, kernel)
+        self.desk = TicketDesk(self.cells, self.hub, kernel)
+        self.acquirer = ReplicaAcquirer(self.desk, gate, quarantine, kernel)
         self.clock = clock
 
 
 class CrossingTests(EntryTestCase):
     async def answer_at_the_end_of_the_wait(self, message) -> NotRun:
         """Let ``message`` come after the wait has ended and before its task runs again."""
-        task = asyncio.ensure_future(self.desk.obtain(WANT, 30.0))
+        task = asyncio.ensure_future(self.acquirer.acquire(WANT, 30.0))
         await asyncio.sleep(0)
         self.desk.waiting()[0].granted.cancel()
         self.hub.deliver(message)
@@ -120,7 +122,7 @@
         self.assertEqual([message.number for message in cancelled], [1])
 
     async def test_dispatcher_says_when_to_come_back(self):
-        task = asyncio.ensure_future(self.desk.obtain(WANT, 30.0))
+        task = asyncio.ensure_future(self.acquirer.acquire(WANT, 30.0))
         await asyncio.sleep(0)
         self.hub.deliver(Refused(1, 1, Reason.OVER_SHARE, 1250))
         outcome = await task
@@ -131,7 +133,7 @@
         for reason, placed in ((Reason.EXPIRED, 1), (Reason.NO_ROOM, 2)):
             with self.subTest(reason=reason):
                 self.hub.sent.clear()
-                task = asyncio.ensure_future(self.desk.obtain(WANT, 30.0))
+                task = asyncio.ensure_future(self.acquirer.acquire(WANT, 30.0))
                 await asyncio.sleep(0)
                 number = self.desk.waiting()[0].number
                 self.hub.deliver(Refused(number, 1, reason))
@@ -140,7 +142,7 @@
                 task.cancel()
 
     async def test_grant_in_time_is_kept(self):
-        task = asyncio.ensure_future(self.desk.obtain(WANT, 30.0))
+        task = asyncio.ensure_future(self.acquirer.acquire(WANT, 30.0))
         await asyncio.sleep(0)
         self.hub.deliver(Granted(1, 1, "i-1", 0))
         booking = await task
@@ -151,7 +153,7 @@
     """A dispatcher grants a replica that this node may not send to."""
 
     def ask(self, want: Want = WANT) -> asyncio.Task:
-        return asyncio.ensure_future(self.desk.obtain(want, 30.0))
+        return asyncio.ensure_future(self.acquirer.acquire(want, 30.0))
 
     async def grant(self, replica: str) -> None:
         """Answer the ticket that waits."""
@@ -215,7 +217,7 @@
     async def test_where_all_rest_nothing_is_placed_and_the_first_end_is_told(self):
         for replica, seconds in (("i-1", 9.0), ("i-2", 4.0), ("i-3", 30.0)):
             self.rest(replica, seconds)
-        outcome = await self.desk.obtain(WANT, 30.0)
+        outcome = await self.acquirer.acquire(WANT, 30.0)
         self.assertEqual((outcome.reason, self.placed()), (Reason.NO_ROOM, []))
         self.assertTrue(3.5 <= outcome.come_back <= 4.0 + COME_BACK_SPREAD_SECONDS)
 
@@ -228,7 +230,7 @@
         await asyncio.sleep(0)
         self.assertFalse(task.done())
         task.cancel()
-        outcome = await self.desk.obtain(replace(WANT, regions=("north",)), 30.0)
+        outcome = await self.acquirer.acquire(replace(WANT, regions=("north",)), 30.0)
         self.assertEqual(outcome.reason, Reason.NO_ROOM)
 
     async def test_one_request_tries_a_replica_whose_rest_has_passed(self):
