store, benchmarks: bounded the store's rest by what a change may take; shared a benchmark's request

A store that names a long time may be well again before it is over, and the fleet would hear of no change until then: 2 s at most, where it was 10. Two benchmarks made the same request and objects.

--- a/benchmarks/builds.py
+++ b/benchmarks/builds.py
@@ -11,7 +11,6 @@
 """
 
 import asyncio
-import json
 import os
 import subprocess
 import sys
@@ -20,9 +19,10 @@
 from pathlib import Path
 
 import fire
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from benchmarks.quarantine import SETTINGS, _objects
+from benchmarks.chat import chat_request, objects
+from benchmarks.quarantine import SETTINGS
 from railsail.core.logs import configure_logs
 from railsail.standins.fleet import ADMIN_SECRET, PEER_SECRET, StandinFleet, free_ports
 
@@ -99,18 +99,8 @@
         """Send one request to the next daemon, and count what becomes of it."""
         daemon = self.daemons[self.sent % len(self.daemons)]
         self.sent += 1
-        body = {
-            "model": "model",
-            "messages": [{"role": "user", "content": "hello"}],
-            "metadata": {"output_tokens": "20"},
-        }
-        request = HTTPRequest(
-            f"http://127.0.0.1:{daemon.ports[0]}/v1/chat/completions",
-            method="POST",
-            headers={"Authorization": "Bearer key-of-one", "X-Deadline-Seconds": "8"},
-            body=json.dumps(body),
-            request_timeout=10.0,
-        )
+        endpoint = f"127.0.0.1:{daemon.ports[0]}"
+        request = chat_request(endpoint, "hello", False, output_tokens="20")
         client = AsyncHTTPClient(force_instance=True, max_clients=1000)
         try:
             response = await client.fetch(request, raise_error=False)
@@ -137,7 +127,7 @@
     fleet = StandinFleet.start(seed=7)
     for number in range(ENGINES):
         fleet.add_engine(f"model-{number}", "model", SETTINGS)
-    fleet.configure(_objects())
+    fleet.configure(objects())
     run = Run(fleet, folder)
     for _ in range(per_build):
         run.start(other)
--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -14,17 +14,16 @@
 """
 
 import asyncio
-import json
 import logging
 import time
 from dataclasses import dataclass, field
 from unittest import mock
 
 import fire
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
+from benchmarks.chat import chat_request, objects
 from railsail.core.logs import configure_logs
-from railsail.objects.catalog import hash_key
 from railsail.quarantine import table
 from railsail.standins.batching import Engine, EngineSettings
 from railsail.standins.fleet import StandinFleet
@@ -67,19 +66,9 @@
         count = self.counts.setdefault(kind, Count())
         node = self.fleet.nodes[count.sent % DAEMONS]
         count.sent += 1
-        body = {
-            "model": "model",
-            "stream": True,
-            "messages": [{"role": "user", "content": content}],
-            "metadata": {"output_tokens": "30"} | ({"crash": "1"} if harmful else {}),
-        }
-        request = HTTPRequest(
-            f"http://{node.settings.node_ip}:{node.settings.caller_port}/v1/chat/completions",
-            method="POST",
-            headers={"Authorization": "Bearer key-of-one", "X-Deadline-Seconds": "8"},
-            body=json.dumps(body),
-            request_timeout=10.0,
-        )
+        endpoint = f"{node.settings.node_ip}:{node.settings.caller_port}"
+        crash = {"crash": "1"} if harmful else {}
+        request = chat_request(endpoint, content, True, output_tokens="30", **crash)
         client = AsyncHTTPClient(force_instance=True, max_clients=1000)
         try:
             response = await client.fetch(request, raise_error=False)
@@ -113,26 +102,11 @@
             running[0].crash()
 
 
-def _objects() -> list[dict]:
-    return [
-        {"kind": "priorityclass", "name": "gold", "weight": 1.0},
-        {"kind": "policy", "name": "plain"},
-        {"kind": "pool", "name": "model", "upstream_kind": "engine", "cost_unit": "tokens"},
-        {
-            "kind": "workspace",
-            "name": "one",
-            "priority_class": "gold",
-            "policy": "plain",
-            "key_hashes": [hash_key("key-of-one")],
-        },
-    ]
-
-
 async def _start() -> Run:
     fleet = StandinFleet.start(seed=7)
     for number in range(ENGINES):
         fleet.add_engine(f"model-{number}", "model", SETTINGS)
-    fleet.configure(_objects())
+    fleet.configure(objects())
     for number in range(DAEMONS):
         await fleet.add_node(f"domain-{number}")
     while any(node.not_ready() for node in fleet.nodes):
--- a/railsail/store/calls.py
+++ b/railsail/store/calls.py
@@ -17,9 +17,10 @@
 GONE = 410
 _NO_ANSWER = 599
 _TURNED_AWAY = (429, 503)
-# A store that turns calls away and names a time is left alone for so long, in seconds at most: as
-# long as the longest pause of those that follow it, since without it nodes learn nothing new.
-MOST_REST_SECONDS = 10.0
+# A store that turns calls away and names a time is left alone for so long, in seconds at most. It
+# may be well again before its time is over, and a change must be in force at all nodes within three
+# seconds.
+MOST_REST_SECONDS = 2.0
 
 
 class StoreCalls:
