--- a/railsail/standins/batching.py
+++ b/railsail/standins/batching.py
@@ -33,8 +33,8 @@
     ``cut_after`` closes each stream once after so many events, ``cross`` labels every answer with
     another id, ``duplicate`` sends each event twice, ``fail`` answers 500. ``says_leaving`` says in
     the answers to calls that the engine leaves, while it serves on, ``load_says_leaving`` in the
-    head of those to load questions; with ``rest`` it turns calls away and asks for so many seconds
-    of rest.
+    head of those to load questions; with ``rest`` it turns ``rest_share`` of the calls away and
+    asks for so many seconds of rest.
     """
 
     leaving: bool = False
@@ -45,6 +45,7 @@
     says_leaving: bool = False
     load_says_leaving: bool = False
     rest: str = ""
+    rest_share: float = 1.0
 
 
 @dataclass
@@ -80,6 +81,7 @@
         self.runs: dict[str, Run] = {}
         self.log: list[Run] = []
         self.refused = 0
+        self.asked = 0
         # When it crashed, in seconds since the Unix epoch.
         self.crashed_at = 0.0
         self.on_crash: Callable[[], None] = lambda: None
@@ -161,6 +163,12 @@
         total = run.prompt_tokens + run.produced
         return {"completion_tokens": run.produced, "total_tokens": total}
 
+    def turns_away(self) -> bool:
+        """Say whether the next call is turned away, evenly by the share in force."""
+        share = self.faults.rest_share if self.faults.rest else 0.0
+        self.asked += 1
+        return int(self.asked * share) > int((self.asked - 1) * share)
+
     def load(self) -> dict[str, object]:
         """Return the load report, which lags."""
         now = time.time()
--- a/railsail/standins/engine.py
+++ b/railsail/standins/engine.py
@@ -96,7 +96,7 @@
 
 class _Completions(_Handler):
     async def post(self) -> None:
-        if self.engine.faults.leaving or self.engine.faults.rest:
+        if self.engine.faults.leaving or self.engine.turns_away():
             self.refuse()
             return
         if self.engine.faults.fail:
