--- a/railsail/peers/levels.py
+++ b/railsail/peers/levels.py
@@ -21,6 +21,11 @@
 # With the replicas that a ticket excludes.
 NEWEST = 2
 
+# Numbers of messages that tell levels below 2 apart, and how long a heartbeat of the oldest is: its
+# number, configuration, members, upstreams, wants_reply.
+_HEARTBEAT = 1
+_QUARANTINE_NEWS = 6
+_OLDEST_HEARTBEAT = 5
 _NAME = "railsail."
 # By name, the highest first; levels below are not negotiated.
 SUBPROTOCOLS = [f"{_NAME}{NEWEST}"]
@@ -49,14 +54,8 @@
 def _shows_quarantine(item: object) -> bool:
     if not isinstance(item, list) or not item:
         return False
-    # Their numbers, and of a heartbeat the fields, which builds send all.
-    return item[0] == _QUARANTINE_NEWS or (item[0] == _HEARTBEAT and len(item) > _OLD_HEARTBEAT)
-
-
-_HEARTBEAT = 1
-_QUARANTINE_NEWS = 6
-# Number, configuration, members, upstreams, wants_reply.
-_OLD_HEARTBEAT = 5
+    # A build sends all fields of a heartbeat that it knows.
+    return item[0] == _QUARANTINE_NEWS or (item[0] == _HEARTBEAT and len(item) > _OLDEST_HEARTBEAT)
 
 
 def to_array(message: Message, level: int) -> list[object]:
