node, routing: waited, when stopping, for requests that were read and not admitted yet

The log has ``received`` one millisecond before ``state=stopped``, and ``requests_cut`` 1.

Cause: idle connections are closed, but for one whose request's head has just been read; then the node waits for the requests that it has admitted, of which that one was none yet.

Change: it waits for all requests that its connections have read, also those not admitted. Two tests, failing before (0 requests counted where one was read; connection cut).

--- a/railsail/core/tasks.py
+++ b/railsail/core/tasks.py
@@ -30,6 +30,9 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task] = set()
 
+    def __len__(self) -> int:
+        return len(self._tasks)
+
     def start(self, coroutine: Coroutine) -> asyncio.Task:
         """Run ``coroutine`` in the background, and return its task."""
         task = asyncio.ensure_future(coroutine)
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -464,9 +464,13 @@
 
     @property
     def requests(self) -> int:
-        """Return how many requests run here, or were handed on and are not answered yet."""
-        forwarded = self.forwarder.total if self.forwarder is not None else 0
-        return self.admission.total + forwarded
+        """Return how many requests run here, or were handed on and are not answered yet.
+
+        A stopping node waits for them, also for those that were read and are not admitted yet.
+        """
+        if self.clients:
+            return sum(clients.busy for clients in self.clients)
+        return self.admission.total
 
     async def stop(self) -> None:
         """Close everything, after claims of requests that were not run are given back."""
--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -144,6 +144,16 @@
             if connection.stream.reading():
                 connection.close()
 
+    @property
+    def busy(self) -> int:
+        """Return how many requests were read and are not answered yet.
+
+        Those whose head was read in this turn of the loop count too.
+        """
+        idle = [connection.stream for connection in self._idle.values()]
+        read = [stream for stream in idle if not (stream.reading() or stream.closed())]
+        return len(self._tasks) + len(read)
+
     def began(self, server_conn: object) -> None:
         """Take note that a request has begun to come."""
         self._idle.pop(server_conn, None)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -309,9 +309,33 @@
         # The library has read the head, and hands it over in the next turn of the loop.
         while connection.stream.reading():
             await asyncio.sleep(0)
+        self.assertEqual(node.requests, 1)
         node.clients[0].close_idle()
         answer = await read_answer(reader)
         self.assertEqual((answer.status, answer.headers["Request-Id"]), (200, "r-2"))
+        await self.until(lambda: not node.requests)
+
+    async def test_stop_waits_for_a_request_that_was_read_and_not_admitted_yet(self):
+        """A stopping node was read a request 60 ms before it closed, and closed under it.
+
+        It waited for requests that it had admitted; one that had just been read was none of these.
+        The log has ``received`` one millisecond before ``state=stopped``, and ``requests_cut`` 1.
+        """
+        node = await self.serve(answering())
+        relieved = node.front._relief.relieved
+        read = asyncio.Event()
+
+        async def late(arrival, client, may_forward):
+            read.set()
+            await asyncio.sleep(1.0)
+            return await relieved(arrival, client, may_forward)
+
+        node.front._relief.relieved = late
+        call = asyncio.ensure_future(self.call(node, "/once/"))
+        await read.wait()
+        await node.drain()
+        await node.stop()
+        self.assertEqual((await call).status, 200)
 
 
 class KeyTests(PlatformTestCase):
