--- a/railsail/routing/targets.py
+++ b/railsail/routing/targets.py
@@ -72,7 +72,8 @@
         # without 0.88 (one played day of 85 nodes each).
         dispatchers = self._dispatchers()
         self._found = [m for m in chosen if m.node not in dispatchers]
-        self._last_resort = [m for m in chosen if m.node in dispatchers]
+        # Whoever else there is, where none of these can be connected to: a refusal is no better.
+        self._last_resort = [m for m in others if m not in self._found]
 
     def began(self, node: str) -> None:
         """Take note that ``node`` was handed a request."""
--- a/tests/routing/test_targets.py
+++ b/tests/routing/test_targets.py
@@ -57,6 +57,16 @@
         self.targets.failed("b", 1.0)
         self.assertEqual(self.chosen(5), {"a": 5})
 
+    def test_others_are_asked_where_those_that_go_first_cannot_be_connected_to(self):
+        """All requests beyond what a full node held were refused: the one other node that told its
+        speed could not be connected to, and one that had just started was not asked."""
+        self.members += [peer("a"), peer("b", speed=UNKNOWN_LEVEL), peer("c", "other")]
+        self.assertEqual(self.chosen(5), {"a": 5})
+        self.targets.failed("a", 1.0)
+        self.assertEqual(set(self.chosen(6)), {"c"})
+        self.targets.failed("c", 1.0)
+        self.assertEqual(set(self.chosen(6)), {"b"})
+
     def test_nodes_that_are_late_or_take_nothing_are_left_out(self):
         self.members += [peer("a", speed=UNKNOWN_LEVEL), peer("b", port=0), peer("c", "other")]
         self.assertEqual(self.chosen(5), {"c": 5})
