store: asked before each wait whether this node watches now

Found on reading the change again. Cause: when the second listing after an absence came in, the time of the next listing was worked out once for each round, where it had been asked anew before each wait. A node that stops watching went on to the short time (60 s for 600), one that begins to kept the long one. The failures of a listing and of a watch were noted in two ways, one of which did nothing after the other.

Change: the time is asked for anew, with the short second listing in the same place; one function notes the failures of both. A test fails without it: 2 listings in 2 s, where 1 is due.

--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import TypeVar
 
@@ -17,7 +17,7 @@
 from railsail.core.exceptions import StoreUnavailable
 from railsail.core.logs import get_logger
 from railsail.store.absence import RETURN_SECONDS, StoreAbsence
-from railsail.store.base import Listing, Store, StoredObject, WatchEvent, WatchResult
+from railsail.store.base import Listing, Store, StoredObject, WatchEvent
 from railsail.store.journal import Backoff
 
 LIST_SECONDS = 60.0
@@ -37,6 +37,7 @@
 MOST_PAUSE_SECONDS = 10.0
 
 T = TypeVar("T", Listing, WatchEvent)
+R = TypeVar("R")
 Listed = Callable[[Listing], None]
 Seen = Callable[[WatchEvent], None]
 
@@ -97,18 +98,14 @@
     async def _run_group(self, kinds: tuple[str, ...]) -> None:
         longest = min(MOST_PAUSE_SECONDS, self._watch_seconds)
         backoff = Backoff(self._rng, FIRST_PAUSE_SECONDS, longest)
-        loop = asyncio.get_running_loop()
         while True:
-            asked_at = loop.time()
             try:
-                version = await self._list_all(kinds)
+                version = await self._noting_absence(kinds, self._list_all(kinds))
                 self._note(kinds, True)
                 backoff.reset()
                 await self._follow_from(kinds, version)
                 await asyncio.sleep(RELIST_SECONDS)
             except StoreUnavailable as problem:
-                for kind in kinds:
-                    self._absences[kind].failed(asked_at, loop.time(), 0.0)
                 self._note(kinds, False, str(problem))
                 await asyncio.sleep(backoff.pause())
 
@@ -142,15 +139,14 @@
         begun = loop.time()
         share = self._rng.uniform(0.75, 1.25)
         await self._learn_members()
-        seconds = share * self._list_seconds()
-        if self._unsettled & set(kinds) and self._watches():
-            seconds = RETURN_SECONDS
-        while (left := begun + seconds - loop.time()) > 0:
+        while (left := begun + self._list_seconds(kinds, share) - loop.time()) > 0:
             if not self._watches():
                 await asyncio.sleep(LOOK_SECONDS)
                 continue
             longest = min(self._seconds[kind] for kind in kinds)
-            result = await self._watch(kinds, version, min(left, longest))
+            waits = min(left, longest)
+            watch = self._store.watch(kinds, version, waits)
+            result = await self._noting_absence(kinds, watch, waits)
             if result.expired:
                 return
             for event in result.events:
@@ -159,14 +155,17 @@
             if result.events:
                 await asyncio.sleep(GATHER_SECONDS)
 
-    async def _watch(self, kinds: tuple[str, ...], version: int, seconds: float) -> WatchResult:
+    async def _noting_absence(
+        self, kinds: tuple[str, ...], call: Awaitable[R], waits: float = 0.0
+    ) -> R:
+        """Return what ``call`` does, which waits by its own wish; note it if the store is away."""
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         try:
-            return await self._store.watch(kinds, version, seconds)
+            return await call
         except StoreUnavailable:
             for kind in kinds:
-                self._absences[kind].failed(asked_at, loop.time(), seconds)
+                self._absences[kind].failed(asked_at, loop.time(), waits)
             raise
 
     def _tell(self, kind: str, listener: Callable[[T], None], news: T) -> None:
@@ -182,8 +181,11 @@
         if left > 0:
             await asyncio.sleep(left)
 
-    def _list_seconds(self) -> float:
-        return LIST_SECONDS if self._watches() else LIST_SECONDS_OF_OTHERS
+    def _list_seconds(self, kinds: tuple[str, ...], share: float) -> float:
+        """Return how long after a listing the next one is due, by whether this node watches now."""
+        if not self._watches():
+            return share * LIST_SECONDS_OF_OTHERS
+        return RETURN_SECONDS if self._unsettled & set(kinds) else share * LIST_SECONDS
 
     def _note(self, kinds: tuple[str, ...], answered: bool, detail: str = "") -> None:
         self._answered[kinds[0]] = answered
--- a/tests/store/test_watcher.py
+++ b/tests/store/test_watcher.py
@@ -65,6 +65,32 @@
         self.assertLess(store.watches, GROUP / 2)
 
 
+class ListingTests(unittest.IsolatedAsyncioTestCase):
+    """Lists are long, so that a node that does not watch makes them ten times more seldom."""
+
+    async def test_node_that_stops_watching_lists_as_seldom_as_the_others(self):
+        store = GroupStore()
+        watching = True
+        listings = []
+        watcher = StoreWatcher(
+            store, lambda: watching, 0.05, EventLog("n", Clock()), random.Random(1)
+        )
+        watcher.follow(KIND, listings.append, lambda event: None)
+        with (
+            mock.patch.object(watcher_module, "LIST_SECONDS", 1.0),
+            mock.patch.object(watcher_module, "LEARN_MEMBERS_SECONDS", 0.0),
+            mock.patch.object(watcher_module, "LOOK_SECONDS", 0.01),
+        ):
+            task = asyncio.ensure_future(watcher.run())
+            while not store.watches:
+                await asyncio.sleep(0)
+            watching = False
+            store.change(1)
+            await asyncio.sleep(2.0)
+            task.cancel()
+        self.assertEqual(len(listings), 1)
+
+
 class FailingListenerTests(unittest.IsolatedAsyncioTestCase):
     """An object that a listener fails on ended the watch of its kind, at one node after another."""
 
