--- a/benchmarks/builds.py
+++ b/benchmarks/builds.py
@@ -19,9 +19,8 @@
 from pathlib import Path
 
 import fire
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from benchmarks.chat import chat_request, objects
+from benchmarks.chat import ask, start_engines
 from benchmarks.quarantine import SETTINGS
 from railsail.core.logs import configure_logs
 from railsail.standins.fleet import ADMIN_SECRET, PEER_SECRET, StandinFleet, free_ports
@@ -100,14 +99,9 @@
         daemon = self.daemons[self.sent % len(self.daemons)]
         self.sent += 1
         endpoint = f"127.0.0.1:{daemon.ports[0]}"
-        request = chat_request(endpoint, "hello", False, output_tokens="20")
-        client = AsyncHTTPClient(force_instance=True, max_clients=1000)
-        try:
-            response = await client.fetch(request, raise_error=False)
-        except (OSError, HTTPClientError):
-            # The daemon was being replaced.
-            return
-        self.served += response.code == 200
+        # There is no answer while the daemon is being replaced.
+        response = await ask(endpoint, "hello", False, output_tokens="20")
+        self.served += response is not None and response.code == 200
 
     async def ask_for(self, seconds: float) -> None:
         """Send requests for so long."""
@@ -124,10 +118,7 @@
 
 
 async def _play(other: Path, seconds: float, per_build: int, folder: Path) -> None:
-    fleet = StandinFleet.start(seed=7)
-    for number in range(ENGINES):
-        fleet.add_engine(f"model-{number}", "model", SETTINGS)
-    fleet.configure(objects())
+    fleet = start_engines(ENGINES, SETTINGS)
     run = Run(fleet, folder)
     for _ in range(per_build):
         run.start(other)
--- a/benchmarks/chat.py
+++ b/benchmarks/chat.py
@@ -1,10 +1,14 @@
-"""What benchmarks on the model interface share: one workspace, one pool, and a request to it."""
+"""What benchmarks on the model interface share: one workspace, one pool, and requests to it."""
 
+import asyncio
 import json
 
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
+from railsail.node import Node
 from railsail.objects.catalog import hash_key
+from railsail.standins.batching import EngineSettings
+from railsail.standins.fleet import StandinFleet
 
 _KEY = "key-of-one"
 DEADLINE_SECONDS = 8
@@ -27,8 +31,46 @@
     ]
 
 
-def chat_request(endpoint: str, content: str, stream: bool, **metadata: str) -> HTTPRequest:
-    """Return a request to the daemon whose callers' endpoint is ``endpoint``."""
+def start_engines(number: int, settings: EngineSettings) -> StandinFleet:
+    """Start a store with ``objects`` and so many engines, ``model-0`` and on."""
+    fleet = StandinFleet.start(seed=7)
+    for count in range(number):
+        fleet.add_engine(f"model-{count}", "model", settings)
+    fleet.configure(objects())
+    return fleet
+
+
+async def start_fleet(daemons: int, engines: int, settings: EngineSettings) -> StandinFleet:
+    """Start the same, and so many daemons in this process; return when all are ready."""
+    fleet = start_engines(engines, settings)
+    for number in range(daemons):
+        await fleet.add_node(f"domain-{number}")
+    while any(node.not_ready() for node in fleet.nodes):
+        await asyncio.sleep(0.05)
+    return fleet
+
+
+def endpoint_of(node: Node) -> str:
+    """Return the callers' endpoint of a daemon in this process."""
+    return f"{node.settings.node_ip}:{node.settings.caller_port}"
+
+
+async def ask(endpoint: str, content: str, stream: bool, **metadata: str) -> HTTPResponse | None:
+    """Send a request to the daemon whose callers' endpoint is ``endpoint``.
+
+    Return its answer, ``None`` where it broke off or nobody answered.
+    """
+    client = AsyncHTTPClient(force_instance=True, max_clients=1000)
+    try:
+        request = _chat_request(endpoint, content, stream, metadata)
+        return await client.fetch(request, raise_error=False)
+    except (OSError, HTTPClientError):
+        return None
+
+
+def _chat_request(
+    endpoint: str, content: str, stream: bool, metadata: dict[str, str]
+) -> HTTPRequest:
     body = {
         "model": "model",
         "stream": stream,
--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -20,9 +20,8 @@
 from unittest import mock
 
 import fire
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from benchmarks.chat import chat_request, objects
+from benchmarks.chat import ask, endpoint_of, start_fleet
 from railsail.core.logs import configure_logs
 from railsail.quarantine import table
 from railsail.standins.batching import Engine, EngineSettings
@@ -66,13 +65,9 @@
         count = self.counts.setdefault(kind, Count())
         node = self.fleet.nodes[count.sent % DAEMONS]
         count.sent += 1
-        endpoint = f"{node.settings.node_ip}:{node.settings.caller_port}"
         crash = {"crash": "1"} if harmful else {}
-        request = chat_request(endpoint, content, True, output_tokens="30", **crash)
-        client = AsyncHTTPClient(force_instance=True, max_clients=1000)
-        try:
-            response = await client.fetch(request, raise_error=False)
-        except (OSError, HTTPClientError):
+        response = await ask(endpoint_of(node), content, True, output_tokens="30", **crash)
+        if response is None:
             # The stream broke off midway.
             return
         count.served += response.code == 200 and b"[DONE]" in (response.body or b"")
@@ -103,14 +98,7 @@
 
 
 async def _start() -> Run:
-    fleet = StandinFleet.start(seed=7)
-    for number in range(ENGINES):
-        fleet.add_engine(f"model-{number}", "model", SETTINGS)
-    fleet.configure(objects())
-    for number in range(DAEMONS):
-        await fleet.add_node(f"domain-{number}")
-    while any(node.not_ready() for node in fleet.nodes):
-        await asyncio.sleep(0.05)
+    fleet = await start_fleet(DAEMONS, ENGINES, SETTINGS)
     await asyncio.sleep(2.0)
     return Run(fleet)
 
--- a/benchmarks/signs.py
+++ b/benchmarks/signs.py
@@ -22,9 +22,8 @@
 from unittest import mock
 
 import fire
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from benchmarks.chat import chat_request, objects
+from benchmarks.chat import ask, endpoint_of, start_fleet
 from railsail.core.logs import configure_logs
 from railsail.standins.batching import EngineSettings, Faults
 from railsail.standins.fleet import StandinFleet
@@ -55,14 +54,8 @@
         """Send one request to the next daemon."""
         node = self.fleet.nodes[self.sent % DAEMONS]
         self.sent += 1
-        endpoint = f"{node.settings.node_ip}:{node.settings.caller_port}"
-        client = AsyncHTTPClient(force_instance=True, max_clients=1000)
-        try:
-            request = chat_request(endpoint, "hello", False, output_tokens="20")
-            response = await client.fetch(request, raise_error=False)
-        except (OSError, HTTPClientError):
-            return
-        self.served += response.code == 200
+        response = await ask(endpoint_of(node), "hello", False, output_tokens="20")
+        self.served += response is not None and response.code == 200
 
     def watch(self) -> None:
         """Note each call that a daemon sends, and each answer that asks for rest."""
@@ -107,22 +100,9 @@
         return max(counts.values(), default=0)
 
 
-async def _start() -> Run:
-    fleet = StandinFleet.start(seed=7)
-    for number in range(ENGINES):
-        fleet.add_engine(f"model-{number}", "model", SETTINGS)
-    fleet.configure(objects())
-    for number in range(DAEMONS):
-        await fleet.add_node(f"domain-{number}")
-    while any(node.not_ready() for node in fleet.nodes):
-        await asyncio.sleep(0.05)
-    run = Run(fleet)
-    run.watch()
-    return run
-
-
 async def _play(seconds: float, faults: dict[str, Faults]) -> Run:
-    run = await _start()
+    run = Run(await start_fleet(DAEMONS, ENGINES, SETTINGS))
+    run.watch()
     for name, fault in faults.items():
         run.fleet.engines[name].faults = fault
     calls = []
--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -37,7 +37,6 @@
         self._quarantine = quarantine
         self._clock = kernel.clock
         self._events = kernel.events
-        self._metrics = kernel.metrics
 
     async def acquire(self, want: Want, seconds: float) -> Booking | NotRun:
         """Wait at most ``seconds`` for a replica, and return the booking that has one.
@@ -47,32 +46,20 @@
         asked_at = self._clock.monotonic()
         closed = ""
         for _ in range(MOST_GRANTS):
-            want = replace(want, excluded=self._gate.excluded(want.pool))
+            excluded = self._gate.excluded(want.pool)
+            if excluded != want.excluded:
+                want = replace(want, excluded=excluded)
             booking = await self._wait_for_any(want, asked_at, seconds)
             if isinstance(booking, NotRun):
                 return booking
             closed = self._gate.admit(booking.replica)
             if not closed:
                 return booking
-            self._turn_back(booking, closed)
+            self._gate.tell(booking.node, booking.replica)
+            self._desk.give_back(booking, closed)
             want = replace(want, avoid=booking.replica)
         return NotRun(Reason.NO_ROOM, f"the replica that was granted last is not sent to: {closed}")
 
-    def _turn_back(self, booking: Booking, closed: str) -> None:
-        """Give back a replica that the dispatcher granted and this node may not send to."""
-        self._events.emit(
-            Kind.GRANT_RETURNED,
-            closed,
-            booking.want.request_id,
-            booking.want.workspace,
-            replica=booking.replica,
-            dispatcher=booking.node,
-            ticket=self._desk.ticket_name(booking),
-        )
-        self._metrics.returned.inc({})
-        self._gate.tell(booking.node, booking.replica)
-        self._desk.withdraw(booking)
-
     async def _wait_for_any(self, want: Want, asked_at: float, seconds: float) -> Booking | NotRun:
         """Wait for a replica until ``seconds`` after ``asked_at``."""
         refusal = self._quarantined(want) or self._gate.refusal(want)
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -129,6 +129,12 @@
         else:
             self._send_release(booking, 0.0, CallResult.NOTHING)
 
+    def give_back(self, booking: Booking, why: str) -> None:
+        """Give back the replica that a dispatcher granted, which this node may not send to."""
+        ticket = self.ticket_name(booking)
+        self._tell_returned(booking.replica, booking.node, ticket, why, booking.want)
+        self.withdraw(booking)
+
     def progress(self, booking: Booking, charged: float) -> None:
         """Raise the charge of a running request to ``charged`` in all."""
         booking.charged = charged
@@ -283,14 +289,22 @@
         booking.granted.set_result(message.replica)
 
     def _hand_back(self, node: str, message: Granted) -> None:
+        self._tell_returned(message.replica, node, ticket_name(self._hub.own.node, message.number))
+        self._hub.send(node, Release(message.number, message.attempt, 0, CallResult.NOTHING))
+
+    def _tell_returned(
+        self, replica: str, dispatcher: str, ticket: str, why: str = "", want: Want | None = None
+    ) -> None:
         self._metrics.returned.inc({})
         self._events.emit(
             Kind.GRANT_RETURNED,
-            replica=message.replica,
-            dispatcher=node,
-            ticket=ticket_name(self._hub.own.node, message.number),
+            why,
+            want.request_id if want else "",
+            want.workspace if want else "",
+            replica=replica,
+            dispatcher=dispatcher,
+            ticket=ticket,
         )
-        self._hub.send(node, Release(message.number, message.attempt, 0, CallResult.NOTHING))
 
     def _refused(self, node: str, message: Refused) -> None:
         booking = self._awaiting(message.number, message.attempt)
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -186,15 +186,6 @@
 
 
 def _learnt(outcome: Outcome) -> CallResult:
-    if isinstance(outcome, Completed):
-        return CallResult.GOOD
     if isinstance(outcome, Unknown) and outcome.detail == CANCELLED:
         return CallResult.CALLER_LEFT
-    if outcome.asked_rest:
-        # Rest is asked of one node; to others the replica may be as good as before.
-        return CallResult.NOTHING
-    if isinstance(outcome, NotRun) and outcome.reason is Reason.UNREACHABLE:
-        return CallResult.UNREACHABLE
-    if isinstance(outcome, Unknown) and outcome.broke_off:
-        return CallResult.BROKE_OFF
-    return CallResult.ERROR
+    return CallResult.of(outcome)
--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -5,6 +5,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from railsail.core.retryafter import asks_rest
 from railsail.routing.messages import (
     AnswerHead,
     Dispatch,
@@ -14,7 +15,7 @@
     RoutedRequest,
 )
 from railsail.routing.protocol import ROUTE_PROTOCOLS
-from railsail.upstreams.signs import AnswerSigns, asks_rest, read_rest
+from railsail.upstreams.signs import AnswerSigns, read_rest
 
 REQUEST_ID = "Request-Id"
 DEADLINE = "Deadline-Ms"
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -201,7 +201,7 @@
         outcome: Outcome | None = None
         try:
             outcome = await self._send(routed, booking, replica)
-            result = _learnt(outcome)
+            result = CallResult.of(outcome)
             return outcome
         except (asyncio.CancelledError, ClientLeft):
             # Nobody waits that long for an answer that does not begin, unless something is wrong.
@@ -346,18 +346,3 @@
     if routed.stream.head is not None and routed.route.pause:
         return max(LEAST_SILENCE_SECONDS, SILENT_PAUSES * routed.route.pause)
     return max(LEAST_SILENCE_SECONDS, SILENT_OBJECTIVES * routed.route.objective)
-
-
-def _learnt(outcome: Outcome) -> CallResult:
-    if isinstance(outcome, Completed):
-        return CallResult.GOOD if outcome.status < 500 else CallResult.ERROR
-    if outcome.asked_rest:
-        # Rest is asked of one node; to others the replica may be as good as before.
-        return CallResult.NOTHING
-    if isinstance(outcome, NotRun) and outcome.reason is Reason.UNREACHABLE:
-        return CallResult.UNREACHABLE
-    if isinstance(outcome, NotRun) and outcome.reason is not Reason.REFUSED:
-        return CallResult.NOTHING
-    if isinstance(outcome, Unknown) and outcome.broke_off:
-        return CallResult.BROKE_OFF
-    return CallResult.ERROR
--- a/railsail/scheduling/health.py
+++ b/railsail/scheduling/health.py
@@ -9,6 +9,8 @@
 import enum
 from dataclasses import dataclass
 
+from railsail.core.outcomes import Completed, NotRun, Outcome, Reason
+
 FIRST_CLOSED_SECONDS = 0.5
 MOST_CLOSED_SECONDS = 4.0
 FAILURES_TO_CLOSE = 2
@@ -18,6 +20,7 @@
 # than the margin. Two failures in a row of a replica without errors before are above the margin.
 WORSE_FACTOR = 1.5
 WORSE_MARGIN = 0.1
+_SERVER_ERROR = 500
 
 
 class CallResult(enum.IntEnum):
@@ -30,12 +33,30 @@
     BROKE_OFF = 4
     CALLER_LEFT = 5
 
+    @classmethod
+    def of(cls, outcome: Outcome) -> "CallResult":
+        """Return what the ``outcome`` of a call that was sent tells of its replica."""
+        if isinstance(outcome, Completed):
+            return cls.GOOD if outcome.status < _SERVER_ERROR else cls.ERROR
+        if outcome.asked_rest:
+            # Rest is asked of one node; to others the replica may be as good as before.
+            return cls.NOTHING
+        if isinstance(outcome, NotRun):
+            return _OF_REASONS.get(outcome.reason, cls.NOTHING)
+        return cls.BROKE_OFF if outcome.broke_off else cls.ERROR
+
     @property
     def failed(self) -> bool:
         """Say whether the replica did not do what was asked of it."""
         return self in (CallResult.ERROR, CallResult.UNREACHABLE, CallResult.BROKE_OFF)
 
 
+_OF_REASONS = {
+    Reason.UNREACHABLE: CallResult.UNREACHABLE,
+    Reason.REFUSED: CallResult.ERROR,
+}
+
+
 @dataclass(frozen=True)
 class Peers:
     """How the other replicas of a cell do.
--- a/railsail/store/calls.py
+++ b/railsail/store/calls.py
@@ -8,7 +8,7 @@
 
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
 from railsail.core.metrics import Metrics
-from railsail.core.retryafter import retry_after_seconds
+from railsail.core.retryafter import rest_seconds
 
 CONNECT_SECONDS = 1.0
 MOST_CALLS = 64
@@ -16,7 +16,6 @@
 CONFLICT = 409
 GONE = 410
 _NO_ANSWER = 599
-_TURNED_AWAY = (429, 503)
 # A store that turns calls away and names a time is left alone for so long, in seconds at most. It
 # may be well again before its time is over, and a change must be in force at all nodes within three
 # seconds.
@@ -75,10 +74,8 @@
         return response
 
     def _note_rest(self, endpoint: str, response: HTTPResponse) -> None:
-        if response.code not in _TURNED_AWAY:
-            return
-        seconds = retry_after_seconds(response.headers.get("Retry-After", ""), time.time())
-        until = asyncio.get_running_loop().time() + min(seconds, MOST_REST_SECONDS)
+        seconds = rest_seconds(response.code, response.headers, time.time(), MOST_REST_SECONDS)
+        until = asyncio.get_running_loop().time() + seconds
         self._rests_until[endpoint] = max(self._rests_until.get(endpoint, 0.0), until)
 
     async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from railsail.core.retryafter import asks_rest
 from railsail.objects.kinds import UPSTREAM_KINDS
 from railsail.scheduling.room import LoadReport
 from railsail.upstreams.base import AnswerSink, UpstreamCall, UpstreamKind
@@ -24,7 +25,6 @@
     fetch,
 )
 from railsail.upstreams.refusals import refusal
-from railsail.upstreams.signs import asks_rest
 from railsail.upstreams.sse import BadStream, EventSplitter, StreamEvent
 
 RESUME_TRIES = 4
--- a/railsail/upstreams/merging.py
+++ b/railsail/upstreams/merging.py
@@ -69,8 +69,9 @@
         Where the store came back from a copy, its records may be from before the replica decided to
         leave.
         """
-        returned = era_of(candidate.version) > era_of(known.version)
-        return returned and candidate.listed is Listed.LIVE and known.name in self._listed_leaving
+        if candidate.listed is not Listed.LIVE or known.name not in self._listed_leaving:
+            return False
+        return _is_of_later_era(candidate, known)
 
     def _is_new_life(self, known: Upstream, candidate: Upstream) -> bool:
         """Say whether the newer record ``candidate`` is of another life than the sign known."""
@@ -101,8 +102,12 @@
 
 def _is_former_life(candidate: Upstream, known: Upstream) -> bool:
     """Say whether a store that came back from a copy holds the record of a life before."""
-    returned = era_of(candidate.version) > era_of(known.version)
-    return returned and 0 < candidate.born < known.born
+    return 0 < candidate.born < known.born and _is_of_later_era(candidate, known)
+
+
+def _is_of_later_era(candidate: Upstream, known: Upstream) -> bool:
+    """Say whether the store came back from a copy between two records."""
+    return era_of(candidate.version) > era_of(known.version)
 
 
 def _may_be_same_life(one: Upstream, other: Upstream) -> bool:
--- a/railsail/upstreams/rests.py
+++ b/railsail/upstreams/rests.py
@@ -5,7 +5,6 @@
 first replica that is free again. Times are in seconds of a monotonic clock that counts suspensions.
 """
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 # A request that tries a replica after its rest keeps others away for so many seconds at most: a
@@ -23,11 +22,12 @@
     until: float
     tried_at: float | None = None
 
-    def free_at(self, now: float) -> float:
-        """Return when the replica may be sent something, not before ``now`` where it may."""
+    @property
+    def free_at(self) -> float:
+        """Return when the replica may be sent something."""
         if self.tried_at is None:
-            return max(self.until, now)
-        return max(self.until, self.tried_at + TRIAL_SECONDS, now)
+            return self.until
+        return max(self.until, self.tried_at + TRIAL_SECONDS)
 
 
 class Rests:
@@ -76,10 +76,9 @@
     def seconds_left(self, replica: str, now: float) -> float:
         """Return after how many seconds ``replica`` may be sent something, 0 for at once."""
         known = self._rests.get(replica)
-        return known.free_at(now) - now if known is not None else 0.0
+        return max(0.0, known.free_at - now) if known is not None else 0.0
 
-    def all_resting(self, now: float) -> Iterator[str]:
+    def all_resting(self, now: float) -> list[str]:
         """Return the replicas that may be sent nothing at ``now``, the longest rest first."""
-        free_at = {name: rest.free_at(now) for name, rest in self._rests.items()}
-        resting = [name for name, at in free_at.items() if at > now]
-        return iter(sorted(resting, key=lambda name: -free_at[name]))
+        resting = [name for name, rest in self._rests.items() if rest.free_at > now]
+        return sorted(resting, key=lambda name: -self._rests[name].free_at)
--- a/railsail/upstreams/service.py
+++ b/railsail/upstreams/service.py
@@ -4,11 +4,11 @@
 
 from railsail.core.clock import steady_seconds
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from railsail.core.retryafter import asks_rest
 from railsail.objects.kinds import UPSTREAM_KINDS, CostUnit
 from railsail.upstreams.base import AnswerSink, UpstreamCall, UpstreamKind
 from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.refusals import refusal
-from railsail.upstreams.signs import asks_rest
 
 _SERVER_ERROR = 500
 MOST_HELD_BYTES = 64 << 10
--- a/railsail/upstreams/signs.py
+++ b/railsail/upstreams/signs.py
@@ -9,13 +9,11 @@
 
 from tornado.httputil import HTTPHeaders
 
-from railsail.core.retryafter import retry_after_seconds
+from railsail.core.retryafter import rest_seconds
 
 # A replica is given no longer rest than this, in seconds, so that one bad answer does not close it
 # to a node for good; replicas that restart or shed load ask for seconds.
 MOST_REST_SECONDS = 3600.0
-# The answers with which a replica turns a request away.
-_TURNED_AWAY = (429, 503)
 
 
 class Source(enum.StrEnum):
@@ -46,14 +44,6 @@
     return AnswerSigns(leaving, read_rest(status, headers, wall))
 
 
-def asks_rest(status: int, headers: HTTPHeaders) -> bool:
-    """Say whether an answer turns a request away and names a time to stay away."""
-    return status in _TURNED_AWAY and "Retry-After" in headers
-
-
 def read_rest(status: int, headers: HTTPHeaders, wall: float) -> float:
     """Return for how many seconds an answer that turns a request away asks for rest."""
-    if not asks_rest(status, headers):
-        return 0.0
-    seconds = retry_after_seconds(headers["Retry-After"], wall)
-    return min(seconds, MOST_REST_SECONDS)
+    return rest_seconds(status, headers, wall, MOST_REST_SECONDS)
--- a/tests/platform/base.py
+++ b/tests/platform/base.py
@@ -8,6 +8,7 @@
 
 from railsail.conf.settings import parse
 from railsail.core.logs import configure_logs
+from railsail.gateway.concurrency import FIRST_LIMIT
 from railsail.node import Node
 from railsail.standins.fleet import free_ports
 from tests.platform.standins import (
@@ -18,6 +19,9 @@
 )
 
 LONGEST_SECONDS = 30.0
+# Objectives, timeouts and deadlines of requests that must not end while the test's loop, which all
+# nodes and replicas share, stands still on a busy machine.
+LONG_MS = 20_000
 KEY = "the-key-of-one"
 ROUTES = {
     "once": {"kind": "non_idempotent", "max_attempts": 2},
@@ -66,6 +70,17 @@
         self.replicas: list[ReplicaStandin] = []
         self.nodes: list[Node] = []
 
+    def hold(self, patch) -> None:
+        """Keep a premise of the test, as ``patch`` has it, until the test ends."""
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def hold_lag(self, node: Node) -> None:
+        """Keep the lag of the test's own loop from ``node``'s limits: it tells of the machine."""
+        node.lag.take = lambda seconds: None
+        # What it told before this, while the node started, is forgotten too.
+        node.front._relief._limit.limit = FIRST_LIMIT
+
     async def asyncTearDown(self) -> None:
         for node in self.nodes:
             await node.stop()
--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -24,11 +24,11 @@
 from unittest import mock
 
 from railsail.gateway.admission import LEAST_CROWD
-from railsail.gateway.concurrency import FIRST_LIMIT
 from railsail.node import Node
 from railsail.routing import forwarding, relay
 from railsail.scheduling import room
 from tests.platform.base import (
+    LONG_MS,
     LONGEST_SECONDS,
     ROUTES,
     Answer,
@@ -78,10 +78,6 @@
     await writer.drain()
 
 
-# A request may wait for as long as its deadline allows.
-LONG_OBJECTIVE_MS = 20_000
-
-
 class CrowdedNodeTests(PlatformTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -93,14 +89,10 @@
         # The requests that fill the node stay without an answer, so that its replica looks silent
         # 0.8 s later.
         self.hold(mock.patch.object(room, "SILENT_SECONDS", LONGEST_SECONDS))
-        long = {"slo_ms": LONG_OBJECTIVE_MS, "timeout_ms": LONG_OBJECTIVE_MS}
+        long = {"slo_ms": LONG_MS, "timeout_ms": LONG_MS}
         self.hold(mock.patch.dict(ROUTES["again"], long))
         # The requests that fill the node must not end before others come.
-        self.hold(mock.patch.dict(ROUTES["once"], {"timeout_ms": LONG_OBJECTIVE_MS}))
-
-    def hold(self, patch) -> None:
-        patch.start()
-        self.addCleanup(patch.stop)
+        self.hold(mock.patch.dict(ROUTES["once"], {"timeout_ms": LONG_MS}))
 
     async def serve_crowded(self, **settings: str) -> tuple[Node, Node]:
         """Return a node that holds as many requests as it can, and an idle one."""
@@ -115,7 +107,7 @@
         await self.until(lambda: self.knows_port(full, idle))
         if not settings:
             full.front._relief._limit.limit = float(LEAST_CROWD)
-        deadline = str(LONG_OBJECTIVE_MS)
+        deadline = str(LONG_MS)
         self.held = [
             asyncio.ensure_future(
                 self.call(full, "/once/", Request_Id=f"h-{number}", Deadline_Ms=deadline)
@@ -125,12 +117,6 @@
         await self.until(lambda: full.admission.total == LEAST_CROWD)
         return full, idle
 
-    def hold_lag(self, node: Node) -> None:
-        """Keep the lag of the test's own loop from ``node``'s limits: it tells of the machine."""
-        node.lag.take = lambda seconds: None
-        # What it told before this, while the node started, is forgotten too.
-        node.front._relief._limit.limit = FIRST_LIMIT
-
     def knows_port(self, node: Node, other: Node) -> bool:
         """Say whether ``node`` knows where ``other`` takes requests; it hears so after its name."""
         member = node.membership.table.get(other.settings.node_id)
@@ -138,7 +124,7 @@
 
     async def call_many(self, node: Node) -> list[Answer]:
         """Make ``MORE`` calls at once that may take long."""
-        deadline = str(LONG_OBJECTIVE_MS)
+        deadline = str(LONG_MS)
         numbers = range(MORE)
         return await asyncio.gather(
             *(
--- a/tests/platform/test_late.py
+++ b/tests/platform/test_late.py
@@ -12,22 +12,18 @@
 from railsail.routing import crowding
 from railsail.routing.refusals import LEAST_RETRY_SECONDS
 from railsail.routing.relay import RETRY_SHARE
-from tests.platform.base import ROUTES, PlatformTestCase
+from tests.platform.base import LONG_MS, ROUTES, PlatformTestCase
 from tests.platform.standins import answering, hanging
 
 # After so many late samples the limit is at its least.
 SAMPLES_TO_LEAST = 100
-# As long as a busy machine takes for a test.
-LONG_MS = 20_000
 
 
 class LateNodeTests(PlatformTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         # The requests that crowd a node must not end before another one comes.
-        patch = mock.patch.dict(ROUTES["once"], {"timeout_ms": LONG_MS})
-        patch.start()
-        self.addCleanup(patch.stop)
+        self.hold(mock.patch.dict(ROUTES["once"], {"timeout_ms": LONG_MS}))
 
     def make_late(self, node: Node) -> None:
         """Let the lag of ``node`` stay as if its loop were late, for long enough."""
--- a/tests/platform/test_signs.py
+++ b/tests/platform/test_signs.py
@@ -19,10 +19,9 @@
 import unittest
 from unittest import mock
 
-from railsail.gateway.concurrency import FIRST_LIMIT
 from railsail.node import Node
 from railsail.routing import relay
-from tests.platform.base import LONGEST_SECONDS, ROUTES, PlatformTestCase
+from tests.platform.base import LONG_MS, LONGEST_SECONDS, ROUTES, PlatformTestCase
 from tests.platform.standins import (
     SEAL,
     Received,
@@ -37,8 +36,6 @@
 CALLS = 30
 REST = "30"
 NOT_RUN = {"Not_Run": "1"}
-# As long as a deadline, so that no wait for a place ends while the test's loop stands still.
-LONG_MS = 20_000
 
 
 def saying(status: str = "200 OK", **headers: str) -> Script:
@@ -101,15 +98,10 @@
         # A replica that the test's own loop cannot connect to in 0.4 s would be closed.
         self.hold(mock.patch.object(relay, "CONNECT_SECONDS", LONGEST_SECONDS))
 
-    def hold(self, patch) -> None:
-        patch.start()
-        self.addCleanup(patch.stop)
-
     async def add_node(self, **more: str) -> Node:
         """Start a node whose limits the lag of the test's own loop does not lower."""
         node = await super().add_node(**more)
-        node.lag.take = lambda seconds: None
-        node.front._relief._limit.limit = FIRST_LIMIT
+        self.hold_lag(node)
         return node
 
     def received(self) -> list[int]:
