store, configuration: told for how long a configuration may have been old when it refuses a request

Callers saw requests on added routes and with added keys refused as unknown. The line of such a refusal told the version that decided; not from whom it came, nor when the store had last answered that it was the newest, so that a node that hears nothing could not be told from one that drops what it hears. Each answer of the store is now kept as a proof, by kind: that all changes up to a version are held, and when. No decision rests on it yet.

--- a/railsail/admin/status.py
+++ b/railsail/admin/status.py
@@ -13,6 +13,7 @@
 from railsail.gateway.admission import Admission
 from railsail.membership.service import Membership
 from railsail.quarantine.service import Quarantine
+from railsail.store.freshness import Freshness
 from railsail.store.watcher import StoreWatcher
 from railsail.upstreams.directory import UpstreamDirectory
 
@@ -26,6 +27,7 @@
     carrier: ConfigurationCarrier
     repository: ConfigurationRepository
     watcher: StoreWatcher
+    freshness: Freshness
     admission: Admission
     membership: Membership
     directory: UpstreamDirectory
@@ -51,6 +53,10 @@
         "not_ready": node.not_ready(),
         "version": node.carrier.catalog.version,
         "store_reachable": node.watcher.reachable,
+        "proof_age_ms": {
+            proof.kind: round(node.freshness.age(proof.kind) * 1000)
+            for proof in node.freshness.all()
+        },
         "requests": node.admission.total,
         "members": [
             {
--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -6,7 +6,9 @@
 """
 
 import json
+import math
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -25,7 +27,7 @@
     Committed,
     ConfigurationRepository,
 )
-from railsail.core.events import EventLog, Kind
+from railsail.core.events import EventLog, Fact, Kind
 from railsail.core.exceptions import ImproperlyConfigured, StoreUnavailable
 from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
@@ -33,10 +35,33 @@
 from railsail.objects.catalog import Catalog
 from railsail.peers.messages import ConfigurationNews
 from railsail.store.base import Listing, StoredObject, WatchEvent
+from railsail.store.freshness import Freshness
 
+# Where a configuration came from that no peer told.
+STORE = "store"
 Listener = Callable[[Catalog], None]
 
 
+@dataclass(frozen=True)
+class Held:
+    """Which configuration is in force here, and how well it is known to be the newest.
+
+    ``source`` is the peer that told it, or the store; ``proof_age`` is for how many seconds at most
+    the store can have had a newer one, infinite where that is not known.
+    """
+
+    version: int
+    source: str
+    proof_age: float
+
+    def facts(self) -> dict[str, Fact]:
+        """Return the same for the time line."""
+        facts: dict[str, Fact] = {"configuration": self.version, "source": self.source}
+        if math.isfinite(self.proof_age):
+            facts["proof_age_ms"] = round(self.proof_age * 1000)
+        return facts
+
+
 class ConfigurationCarrier:
     """Hold the catalog in force; ``flood`` sends a message to all neighbours but one."""
 
@@ -44,18 +69,25 @@
         self,
         repository: ConfigurationRepository,
         flood: Callable[[ConfigurationNews, str], None],
+        freshness: Freshness,
         events: EventLog,
         metrics: Metrics,
     ) -> None:
         self.catalog = Catalog()
+        self._source = ""
         self._repository = repository
         self._flood = flood
+        self._freshness = freshness
         self._events = events
         self._metrics = metrics
         self._changes: list[Change] = []
         self._listeners: list[Listener] = []
         self._tasks = TaskSet()
 
+    def held(self) -> Held:
+        """Return which configuration is in force, and how old it may be."""
+        return Held(self.catalog.version, self._source, self._freshness.age(KIND))
+
     def on_change(self, listener: Listener) -> None:
         """Call ``listener`` with each catalog that comes into force."""
         self._listeners.append(listener)
@@ -115,6 +147,7 @@
             return
         previous = self.catalog.version
         self.catalog = catalog
+        self._source = source or STORE
         known = {change.version: change for change in [*self._changes, *changes]}
         self._changes = [known[version] for version in sorted(known)][-KEPT_CHANGES:]
         self._metrics.version.set({}, catalog.version)
@@ -123,7 +156,7 @@
             "in force",
             version=catalog.version,
             before=previous,
-            source=source or "store",
+            source=self._source,
         )
         for listener in self._listeners:
             listener(catalog)
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -62,6 +62,10 @@
         self.version = self._gauge(
             "railsail_configuration_version", "Version of the configuration in force here."
         )
+        self.proof_age = self._gauge(
+            "railsail_store_proof_age_seconds",
+            "For how long the store may have had changes that are not known here, by kind.",
+        )
         self.claims = self._counter("railsail_claims_total", "Claims of keys, by result.")
 
     def _counter(self, name: str, doc: str) -> Counter:
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -64,6 +64,7 @@
 from railsail.routing.relay import Relay
 from railsail.routing.targets import ForwardTargets
 from railsail.store.base import STORES
+from railsail.store.freshness import Freshness
 from railsail.store.watcher import StoreWatcher
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.directory import UpstreamDirectory
@@ -137,12 +138,20 @@
         self.store = store(settings.store, self.metrics, self.rng)
         self.repository = ConfigurationRepository(self.store, self.clock, self.rng)
         flood = self.membership.flood
-        self.carrier = ConfigurationCarrier(self.repository, flood, self.events, self.metrics)
+        self.freshness = Freshness(self.clock.monotonic)
+        self.carrier = ConfigurationCarrier(
+            self.repository, flood, self.freshness, self.events, self.metrics
+        )
         self.directory = UpstreamDirectory(
             flood, self.events, self.clock.monotonic, self.clock.wall
         )
         self.watcher = StoreWatcher(
-            self.store, self._watches_store, settings.watch_seconds, self.events, self.rng
+            self.store,
+            self._watches_store,
+            settings.watch_seconds,
+            self.freshness,
+            self.events,
+            self.rng,
         )
         self.watcher.follow(CONFIGURATION, self.carrier.listed, self.carrier.seen, HEAD)
         self.watcher.follow(UPSTREAM, self.directory.listed, self.directory.seen)
@@ -274,7 +283,7 @@
             self.judge,
             self.admission,
             self.gateway.callers,
-            self._catalog,
+            self.carrier,
             limits.served,
             forwarder,
             self.kernel,
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from railsail.configuration.carrier import ConfigurationCarrier
 from railsail.core.events import Kind
 from railsail.core.fingerprints import fingerprint_name, request_fingerprint
 from railsail.core.kernel import Kernel
@@ -44,7 +44,7 @@
         judge: Judge,
         admission: Admission,
         callers: Callers,
-        catalog: Callable[[], Catalog],
+        configuration: ConfigurationCarrier,
         limit: ConcurrencyLimit,
         forwarder: Forwarder,
         kernel: Kernel,
@@ -54,7 +54,7 @@
         self._judge = judge
         self._admission = admission
         self._callers = callers
-        self._catalog = catalog
+        self._configuration = configuration
         self._clock = kernel.clock
         self._events = kernel.events
         self._endings = Endings(kernel)
@@ -72,6 +72,10 @@
             kernel,
         )
 
+    @property
+    def _catalog(self) -> Catalog:
+        return self._configuration.catalog
+
     def configured(self, catalog: Catalog) -> None:
         """Take in the routes of a new version."""
         self._routes = RouteTable(catalog.of_kind(Route))
@@ -133,9 +137,8 @@
     ) -> tuple[Outcome, Routed | None]:
         found = self._find(request)
         if isinstance(found, NotRun):
-            self._events.emit(
-                Kind.RECEIVED, request=request.id, configuration=self._catalog().version
-            )
+            held = self._configuration.held()
+            self._events.emit(Kind.RECEIVED, request=request.id, **held.facts())
             return found, None
         route, pool, workspace = found
         refused = self._admission.enter(workspace)
@@ -148,7 +151,7 @@
             self._admission.leave(workspace)
 
     def _find(self, request: RoutedRequest) -> NotRun | tuple[Route, Pool, str]:
-        catalog = self._catalog()
+        catalog = self._catalog
         if not catalog.version:
             return NotRun(Reason.NO_CONFIGURATION, "this node has no configuration yet")
         route = self._routes.find(request.host, request.path)
@@ -183,7 +186,7 @@
             workspace=workspace,
             route=route.name,
             pool=pool.name,
-            configuration=self._catalog().version,
+            configuration=self._catalog.version,
             deadline_ms=round(longest * 1000),
             may_wait_ms=round(may_wait * 1000),
             objective_ms=round(route.objective * 1000),
@@ -207,7 +210,7 @@
 
     def _regions(self, route: Route, workspace: str) -> tuple[str, ...]:
         """Return where a request may run, nothing for anywhere; both have to allow it."""
-        owner = self._catalog().workspace(workspace)
+        owner = self._catalog.workspace(workspace)
         of_owner = owner.regions if owner is not None else ()
         if not (route.regions and of_owner):
             return route.regions or of_owner
@@ -215,7 +218,7 @@
         return tuple(r for r in route.regions if r in of_owner) or (NO_REGION,)
 
     def _verdict(self, request: RoutedRequest, route: Route, pool: Pool, workspace: str) -> Verdict:
-        owner = self._catalog().workspace(workspace)
+        owner = self._catalog.workspace(workspace)
         priority = route.priority if owner is None or owner.priority is None else owner.priority
         described = RequestInput(
             pool=pool.name,
@@ -231,5 +234,5 @@
             objective=route.objective,
             repeatable=route.may_repeat,
         )
-        policy = self._catalog().policy(owner.policy) if owner else None
+        policy = self._catalog.policy(owner.policy) if owner else None
         return self._judge.run(policy or DEFAULT_POLICY, workspace, described)
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -17,7 +17,8 @@
 from railsail.core.exceptions import StoreUnavailable
 from railsail.core.logs import get_logger
 from railsail.store.absence import RETURN_SECONDS, StoreAbsence
-from railsail.store.base import Listing, Store, StoredObject, WatchEvent
+from railsail.store.base import Listing, Store, StoredObject, WatchEvent, WatchResult
+from railsail.store.freshness import Freshness, Proof
 from railsail.store.journal import Backoff
 
 LIST_SECONDS = 60.0
@@ -50,10 +51,12 @@
         store: Store,
         watches: Callable[[], bool],
         watch_seconds: float,
+        freshness: Freshness,
         events: EventLog,
         rng: random.Random,
     ) -> None:
         self._store = store
+        self._freshness = freshness
         self._watches = watches
         self._watch_seconds = watch_seconds
         self._events = events
@@ -113,18 +116,35 @@
         versions = []
         for kind in kinds:
             listed = self._listed[kind]
+            asked_at = self._freshness.now()
             if self._names[kind]:
                 stored = await self._store.get(kind, self._names[kind])
                 self._tell(kind, listed, Listing(0, (stored,) if stored else ()))
+                # The store's own version is not told with one object.
+                known = self._freshness.version(kind)
+                self._prove(kind, max(known, stored.version if stored else 0), asked_at)
                 if stored is not None and len(kinds) == 1:
                     # Nothing else is followed here, so that its own last change is a beginning.
                     versions.append(stored.version)
                 continue
             listing = await self._store.list(kind)
             self._tell(kind, listed, replace(listing, settled=self._settles(kind, listing)))
+            self._prove(kind, listing.version, asked_at)
             versions.append(listing.version)
         return min(versions, default=0)
 
+    def _true_at(self, result: WatchResult, asked_at: float, waits: float) -> float:
+        """Return a time at which the store had no newer version than that of the answer.
+
+        A store that has changes answers at once, however late that comes; without any it waits.
+        """
+        if result.events:
+            return asked_at
+        return min(asked_at + waits, self._freshness.now())
+
+    def _prove(self, kind: str, version: int, at: float) -> None:
+        self._freshness.take(Proof(kind, version, at))
+
     def _settles(self, kind: str, listing: Listing) -> bool:
         now = asyncio.get_running_loop().time()
         if self._absences[kind].answered(listing.version, now):
@@ -145,6 +165,7 @@
                 continue
             longest = min(self._seconds[kind] for kind in kinds)
             waits = min(left, longest)
+            asked_at = self._freshness.now()
             watch = self._store.watch(kinds, version, waits)
             result = await self._noting_absence(kinds, watch, waits)
             if result.expired:
@@ -152,6 +173,8 @@
             for event in result.events:
                 self._tell(event.kind, self._seen[event.kind], event)
             version = max(version, result.version)
+            for kind in kinds:
+                self._prove(kind, version, self._true_at(result, asked_at, waits))
             if result.events:
                 await asyncio.sleep(GATHER_SECONDS)
 
--- a/tests/store/test_watcher.py
+++ b/tests/store/test_watcher.py
@@ -6,10 +6,11 @@
 from collections import deque
 from unittest import mock
 
-from railsail.core.clock import Clock
+from railsail.core.clock import Clock, steady_seconds
 from railsail.core.events import EventLog
 from railsail.store import watcher as watcher_module
 from railsail.store.base import Listing, WatchEvent, WatchResult
+from railsail.store.freshness import Freshness
 from railsail.store.watcher import GATHER_SECONDS, StoreWatcher
 
 KIND = "upstream"
@@ -48,7 +49,9 @@
         store = GroupStore()
         seen: list[int] = []
         events = EventLog("n", Clock())
-        watcher = StoreWatcher(store, lambda: True, 30.0, events, random.Random(1))
+        watcher = StoreWatcher(
+            store, lambda: True, 30.0, Freshness(steady_seconds), events, random.Random(1)
+        )
         watcher.follow(KIND, lambda listing: None, lambda event: seen.append(event.version))
         task = asyncio.ensure_future(watcher.run())
         while not store.watches:
@@ -73,7 +76,12 @@
         watching = True
         listings = []
         watcher = StoreWatcher(
-            store, lambda: watching, 0.05, EventLog("n", Clock()), random.Random(1)
+            store,
+            lambda: watching,
+            0.05,
+            Freshness(steady_seconds),
+            EventLog("n", Clock()),
+            random.Random(1),
         )
         watcher.follow(KIND, listings.append, lambda event: None)
         with (
@@ -104,7 +112,9 @@
             seen.append(event.version)
 
         events = EventLog("n", Clock())
-        watcher = StoreWatcher(store, lambda: True, 30.0, events, random.Random(1))
+        watcher = StoreWatcher(
+            store, lambda: True, 30.0, Freshness(steady_seconds), events, random.Random(1)
+        )
         watcher.follow(KIND, lambda listing: None, take)
         task = asyncio.ensure_future(watcher.run())
         store.change(1)
@@ -128,7 +138,9 @@
         watching = [True]
         events = EventLog("n", Clock())
         with mock.patch.object(watcher_module, "LEARN_MEMBERS_SECONDS", 0.05):
-            watcher = StoreWatcher(store, lambda: watching[0], 2.0, events, random.Random(1))
+            watcher = StoreWatcher(
+                store, lambda: watching[0], 2.0, Freshness(steady_seconds), events, random.Random(1)
+            )
             watcher.follow(KIND, lists.append, lambda event: None)
             task = asyncio.ensure_future(watcher.run())
             while not lists:
