tests: reproduced nodes that are told nothing and go on with an older configuration

Daemons as processes on the platform's adapter, each with a port of the store of its own, so that the store can turn some away and serve the others. Callers ask for routes and keys that an operator adds and takes away, and tell which version answered them.

--- /dev/null
+++ b/tests/platform/operator.py
@@ -0,0 +1,133 @@
+"""An operator who changes the configuration, and callers who tell which version answered them."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from tests.platform.base import configuration
+from tests.platform.processes import Daemon, ProcessFleet
+from tests.platform.standins import PlatformStoreStandin
+
+# Each version adds a route and a key; so many versions later it is taken away again.
+KEPT_VERSIONS = 8
+FIRST_VERSION = 3
+# Statuses with which a node says that there is no such route or key.
+REFUSED_AS_WRONG = frozenset({401, 403, 404})
+OK = 200
+
+
+def route_of(version: int) -> str:
+    """Return the path prefix of the route that ``version`` adds."""
+    return f"/added-{version}/"
+
+
+def key_of(version: int) -> str:
+    """Return the key that ``version`` adds."""
+    return f"the-key-of-{version}"
+
+
+class Operator:
+    """Change the configuration; times are those of the event loop."""
+
+    def __init__(self, store: PlatformStoreStandin) -> None:
+        self._store = store
+        self.version = FIRST_VERSION
+        self.sent_at: dict[int, float] = {}
+        # When the store confirmed each version.
+        self.confirmed_at: dict[int, float] = {}
+        self.change()
+
+    def change(self) -> None:
+        """Put the next version into the store."""
+        self.version += 1
+        kept = range(max(FIRST_VERSION + 1, self.version - KEPT_VERSIONS + 1), self.version + 1)
+        value = configuration(self.version)
+        like = next(route for route in value["routes"] if route["name"] == "again")
+        for version in kept:
+            added = {"name": f"added-{version}", "path_prefix": route_of(version)}
+            value["routes"].append(like | added)
+            value["tenants"][0]["api_keys"].append(key_of(version))
+        now = asyncio.get_running_loop().time()
+        self.sent_at[self.version] = now
+        self._store.put("config", "main", value)
+        self.confirmed_at[self.version] = asyncio.get_running_loop().time()
+
+    def oldest_kept(self) -> int:
+        """Return the oldest version whose route is still there."""
+        return max(FIRST_VERSION + 1, self.version - KEPT_VERSIONS + 1)
+
+    def is_of_older(self, version: int, sent_at: float, status: int, bound: float) -> bool:
+        """Say whether only an older configuration allows an answer.
+
+        ``version`` added the route or the key of the request, and versions are to be in force
+        ``bound`` seconds after they were confirmed.
+        """
+        if status in REFUSED_AS_WRONG:
+            dropped_at = self.sent_at.get(version + KEPT_VERSIONS, float("inf"))
+            return self.confirmed_at[version] + bound < sent_at < dropped_at - bound
+        dropped_at = self.confirmed_at.get(version + KEPT_VERSIONS, float("inf"))
+        return status == OK and sent_at > dropped_at + bound
+
+
+@dataclass(frozen=True)
+class OldAnswer:
+    """An answer that only an older configuration allows."""
+
+    node: str
+    request: str
+    target: str
+    status: int
+    # Seconds from the confirmation of the newest version to the request.
+    age: float
+
+
+@dataclass
+class Callers:
+    """Ask the daemons in turn for what the newest versions added and dropped.
+
+    A daemon's answers count when it has been up, and served by the store, for ``settled`` seconds.
+    """
+
+    fleet: ProcessFleet
+    operator: Operator
+    rng: random.Random
+    bound: float
+    settled: float = 6.0
+    every: float = 0.02
+    asked: int = 0
+    served: int = 0
+    old: list[OldAnswer] = field(default_factory=list)
+    _calls: set[asyncio.Task] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            call = asyncio.ensure_future(self._ask(self.rng.choice(self.fleet.daemons)))
+            self._calls.add(call)
+            call.add_done_callback(self._calls.discard)
+            await asyncio.sleep(self.every)
+
+    async def settle(self) -> None:
+        """Wait until all calls have ended."""
+        if self._calls:
+            await asyncio.wait(self._calls)
+
+    async def _ask(self, daemon: Daemon) -> None:
+        loop = asyncio.get_running_loop()
+        first = max(FIRST_VERSION + 1, self.operator.oldest_kept() - 2)
+        version = self.rng.randint(first, self.operator.version)
+        self.asked += 1
+        number = f"c-{self.asked}"
+        sent_at = loop.time()
+        if self.rng.random() < 0.5:
+            target, headers = route_of(version), {}
+        else:
+            target, headers = "/again/", {"Authorization": f"Bearer {key_of(version)}"}
+        answer = await self.fleet.call(daemon, target, Request_Id=number, **headers)
+        if answer is None:
+            return
+        self.served += answer.status == OK
+        counts = sent_at - daemon.served_since > self.settled and daemon.running
+        if counts and self.operator.is_of_older(version, sent_at, answer.status, self.bound):
+            age = sent_at - self.operator.confirmed_at[self.operator.version]
+            self.old.append(OldAnswer(daemon.node, number, target, answer.status, age))
--- /dev/null
+++ b/tests/platform/processes.py
@@ -0,0 +1,210 @@
+"""Daemons as processes of their own on the platform's adapter, each with a port of the store.
+
+The store, the replicas and the callers run in this process. What is done to a daemon is done from
+outside: by a signal, or by what its port of the store answers.
+"""
+
+import asyncio
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from railsail.standins.fleet import free_ports
+from tests.platform.base import LONGEST_SECONDS, Answer, read_answer, request
+from tests.platform.standins import (
+    LOOPBACK,
+    PlatformStoreStandin,
+    ReplicaStandin,
+    StoreAccess,
+    TurnedAway,
+    answering,
+)
+
+ROOT = Path(__file__).parents[2]
+LOOK_SECONDS = 0.05
+SEEDS = 3
+# The settings of ``deploy/railsaild.conf``, as far as all daemons have them alike.
+SHARED = {
+    "store-kind": "prepared",
+    "watch-seconds": "2",
+    "node-list": "seeds",
+    "network": "closed",
+    "plugins": "railsail.platform",
+    "caller-interface": "prepared",
+    "scheduling": "fleet",
+    "cell-replicas": "64",
+    "fair-window-seconds": "4",
+    "leave-seconds": "1",
+    "drain-seconds": "8",
+}
+
+
+@dataclass
+class Daemon:
+    """One daemon, its port of the store, and where it logs."""
+
+    ip: str
+    ports: list[int]
+    domain: str
+    access: StoreAccess
+    log: Path
+    process: subprocess.Popen | None = None
+    # When it was started or went on after a pause, by the clock of the event loop.
+    up_since: float = 0.0
+    # When the store began to answer it again.
+    answered_since: float = 0.0
+
+    @property
+    def node(self) -> str:
+        """Return the node id."""
+        return f"{self.ip}:{self.ports[2]}"
+
+    @property
+    def running(self) -> bool:
+        """Say whether the process is there."""
+        return self.process is not None and self.process.poll() is None
+
+    @property
+    def served_since(self) -> float:
+        """Return since when it has run and been answered by the store."""
+        if self.access.turned_away is not None:
+            return float("inf")
+        return max(self.up_since, self.answered_since)
+
+    def turn_away(self, how: TurnedAway) -> None:
+        """Let the store turn its calls away."""
+        self.access.turned_away = how
+
+    def answer(self) -> None:
+        """Let the store answer its calls again."""
+        self.access.turned_away = None
+        self.answered_since = asyncio.get_running_loop().time()
+
+    def flags(self, seeds: list[str]) -> list[str]:
+        """Return the flags with which it starts."""
+        own = {
+            "node-ip": self.ip,
+            "caller-port": self.ports[0],
+            "admin-port": self.ports[1],
+            "peer-port": self.ports[2],
+            "failure-domain": self.domain,
+            "store": f"{LOOPBACK}:{self.access.port}",
+            "seeds": ",".join(seeds),
+        }
+        return [f"--{name}={value}" for name, value in (SHARED | own).items()]
+
+
+@dataclass
+class ProcessFleet:
+    """A store, replicas and daemons; ``stop`` ends exactly those."""
+
+    folder: Path
+    store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
+    replicas: list[ReplicaStandin] = field(default_factory=list)
+    daemons: list[Daemon] = field(default_factory=list)
+
+    async def add_replica(self, script=None, service: str = "desk", slots: int = 64) -> None:
+        """Start a replica, and list it."""
+        replica = ReplicaStandin(f"i-{len(self.replicas)}", script or answering())
+        await replica.start()
+        self.replicas.append(replica)
+        addr = f"{LOOPBACK}:{replica.port}"
+        spec = {"service": service, "addr": addr, "zone": "a", "slots": slots, "state": "ready"}
+        self.store.put("servers", replica.name, spec | {"seq": 1})
+
+    def add_daemons(self, count: int, domains: int) -> None:
+        """Start ``count`` daemons in ``domains`` failure domains."""
+        first = len(self.daemons)
+        for number in range(first, first + count):
+            ip = f"127.0.1.{10 + number}"
+            domain = f"domain-{number % domains}"
+            log = self.folder / f"{number}.log"
+            daemon = Daemon(ip, free_ports(3, ip), domain, self.store.add_access(), log)
+            self.daemons.append(daemon)
+        for daemon in self.daemons[first:]:
+            self.start(daemon)
+
+    def start(self, daemon: Daemon) -> None:
+        """Start a daemon, or start it again."""
+        seeds = [each.node for each in self.daemons[:SEEDS]]
+        with daemon.log.open("ab") as out:
+            daemon.process = subprocess.Popen(
+                [sys.executable, "-m", "railsail.daemon", *daemon.flags(seeds)],
+                cwd=ROOT,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+            )
+        daemon.up_since = asyncio.get_running_loop().time()
+
+    async def kill(self, daemon: Daemon) -> None:
+        """Kill a daemon."""
+        daemon.process.kill()
+        await asyncio.to_thread(daemon.process.wait)
+
+    def pause(self, daemon: Daemon) -> None:
+        """Let a daemon stand still."""
+        daemon.process.send_signal(signal.SIGSTOP)
+        daemon.up_since = float("inf")
+
+    def resume(self, daemon: Daemon) -> None:
+        """Let a daemon go on."""
+        daemon.process.send_signal(signal.SIGCONT)
+        daemon.up_since = asyncio.get_running_loop().time()
+
+    async def until_ready(self) -> None:
+        """Wait until each daemon says that it is ready."""
+        async with asyncio.timeout(4 * LONGEST_SECONDS):
+            for daemon in self.daemons:
+                while not await self.is_ready(daemon):
+                    await asyncio.sleep(LOOK_SECONDS)
+
+    async def is_ready(self, daemon: Daemon) -> bool:
+        """Ask a daemon whether it is ready."""
+        try:
+            reader, writer = await asyncio.open_connection(daemon.ip, daemon.ports[1])
+        except OSError:
+            return False
+        try:
+            writer.write(request("/ready", "GET", b"", Content_Length=""))
+            return (await read_answer(reader)).status == 200
+        finally:
+            writer.close()
+
+    async def call(self, daemon: Daemon, target: str, **headers: str) -> Answer | None:
+        """Make one call at ``daemon``; ``None`` if it cannot be connected to."""
+        try:
+            reader, writer = await asyncio.open_connection(daemon.ip, daemon.ports[0])
+        except OSError:
+            return None
+        try:
+            writer.write(request(target, "GET", b"", **headers))
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+    def watching(self) -> list[Daemon]:
+        """Return the daemons that have watched the store's configuration since ``forget_calls``."""
+        return [
+            daemon
+            for daemon in self.daemons
+            if any("/objects/config?watch" in call for call in daemon.access.calls)
+        ]
+
+    def forget_calls(self) -> None:
+        """Forget the calls that daemons have made to the store."""
+        for daemon in self.daemons:
+            daemon.access.calls.clear()
+
+    async def stop(self) -> None:
+        """End all processes of this fleet, and its stand-ins."""
+        for daemon in self.daemons:
+            if daemon.running:
+                daemon.process.send_signal(signal.SIGCONT)
+                daemon.process.kill()
+        for daemon in self.daemons:
+            await asyncio.to_thread(daemon.process.wait)
+        for replica in self.replicas:
+            replica.stop()
+        self.store.stop()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -1,11 +1,13 @@
 """Stand-ins that speak the platform's formats: its store, and replicas that follow a script."""
 
 import asyncio
+import enum
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from tornado.web import RequestHandler
+from tornado.httpserver import HTTPServer
+from tornado.web import Finish, RequestHandler
 
 from railsail.standins.fleet import free_ports
 from railsail.standins.listening import listen
@@ -15,6 +17,26 @@
 BREAK_SECONDS = 0.05
 
 
+class TurnedAway(enum.StrEnum):
+    """How the store turns calls away."""
+
+    BUSY = "503"
+    LIMITED = "429"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+@dataclass
+class StoreAccess:
+    """What the store does with the calls that come to one of its ports, and what came."""
+
+    port: int
+    turned_away: TurnedAway | None = None
+    # Seconds by which each answer is late.
+    delay: float = 0.0
+    calls: list[str] = field(default_factory=list)
+
+
 class PlatformStoreStandin:
     """Objects by kind and name, a counter of revisions, lists in pages, and watches."""
 
@@ -31,8 +53,15 @@
         self.retry_after = ""
         self.calls: list[str] = []
         self.changed = asyncio.Event()
-        self.port = free_ports(1)[0]
-        self._server = listen([(r"/objects/.*", _Objects)], {"store": self}, LOOPBACK, self.port)
+        self._servers: list[HTTPServer] = []
+        self.port = self.add_access().port
+
+    def add_access(self) -> StoreAccess:
+        """Serve at one more port, which can turn its calls away while others do not."""
+        access = StoreAccess(free_ports(1)[0])
+        shared = {"store": self, "access": access}
+        self._servers.append(listen([(r"/objects/.*", _Objects)], shared, LOOPBACK, access.port))
+        return access
 
     def put(self, kind: str, name: str, spec: object) -> None:
         self.revision += 1
@@ -68,7 +97,8 @@
         self.changed = asyncio.Event()
 
     def stop(self) -> None:
-        self._server.stop()
+        for server in self._servers:
+            server.stop()
 
 
 @dataclass(frozen=True)
@@ -80,14 +110,20 @@
 
 
 class _Objects(RequestHandler):
-    def initialize(self, store: PlatformStoreStandin) -> None:
+    def initialize(self, store: PlatformStoreStandin, access: StoreAccess) -> None:
         self.store = store
+        self.access = access
 
     def check_xsrf_cookie(self) -> None:
         pass
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         self.store.calls.append(f"{self.request.method} {self.request.uri}")
+        self.access.calls.append(f"{self.request.method} {self.request.uri}")
+        if self.access.delay:
+            await asyncio.sleep(self.access.delay)
+        if await self._turned_away():
+            return
         if self.store.era:
             self.set_header("Store-Era", str(self.store.era))
         if self.store.down:
@@ -96,6 +132,20 @@
                 self.set_header("Retry-After", self.store.retry_after)
             self.finish()
 
+    async def _turned_away(self) -> bool:
+        """Turn the call away, if its port does so now."""
+        how = self.access.turned_away
+        if how is None:
+            return False
+        if how is TurnedAway.SILENT:
+            await asyncio.sleep(3600)
+        if how is TurnedAway.RESET:
+            self.request.connection.stream.close()
+            raise Finish
+        self.set_status(int(how))
+        await self.finish()
+        return True
+
     def post(self) -> None:
         item = json.loads(self.request.body)
         self._write(self.request.path.split("/")[2], item["metadata"]["name"], 0, item["spec"])
@@ -145,6 +195,8 @@
             waiting = asyncio.ensure_future(self.store.changed.wait())
             await asyncio.wait([waiting], timeout=ends - loop.time())
             waiting.cancel()
+        if await self._turned_away():
+            return
         if self.store.era:
             self.set_header("Store-Era", str(self.store.era))
         body = {"events": self._events(kind, since), "at": self.store.revision}
