store: let a node read for itself where nothing proves that others do

Callers saw requests on routes and with keys that a change had added refused as unknown, and those that it had taken away served, for as long as the store turned away the nodes that read it for the others: 49 (503) and 104 (silence) requests later than 3 s after the confirmation, nine processes, six of them turned away.

Cause: the few that watch the store are chosen among the members that are alive, not among those that can read it. The others hear of changes from them alone, and silence looks the same to them as a store without changes. Class: a duty is given to a member because it lives, and nobody asks for a sign that it is done.

Each answer of the store proves that its reader holds all changes up to a version, and when. Readers tell that over the neighbours as they tell changes, on the same links and after them. A node whose newest proof is older than a watch that waits its longest time reads for itself, from the version that was proved last, and tells what it reads; few of many begin at first, so that a fleet of 390 does not call at once. This holds whatever the reason, since it rests on what arrives and on nothing that anybody has to notice about himself: readers turned away, silent, paused, cut off, of an older build, on links that went silent. Ruled out: readers that say that they cannot read, since one that is paused or cut off says nothing; that every node watches, since calls would grow with the fleet. Watches wait between a quarter and all of their time, so that proofs do not come all at once after a change. Peers of older builds are sent no proofs, by the level of their links.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,7 +1,8 @@
 """A relay in front of each daemon's peer port, which can cut the path between two nodes.
 
 A daemon dials from its own IP number, so that the relay knows both ends. Bytes of a cut direction
-are held back, as by a network that drops packets; they go on when the cut heals.
+are held back, as by a network that drops packets; they go on when the cut heals. Connections that
+were silenced carry nothing any more, and are not reset; new ones work.
 """
 
 import asyncio
@@ -18,6 +19,9 @@
         self._cut: set[tuple[str, str]] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task] = set()
+        # Connections are numbered; those with a lower number than the second one are silent.
+        self._connections = 0
+        self._first_heard = 0
 
     async def listen(self, ip: str, port: int, target: int) -> None:
         """Relay ``ip:port`` to ``ip:target``."""
@@ -43,6 +47,10 @@
         """End all cuts."""
         self._cut.clear()
 
+    def silence(self) -> None:
+        """Let all connections that are open now carry nothing any more."""
+        self._first_heard = self._connections
+
     def stop(self) -> None:
         """Close all relays."""
         for server in self._servers:
@@ -62,6 +70,8 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        number = self._connections
+        self._connections += 1
         try:
             while (source, ip) in self._cut or (ip, source) in self._cut:
                 await asyncio.sleep(LOOK_SECONDS)
@@ -71,8 +81,8 @@
             return
         await asyncio.wait(
             [
-                asyncio.ensure_future(self._pump(source, ip, reader, far_writer)),
-                asyncio.ensure_future(self._pump(ip, source, far_reader, writer)),
+                asyncio.ensure_future(self._pump(number, source, ip, reader, far_writer)),
+                asyncio.ensure_future(self._pump(number, ip, source, far_reader, writer)),
             ],
             return_when=asyncio.FIRST_COMPLETED,
         )
@@ -80,12 +90,17 @@
         far_writer.close()
 
     async def _pump(
-        self, source: str, target: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        number: int,
+        source: str,
+        target: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         self._keep(asyncio.current_task())
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK):
-                while (source, target) in self._cut:
+                while (source, target) in self._cut or number < self._first_heard:
                     await asyncio.sleep(LOOK_SECONDS)
                 writer.write(data)
                 await writer.drain()
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -48,6 +48,7 @@
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Pool
 from railsail.peers.hub import PeerHub
+from railsail.peers.levels import ERAS
 from railsail.peers.link import Identity
 from railsail.peers.messages import ConfigurationNews, Heartbeat, StateRequest, UpstreamNews
 from railsail.quarantine.ledger import KIND as QUARANTINE
@@ -65,6 +66,7 @@
 from railsail.routing.targets import ForwardTargets
 from railsail.store.base import STORES
 from railsail.store.freshness import Freshness
+from railsail.store.proofs import ProofExchange
 from railsail.store.watcher import StoreWatcher
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.directory import UpstreamDirectory
@@ -148,11 +150,15 @@
         self.watcher = StoreWatcher(
             self.store,
             self._watches_store,
+            self.view.size,
             settings.watch_seconds,
             self.freshness,
             self.events,
             self.rng,
         )
+        ProofExchange(
+            self.freshness, CONFIGURATION, lambda: self.carrier.catalog.version, flood, self.hub
+        )
         self.watcher.follow(CONFIGURATION, self.carrier.listed, self.carrier.seen, HEAD)
         self.watcher.follow(UPSTREAM, self.directory.listed, self.directory.seen)
         evacuations = self.directory.evacuations
@@ -323,7 +329,9 @@
     def _watches_store(self) -> bool:
         # Builds that know no eras tell changes with versions that lose against those of this build,
         # so that where such a peer may be among the few that watch, this node watches as well.
-        return self.view.watches_store() or (self.watcher.era > 0 and self.hub.has_older_peers())
+        return self.view.watches_store() or (
+            self.watcher.era > 0 and self.hub.has_peers_below(ERAS)
+        )
 
     def _unreachable(self) -> set[str]:
         return self.desk.unreachable
--- a/railsail/peers/hub.py
+++ b/railsail/peers/hub.py
@@ -18,7 +18,7 @@
 from railsail.core.tasks import TaskSet
 from railsail.peers.base import Message
 from railsail.peers.codec import MOST_FRAME_BYTES
-from railsail.peers.levels import NEWEST, SUBPROTOCOLS, choose
+from railsail.peers.levels import SUBPROTOCOLS, choose
 from railsail.peers.link import Identity, Link, accept_handshake, join_handshake
 from railsail.peers.messages import AnyMessage
 
@@ -125,9 +125,9 @@
         """Return the nodes to which there is a link."""
         return [node for node, links in self._links.items() if links]
 
-    def has_older_peers(self) -> bool:
-        """Say whether a linked peer is of a build that knows less than this one."""
-        return any(link.level < NEWEST for links in self._links.values() for link in links)
+    def has_peers_below(self, level: int) -> bool:
+        """Say whether a linked peer is of a build of a lower level."""
+        return any(link.level < level for links in self._links.values() for link in links)
 
     def start_id(self, node: str) -> int:
         """Return the start id of ``node`` as it proved it on its newest link, or 0."""
--- a/railsail/peers/levels.py
+++ b/railsail/peers/levels.py
@@ -18,8 +18,11 @@
 OLDEST = 0
 # With these, in heartbeats, flights and news of their own.
 QUARANTINE = 1
-# With the replicas that a ticket excludes.
-NEWEST = 2
+# With the replicas that a ticket excludes, and versions that tell the store's eras.
+ERAS = 2
+# With proofs of what is held of the store.
+PROOFS = 3
+NEWEST = PROOFS
 
 # Numbers of messages that tell levels below 2 apart, and how long a heartbeat of the oldest is: its
 # number, configuration, members, upstreams, wants_reply.
@@ -28,7 +31,7 @@
 _OLDEST_HEARTBEAT = 5
 _NAME = "railsail."
 # By name, the highest first; levels below are not negotiated.
-SUBPROTOCOLS = [f"{_NAME}{NEWEST}"]
+SUBPROTOCOLS = [f"{_NAME}{level}" for level in range(NEWEST, QUARANTINE, -1)]
 
 
 def choose(socket: object, offered: Sequence[str]) -> str | None:
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -12,12 +12,13 @@
 
 from railsail.core.outcomes import Reason
 from railsail.peers.base import Blob, Digest, Message, Natural, Signed, Text
-from railsail.peers.levels import OLDEST, QUARANTINE
+from railsail.peers.levels import OLDEST, PROOFS, QUARANTINE
 from railsail.peers.records import (
     CounterRecord,
     DomainRecord,
     FlightRecord,
     MemberRecord,
+    ProofRecord,
     ReplicaEndRecord,
     SumRecord,
     UpstreamRecord,
@@ -79,6 +80,18 @@
     ends: Annotated[list[ReplicaEndRecord], msgspec.Meta(max_length=1000)]
 
 
+class ProofNews(Message, frozen=True, tag=7):
+    """Say what of the store the sender holds, and when that was all; see ``railsail.store.proofs``.
+
+    ``configuration`` is the version that it holds.
+    """
+
+    SINCE: ClassVar[int] = PROOFS
+
+    configuration: Natural
+    proofs: Annotated[list[ProofRecord], msgspec.Meta(max_length=32)]
+
+
 class Place(Message, frozen=True, tag=10):
     """Place a ticket with the dispatcher of a cell.
 
@@ -313,6 +326,7 @@
     | UpstreamNews
     | ConfigurationNews
     | QuarantineNews
+    | ProofNews
     | Place
     | Granted
     | Refused
--- a/railsail/peers/records.py
+++ b/railsail/peers/records.py
@@ -40,6 +40,17 @@
     cold: Natural = 0
 
 
+class ProofRecord(Message, frozen=True):
+    """That changes of ``kind`` are held up to the store's ``version``.
+
+    That version was the newest one ``age`` milliseconds ago, or later.
+    """
+
+    kind: Text
+    version: Natural
+    age: Natural
+
+
 class DomainRecord(Message, frozen=True):
     """Whether a failure domain is evacuated, at a version of the store."""
 
--- a/railsail/store/freshness.py
+++ b/railsail/store/freshness.py
@@ -27,11 +27,22 @@
     def __init__(self, monotonic: Callable[[], float]) -> None:
         self._monotonic = monotonic
         self._proofs: dict[str, Proof] = {}
+        self._listeners: list[Callable[[Proof], None]] = []
+
+    def on_read(self, listener: Callable[[Proof], None]) -> None:
+        """Call ``listener`` with each proof that this node has from the store itself."""
+        self._listeners.append(listener)
 
     def now(self) -> float:
         """Return the time by which proofs are told."""
         return self._monotonic()
 
+    def read(self, proof: Proof) -> None:
+        """Keep a proof that this node has from the store itself."""
+        if self.take(proof):
+            for listener in self._listeners:
+                listener(proof)
+
     def take(self, proof: Proof) -> bool:
         """Keep ``proof`` if it is newer than the one known, and say whether it is.
 
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -20,11 +20,17 @@
 from railsail.store.base import Listing, Store, StoredObject, WatchEvent, WatchResult
 from railsail.store.freshness import Freshness, Proof
 from railsail.store.journal import Backoff
+from railsail.store.standby import Standby
 
 LIST_SECONDS = 60.0
 LIST_SECONDS_OF_OTHERS = 600.0
 # A node that is cut off from its peers begins to watch within this time; to look costs nothing.
 LOOK_SECONDS = 0.5
+LEAST_LOOK_SECONDS = 0.01
+# A node that begins to read learns so soon whether there is anything new.
+FIRST_WAIT_SECONDS = 0.05
+# A watch waits for this part of its longest time at least.
+LEAST_WAIT_SHARE = 0.25
 # A node that starts hears of the others within this time, and takes itself for one of the few that
 # watch until then.
 LEARN_MEMBERS_SECONDS = 1.0
@@ -50,6 +56,7 @@
         self,
         store: Store,
         watches: Callable[[], bool],
+        size: Callable[[], int],
         watch_seconds: float,
         freshness: Freshness,
         events: EventLog,
@@ -58,6 +65,7 @@
         self._store = store
         self._freshness = freshness
         self._watches = watches
+        self._size = size
         self._watch_seconds = watch_seconds
         self._events = events
         self._rng = rng
@@ -69,6 +77,8 @@
         # By kind, whether its last listing may lack objects that are written again in a moment.
         self._absences: defaultdict[str, StoreAbsence] = defaultdict(StoreAbsence)
         self._unsettled: set[str] = set()
+        # By the kinds of a watch, when this node reads them though others are to.
+        self._standby: dict[tuple[str, ...], Standby] = {}
         self.reachable = False
         self._started_at = 0.0
         self.tried = asyncio.Event()
@@ -96,11 +106,12 @@
         self._started_at = asyncio.get_running_loop().time()
         kinds = tuple(self._listed)
         groups = [kinds] if self._store.watches_many else [(kind,) for kind in kinds]
+        for group in groups:
+            self._standby[group] = Standby(self._longest_wait(group), self._size, self._rng)
         await asyncio.gather(*(self._run_group(group) for group in groups))
 
     async def _run_group(self, kinds: tuple[str, ...]) -> None:
-        longest = min(MOST_PAUSE_SECONDS, self._watch_seconds)
-        backoff = Backoff(self._rng, FIRST_PAUSE_SECONDS, longest)
+        backoff = self._new_backoff()
         while True:
             try:
                 version = await self._noting_absence(kinds, self._list_all(kinds))
@@ -143,7 +154,7 @@
         return min(asked_at + waits, self._freshness.now())
 
     def _prove(self, kind: str, version: int, at: float) -> None:
-        self._freshness.take(Proof(kind, version, at))
+        self._freshness.read(Proof(kind, version, at))
 
     def _settles(self, kind: str, listing: Listing) -> bool:
         now = asyncio.get_running_loop().time()
@@ -159,25 +170,93 @@
         begun = loop.time()
         share = self._rng.uniform(0.75, 1.25)
         await self._learn_members()
+        backoff = self._new_backoff()
+        follows = True
         while (left := begun + self._list_seconds(kinds, share) - loop.time()) > 0:
-            if not self._watches():
-                await asyncio.sleep(LOOK_SECONDS)
+            if not self._reads(kinds):
+                follows = False
+                await asyncio.sleep(self._look_seconds(kinds))
+                continue
+            waits = self._wait_seconds(kinds)
+            if not follows:
+                # Peers have told all changes up to what they proved, and later ones may wait.
+                version = max(version, self._held_version(kinds))
+                waits = FIRST_WAIT_SECONDS
+                self._tell_begin(kinds)
+            try:
+                result = await self._watch(kinds, version, min(left, waits))
+            except StoreUnavailable as problem:
+                if self._watches():
+                    raise
+                self._note(kinds, False, str(problem))
+                # Lists are dear, and those that watch may answer again before the store does here.
+                follows = False
+                await asyncio.sleep(backoff.pause())
                 continue
-            longest = min(self._seconds[kind] for kind in kinds)
-            waits = min(left, longest)
-            asked_at = self._freshness.now()
-            watch = self._store.watch(kinds, version, waits)
-            result = await self._noting_absence(kinds, watch, waits)
             if result.expired:
                 return
-            for event in result.events:
-                self._tell(event.kind, self._seen[event.kind], event)
+            self._note(kinds, True)
+            backoff.reset()
+            follows = True
             version = max(version, result.version)
-            for kind in kinds:
-                self._prove(kind, version, self._true_at(result, asked_at, waits))
             if result.events:
                 await asyncio.sleep(GATHER_SECONDS)
 
+    async def _watch(self, kinds: tuple[str, ...], version: int, waits: float) -> WatchResult:
+        asked_at = self._freshness.now()
+        watch = self._store.watch(kinds, version, waits)
+        result = await self._noting_absence(kinds, watch, waits)
+        if result.expired:
+            return result
+        for event in result.events:
+            self._tell(event.kind, self._seen[event.kind], event)
+        for kind in kinds:
+            self._prove(kind, max(version, result.version), self._true_at(result, asked_at, waits))
+        return result
+
+    def _reads(self, kinds: tuple[str, ...]) -> bool:
+        """Say whether this node reads ``kinds`` now, as one of the few or since they are silent."""
+        if self._watches():
+            return True
+        # Those that are to read may be unable to, or to tell, and not know it: a node that counted
+        # on them without a proof would go on with old routes, keys and replicas.
+        age = self._age(kinds)
+        now = self._freshness.now()
+        return self._standby[kinds].reads(age, now)
+
+    def _tell_begin(self, kinds: tuple[str, ...]) -> None:
+        if not self._watches():
+            self._events.emit(
+                Kind.STORE,
+                "read here, since nobody tells that it is read",
+                kinds=" ".join(kinds),
+                proof_age_ms=round(self._age(kinds) * 1000),
+            )
+
+    def _age(self, kinds: tuple[str, ...]) -> float:
+        return max(self._freshness.age(kind) for kind in kinds)
+
+    def _held_version(self, kinds: tuple[str, ...]) -> int:
+        return min(self._freshness.version(kind) for kind in kinds)
+
+    def _look_seconds(self, kinds: tuple[str, ...]) -> float:
+        left = self._standby[kinds].seconds_left(self._age(kinds))
+        return min(LOOK_SECONDS, max(LEAST_LOOK_SECONDS, left))
+
+    def _longest_wait(self, kinds: tuple[str, ...]) -> float:
+        return min(self._seconds[kind] for kind in kinds)
+
+    def _wait_seconds(self, kinds: tuple[str, ...]) -> float:
+        """Return how long the next watch waits.
+
+        Nodes whose watches all ended with one change would prove what they hold at the same times.
+        """
+        return self._rng.uniform(LEAST_WAIT_SHARE, 1.0) * self._longest_wait(kinds)
+
+    def _new_backoff(self) -> Backoff:
+        longest = min(MOST_PAUSE_SECONDS, self._watch_seconds)
+        return Backoff(self._rng, FIRST_PAUSE_SECONDS, longest)
+
     async def _noting_absence(
         self, kinds: tuple[str, ...], call: Awaitable[R], waits: float = 0.0
     ) -> R:
--- a/tests/platform/operator.py
+++ b/tests/platform/operator.py
@@ -56,17 +56,18 @@
         """Return the oldest version whose route is still there."""
         return max(FIRST_VERSION + 1, self.version - KEPT_VERSIONS + 1)
 
-    def is_of_older(self, version: int, sent_at: float, status: int, bound: float) -> bool:
-        """Say whether only an older configuration allows an answer.
+    def seconds_of_older(self, version: int, sent_at: float, status: int) -> float:
+        """Return how long after the confirmation of a version an older one decided an answer.
 
-        ``version`` added the route or the key of the request, and versions are to be in force
-        ``bound`` seconds after they were confirmed.
+        ``version`` added the route or the key of the request. It is 0 where the newest may have.
         """
+        dropped = version + KEPT_VERSIONS
         if status in REFUSED_AS_WRONG:
-            dropped_at = self.sent_at.get(version + KEPT_VERSIONS, float("inf"))
-            return self.confirmed_at[version] + bound < sent_at < dropped_at - bound
-        dropped_at = self.confirmed_at.get(version + KEPT_VERSIONS, float("inf"))
-        return status == OK and sent_at > dropped_at + bound
+            may_be_dropped = dropped in self.sent_at
+            return 0.0 if may_be_dropped else sent_at - self.confirmed_at[version]
+        if status == OK and dropped in self.confirmed_at:
+            return max(0.0, sent_at - self.confirmed_at[dropped])
+        return 0.0
 
 
 @dataclass(frozen=True)
@@ -77,7 +78,7 @@
     request: str
     target: str
     status: int
-    # Seconds from the confirmation of the newest version to the request.
+    # Seconds from the confirmation of the version that would have decided otherwise.
     age: float
 
 
@@ -97,6 +98,10 @@
     asked: int = 0
     served: int = 0
     old: list[OldAnswer] = field(default_factory=list)
+    # For how many seconds after a confirmation an older version has decided, at most.
+    longest: float = 0.0
+    # Connections that ended without an answer, but for those of daemons that were killed.
+    cut: int = 0
     _calls: set[asyncio.Task] = field(default_factory=set)
 
     async def run(self) -> None:
@@ -123,11 +128,16 @@
             target, headers = route_of(version), {}
         else:
             target, headers = "/again/", {"Authorization": f"Bearer {key_of(version)}"}
+        life = daemon.process
         answer = await self.fleet.call(daemon, target, Request_Id=number, **headers)
         if answer is None:
             return
         self.served += answer.status == OK
-        counts = sent_at - daemon.served_since > self.settled and daemon.running
-        if counts and self.operator.is_of_older(version, sent_at, answer.status, self.bound):
-            age = sent_at - self.operator.confirmed_at[self.operator.version]
+        if answer.status == 0 and daemon.process is life and not daemon.killed:
+            self.cut += 1
+        if sent_at - daemon.served_since < self.settled or not daemon.running:
+            return
+        age = self.operator.seconds_of_older(version, sent_at, answer.status)
+        self.longest = max(self.longest, age)
+        if age > self.bound:
             self.old.append(OldAnswer(daemon.node, number, target, answer.status, age))
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from benchmarks.relay import Relay
 from railsail.standins.fleet import free_ports
 from tests.platform.base import LONGEST_SECONDS, Answer, read_answer, request
 from tests.platform.standins import (
@@ -51,6 +52,10 @@
     access: StoreAccess
     log: Path
     process: subprocess.Popen | None = None
+    # Whether the process of now was, or is to be, killed.
+    killed: bool = False
+    # Where it listens for peers behind a relay, 0 for no relay.
+    listen_port: int = 0
     # When it was started or went on after a pause, by the clock of the event loop.
     up_since: float = 0.0
     # When the store began to answer it again.
@@ -92,6 +97,7 @@
             "failure-domain": self.domain,
             "store": f"{LOOPBACK}:{self.access.port}",
             "seeds": ",".join(seeds),
+            "listen-port": self.listen_port,
         }
         return [f"--{name}={value}" for name, value in (SHARED | own).items()]
 
@@ -104,6 +110,8 @@
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     replicas: list[ReplicaStandin] = field(default_factory=list)
     daemons: list[Daemon] = field(default_factory=list)
+    # Between the daemons, where there is one.
+    relay: Relay | None = None
 
     async def add_replica(self, script=None, service: str = "desk", slots: int = 64) -> None:
         """Start a replica, and list it."""
@@ -114,14 +122,18 @@
         spec = {"service": service, "addr": addr, "zone": "a", "slots": slots, "state": "ready"}
         self.store.put("servers", replica.name, spec | {"seq": 1})
 
-    def add_daemons(self, count: int, domains: int) -> None:
+    async def add_daemons(self, count: int, domains: int) -> None:
         """Start ``count`` daemons in ``domains`` failure domains."""
         first = len(self.daemons)
         for number in range(first, first + count):
             ip = f"127.0.1.{10 + number}"
             domain = f"domain-{number % domains}"
             log = self.folder / f"{number}.log"
-            daemon = Daemon(ip, free_ports(3, ip), domain, self.store.add_access(), log)
+            ports = free_ports(4, ip)
+            daemon = Daemon(ip, ports[:3], domain, self.store.add_access(), log)
+            if self.relay is not None:
+                daemon.listen_port = ports[3]
+                await self.relay.listen(ip, ports[2], ports[3])
             self.daemons.append(daemon)
         for daemon in self.daemons[first:]:
             self.start(daemon)
@@ -137,12 +149,19 @@
                 stderr=subprocess.STDOUT,
             )
         daemon.up_since = asyncio.get_running_loop().time()
+        daemon.killed = False
 
     async def kill(self, daemon: Daemon) -> None:
         """Kill a daemon."""
+        daemon.killed = True
         daemon.process.kill()
         await asyncio.to_thread(daemon.process.wait)
 
+    async def end(self, daemon: Daemon) -> None:
+        """Ask a daemon to stop, and wait until it has."""
+        daemon.process.terminate()
+        await asyncio.to_thread(daemon.process.wait)
+
     def pause(self, daemon: Daemon) -> None:
         """Let a daemon stand still."""
         daemon.process.send_signal(signal.SIGSTOP)
@@ -207,4 +226,6 @@
             await asyncio.to_thread(daemon.process.wait)
         for replica in self.replicas:
             replica.stop()
+        if self.relay is not None:
+            self.relay.stop()
         self.store.stop()
--- a/tests/platform/test_restored.py
+++ b/tests/platform/test_restored.py
@@ -9,6 +9,7 @@
 import unittest
 
 from railsail.node import Node
+from railsail.peers.levels import ERAS
 from tests.peers.test_levels import older_build
 from tests.platform.base import PlatformTestCase, configuration
 from tests.platform.standins import LOOPBACK, answering
@@ -134,7 +135,7 @@
         node = await self.add_node(seeds=f"{LOOPBACK}:{older.settings.peer_port}")
         await self.until(lambda: not node.not_ready() and node.watcher.era)
         node.view.watches_store = lambda: False
-        await self.until(node.hub.has_older_peers)
+        await self.until(lambda: node.hub.has_peers_below(ERAS))
         self.assertTrue(node._watches_store())
         self.store.era = 0
         node.watcher._absences.clear()
--- a/tests/platform/test_unheard.py
+++ b/tests/platform/test_unheard.py
@@ -7,7 +7,8 @@
 The store turned away just the nodes that read it for the others. These others were told nothing,
 and did not know that: a request that one of them refused with 404 shows ``configuration`` 4 and
 ``proof_age_ms`` 11477 in its line, while the store had confirmed version 5 over three seconds
-before.
+before. Those that read are chosen among the members that are alive; whether they can read, and
+whether what they read arrives, was known to nobody.
 """
 
 import asyncio
@@ -36,7 +37,7 @@
         self.operator = Operator(self.fleet.store)
         await self.fleet.add_replica()
         self.addAsyncCleanup(self.fleet.stop)
-        self.fleet.add_daemons(DAEMONS, DOMAINS)
+        await self.fleet.add_daemons(DAEMONS, DOMAINS)
         await self.fleet.until_ready()
         # Until they know each other, all of them watch.
         await asyncio.sleep(SETTLED_SECONDS)
--- /dev/null
+++ b/tests/store/test_freshness.py
@@ -0,0 +1,44 @@
+import unittest
+
+from railsail.core.clock import ManualClock
+from railsail.store.freshness import Freshness, Proof
+
+KIND = "upstream"
+
+
+class FreshnessTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.freshness = Freshness(self.clock.monotonic)
+
+    def proof(self, version: int, age: float) -> Proof:
+        return Proof(KIND, version, self.clock.monotonic() - age)
+
+    def test_nothing_is_proved_at_first(self):
+        self.assertEqual(self.freshness.age(KIND), float("inf"))
+        self.assertEqual(self.freshness.version(KIND), 0)
+
+    def test_newest_proof_counts(self):
+        self.assertTrue(self.freshness.take(self.proof(7, 2.0)))
+        self.assertFalse(self.freshness.take(self.proof(7, 3.0)))
+        self.assertTrue(self.freshness.take(self.proof(7, 1.0)))
+        self.clock.advance(0.5)
+        self.assertAlmostEqual(self.freshness.age(KIND), 1.5)
+
+    def test_reader_of_an_older_copy_proves_nothing(self):
+        self.freshness.take(self.proof(7, 2.0))
+        self.assertFalse(self.freshness.take(self.proof(6, 0.0)))
+        self.assertAlmostEqual(self.freshness.age(KIND), 2.0)
+
+    def test_own_reads_alone_are_told(self):
+        told = []
+        self.freshness.on_read(told.append)
+        self.freshness.take(self.proof(7, 2.0))
+        own = self.proof(7, 1.0)
+        self.freshness.read(own)
+        self.freshness.read(own)
+        self.assertEqual(told, [own])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/store/test_standby.py
@@ -0,0 +1,47 @@
+"""When a node that leaves reading the store to others reads it itself."""
+
+import random
+import unittest
+
+from railsail.store.standby import PATIENCE_SHARE, READING_SHARE, SPREAD_SHARE, Standby
+
+SECONDS = 2.0
+SIZE = 390
+
+
+def standby(seed: int = 1) -> Standby:
+    return Standby(SECONDS, lambda: SIZE, random.Random(seed))
+
+
+class StandbyTests(unittest.TestCase):
+    def test_leaves_reading_to_others_that_prove_that_they_do(self):
+        self.assertFalse(standby().reads(SECONDS * PATIENCE_SHARE * 0.99, 0.0))
+
+    def test_reads_before_a_watch_of_others_would_have_ended(self):
+        self.assertTrue(standby().reads(SECONDS * (PATIENCE_SHARE + SPREAD_SHARE), 0.0))
+        self.assertLess(PATIENCE_SHARE + SPREAD_SHARE, 1.0)
+
+    def test_node_that_has_never_heard_of_the_store_reads(self):
+        self.assertTrue(standby().reads(float("inf"), 0.0))
+
+    def test_goes_on_for_a_while_though_others_read_again(self):
+        one = standby()
+        self.assertTrue(one.reads(SECONDS, 100.0))
+        self.assertTrue(one.reads(0.0, 100.0 + 0.49 * READING_SHARE * SECONDS))
+        self.assertFalse(one.reads(0.0, 100.1 + READING_SHARE * SECONDS))
+
+    def test_few_of_many_begin_first(self):
+        early = SECONDS * (PATIENCE_SHARE + SPREAD_SHARE / 3)
+        begun = sum(standby(seed).reads(early, 0.0) for seed in range(SIZE))
+        self.assertGreater(begun, 0)
+        self.assertLess(begun, SIZE / 20)
+
+    def test_tells_when_it_will_begin(self):
+        one = standby()
+        left = one.seconds_left(0.0)
+        self.assertFalse(one.reads(left - 0.01, 0.0))
+        self.assertTrue(one.reads(left, 0.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/store/test_watcher.py
+++ b/tests/store/test_watcher.py
@@ -8,9 +8,10 @@
 
 from railsail.core.clock import Clock, steady_seconds
 from railsail.core.events import EventLog
+from railsail.core.exceptions import StoreUnavailable
 from railsail.store import watcher as watcher_module
 from railsail.store.base import Listing, WatchEvent, WatchResult
-from railsail.store.freshness import Freshness
+from railsail.store.freshness import Freshness, Proof
 from railsail.store.watcher import GATHER_SECONDS, StoreWatcher
 
 KIND = "upstream"
@@ -50,7 +51,13 @@
         seen: list[int] = []
         events = EventLog("n", Clock())
         watcher = StoreWatcher(
-            store, lambda: True, 30.0, Freshness(steady_seconds), events, random.Random(1)
+            store,
+            lambda: True,
+            lambda: 9,
+            30.0,
+            Freshness(steady_seconds),
+            events,
+            random.Random(1),
         )
         watcher.follow(KIND, lambda listing: None, lambda event: seen.append(event.version))
         task = asyncio.ensure_future(watcher.run())
@@ -78,6 +85,7 @@
         watcher = StoreWatcher(
             store,
             lambda: watching,
+            lambda: 9,
             0.05,
             Freshness(steady_seconds),
             EventLog("n", Clock()),
@@ -113,7 +121,13 @@
 
         events = EventLog("n", Clock())
         watcher = StoreWatcher(
-            store, lambda: True, 30.0, Freshness(steady_seconds), events, random.Random(1)
+            store,
+            lambda: True,
+            lambda: 9,
+            30.0,
+            Freshness(steady_seconds),
+            events,
+            random.Random(1),
         )
         watcher.follow(KIND, lambda listing: None, take)
         task = asyncio.ensure_future(watcher.run())
@@ -139,7 +153,13 @@
         events = EventLog("n", Clock())
         with mock.patch.object(watcher_module, "LEARN_MEMBERS_SECONDS", 0.05):
             watcher = StoreWatcher(
-                store, lambda: watching[0], 2.0, Freshness(steady_seconds), events, random.Random(1)
+                store,
+                lambda: watching[0],
+                lambda: 9,
+                2.0,
+                Freshness(steady_seconds),
+                events,
+                random.Random(1),
             )
             watcher.follow(KIND, lists.append, lambda event: None)
             task = asyncio.ensure_future(watcher.run())
@@ -151,5 +171,84 @@
         self.assertEqual((len(lists), store.watches), (1, 0))
 
 
+class SilentStore(GroupStore):
+    """A store that notes from which versions it is watched, and turns watches away while down."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.down = False
+        self.lists = 0
+        self.since: list[int] = []
+
+    async def list(self, kind: str) -> Listing:
+        self.lists += 1
+        return await super().list(kind)
+
+    async def watch(self, kinds: tuple[str, ...], since: int, seconds: float) -> WatchResult:
+        self.since.append(since)
+        if self.down:
+            raise StoreUnavailable("turned away")
+        await asyncio.sleep(seconds)
+        return WatchResult(since, ())
+
+
+class UntoldTests(unittest.IsolatedAsyncioTestCase):
+    """A node that leaves watching to others, and is told nothing by them, reads for itself."""
+
+    WATCH_SECONDS = 0.2
+    # So long that no proof is old, whatever the machine does.
+    LONG_WATCH_SECONDS = 300.0
+
+    async def asyncSetUp(self) -> None:
+        self.hold(mock.patch.object(watcher_module, "LEARN_MEMBERS_SECONDS", 0.0))
+        self.hold(mock.patch.object(watcher_module, "FIRST_PAUSE_SECONDS", 0.01))
+
+    def start(self, watch_seconds: float) -> None:
+        self.store = SilentStore()
+        self.freshness = Freshness(steady_seconds)
+        watcher = StoreWatcher(
+            self.store,
+            lambda: False,
+            lambda: 9,
+            watch_seconds,
+            self.freshness,
+            EventLog("n", Clock()),
+            random.Random(1),
+        )
+        watcher.follow(KIND, lambda listing: None, lambda event: None)
+        task = asyncio.ensure_future(watcher.run())
+        self.addCleanup(task.cancel)
+
+    def hold(self, patch) -> None:
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def until(self, condition) -> None:
+        async with asyncio.timeout(30.0):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def test_it_watches_from_where_peers_proved_it_to_be_without_a_list(self):
+        self.start(self.WATCH_SECONDS)
+        self.freshness.take(Proof(KIND, 77, steady_seconds()))
+        await self.until(lambda: self.store.since)
+        self.assertEqual((self.store.since[0], self.store.lists), (77, 1))
+        await self.until(lambda: self.freshness.age(KIND) < self.WATCH_SECONDS / 2)
+
+    async def test_it_does_not_watch_while_peers_prove_that_they_do(self):
+        self.start(self.LONG_WATCH_SECONDS)
+        self.freshness.take(Proof(KIND, 77, steady_seconds()))
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.store.since, [])
+
+    async def test_it_tries_again_without_a_list_where_it_is_turned_away(self):
+        self.start(self.WATCH_SECONDS)
+        self.store.down = True
+        await self.until(lambda: len(self.store.since) > 3)
+        self.store.down = False
+        await self.until(lambda: self.freshness.age(KIND) < self.WATCH_SECONDS / 2)
+        self.assertEqual(self.store.lists, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
