configuration: refused for certain only what a configuration that is proved does not know

Callers of routes and with keys that were added a moment ago were refused with 404 and 401 by nodes that had heard nothing of the store for long, and took that for final: neither is tried again, while another node would have served them.

Cause: a node that cannot know whether its configuration is the newest refused as one that can. It refuses such requests with 503 and Retry-After now, as not run, where the newest proof of its configuration is older than it gets wherever the store or a peer can be heard (2.2 s with watches of 2 s). That holds since it asks for the proof, not for a reason why there may be none. What the configuration does know is served as before.

Before: 404 and 401 from a node whose store had been away for twice the time of a watch; after: 503, and 404 and 401 again as soon as the store answers (tests.platform.test_outage).

--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -31,6 +31,7 @@
 from railsail.core.exceptions import ImproperlyConfigured, StoreUnavailable
 from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
+from railsail.core.outcomes import NotRun, Reason
 from railsail.core.tasks import TaskSet
 from railsail.objects.catalog import Catalog
 from railsail.peers.messages import ConfigurationNews
@@ -47,12 +48,28 @@
     """Which configuration is in force here, and how well it is known to be the newest.
 
     ``source`` is the peer that told it, or the store; ``proof_age`` is for how many seconds at most
-    the store can have had a newer one, infinite where that is not known.
+    the store can have had a newer one, infinite where that is not known, and ``longest`` how old a
+    proof may get where the store can be read.
     """
 
     version: int
     source: str
     proof_age: float
+    longest: float
+
+    @property
+    def proved(self) -> bool:
+        """Say whether any newer version has been there for a moment only."""
+        return self.proof_age <= self.longest
+
+    def refusal(self, reason: Reason, detail: str) -> NotRun:
+        """Return the refusal of a request that this configuration does not allow.
+
+        Callers take that for final, so that it is told only where no other node may know better.
+        """
+        if self.proved:
+            return NotRun(reason, detail)
+        return NotRun(Reason.UNPROVED_CONFIGURATION, f"{detail} here, and this node may be behind")
 
     def facts(self) -> dict[str, Fact]:
         """Return the same for the time line."""
@@ -70,6 +87,7 @@
         repository: ConfigurationRepository,
         flood: Callable[[ConfigurationNews, str], None],
         freshness: Freshness,
+        longest_proof_age: float,
         events: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -78,6 +96,7 @@
         self._repository = repository
         self._flood = flood
         self._freshness = freshness
+        self._longest_proof_age = longest_proof_age
         self._events = events
         self._metrics = metrics
         self._changes: list[Change] = []
@@ -86,7 +105,8 @@
 
     def held(self) -> Held:
         """Return which configuration is in force, and how old it may be."""
-        return Held(self.catalog.version, self._source, self._freshness.age(KIND))
+        age = self._freshness.age(KIND)
+        return Held(self.catalog.version, self._source, age, self._longest_proof_age)
 
     def on_change(self, listener: Listener) -> None:
         """Call ``listener`` with each catalog that comes into force."""
--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -24,6 +24,7 @@
     UNREACHABLE = "upstream-unreachable"
     REFUSED = "upstream-refused"
     NO_CONFIGURATION = "no-configuration"
+    UNPROVED_CONFIGURATION = "unproved-configuration"
     QUARANTINED = "quarantined"
 
 
--- a/railsail/gateway/app.py
+++ b/railsail/gateway/app.py
@@ -6,6 +6,7 @@
 
 from tornado.web import Application, RequestHandler
 
+from railsail.configuration.carrier import Held
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Reason, Unknown
@@ -77,7 +78,7 @@
     def _unauthorized(self) -> NotRun:
         if not self._gateway.callers.configured_version:
             return NotRun(Reason.NO_CONFIGURATION, "this node has no configuration yet")
-        return NotRun(Reason.UNAUTHORIZED, "the bearer key is not known")
+        return self._gateway.held().refusal(Reason.UNAUTHORIZED, "the bearer key is not known")
 
     async def _serve_read(self, workspace: str, request: CallerRequest) -> Result:
         gateway = self._gateway
@@ -179,10 +180,12 @@
     def __init__(
         self,
         server: Server,
+        held: Callable[[], Held],
         kernel: Kernel,
         new_id: Callable[[], str],
     ) -> None:
         self.server = server
+        self.held = held
         self.callers = Callers()
         self.clock = kernel.clock
         self.events = kernel.events
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -67,6 +67,7 @@
 from railsail.store.base import STORES
 from railsail.store.freshness import Freshness
 from railsail.store.proofs import ProofExchange
+from railsail.store.standby import PROVED_SHARE
 from railsail.store.watcher import StoreWatcher
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.directory import UpstreamDirectory
@@ -142,7 +143,12 @@
         flood = self.membership.flood
         self.freshness = Freshness(self.clock.monotonic)
         self.carrier = ConfigurationCarrier(
-            self.repository, flood, self.freshness, self.events, self.metrics
+            self.repository,
+            flood,
+            self.freshness,
+            PROVED_SHARE * settings.watch_seconds,
+            self.events,
+            self.metrics,
         )
         self.directory = UpstreamDirectory(
             flood, self.events, self.clock.monotonic, self.clock.wall
@@ -247,7 +253,7 @@
         server = Server(
             self._catalog, self.judge, tries, self.claims, shelf, self.admission, self.kernel
         )
-        self.gateway = Gateway(server, self.kernel, self._new_id)
+        self.gateway = Gateway(server, self.carrier.held, self.kernel, self._new_id)
         self.front: RouteFront | None = None
         self.forwarder: Forwarder | None = None
         # The servers of callers, and of requests that other nodes hand on.
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -156,10 +156,12 @@
             return NotRun(Reason.NO_CONFIGURATION, "this node has no configuration yet")
         route = self._routes.find(request.host, request.path)
         if route is None:
-            return NotRun(Reason.UNKNOWN_ROUTE, "there is no such route")
+            return self._configuration.held().refusal(
+                Reason.UNKNOWN_ROUTE, "there is no such route"
+            )
         workspace = self._callers.workspace_of(request.key) or ""
         if not workspace and self._callers.any_workspace and not route.public:
-            return NotRun(Reason.UNAUTHORIZED, "the key is not known")
+            return self._configuration.held().refusal(Reason.UNAUTHORIZED, "the key is not known")
         name = choose_pool(route, self._rng)
         pool = catalog.pool(name)
         if pool is None:
--- a/railsail/store/standby.py
+++ b/railsail/store/standby.py
@@ -19,6 +19,11 @@
 READING_SHARE = 5.0
 
 
+# A node that the store answers, or that hears of others, has a proof that is younger than so many
+# times as long: whoever has none for longer begins to read, and a call takes a moment.
+PROVED_SHARE = 1.1
+
+
 class Standby:
     """Decide for one node and some kinds; ``size`` says of how many members."""
 
--- a/tests/platform/test_outage.py
+++ b/tests/platform/test_outage.py
@@ -1,7 +1,13 @@
-"""What a daemon does with what it knows of replicas while the platform's store is away."""
+"""What a daemon does with what it knows while the platform's store is away.
+
+A node that had heard nothing of the store for long refused requests on routes, and with keys, that
+a change might have added, with 404 and 401. Callers take these for final and ask nobody else. The
+line of such a refusal shows ``proof_age_ms`` over 2200, or none.
+"""
 
 import unittest
 
+from railsail.node import Node
 from tests.platform.base import PlatformTestCase
 from tests.platform.standins import answering, refusing
 
@@ -44,6 +50,30 @@
             await self.call(node, "/once/", Request_Id=f"r-{number}")
         self.assertEqual(self.received(), [0, 4])
 
+    async def unproved(self) -> Node:
+        """Return a node that cannot know whether its configuration is the newest any more."""
+        node = await self.serve(answering())
+        self.store.down = True
+        await self.until(lambda: node.carrier.held().proof_age > node.settings.watch_seconds * 2)
+        return node
+
+    async def test_caller_of_a_route_that_may_be_new_may_ask_another_node(self):
+        node = await self.unproved()
+        answer = await self.call(node, "/added/")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        answer = await self.call(node, "/once/", Request_Id="r-2", Authorization="Bearer new")
+        self.assertEqual(answer.status, 503)
+        answer = await self.call(node, "/once/", Request_Id="r-3")
+        self.assertEqual(answer.status, 200)
+
+    async def test_caller_of_no_route_is_told_so_while_the_store_answers(self):
+        node = await self.serve(answering())
+        await self.until(lambda: node.carrier.held().proof_age < node.settings.watch_seconds)
+        self.assertEqual((await self.call(node, "/added/")).status, 404)
+        answer = await self.call(node, "/once/", Request_Id="r-2", Authorization="Bearer new")
+        self.assertEqual(answer.status, 401)
+
     async def test_refusal_tells_when_to_come_back_within_what_a_caller_waits(self):
         node = await self.serve(refusing(Not_Run="1"))
         answer = await self.call(node, "/once/", Deadline_Ms="3000")
