configuration: read what a head needs until it is in force

Callers saw routes that were added refused by one node, until the next change came or the node listed the store, after a minute where it watches and after ten where it does not.

It stays pending now and is read again after pauses of up to 2 s until it, or a newer one, is in force; meanwhile this node proves to nobody that it holds the configuration. Heads that need nothing more are in force before the call that brought them ends, and so before what it proves is told.

The platform's heads hold all objects and were not concerned.

--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -5,8 +5,10 @@
 names another version repairs what was lost.
 """
 
+import asyncio
 import json
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -34,12 +36,17 @@
 from railsail.core.outcomes import NotRun, Reason
 from railsail.core.tasks import TaskSet
 from railsail.objects.catalog import Catalog
-from railsail.peers.messages import ConfigurationNews
+from railsail.peers.messages import ConfigurationNews, StateRequest
 from railsail.store.base import Listing, StoredObject, WatchEvent
 from railsail.store.freshness import Freshness
+from railsail.store.journal import Backoff
 
 # Where a configuration came from that no peer told.
 STORE = "store"
+# What a head needs of the store besides is read again after pauses from the one to the other.
+FIRST_PAUSE_SECONDS = 0.25
+MOST_PAUSE_SECONDS = 2.0
+_NOT_UNDERSTOOD = (ImproperlyConfigured, msgspec.ValidationError)
 Listener = Callable[[Catalog], None]
 
 
@@ -80,21 +87,29 @@
 
 
 class ConfigurationCarrier:
-    """Hold the catalog in force; ``flood`` sends a message to all neighbours but one."""
+    """Hold the catalog in force.
+
+    ``flood`` sends a message to all neighbours but one, ``ask`` a request to one peer; a proof of
+    the configuration gets ``longest_proof_age`` seconds old at most where the store can be read.
+    """
 
     def __init__(
         self,
         repository: ConfigurationRepository,
         flood: Callable[[ConfigurationNews, str], None],
+        ask: Callable[[str, StateRequest], object],
         freshness: Freshness,
         longest_proof_age: float,
         events: EventLog,
         metrics: Metrics,
+        rng: random.Random,
     ) -> None:
         self.catalog = Catalog()
         self._source = ""
         self._repository = repository
         self._flood = flood
+        self._ask = ask
+        self._rng = rng
         self._freshness = freshness
         self._longest_proof_age = longest_proof_age
         self._events = events
@@ -102,6 +117,9 @@
         self._changes: list[Change] = []
         self._listeners: list[Listener] = []
         self._tasks = TaskSet()
+        # The newest head that was seen of the store, until it is in force.
+        self._pending: StoredObject | None = None
+        self._reading = False
 
     def held(self) -> Held:
         """Return which configuration is in force, and how old it may be."""
@@ -123,16 +141,39 @@
         if event.name == HEAD and event.value is not None:
             self._resolve(StoredObject(KIND, HEAD, event.version, event.value))
 
+    def caught_up(self) -> bool:
+        """Say whether all that this node has seen of the store is in force."""
+        return self._pending is None
+
     def _resolve(self, stored: StoredObject) -> None:
         if stored.value.get("version", 0) <= self.catalog.version:
             return
-        self._tasks.start(self._resolve_now(stored))
-
-    async def _resolve_now(self, stored: StoredObject) -> None:
+        self._pending = stored
         try:
-            self.committed(await self._repository.resolve(stored, self.catalog))
-        except (StoreUnavailable, ImproperlyConfigured, msgspec.ValidationError) as problem:
-            get_logger().warning("configuration not read", reason=str(problem))
+            committed = self._repository.resolve_known(stored, self.catalog)
+        except _NOT_UNDERSTOOD as problem:
+            # It stays pending, so that no peer is told that this node holds it.
+            get_logger().warning("configuration not understood", reason=str(problem))
+            return
+        if committed is not None:
+            self.committed(committed)
+        elif not self._reading:
+            self._reading = True
+            self._tasks.start(self._read_pending())
+
+    async def _read_pending(self) -> None:
+        """Read what a head needs besides until it is in force: nobody may tell of it again."""
+        backoff = Backoff(self._rng, FIRST_PAUSE_SECONDS, MOST_PAUSE_SECONDS)
+        while self._pending is not None:
+            try:
+                self.committed(await self._repository.resolve(self._pending, self.catalog))
+            except StoreUnavailable as problem:
+                get_logger().warning("configuration not read yet", reason=str(problem))
+                await asyncio.sleep(backoff.pause())
+            except _NOT_UNDERSTOOD as problem:
+                get_logger().warning("configuration not understood", reason=str(problem))
+                break
+        self._reading = False
 
     def committed(self, committed: Committed) -> None:
         """Bring a configuration that was read from the store into force, if it is newer."""
@@ -168,6 +209,8 @@
         previous = self.catalog.version
         self.catalog = catalog
         self._source = source or STORE
+        if self._pending is not None and self._pending.value.get("version", 0) <= catalog.version:
+            self._pending = None
         known = {change.version: change for change in [*self._changes, *changes]}
         self._changes = [known[version] for version in sorted(known)][-KEPT_CHANGES:]
         self._metrics.version.set({}, catalog.version)
--- a/railsail/configuration/repository.py
+++ b/railsail/configuration/repository.py
@@ -74,21 +74,23 @@
 
     async def resolve(self, stored: StoredObject, known: Catalog) -> Committed:
         """Return the configuration of a head object that was read or watched."""
+        committed = self.resolve_known(stored, known)
+        if committed is not None:
+            return committed
+        head = msgspec.convert(stored.value, Head)
+        return _committed(stored, head, await self._read_snapshot(head.base))
+
+    def resolve_known(self, stored: StoredObject, known: Catalog) -> Committed | None:
+        """Return the same where nothing else has to be read of the store, and else ``None``."""
         head = msgspec.convert(stored.value, Head)
         if head.objects is not None:
             catalog = restore(Snapshot(head.version, head.objects))
             return Committed(stored.version, head, catalog)
-        catalog = known
-        if not head.base <= known.version <= head.version:
-            catalog = await self._read_snapshot(head.base)
-        for change in head.changes:
-            if change.version > catalog.version:
-                catalog = apply_change(catalog, change)
-        return Committed(stored.version, head, catalog)
+        if head.base <= known.version <= head.version:
+            return _committed(stored, head, known)
+        return _committed(stored, head, Catalog()) if head.base == 0 else None
 
     async def _read_snapshot(self, version: int) -> Catalog:
-        if version == 0:
-            return Catalog()
         stored = await self._store.get(KIND, f"snapshot-{version}")
         if stored is None:
             raise StoreUnavailable(f"snapshot {version} is not there")
@@ -158,3 +160,11 @@
     for change in reversed(head.changes):
         if change.version > proposal.base and change.keys() & keys:
             raise ConfigurationConflict(change)
+
+
+def _committed(stored: StoredObject, head: Head, catalog: Catalog) -> Committed:
+    """Return what the changes of ``head`` make of ``catalog``."""
+    for change in head.changes:
+        if change.version > catalog.version:
+            catalog = apply_change(catalog, change)
+    return Committed(stored.version, head, catalog)
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -145,10 +145,12 @@
         self.carrier = ConfigurationCarrier(
             self.repository,
             flood,
+            self.hub.send,
             self.freshness,
             PROVED_SHARE * settings.watch_seconds,
             self.events,
             self.metrics,
+            self.rng,
         )
         self.directory = UpstreamDirectory(
             flood, self.events, self.clock.monotonic, self.clock.wall
@@ -165,7 +167,13 @@
         ProofExchange(
             self.freshness, CONFIGURATION, lambda: self.carrier.catalog.version, flood, self.hub
         )
-        self.watcher.follow(CONFIGURATION, self.carrier.listed, self.carrier.seen, HEAD)
+        self.watcher.follow(
+            CONFIGURATION,
+            self.carrier.listed,
+            self.carrier.seen,
+            HEAD,
+            holds=self.carrier.caught_up,
+        )
         self.watcher.follow(UPSTREAM, self.directory.listed, self.directory.seen)
         evacuations = self.directory.evacuations
         self.watcher.follow(EVACUATION, evacuations.listed, evacuations.seen)
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -73,6 +73,7 @@
         self._names: dict[str, str] = {}
         self._seconds: dict[str, float] = {}
         self._seen: dict[str, Seen] = {}
+        self._holds: dict[str, Callable[[], bool]] = {}
         self._answered: dict[str, bool] = {}
         # By kind, whether its last listing may lack objects that are written again in a moment.
         self._absences: defaultdict[str, StoreAbsence] = defaultdict(StoreAbsence)
@@ -89,17 +90,25 @@
         return max((absence.era for absence in self._absences.values()), default=0)
 
     def follow(
-        self, kind: str, listed: Listed, seen: Seen, name: str = "", seconds: float = 0.0
+        self,
+        kind: str,
+        listed: Listed,
+        seen: Seen,
+        name: str = "",
+        seconds: float = 0.0,
+        holds: Callable[[], bool] = lambda: True,
     ) -> None:
         """Call ``listed`` with every listing of ``kind``, and ``seen`` with single changes.
 
         With ``name``, only the object of that name is read, and other changes are passed on unread.
-        A watch of this kind lasts ``seconds``, 0 for as long as those of other kinds.
+        A watch of this kind lasts ``seconds``, 0 for as long as those of other kinds. Where
+        ``holds`` is false, the listeners have not taken in all that they were told yet.
         """
         self._seconds[kind] = seconds or self._watch_seconds
         self._listed[kind] = listed
         self._names[kind] = name
         self._seen[kind] = seen
+        self._holds[kind] = holds
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -154,7 +163,8 @@
         return min(asked_at + waits, self._freshness.now())
 
     def _prove(self, kind: str, version: int, at: float) -> None:
-        self._freshness.read(Proof(kind, version, at))
+        if self._holds[kind]():
+            self._freshness.read(Proof(kind, version, at))
 
     def _settles(self, kind: str, listing: Listing) -> bool:
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/configuration/test_carrier.py
@@ -0,0 +1,112 @@
+"""A configuration that cannot be taken in at once is not forgotten.
+
+A node heard of a new configuration once, could not read what it needed of the store just then, and
+logged that; it went on with the old one until the next change or list, up to ten minutes later.
+Nothing showed it but an old ``configuration`` in the lines of its requests.
+"""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+
+from railsail.configuration import carrier as carrier_module
+from railsail.configuration.carrier import ConfigurationCarrier
+from railsail.configuration.changes import Change, OperationRecord, Snapshot, encode
+from railsail.configuration.repository import HEAD, KIND, ConfigurationRepository, Head
+from railsail.core.clock import Clock, steady_seconds
+from railsail.core.events import EventLog
+from railsail.core.exceptions import StoreUnavailable
+from railsail.core.metrics import Metrics
+from railsail.peers.messages import ConfigurationNews, StateRequest
+from railsail.store.base import StoredObject, WatchEvent
+from railsail.store.freshness import Freshness
+
+BASE = 7
+
+
+def gold(weight: float) -> dict[str, object]:
+    return {"kind": "priorityclass", "name": "gold", "weight": weight}
+
+
+def change(version: int) -> Change:
+    operation = OperationRecord("priorityclass", "gold", gold(float(version)))
+    return Change(version, f"c{version}", "test", 0.0, (operation,))
+
+
+class FailingStore:
+    """A store with one snapshot, which fails for some calls."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+
+    async def get(self, kind: str, name: str) -> StoredObject:
+        if self.failures:
+            self.failures -= 1
+            raise StoreUnavailable("turned away")
+        value = msgspec.to_builtins(Snapshot(BASE, (gold(1.0),)))
+        return StoredObject(kind, name, 1, value)
+
+
+class CarrierTests(unittest.IsolatedAsyncioTestCase):
+    def carrier(self, failures: int = 0) -> ConfigurationCarrier:
+        clock = Clock()
+        self.asked: list[tuple[str, StateRequest]] = []
+        self.flooded: list[ConfigurationNews] = []
+        rng = random.Random(1)
+        return ConfigurationCarrier(
+            ConfigurationRepository(FailingStore(failures), clock, rng),
+            lambda news, source: self.flooded.append(news),
+            lambda node, message: self.asked.append((node, message)),
+            Freshness(steady_seconds),
+            60.0,
+            EventLog("n", clock),
+            Metrics(),
+            rng,
+        )
+
+    def seen(self, carrier: ConfigurationCarrier, version: int, base: int = BASE) -> None:
+        changes = tuple(change(number) for number in range(base + 1, version + 1))
+        value = msgspec.to_builtins(Head(version, base, changes))
+        carrier.seen(WatchEvent(KIND, HEAD, version, value))
+
+    async def until(self, condition) -> None:
+        async with asyncio.timeout(30.0):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def test_head_whose_snapshot_could_not_be_read_comes_into_force_later(self):
+        carrier = self.carrier(failures=3)
+        with mock.patch.object(carrier_module, "FIRST_PAUSE_SECONDS", 0.01):
+            self.seen(carrier, BASE + 2)
+            self.assertFalse(carrier.caught_up())
+            await self.until(lambda: carrier.catalog.version == BASE + 2)
+        self.assertTrue(carrier.caught_up())
+
+    async def test_newest_of_several_heads_comes_into_force(self):
+        carrier = self.carrier(failures=1)
+        with mock.patch.object(carrier_module, "FIRST_PAUSE_SECONDS", 0.01):
+            self.seen(carrier, BASE + 1)
+            self.seen(carrier, BASE + 2)
+            await self.until(lambda: carrier.catalog.version == BASE + 2)
+        self.assertEqual(self.flooded[-1].version, BASE + 2)
+
+    async def test_head_that_needs_nothing_more_is_in_force_at_once(self):
+        carrier = self.carrier()
+        self.seen(carrier, 2, base=0)
+        self.assertEqual(carrier.catalog.version, 2)
+        self.assertTrue(carrier.caught_up())
+
+    async def test_head_that_cannot_be_understood_is_left_until_another_one_comes(self):
+        carrier = self.carrier()
+        carrier.seen(WatchEvent(KIND, HEAD, 1, {"version": 3, "changes": "none"}))
+        self.assertFalse(carrier.caught_up())
+        self.seen(carrier, 4, base=0)
+        self.assertEqual(carrier.catalog.version, 4)
+        self.assertTrue(carrier.caught_up())
+
+
+if __name__ == "__main__":
+    unittest.main()
