configuration: asked a peer for what its news build on

A node that was told changes whose beginning it did not have dropped them without a word, and had an older configuration until a heartbeat of that peer named the newer version, up to a second later, or for as long as heartbeats were lost. Cause: news that cannot be applied were taken for old ones. The peer that told them has all that they build on, and is asked at once.

Before: nothing asked; after: one request, with the version that is held.

--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -181,7 +181,11 @@
 
     def received(self, node: str, news: ConfigurationNews) -> None:
         """Take in news of a peer."""
-        if news.version <= self.catalog.version or news.since > self.catalog.version:
+        if news.version <= self.catalog.version:
+            return
+        if news.since > self.catalog.version:
+            # Whoever tells changes has what they build on.
+            self._ask(node, StateRequest(self.catalog.version))
             return
         try:
             catalog, changes = self._read_news(news)
--- a/tests/configuration/test_carrier.py
+++ b/tests/configuration/test_carrier.py
@@ -1,8 +1,9 @@
 """A configuration that cannot be taken in at once is not forgotten.
 
 A node heard of a new configuration once, could not read what it needed of the store just then, and
-logged that; it went on with the old one until the next change or list, up to ten minutes later.
-Nothing showed it but an old ``configuration`` in the lines of its requests.
+logged that; it went on with the old one until the next change or list, up to ten minutes later. In
+the same way it dropped what a peer told it of changes whose beginning it did not have. Nothing
+showed either but an old ``configuration`` in the lines of its requests.
 """
 
 import asyncio
@@ -107,6 +108,13 @@
         self.assertEqual(carrier.catalog.version, 4)
         self.assertTrue(carrier.caught_up())
 
+    async def test_peer_is_asked_for_what_its_news_build_on(self):
+        carrier = self.carrier()
+        self.seen(carrier, 2, base=0)
+        carrier.received("a", ConfigurationNews(3, 4, encode([change(4)])))
+        self.assertEqual(self.asked, [("a", StateRequest(2))])
+        self.assertEqual(carrier.catalog.version, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
