--- /dev/null
+++ b/benchmarks/shares.py
@@ -0,0 +1,280 @@
+"""What each workspace gets of overloaded model replicas, by daemons as processes on the adapter.
+
+    python -m benchmarks.shares [--seed=1] [--seconds=30] [--daemons=12] [--rate=150] [--calm]
+
+Thirty workspaces, three of them large, ask for more than three replicas can do, from the first
+second on. Half of the daemons are killed and started again after a third of the time, and those
+that watch the store are turned away after two thirds, unless the run is ``--calm``.
+
+Checked is, for each six seconds: a workspace that in each of these seconds had a request refused,
+or answered later than its objective, got half of what it asked for or the workspace that was served
+best in them got, whichever is less, second by second, but for three of the largest requests.
+"""
+
+import asyncio
+import logging
+import random
+import shutil
+import tempfile
+from collections import defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import fire
+
+from railsail.core.logs import configure_logs
+from tests.platform.engines import MADE_WEIGHT, Begun, EngineStandin
+from tests.platform.processes import Daemon, ProcessFleet
+from tests.platform.standins import TurnedAway
+
+WORKSPACES = 30
+LARGE = 3
+# How often each of the large ones asks as the others do.
+LARGE_WEIGHT = 10
+DOMAINS = 3
+REPLICAS = 3
+WINDOW_SECONDS = 6
+LARGEST_REQUESTS = 3
+OK = 200
+NOT_RUN = 503
+
+
+@dataclass(frozen=True)
+class Kind:
+    """One kind of request; ``objective`` and ``deadline`` are in seconds."""
+
+    route: str
+    weight: float
+    shared: int
+    prompt: int
+    made: int
+    objective: float
+    deadline: float
+
+
+KINDS = (
+    Kind("summary", 192, 5382, 11992, 384, 0.6, 12.0),
+    Kind("reply", 137, 198, 826, 288, 0.3, 12.0),
+    Kind("tag", 305, 568, 2368, 24, 0.4, 2.5),
+)
+LARGEST_TOKENS = max(kind.prompt + MADE_WEIGHT * kind.made for kind in KINDS)
+
+
+def configuration() -> dict:
+    """Return the routes, the model service and the workspaces."""
+    routes = [
+        {
+            "name": kind.route,
+            "host": "a.example",
+            "path_prefix": f"/{kind.route}/",
+            "service": "model",
+            "kind": "streaming",
+            "timeout_ms": kind.deadline * 1000,
+            "slo_ms": kind.objective * 1000,
+            "gap_slo_ms": 300,
+            "max_attempts": 2,
+            "priority": 1,
+        }
+        for kind in KINDS
+    ]
+    return {
+        "version": 3,
+        "routes": routes,
+        "services": [{"name": "model", "engine": {"slots": 32}}],
+        "limits": {},
+        "tenants": [{"name": f"w{n}", "api_keys": [f"key-{n}"]} for n in range(WORKSPACES)],
+    }
+
+
+@dataclass(frozen=True)
+class Share:
+    """What a workspace got and could have got from a second of the run on, in tokens."""
+
+    workspace: str
+    first: int
+    got: int
+    owed: int
+
+    @property
+    def broken(self) -> bool:
+        """Say whether it got far less than its share."""
+        return self.got < self.owed / 2 - LARGEST_REQUESTS * LARGEST_TOKENS
+
+
+@dataclass
+class Ledger:
+    """What workspaces asked for and got in each second, and which of them were hurt in it."""
+
+    begun_at: float
+    asked: dict[int, dict[str, int]] = field(default_factory=lambda: defaultdict(_counts))
+    got: dict[int, dict[str, int]] = field(default_factory=lambda: defaultdict(_counts))
+    hurt: dict[int, set[str]] = field(default_factory=lambda: defaultdict(set))
+
+    def second(self, at: float) -> int:
+        """Return the second of the run that ``at`` is in."""
+        return int(at - self.begun_at)
+
+    def begun(self, run: Begun) -> None:
+        """Count a run that began."""
+        self.got[self.second(run.at)][run.workspace] += run.tokens
+
+    def shares(self, seconds: int) -> list["Share"]:
+        """Return what each workspace got in each window in all of whose seconds it was hurt."""
+        found = []
+        for first in range(seconds - WINDOW_SECONDS + 1):
+            window = range(first, first + WINDOW_SECONDS)
+            for workspace in set.intersection(*(self.hurt[second] for second in window)):
+                found.append(self._share(window, workspace))
+        return found
+
+    def _share(self, window: range, workspace: str) -> "Share":
+        best = max(self._names(), key=lambda name: self._got(window, name))
+        owed = sum(min(self.asked[second][workspace], self.got[second][best]) for second in window)
+        return Share(workspace, window[0], self._got(window, workspace), owed)
+
+    def _got(self, window: range, workspace: str) -> int:
+        return sum(self.got[second][workspace] for second in window)
+
+    def _names(self) -> list[str]:
+        return [f"w{number}" for number in range(WORKSPACES)]
+
+
+def _counts() -> dict[str, int]:
+    return defaultdict(int)
+
+
+@dataclass
+class Load:
+    """Callers that ask ``rate`` times a second, and once more after a refusal."""
+
+    fleet: ProcessFleet
+    ledger: Ledger
+    rng: random.Random
+    rate: float
+    sent: int = 0
+    served: int = 0
+    in_time: int = 0
+    calls: set[asyncio.Task] = field(default_factory=set)
+
+    async def run(self, seconds: float) -> None:
+        """Ask for so long."""
+        weights = [LARGE_WEIGHT] * LARGE + [1] * (WORKSPACES - LARGE)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        while loop.time() < ends_at:
+            number = self.rng.choices(range(WORKSPACES), weights)[0]
+            kind = self.rng.choices(KINDS, [kind.weight for kind in KINDS])[0]
+            call = asyncio.ensure_future(self._ask(number, kind))
+            self.calls.add(call)
+            call.add_done_callback(self.calls.discard)
+            await asyncio.sleep(self.rng.expovariate(self.rate))
+        await asyncio.wait(self.calls)
+
+    async def _ask(self, number: int, kind: Kind) -> None:
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        self.sent += 1
+        workspace = f"w{number}"
+        tokens = kind.prompt + MADE_WEIGHT * kind.made
+        self.ledger.asked[self.ledger.second(sent_at)][workspace] += tokens
+        for _ in range(2):
+            daemon = self.rng.choice([each for each in self.fleet.daemons if each.running])
+            answer = await self._call(daemon, number, kind)
+            if answer is not None and answer.status == OK:
+                self.served += 1
+                if loop.time() - sent_at < kind.objective + kind.made * 0.0065:
+                    self.in_time += 1
+                    return
+                break
+            if answer is None or answer.status != NOT_RUN:
+                break
+            self.ledger.hurt[self.ledger.second(loop.time())].add(workspace)
+            wait = float(answer.headers.get("Retry-After", "1"))
+            if wait > (kind.deadline - (loop.time() - sent_at)) / 3:
+                break
+            await asyncio.sleep(wait)
+        for second in range(self.ledger.second(sent_at), self.ledger.second(loop.time()) + 1):
+            self.ledger.hurt[second].add(workspace)
+
+    async def _call(self, daemon: Daemon, number: int, kind: Kind):
+        return await self.fleet.call(
+            daemon,
+            f"/{kind.route}/",
+            Request_Id=f"m-{self.rng.getrandbits(60):015x}",
+            Authorization=f"Bearer key-{number}",
+            Deadline_Ms=str(int(kind.deadline * 1000)),
+            Token_Count=f"{kind.prompt},{kind.made}",
+            Prompt_Prefix=f"{kind.route}{number % 8}:{kind.shared}",
+            Model="m",
+        )
+
+
+async def _disturb(fleet: ProcessFleet, rng: random.Random, seconds: float) -> None:
+    await asyncio.sleep(seconds / 3)
+    victims = rng.sample(fleet.daemons, len(fleet.daemons) // 2)
+    await asyncio.gather(*(fleet.kill(daemon) for daemon in victims))
+    await asyncio.sleep(1.0)
+    for daemon in victims:
+        fleet.start(daemon)
+    fleet.forget_calls()
+    await asyncio.sleep(seconds / 3 - 1.0)
+    for daemon in fleet.watching():
+        daemon.turn_away(TurnedAway.BUSY)
+
+
+async def _play(
+    seed: int, seconds: float, daemons: int, rate: float, calm: bool, folder: Path
+) -> bool:
+    rng = random.Random(seed)
+    fleet = ProcessFleet(folder)
+    ledger = Ledger(asyncio.get_running_loop().time())
+    fleet.store.put("config", "main", configuration())
+    try:
+        for _ in range(REPLICAS):
+            await fleet.add_replica(EngineStandin(ledger.begun), service="model", slots=32)
+        await fleet.add_daemons(daemons, DOMAINS)
+        await fleet.until_ready()
+        ledger.begun_at = asyncio.get_running_loop().time()
+        load = Load(fleet, ledger, rng, rate)
+        disturbing = None if calm else asyncio.ensure_future(_disturb(fleet, rng, seconds))
+        await load.run(seconds)
+        if disturbing is not None:
+            disturbing.cancel()
+    finally:
+        await fleet.stop()
+    shares = ledger.shares(int(seconds))
+    broken = [share for share in shares if share.broken]
+    least = min((share.got / share.owed for share in shares), default=1.0)
+    total = sum(sum(counts.values()) for counts in ledger.got.values())
+    print(
+        f"seed {seed}: {load.sent} sent, {load.served} served, {load.in_time} in time,",
+        f"{total / seconds:.0f} tokens/s begun, least share {least:.2f} of {len(shares)},",
+        f"{len(broken)} broken",
+        flush=True,
+    )
+    for share in broken[:8]:
+        print(f"  {share}")
+    return not broken
+
+
+def main(
+    seed: int = 1,
+    seconds: float = 30.0,
+    daemons: int = 12,
+    rate: float = 150.0,
+    runs: int = 1,
+    calm: bool = False,
+) -> None:
+    """Play ``runs`` runs from ``seed`` on; logs of those in which a share was broken are kept."""
+    configure_logs("critical", "benchmark")
+    logging.getLogger("tornado").setLevel(logging.CRITICAL)
+    for number in range(seed, seed + runs):
+        folder = Path(tempfile.mkdtemp(prefix=f"shares-{number}-"))
+        if asyncio.run(_play(number, seconds, daemons, rate, calm, folder)):
+            shutil.rmtree(folder)
+        else:
+            print(f"  logs in {folder}")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -18,6 +18,7 @@
     LOOPBACK,
     PlatformStoreStandin,
     ReplicaStandin,
+    Script,
     StoreAccess,
     TurnedAway,
     answering,
@@ -113,7 +114,9 @@
     # Between the daemons, where there is one.
     relay: Relay | None = None
 
-    async def add_replica(self, script=None, service: str = "desk", slots: int = 64) -> None:
+    async def add_replica(
+        self, script: Script | None = None, service: str = "desk", slots: int = 64
+    ) -> None:
         """Start a replica, and list it."""
         replica = ReplicaStandin(f"i-{len(self.replicas)}", script or answering())
         await replica.start()
