gateway: left a claim's batcher that the store turns away

Callers with an idempotency key were refused with 503 claim-unavailable, after 15 s, for as long as the store turned away the one node that batches the claims of their keys, though every other node could have written them.

Cause: the batcher is chosen among the members that are alive, and left only if it dies; that it lives does not tell that the store answers it. A batcher that has not replied within 3 s is left for another one, also where it is the asking node itself: safety rests on the store's conditional updates, and a claim that is made twice by its owner is one claim.

Before, with the store's calls of the batcher failing: 503, nothing run; after: 200 and one run from each of three nodes, the batcher among them.

--- a/railsail/gateway/claims.py
+++ b/railsail/gateway/claims.py
@@ -1,8 +1,9 @@
 """Claim idempotency keys through the daemon that batches the key's shard."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from railsail.core.kernel import Kernel
 from railsail.core.tasks import TaskSet
@@ -23,6 +24,19 @@
 RELEASE_SECONDS = 600.0
 RELEASE_TRY_SECONDS = 10.0
 LOOK_SECONDS = 0.5
+# A batcher that has not replied for so long is left for another one: the store may turn just that
+# one away. A slow store answers within it; two batchers of one shard only conflict.
+BATCHER_SECONDS = 3.0
+
+
+@dataclass
+class _Asked:
+    """A claim that waits for the reply of the batcher ``node``, which was asked at ``at``."""
+
+    claim: Claim
+    node: str
+    answer: asyncio.Future
+    at: float
 
 
 class ClaimDesk:
@@ -44,7 +58,7 @@
         self._metrics = kernel.metrics
         self._rng = kernel.rng
         self._shards: dict[int, ClaimShard] = {}
-        self._asked: dict[int, tuple[Claim, str, asyncio.Future]] = {}
+        self._asked: dict[int, _Asked] = {}
         self._next_number = 1
         self._tasks = TaskSet()
         hub.handle(ClaimRequest, self._request)
@@ -93,28 +107,32 @@
     async def _make(self, claim: Claim) -> ClaimAnswer:
         node = self._batcher(claim)
         if node == self._hub.own.node:
-            return await self._shard(claim.key).make(claim)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(BATCHER_SECONDS):
+                    return await self._shard(claim.key).make(claim)
+            node = self._another(claim, node)
         self._next_number += 1
         number = self._next_number
-        future: asyncio.Future = asyncio.get_running_loop().create_future()
-        self._asked[number] = (claim, node, future)
+        answer: asyncio.Future = asyncio.get_running_loop().create_future()
+        self._asked[number] = _Asked(claim, node, answer, self._clock.monotonic())
         try:
             self._send(number, claim, node)
-            while not (await asyncio.wait([future], timeout=LOOK_SECONDS))[0]:
-                self._leave_silent(number, claim)
-            return future.result()
+            while not (await asyncio.wait([answer], timeout=LOOK_SECONDS))[0]:
+                self._leave_silent(number)
+            return answer.result()
         finally:
             del self._asked[number]
 
-    def _leave_silent(self, number: int, claim: Claim) -> None:
-        # A batcher that waits for a slow store is not left: a second one would only conflict.
-        node = self._asked[number][1]
-        if node not in self._usable():
-            self._ask_another(number, claim, node)
+    def _leave_silent(self, number: int) -> None:
+        # That a batcher lives does not tell that the store answers it.
+        asked = self._asked[number]
+        waited = self._clock.monotonic() - asked.at
+        if asked.node not in self._usable() or waited > BATCHER_SECONDS:
+            self._ask_another(number, asked.node)
 
     def batchers(self) -> set[str]:
         """Return the nodes that were asked and have not replied."""
-        return {node for _, node, _ in self._asked.values()}
+        return {asked.node for asked in self._asked.values()}
 
     def _batcher(self, claim: Claim) -> str:
         job = f"claims {shard_of(claim.key)}"
@@ -124,7 +142,7 @@
         request = ClaimRequest(number, claim.key, claim.fingerprint, claim.attempt, claim.release)
         if not self._hub.send(node, request) and not self._hub.dial(node):
             # The link is down and may not be dialled yet, so that nothing more will be heard of it.
-            self._ask_another(number, claim, node)
+            self._ask_another(number, node)
 
     def _shard(self, key: bytes) -> ClaimShard:
         number = shard_of(key)
@@ -135,22 +153,29 @@
         return self._shards[number]
 
     def _link_up(self, peer: Identity) -> None:
-        for number, (claim, node, _) in list(self._asked.items()):
-            if node == peer.node:
-                self._send(number, claim, node)
+        for number, asked in list(self._asked.items()):
+            if asked.node == peer.node:
+                self._send(number, asked.claim, asked.node)
 
     def _link_down(self, node: str) -> None:
-        for number, (claim, asked, _) in list(self._asked.items()):
-            if asked == node:
-                self._ask_another(number, claim, node)
-
-    def _ask_another(self, number: int, claim: Claim, node: str) -> None:
-        # The shard's safety rests on the store, so any other node may make the claim as well; of
-        # those only linked ones are asked, this node itself among them.
+        for number, asked in list(self._asked.items()):
+            if asked.node == node:
+                self._ask_another(number, node)
+
+    def _ask_another(self, number: int, node: str) -> None:
+        asked = self._asked[number]
+        asked.node = self._another(asked.claim, node)
+        asked.at = self._clock.monotonic()
+        self._send(number, asked.claim, asked.node)
+
+    def _another(self, claim: Claim, node: str) -> str:
+        """Return a node other than ``node`` that makes ``claim``.
+
+        The shard's safety rests on the store, so any one may; of those only linked ones are asked,
+        this node itself among them.
+        """
         linked = [n for n in self._usable() if n != node and self._hub.connected(n)]
-        chosen = choose(f"claims {shard_of(claim.key)}", linked) or self._hub.own.node
-        self._asked[number] = (claim, chosen, self._asked[number][2])
-        self._send(number, claim, chosen)
+        return choose(f"claims {shard_of(claim.key)}", linked) or self._hub.own.node
 
     def _request(self, node: str, message: ClaimRequest) -> None:
         self._tasks.start(self._answer(node, message))
@@ -172,15 +197,14 @@
 
     def _reply(self, node: str, message: ClaimReply) -> None:
         asked = self._asked.get(message.number)
-        if asked is None or asked[2].done():
+        if asked is None or asked.answer.done():
             return
-        claim, _, future = asked
         holder = None
         if message.holder:
             holder = replace(
-                claim,
+                asked.claim,
                 node=message.holder,
                 start_id=message.holder_start,
                 fingerprint=message.fingerprint,
             )
-        future.set_result(ClaimAnswer(ClaimResult(message.result), holder))
+        asked.answer.set_result(ClaimAnswer(ClaimResult(message.result), holder))
--- a/tests/fleet/test_once.py
+++ b/tests/fleet/test_once.py
@@ -4,6 +4,7 @@
 import json
 from unittest import mock
 
+from railsail.core.exceptions import StoreUnavailable
 from railsail.gateway.sink import CallerSink
 from railsail.membership.placement import choose
 from railsail.standins.service import Faults
@@ -124,6 +125,21 @@
         self.assertEqual(plain.code, 200)
         self.assertEqual([run["path"] for run in self.runs()], ["/status"])
 
+    async def test_batcher_that_the_store_turns_away_is_left(self):
+        """The store turned one node away; claims of keys that it batches for all were refused.
+
+        It was chosen since it lives, and went on to try, so that nobody left it; the nodes that
+        asked it could have written the claims themselves. Callers got 503 ``claim-unavailable``
+        after the whole time for a claim, 15 s.
+        """
+        batcher = choose(f"claims {shard_of(claim_key('one', 'k1'))}", self.ids())
+        turned_away = next(n for n in self.fleet.nodes if n.settings.node_id == batcher)
+        away = mock.AsyncMock(side_effect=StoreUnavailable("turned away"))
+        with mock.patch.multiple(turned_away.store, get=away, put=away):
+            for node in self.fleet.nodes:
+                response = await self.ask(node)
+                self.assertEqual((response.code, len(self.runs())), (200, 1))
+
     async def test_key_refused_as_not_run_can_be_used_when_the_store_is_back(self):
         self.fleet.store.faults = StoreFaults(down=True)
         await self.ask(self.fleet.nodes[0], X_Deadline_Seconds="0.3")
