--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -95,6 +95,10 @@
         if event.value is not None:
             self.add_seeds([event.name])
 
+    def neighbours(self) -> list[str]:
+        """Return the members with which news and heartbeats are exchanged."""
+        return self._neighbours
+
     def flood(self, message: Message, source: str = "") -> None:
         """Send ``message`` to all neighbours but ``source``."""
         for node in self._neighbours:
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -78,6 +78,9 @@
 NATIVE_INTERFACE = "native"
 FIRST_LOOK_SECONDS = 3.0
 TICK_SECONDS = 0.5
+# Evacuations are rare, and may take longer to be known than changes of replicas and routes: their
+# watches last so many times as long.
+EVACUATION_WATCHES = 2
 DRAIN_POLL_SECONDS = 0.05
 # A stopping node lets its peers take over before it goes on to wait for its requests.
 HAND_OVER_SECONDS = 0.5
@@ -165,7 +168,12 @@
             self.rng,
         )
         ProofExchange(
-            self.freshness, CONFIGURATION, lambda: self.carrier.catalog.version, flood, self.hub
+            self.freshness,
+            self.watcher.longest_wait,
+            CONFIGURATION,
+            lambda: self.carrier.catalog.version,
+            self.membership.neighbours,
+            self.hub,
         )
         self.watcher.follow(
             CONFIGURATION,
@@ -176,7 +184,12 @@
         )
         self.watcher.follow(UPSTREAM, self.directory.listed, self.directory.seen)
         evacuations = self.directory.evacuations
-        self.watcher.follow(EVACUATION, evacuations.listed, evacuations.seen)
+        self.watcher.follow(
+            EVACUATION,
+            evacuations.listed,
+            evacuations.seen,
+            seconds=EVACUATION_WATCHES * settings.watch_seconds,
+        )
         if settings.node_list == "store":
             self.watcher.follow(NODE, self.membership.listed, self.membership.seen)
 
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -253,6 +253,10 @@
         left = self._standby[kinds].seconds_left(self._age(kinds))
         return min(LOOK_SECONDS, max(LEAST_LOOK_SECONDS, left))
 
+    def longest_wait(self, kind: str) -> float:
+        """Return how many seconds a watch of ``kind`` waits at most."""
+        return self._seconds.get(kind, self._watch_seconds)
+
     def _longest_wait(self, kinds: tuple[str, ...]) -> float:
         return min(self._seconds[kind] for kind in kinds)
 
