--- a/railsail/store/standby.py
+++ b/railsail/store/standby.py
@@ -10,6 +10,8 @@
 import random
 from collections.abc import Callable
 
+from railsail.store.journal import Backoff
+
 # Parts of the longest wait of a watch, ``seconds``. Nodes that watch prove what they hold after a
 # quarter of it at least and all of it at most.
 PATIENCE_SHARE = 0.7
@@ -23,6 +25,10 @@
 # times as long: whoever has none for longer begins to read, and a call takes a moment.
 PROVED_SHARE = 1.1
 
+# Rests after calls that were not answered grow from the one to the other, as a part of a watch.
+FIRST_REST_SECONDS = 0.25
+REST_SHARE = 2.0
+
 
 class Standby:
     """Decide for one node and some kinds; ``size`` says of how many members."""
@@ -53,3 +59,28 @@
         size = max(1, self._size())
         late = math.log1p(size * self._rng.random()) / math.log1p(size)
         return self._seconds * (PATIENCE_SHARE + SPREAD_SHARE * late)
+
+
+class StandbyRest:
+    """Leave a store that turned a node away alone for a while, whatever kind it was asked for.
+
+    All nodes of a fleet run out of patience where the store is down, and calls that are refused
+    cost as others do. Times are in seconds of one clock.
+    """
+
+    def __init__(self, seconds: float, rng: random.Random) -> None:
+        self._backoff = Backoff(rng, FIRST_REST_SECONDS, REST_SHARE * seconds)
+        self._until = 0.0
+
+    def failed(self, now: float) -> None:
+        """Take note that a call was not answered."""
+        self._until = now + self._backoff.pause()
+
+    def answered(self) -> None:
+        """Take note that a call was answered."""
+        self._until = 0.0
+        self._backoff.reset()
+
+    def seconds_left(self, now: float) -> float:
+        """Return for how long the store is left alone."""
+        return max(0.0, self._until - now)
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -20,7 +20,7 @@
 from railsail.store.base import Listing, Store, StoredObject, WatchEvent, WatchResult
 from railsail.store.freshness import Freshness, Proof
 from railsail.store.journal import Backoff
-from railsail.store.standby import Standby
+from railsail.store.standby import Standby, StandbyRest
 
 LIST_SECONDS = 60.0
 LIST_SECONDS_OF_OTHERS = 600.0
@@ -80,6 +80,7 @@
         self._unsettled: set[str] = set()
         # By the kinds of a watch, when this node reads them though others are to.
         self._standby: dict[tuple[str, ...], Standby] = {}
+        self._rest = StandbyRest(watch_seconds, rng)
         self.reachable = False
         self._started_at = 0.0
         self.tried = asyncio.Event()
@@ -180,7 +181,6 @@
         begun = loop.time()
         share = self._rng.uniform(0.75, 1.25)
         await self._learn_members()
-        backoff = self._new_backoff()
         # A first short watch proves what was listed a while ago, before others run out of patience.
         follows = False
         while (left := begun + self._list_seconds(kinds, share) - loop.time()) > 0:
@@ -199,15 +199,14 @@
             except StoreUnavailable as problem:
                 if self._watches():
                     raise
+                # Lists are dear, and those that watch may tell again before the store answers here.
                 self._note(kinds, False, str(problem))
-                # Lists are dear, and those that watch may answer again before the store does here.
-                follows = False
-                await asyncio.sleep(backoff.pause())
+                self._rest.failed(self._freshness.now())
                 continue
             if result.expired:
                 return
             self._note(kinds, True)
-            backoff.reset()
+            self._rest.answered()
             follows = True
             version = max(version, result.version)
             if result.events:
@@ -231,9 +230,10 @@
             return True
         # Those that are to read may be unable to, or to tell, and not know it: a node that counted
         # on them without a proof would go on with old routes, keys and replicas.
-        age = self._age(kinds)
         now = self._freshness.now()
-        return self._standby[kinds].reads(age, now)
+        if self._rest.seconds_left(now):
+            return False
+        return self._standby[kinds].reads(self._age(kinds), now)
 
     def _tell_begin(self, kinds: tuple[str, ...]) -> None:
         if not self._watches():
@@ -251,7 +251,8 @@
         return min(self._freshness.version(kind) for kind in kinds)
 
     def _look_seconds(self, kinds: tuple[str, ...]) -> float:
-        left = self._standby[kinds].seconds_left(self._age(kinds))
+        patience = self._standby[kinds].seconds_left(self._age(kinds))
+        left = max(patience, self._rest.seconds_left(self._freshness.now()))
         return min(LOOK_SECONDS, max(LEAST_LOOK_SECONDS, left))
 
     def longest_wait(self, kind: str) -> float:
--- a/tests/store/test_standby.py
+++ b/tests/store/test_standby.py
@@ -3,7 +3,14 @@
 import random
 import unittest
 
-from railsail.store.standby import PATIENCE_SHARE, READING_SHARE, SPREAD_SHARE, Standby
+from railsail.store.standby import (
+    PATIENCE_SHARE,
+    READING_SHARE,
+    REST_SHARE,
+    SPREAD_SHARE,
+    Standby,
+    StandbyRest,
+)
 
 SECONDS = 2.0
 SIZE = 390
@@ -43,5 +50,24 @@
         self.assertTrue(one.reads(left, 0.0))
 
 
+class StandbyRestTests(unittest.TestCase):
+    def test_store_that_does_not_answer_is_left_alone_for_longer_each_time(self):
+        rest = StandbyRest(SECONDS, random.Random(1))
+        self.assertEqual(rest.seconds_left(0.0), 0.0)
+        rests = []
+        for _ in range(10):
+            rest.failed(0.0)
+            rests.append(rest.seconds_left(0.0))
+        self.assertLess(rests[0], SECONDS / 2)
+        self.assertGreaterEqual(rests[-1], REST_SHARE * SECONDS / 2)
+        self.assertLessEqual(max(rests), REST_SHARE * SECONDS)
+
+    def test_answer_ends_it(self):
+        rest = StandbyRest(SECONDS, random.Random(1))
+        rest.failed(0.0)
+        rest.answered()
+        self.assertEqual(rest.seconds_left(0.0), 0.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/store/test_watcher.py
+++ b/tests/store/test_watcher.py
@@ -9,6 +9,7 @@
 from railsail.core.clock import Clock, steady_seconds
 from railsail.core.events import EventLog
 from railsail.core.exceptions import StoreUnavailable
+from railsail.store import standby as standby_module
 from railsail.store import watcher as watcher_module
 from railsail.store.base import Listing, WatchEvent, WatchResult
 from railsail.store.freshness import Freshness, Proof
@@ -201,7 +202,7 @@
 
     async def asyncSetUp(self) -> None:
         self.hold(mock.patch.object(watcher_module, "LEARN_MEMBERS_SECONDS", 0.0))
-        self.hold(mock.patch.object(watcher_module, "FIRST_PAUSE_SECONDS", 0.01))
+        self.hold(mock.patch.object(standby_module, "FIRST_REST_SECONDS", 0.01))
 
     def start(self, watch_seconds: float) -> None:
         self.store = SilentStore()
