tests: kept what three earlier builds send, as each of them sent it

Whether a change of a message keeps builds side by side apart was shown by arrays written by hand and by a benchmark that nobody has to run.

--- /dev/null
+++ b/tests/peers/test_frames.py
@@ -0,0 +1,54 @@
+"""Frames that earlier builds sent are read, and what is sent to such builds is what they sent."""
+
+import json
+import unittest
+from dataclasses import dataclass
+from pathlib import Path
+
+from railsail.peers.codec import decode_frame, encode_message, join_frame
+from railsail.peers.levels import NEWEST
+
+FRAMES = Path(__file__).parent / "frames"
+
+
+@dataclass(frozen=True)
+class Recorded:
+    """One message as a build of ``level`` sent it."""
+
+    build: str
+    level: int
+    message: str
+    frame: bytes
+
+
+def recorded() -> list[Recorded]:
+    """Return all frames that are kept."""
+    found = []
+    for path in sorted(FRAMES.glob("*.json")):
+        build = json.loads(path.read_text())
+        for name, text in build["frames"].items():
+            found.append(Recorded(path.stem, build["level"], name, bytes.fromhex(text)))
+    return found
+
+
+class RecordedFrameTests(unittest.TestCase):
+    def test_each_is_read(self):
+        for kept in recorded():
+            with self.subTest(build=kept.build, message=kept.message):
+                _, (message,) = decode_frame(kept.frame)
+                self.assertEqual(type(message).__name__, kept.message)
+
+    def test_the_same_is_sent_to_that_build(self):
+        for kept in recorded():
+            with self.subTest(build=kept.build, message=kept.message):
+                time_ms, (message,) = decode_frame(kept.frame)
+                sent = join_frame(time_ms, [encode_message(message, kept.level)])
+                self.assertEqual(sent, kept.frame)
+
+    def test_there_are_some_of_each_level_below_the_newest(self):
+        levels = {kept.level for kept in recorded()}
+        self.assertEqual(levels, set(range(NEWEST)))
+
+
+if __name__ == "__main__":
+    unittest.main()
