store: watched from one's own version where one always does, and forgot peers that are gone

A node that begins to watch because it was named for it resumed where its peers had proved to be, though it has a version of its own; only one that has read nothing meanwhile needs theirs. What is remembered of a neighbour's proofs ends with the link, so that it does not grow with nodes that come and go.

--- a/railsail/store/proofs.py
+++ b/railsail/store/proofs.py
@@ -51,14 +51,18 @@
         freshness.on_read(lambda proof: self._tell_soon())
         hub.handle(ProofNews, self._received)
         hub.on_up(self._link_up)
+        hub.on_down(self._forget)
 
     def _link_up(self, peer: Identity) -> None:
         # What was queued on a link that ended is lost. What comes first on a new one comes at once,
         # and shows what comes later than it should.
-        self._known.pop(peer.node, None)
-        self._least_difference.pop(peer.node, None)
+        self._forget(peer.node)
         self._tell_soon()
 
+    def _forget(self, node: str) -> None:
+        self._known.pop(node, None)
+        self._least_difference.pop(node, None)
+
     def _received(self, node: str, news: ProofNews) -> None:
         sent_at = self._freshness.now() - self._seconds_held_up(node, news)
         proofs = [Proof(r.kind, r.version, sent_at - r.age / 1000) for r in news.proofs]
--- a/railsail/store/watcher.py
+++ b/railsail/store/watcher.py
@@ -190,10 +190,8 @@
                 continue
             waits = self._wait_seconds(kinds)
             if not follows:
-                # Peers have told all changes up to what they proved, and later ones may wait.
-                version = max(version, self._held_version(kinds))
+                version = self._first_version(kinds, version)
                 waits = FIRST_WAIT_SECONDS
-                self._tell_begin(kinds)
             try:
                 result = await self._watch(kinds, version, min(left, waits))
             except StoreUnavailable as problem:
@@ -235,21 +233,24 @@
             return False
         return self._standby[kinds].reads(self._age(kinds), now)
 
-    def _tell_begin(self, kinds: tuple[str, ...]) -> None:
-        if not self._watches():
-            self._events.emit(
-                Kind.STORE,
-                "read here, since nobody tells that it is read",
-                kinds=" ".join(kinds),
-                proof_age_ms=round(self._age(kinds) * 1000),
-            )
+    def _first_version(self, kinds: tuple[str, ...], version: int) -> int:
+        """Return from which version to watch, where this node has watched ``kinds`` to ``version``.
+
+        A node that read nothing was told all changes up to what its peers proved.
+        """
+        if self._watches():
+            return version
+        self._events.emit(
+            Kind.STORE,
+            "read here, since nobody tells that it is read",
+            kinds=" ".join(kinds),
+            proof_age_ms=round(self._age(kinds) * 1000),
+        )
+        return max(version, min(self._freshness.version(kind) for kind in kinds))
 
     def _age(self, kinds: tuple[str, ...]) -> float:
         return max(self._freshness.age(kind) for kind in kinds)
 
-    def _held_version(self, kinds: tuple[str, ...]) -> int:
-        return min(self._freshness.version(kind) for kind in kinds)
-
     def _look_seconds(self, kinds: tuple[str, ...]) -> float:
         patience = self._standby[kinds].seconds_left(self._age(kinds))
         left = max(patience, self._rest.seconds_left(self._freshness.now()))
--- a/tests/store/test_proofs.py
+++ b/tests/store/test_proofs.py
@@ -28,6 +28,9 @@
     def on_up(self, listener) -> None:
         self.up = listener
 
+    def on_down(self, listener) -> None:
+        self.down = listener
+
     def send(self, node: str, message: object) -> bool:
         self.sent.append((node, message))
         return True
