store: let those that began to read late leave it to the first ones soon

Now the first ones go on for ten seconds and the others for a part of it, 2.2 s in the mean of 85 (worked out). Changes reach the fleet through the first ones.

--- a/railsail/store/standby.py
+++ b/railsail/store/standby.py
@@ -16,8 +16,8 @@
 # quarter of it at least and all of it at most.
 PATIENCE_SHARE = 0.7
 SPREAD_SHARE = 0.2
-# A node that began to read goes on for so many times as long, so that changes reach it, and those
-# that it tells, without another wait.
+# The first that began to read go on for so many times as long, so that changes reach the fleet
+# without another wait. The later a node began, the sooner it leaves that to the others.
 READING_SHARE = 5.0
 
 
@@ -38,7 +38,8 @@
         self._size = size
         self._rng = rng
         self._until = 0.0
-        self._patience = self._draw_patience()
+        # Which part of the spread this node waits beyond its patience, 0 to 1.
+        self._late = self._draw_late()
 
     def reads(self, age: float, now: float) -> bool:
         """Say whether to read at ``now``, when the newest proof is ``age`` seconds old."""
@@ -46,8 +47,8 @@
             return True
         if age < self._patience:
             return False
-        self._until = now + self._rng.uniform(0.5, 1.0) * READING_SHARE * self._seconds
-        self._patience = self._draw_patience()
+        self._until = now + (1.0 - self._late) * READING_SHARE * self._seconds
+        self._late = self._draw_late()
         return True
 
     def reading(self, now: float) -> bool:
@@ -58,11 +59,14 @@
         """Return after how many seconds without a proof this node begins to read."""
         return max(0.0, self._patience - age)
 
-    def _draw_patience(self) -> float:
-        # As many begin to read in each part of the spread as have begun before it.
+    @property
+    def _patience(self) -> float:
+        return self._seconds * (PATIENCE_SHARE + SPREAD_SHARE * self._late)
+
+    def _draw_late(self) -> float:
+        # Few begin in the first parts of the spread, and ever more in the later ones.
         size = max(1, self._size())
-        late = math.log1p(size * self._rng.random()) / math.log1p(size)
-        return self._seconds * (PATIENCE_SHARE + SPREAD_SHARE * late)
+        return math.log1p(size * self._rng.random()) / math.log1p(size)
 
 
 class StandbyRest:
