--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -146,7 +146,7 @@
         return self._pending is None
 
     def _resolve(self, stored: StoredObject) -> None:
-        if stored.value.get("version", 0) <= self.catalog.version:
+        if _version(stored) <= max(self.catalog.version, _version(self._pending)):
             return
         self._pending = stored
         try:
@@ -213,7 +213,7 @@
         previous = self.catalog.version
         self.catalog = catalog
         self._source = source or STORE
-        if self._pending is not None and self._pending.value.get("version", 0) <= catalog.version:
+        if _version(self._pending) <= catalog.version:
             self._pending = None
         known = {change.version: change for change in [*self._changes, *changes]}
         self._changes = [known[version] for version in sorted(known)][-KEPT_CHANGES:]
@@ -236,3 +236,8 @@
         if version and missing and whole:
             return ConfigurationNews(version, self.catalog.version, encode(missing))
         return ConfigurationNews(0, self.catalog.version, encode(snapshot(self.catalog)))
+
+
+def _version(head: StoredObject | None) -> int:
+    """Return the version of a head, 0 for none."""
+    return head.value.get("version", 0) if head is not None else 0
--- a/tests/configuration/test_carrier.py
+++ b/tests/configuration/test_carrier.py
@@ -94,6 +94,14 @@
             await self.until(lambda: carrier.catalog.version == BASE + 2)
         self.assertEqual(self.flooded[-1].version, BASE + 2)
 
+    async def test_older_head_does_not_take_the_place_of_a_newer_one(self):
+        carrier = self.carrier(failures=1)
+        with mock.patch.object(carrier_module, "FIRST_PAUSE_SECONDS", 0.01):
+            self.seen(carrier, BASE + 2)
+            self.seen(carrier, BASE + 1)
+            await self.until(carrier.caught_up)
+        self.assertEqual(carrier.catalog.version, BASE + 2)
+
     async def test_head_that_needs_nothing_more_is_in_force_at_once(self):
         carrier = self.carrier()
         self.seen(carrier, 2, base=0)
