rollouts: agreed on messages, records and stages, and let packages register daemon parts

A service is to be moved to a new software version under the fleet's control. Several modules meet in what nodes tell each other of it, so the messages (level 4), the records of replicas with their software version, the stages and the evidence are agreed on first. Nothing uses them yet.

A daemon builds, runs and stops the parts that packages register, so that the new package needs no line of its own where the daemon is put together.

Frames of the build before (level 3) are kept, recorded by that build; its peers are sent what they read, as tests/peers hold for all levels.

--- a/railsail/node.py
+++ b/railsail/node.py
@@ -21,6 +21,7 @@
 from railsail.core.logs import get_logger
 from railsail.core.looplag import LoopLag
 from railsail.core.metrics import Metrics
+from railsail.core.parts import PARTS
 from railsail.core.registry import load_plugins
 from railsail.core.tasks import keep_running
 from railsail.dispatch.acquire import ReplicaAcquirer
@@ -117,6 +118,7 @@
         self._build_dispatch()
         self._build_gateway()
         self._connect()
+        self.parts = {name: PARTS.get(name)(self) for name in PARTS}
 
     def _build_fleet(self) -> None:
         settings = self.settings
@@ -412,6 +414,7 @@
         self._listen_to_callers()
         parts = [self.membership, self.watcher, self.dispatchers, self.tree, self.lag, self.pace]
         runs = {type(part).__name__: part.run for part in parts if part is not None}
+        runs |= {name: part.run for name, part in self.parts.items()}
         runs["Node"] = self._tick
         self._tasks = [asyncio.ensure_future(keep_running(run, name)) for name, run in runs.items()]
         with contextlib.suppress(TimeoutError):
@@ -530,6 +533,8 @@
             server.stop()
         for task in self._tasks:
             task.cancel()
+        for part in self.parts.values():
+            part.stop()
         self.ends.stop()
         self.ledger.stop()
         await self.hub.stop()
--- a/railsail/peers/levels.py
+++ b/railsail/peers/levels.py
@@ -22,7 +22,9 @@
 ERAS = 2
 # With proofs of what is held of the store.
 PROOFS = 3
-NEWEST = PROOFS
+# With rollouts, the version of a replica's software, and the route of a ticket.
+ROLLOUTS = 4
+NEWEST = ROLLOUTS
 
 # Numbers of messages that tell levels below 2 apart, and how long a heartbeat of the oldest is: its
 # number, configuration, members, upstreams, wants_reply.
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -12,7 +12,7 @@
 
 from railsail.core.outcomes import Reason
 from railsail.peers.base import Blob, Digest, Message, Natural, Signed, Text
-from railsail.peers.levels import OLDEST, PROOFS, QUARANTINE
+from railsail.peers.levels import OLDEST, PROOFS, QUARANTINE, ROLLOUTS
 from railsail.peers.records import (
     CounterRecord,
     DomainRecord,
@@ -20,7 +20,9 @@
     MemberRecord,
     ProofRecord,
     ReplicaEndRecord,
+    RolloutRecord,
     SumRecord,
+    TallyRecord,
     UpstreamRecord,
 )
 
@@ -94,15 +96,24 @@
     proofs: Annotated[list[ProofRecord], msgspec.Meta(max_length=32)]
 
 
+class RolloutUpdate(Message, frozen=True, tag=8):
+    """Rollouts whose order or state is new to the sender."""
+
+    SINCE: ClassVar[int] = ROLLOUTS
+
+    rollouts: Annotated[list[RolloutRecord], msgspec.Meta(max_length=1000)]
+
+
 class Place(Message, frozen=True, tag=10):
     """Place a ticket with the dispatcher of a cell.
 
     ``flags`` holds 1 for urgent work, and 2 for a request whose caller was refused before. The
     ticket may wait for ``patience``, and its caller would come back after ``returns_within``, with
     a request of the same ``fingerprint``. Its entry may not send it to the replicas ``excluded``.
+    ``route`` is the fingerprint of its route, 0 where there is none.
     """
 
-    COUNTS: ClassVar[Mapping[int, int]] = {QUARANTINE: 18}
+    COUNTS: ClassVar[Mapping[int, int]] = {QUARANTINE: 18, PROOFS: 19}
 
     number: Natural
     attempt: Natural
@@ -123,6 +134,7 @@
     regions: Annotated[list[Text], msgspec.Meta(max_length=64)] = []
     fingerprint: Natural = 0
     excluded: Annotated[list[Text], msgspec.Meta(max_length=MOST_EXCLUDED)] = []
+    route: Natural = 0
 
 
 class Granted(Message, frozen=True, tag=11):
@@ -321,6 +333,48 @@
     virtual_time: Signed = 0
 
 
+class RolloutAllowance(Message, frozen=True, tag=35):
+    """Let the dispatcher of a cell send calls to the target version of a rollout.
+
+    The rollout is that of ``service`` whose order has ``version``. The allowance replaces those of
+    lower ``serial`` and of lower ``term``, and lapses after ``valid`` milliseconds. ``stage`` is a
+    ``railsail.rollouts.stages.Stage``. In all, ``calls`` calls may be sent in this ``term``; they
+    go to ``replicas``, to any of the target version where none are named.
+    """
+
+    SINCE: ClassVar[int] = ROLLOUTS
+
+    service: Text
+    cell: Natural
+    version: Natural
+    term: Natural
+    serial: Natural
+    stage: Annotated[int, msgspec.Meta(ge=0, le=3)]
+    calls: Natural
+    valid: Natural
+    replicas: Annotated[list[Text], msgspec.Meta(max_length=64)] = []
+
+
+class RolloutEvidence(Message, frozen=True, tag=36):
+    """What the dispatcher of a cell has seen of a rollout, as sums since ``start``.
+
+    ``arrivals`` counts all calls of the service that it granted, ``exposed`` those of them that
+    went to the target version in ``term``, and ``running`` those in flight on other versions now.
+    """
+
+    SINCE: ClassVar[int] = ROLLOUTS
+
+    service: Text
+    cell: Natural
+    version: Natural
+    start: Natural
+    term: Natural
+    arrivals: Natural
+    exposed: Natural
+    running: Natural
+    tallies: Annotated[list[TallyRecord], msgspec.Meta(max_length=2000)]
+
+
 AnyMessage = (
     Heartbeat
     | MemberNews
@@ -329,6 +383,7 @@
     | ConfigurationNews
     | QuarantineNews
     | ProofNews
+    | RolloutUpdate
     | Place
     | Granted
     | Refused
@@ -350,4 +405,6 @@
     | AnswerRequest
     | AnswerReply
     | HandedOver
+    | RolloutAllowance
+    | RolloutEvidence
 )
--- a/railsail/peers/records.py
+++ b/railsail/peers/records.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from railsail.peers.base import Message, Natural, Signed, Text
-from railsail.peers.levels import OLDEST
+from railsail.peers.levels import OLDEST, PROOFS
 
 
 class MemberRecord(Message, frozen=True):
@@ -26,6 +26,8 @@
 class UpstreamRecord(Message, frozen=True):
     """What is known of a replica, as ``railsail.upstreams.directory.Upstream`` has it."""
 
+    COUNTS: ClassVar[Mapping[int, int]] = {PROOFS: 12}
+
     name: Text
     pool: Text
     endpoint: Text
@@ -38,6 +40,7 @@
     slots: Natural = 0
     born: Natural = 0
     cold: Natural = 0
+    software_version: Text = ""
 
 
 class ProofRecord(Message, frozen=True):
@@ -100,3 +103,36 @@
 
     workspace: Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]
     value: Natural
+
+
+class RolloutRecord(Message, frozen=True):
+    """An operator's rollout and how it stands, as ``railsail.rollouts.orders.Rollout`` has it.
+
+    ``duration`` is in milliseconds. ``gone`` says that the operator took the order away. ``state``
+    is a ``railsail.rollouts.orders.State``, which is about ``decided_version``.
+    """
+
+    service: Text
+    version: Natural
+    target_version: Text
+    duration: Natural
+    gone: bool = False
+    state: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
+    decided_version: Text = ""
+
+
+class TallyRecord(Message, frozen=True):
+    """What became of the calls of one route on one software version, as sums since a start.
+
+    ``route`` is a fingerprint, 0 where it is not known; ``replica`` is empty for the sum over all
+    replicas. ``first`` and ``whole`` count answers by the time to their first byte and to their end
+    (see ``railsail.rollouts.evidence``).
+    """
+
+    route: Natural
+    software_version: Text
+    replica: Text
+    answers: Natural
+    failed: Natural
+    first: Annotated[list[Natural], msgspec.Meta(max_length=64)]
+    whole: Annotated[list[Natural], msgspec.Meta(max_length=64)]
--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -58,7 +58,7 @@
 
     Others may write such entries too; one that lacks a field, or has it in another type, names no
     replica. ``cold_left_ms`` is how long the replica stayed cold from when it wrote the entry, and
-    ``born`` the Unix millisecond of its start.
+    ``born`` the Unix millisecond of its start. ``version`` is that of its software.
     """
 
     service: Text
@@ -68,6 +68,7 @@
     state: Text
     cold_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    version: str | int = ""
 
 
 class Backend(msgspec.Struct, frozen=True):
@@ -156,6 +157,7 @@
         "state": "live" if given.state == "ready" else "leaving",
         "born": given.born,
         "cold": round(given.cold_left_ms),
+        "software_version": str(given.version),
     }
 
 
--- /dev/null
+++ b/railsail/rollouts/orders.py
@@ -0,0 +1,53 @@
+"""What operators order, and how each rollout stands."""
+
+import enum
+from dataclasses import dataclass
+
+
+class State(enum.IntEnum):
+    """How a rollout stands; nodes send these numbers. ``NONE`` is that of a new order."""
+
+    NONE = 0
+    RUNNING = 1
+    SUCCEEDED = 2
+    ROLLED_BACK = 3
+
+    @property
+    def ended(self) -> bool:
+        """Say whether the rollout has been decided."""
+        return self in (State.SUCCEEDED, State.ROLLED_BACK)
+
+
+@dataclass(frozen=True)
+class Order:
+    """Move the traffic of ``service`` to the replicas of ``target_version``.
+
+    It is to be decided ``duration`` seconds after it was given. ``version`` is that of the stored
+    object whose specification first held this order: it tells orders apart.
+    """
+
+    service: str
+    version: int
+    target_version: str
+    duration: float
+
+
+@dataclass(frozen=True)
+class Rollout:
+    """An order and how it stands; ``gone`` says that the operator took the order away.
+
+    ``state`` is about ``decided_version``, which is another than that of the order where the state
+    is left from an earlier order.
+    """
+
+    order: Order
+    gone: bool = False
+    state: State = State.NONE
+    decided_version: str = ""
+
+    @property
+    def current(self) -> State:
+        """Return the state of this order, ``NONE`` where the state is that of an earlier one."""
+        if self.decided_version != self.order.target_version:
+            return State.NONE
+        return self.state
--- a/railsail/upstreams/records.py
+++ b/railsail/upstreams/records.py
@@ -28,7 +28,8 @@
     ``version`` is that of the listed record. The sign was given when the record had
     ``sign_version``, at ``sign_at`` milliseconds since the Unix epoch. ``born`` is when the replica
     started, in the same unit, 0 where it does not say so: it tells lives under one name apart. The
-    replica was cold for ``cold`` milliseconds more when it wrote the record.
+    replica was cold for ``cold`` milliseconds more when it wrote the record. It runs
+    ``software_version``, empty where it does not say so.
     """
 
     name: str
@@ -43,6 +44,7 @@
     slots: int = 0
     born: int = 0
     cold: int = 0
+    software_version: str = ""
 
     @property
     def leaving(self) -> bool:
@@ -73,6 +75,7 @@
             slots=slots,
             born=int(value.get("born", 0)),
             cold=int(value.get("cold", 0)),
+            software_version=str(value.get("software_version", "")),
         )
     except (KeyError, TypeError, ValueError) as problem:
         refused.refused(event.name, f"{type(problem).__name__}: {problem}")
