tests: held what builds without rollouts are sent of a ticket

A ticket has one field more from level 4 on. The array for level 3 is asserted as it was, the one for the newest level with the new field; nothing else changed.

--- a/tests/peers/test_levels.py
+++ b/tests/peers/test_levels.py
@@ -19,7 +19,7 @@
 from railsail.peers import hub as hub_module
 from railsail.peers.codec import decode_frame, encode_message, join_frame
 from railsail.peers.hub import PeerHub
-from railsail.peers.levels import NEWEST, OLDEST, QUARANTINE, negotiated, shown
+from railsail.peers.levels import NEWEST, OLDEST, PROOFS, QUARANTINE, negotiated, shown
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
     Heartbeat,
@@ -64,7 +64,8 @@
     def test_ticket(self):
         for level in (OLDEST, QUARANTINE):
             self.assertEqual(sent(PLACE, level), SHORT_PLACE)
-        self.assertEqual(sent(PLACE, NEWEST), [*SHORT_PLACE, ["i-1"]])
+        self.assertEqual(sent(PLACE, PROOFS), [*SHORT_PLACE, ["i-1"]])
+        self.assertEqual(sent(PLACE, NEWEST), [*SHORT_PLACE, ["i-1"], 0])
 
     def test_what_other_messages_hold(self):
         resync = Resync("lm", 0, [PLACE], [FLIGHT], [])
