rollouts: kept a book of orders, and coordinated each under a lease in the store

A service is to be moved to a new version on the operator's word, and nothing read or wrote the orders. The store adapters read them and write their status; each node keeps a book of them, passed on between nodes; one node at a time coordinates an order, plans its stages, and reserves calls in a ledger of the store before any dispatcher may send them.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -114,6 +114,20 @@
         "1",
     ),
     Option("cold_slack", Decimal(0, 1_000_000), "Calls that it may get beyond.", "0"),
+    Option(
+        "expose_share",
+        Decimal(0, 1),
+        "Part of a service's calls that the new version of a rollout may get before its deadline; "
+        "0 leaves rollouts alone.",
+        "0",
+    ),
+    Option("expose_slack", Decimal(0, 1_000_000), "Calls that it may get beyond.", "0"),
+    Option(
+        "rollback_ms",
+        Number(1, 3_600_000),
+        "Milliseconds after which a new version that is known to be bad gets no calls any more.",
+        "5000",
+    ),
     Option("domain_regions", NameMap(), "The region of each failure domain.", ""),
     Option("max_body_bytes", Number(1024, 64 << 20), "Largest request body.", str(4 << 20)),
     Option(
@@ -184,6 +198,9 @@
     retry_window_seconds: float
     cold_over: float
     cold_slack: float
+    expose_share: float
+    expose_slack: float
+    rollback_ms: int
     domain_regions: dict[str, str]
     max_body_bytes: int
     open_files: int
--- a/railsail/core/events.py
+++ b/railsail/core/events.py
@@ -37,6 +37,7 @@
     REPLICA_ENDED = "replica-ended"
     QUARANTINE = "quarantine"
     QUARANTINED = "quarantined"
+    ROLLOUT = "rollout"
 
 
 Fact = str | int | float
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -66,6 +66,22 @@
             "railsail_store_proof_age_seconds",
             "For how long the store may have had changes that are not known here, by kind.",
         )
+        self.rollouts_refused = self._counter(
+            "railsail_rollouts_refused_total",
+            "Rollouts in the store that could not be read, by service.",
+        )
+        self.rollout_stage = self._gauge(
+            "railsail_rollout_stage",
+            "Stage of a rollout that this node coordinates, by service (0 to 3).",
+        )
+        self.rollout_reserved = self._gauge(
+            "railsail_rollout_reserved_calls",
+            "Calls to the new version allowed so far, by service, as the coordinator counts.",
+        )
+        self.rollout_ends = self._counter(
+            "railsail_rollout_ends_total",
+            "Rollouts that this node decided, by service and state.",
+        )
         self.claims = self._counter("railsail_claims_total", "Claims of keys, by result.")
 
     def _counter(self, name: str, doc: str) -> Counter:
--- a/railsail/core/registry.py
+++ b/railsail/core/registry.py
@@ -13,6 +13,7 @@
     "railsail.upstreams.engine",
     "railsail.upstreams.service",
     "railsail.store.http",
+    "railsail.rollouts.part",
 )
 
 
--- a/railsail/peers/records.py
+++ b/railsail/peers/records.py
@@ -109,7 +109,9 @@
     """An operator's rollout and how it stands, as ``railsail.rollouts.orders.Rollout`` has it.
 
     ``duration`` is in milliseconds. ``gone`` says that the operator took the order away. ``state``
-    is a ``railsail.rollouts.orders.State``, which is about ``decided_version``.
+    is a ``railsail.rollouts.orders.State``, which is about ``decided_version``. ``stored`` is the
+    version of the stored object that was read last, and ``written`` the state that it tells.
+    ``dropped`` are versions whose rollouts did not succeed before.
     """
 
     service: Text
@@ -119,6 +121,9 @@
     gone: bool = False
     state: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
     decided_version: Text = ""
+    stored: Natural = 0
+    written: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
+    dropped: Annotated[list[Text], msgspec.Meta(max_length=64)] = []
 
 
 class TallyRecord(Message, frozen=True):
--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -4,12 +4,15 @@
 
 import msgspec
 
+from railsail.core.logs import get_logger
 from railsail.objects.catalog import hash_key
 from railsail.objects.kinds import CostUnit, Pool, PoolShare, Resource, Route, Workspace
 from railsail.objects.parse import to_plain
 from railsail.routing.defaults import DEFAULT_CLASS, DEFAULT_POLICY
 
 MS = 1000.0
+# The longest time that an order may name, in seconds: a week.
+MOST_ROLLOUT_SECONDS = 604_800
 STREAMING = "streaming"
 IDEMPOTENT = "idempotent"
 
@@ -22,10 +25,11 @@
 
 
 class StoredItem(msgspec.Struct, frozen=True):
-    """One object of the store; ``spec`` is read by its kind."""
+    """One object of the store; ``spec`` and ``status`` are read by its kind."""
 
     metadata: Metadata
     spec: msgspec.Raw = msgspec.Raw(b"null")
+    status: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class ListPage(msgspec.Struct, frozen=True):
@@ -135,6 +139,29 @@
     tenants: list[Tenant] = []
 
 
+class RolloutSpec(msgspec.Struct, frozen=True):
+    """An order to move ``service`` to replicas of ``target_version``.
+
+    ``duration_s`` is the time until the deadline. The version may be text or a number, and the
+    status names it in the form in which the order did.
+    """
+
+    service: Text
+    target_version: Text | int
+    duration_s: Annotated[float, msgspec.Meta(gt=0, le=MOST_ROLLOUT_SECONDS)]
+
+
+class RolloutStatus(msgspec.Struct, frozen=True):
+    """What the system wrote of a rollout.
+
+    ``target_version`` is that of the order which the state is about; the order may be another by
+    now.
+    """
+
+    state: str = ""
+    target_version: str | int = ""
+
+
 def configuration_value(spec: bytes) -> dict[str, object]:
     """Return the head object of the product's configuration that ``spec`` means."""
     given = msgspec.json.decode(spec, type=Configuration)
@@ -161,6 +188,28 @@
     }
 
 
+def rollout_value(spec: bytes, status: bytes) -> dict[str, object]:
+    """Return the product's rollout that ``spec`` and ``status`` mean.
+
+    A status that cannot be read hides no order; it is written anew.
+    """
+    given = msgspec.json.decode(spec, type=RolloutSpec)
+    return {
+        "service": given.service,
+        "target_version": given.target_version,
+        "duration": given.duration_s,
+        "status": msgspec.to_builtins(_rollout_status(status)),
+    }
+
+
+def _rollout_status(status: bytes) -> RolloutStatus:
+    try:
+        return msgspec.json.decode(status, type=RolloutStatus | None) or RolloutStatus()
+    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        get_logger().warning("rollout status cannot be read", reason=str(problem))
+        return RolloutStatus()
+
+
 def _pool(service: ServiceSpec) -> Pool:
     engine = service.engine
     return Pool(
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -18,6 +18,7 @@
     StoredItem,
     configuration_value,
     replica_value,
+    rollout_value,
 )
 from railsail.platform.salvage import salvage
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
@@ -33,24 +34,32 @@
 MOST_ERA_DIGITS = 6
 
 
-def _plain(spec: bytes) -> dict[str, object]:
+def _plain(spec: bytes, status: bytes) -> dict[str, object]:
     return msgspec.json.decode(spec, type=dict)
 
 
-def _nothing(spec: bytes) -> dict[str, object]:
+def _configuration(spec: bytes, status: bytes) -> dict[str, object]:
+    return configuration_value(spec)
+
+
+def _replica(spec: bytes, status: bytes) -> dict[str, object]:
+    return replica_value(spec)
+
+
+def _nothing(spec: bytes, status: bytes) -> dict[str, object]:
     """Return no fields, whatever ``spec`` holds: that there is an object says all."""
     return {}
 
 
 @dataclass(frozen=True)
 class _Kind:
-    """A kind of the platform: its name, how a spec is read, and the one object that is known.
+    """A kind of the platform: its name, how spec and status are read, and the one object known.
 
     Of ``platform_name`` the product speaks as ``product_name``; other names are the same in both.
     """
 
     path: str
-    read: Callable[[bytes], dict[str, object]]
+    read: Callable[[bytes, bytes], dict[str, object]]
     platform_name: str = ""
     product_name: str = ""
 
@@ -63,9 +72,11 @@
 
 # By the product's kinds.
 _KINDS = {
-    "configuration": _Kind("config", configuration_value, "main", "head"),
-    "upstream": _Kind("servers", replica_value),
+    "configuration": _Kind("config", _configuration, "main", "head"),
+    "upstream": _Kind("servers", _replica),
     "evacuation": _Kind("evacuations", _nothing),
+    "rollout": _Kind("rollouts", rollout_value),
+    "rollout-ledger": _Kind("railsail-rollouts", _plain),
     "node": _Kind("railsail-nodes", _plain),
     "quarantine": _Kind("railsail-quarantine", _plain),
 }
@@ -129,6 +140,16 @@
         response = await self._call("put", method, path, msgspec.json.encode(body))
         return to_version(_era(response), _decode(response, StoredItem).metadata.revision)
 
+    async def put_status(
+        self, kind: str, name: str, value: dict[str, object], expected: int
+    ) -> int:
+        """Replace the status of an object if its version is ``expected``; return the new one."""
+        self._check_era(expected)
+        body = {"metadata": {"name": name, "revision": revision_of(expected)}, "status": value}
+        path = f"{_path(kind)}/{quote(name)}/status"
+        response = await self._call("put", "PUT", path, msgspec.json.encode(body))
+        return to_version(_era(response), _decode(response, StoredItem).metadata.revision)
+
     async def delete(self, kind: str, name: str, expected: int) -> None:
         """Delete an object if its version is ``expected``."""
         self._check_era(expected)
@@ -209,7 +230,7 @@
     known = _KINDS[kind]
     name = known.to_product(item.metadata.name)
     try:
-        value = known.read(item.spec)
+        value = known.read(item.spec, item.status)
     except msgspec.DecodeError as problem:
         if known.product_name:
             raise StoreUnavailable(f"{kind}/{name} cannot be read: {problem}") from None
--- /dev/null
+++ b/railsail/rollouts/book.py
@@ -0,0 +1,202 @@
+"""What is known of all rollouts: the operator's orders, and how they stand.
+
+The platform's store holds one object for each service. Records merge, so that repeats and
+reorderings do no harm: the newest object tells the order, and a state that has ended stays. Nodes
+pass them on, so that they hold while the store is away and for nodes that start meanwhile.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
+from railsail.core.logs import get_logger
+from railsail.peers.messages import RolloutUpdate
+from railsail.peers.records import RolloutRecord
+from railsail.rollouts.merging import merge
+from railsail.rollouts.orders import Order, Rollout, State
+from railsail.rollouts.stored import BadRollout, parse_rollout
+from railsail.store.base import Listing, WatchEvent
+
+KIND = "rollout"
+# The platform stops the replicas of other versions once a rollout succeeded, and they leave its
+# list within so many seconds. What is started later with another version takes work again.
+REPLACED_SECONDS = 30.0
+
+Flood = Callable[[RolloutUpdate, str], None]
+
+
+class RolloutBook:
+    """Hold the rollout of each service; ``flood`` passes updates to all peers but the one named."""
+
+    def __init__(self, flood: Flood, kernel: Kernel) -> None:
+        self._flood = flood
+        self._kernel = kernel
+        self._known: dict[str, Rollout] = {}
+        self._succeeded_at: dict[str, float] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change."""
+        self._listeners.append(listener)
+
+    def get(self, service: str) -> Rollout | None:
+        """Return the rollout of ``service``, ended ones and ones taken away included."""
+        return self._known.get(service)
+
+    def all(self) -> list[Rollout]:
+        """Return all rollouts, by service."""
+        return [self._known[service] for service in sorted(self._known)]
+
+    def running(self, service: str) -> Order | None:
+        """Return the order of ``service`` that is neither taken away nor ended."""
+        rollout = self._known.get(service)
+        if rollout is None or rollout.gone or rollout.current.ended:
+            return None
+        return rollout.order
+
+    def unwritten(self) -> list[Rollout]:
+        """Return the rollouts that have ended, and whose status in the store does not say so."""
+        return [
+            rollout
+            for rollout in self.all()
+            if rollout.current.ended and not rollout.gone and rollout.written < rollout.current
+        ]
+
+    def takes_work(self, service: str, software_version: str) -> bool:
+        """Say whether replicas of ``software_version`` may get new calls of ``service`` at all."""
+        rollout = self._known.get(service)
+        if rollout is None:
+            return True
+        if rollout.state.ended and software_version == rollout.decided_version:
+            return rollout.state is State.SUCCEEDED
+        if software_version in rollout.dropped:
+            return False
+        if software_version == rollout.order.target_version:
+            return not rollout.gone
+        return not self._replaces(rollout)
+
+    def _replaces(self, rollout: Rollout) -> bool:
+        """Say whether the replicas of versions that ``rollout`` does not name are being stopped."""
+        if rollout.gone or rollout.current is not State.SUCCEEDED:
+            return False
+        since = self._succeeded_at.get(rollout.order.service, 0.0)
+        return self._kernel.clock.monotonic() < since + REPLACED_SECONDS
+
+    def listed(self, listing: Listing) -> None:
+        """Take in a listing of the store; a rollout that it lacks was taken away.
+
+        One that is not settled yet may lack orders that the operator writes again.
+        """
+        for stored in listing.objects:
+            self.seen(WatchEvent(KIND, stored.name, stored.version, stored.value))
+        names = {stored.name for stored in listing.objects}
+        for rollout in self.all() if listing.settled else ():
+            if rollout.order.service not in names and not rollout.gone:
+                self._take([replace(rollout, gone=True, stored=listing.version)], "")
+
+    def seen(self, event: WatchEvent) -> None:
+        """Take in a watch event of the store."""
+        known = self._known.get(event.name)
+        if event.value is None:
+            if known is not None:
+                self._take([replace(known, gone=True, stored=event.version)], "")
+            return
+        try:
+            rollout = parse_rollout(event.name, event.version, event.value)
+        except BadRollout as problem:
+            self._refuse(event.name, str(problem))
+            return
+        self._take([rollout], "")
+
+    def received(self, node: str, update: RolloutUpdate) -> None:
+        """Take in records of the peer ``node``."""
+        self._take([_from_record(record) for record in update.rollouts], node)
+
+    def update(self) -> RolloutUpdate:
+        """Return all records, for a peer that connects."""
+        return RolloutUpdate([_to_record(rollout) for rollout in self.all()])
+
+    def decide(self, order: Order, state: State) -> None:
+        """Note that ``order`` stands at ``state``, as the ledger has it."""
+        known = self._known.get(order.service)
+        if known is None or known.order != order:
+            return
+        decided = replace(known, state=state, decided_version=order.target_version)
+        self._take([decided], "")
+
+    def status_stored(self, order: Order, state: State, version: int) -> None:
+        """Note that the status of ``order`` says ``state`` from ``version`` of its object on."""
+        known = self._known.get(order.service)
+        if known is None or known.order != order or version <= known.stored:
+            return
+        target = order.target_version
+        self._take([Rollout(order, False, state, target, version, written=state)], "")
+
+    def _refuse(self, service: str, reason: str) -> None:
+        get_logger().warning("rollout refused", service=service, reason=reason)
+        self._kernel.metrics.rollouts_refused.inc({"service": service})
+
+    def _take(self, candidates: list[Rollout], source: str) -> None:
+        changed = []
+        for candidate in candidates:
+            known = self._known.get(candidate.order.service)
+            merged = merge(known, candidate)
+            if merged != known:
+                self._put(known, merged)
+                changed.append(merged)
+        if not changed:
+            return
+        self._flood(RolloutUpdate([_to_record(rollout) for rollout in changed]), source)
+        for listener in self._listeners:
+            listener()
+
+    def _put(self, known: Rollout | None, rollout: Rollout) -> None:
+        service = rollout.order.service
+        self._known[service] = rollout
+        before = known.current if known is not None else State.NONE
+        if rollout.current is State.SUCCEEDED and before is not State.SUCCEEDED:
+            self._succeeded_at[service] = self._kernel.clock.monotonic()
+        self._tell(known, rollout)
+
+    def _tell(self, known: Rollout | None, rollout: Rollout) -> None:
+        if (
+            known is not None
+            and replace(known, stored=rollout.stored, written=rollout.written) == rollout
+        ):
+            return
+        order = rollout.order
+        self._kernel.events.emit(
+            Kind.ROLLOUT,
+            service=order.service,
+            order_version=order.version,
+            target_version=order.target_version,
+            duration_ms=round(order.duration * 1000),
+            state="gone" if rollout.gone else rollout.current.name.lower(),
+        )
+
+
+def _to_record(rollout: Rollout) -> RolloutRecord:
+    order = rollout.order
+    return RolloutRecord(
+        order.service,
+        order.version,
+        order.target_version,
+        round(order.duration * 1000),
+        rollout.gone,
+        int(rollout.state),
+        rollout.decided_version,
+        rollout.stored,
+        int(rollout.written),
+        sorted(rollout.dropped),
+    )
+
+
+def _from_record(record: RolloutRecord) -> Rollout:
+    duration = record.duration / 1000
+    order = Order(record.service, record.version, record.target_version, duration)
+    state, written = State(record.state), State(record.written)
+    dropped = frozenset(record.dropped)
+    return Rollout(
+        order, record.gone, state, record.decided_version, record.stored, written, dropped
+    )
--- /dev/null
+++ b/railsail/rollouts/bounds.py
@@ -0,0 +1,34 @@
+"""How many calls the target version of a rollout may get.
+
+Until its deadline, a version that proves bad may have received ``share`` of all calls of its
+service since the order, and ``slack`` calls more. Calls that are still to come are not counted on:
+what may be sent at any time follows from the calls that have arrived by then.
+"""
+
+from dataclasses import dataclass
+
+# A canary that took all of the bound would leave nothing for the shift, in which the version gets
+# all calls until the rollout is decided. A third of it is a thirtieth of the traffic where the
+# share is a tenth: seven calls a second of two hundred, enough to be judged within seconds.
+CANARY_SHARE = 0.3
+# Of the slack, the canary takes its part at once: the first calls of a service that has few.
+CANARY_SLACK = 0.4
+# Calls arrive elsewhere later than they are counted here, and a call may be sent twice.
+SHIFT_SHARE = 0.95
+SHIFT_SLACK = 0.8
+
+
+@dataclass(frozen=True)
+class ExposureBounds:
+    """The operator's bounds; see the module."""
+
+    share: float
+    slack: float
+
+    def canary_calls(self, arrivals: int) -> int:
+        """Return how many calls the target may have got in the canary."""
+        return int(CANARY_SHARE * self.share * arrivals + CANARY_SLACK * self.slack)
+
+    def shift_calls(self, arrivals: int) -> int:
+        """Return how many calls the target may have got in all before the deadline."""
+        return int(SHIFT_SHARE * self.share * arrivals + SHIFT_SLACK * self.slack)
--- /dev/null
+++ b/railsail/rollouts/fleet.py
@@ -0,0 +1,67 @@
+"""What the coordination of rollouts sees of the fleet."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from railsail.core.lifecycle import State
+from railsail.peers.base import Message
+from railsail.scheduling.cells import Cell
+
+if TYPE_CHECKING:
+    from railsail.node import Node
+
+
+@dataclass(frozen=True)
+class Replica:
+    """A replica that may get new calls; ``cell`` is the number of its cell."""
+
+    name: str
+    cell: int
+    software_version: str
+    slots: int
+    warm: bool
+
+
+class Fleet:
+    """Answer from the parts of ``node``."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    @property
+    def own(self) -> str:
+        """Return this node."""
+        return self._node.settings.node_id
+
+    def candidates(self) -> list[str]:
+        """Return the nodes that may coordinate; none where this node is about to stop."""
+        if self._node.lifecycle.state is not State.READY:
+            return []
+        return self._node.view.usable()
+
+    def dispatchers(self, service: str) -> dict[int, str]:
+        """Return the dispatcher of each cell of ``service``."""
+        cells = self._node.cells
+        return {cell.number: cells.dispatcher(cell) for cell in cells.cells(service)}
+
+    def replicas(self, service: str) -> list[Replica]:
+        """Return the replicas of ``service`` that may get new calls."""
+        cells = self._node.cells.cells(service)
+        found = [self._replica(cell, name) for cell, names in cells.items() for name in names]
+        return [replica for replica in found if replica is not None]
+
+    def _replica(self, cell: Cell, name: str) -> Replica | None:
+        directory = self._node.directory
+        upstream = directory.get(name)
+        if upstream is None or not directory.takes_work(upstream):
+            return None
+        warm = directory.cold_seconds(name, 0.0) <= 0
+        return Replica(name, cell.number, upstream.software_version, upstream.slots, warm)
+
+    def send(self, node: str, message: Message) -> bool:
+        """Queue ``message`` for ``node``, and return whether there is a link."""
+        return self._node.hub.send(node, message)
+
+    def start_id(self, node: str) -> int:
+        """Return what tells the process of ``node`` from earlier ones, 0 where it is not known."""
+        return self._node.hub.start_id(node)
--- /dev/null
+++ b/railsail/rollouts/gathering.py
@@ -0,0 +1,121 @@
+"""The evidence that the coordinator of a rollout has heard in its term."""
+
+from collections import defaultdict, deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from railsail.peers.messages import RolloutEvidence
+from railsail.peers.records import TallyRecord
+from railsail.rollouts.evidence import RouteEvidence, Tally
+
+# Dispatchers tell four times a second; one that told nothing for so long is not heard.
+HEARD_SECONDS = 1.0
+# The rate of calls is that of the last seconds.
+RATE_SECONDS = 3.0
+
+
+@dataclass(frozen=True)
+class Source:
+    """A dispatcher of a cell; ``start`` tells it from others of the same node and cell."""
+
+    cell: int
+    node: str
+    start: int
+
+
+@dataclass
+class _Heard:
+    """The first and the newest evidence of a source."""
+
+    first: RolloutEvidence
+    newest: RolloutEvidence
+    at: float
+
+    @property
+    def arrivals(self) -> int:
+        return self.newest.arrivals - self.first.arrivals
+
+
+class Gathering:
+    """Hold the newest sums of each dispatcher; times are seconds of the monotonic clock."""
+
+    def __init__(self) -> None:
+        self._heard: dict[Source, _Heard] = {}
+        self._samples: deque[tuple[float, int]] = deque()
+
+    def received(self, node: str, evidence: RolloutEvidence, now: float) -> None:
+        """Take in ``evidence`` of the dispatcher at ``node``."""
+        source = Source(evidence.cell, node, evidence.start)
+        known = self._heard.get(source)
+        if known is None:
+            self._heard[source] = _Heard(evidence, evidence, now)
+        elif evidence.arrivals >= known.newest.arrivals:
+            known.newest = evidence
+            known.at = now
+        self._sample(now)
+
+    def _sample(self, now: float) -> None:
+        self._samples.append((now, self.arrivals))
+        while self._samples[0][0] < now - RATE_SECONDS:
+            self._samples.popleft()
+
+    def source(self, cell: int, node: str, now: float) -> Source | None:
+        """Return the dispatcher of ``cell`` at ``node`` that was heard last, and lately."""
+        found = [
+            (heard.at, source)
+            for source, heard in self._heard.items()
+            if (source.cell, source.node) == (cell, node) and heard.at > now - HEARD_SECONDS
+        ]
+        return max(found, key=lambda pair: pair[0])[1] if found else None
+
+    def arrivals_of(self, source: Source) -> int:
+        """Return how many calls ``source`` granted since it was first heard."""
+        return self._heard[source].arrivals
+
+    def exposed_of(self, source: Source, term: int) -> int:
+        """Return how many calls ``source`` sent to the target version in ``term``."""
+        newest = self._heard[source].newest
+        return newest.exposed if newest.term == term else 0
+
+    @property
+    def arrivals(self) -> int:
+        """Return how many calls have arrived since the dispatchers were first heard, at least."""
+        return sum(heard.arrivals for heard in self._heard.values())
+
+    def rate(self, now: float) -> float:
+        """Return how many calls a second arrived lately."""
+        if not self._samples:
+            return 0.0
+        since, before = self._samples[0]
+        return (self.arrivals - before) / (now - since) if now > since else 0.0
+
+    def running(self, sources: Iterable[Source]) -> int:
+        """Return how many calls run on other versions, as ``sources`` told."""
+        return sum(self._heard[source].newest.running for source in sources)
+
+    def routes(self, target_version: str) -> list[RouteEvidence]:
+        """Return the sums of all dispatchers by route."""
+        baseline: dict[int, Tally] = defaultdict(Tally)
+        target: dict[int, dict[str, Tally]] = defaultdict(dict)
+        for heard in self._heard.values():
+            for record in heard.newest.tallies:
+                if record.software_version == target_version:
+                    _add(target[record.route], record)
+                else:
+                    baseline[record.route] = baseline[record.route].merged([_tally(record)])
+        routes = sorted(baseline.keys() | target.keys())
+        return [_evidence(route, baseline, target) for route in routes]
+
+
+def _evidence(
+    route: int, baseline: Mapping[int, Tally], target: Mapping[int, dict[str, Tally]]
+) -> RouteEvidence:
+    return RouteEvidence(route, baseline.get(route, Tally()), target.get(route, {}))
+
+
+def _add(replicas: dict[str, Tally], record: TallyRecord) -> None:
+    replicas[record.replica] = replicas.get(record.replica, Tally()).merged([_tally(record)])
+
+
+def _tally(record: TallyRecord) -> Tally:
+    return Tally(record.answers, record.failed, record.first, record.whole)
--- /dev/null
+++ b/railsail/rollouts/merging.py
@@ -0,0 +1,88 @@
+"""How two records of a service's rollout are merged, alike at all nodes.
+
+The stored object changes with each write of its status, so that nodes may have read the same order
+first at different versions. They agree on the lowest of them. A status is about an order only if
+the object was written after the order was given: the first status of an order is ``running``, and
+it is written before the order can end.
+"""
+
+from dataclasses import replace
+
+from railsail.rollouts.orders import Rollout, State
+
+# Replicas of earlier versions are soon stopped; a message holds so many.
+MOST_DROPPED = 64
+
+
+def merge(known: Rollout | None, candidate: Rollout) -> Rollout:
+    """Return what holds, given both records."""
+    if known is None:
+        return candidate
+    newer, older = _by_age(known, candidate)
+    merged = _merge(newer, older)
+    return replace(merged, dropped=_dropped(merged, newer, older))
+
+
+def _merge(newer: Rollout, older: Rollout) -> Rollout:
+    if not _same_order(newer, older):
+        return _without_earlier_state(newer, older)
+    version = min(newer.order.version, older.order.version)
+    return _furthest(replace(newer, order=replace(newer.order, version=version)), older)
+
+
+def _dropped(merged: Rollout, newer: Rollout, older: Rollout) -> frozenset[str]:
+    """Return the versions that were ordered before and did not succeed, the latest of them."""
+    dropped = newer.dropped | older.dropped
+    if older.current is not State.SUCCEEDED:
+        dropped |= {older.order.target_version}
+    proved = {merged.order.target_version}
+    if merged.state is State.SUCCEEDED:
+        proved.add(merged.decided_version)
+    return frozenset(sorted(dropped - proved)[-MOST_DROPPED:])
+
+
+def _by_age(known: Rollout, candidate: Rollout) -> tuple[Rollout, Rollout]:
+    if _age(candidate) > _age(known):
+        return candidate, known
+    return known, candidate
+
+
+def _age(rollout: Rollout) -> tuple[int, bool, State]:
+    return (rollout.stored, rollout.gone, rollout.written)
+
+
+def _same_order(newer: Rollout, older: Rollout) -> bool:
+    """Say whether both are about one order, which may have been taken away meanwhile."""
+    if older.gone and not newer.gone:
+        return False
+    left, right = newer.order, older.order
+    return (left.target_version, left.duration) == (right.target_version, right.duration)
+
+
+def _furthest(newer: Rollout, older: Rollout) -> Rollout:
+    """Return ``newer`` with the state of the order that got further."""
+    if (newer.state, newer.decided_version) == (older.state, older.decided_version):
+        return newer
+    version = newer.order.version
+    telling = [rollout for rollout in (newer, older) if rollout.stored > version]
+    if not telling:
+        return _not_begun(newer)
+    best = max(telling, key=lambda rollout: rollout.current)
+    if newer.stored <= version:
+        newer = _not_begun(newer)
+    return replace(newer, state=best.state, decided_version=best.decided_version)
+
+
+def _without_earlier_state(newer: Rollout, older: Rollout) -> Rollout:
+    """Return ``newer``, whose status may still be that of an order before it.
+
+    An operator who orders the same version again means a new rollout.
+    """
+    left = newer.state is older.state and newer.decided_version == older.decided_version
+    if newer.gone or not left or newer.current is State.NONE:
+        return newer
+    return _not_begun(newer)
+
+
+def _not_begun(rollout: Rollout) -> Rollout:
+    return replace(rollout, state=State.NONE, decided_version="", written=State.NONE)
--- a/railsail/rollouts/orders.py
+++ b/railsail/rollouts/orders.py
@@ -37,13 +37,19 @@
     """An order and how it stands; ``gone`` says that the operator took the order away.
 
     ``state`` is about ``decided_version``, which is another than that of the order where the state
-    is left from an earlier order.
+    is left from an earlier order. ``stored`` is the version of the stored object that was read
+    last, which changes with the status too, and ``written`` the state of this order that its
+    status tells. ``dropped`` names versions whose rollouts did not succeed before this order: they
+    are not proved, and get no calls.
     """
 
     order: Order
     gone: bool = False
     state: State = State.NONE
     decided_version: str = ""
+    stored: int = 0
+    written: State = State.NONE
+    dropped: frozenset[str] = frozenset()
 
     @property
     def current(self) -> State:
--- /dev/null
+++ b/railsail/rollouts/tenure.py
@@ -0,0 +1,300 @@
+"""One term of the coordinator of a rollout: what it has heard, plans, allows and is to write.
+
+Calls are reserved in the ledger before any dispatcher may send them, so that whoever coordinates
+next knows how many may have been sent.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
+from railsail.membership.placement import rank
+from railsail.peers.messages import RolloutAllowance, RolloutEvidence
+from railsail.rollouts.allotments import Allotments
+from railsail.rollouts.bounds import CANARY_SHARE, ExposureBounds
+from railsail.rollouts.fleet import Fleet, Replica
+from railsail.rollouts.gathering import Gathering, Source
+from railsail.rollouts.ledger import Entry
+from railsail.rollouts.orders import Order, State
+from railsail.rollouts.plan import FREE_AFTER_SECONDS, Plan, Situation, plan
+from railsail.rollouts.stages import Stage
+from railsail.rollouts.verdict import Judgement, Verdict, judge
+
+# An allowance lapses soon where its coordinator is gone, and is renewed several times before.
+VALID_SECONDS = 1.0
+ALLOW_SECONDS = 0.25
+# A ledger that was not written for so long may have been taken over.
+LEASE_SECONDS = 2.0
+# While the target gets all calls, those of so many seconds are reserved beforehand, and some more:
+# the ledger is written about twice a second, and a call of the store may take a while.
+AHEAD_SECONDS = 1.5
+AHEAD_CALLS = 10
+# One sick replica makes no version bad, so that the canary has several. They get about as many
+# calls each as they would among all replicas.
+LEAST_CANARIES = 3
+MOST_NAMED = 64
+# Replicas of the target must have this much more room than the calls that run on other versions.
+ROOM_MARGIN = 1.1
+UNLIMITED_CALLS = 1 << 40
+_MS = 1000
+
+
+@dataclass
+class _Progress:
+    """What changes in a term, beside evidence and allotments; times are monotonic seconds."""
+
+    plan: Plan
+    judgement: Judgement
+    loaded_at: float = 0.0
+    serial: int = 0
+    sent_at: float = -math.inf
+
+
+class Tenure:
+    """Coordinate ``order`` from the ledger's ``entry`` on, written at ``began`` (monotonic)."""
+
+    def __init__(
+        self,
+        order: Order,
+        entry: Entry,
+        began: float,
+        fleet: Fleet,
+        bounds: ExposureBounds,
+        kernel: Kernel,
+        judging: Callable[[list], Judgement] = judge,
+    ) -> None:
+        self.order = order
+        self.entry = entry
+        self.decided: Plan | None = None
+        self._began = began
+        self._fleet = fleet
+        self._bounds = bounds
+        self._kernel = kernel
+        self._judge = judging
+        self._reserved_before = entry.reserved
+        self._arrivals_before = entry.arrivals
+        self._gathering = Gathering()
+        self._allotments = Allotments()
+        waiting = Judgement(Verdict.UNDECIDED, "no evidence yet")
+        self._progress = _Progress(Plan(Stage.HOLD, "the term begins"), waiting)
+
+    @property
+    def stage(self) -> Stage:
+        """Return the present stage."""
+        return self._progress.plan.stage
+
+    @property
+    def reason(self) -> str:
+        """Return why the rollout is at its stage, and what the evidence shows."""
+        return f"{self._progress.plan.reason}; {self._progress.judgement.reason}"
+
+    @property
+    def verdict(self) -> Verdict:
+        """Return what the evidence shows."""
+        return self._progress.judgement.verdict
+
+    @property
+    def arrivals(self) -> int:
+        """Return how many calls of the service arrived since the order, at least."""
+        return self._arrivals_before + self._gathering.arrivals
+
+    def received(self, node: str, evidence: RolloutEvidence) -> None:
+        """Take in ``evidence`` of the dispatcher at ``node``."""
+        if evidence.version == self.order.version:
+            self._gathering.received(node, evidence, self._now())
+
+    def stored(self, entry: Entry, began: float) -> None:
+        """Note that the ledger holds ``entry``, by a write that began at ``began``."""
+        self.entry = entry
+        self._began = began
+
+    def leads(self) -> bool:
+        """Say whether no other can have taken over."""
+        return self._now() < self._began + LEASE_SECONDS
+
+    def tick(self) -> None:
+        """Judge, plan, and allow calls; without the lease nothing is allowed any more."""
+        if not self.leads():
+            return
+        self._progress.judgement = self._judge(self._gathering.routes(self.order.target_version))
+        situation = self._situation()
+        self._follow(self._plan(situation), situation)
+        self._divide()
+        self._allow()
+
+    def _plan(self, situation: Situation) -> Plan:
+        # A decision may be on its way to the store, so that it stands whatever is seen since.
+        return self.decided or plan(situation, self._bounds)
+
+    def _follow(self, chosen: Plan, situation: Situation) -> None:
+        progress = self._progress
+        if chosen.stage >= Stage.SHIFT > self.stage:
+            progress.loaded_at = situation.now
+        if chosen.stage != self.stage or (chosen.state and self.decided is None):
+            self._tell(chosen, situation)
+            progress.sent_at = -math.inf
+        progress.plan = chosen
+        if chosen.state is not State.NONE and self.decided is None:
+            self.decided = chosen
+
+    def _situation(self) -> Situation:
+        now = self._now()
+        replicas = self._targets()
+        heard = self._heard()
+        running = self._gathering.running(heard.values())
+        return Situation(
+            now=now,
+            ends=now + self.entry.ends / _MS - self._kernel.clock.wall(),
+            stage=self.stage,
+            arrivals=self.arrivals,
+            rate=self._gathering.rate(now),
+            reserved=self.entry.reserved,
+            verdict=self.verdict,
+            ready=len(replicas),
+            room=_has_room(replicas, running),
+            heard=len(heard) == len(self._fleet.dispatchers(self.order.service)),
+            running=running,
+            loaded_at=self._progress.loaded_at,
+        )
+
+    def _targets(self) -> list[Replica]:
+        """Return the replicas of the target version; cold ones are slow and show nothing."""
+        target = self.order.target_version
+        replicas = self._fleet.replicas(self.order.service)
+        return [r for r in replicas if r.software_version == target and r.warm]
+
+    def _heard(self) -> dict[int, Source]:
+        """Return the dispatchers that were heard lately, by cell."""
+        now = self._now()
+        dispatchers = self._fleet.dispatchers(self.order.service)
+        found = {cell: self._gathering.source(cell, n, now) for cell, n in dispatchers.items()}
+        return {cell: source for cell, source in found.items() if source is not None}
+
+    def _divide(self) -> None:
+        cells = {replica.cell for replica in self._targets()}
+        weights = {
+            source: 1.0 + self._gathering.arrivals_of(source)
+            for cell, source in self._heard().items()
+            if cell in cells
+        }
+        free = self.entry.reserved - self._reserved_before - self._allotments.total
+        self._allotments.divide(free, weights)
+
+    def _allow(self) -> None:
+        now = self._now()
+        if now < self._progress.sent_at + ALLOW_SECONDS:
+            return
+        self._progress.sent_at = now
+        self._progress.serial += 1
+        heard = self._heard()
+        for cell, node in self._fleet.dispatchers(self.order.service).items():
+            self._fleet.send(node, self._allowance(cell, heard.get(cell)))
+
+    def _allowance(self, cell: int, source: Source | None) -> RolloutAllowance:
+        # One that was not heard yet tells with its answer whether it is new, and may send nothing.
+        return RolloutAllowance(
+            self.order.service,
+            cell,
+            self.order.version,
+            self.entry.term,
+            self._progress.serial,
+            int(self.stage if source is not None else min(self.stage, Stage.CANARY)),
+            self._calls(source),
+            round(VALID_SECONDS * _MS),
+            self._named(cell) if self.stage is Stage.CANARY else [],
+        )
+
+    def _calls(self, source: Source | None) -> int:
+        if source is None or self.stage is Stage.HOLD:
+            return 0
+        if self._is_free() and self.stage > Stage.CANARY:
+            return UNLIMITED_CALLS
+        return self._allotments.of(source)
+
+    def _is_free(self) -> bool:
+        return self._kernel.clock.wall() >= self.entry.ends / _MS + FREE_AFTER_SECONDS
+
+    def _named(self, cell: int) -> list[str]:
+        targets = self._targets()
+        count = math.ceil(CANARY_SHARE * self._bounds.share * len(targets))
+        names = [replica.name for replica in targets if replica.cell == cell]
+        chosen = rank(f"canary of {self.order.service}", names)
+        return chosen[: min(MOST_NAMED, max(LEAST_CANARIES, count))]
+
+    def writes_now(self) -> bool:
+        """Say whether the ledger is to be written at once: for a decision, or for more calls."""
+        if self.decided is not None:
+            return not self.entry.state.ended
+        return self._wanted() > self.entry.reserved and self._unused() <= self._ahead() / 2
+
+    def next_entry(self) -> Entry:
+        """Return what the ledger is to hold next."""
+        ends = self.decided
+        return msgspec.structs.replace(
+            self.entry,
+            beat=self.entry.beat + 1,
+            order=self.order.version,
+            stage=self.stage,
+            reserved=max(self.entry.reserved, self._wanted()),
+            arrivals=max(self.entry.arrivals, self.arrivals),
+            state=ends.state if ends is not None else self.entry.state,
+            reason=self.reason if ends is not None else self.entry.reason,
+        )
+
+    def _wanted(self) -> int:
+        """Return how many calls are to be reserved in all."""
+        if self.stage is Stage.CANARY:
+            return self._bounds.canary_calls(self.arrivals)
+        if self.stage is Stage.HOLD or self._is_free():
+            return self.entry.reserved
+        wanted = self.entry.reserved + max(0, self._ahead() - self._unused())
+        return min(wanted, self._bounds.shift_calls(self.arrivals))
+
+    def _ahead(self) -> int:
+        """Return how many calls are reserved before they come, while the target gets all."""
+        if self.stage < Stage.SHIFT:
+            return 0
+        return int(AHEAD_SECONDS * self._gathering.rate(self._now())) + AHEAD_CALLS
+
+    def _unused(self) -> int:
+        """Return how many reserved calls may still be sent by dispatchers that are heard."""
+        free = self.entry.reserved - self._reserved_before - self._allotments.total
+        term = self.entry.term
+        return free + sum(
+            self._allotments.of(source) - self._gathering.exposed_of(source, term)
+            for source in self._heard().values()
+        )
+
+    def _tell(self, chosen: Plan, situation: Situation) -> None:
+        self._kernel.events.emit(
+            Kind.ROLLOUT,
+            chosen.reason,
+            notable=chosen.state is not State.NONE,
+            service=self.order.service,
+            target_version=self.order.target_version,
+            term=self.entry.term,
+            stage=chosen.stage.name.lower(),
+            state=chosen.state.name.lower(),
+            verdict=self.verdict.value,
+            evidence=self._progress.judgement.reason,
+            arrivals=situation.arrivals,
+            rate=round(situation.rate, 1),
+            reserved=situation.reserved,
+            running=situation.running,
+            ready=situation.ready,
+            left_ms=round((situation.ends - situation.now) * _MS),
+        )
+
+    def _now(self) -> float:
+        return self._kernel.clock.monotonic()
+
+
+def _has_room(replicas: list[Replica], running: int) -> bool:
+    """Say whether ``replicas`` can take over ``running`` calls; those without slots take any."""
+    if any(replica.slots == 0 for replica in replicas):
+        return True
+    return sum(replica.slots for replica in replicas) >= ROOM_MARGIN * running
--- a/railsail/standins/store.py
+++ b/railsail/standins/store.py
@@ -86,6 +86,12 @@
             return
         self.finish(json.dumps(body))
 
+    def check_version(self, kind: str, name: str) -> None:
+        item = self.state.objects.get((kind, name))
+        stored = item["version"] if item else 0
+        if int(self.get_query_argument("expected")) != stored:
+            raise HTTPError(409)
+
 
 class _List(_Handler):
     def get(self, kind: str) -> None:
@@ -101,7 +107,7 @@
         self.reply(item)
 
     async def put(self, kind: str, name: str) -> None:
-        self._check_version(kind, name)
+        self.check_version(kind, name)
         if len(self.request.body) > MOST_VALUE_BYTES:
             raise HTTPError(413)
         version = self.state.put(kind, name, json.loads(self.request.body))
@@ -109,17 +115,25 @@
         self.reply({"version": version})
 
     async def delete(self, kind: str, name: str) -> None:
-        self._check_version(kind, name)
+        self.check_version(kind, name)
         if (kind, name) in self.state.objects:
             self.state.delete(kind, name)
             await self.state.wake()
         self.reply({})
 
-    def _check_version(self, kind: str, name: str) -> None:
+
+class _Status(_Handler):
+    async def put(self, kind: str, name: str) -> None:
+        self.check_version(kind, name)
         item = self.state.objects.get((kind, name))
-        stored = item["version"] if item else 0
-        if int(self.get_query_argument("expected")) != stored:
-            raise HTTPError(409)
+        if item is None:
+            raise HTTPError(404)
+        status = json.loads(self.request.body)
+        version = item["version"]
+        if item["value"].get("status") != status:
+            version = self.state.put(kind, name, {**item["value"], "status": status})
+            await self.state.wake()
+        self.reply({"version": version})
 
 
 class _Watch(_Handler):
@@ -177,6 +191,7 @@
     routes = [
         (r"/v1/objects/([^/]+)", _List),
         (r"/v1/objects/([^/]+)/([^/]+)", _Object),
+        (r"/v1/objects/([^/]+)/([^/]+)/status", _Status),
         (r"/v1/watch", _Watch),
         (r"/standin/faults", _Faults),
         (r"/standin/calls", _Calls),
--- a/railsail/store/base.py
+++ b/railsail/store/base.py
@@ -57,9 +57,9 @@
     """A client of the object API.
 
     Every method raises ``StoreUnavailable`` when no answer came. A write that raises it may have
-    taken effect all the same. ``put`` and ``delete`` raise ``StoreConflict`` when the object has
-    another version than the one expected. ``watches_many`` says that one watch may be about several
-    kinds at once.
+    taken effect all the same. ``put``, ``put_status`` and ``delete`` raise ``StoreConflict`` when
+    the object has another version than the one expected. ``watches_many`` says that one watch may
+    be about several kinds at once.
     """
 
     watches_many: bool
@@ -73,6 +73,14 @@
     async def put(self, kind: str, name: str, value: dict[str, object], expected: int) -> int:
         """Write an object if its version is ``expected``, and return the new version."""
 
+    async def put_status(
+        self, kind: str, name: str, value: dict[str, object], expected: int
+    ) -> int:
+        """Replace the status of an object if its version is ``expected``; return the new one.
+
+        The status of a rollout is the value of ``status`` in what ``get`` and ``list`` return.
+        """
+
     async def delete(self, kind: str, name: str, expected: int) -> None:
         """Delete an object if its version is ``expected``."""
 
--- a/railsail/store/http.py
+++ b/railsail/store/http.py
@@ -50,6 +50,14 @@
         response = await self._call("put", "PUT", path, json.dumps(value, separators=(",", ":")))
         return _body(response)["version"]
 
+    async def put_status(
+        self, kind: str, name: str, value: dict[str, object], expected: int
+    ) -> int:
+        """Replace the status of an object if its version is ``expected``; return the new one."""
+        path = f"/v1/objects/{quote(kind)}/{quote(name)}/status?expected={expected}"
+        response = await self._call("put", "PUT", path, json.dumps(value, separators=(",", ":")))
+        return _body(response)["version"]
+
     async def delete(self, kind: str, name: str, expected: int) -> None:
         """Delete an object if its version is ``expected``."""
         path = f"/v1/objects/{quote(kind)}/{quote(name)}?expected={expected}"
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -64,8 +64,17 @@
         return access
 
     def put(self, kind: str, name: str, spec: object) -> None:
+        held = self.objects.get((kind, name), {})
+        self._put(kind, name, {"spec": spec, "status": held.get("status")})
+
+    def put_status(self, kind: str, name: str, status: object) -> None:
+        held = self.objects[(kind, name)]
+        if held.get("status") != status:
+            self._put(kind, name, {"spec": held["spec"], "status": status})
+
+    def _put(self, kind: str, name: str, parts: dict) -> None:
         self.revision += 1
-        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+        item = {"metadata": {"name": name, "revision": self.revision}} | parts
         self.objects[(kind, name)] = item
         self._tell(kind, item, False)
 
@@ -151,10 +160,26 @@
         self._write(self.request.path.split("/")[2], item["metadata"]["name"], 0, item["spec"])
 
     def put(self) -> None:
-        kind, name = self.request.path.split("/")[2:]
+        kind, name, *part = self.request.path.split("/")[2:]
         item = json.loads(self.request.body)
+        if part == ["status"]:
+            self._write_status(kind, name, item)
+            return
         self._write(kind, name, item["metadata"]["revision"], item["spec"])
 
+    def _write_status(self, kind: str, name: str, item: dict) -> None:
+        held = self.store.objects.get((kind, name))
+        if held is None:
+            self.set_status(404)
+            return
+        revision = held["metadata"]["revision"]
+        if item["metadata"].get("revision", revision) != revision:
+            self.set_status(409)
+            self.finish(json.dumps(held))
+            return
+        self.store.put_status(kind, name, item["status"])
+        self.finish(json.dumps(self.store.objects[(kind, name)]))
+
     def _write(self, kind: str, name: str, expected: int, spec: object) -> None:
         held = self.store.objects.get((kind, name))
         if (held["metadata"]["revision"] if held else 0) != expected:
