rollouts: tested plan, book, ledger and coordinator, and mended what that showed

A shift never came to its drain in time: calls that were reserved and not yet sent counted as spent, so that the bounds seemed not to last. They count as spent now only where no dispatcher that is heard can send them. A node that starts took an end decided in the ledger for that of an earlier order, since it knows the order by a late version; only what a status tells is doubted now.

--- a/railsail/rollouts/bounds.py
+++ b/railsail/rollouts/bounds.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 
 # A canary that took all of the bound would leave nothing for the shift, in which the version gets
-# all calls until the rollout is decided. A third of it is a thirtieth of the traffic where the
-# share is a tenth: seven calls a second of two hundred, enough to be judged within seconds.
-CANARY_SHARE = 0.3
+# all calls until the rollout is decided. A quarter of it is a fortieth of the traffic where the
+# share is a tenth: five calls a second of two hundred, enough to be judged within seconds.
+CANARY_SHARE = 0.25
 # Of the slack, the canary takes its part at once: the first calls of a service that has few.
 CANARY_SLACK = 0.4
 # Calls arrive elsewhere later than they are counted here, and a call may be sent twice.
--- a/railsail/rollouts/coordination.py
+++ b/railsail/rollouts/coordination.py
@@ -24,7 +24,7 @@
 from railsail.store.base import Store
 from railsail.store.journal import Backoff
 
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.05
 RENEW_SECONDS = 0.5
 # The next candidate follows so much later, the one after it twice as late.
 STEP_SECONDS = 0.4
--- a/railsail/rollouts/merging.py
+++ b/railsail/rollouts/merging.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from railsail.rollouts.orders import Rollout, State
+from railsail.store.versions import era_of
 
 # Replicas of earlier versions are soon stopped; a message holds so many.
 MOST_DROPPED = 64
@@ -61,16 +62,27 @@
 
 def _furthest(newer: Rollout, older: Rollout) -> Rollout:
     """Return ``newer`` with the state of the order that got further."""
-    if (newer.state, newer.decided_version) == (older.state, older.decided_version):
-        return newer
-    version = newer.order.version
-    telling = [rollout for rollout in (newer, older) if rollout.stored > version]
-    if not telling:
-        return _not_begun(newer)
-    best = max(telling, key=lambda rollout: rollout.current)
-    if newer.stored <= version:
-        newer = _not_begun(newer)
-    return replace(newer, state=best.state, decided_version=best.decided_version)
+    written = newer.written
+    if newer.stored == older.stored:
+        # Whoever has read the object both before and after the order knows whose status it is.
+        written = min(newer.written, older.written)
+    pairs = ((newer, older), (older, newer))
+    trusted = [one for one, other in pairs if not _is_earlier(one, other, newer.order.version)]
+    best = max(trusted, key=lambda rollout: rollout.current)
+    return replace(newer, state=best.state, decided_version=best.decided_version, written=written)
+
+
+def _is_earlier(rollout: Rollout, other: Rollout, version: int) -> bool:
+    """Say whether the state of ``rollout`` is a status left from an order before it.
+
+    It may be where it was read together with the order, and ``other``, read then or later, has no
+    such status. A store that came back from a copy may have lost the status of this order.
+    """
+    if rollout.current is not rollout.written or rollout.stored > version:
+        return False
+    if era_of(other.stored) > era_of(rollout.stored):
+        return False
+    return other.stored >= rollout.stored and other.written < rollout.written
 
 
 def _without_earlier_state(newer: Rollout, older: Rollout) -> Rollout:
--- a/railsail/rollouts/plan.py
+++ b/railsail/rollouts/plan.py
@@ -13,15 +13,16 @@
 from railsail.rollouts.stages import Stage
 from railsail.rollouts.verdict import Verdict
 
-# An order is known here a little after the store took it, and clocks of nodes differ a little. So
-# long after its deadline as counted here calls to the target are bounded still.
-FREE_AFTER_SECONDS = 0.5
-# Calls of a moment may be more than those of the last seconds.
-RATE_MARGIN = 1.15
+# An order is known here a little after the store took it, so that its deadline as counted here is
+# late already; clocks of nodes differ a little. So long after it calls are bounded still.
+FREE_AFTER_SECONDS = 0.1
+# Calls of a moment may be more than those of the last seconds. Where they are, the bounds still
+# hold: other versions get the rest again.
+RATE_MARGIN = 1.05
 # A version may be bad under load only. Before other versions get no calls any more, the target has
 # had the load for so long; and for so long before the rollout succeeds.
-SHIFT_SECONDS = 0.4
-LOADED_SECONDS = 0.8
+SHIFT_SECONDS = 0.3
+LOADED_SECONDS = 0.6
 # The shift begins at most so long before the deadline: the longer it lasts, the more calls end on
 # other versions by themselves, and the more a version that turns bad receives.
 MOST_SHIFT_SECONDS = 15.0
@@ -36,11 +37,11 @@
 class Situation:
     """What is known of a rollout; times are in seconds of one clock.
 
-    The order was ``seen`` and has its deadline at ``ends``. ``arrivals`` of all calls so far came
-    at ``rate`` a second lately; ``reserved`` of them may have gone to the target. The target has
-    ``ready`` replicas, and ``room`` for all calls. ``heard`` says that all dispatchers told lately
-    what runs at them, which is ``running`` calls on other versions. The target has had the load
-    since ``loaded_at``, 0 where it has not.
+    The deadline is at ``ends``. Calls of the service, ``arrivals`` of them so far, came at ``rate``
+    a second lately, and ``spent`` calls have gone to the target or may have. It has ``ready``
+    replicas, and ``room`` for all calls. ``heard`` says that all dispatchers told lately what runs
+    at them, which is ``running`` calls on other versions. The target has had the load since
+    ``loaded_at``, 0 where it has not.
     """
 
     now: float
@@ -48,7 +49,7 @@
     stage: Stage
     arrivals: int
     rate: float
-    reserved: int
+    spent: int
     verdict: Verdict
     ready: int
     room: bool
@@ -83,7 +84,7 @@
     """Return for how long all calls can go to the target within the bounds."""
     if situation.now >= _free_at(situation):
         return float("inf")
-    left = bounds.shift_calls(situation.arrivals) - situation.reserved
+    left = bounds.shift_calls(situation.arrivals) - situation.spent
     if situation.rate <= 0:
         return MOST_SHIFT_SECONDS if left > 0 else 0.0
     return max(0.0, left / (RATE_MARGIN * situation.rate))
--- a/railsail/rollouts/tenure.py
+++ b/railsail/rollouts/tenure.py
@@ -27,6 +27,8 @@
 # An allowance lapses soon where its coordinator is gone, and is renewed several times before.
 VALID_SECONDS = 1.0
 ALLOW_SECONDS = 0.25
+# Dispatchers answer an allowance with what runs at them; the end of a drain is awaited.
+ALLOW_SECONDS_IN_DRAIN = 0.1
 # A ledger that was not written for so long may have been taken over.
 LEASE_SECONDS = 2.0
 # While the target gets all calls, those of so many seconds are reserved beforehand, and some more:
@@ -152,7 +154,7 @@
             stage=self.stage,
             arrivals=self.arrivals,
             rate=self._gathering.rate(now),
-            reserved=self.entry.reserved,
+            spent=self.entry.reserved - self._unused(),
             verdict=self.verdict,
             ready=len(replicas),
             room=_has_room(replicas, running),
@@ -186,7 +188,8 @@
 
     def _allow(self) -> None:
         now = self._now()
-        if now < self._progress.sent_at + ALLOW_SECONDS:
+        pause = ALLOW_SECONDS_IN_DRAIN if self.stage is Stage.DRAIN else ALLOW_SECONDS
+        if now < self._progress.sent_at + pause:
             return
         self._progress.sent_at = now
         self._progress.serial += 1
@@ -283,7 +286,8 @@
             evidence=self._progress.judgement.reason,
             arrivals=situation.arrivals,
             rate=round(situation.rate, 1),
-            reserved=situation.reserved,
+            reserved=self.entry.reserved,
+            spent=situation.spent,
             running=situation.running,
             ready=situation.ready,
             left_ms=round((situation.ends - situation.now) * _MS),
--- /dev/null
+++ b/tests/rollouts/base.py
@@ -0,0 +1,222 @@
+"""A store, a fleet and dispatchers that follow a script, for tests of rollouts."""
+
+import random
+from collections.abc import Callable
+
+from railsail.core.clock import ManualClock
+from railsail.core.events import EventLog
+from railsail.core.exceptions import StoreConflict, StoreUnavailable
+from railsail.core.kernel import Kernel
+from railsail.core.metrics import Metrics
+from railsail.peers.messages import RolloutAllowance, RolloutEvidence
+from railsail.peers.records import TallyRecord
+from railsail.rollouts.book import KIND as ROLLOUT
+from railsail.rollouts.book import RolloutBook
+from railsail.rollouts.bounds import ExposureBounds
+from railsail.rollouts.coordination import Coordination
+from railsail.rollouts.evidence import CLASSES
+from railsail.rollouts.fleet import Replica
+from railsail.rollouts.ledger import KIND as LEDGER
+from railsail.rollouts.verdict import Judgement, Verdict
+from railsail.store.base import Listing, StoredObject, WatchEvent
+
+SERVICE = "lm"
+BOUNDS = ExposureBounds(0.1, 50)
+START = 1000.0
+
+
+class FakeStore:
+    """Objects with one rising version, whose calls fail as a test wants."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        # Nodes that it turns away; nothing is done for them.
+        self.turned_away: set[str] = set()
+        # The next write is done, or held back, and not answered.
+        self.loses_answer = False
+        self.holds_back = False
+        self.held_back: list[Callable[[], None]] = []
+        self.writes = 0
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        return self.objects.get((kind, name))
+
+    async def put(self, kind: str, name: str, value: dict, expected: int) -> int:
+        return self._write(kind, name, value, expected)
+
+    async def put_status(self, kind: str, name: str, value: dict, expected: int) -> int:
+        held = self.objects[(kind, name)]
+        if held.version == expected and held.value.get("status") == value:
+            return held.version
+        return self._write(kind, name, {**held.value, "status": value}, expected)
+
+    def _write(self, kind: str, name: str, value: dict, expected: int) -> int:
+        if self.holds_back:
+            self.holds_back = False
+            self.held_back.append(lambda: self._write(kind, name, value, expected))
+            raise StoreUnavailable("no answer; it is done later")
+        held = self.objects.get((kind, name))
+        if (held.version if held else 0) != expected:
+            raise StoreConflict("another version")
+        version = self.set(kind, name, value)
+        self.writes += 1
+        if self.loses_answer:
+            self.loses_answer = False
+            raise StoreUnavailable("no answer; it was done")
+        return version
+
+    def set(self, kind: str, name: str, value: dict) -> int:
+        """Write as the operator does, on no condition."""
+        self.version += 1
+        self.objects[(kind, name)] = StoredObject(kind, name, self.version, value)
+        return self.version
+
+    def release(self) -> None:
+        """Do the writes that were held back, where their conditions still hold."""
+        for write in self.held_back:
+            try:
+                write()
+            except StoreConflict:
+                continue
+        self.held_back.clear()
+
+    def order(self, target: object = "v2", seconds: float = 20.0, service: str = SERVICE) -> int:
+        """Write an order; the status of the object stays."""
+        held = self.objects.get((ROLLOUT, service))
+        status = held.value.get("status", {}) if held else {}
+        spec = {"service": service, "target_version": target, "duration": seconds}
+        return self.set(ROLLOUT, service, spec | {"status": status})
+
+    def status(self, service: str = SERVICE) -> dict:
+        return self.objects[(ROLLOUT, service)].value["status"]
+
+    def ledger(self, service: str = SERVICE) -> dict:
+        return self.objects[(LEDGER, service)].value
+
+    def listing(self) -> Listing:
+        found = [item for (kind, _), item in self.objects.items() if kind == ROLLOUT]
+        return Listing(self.version, tuple(found))
+
+
+class NodeStore:
+    """The store as one node reaches it."""
+
+    def __init__(self, store: FakeStore, node: str) -> None:
+        self._store = store
+        self._node = node
+
+    def __getattr__(self, name: str) -> object:
+        call = getattr(self._store, name)
+
+        async def checked(*args: object) -> object:
+            if self._node in self._store.turned_away:
+                raise StoreUnavailable("turned away")
+            return await call(*args)
+
+        return checked
+
+
+class FakeFleet:
+    """A node's view of a fleet with one cell, whose dispatcher is node ``d``."""
+
+    def __init__(self, own: str, nodes: list[str]) -> None:
+        self.own = own
+        self.nodes = nodes
+        self.sent: list[RolloutAllowance] = []
+        self.cells = {0: "d"}
+        versions = {"old": "v1", "new": "v2"}
+        self.all = [
+            Replica(f"{w}-{n}", 0, versions[w], 8, True) for n in range(4) for w in versions
+        ]
+
+    def candidates(self) -> list[str]:
+        return self.nodes
+
+    def dispatchers(self, service: str) -> dict[int, str]:
+        return self.cells
+
+    def replicas(self, service: str) -> list[Replica]:
+        return self.all
+
+    def send(self, node: str, message: RolloutAllowance) -> bool:
+        self.sent.append(message)
+        return True
+
+
+def new_kernel(clock: ManualClock) -> Kernel:
+    return Kernel(clock, random.Random(1), EventLog("n", clock), Metrics())
+
+
+def new_book(clock: ManualClock, flooded: list | None = None) -> RolloutBook:
+    sent = [] if flooded is None else flooded
+    return RolloutBook(lambda update, source: sent.append((update, source)), new_kernel(clock))
+
+
+class FakeNode:
+    """A node that may coordinate the rollout; ``verdict`` is what it makes of the evidence."""
+
+    def __init__(self, name: str, names: list[str], store: FakeStore, clock: ManualClock) -> None:
+        self.name = name
+        self.clock = clock
+        self.verdict = Verdict.UNDECIDED
+        self.store = store
+        self.fleet = FakeFleet(name, names)
+        self.flooded: list = []
+        self.book = new_book(clock, self.flooded)
+        self.read()
+        self.begin()
+
+    def begin(self) -> None:
+        """Begin to coordinate the order that runs, as a process that starts does."""
+        self.coordination = Coordination(
+            self.book.running(SERVICE),
+            self.book,
+            NodeStore(self.store, self.name),
+            self.fleet,
+            BOUNDS,
+            new_kernel(self.clock),
+            lambda evidence: Judgement(self.verdict, "as the test says"),
+        )
+
+    def read(self) -> None:
+        self.book.listed(self.store.listing())
+
+    async def step(self) -> float | None:
+        """Do what is due; return ``None`` where the store failed."""
+        try:
+            return await self.coordination.step()
+        except (StoreConflict, StoreUnavailable):
+            self.coordination._ledger.unsure = True
+            return None
+
+    @property
+    def leads(self) -> bool:
+        tenure = self.coordination.tenure
+        return tenure is not None and tenure.leads()
+
+    @property
+    def allowed(self) -> RolloutAllowance:
+        return self.fleet.sent[-1]
+
+
+def evidence(
+    arrivals: int,
+    exposed: int = 0,
+    running: int = 0,
+    start: int = 1,
+    term: int = 1,
+    version: int = 1,
+) -> RolloutEvidence:
+    return RolloutEvidence(SERVICE, 0, version, start, term, arrivals, exposed, running, [])
+
+
+def tally(route: int, version: str, replica: str, answers: int, failed: int = 0) -> TallyRecord:
+    times = [0] * CLASSES
+    return TallyRecord(route, version, replica, answers, failed, times, times)
+
+
+def event(store: FakeStore, service: str = SERVICE) -> WatchEvent:
+    """Return the watch event of the operator's object."""
+    stored = store.objects[(ROLLOUT, service)]
+    return WatchEvent(ROLLOUT, service, stored.version, stored.value)
--- /dev/null
+++ b/tests/rollouts/test_book.py
@@ -0,0 +1,232 @@
+"""The book of rollouts: what merges, what ends, and which versions get calls."""
+
+import itertools
+import unittest
+from dataclasses import replace
+
+from railsail.core.clock import ManualClock
+from railsail.rollouts.book import REPLACED_SECONDS
+from railsail.rollouts.merging import merge
+from railsail.rollouts.orders import Order, Rollout, State
+from railsail.store.base import Listing, WatchEvent
+from railsail.store.versions import to_version
+from tests.rollouts.base import SERVICE, START, FakeStore, event, new_book
+
+
+def status(state: str, target: object = "v2") -> dict:
+    return {"status": {"state": state, "target_version": target}}
+
+
+class BookTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(START)
+        self.flooded: list = []
+        self.book = new_book(self.clock, self.flooded)
+        self.store = FakeStore()
+
+    def see(self, *changes: dict) -> None:
+        """Write the operator's object with ``changes``, and tell the book."""
+        held = self.store.objects[("rollout", SERVICE)].value
+        for change in changes:
+            held = held | change
+        self.store.set("rollout", SERVICE, held)
+        self.book.seen(event(self.store))
+
+    def order(self, target: object = "v2", seconds: float = 20.0) -> None:
+        self.store.order(target, seconds)
+        self.book.seen(event(self.store))
+
+    def takes(self) -> set[str]:
+        return {v for v in ("v1", "v2", "v3") if self.book.takes_work(SERVICE, v)}
+
+    def test_unknown_service_is_left_alone(self):
+        self.assertIsNone(self.book.running("other"))
+        self.assertTrue(self.book.takes_work("other", "v9"))
+
+    def test_order_runs_and_is_passed_on(self):
+        self.order()
+        order = self.book.running(SERVICE)
+        self.assertEqual(order, Order(SERVICE, 1, "v2", 20.0))
+        other = new_book(self.clock)
+        for update, _ in self.flooded:
+            other.received("n", update)
+        self.assertEqual(other.all(), self.book.all())
+
+    def test_repeat_is_not_passed_on(self):
+        self.order()
+        count = len(self.flooded)
+        self.book.seen(event(self.store))
+        self.book.listed(self.store.listing())
+        self.assertEqual(len(self.flooded), count)
+
+    def test_status_gives_no_new_order(self):
+        self.order()
+        self.see(status("running"))
+        self.assertEqual(self.book.running(SERVICE).version, 1)
+
+    def test_nodes_agree_on_the_lowest_version(self):
+        self.order()
+        late = new_book(self.clock)
+        self.see(status("running"))
+        late.seen(event(self.store))
+        self.assertEqual(late.running(SERVICE).version, 2)
+        late.received("n", self.book.update())
+        self.book.received("n", late.update())
+        self.assertEqual(late.all(), self.book.all())
+        self.assertEqual(late.running(SERVICE).version, 1)
+
+    def test_ended_order_runs_no_more(self):
+        for word, left in (("succeeded", {"v2"}), ("rolled_back", {"v1", "v3"})):
+            with self.subTest(word):
+                self.setUp()
+                self.order()
+                self.see(status("running"))
+                self.see(status(word))
+                self.assertIsNone(self.book.running(SERVICE))
+                self.assertEqual(self.takes(), left)
+
+    def test_later_versions_take_work_once_the_old_ones_are_gone(self):
+        self.order()
+        self.see(status("running"))
+        self.see(status("succeeded"))
+        self.clock.advance(REPLACED_SECONDS)
+        self.assertIn("v3", self.takes())
+
+    def test_decision_goes_before_the_status(self):
+        self.order()
+        self.see(status("running"))
+        self.book.decide(self.book.running(SERVICE), State.ROLLED_BACK)
+        self.assertEqual(self.takes(), {"v1", "v3"})
+        self.assertEqual(len(self.book.unwritten()), 1)
+        self.see(status("rolled_back"))
+        self.assertEqual(self.book.unwritten(), [])
+
+    def test_end_does_not_go_back(self):
+        self.order()
+        self.see(status("running"))
+        self.book.decide(self.book.running(SERVICE), State.ROLLED_BACK)
+        self.see(status("running"))
+        self.see({"status": {}})
+        self.assertIs(self.book.get(SERVICE).current, State.ROLLED_BACK)
+        self.assertEqual(len(self.book.unwritten()), 1)
+
+    def test_restored_store_takes_no_end_back(self):
+        self.order()
+        self.see(status("running"))
+        self.see(status("succeeded"))
+        held = self.store.objects[("rollout", SERVICE)].value | {"status": {}}
+        self.book.seen(WatchEvent("rollout", SERVICE, to_version(1, 1), held))
+        self.assertIs(self.book.get(SERVICE).current, State.SUCCEEDED)
+        self.assertEqual(len(self.book.unwritten()), 1)
+
+    def test_another_version_is_a_new_order_and_drops_the_target(self):
+        self.order()
+        self.see(status("running"))
+        self.order("v3")
+        self.assertEqual(self.book.running(SERVICE).target_version, "v3")
+        self.assertEqual(self.takes(), {"v1", "v3"})
+        self.see(status("running", "v3"))
+        self.assertEqual(self.takes(), {"v1", "v3"})
+
+    def test_version_that_was_rolled_back_stays_out_in_the_next_order(self):
+        self.order()
+        self.see(status("running"))
+        self.see(status("rolled_back"))
+        self.order("v3")
+        self.see(status("running", "v3"))
+        self.assertEqual(self.takes(), {"v1", "v3"})
+
+    def test_same_version_may_be_ordered_again(self):
+        self.order()
+        self.see(status("running"))
+        self.see(status("rolled_back"))
+        self.order("v2", 30.0)
+        self.assertEqual(self.book.running(SERVICE).duration, 30.0)
+        # The status that the object still has is that of the order before, whoever tells it.
+        self.book.listed(self.store.listing())
+        fresh = new_book(self.clock)
+        fresh.listed(self.store.listing())
+        self.book.received("n", fresh.update())
+        self.assertIsNotNone(self.book.running(SERVICE))
+        self.assertIn("v2", self.takes())
+        self.see(status("running"))
+        fresh.received("n", self.book.update())
+        self.assertEqual(fresh.running(SERVICE), self.book.running(SERVICE))
+
+    def test_order_that_is_taken_away_leaves_its_target_out(self):
+        self.order()
+        self.see(status("running"))
+        self.book.listed(Listing(9, ()))
+        self.assertIsNone(self.book.running(SERVICE))
+        self.assertEqual(self.takes(), {"v1", "v3"})
+
+    def test_success_that_is_taken_away_leaves_all_versions(self):
+        self.order()
+        self.see(status("running"))
+        self.see(status("succeeded"))
+        self.book.seen(WatchEvent("rollout", SERVICE, 9, None))
+        self.assertEqual(self.takes(), {"v1", "v2", "v3"})
+
+    def test_list_that_is_not_settled_takes_nothing_away(self):
+        self.order()
+        self.book.listed(Listing(9, (), settled=False))
+        self.assertIsNotNone(self.book.running(SERVICE))
+
+    def test_order_given_again_after_it_was_taken_away_is_new(self):
+        self.order()
+        self.see(status("running"))
+        self.book.seen(WatchEvent("rollout", SERVICE, 9, None))
+        self.store.version = 9
+        self.see({"status": {}})
+        self.assertEqual(self.book.running(SERVICE).version, 10)
+        self.assertEqual(self.book.get(SERVICE).current, State.NONE)
+
+    def test_bad_values_leave_the_last_good_order(self):
+        self.order()
+        bad = (
+            {"duration": 0},
+            {"duration": -1.0},
+            {"duration": float("inf")},
+            {"duration": True},
+            {"duration": "20"},
+            {"target_version": ""},
+            {"target_version": None},
+            {"target_version": "v" * 300},
+            {"target_version": ["v3"]},
+            {"service": "other"},
+            {"service": 7},
+        )
+        for change in bad:
+            with self.subTest(change):
+                held = self.store.objects[("rollout", SERVICE)].value | change
+                self.book.seen(WatchEvent("rollout", SERVICE, 50, held))
+                self.assertEqual(self.book.running(SERVICE), Order(SERVICE, 1, "v2", 20.0))
+        self.book.seen(WatchEvent("rollout", SERVICE, 50, {}))
+        counted = self.book._kernel.metrics.rollouts_refused.get({"service": SERVICE})
+        self.assertEqual(counted, len(bad) + 1)
+
+    def test_number_as_version(self):
+        self.order(7)
+        self.assertEqual(self.book.running(SERVICE).target_version, "7")
+        self.see(status("rolled_back", 7))
+        self.assertFalse(self.book.takes_work(SERVICE, "7"))
+
+
+class MergeTests(unittest.TestCase):
+    def test_order_of_arrival_does_not_matter(self):
+        first = Order(SERVICE, 10, "v2", 20.0)
+        records = [
+            Rollout(first, stored=10),
+            Rollout(replace(first, version=12), False, State.RUNNING, "v2", 12, State.RUNNING),
+            Rollout(first, False, State.ROLLED_BACK, "v2", 12, State.RUNNING),
+            Rollout(first, False, State.ROLLED_BACK, "v2", 13, State.ROLLED_BACK),
+        ]
+        for arrived in itertools.permutations(records):
+            known = None
+            for record in arrived:
+                known = merge(known, record)
+            self.assertEqual(known, records[-1], arrived)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/rollouts/test_coordinator.py
@@ -0,0 +1,382 @@
+"""Who coordinates a rollout, and what outlasts a coordinator, an answer or the store's memory."""
+
+import asyncio
+import unittest
+
+from railsail.core.clock import ManualClock
+from railsail.rollouts.book import KIND as ROLLOUT
+from railsail.rollouts.coordinator import Coordinator
+from railsail.rollouts.ledger import KIND as LEDGER
+from railsail.rollouts.orders import State
+from railsail.rollouts.stages import Stage
+from railsail.rollouts.tenure import LEASE_SECONDS, VALID_SECONDS
+from railsail.rollouts.verdict import Verdict
+from tests.rollouts.base import (
+    BOUNDS,
+    SERVICE,
+    START,
+    FakeNode,
+    FakeStore,
+    evidence,
+    new_kernel,
+)
+
+NAMES = ["a", "b", "c"]
+STEP = 0.1
+RATE = 100.0
+
+
+class CoordinationTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(START)
+        self.store = FakeStore()
+        self.version = self.store.order()
+        self.nodes = [FakeNode(name, NAMES, self.store, self.clock) for name in NAMES]
+        # What the dispatcher has granted and sent to the target since it started.
+        self.arrivals = 0.0
+        self.exposed: dict[int, int] = {}
+        self.running = 0
+        self.start = 1
+
+    async def pass_time(self, seconds: float, nodes: list[FakeNode] | None = None) -> None:
+        """Let ``nodes`` work; the dispatcher sends the target all that it may."""
+        for _ in range(round(seconds / STEP)):
+            self.clock.advance(STEP)
+            self.arrivals += RATE * STEP
+            for node in self.nodes if nodes is None else nodes:
+                if node.book.running(SERVICE) is not None and node.coordination._still_ordered():
+                    await node.step()
+                    node.coordination.tick()
+                self.answer(node)
+
+    def answer(self, node: FakeNode) -> None:
+        """Be the dispatcher: use what the last allowance of ``node`` allows, and tell it."""
+        if not node.fleet.sent:
+            return
+        term = node.allowed.term
+        before = self.exposed.get(term, 0)
+        self.exposed[term] = max(before, min(node.allowed.calls, before + round(RATE * STEP)))
+        told = evidence(
+            int(self.arrivals),
+            self.exposed[term],
+            self.running,
+            self.start,
+            term,
+            node.allowed.version,
+        )
+        node.coordination.received("d", told)
+
+    @property
+    def used(self) -> int:
+        return sum(self.exposed.values())
+
+    def leader(self) -> FakeNode:
+        (leader,) = [node for node in self.nodes if node.leads]
+        return leader
+
+    async def begin(self) -> FakeNode:
+        await self.pass_time(1.0)
+        return self.leader()
+
+    def judge(self, verdict: Verdict) -> None:
+        for node in self.nodes:
+            node.verdict = verdict
+
+    async def test_one_node_leads_and_writes_that_it_runs(self):
+        leader = await self.begin()
+        self.assertEqual(self.store.ledger()["holder"], leader.name)
+        self.assertEqual(self.store.status(), {"state": "running", "target_version": "v2"})
+        self.assertEqual(leader.allowed.stage, Stage.CANARY)
+
+    async def test_nothing_is_allowed_before_it_is_reserved(self):
+        for _ in range(100):
+            await self.pass_time(STEP)
+            self.assertLessEqual(self.used, self.store.ledger()["reserved"])
+        self.assertGreater(self.used, 0)
+        self.assertLessEqual(self.store.ledger()["reserved"], BOUNDS.canary_calls(1000))
+
+    async def test_canary_names_few_replicas_and_no_cold_ones(self):
+        leader = await self.begin()
+        self.assertEqual(len(leader.allowed.replicas), 3)
+        self.assertTrue(all(name.startswith("new-") for name in leader.allowed.replicas))
+
+    async def test_bad_version_is_held_at_once_and_rolled_back(self):
+        leader = await self.begin()
+        self.judge(Verdict.BAD)
+        leader.coordination.tick()
+        self.assertEqual((leader.allowed.stage, leader.allowed.calls), (Stage.HOLD, 0))
+        await self.pass_time(STEP, [leader])
+        self.assertEqual(self.store.status()["state"], "rolled_back")
+        self.assertEqual(self.store.ledger()["state"], State.ROLLED_BACK)
+        self.assertFalse(leader.book.takes_work(SERVICE, "v2"))
+
+    async def test_good_version_succeeds_by_the_deadline(self):
+        await self.begin()
+        self.judge(Verdict.GOOD)
+        await self.pass_time(19.0)
+        self.assertEqual(self.store.status()["state"], "succeeded")
+        self.assertLessEqual(self.used, 0.1 * RATE * 20 + 50)
+
+    async def test_calls_on_other_versions_are_waited_for(self):
+        leader = await self.begin()
+        self.judge(Verdict.GOOD)
+        self.running = 3
+        await self.pass_time(22.0)
+        self.assertEqual(self.store.status()["state"], "running")
+        self.assertEqual(leader.allowed.stage, Stage.DRAIN)
+        self.running = 0
+        await self.pass_time(0.5)
+        self.assertEqual(self.store.status()["state"], "succeeded")
+
+    async def test_version_that_turns_bad_in_the_shift_stays_within_the_bound(self):
+        leader = await self.begin()
+        self.judge(Verdict.GOOD)
+        while leader.coordination.tenure.stage < Stage.SHIFT:
+            await self.pass_time(STEP)
+        self.judge(Verdict.BAD)
+        await self.pass_time(0.5)
+        self.assertEqual(self.store.status()["state"], "rolled_back")
+        self.assertLessEqual(self.used, 0.1 * self.arrivals + 50)
+
+    async def test_successor_follows_one_that_dies_and_spends_nothing_anew(self):
+        dead = await self.begin()
+        reserved = self.store.ledger()["reserved"]
+        left = [node for node in self.nodes if node is not dead]
+        await self.pass_time(LEASE_SECONDS + 1.0, left)
+        (leader,) = [node for node in left if node.leads]
+        self.assertEqual(self.store.ledger()["term"], 2)
+        self.assertGreaterEqual(self.store.ledger()["reserved"], reserved)
+        await self.pass_time(5.0, left)
+        self.assertEqual(leader.allowed.stage, Stage.CANARY)
+        self.assertLessEqual(self.used, BOUNDS.canary_calls(int(self.arrivals)))
+        self.assertLessEqual(self.used, self.store.ledger()["reserved"])
+
+    async def test_paused_one_allows_nothing_and_steps_back(self):
+        paused = await self.begin()
+        left = [node for node in self.nodes if node is not paused]
+        await self.pass_time(4.0, left)
+        count = len(paused.fleet.sent)
+        paused.coordination.tick()
+        self.assertEqual(len(paused.fleet.sent), count)
+        await paused.step()
+        await paused.step()
+        self.assertIsNone(paused.coordination.tenure)
+        self.assertNotEqual(self.store.ledger()["holder"], paused.name)
+
+    async def test_one_that_is_turned_away_is_followed(self):
+        away = await self.begin()
+        self.store.turned_away.add(away.name)
+        await self.pass_time(4.0)
+        leader = self.leader()
+        self.assertIsNot(leader, away)
+        self.store.turned_away.clear()
+        await self.pass_time(1.0)
+        self.assertIs(self.leader(), leader)
+        self.assertIsNone(away.coordination.tenure)
+
+    async def test_one_that_is_about_to_stop_steps_back(self):
+        stopping = await self.begin()
+        stopping.fleet.nodes = []
+        await self.pass_time(4.0)
+        self.assertIsNot(self.leader(), stopping)
+
+    async def test_allowances_lapse_before_another_may_lead(self):
+        self.assertLess(VALID_SECONDS, LEASE_SECONDS)
+
+    async def test_decision_whose_answer_is_lost_is_read_back(self):
+        leader = await self.begin()
+        self.judge(Verdict.BAD)
+        leader.coordination.tick()
+        self.store.loses_answer = True
+        self.assertIsNone(await leader.step())
+        # What is seen later does not turn the decision round.
+        self.judge(Verdict.GOOD)
+        await self.pass_time(1.0)
+        self.assertEqual(self.store.status()["state"], "rolled_back")
+
+    async def test_decision_that_is_done_late_is_not_turned_round(self):
+        leader = await self.begin()
+        self.judge(Verdict.BAD)
+        leader.coordination.tick()
+        self.store.holds_back = True
+        self.assertIsNone(await leader.step())
+        self.judge(Verdict.GOOD)
+        self.store.release()
+        await self.pass_time(1.0)
+        self.assertEqual(self.store.ledger()["state"], State.ROLLED_BACK)
+        self.assertEqual(self.store.status()["state"], "rolled_back")
+
+    async def test_successor_carries_a_decision_out(self):
+        dead = await self.begin()
+        self.judge(Verdict.BAD)
+        dead.coordination.tick()
+        entry = dead.coordination.tenure.next_entry()
+        await dead.coordination._ledger.write(entry)
+        left = [node for node in self.nodes if node is not dead]
+        for node in left:
+            node.verdict = Verdict.GOOD
+            node.read()
+            self.assertIsNotNone(await node.step())
+            self.assertIsNone(node.book.running(SERVICE))
+            self.assertEqual(len(node.book.unwritten()), 1)
+        self.assertEqual(self.store.status()["state"], "running")
+        await _let_write(left[0])
+        self.assertEqual(self.store.status()["state"], "rolled_back")
+
+    async def test_restarted_fleet_goes_on_with_what_was_spent(self):
+        await self.begin()
+        await self.pass_time(5.0)
+        before = self.store.ledger()
+        self.nodes = [FakeNode(name, NAMES, self.store, self.clock) for name in NAMES]
+        self.start = 2
+        await self.pass_time(4.0)
+        after = self.store.ledger()
+        self.assertGreater(after["term"], before["term"])
+        self.assertEqual(after["ends"], before["ends"])
+        self.assertGreaterEqual(after["reserved"], before["reserved"])
+        self.assertLessEqual(self.used, BOUNDS.canary_calls(int(self.arrivals)))
+
+    async def test_restarted_fleet_carries_a_decision_out(self):
+        dead = await self.begin()
+        self.judge(Verdict.BAD)
+        dead.coordination.tick()
+        await dead.coordination._ledger.write(dead.coordination.tenure.next_entry())
+        fresh = FakeNode("a", NAMES, self.store, self.clock)
+        await fresh.step()
+        self.assertIsNone(fresh.book.running(SERVICE))
+        self.assertEqual(fresh.book.unwritten()[0].current, State.ROLLED_BACK)
+
+    async def test_restored_ledger_is_written_again(self):
+        leader = await self.begin()
+        old = self.store.ledger()
+        await self.pass_time(3.0)
+        reserved = self.store.ledger()["reserved"]
+        self.store.set(LEDGER, SERVICE, old)
+        await self.pass_time(1.0)
+        self.assertIs(self.leader(), leader)
+        self.assertGreaterEqual(self.store.ledger()["reserved"], reserved)
+
+    async def test_restored_ledger_that_is_missing_is_written_again(self):
+        leader = await self.begin()
+        reserved = self.store.ledger()["reserved"]
+        del self.store.objects[(LEDGER, SERVICE)]
+        await self.pass_time(1.0, [leader])
+        self.assertGreaterEqual(self.store.ledger()["reserved"], reserved)
+
+    async def test_status_that_was_lost_is_written_again(self):
+        leader = await self.begin()
+        self.judge(Verdict.BAD)
+        await self.pass_time(0.5)
+        value = self.store.objects[(ROLLOUT, SERVICE)].value
+        self.store.set(ROLLOUT, SERVICE, value | {"status": {}})
+        leader.read()
+        await _let_write(leader)
+        self.assertEqual(self.store.status()["state"], "rolled_back")
+
+    async def test_order_that_changes_half_way_begins_anew(self):
+        await self.begin()
+        await self.pass_time(5.0)
+        self.store.order("v3")
+        for node in self.nodes:
+            node.read()
+            self.assertFalse(node.coordination._still_ordered())
+            self.assertFalse(node.book.takes_work(SERVICE, "v2"))
+            node.begin()
+        await self.pass_time(1.0)
+        ledger = self.store.ledger()
+        self.assertEqual((ledger["target_version"], ledger["term"]), ("v3", 2))
+        self.assertEqual(ledger["ends"] - ledger["seen"], 20_000)
+        self.assertEqual(self.store.status(), {"state": "running", "target_version": "v3"})
+
+    async def test_order_given_again_after_it_was_taken_away_begins_anew(self):
+        await self.begin()
+        ends = self.store.ledger()["ends"]
+        del self.store.objects[(ROLLOUT, SERVICE)]
+        for node in self.nodes:
+            node.read()
+        self.clock.advance(100.0)
+        self.store.order()
+        for node in self.nodes:
+            node.read()
+            node.begin()
+        await self.pass_time(1.0)
+        self.assertGreater(self.store.ledger()["ends"], ends + 90_000)
+        self.assertEqual(self.leader().allowed.stage, Stage.CANARY)
+
+    async def test_order_that_is_taken_away_writes_nothing(self):
+        leader = await self.begin()
+        del self.store.objects[(ROLLOUT, SERVICE)]
+        self.judge(Verdict.BAD)
+        leader.read()
+        writes = self.store.writes
+        count = len(leader.fleet.sent)
+        await self.pass_time(1.0)
+        self.assertEqual((len(leader.fleet.sent), self.store.writes), (count, writes))
+
+    async def test_status_of_another_order_is_not_written_over(self):
+        leader = await self.begin()
+        self.store.order("v3")
+        self.judge(Verdict.BAD)
+        await self.pass_time(0.5, [leader])
+        self.assertNotEqual(self.store.status().get("state"), "rolled_back")
+
+    async def test_status_names_the_version_as_the_order_does(self):
+        self.store.order(7)
+        node = FakeNode("a", ["a"], self.store, self.clock)
+        await node.step()
+        await node.step()
+        self.assertEqual(self.store.status(), {"state": "running", "target_version": 7})
+
+    async def test_version_without_replicas_gets_nothing_and_no_end(self):
+        for node in self.nodes:
+            node.fleet.all = [r for r in node.fleet.all if r.software_version == "v1"]
+        self.judge(Verdict.GOOD)
+        await self.pass_time(30.0)
+        self.assertEqual(self.leader().allowed.stage, Stage.HOLD)
+        self.assertEqual((self.used, self.store.status()["state"]), (0, "running"))
+
+    async def test_dispatcher_that_starts_anew_gets_calls_of_its_own(self):
+        await self.begin()
+        await self.pass_time(2.0)
+        before = self.used
+        self.start = 2
+        self.exposed = {}
+        self.arrivals = 0.0
+        for _ in range(30):
+            await self.pass_time(STEP)
+            self.assertLessEqual(before + self.used, self.store.ledger()["reserved"] + before)
+        self.assertLess(self.leader().allowed.calls, before)
+
+
+async def _let_write(node: FakeNode) -> None:
+    """Let ``node`` write the ends that the store lacks."""
+    kernel = new_kernel(node.clock)
+    coordinator = Coordinator(node.book, node.store, node.fleet, BOUNDS, kernel)
+    running = asyncio.ensure_future(coordinator.run())
+    async with asyncio.timeout(5.0):
+        while node.book.unwritten():
+            await asyncio.sleep(0.05)
+    running.cancel()
+    coordinator.stop()
+
+
+class CoordinatorTests(unittest.IsolatedAsyncioTestCase):
+    async def test_several_services_at_once(self):
+        clock = ManualClock(START)
+        store = FakeStore()
+        store.order()
+        store.order("v9", 30.0, "app")
+        node = FakeNode("a", ["a"], store, clock)
+        coordinator = Coordinator(node.book, store, node.fleet, BOUNDS, new_kernel(clock))
+        running = asyncio.ensure_future(coordinator.run())
+        async with asyncio.timeout(5.0):
+            while not all(store.status(service) for service in (SERVICE, "app")):
+                await asyncio.sleep(0.02)
+        running.cancel()
+        coordinator.stop()
+        self.assertEqual(store.ledger("app")["target_version"], "v9")
+        self.assertEqual(store.ledger()["target_version"], "v2")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/rollouts/test_ledger.py
@@ -0,0 +1,95 @@
+"""The ledger: conditional writes, answers that are lost, and what a successor starts from."""
+
+import unittest
+
+from railsail.core.clock import ManualClock
+from railsail.core.exceptions import StoreConflict, StoreUnavailable
+from railsail.rollouts.ledger import KIND, Ledger, taken
+from railsail.rollouts.orders import Order, State
+from railsail.rollouts.stages import Stage
+from tests.rollouts.base import SERVICE, START, FakeStore
+
+ORDER = Order(SERVICE, 5, "v2", 20.0)
+
+
+class TakenTests(unittest.TestCase):
+    def test_first_holder_begins_with_nothing_spent(self):
+        entry = taken(None, ORDER, "a", START, True)
+        self.assertEqual((entry.term, entry.reserved, entry.arrivals), (1, 0, 0))
+        self.assertEqual((entry.seen, entry.ends), (1_000_000, 1_020_000))
+
+    def test_successor_keeps_what_was_reserved_and_the_deadline(self):
+        entry = taken(None, ORDER, "a", START, True)
+        spent = type(entry)(**{**_fields(entry), "reserved": 70, "stage": Stage.SHIFT})
+        successor = taken(spent, ORDER, "b", START + 9, False)
+        self.assertEqual((successor.holder, successor.term, successor.reserved), ("b", 2, 70))
+        self.assertEqual((successor.ends, successor.stage), (entry.ends, Stage.HOLD))
+
+    def test_new_order_begins_anew_in_a_higher_term(self):
+        entry = taken(None, ORDER, "a", START, True)
+        ended = type(entry)(**{**_fields(entry), "reserved": 70, "state": State.ROLLED_BACK})
+        other = Order(SERVICE, 9, "v3", 20.0)
+        fresh = taken(ended, other, "b", START + 9, True)
+        self.assertEqual((fresh.term, fresh.reserved, fresh.state), (2, 0, State.RUNNING))
+        self.assertFalse(ended.same_order(other))
+
+
+class LedgerTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(START)
+        self.store = FakeStore()
+        self.ledger = Ledger(self.store, SERVICE, self.clock.monotonic)
+        self.other = Ledger(self.store, SERVICE, self.clock.monotonic)
+
+    async def test_one_of_two_writers_wins(self):
+        await self.ledger.read()
+        await self.other.read()
+        await self.ledger.write(taken(None, ORDER, "a", START, True))
+        with self.assertRaises(StoreConflict):
+            await self.other.write(taken(None, ORDER, "b", START, True))
+        await self.other.read()
+        self.assertEqual(self.other.entry.holder, "a")
+
+    async def test_age_is_that_of_the_last_change_as_seen_here(self):
+        await self.ledger.read()
+        await self.ledger.write(taken(None, ORDER, "a", START, True))
+        self.clock.advance(1.5)
+        await self.other.read()
+        self.assertEqual((self.ledger.age, self.other.age), (1.5, 0.0))
+        await self.ledger.read()
+        self.assertEqual(self.ledger.age, 1.5)
+
+    async def test_lost_answer_leaves_unsure_until_read(self):
+        await self.ledger.read()
+        self.store.loses_answer = True
+        with self.assertRaises(StoreUnavailable):
+            await self.ledger.write(taken(None, ORDER, "a", START, True))
+        self.assertTrue(self.ledger.unsure)
+        await self.ledger.read()
+        self.assertFalse(self.ledger.unsure)
+        self.assertEqual(self.ledger.entry.holder, "a")
+
+    async def test_write_that_comes_late_fails_after_the_next_one(self):
+        await self.ledger.read()
+        self.store.holds_back = True
+        with self.assertRaises(StoreUnavailable):
+            await self.ledger.write(taken(None, ORDER, "a", START, True))
+        await self.other.read()
+        await self.other.write(taken(None, ORDER, "b", START, True))
+        self.store.release()
+        self.assertEqual(self.store.ledger()["holder"], "b")
+
+    async def test_entry_that_cannot_be_read_is_written_over(self):
+        self.store.set(KIND, SERVICE, {"holder": 7})
+        await self.ledger.read()
+        self.assertIsNone(self.ledger.entry)
+        await self.ledger.write(taken(None, ORDER, "a", START, True))
+        self.assertEqual(self.store.ledger()["holder"], "a")
+
+
+def _fields(entry) -> dict:
+    return {name: getattr(entry, name) for name in entry.__struct_fields__}
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/rollouts/test_plan.py
@@ -0,0 +1,133 @@
+"""Which stage comes next, and when a rollout ends."""
+
+import unittest
+from dataclasses import replace
+
+from railsail.rollouts.bounds import ExposureBounds
+from railsail.rollouts.orders import State
+from railsail.rollouts.plan import (
+    FREE_AFTER_SECONDS,
+    LOADED_SECONDS,
+    MOST_DRAIN_SECONDS,
+    SHIFT_SECONDS,
+    Situation,
+    plan,
+)
+from railsail.rollouts.stages import Stage
+from railsail.rollouts.verdict import Verdict
+
+BOUNDS = ExposureBounds(0.1, 50)
+# In the canary of an order of 60 seconds, half a minute before its deadline.
+CANARY = Situation(
+    now=130.0,
+    ends=160.0,
+    stage=Stage.CANARY,
+    arrivals=3000,
+    rate=100.0,
+    spent=110,
+    verdict=Verdict.GOOD,
+    ready=4,
+    room=True,
+    heard=True,
+    running=20,
+)
+AT_END = replace(CANARY, now=159.0, arrivals=5900, spent=197)
+SHIFTING = replace(AT_END, stage=Stage.SHIFT, loaded_at=158.0)
+DRAINING = replace(SHIFTING, stage=Stage.DRAIN, running=0)
+
+
+class BoundsTests(unittest.TestCase):
+    def test_canary_and_shift_stay_within_what_arrived(self):
+        for arrivals in (0, 10, 1000, 100_000):
+            allowed = 0.1 * arrivals + 50
+            self.assertLess(BOUNDS.canary_calls(arrivals), 0.5 * allowed)
+            self.assertLess(BOUNDS.shift_calls(arrivals), allowed)
+
+
+class PlanTests(unittest.TestCase):
+    def assert_plan(self, situation: Situation, stage: Stage, state: State = State.NONE) -> None:
+        found = plan(situation, BOUNDS)
+        self.assertEqual((found.stage, found.state), (stage, state), found.reason)
+
+    def test_bad_version_is_rolled_back_at_any_stage(self):
+        for situation in (CANARY, AT_END, SHIFTING, DRAINING):
+            bad = replace(situation, verdict=Verdict.BAD)
+            self.assert_plan(bad, Stage.HOLD, State.ROLLED_BACK)
+
+    def test_bad_version_is_rolled_back_after_the_deadline(self):
+        late = replace(DRAINING, now=165.0, verdict=Verdict.BAD, running=3)
+        self.assert_plan(late, Stage.HOLD, State.ROLLED_BACK)
+
+    def test_no_replica_is_no_end(self):
+        for now in (130.0, 159.0, 500.0):
+            self.assert_plan(replace(CANARY, now=now, ready=0), Stage.HOLD)
+
+    def test_no_evidence_is_no_end(self):
+        for now in (130.0, 159.0, 500.0):
+            undecided = replace(CANARY, now=now, verdict=Verdict.UNDECIDED)
+            self.assert_plan(undecided, Stage.CANARY)
+
+    def test_good_version_waits_for_the_deadline(self):
+        self.assert_plan(CANARY, Stage.CANARY)
+
+    def test_shift_begins_when_the_bounds_last(self):
+        self.assert_plan(AT_END, Stage.SHIFT)
+        self.assert_plan(replace(AT_END, now=150.0), Stage.CANARY)
+
+    def test_full_traffic_from_the_shift_on_stays_within_the_bounds(self):
+        for rate in (5.0, 50.0, 400.0):
+            for duration in (6.0, 20.0, 120.0):
+                self._assert_within_bounds(rate, duration)
+
+    def _assert_within_bounds(self, rate: float, duration: float) -> None:
+        """Let the version turn bad right at the shift, and nobody notice."""
+        now, arrivals = 0.0, 0
+        at = replace(CANARY, now=now, ends=duration, rate=rate, arrivals=0, spent=0)
+        while now < duration and plan(at, BOUNDS).stage is Stage.CANARY:
+            now += 0.1
+            arrivals = int(rate * now)
+            spent = BOUNDS.canary_calls(arrivals)
+            at = replace(at, now=now, arrivals=arrivals, spent=spent)
+        sent = at.spent + rate * max(0.0, duration - now)
+        self.assertLessEqual(sent, 0.1 * rate * duration + 50, (rate, duration))
+
+    def test_shift_needs_room_and_all_dispatchers(self):
+        self.assert_plan(replace(AT_END, room=False), Stage.CANARY)
+        self.assert_plan(replace(AT_END, heard=False), Stage.CANARY)
+
+    def test_order_that_was_too_short_goes_on_after_its_deadline(self):
+        short = replace(CANARY, now=160.0 + FREE_AFTER_SECONDS, arrivals=10, spent=21)
+        self.assert_plan(replace(short, verdict=Verdict.UNDECIDED), Stage.CANARY)
+        self.assert_plan(short, Stage.SHIFT)
+
+    def test_load_comes_before_the_drain(self):
+        early = replace(SHIFTING, now=158.0 + SHIFT_SECONDS / 2, spent=220)
+        self.assert_plan(early, Stage.SHIFT)
+        self.assert_plan(SHIFTING, Stage.DRAIN)
+
+    def test_undecided_under_load_goes_no_further(self):
+        undecided = replace(SHIFTING, verdict=Verdict.UNDECIDED)
+        self.assert_plan(undecided, Stage.SHIFT)
+        self.assert_plan(replace(DRAINING, verdict=Verdict.UNDECIDED), Stage.DRAIN)
+
+    def test_bounds_that_are_used_up_end_the_drain(self):
+        used = BOUNDS.shift_calls(5900)
+        self.assert_plan(replace(DRAINING, spent=used, running=5), Stage.SHIFT)
+        self.assert_plan(replace(SHIFTING, spent=used), Stage.SHIFT)
+        self.assert_plan(replace(DRAINING, spent=used, running=5, now=161.0), Stage.DRAIN)
+
+    def test_succeeds_when_nothing_runs_on_other_versions(self):
+        self.assert_plan(DRAINING, Stage.DRAIN, State.SUCCEEDED)
+        self.assert_plan(replace(DRAINING, running=1), Stage.DRAIN)
+        self.assert_plan(replace(DRAINING, heard=False), Stage.DRAIN)
+        self.assert_plan(replace(DRAINING, loaded_at=159.0 - LOADED_SECONDS / 2), Stage.DRAIN)
+
+    def test_calls_are_waited_for_past_the_deadline_but_not_for_ever(self):
+        running = replace(DRAINING, running=3)
+        self.assert_plan(replace(running, now=170.0), Stage.DRAIN)
+        late = replace(running, now=160.0 + MOST_DRAIN_SECONDS)
+        self.assert_plan(late, Stage.DRAIN, State.SUCCEEDED)
+
+
+if __name__ == "__main__":
+    unittest.main()
