rollouts: allowed a dispatcher's new process nothing that the one before it was allowed

A dispatcher counts what it sent in a term from 0 when its process starts anew, and when it follows the order by another version. Allowances are sums, so that it would have sent them twice.

--- a/railsail/rollouts/book.py
+++ b/railsail/rollouts/book.py
@@ -5,6 +5,7 @@
 pass them on, so that they hold while the store is away and for nodes that start meanwhile.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -80,9 +81,22 @@
         """Say whether the replicas of versions that ``rollout`` does not name are being stopped."""
         if rollout.gone or rollout.current is not State.SUCCEEDED:
             return False
-        since = self._succeeded_at.get(rollout.order.service, 0.0)
+        since = self._succeeded_at.get(rollout.order.service, -math.inf)
         return self._kernel.clock.monotonic() < since + REPLACED_SECONDS
 
+    def tick(self) -> None:
+        """Tell the listeners where versions take work again because time has passed."""
+        due = self._kernel.clock.monotonic() - REPLACED_SECONDS
+        passed = [service for service, at in self._succeeded_at.items() if at <= due]
+        for service in passed:
+            del self._succeeded_at[service]
+        if passed:
+            self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
     def listed(self, listing: Listing) -> None:
         """Take in a listing of the store; a rollout that it lacks was taken away.
 
@@ -148,8 +162,7 @@
         if not changed:
             return
         self._flood(RolloutUpdate([_to_record(rollout) for rollout in changed]), source)
-        for listener in self._listeners:
-            listener()
+        self._notify()
 
     def _put(self, known: Rollout | None, rollout: Rollout) -> None:
         service = rollout.order.service
--- a/railsail/rollouts/coordinator.py
+++ b/railsail/rollouts/coordinator.py
@@ -65,6 +65,7 @@
         """Coordinate until cancelled."""
         while True:
             self._changed.clear()
+            self._book.tick()
             self._look()
             try:
                 await asyncio.wait_for(self._changed.wait(), LOOK_SECONDS)
--- a/railsail/rollouts/gathering.py
+++ b/railsail/rollouts/gathering.py
@@ -16,11 +16,16 @@
 
 @dataclass(frozen=True)
 class Source:
-    """A dispatcher of a cell; ``start`` tells it from others of the same node and cell."""
+    """A dispatcher of a cell, as it follows the order of one ``version``.
+
+    ``start`` tells it from others of the same node and cell, and ``process`` its process.
+    """
 
     cell: int
     node: str
     start: int
+    version: int
+    process: int
 
 
 @dataclass
@@ -43,9 +48,9 @@
         self._heard: dict[Source, _Heard] = {}
         self._samples: deque[tuple[float, int]] = deque()
 
-    def received(self, node: str, evidence: RolloutEvidence, now: float) -> None:
-        """Take in ``evidence`` of the dispatcher at ``node``."""
-        source = Source(evidence.cell, node, evidence.start)
+    def received(self, node: str, process: int, evidence: RolloutEvidence, now: float) -> None:
+        """Take in ``evidence`` of the dispatcher in the ``process`` at ``node``."""
+        source = Source(evidence.cell, node, evidence.start, evidence.version, process)
         known = self._heard.get(source)
         if known is None:
             self._heard[source] = _Heard(evidence, evidence, now)
@@ -59,14 +64,10 @@
         while self._samples[0][0] < now - RATE_SECONDS:
             self._samples.popleft()
 
-    def source(self, cell: int, node: str, now: float) -> Source | None:
-        """Return the dispatcher of ``cell`` at ``node`` that was heard last, and lately."""
-        found = [
-            (heard.at, source)
-            for source, heard in self._heard.items()
-            if (source.cell, source.node) == (cell, node) and heard.at > now - HEARD_SECONDS
-        ]
-        return max(found, key=lambda pair: pair[0])[1] if found else None
+    def lately(self, now: float) -> list[Source]:
+        """Return the dispatchers that were heard lately, those heard first to the front."""
+        found = [s for s, heard in self._heard.items() if heard.at > now - HEARD_SECONDS]
+        return sorted(found, key=lambda source: self._heard[source].at)
 
     def arrivals_of(self, source: Source) -> int:
         """Return how many calls ``source`` granted since it was first heard."""
--- a/railsail/rollouts/tenure.py
+++ b/railsail/rollouts/tenure.py
@@ -106,8 +106,9 @@
 
     def received(self, node: str, evidence: RolloutEvidence) -> None:
         """Take in ``evidence`` of the dispatcher at ``node``."""
+        process = self._fleet.start_id(node)
         if evidence.version == self.order.version:
-            self._gathering.received(node, evidence, self._now())
+            self._gathering.received(node, process, evidence, self._now())
 
     def stored(self, entry: Entry, began: float) -> None:
         """Note that the ledger holds ``entry``, by a write that began at ``began``."""
@@ -170,11 +171,19 @@
         return [r for r in replicas if r.software_version == target and r.warm]
 
     def _heard(self) -> dict[int, Source]:
-        """Return the dispatchers that were heard lately, by cell."""
-        now = self._now()
+        """Return the dispatchers that were heard lately, by cell.
+
+        One that starts anew, or follows the order by another version, counts what it sends from 0:
+        it must not be told what the one before it was allowed.
+        """
         dispatchers = self._fleet.dispatchers(self.order.service)
-        found = {cell: self._gathering.source(cell, n, now) for cell, n in dispatchers.items()}
-        return {cell: source for cell, source in found.items() if source is not None}
+        return {
+            source.cell: source
+            for source in self._gathering.lately(self._now())
+            if dispatchers.get(source.cell) == source.node
+            and source.version == self.order.version
+            and source.process == self._fleet.start_id(source.node)
+        }
 
     def _divide(self) -> None:
         cells = {replica.cell for replica in self._targets()}
--- a/tests/rollouts/base.py
+++ b/tests/rollouts/base.py
@@ -125,6 +125,8 @@
         self.nodes = nodes
         self.sent: list[RolloutAllowance] = []
         self.cells = {0: "d"}
+        # What tells the dispatcher's process from earlier ones.
+        self.process = 1
         versions = {"old": "v1", "new": "v2"}
         self.all = [
             Replica(f"{w}-{n}", 0, versions[w], 8, True) for n in range(4) for w in versions
@@ -136,6 +138,9 @@
     def dispatchers(self, service: str) -> dict[int, str]:
         return self.cells
 
+    def start_id(self, node: str) -> int:
+        return self.process
+
     def replicas(self, service: str) -> list[Replica]:
         return self.all
 
--- a/tests/rollouts/test_book.py
+++ b/tests/rollouts/test_book.py
@@ -89,8 +89,14 @@
         self.order()
         self.see(status("running"))
         self.see(status("succeeded"))
+        told: list[bool] = []
+        self.book.on_change(lambda: told.append(True))
+        self.book.tick()
+        self.assertEqual(told, [])
         self.clock.advance(REPLACED_SECONDS)
         self.assertIn("v3", self.takes())
+        self.book.tick()
+        self.assertEqual(told, [True])
 
     def test_decision_goes_before_the_status(self):
         self.order()
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from railsail.core.clock import ManualClock
 from railsail.rollouts.book import KIND as ROLLOUT
@@ -336,16 +337,30 @@
         self.assertEqual((self.used, self.store.status()["state"]), (0, "running"))
 
     async def test_dispatcher_that_starts_anew_gets_calls_of_its_own(self):
-        await self.begin()
+        leader = await self.begin()
         await self.pass_time(2.0)
         before = self.used
-        self.start = 2
-        self.exposed = {}
-        self.arrivals = 0.0
+        self.assertGreater(before, 0)
+        for node in self.nodes:
+            node.fleet.process = 2
+        self.clock.advance(0.3)
+        leader.coordination.tick()
+        # Until the new process has told of itself, it is allowed nothing.
+        self.assertEqual(leader.allowed.calls, 0)
+        self.start, self.exposed, self.arrivals = 2, {}, 0.0
         for _ in range(30):
             await self.pass_time(STEP)
-            self.assertLessEqual(before + self.used, self.store.ledger()["reserved"] + before)
-        self.assertLess(self.leader().allowed.calls, before)
+            self.assertLessEqual(before + self.used, self.store.ledger()["reserved"])
+
+    async def test_order_that_is_known_by_a_lower_version_allows_nothing_twice(self):
+        leader = await self.begin()
+        await self.pass_time(2.0)
+        tenure = leader.coordination.tenure
+        self.assertGreater(leader.allowed.calls, 0)
+        tenure.order = replace(tenure.order, version=0)
+        self.clock.advance(0.3)
+        tenure.tick()
+        self.assertEqual((leader.allowed.version, leader.allowed.calls), (0, 0))
 
 
 async def _let_write(node: FakeNode) -> None:
