--- a/railsail/admin/app.py
+++ b/railsail/admin/app.py
@@ -16,6 +16,7 @@
 from railsail.objects.kinds import KINDS
 from railsail.objects.parse import parse_resource
 from railsail.quarantine.table import Standing
+from railsail.rollouts.part import NAME as ROLLOUTS
 
 MOST_EVENTS = 4096
 MOST_BODY_BYTES = 2 << 20
@@ -175,6 +176,11 @@
     }
 
 
+class _Rollouts(_Handler):
+    def get(self) -> None:
+        self.reply({"rollouts": self.node.parts[ROLLOUTS].rows()})
+
+
 class _Drain(_Handler):
     def post(self) -> None:
         self.node.begin_drain("operator")
@@ -228,6 +234,7 @@
         (r"/v1/objects", _Objects, share),
         (r"/v1/changes", _Changes, share),
         (r"/v1/drain", _Drain, share),
+        (r"/v1/rollouts", _Rollouts, share),
         (r"/v1/quarantine", _Quarantine, share),
         (r"/v1/quarantine/([0-9a-f]{16})", _QuarantinedRequest, share),
     ]
--- a/railsail/admin/status.py
+++ b/railsail/admin/status.py
@@ -1,5 +1,6 @@
 """What operators are told of one daemon, as plain data."""
 
+from collections.abc import Mapping
 from typing import Protocol
 
 from railsail.conf.settings import Settings
@@ -9,6 +10,7 @@
 from railsail.core.events import EventLog
 from railsail.core.lifecycle import Lifecycle
 from railsail.core.metrics import Metrics
+from railsail.core.parts import Part
 from railsail.dispatch.service import DispatcherService
 from railsail.gateway.admission import Admission
 from railsail.membership.service import Membership
@@ -36,6 +38,7 @@
     metrics: Metrics
     clock: Clock
     quarantine: Quarantine
+    parts: Mapping[str, Part]
 
     def not_ready(self) -> list[str]:
         """Return the reasons why the balancer must send no callers."""
--- a/railsail/cli/main.py
+++ b/railsail/cli/main.py
@@ -29,6 +29,19 @@
 EXIT_UNAVAILABLE = 5
 EXIT_NOT_IN_FORCE = 6
 MOST_AT_ONCE = 32
+ROLLOUT_COLUMNS = (
+    "service",
+    "target_version",
+    "state",
+    "stage",
+    "verdict",
+    "left_ms",
+    "arrivals",
+    "reserved",
+    "spent",
+    "coordinator",
+    "reason",
+)
 DEFAULT_ADMIN = "127.0.0.1:8081"
 
 
@@ -166,6 +179,11 @@
         word = "checked against version" if dry_run else "accepted as version"
         print(f"{word} {reply.body['version']}")
 
+    def rollouts(self) -> None:
+        """Show the rollouts of services, and how the coordinator of each decides."""
+        replies = asyncio.run(self._ask_all("/v1/rollouts"))
+        show(_rollout_rows(replies), ROLLOUT_COLUMNS, self._output)
+
     def _call(self, method: str, path: str, body: object = None) -> Reply:
         client = AdminClient(self._admin, self._secret)
         reply = asyncio.run(client.call(method, path, body))
@@ -193,6 +211,16 @@
         return await asyncio.gather(*(ask(member["admin"]) for member in members))
 
 
+def _rollout_rows(replies: list[tuple[str, Reply]]) -> list[dict[str, object]]:
+    """Return a row for each service, of the daemon that knows most: its coordinator."""
+    rows: dict[str, dict[str, object]] = {}
+    for _, reply in replies:
+        for row in reply.body.get("rollouts", []) if reply.status == 200 else []:
+            if len(row) > len(rows.get(row["service"], {})):
+                rows[row["service"]] = row
+    return [rows[service] for service in sorted(rows)]
+
+
 class ConfigCommands:
     """Look at the configuration in force."""
 
--- a/railsail/platform/salvage.py
+++ b/railsail/platform/salvage.py
@@ -8,6 +8,7 @@
 import re
 
 from railsail.core.exceptions import StoreUnavailable
+from railsail.store.base import UNREADABLE
 
 # Each object of an answer begins with its metadata.
 _OBJECT = re.compile(r'\{\s*"metadata"\s*:')
@@ -16,6 +17,7 @@
 _AT = re.compile(r'"at"\s*:\s*(\d+)')
 _MORE = re.compile(r'"more"\s*:\s*true')
 _GONE = re.compile(r'"gone"\s*:\s*true')
+_HALF_CHARACTER = re.compile("[\ud800-\udfff]")
 # More characters than a change has before its object.
 _CHANGE_HEAD = 60
 _DECODER = json.JSONDecoder()
@@ -45,7 +47,10 @@
         before = text[max(0, begin - _CHANGE_HEAD) : begin].rpartition("}")[2]
         events.append({"object": item, "gone": _GONE.search(before) is not None})
     more = _MORE.search(tail) is not None
-    return json.dumps({"items": items, "events": events, "at": at, "more": more}).encode()
+    answer = {"items": items, "events": events, "at": at, "more": more}
+    # An escape may stand for half a character, which no text can hold.
+    text = _HALF_CHARACTER.sub(UNREADABLE, json.dumps(answer, ensure_ascii=False))
+    return text.encode()
 
 
 def _last(pattern: re.Pattern[str], text: str) -> int | None:
--- a/railsail/rollouts/coordination.py
+++ b/railsail/rollouts/coordination.py
@@ -63,6 +63,12 @@
         # Whether this node has written that the order runs.
         self._began_here = False
 
+    @property
+    def holder(self) -> str:
+        """Return the node that leads, as far as the ledger was read here."""
+        entry = self._ledger.entry
+        return entry.holder if entry is not None else ""
+
     def wake(self) -> None:
         """Look again at once."""
         self._wake.set()
--- a/railsail/rollouts/part.py
+++ b/railsail/rollouts/part.py
@@ -10,6 +10,7 @@
 from railsail.rollouts.bounds import ExposureBounds
 from railsail.rollouts.coordinator import Coordinator
 from railsail.rollouts.fleet import Fleet
+from railsail.rollouts.report import row
 
 if TYPE_CHECKING:
     from railsail.node import Node
@@ -46,6 +47,10 @@
         if update.rollouts:
             self._hub.send(peer.node, update)
 
+    def rows(self) -> list[dict[str, object]]:
+        """Return all rollouts as this node knows them, for operators."""
+        return [row(rollout, self.coordinator) for rollout in self.book.all()]
+
     async def run(self) -> None:
         """Coordinate rollouts until cancelled."""
         if not self.enabled:
--- /dev/null
+++ b/railsail/rollouts/report.py
@@ -0,0 +1,45 @@
+"""What operators are told of rollouts, as plain data."""
+
+from railsail.rollouts.coordinator import Coordinator
+from railsail.rollouts.orders import Rollout, State
+from railsail.rollouts.tenure import Tenure
+
+
+def row(rollout: Rollout, coordinator: Coordinator) -> dict[str, object]:
+    """Return how ``rollout`` stands; stage and figures are known to its coordinator only."""
+    order = rollout.order
+    told: dict[str, object] = {
+        "service": order.service,
+        "target_version": order.target_version,
+        "order_version": order.version,
+        "duration_ms": round(order.duration * 1000),
+        "state": _state(rollout),
+        "status_written": rollout.written is rollout.current,
+        "coordinator": "",
+    }
+    coordination = coordinator.coordination(order.service)
+    if coordination is None:
+        return told
+    told["coordinator"] = coordination.holder
+    if coordination.tenure is not None:
+        told |= _figures(coordination.tenure)
+    return told
+
+
+def _state(rollout: Rollout) -> str:
+    if rollout.gone:
+        return "gone"
+    return "new" if rollout.current is State.NONE else rollout.current.name.lower()
+
+
+def _figures(tenure: Tenure) -> dict[str, object]:
+    return {
+        "term": tenure.entry.term,
+        "stage": tenure.stage.name.lower(),
+        "verdict": tenure.verdict.value,
+        "reason": tenure.reason,
+        "left_ms": round(tenure.seconds_left * 1000),
+        "arrivals": tenure.arrivals,
+        "reserved": tenure.entry.reserved,
+        "spent": tenure.spent,
+    }
--- a/railsail/rollouts/stored.py
+++ b/railsail/rollouts/stored.py
@@ -6,6 +6,7 @@
 
 from railsail.core.exceptions import RailsailError
 from railsail.rollouts.orders import Order, Rollout, State
+from railsail.store.base import UNREADABLE
 
 MOST_TEXT = 256
 _WORDS = {State.RUNNING: "running", State.SUCCEEDED: "succeeded", State.ROLLED_BACK: "rolled_back"}
@@ -39,8 +40,8 @@
     if isinstance(value, bool) or not isinstance(value, str | int):
         raise BadRollout(f"{field} is neither text nor a whole number")
     text = str(value)
-    if not 0 < len(text) <= MOST_TEXT:
-        raise BadRollout(f"{field} is empty or too long")
+    if not 0 < len(text) <= MOST_TEXT or UNREADABLE in text:
+        raise BadRollout(f"{field} is empty, too long or holds what cannot be read")
     return text
 
 
--- a/railsail/rollouts/tenure.py
+++ b/railsail/rollouts/tenure.py
@@ -104,6 +104,16 @@
         """Return how many calls of the service arrived since the order, at least."""
         return self._arrivals_before + self._gathering.arrivals
 
+    @property
+    def spent(self) -> int:
+        """Return how many calls have gone to the target version, or may have."""
+        return self.entry.reserved - self._unused()
+
+    @property
+    def seconds_left(self) -> float:
+        """Return the time until the deadline."""
+        return self.entry.ends / _MS - self._kernel.clock.wall()
+
     def received(self, node: str, evidence: RolloutEvidence) -> None:
         """Take in ``evidence`` of the dispatcher at ``node``."""
         process = self._fleet.start_id(node)
@@ -151,11 +161,11 @@
         running = self._gathering.running(heard.values())
         return Situation(
             now=now,
-            ends=now + self.entry.ends / _MS - self._kernel.clock.wall(),
+            ends=now + self.seconds_left,
             stage=self.stage,
             arrivals=self.arrivals,
             rate=self._gathering.rate(now),
-            spent=self.entry.reserved - self._unused(),
+            spent=self.spent,
             verdict=self.verdict,
             ready=len(replicas),
             room=_has_room(replicas, running),
--- a/railsail/store/base.py
+++ b/railsail/store/base.py
@@ -10,6 +10,9 @@
 
 from railsail.core.registry import Registry
 
+# What store clients put into a text in place of bytes that are no text.
+UNREADABLE = "\ufffd"
+
 
 @dataclass(frozen=True)
 class StoredObject:
--- a/tests/platform/test_salvage.py
+++ b/tests/platform/test_salvage.py
@@ -64,6 +64,16 @@
             except StoreUnavailable:
                 continue
 
+    def test_half_a_character_hides_no_other_object(self):
+        body = (
+            b'{"items":[{"metadata":{"name":"a","revision":1},"spec":{"service":"\\ud800"}},'
+            b'{"metadata":{"name":"b","revision":2},"spec":{"service":"lm"}}],"at":2}'
+        )
+        with self.assertRaises(msgspec.DecodeError):
+            msgspec.json.decode(body)
+        items = msgspec.json.decode(salvage(body))["items"]
+        self.assertEqual([item["spec"]["service"] for item in items], ["\ufffd", "lm"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -76,6 +76,31 @@
         self.assertEqual([event.version for event in result.events], [result.version])
         self.assertGreater(result.version, since)
 
+    async def test_rollout_and_its_status(self):
+        order = {"service": "lm", "target_version": 3, "duration_s": 20}
+        self.standin.put("rollouts", "lm", order)
+        stored = await self.store.get("rollout", "lm")
+        status = {"state": "running", "target_version": 3}
+        version = await self.store.put_status("rollout", "lm", status, stored.version)
+        again = await self.store.get("rollout", "lm")
+        self.assertEqual((again.version, again.value["status"]), (version, status))
+        self.assertEqual(self.standin.objects[("rollouts", "lm")]["spec"], order)
+        # What changes nothing has no version of its own.
+        same = await self.store.put_status("rollout", "lm", status, version)
+        self.assertEqual(same, version)
+        with self.assertRaises(StoreConflict):
+            await self.store.put_status("rollout", "lm", {"state": "succeeded"}, stored.version)
+
+    async def test_status_that_cannot_be_read_hides_no_order(self):
+        order = {"service": "lm", "target_version": "v2", "duration_s": 20}
+        for status in ([], "running", {"state": 7}, {"target_version": {}}):
+            self.standin.objects.clear()
+            self.standin.put("rollouts", "lm", order)
+            self.standin.put_status("rollouts", "lm", status)
+            stored = await self.store.get("rollout", "lm")
+            self.assertEqual(stored.value["target_version"], "v2")
+            self.assertEqual(stored.value["status"], {"state": "", "target_version": ""})
+
     async def test_write_that_expects_a_version_of_an_earlier_era_is_a_conflict(self):
         value = {"ends": []}
         first = await self.store.put("quarantine", "requests", value, 0)
