rollouts: let few nodes read the ledger, and judged only evidence that is new

Each node of the fleet read the ledger about once in three seconds while an order ran, and calls to the store are priced; now six candidates do, and the rest each half minute. Evidence was merged and judged at each tick, though dispatchers tell four times a second. A node that is cut off from its peers does not lead, since it reaches no dispatchers while the store still answers it.

--- a/railsail/rollouts/bounds.py
+++ b/railsail/rollouts/bounds.py
@@ -16,14 +16,27 @@
 # Calls arrive elsewhere later than they are counted here, and a call may be sent twice.
 SHIFT_SHARE = 0.95
 SHIFT_SLACK = 0.8
+# An allowance lapses soon where its coordinator is gone, and well before a version that is bad must
+# get nothing more: evidence and a verdict take their time too.
+MOST_VALID_SECONDS = 1.0
+VALID_SHARE = 0.25
 
 
 @dataclass(frozen=True)
 class ExposureBounds:
-    """The operator's bounds; see the module."""
+    """The operator's bounds; see the module.
+
+    A version that is known to be bad gets nothing more after ``rollback`` seconds.
+    """
 
     share: float
     slack: float
+    rollback: float = 5.0
+
+    @property
+    def valid_seconds(self) -> float:
+        """Return for how long a dispatcher may act on an allowance without another one."""
+        return min(MOST_VALID_SECONDS, VALID_SHARE * self.rollback)
 
     def canary_calls(self, arrivals: int) -> int:
         """Return how many calls the target may have got in the canary."""
--- a/railsail/rollouts/coordination.py
+++ b/railsail/rollouts/coordination.py
@@ -19,19 +19,27 @@
 from railsail.rollouts.ledger import Entry, Ledger, taken
 from railsail.rollouts.orders import Order, State
 from railsail.rollouts.publishing import publish
+from railsail.rollouts.stages import Stage
 from railsail.rollouts.tenure import LEASE_SECONDS, Tenure
 from railsail.rollouts.verdict import Judgement, judge
 from railsail.store.base import Store
 from railsail.store.journal import Backoff
 
 TICK_SECONDS = 0.05
-RENEW_SECONDS = 0.5
+# The ledger is written more often while the target gets all calls, which are then reserved soon
+# before they come.
+RENEW_SECONDS = 0.8
+RENEW_SECONDS_IN_SHIFT = 0.4
 # The next candidate follows so much later, the one after it twice as late.
 STEP_SECONDS = 0.4
-# The first candidates read the ledger so often, later ones more seldom; reads are priced.
-POLL_SECONDS = 0.5
-POLL_STEP_SECONDS = 0.25
-MOST_POLL_SECONDS = 3.0
+# The first candidates read the ledger so often, each later one a little more seldom; reads are
+# priced. The rest of the fleet leaves it to them, and looks now and then.
+CANDIDATES = 6
+POLL_SECONDS = 1.0
+POLL_STEP_SECONDS = 0.5
+REST_SECONDS = 30.0
+# To look at the members costs no call.
+LOOK_SECONDS = 1.0
 FIRST_PAUSE_SECONDS = 0.1
 MOST_PAUSE_SECONDS = 0.5
 
@@ -62,6 +70,9 @@
         self._wake = asyncio.Event()
         # Whether this node has written that the order runs.
         self._began_here = False
+        self._ticking: asyncio.Task | None = None
+        # When this node, as none of the first candidates, reads the ledger.
+        self._rests_until = kernel.clock.monotonic() + REST_SECONDS
 
     @property
     def holder(self) -> str:
@@ -80,15 +91,15 @@
 
     async def run(self) -> None:
         """Lead or stand by until the order ends, or another takes its place."""
-        ticking = asyncio.ensure_future(self._tick_on())
         try:
             while self._still_ordered():
                 await self._sleep(await self._try_step())
         finally:
-            ticking.cancel()
+            if self._ticking is not None:
+                self._ticking.cancel()
 
     async def _tick_on(self) -> None:
-        while True:
+        while self.tenure is not None:
             self.tick()
             await asyncio.sleep(TICK_SECONDS)
 
@@ -137,15 +148,27 @@
 
     async def step(self) -> float:
         """Make the store calls that are due, and return after how many seconds to look again."""
-        if self.tenure is None or self._ledger.unsure:
+        if self.tenure is None:
+            place = self._place()
+            return LOOK_SECONDS if place is None else await self._stand_by(place)
+        if self._ledger.unsure:
             await self._ledger.read()
             self._note_read()
-        entry = self._ledger.entry
-        if self.tenure is not None:
-            return await self._lead()
-        if entry is not None and entry.state.ended and not self._is_new(entry):
-            return await self._heard_end(entry)
-        return await self._stand_by()
+        return await self._lead() if self.tenure is not None else FIRST_PAUSE_SECONDS
+
+    def _place(self) -> int | None:
+        """Return this node's place among the candidates, ``None`` where it leaves it to others."""
+        ranked = rank(f"rollout of {self.order.service}", self._fleet.candidates())
+        if self._fleet.own not in ranked:
+            return None
+        place = ranked.index(self._fleet.own)
+        now = self._kernel.clock.monotonic()
+        if place < CANDIDATES:
+            return place
+        if now < self._rests_until:
+            return None
+        self._rests_until = now + REST_SECONDS
+        return place
 
     def _note_read(self) -> None:
         """Step back where another node holds the ledger."""
@@ -180,20 +203,18 @@
         rollout = self._book.get(self.order.service)
         return rollout is not None and rollout.written is not State.NONE
 
-    async def _stand_by(self) -> float:
+    async def _stand_by(self, place: int) -> float:
+        await self._ledger.read()
         entry = self._ledger.entry
-        ranked = rank(f"rollout of {self.order.service}", self._fleet.candidates())
-        if self._fleet.own not in ranked:
-            return MOST_POLL_SECONDS
-        place = ranked.index(self._fleet.own)
+        if entry is not None and entry.state.ended and not self._is_new(entry):
+            return await self._heard_end(entry)
         if entry is not None and entry.order > self.order.version and self._is_new(entry):
             # The ledger is about an order that is not known here yet.
             return POLL_SECONDS
         left = self._patience(entry) + place * STEP_SECONDS - self._ledger.age
         if left <= 0:
             return await self._take_over(entry)
-        poll = min(MOST_POLL_SECONDS, POLL_SECONDS + place * POLL_STEP_SECONDS)
-        return min(left, poll)
+        return min(left, POLL_SECONDS + place * POLL_STEP_SECONDS)
 
     def _patience(self, entry: Entry | None) -> float:
         """Return for how long the ledger must stand still before it is taken over."""
@@ -216,14 +237,16 @@
             self._judging,
         )
         self._tell("took over" if not new else "began")
-        self.tick()
+        if self._ticking is not None:
+            self._ticking.cancel()
+        self._ticking = asyncio.ensure_future(self._tick_on())
         return 0.0
 
     async def _lead(self) -> float:
         tenure = self.tenure
         if not self._may_lead():
             self._step_back()
-            return RENEW_SECONDS
+            return LOOK_SECONDS
         if not self._began_here and not self._begun():
             self._began_here = await publish(self._store, self._book, self.order, State.RUNNING)
             if not self._began_here:
@@ -235,7 +258,7 @@
         self._show(tenure)
         if tenure.entry.state.ended:
             await self._carry_out(tenure.entry)
-        return RENEW_SECONDS
+        return RENEW_SECONDS_IN_SHIFT if tenure.stage >= Stage.SHIFT else RENEW_SECONDS
 
     async def _carry_out(self, entry: Entry) -> None:
         """Do what the ledger says was decided; the order then runs no more."""
--- a/railsail/rollouts/fleet.py
+++ b/railsail/rollouts/fleet.py
@@ -34,9 +34,16 @@
         return self._node.settings.node_id
 
     def candidates(self) -> list[str]:
-        """Return the nodes that may coordinate; none where this node is about to stop."""
+        """Return the nodes that may coordinate; none where this node is not fit to.
+
+        One that is about to stop hands over, and one that is cut off from its peers reaches no
+        dispatchers, though the store may still answer it.
+        """
+        membership = self._node.membership
         if self._node.lifecycle.state is not State.READY:
             return []
+        if membership.alone or membership.doubted:
+            return []
         return self._node.view.usable()
 
     def dispatchers(self, service: str) -> dict[int, str]:
--- a/railsail/rollouts/part.py
+++ b/railsail/rollouts/part.py
@@ -29,7 +29,9 @@
         self.enabled = settings.expose_share > 0
         self._hub = node.hub
         self.book = RolloutBook(node.membership.flood, node.kernel)
-        bounds = ExposureBounds(settings.expose_share, settings.expose_slack)
+        bounds = ExposureBounds(
+            settings.expose_share, settings.expose_slack, settings.rollback_ms / 1000
+        )
         fleet = Fleet(node)
         self.coordinator = Coordinator(self.book, node.store, fleet, bounds, node.kernel)
         if self.enabled:
--- a/railsail/rollouts/tenure.py
+++ b/railsail/rollouts/tenure.py
@@ -24,13 +24,12 @@
 from railsail.rollouts.stages import Stage
 from railsail.rollouts.verdict import Judgement, Verdict, judge
 
-# An allowance lapses soon where its coordinator is gone, and is renewed several times before.
-VALID_SECONDS = 1.0
+# An allowance is renewed several times before it lapses.
 ALLOW_SECONDS = 0.25
 # Dispatchers answer an allowance with what runs at them; the end of a drain is awaited.
 ALLOW_SECONDS_IN_DRAIN = 0.1
 # A ledger that was not written for so long may have been taken over.
-LEASE_SECONDS = 2.0
+LEASE_SECONDS = 2.5
 # While the target gets all calls, those of so many seconds are reserved beforehand, and some more:
 # the ledger is written about twice a second, and a call of the store may take a while.
 AHEAD_SECONDS = 1.5
@@ -54,6 +53,8 @@
     loaded_at: float = 0.0
     serial: int = 0
     sent_at: float = -math.inf
+    # Whether evidence came that was not judged yet.
+    unjudged: bool = True
 
 
 class Tenure:
@@ -119,6 +120,7 @@
         process = self._fleet.start_id(node)
         if evidence.version == self.order.version:
             self._gathering.received(node, process, evidence, self._now())
+            self._progress.unjudged = True
 
     def stored(self, entry: Entry, began: float) -> None:
         """Note that the ledger holds ``entry``, by a write that began at ``began``."""
@@ -133,7 +135,10 @@
         """Judge, plan, and allow calls; without the lease nothing is allowed any more."""
         if not self.leads():
             return
-        self._progress.judgement = self._judge(self._gathering.routes(self.order.target_version))
+        if self._progress.unjudged:
+            routes = self._gathering.routes(self.order.target_version)
+            self._progress.judgement = self._judge(routes)
+            self._progress.unjudged = False
         situation = self._situation()
         self._follow(self._plan(situation), situation)
         self._divide()
@@ -226,7 +231,7 @@
             self._progress.serial,
             int(self.stage if source is not None else min(self.stage, Stage.CANARY)),
             self._calls(source),
-            round(VALID_SECONDS * _MS),
+            round(self._bounds.valid_seconds * _MS),
             self._named(cell) if self.stage is Stage.CANARY else [],
         )
 
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -10,7 +10,7 @@
 from railsail.rollouts.ledger import KIND as LEDGER
 from railsail.rollouts.orders import State
 from railsail.rollouts.stages import Stage
-from railsail.rollouts.tenure import LEASE_SECONDS, VALID_SECONDS
+from railsail.rollouts.tenure import LEASE_SECONDS
 from railsail.rollouts.verdict import Verdict
 from tests.rollouts.base import (
     BOUNDS,
@@ -182,7 +182,7 @@
         self.assertIsNot(self.leader(), stopping)
 
     async def test_allowances_lapse_before_another_may_lead(self):
-        self.assertLess(VALID_SECONDS, LEASE_SECONDS)
+        self.assertLess(BOUNDS.valid_seconds, LEASE_SECONDS)
 
     async def test_decision_whose_answer_is_lost_is_read_back(self):
         leader = await self.begin()
