rollouts: wrote the end of a rollout with one call

Between the decision and the status lay three calls, one of them a read of what the coordinator had written itself; the deadline is then close. It remembers the version of its last write.

--- a/railsail/rollouts/coordination.py
+++ b/railsail/rollouts/coordination.py
@@ -18,7 +18,7 @@
 from railsail.rollouts.fleet import Fleet
 from railsail.rollouts.ledger import Entry, Ledger, taken
 from railsail.rollouts.orders import Order, State
-from railsail.rollouts.publishing import publish
+from railsail.rollouts.publishing import StatusWriter
 from railsail.rollouts.stages import Stage
 from railsail.rollouts.tenure import LEASE_SECONDS, Tenure
 from railsail.rollouts.verdict import Judgement, judge
@@ -60,7 +60,7 @@
         self.order = order
         self.tenure: Tenure | None = None
         self._book = book
-        self._store = store
+        self._status = StatusWriter(store, book)
         self._fleet = fleet
         self._bounds = bounds
         self._kernel = kernel
@@ -248,7 +248,7 @@
             self._step_back()
             return LOOK_SECONDS
         if not self._began_here and not self._begun():
-            self._began_here = await publish(self._store, self._book, self.order, State.RUNNING)
+            self._began_here = await self._status.write(self.order, State.RUNNING)
             if not self._began_here:
                 # The store has another order, of which the book hears in a moment.
                 return POLL_SECONDS
@@ -265,7 +265,7 @@
         labels = {"service": self.order.service, "state": entry.state.name.lower()}
         self._kernel.metrics.rollout_ends.inc(labels)
         self._book.decide(self.order, entry.state)
-        await publish(self._store, self._book, self.order, entry.state)
+        await self._status.write(self.order, entry.state)
 
     async def _heard_end(self, entry: Entry) -> float:
         """Tell what another holder decided, and write it where that one does not."""
@@ -273,7 +273,7 @@
         left = self._patience(entry) - self._ledger.age
         if left > 0:
             return left
-        await publish(self._store, self._book, self.order, entry.state)
+        await self._status.write(self.order, entry.state)
         return POLL_SECONDS
 
     def _show(self, tenure: Tenure) -> None:
--- a/railsail/rollouts/coordinator.py
+++ b/railsail/rollouts/coordinator.py
@@ -13,7 +13,7 @@
 from railsail.rollouts.coordination import Coordination
 from railsail.rollouts.fleet import Fleet
 from railsail.rollouts.orders import Rollout
-from railsail.rollouts.publishing import publish
+from railsail.rollouts.publishing import StatusWriter
 from railsail.store.base import Store
 
 LOOK_SECONDS = 1.0
@@ -111,7 +111,7 @@
                 return
             await asyncio.sleep((1 + ranked.index(self._fleet.own)) * WRITER_STEP_SECONDS)
             if self._still_unwritten(rollout):
-                await publish(self._store, self._book, order, rollout.current)
+                await StatusWriter(self._store, self._book).write(order, rollout.current)
         except StoreError as problem:
             reason = str(problem)
             get_logger().info("end of rollout not written", service=order.service, reason=reason)
--- a/railsail/rollouts/publishing.py
+++ b/railsail/rollouts/publishing.py
@@ -1,5 +1,6 @@
 """How a rollout stands is written to the operator's object, on a condition."""
 
+from railsail.core.exceptions import StoreConflict
 from railsail.core.logs import get_logger
 from railsail.rollouts.book import KIND, RolloutBook
 from railsail.rollouts.orders import Order, Rollout, State
@@ -7,28 +8,52 @@
 from railsail.store.base import Store, StoredObject, WatchEvent
 
 
-async def publish(store: Store, book: RolloutBook, order: Order, state: State) -> bool:
-    """Write that ``order`` stands at ``state``; return false where the store has another order.
+class StatusWriter:
+    """Write the status of one order; whatever the store raises is raised, and to be tried again.
 
-    Raise what the store raises; whoever calls again reads first, and writes on the version read.
+    The version of its last write is remembered, so that the end of a rollout takes one call.
     """
-    stored = await store.get(KIND, order.service)
-    if stored is None:
-        return False
-    found = _read(stored)
-    if found is None or not _about(found, order):
-        return False
-    book.seen(WatchEvent(KIND, stored.name, stored.version, stored.value))
-    if found.stored > order.version and found.written >= min(state, State.SUCCEEDED):
-        # Both ends are final, whichever it is.
+
+    def __init__(self, store: Store, book: RolloutBook) -> None:
+        self._store = store
+        self._book = book
+        self._version = 0
+        # The version of the software as the operator wrote it, text or a number.
+        self._target: object = ""
+
+    async def write(self, order: Order, state: State) -> bool:
+        """Write that ``order`` stands at ``state``; return false where the store has another."""
+        if self._version:
+            try:
+                await self._put(order, state)
+                return True
+            except StoreConflict:
+                get_logger().info("rollout changed in the store", service=order.service)
+                self._version = 0
+        return await self._read_and_write(order, state)
+
+    async def _read_and_write(self, order: Order, state: State) -> bool:
+        stored = await self._store.get(KIND, order.service)
+        found = _read(stored) if stored is not None else None
+        if stored is None or found is None or not _about(found, order):
+            return False
+        self._book.seen(WatchEvent(KIND, stored.name, stored.version, stored.value))
+        if found.stored > order.version and found.written >= min(state, State.SUCCEEDED):
+            # Both ends are final, whichever it is.
+            return True
+        if state is State.RUNNING and self._book.running(order.service) is None:
+            # It has ended meanwhile, and an end is never taken back.
+            return False
+        self._version = stored.version
+        self._target = stored.value["target_version"]
+        await self._put(order, state)
         return True
-    if state is State.RUNNING and book.running(order.service) is None:
-        # It has ended meanwhile, and an end is never taken back.
-        return False
-    value = status_value(state, stored.value["target_version"])
-    version = await store.put_status(KIND, order.service, value, stored.version)
-    book.status_stored(order, state, version)
-    return True
+
+    async def _put(self, order: Order, state: State) -> None:
+        version, self._version = self._version, 0
+        value = status_value(state, self._target)
+        self._version = await self._store.put_status(KIND, order.service, value, version)
+        self._book.status_stored(order, state, self._version)
 
 
 def _read(stored: StoredObject) -> Rollout | None:
--- a/tests/rollouts/base.py
+++ b/tests/rollouts/base.py
@@ -38,8 +38,10 @@
         self.holds_back = False
         self.held_back: list[Callable[[], None]] = []
         self.writes = 0
+        self.reads = 0
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
+        self.reads += 1
         return self.objects.get((kind, name))
 
     async def put(self, kind: str, name: str, value: dict, expected: int) -> int:
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -321,6 +321,24 @@
         await self.pass_time(0.5, [leader])
         self.assertNotEqual(self.store.status().get("state"), "rolled_back")
 
+    async def test_end_is_written_without_another_read(self):
+        leader = await self.begin()
+        self.judge(Verdict.BAD)
+        leader.coordination.tick()
+        reads = self.store.reads
+        await leader.step()
+        self.assertEqual(self.store.status()["state"], "rolled_back")
+        self.assertEqual(self.store.reads, reads)
+
+    async def test_end_is_written_after_the_operator_touched_the_object(self):
+        leader = await self.begin()
+        self.judge(Verdict.BAD)
+        leader.coordination.tick()
+        value = self.store.objects[(ROLLOUT, SERVICE)].value
+        self.store.set(ROLLOUT, SERVICE, value | {"note": "looked at"})
+        await leader.step()
+        self.assertEqual(self.store.status()["state"], "rolled_back")
+
     async def test_status_names_the_version_as_the_order_does(self):
         self.store.order(7)
         node = FakeNode("a", ["a"], self.store, self.clock)
