--- a/railsail/rollouts/bounds.py
+++ b/railsail/rollouts/bounds.py
@@ -11,8 +11,10 @@
 # all calls until the rollout is decided. A quarter of it is a fortieth of the traffic where the
 # share is a tenth: five calls a second of two hundred, enough to be judged within seconds.
 CANARY_SHARE = 0.25
-# Of the slack, the canary takes its part at once: the first calls of a service that has few.
+# Of the slack, the canary takes a part, for services that have few calls. Some of it is taken at
+# once and the rest over the time of the order, since a version may turn bad later.
 CANARY_SLACK = 0.4
+CANARY_SLACK_AT_ONCE = 0.1
 # Calls arrive elsewhere later than they are counted here, and a call may be sent twice.
 SHIFT_SHARE = 0.95
 SHIFT_SLACK = 0.8
@@ -38,9 +40,14 @@
         """Return for how long a dispatcher may act on an allowance without another one."""
         return min(MOST_VALID_SECONDS, VALID_SHARE * self.rollback)
 
-    def canary_calls(self, arrivals: int) -> int:
-        """Return how many calls the target may have got in the canary."""
-        return int(CANARY_SHARE * self.share * arrivals + CANARY_SLACK * self.slack)
+    def canary_calls(self, arrivals: int, elapsed: float = 1.0) -> int:
+        """Return how many calls the target may have got in the canary.
+
+        A part ``elapsed`` of the order's time is over.
+        """
+        over_time = (CANARY_SLACK - CANARY_SLACK_AT_ONCE) * min(1.0, max(0.0, elapsed))
+        slack = (CANARY_SLACK_AT_ONCE + over_time) * self.slack
+        return int(CANARY_SHARE * self.share * arrivals + slack)
 
     def shift_calls(self, arrivals: int) -> int:
         """Return how many calls the target may have got in all before the deadline."""
