--- /dev/null
+++ b/benchmarks/verdicts.py
@@ -0,0 +1,174 @@
+"""How often a version is judged wrongly, and after how many bad answers a bad one is found.
+
+    python -m benchmarks.verdicts --seeds 2000
+
+Answers of five routes are drawn at random, of the versions that run already and of a target version
+on three replicas that gets a share of them, and judged four times a second. A line a kind of
+version and rate: the share judged bad, the share let through as good, and bad answers until the
+verdict (median and 99th percentile).
+"""
+
+import random
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+
+import fire
+
+from railsail.rollouts.evidence import RouteEvidence, Tally
+from railsail.rollouts.verdict import Verdict, VersionJudge
+
+# Shares, usual times to the first byte and to the end in seconds, and their spread, by route.
+ROUTES = (
+    (0.17, 0.15, 1.8, 0.5),
+    (0.31, 0.06, 1.2, 0.7),
+    (0.36, 0.08, 0.12, 0.9),
+    (0.13, 0.07, 0.07, 0.5),
+    (0.03, 0.07, 0.07, 0.5),
+)
+UPDATES_PER_SECOND = 4
+RATES = (50, 240, 1000, 2000)
+# The share of all requests that the target version gets, and requests beyond that.
+SHARE = 0.04
+SLACK = 20
+# A rare route gives up to so much of its requests.
+MOST_OF_ROUTE = 0.5
+REPLICAS = ("i-1", "i-2", "i-3")
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What an answer depends on: when it is given, on which route and replica, and on how busy."""
+
+    at: float
+    route: int
+    replica: str
+    busy: bool
+
+
+@dataclass
+class Version:
+    """How a version differs from the usual one, by answer: share that fails, factor of slowness."""
+
+    fails: Callable[[Answer], float] = lambda answer: 0.0
+    slower: Callable[[Answer, random.Random], float] = lambda answer, rng: 1.0
+    bad: bool = True
+
+
+def _half(answer: Answer, rng: random.Random, factor: float) -> float:
+    return factor if rng.random() < 0.5 else 1.0
+
+
+KINDS = {
+    "good": Version(bad=False),
+    "good, one replica fails": Version(lambda a: 0.8 * (a.replica == "i-2"), bad=False),
+    "good, a little slower": Version(slower=lambda a, rng: 1.4, bad=False),
+    "half fails": Version(lambda a: 0.5),
+    "half fails from 4 s on": Version(lambda a: 0.5 * (a.at > 4)),
+    "half fails on a route": Version(lambda a: 0.5 * (a.route == 3)),
+    "half fails on a rare route": Version(lambda a: 0.5 * (a.route == 4)),
+    "half fails when busy": Version(lambda a: 0.5 * a.busy),
+    "three times slower": Version(slower=lambda a, rng: 3.0),
+    "half is four times slower": Version(slower=lambda a, rng: _half(a, rng, 4.0)),
+    "ten times slower on a route": Version(slower=lambda a, rng: 10.0 if a.route == 1 else 1.0),
+}
+
+
+@dataclass
+class Outcome:
+    """How one rollout was judged."""
+
+    verdict: Verdict
+    bad_answers: int
+
+
+@dataclass
+class _Sums:
+    baseline: Tally = field(default_factory=Tally)
+    target: dict[str, Tally] = field(default_factory=lambda: {r: Tally() for r in REPLICAS})
+
+
+def play(kind: Version, rate: float, share: float, seconds: float, seed: int) -> Outcome:
+    """Judge one version at ``rate`` requests a second, of which it gets ``share``."""
+    rng = random.Random(seed)
+    sums = {number: _Sums() for number in range(len(ROUTES))}
+    judge = VersionJudge()
+    bad_answers = 0
+    # Now and then all versions are slower, as in a flood.
+    slow_from, slow_to = sorted(rng.uniform(0, seconds) for _ in range(2))
+    for step in range(int(seconds * UPDATES_PER_SECOND)):
+        at = step / UPDATES_PER_SECOND
+        load = 2.5 if slow_from < at < slow_to else 1.0
+        for _ in range(_number(rate / UPDATES_PER_SECOND, rng)):
+            bad_answers += _answer(kind, sums, at, load, share, rng)
+        evidence = [RouteEvidence(n, s.baseline, s.target) for n, s in sums.items()]
+        verdict = judge.judge(evidence).verdict
+        if verdict is Verdict.BAD:
+            break
+    return Outcome(verdict, bad_answers)
+
+
+def _number(mean: float, rng: random.Random) -> int:
+    return max(0, round(rng.gauss(mean, mean**0.5)))
+
+
+def _share_of(route: int, share: float) -> float:
+    """Return the share of a route: one half of all is spread evenly over routes."""
+    even = share / (len(ROUTES) * ROUTES[route][0])
+    return (share + min(MOST_OF_ROUTE, even)) / 2
+
+
+def _answer(
+    kind: Version,
+    sums: dict[int, _Sums],
+    at: float,
+    load: float,
+    share: float,
+    rng: random.Random,
+) -> int:
+    route = rng.choices(range(len(ROUTES)), [r[0] for r in ROUTES])[0]
+    _, first, whole, spread = ROUTES[route]
+    is_target = rng.random() < _share_of(route, share)
+    answer = Answer(at, route, rng.choice(REPLICAS), rng.random() < 0.6)
+    failed = rng.random() < 0.01
+    factor = load * rng.lognormvariate(0, spread)
+    if not is_target:
+        sums[route].baseline.add(failed, first * factor, whole * factor)
+        return 0
+    own_failed = rng.random() < kind.fails(answer)
+    slower = kind.slower(answer, rng)
+    tally = sums[route].target[answer.replica]
+    tally.add(failed or own_failed, first * factor * slower, whole * factor * slower)
+    return int(own_failed or slower > 2)
+
+
+def _play(name: str, rate: float, seconds: float, seed: int) -> Outcome:
+    # A part of the slack is spent, too, which counts where there are few requests.
+    share = SHARE + SLACK / (rate * seconds)
+    return play(KINDS[name], rate, share, seconds, seed)
+
+
+def compare(seeds: int = 200, seconds: float = 12.0, workers: int = 3) -> None:
+    """Print one line for each kind of version and rate."""
+    with ProcessPoolExecutor(workers) as pool:
+        _compare(seeds, seconds, pool)
+
+
+def _compare(seeds: int, seconds: float, pool: ProcessPoolExecutor) -> None:
+    for rate in RATES:
+        for name in KINDS:
+            arguments = ([name] * seeds, [rate] * seeds, [seconds] * seeds, range(seeds))
+            found = list(pool.map(_play, *arguments, chunksize=10))
+            judged_bad = [o.bad_answers for o in found if o.verdict is Verdict.BAD]
+            good = sum(o.verdict is Verdict.GOOD for o in found)
+            ranked = sorted(judged_bad) or [0]
+            print(
+                f"{rate:5d}/s {name:28s} bad {len(judged_bad) / seeds:.3f}"
+                f" good {good / seeds:.3f}"
+                f" bad answers {ranked[len(ranked) // 2]}, {ranked[int(len(ranked) * 0.99)]}",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    fire.Fire(compare)
