scheduling, dispatch: sent a rollout's target version what its allowance lets each cell send

Each cell dispatcher now follows the allowances of the order that runs: canary calls in small groups on named replicas, homes of prompts' beginnings by version, evidence by route and version. Entries refuse grants of versions that were rolled back.

--- a/railsail/core/fingerprints.py
+++ b/railsail/core/fingerprints.py
@@ -6,11 +6,14 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
 
 # A fingerprint has so many bits: it fits into the whole numbers of messages, and among a billion
 # requests two that differ share one with a probability of 1 in 10.
 FINGERPRINT_BITS = 62
 _DIGEST_BYTES = 8
+# Routes whose fingerprint is remembered.
+MOST_ROUTES = 4096
 
 
 def request_fingerprint(head: Iterable[str], body: bytes) -> int:
@@ -22,7 +25,19 @@
     digest = hashlib.blake2b("\0".join(head).encode(), digest_size=_DIGEST_BYTES, key=b"head")
     digest.update(b"\0")
     digest.update(body)
-    return (int.from_bytes(digest.digest(), "big") >> (8 * _DIGEST_BYTES - FINGERPRINT_BITS)) or 1
+    return _to_fingerprint(digest.digest())
+
+
+@lru_cache(maxsize=MOST_ROUTES)
+def route_fingerprint(name: str) -> int:
+    """Return the fingerprint of the route ``name``, which is never 0."""
+    return _to_fingerprint(
+        hashlib.blake2b(name.encode(), digest_size=_DIGEST_BYTES, key=b"route").digest()
+    )
+
+
+def _to_fingerprint(digest: bytes) -> int:
+    return (int.from_bytes(digest, "big") >> (8 * _DIGEST_BYTES - FINGERPRINT_BITS)) or 1
 
 
 def fingerprint_name(value: int) -> str:
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -34,6 +34,10 @@
         )
         self.queued = self._gauge("railsail_waiting_tickets", "Tickets that wait, by cell.")
         self.granted = self._counter("railsail_grants_total", "Grants made, by cell.")
+        self.rollout_calls = self._counter(
+            "railsail_rollout_calls_total",
+            "Calls granted while a rollout runs, by pool, stage and version (target or other).",
+        )
         self.returned = self._counter(
             "railsail_grants_returned_total", "Grants that came too late and were handed back."
         )
--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -26,6 +26,7 @@
     ``patience`` seconds for its place, and would come back within ``returns_within`` seconds. It
     runs in one of ``regions``, in any where none are named. A repeat of the request has the same
     ``fingerprint``, 0 where there is none. The replicas ``excluded`` asked the entry for rest.
+    ``route`` is the fingerprint of its route, 0 where no rollout of the pool runs.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     regions: tuple[str, ...] = ()
     fingerprint: int = 0
     excluded: tuple[str, ...] = ()
+    route: int = 0
 
 
 class TicketRefused(RailsailError):
@@ -111,6 +113,7 @@
         list(asked.regions),
         asked.fingerprint,
         list(asked.excluded),
+        asked.route,
     )
 
 
@@ -136,4 +139,5 @@
         regions=tuple(message.regions),
         fingerprint=message.fingerprint,
         excluded=tuple(message.excluded),
+        route=message.route,
     )
--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -85,7 +85,7 @@
             if len(self._holders) >= MOST_REMEMBERED:
                 self._holders.clear()
             upstreams = self._directory.of_pool(pool)
-            staying = [u.name for u in upstreams if self._directory.takes_work(u)]
+            staying = [u.name for u in upstreams if self._directory.keeps_prefixes(u)]
             names = staying or [upstream.name for upstream in upstreams]
             self._holders[key] = choose(str(prefix), names)
         return self._holders[key]
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
-from railsail.core.events import Kind
+from railsail.core.events import Fact, Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Reason
 from railsail.dispatch.bookings import Booking, TicketRefused, Want, ticket_name, to_place
@@ -56,6 +57,8 @@
         self._bookings: dict[int, Booking] = {}
         self._next_number = 1
         self._counters: dict[Cell, dict[str, int]] = {}
+        # What logs tell of a granted replica while a rollout runs.
+        self.facts_of: Callable[[str], Mapping[str, Fact]] = lambda replica: {}
         self._reach = DispatcherReach(hub, kernel, self.dispatchers, self._reach_changed)
         # Since when a dispatcher knows what this entry has of a cell; what is not named here may
         # still have calls that ended while it could not be told.
@@ -285,6 +288,7 @@
             dispatcher=node,
             ticket=self.ticket_name(booking),
             waited_ms=round((booking.granted_at - booking.placed_at) * 1000),
+            **self.facts_of(message.replica),
         )
         booking.granted.set_result(message.replica)
 
--- a/railsail/dispatch/gate.py
+++ b/railsail/dispatch/gate.py
@@ -47,6 +47,8 @@
     def admit(self, replica: str) -> str:
         """Return why ``replica`` is sent nothing now; empty if the request is sent at once."""
         upstream = self._directory.get(replica)
+        if upstream is not None and not self._directory.takes_version(upstream):
+            return f"its version {upstream.software_version!r} was rolled back or replaced"
         if upstream is not None and not self._directory.takes_work(upstream):
             return "it leaves, or its failure domain is evacuated"
         now = self._clock.monotonic()
--- a/railsail/dispatch/replicas.py
+++ b/railsail/dispatch/replicas.py
@@ -9,6 +9,7 @@
 from railsail.objects.kinds import Pool
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import CellDispatcher
+from railsail.scheduling.newversions import NewVersions
 from railsail.scheduling.warmup import WarmupBound
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.records import Upstream
@@ -49,6 +50,20 @@
         self._catalog = catalog
         self._bounds = bounds
         self._clock = clock
+        self._new_versions = NewVersions()
+        directory.on_change(self._observe_versions)
+
+    def _observe_versions(self) -> None:
+        """Take note of the software versions of each pool that take work."""
+        now = self._clock.monotonic()
+        pools: dict[str, dict[str, int]] = {}
+        for upstream in self._directory.all():
+            if self._directory.takes_work(upstream):
+                born = pools.setdefault(upstream.pool, {})
+                version = upstream.software_version
+                born[version] = min(born.get(version, upstream.born), upstream.born)
+        for pool, born in pools.items():
+            self._new_versions.observe(pool, born, now)
 
     def set_all(self, cell: Cell, dispatcher: CellDispatcher) -> None:
         """Set all that is known of the replicas of ``cell``."""
@@ -64,8 +79,16 @@
         dispatcher.set_replicas(numbers, leaving, lives)
         regions = self._bounds.domain_regions
         dispatcher.set_regions({n: regions.get(u.failure_domain, "") for n, u in known.items()})
+        self._set_versions(cell, dispatcher, known)
         self.set_cold(cell, dispatcher)
 
+    def _set_versions(
+        self, cell: Cell, dispatcher: CellDispatcher, known: Mapping[str, Upstream]
+    ) -> None:
+        dispatcher.set_order(self._directory.rollout(cell.pool), round(self._clock.wall() * 1000))
+        versions = {name: upstream.software_version for name, upstream in known.items()}
+        dispatcher.set_versions(versions, self._new_versions.held(cell.pool))
+
     def _is_leaving(self, upstream: Upstream | None) -> bool:
         return upstream is None or not self._directory.takes_work(upstream)
 
--- /dev/null
+++ b/railsail/dispatch/rolloutlog.py
@@ -0,0 +1,45 @@
+"""Count and log what dispatchers grant while a rollout runs."""
+
+from collections.abc import Mapping
+
+from railsail.core.events import Kind
+from railsail.core.kernel import Kernel
+from railsail.dispatch.bookings import ticket_name
+from railsail.rollouts.stages import Stage
+from railsail.scheduling.cells import Cell
+from railsail.scheduling.decisions import Grant
+from railsail.scheduling.dispatcher import CellDispatcher
+
+
+class RolloutLog:
+    """Tell which version calls were granted to, and at which stage."""
+
+    def __init__(self, dispatchers: Mapping[Cell, CellDispatcher], kernel: Kernel) -> None:
+        self._dispatchers = dispatchers
+        self._clock = kernel.clock
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+
+    def granted(self, cell: Cell, grant: Grant) -> None:
+        """Take note of a grant, if a rollout runs."""
+        versions = self._dispatchers[cell].versions
+        exposure = versions.exposure
+        if exposure is None:
+            return
+        stage = exposure.stage(self._clock.monotonic())
+        to_target = versions.is_target(grant.replica)
+        side = "target" if to_target else "other"
+        self._metrics.rollout_calls.inc({"pool": cell.pool, "stage": stage.name, "version": side})
+        # At later stages most calls go there, and the entry's line names the version.
+        if to_target and stage is Stage.CANARY:
+            self._events.emit(
+                Kind.GRANTED,
+                "as a canary call of a rollout",
+                cell=str(cell),
+                replica=grant.replica,
+                ticket=ticket_name(grant.ticket.entry, grant.ticket.number),
+                software_version=exposure.target_version,
+                stage=stage.name,
+                exposed=exposure.exposed,
+                unspent=exposure.unspent,
+            )
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -14,6 +14,7 @@
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.loads import LoadReports
 from railsail.dispatch.replicas import CellReplicas
+from railsail.dispatch.rolloutlog import RolloutLog
 from railsail.dispatch.shares import SharesLog
 from railsail.objects.catalog import Catalog
 from railsail.peers.hub import PeerHub
@@ -87,6 +88,7 @@
         self._used_at: dict[Cell, float] = {}
         self._to_look_at: set[Cell] = set()
         self._shares = SharesLog(kernel.events)
+        self._rollouts = RolloutLog(self._dispatchers, kernel)
         self._loads = loads
         loads.on_report(self._reported)
         self._pumped: list[Callable[[Cell, CellDispatcher], None]] = []
@@ -233,7 +235,7 @@
         """Tell what decided that a ticket, which was taken out just now, found no replica."""
         dispatcher = self._dispatchers[cell]
         now = self._clock.monotonic()
-        rooms = dispatcher.replicas.values()
+        rooms = dispatcher.open_rooms(now)
         serving = [room for room in rooms if room.serves(now)]
         self._events.emit(
             Kind.EXPIRED,
@@ -340,6 +342,7 @@
             ticket = decision.ticket
             if isinstance(decision, Grant):
                 self._metrics.granted.inc({"cell": str(cell)})
+                self._rollouts.granted(cell, decision)
                 message = Granted(
                     ticket.number, ticket.attempt, decision.replica, round(decision.counter)
                 )
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from railsail.core.events import Kind
+from railsail.core.fingerprints import route_fingerprint
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
 from railsail.core.tasks import TaskSet
@@ -124,8 +125,14 @@
             served.request.prefix,
             served.avoid,
             fingerprint=served.fingerprint,
+            route=self._route(served),
         )
 
+    def _route(self, served: Served) -> int:
+        if self._directory.rollout(served.pool.name) is None:
+            return 0
+        return route_fingerprint(f"{served.request.method} {served.request.path.partition('?')[0]}")
+
     def _wait_seconds(self, served: Served) -> float:
         left = served.ends_at - self._clock.monotonic()
         return min(max(served.verdict.may_wait, LEAST_WAIT_SECONDS), left)
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from railsail.core.events import Kind
+from railsail.core.fingerprints import route_fingerprint
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
 from railsail.dispatch.acquire import ReplicaAcquirer
@@ -193,8 +194,14 @@
             returns_within=RETRY_SHARE * (routed.ends_at - now),
             regions=routed.regions,
             fingerprint=routed.fingerprint,
+            route=self._route(routed),
         )
 
+    def _route(self, routed: Routed) -> int:
+        if self._directory.rollout(routed.pool.name) is None:
+            return 0
+        return route_fingerprint(routed.route.name)
+
     async def _send_booked(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
         sent_at = self._clock.monotonic()
         result = CallResult.NOTHING
--- a/railsail/scheduling/decisions.py
+++ b/railsail/scheduling/decisions.py
@@ -42,7 +42,9 @@
     """A granted request that has not been released; ``charged`` is in cost units.
 
     ``unread`` are the tokens of its prompt until its answer begins, and 0 from then on. Repeats of
-    the request have the same ``fingerprint``, 0 where there is none.
+    the request have the same ``fingerprint``, 0 where there is none. ``route`` is the fingerprint
+    of its route, 0 where that is not known, and ``software_version`` what the replica runs. Its
+    answer began at ``begun_at``, 0 before.
     """
 
     attempt: int
@@ -52,3 +54,6 @@
     started_at: float
     unread: int = 0
     fingerprint: int = 0
+    route: int = 0
+    software_version: str = ""
+    begun_at: float = 0.0
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -3,19 +3,22 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 
 from railsail.core.outcomes import Reason
+from railsail.rollouts.orders import Order
+from railsail.rollouts.tallies import CellTallies
 from railsail.scheduling.decisions import Decision, Flight, Grant, Hold, Refusal
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
 from railsail.scheduling.health import CallResult, Peers
-from railsail.scheduling.placing import Placing, Standing, look
+from railsail.scheduling.placing import Standing
 from railsail.scheduling.returning import RETURN_WAIT_OBJECTIVES, RefusedCallers
 from railsail.scheduling.returns import ReturnPlan
 from railsail.scheduling.room import LoadReport, ReplicaRoom
 from railsail.scheduling.tickets import Ticket, TicketKey
 from railsail.scheduling.usage import RecentUsage, Share
+from railsail.scheduling.versions import VersionPlacing
 from railsail.scheduling.warmup import WarmupBound
 
 # So many workspaces are looked at for a ticket that can be granted now. To look at more, or at more
@@ -43,7 +46,9 @@
         self.replicas: dict[str, ReplicaRoom] = {}
         self.flights: dict[TicketKey, Flight] = {}
         self.served: dict[str, float] = {}
-        self._placing = Placing(rng, use_prefixes)
+        self.versions = VersionPlacing(rng, use_prefixes)
+        # What became of calls since the order that runs was given, ``None`` while none does.
+        self.tallies: CellTallies | None = None
         self._returns = ReturnPlan(rng)
         self._refused = RefusedCallers()
         self._usage = RecentUsage(fair_window, weight_of)
@@ -93,6 +98,21 @@
         for name, room in self.replicas.items():
             room.region = regions.get(name, "")
 
+    def set_versions(self, versions: dict[str, str], held_until: Mapping[str, float]) -> None:
+        """Set the software version of each replica, and until when each version is held."""
+        self.versions.set_versions(versions)
+        for name, room in self.replicas.items():
+            held = held_until.get(versions.get(name, ""), -math.inf)
+            room.held_until = -math.inf if self.versions.is_target(name) else held
+
+    def set_order(self, order: Order | None, start: int) -> None:
+        """Follow the rollout of ``order``, ``None`` for none; ``start`` names sums begun now."""
+        self.versions.set_order(order)
+        if order is None:
+            self.tallies = None
+        elif self.tallies is None or self.tallies.order_version != order.version:
+            self.tallies = CellTallies(order.version, order.target_version, start)
+
     def set_bound(self, bound: WarmupBound, fleet_share: float = 1.0) -> None:
         """Set what a cold replica bears, and the part of the fleet that is dispatched here."""
         self._bound = bound
@@ -129,6 +149,7 @@
         if flight is None:
             return
         self._has_begun(flight)
+        flight.begun_at = flight.begun_at or now
         room = self.replicas.get(flight.replica)
         if room is not None:
             room.answered(key, now)
@@ -181,16 +202,21 @@
         return self._usage.largest(most, now)
 
     def _fits(self, ticket: Ticket, now: float) -> bool:
-        return self._placing.choose(ticket, look(self.replicas.values(), now), now) is not None
+        openings = self.versions.look(self.replicas.values(), now)
+        return self.versions.choose(ticket, openings, now) is not None
+
+    def open_rooms(self, now: float) -> Collection[ReplicaRoom]:
+        """Return the rooms of replicas whose software version is sent requests."""
+        return self.versions.open_rooms(self.replicas.values(), now)
 
-    def _read_rate(self) -> float:
-        return max(1.0, sum(room.read_rate for room in self.replicas.values()))
+    def _read_rate(self, now: float) -> float:
+        return max(1.0, sum(room.read_rate for room in self.open_rooms(now)))
 
     def _refuse(self, ticket: Ticket, reason: Reason, now: float) -> Refusal:
         if not ticket.returns_within:
             return Refusal(ticket, reason)
         after = self._returns.promise(
-            ticket.prompt_tokens, ticket.returns_within, self._read_rate(), now
+            ticket.prompt_tokens, ticket.returns_within, self._read_rate(now), now
         )
         self._refused.refused(ticket.fingerprint, after, now)
         return Refusal(ticket, reason, after)
@@ -234,6 +260,8 @@
         self._charge(flight.workspace, cost - flight.charged)
         self._usage.charge(flight.workspace, cost - flight.charged, now)
         self._has_begun(flight)
+        if self.tallies is not None:
+            self.tallies.ended(flight, now, result)
         room = self.replicas.get(flight.replica)
         if room is None:
             return True
@@ -251,12 +279,14 @@
             self._unread[flight.workspace] -= 1
 
     def _peers_of(self, room: ReplicaRoom, now: float) -> Peers:
-        others = [other for other in self.replicas.values() if other is not room]
-        if not others:
+        group = self.versions.group(room.name, self.replicas.values())
+        others = [other for other in group if other is not room]
+        # What fails on trial is the version, which is judged as a whole.
+        if not others or self.versions.on_trial(room.name, now):
             return Peers(may_close=False)
         closed = sum(not other.serves(now) or other.health.tripped for other in others)
         shares = [other.health.error_share for other in others]
-        return Peers(sum(shares) / len(shares), closed + 1 <= len(self.replicas) // 2)
+        return Peers(sum(shares) / len(shares), closed + 1 <= len(group) // 2)
 
     def report(self, replica: str, report: LoadReport, now: float) -> None:
         """Take in a load report of ``replica``."""
@@ -269,6 +299,8 @@
         if key in self.flights:
             return
         self.flights[key] = flight
+        flight.software_version = self.versions.version_of(flight.replica)
+        self.versions.granted(flight.replica, flight.started_at)
         self._unread[flight.workspace] += bool(flight.unread)
         room = self.replicas.get(flight.replica)
         if room is not None:
@@ -309,14 +341,14 @@
         return grants
 
     def _grant_next(self, now: float) -> Grant | None:
-        openings = look(self.replicas.values(), now)
+        openings = self.versions.look(self.replicas.values(), now)
         if not openings.free:
             return None
         # Whoever is first may wait for a replica that has its prompt's beginning; others go ahead
         # meanwhile, where replicas would be idle otherwise.
         for workspace in self.queue.workspaces()[:MOST_HEADS]:
             ticket = self.queue.head(workspace)
-            room = self._placing.choose(ticket, openings, now, self._standing(workspace, now))
+            room = self.versions.choose(ticket, openings, now, self._standing(workspace, now))
             if room is not None:
                 self.queue.take(ticket)
                 self._count(workspace, ticket.estimate)
@@ -335,8 +367,8 @@
         bound = CATCH_UP_CHARGES * ticket.estimate / self.queue.weight(ticket.workspace)
         if len(self.queue) and self.queue.lead(ticket.workspace) > bound:
             return Refusal(ticket, Reason.NO_ROOM)
-        openings = look(self.replicas.values(), now, urgent=True)
-        room = self._placing.choose(ticket, openings, now)
+        openings = self.versions.look(self.replicas.values(), now, urgent=True)
+        room = self.versions.choose(ticket, openings, now)
         if room is None:
             return Refusal(ticket, Reason.NO_ROOM)
         self.queue.lift(ticket.workspace)
@@ -355,8 +387,13 @@
             now,
             unread,
             ticket.fingerprint,
+            ticket.route,
+            self.versions.version_of(room.name),
         )
         self.flights[ticket.key] = flight
+        self.versions.granted(room.name, now)
+        if self.tallies is not None:
+            self.tallies.arrivals += 1
         self._unread[ticket.workspace] += 1
         self._usage.charge(ticket.workspace, ticket.estimate, now)
         room.started(now)
@@ -380,7 +417,7 @@
 
     def room(self, now: float) -> int:
         """Return how many more calls fit into the slots of the cell, without overlap."""
-        return sum(room.room(now) for room in self.replicas.values())
+        return sum(room.room(now) for room in self.open_rooms(now))
 
 
 def _returned(ticket: Ticket) -> Ticket:
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -5,6 +5,7 @@
 decrease. A replica that does badly is closed for a while (see ``railsail.scheduling.health``).
 """
 
+import math
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
@@ -91,6 +92,8 @@
         self.name = name
         self.in_flight = 0
         self.leaving = False
+        # Until when it is given nothing, because its software version is new in its pool.
+        self.held_until = -math.inf
         self.region = ""
         self.foreign = 0
         self._slots = slots
@@ -122,7 +125,9 @@
 
     def serves(self, now: float) -> bool:
         """Say whether the replica may be given calls at all."""
-        return not (self.leaving or self.health.closed(now) or self._silent(now))
+        if self.leaving or now < self.held_until:
+            return False
+        return not (self.health.closed(now) or self._silent(now))
 
     @property
     def unread_seconds(self) -> float:
--- a/railsail/scheduling/tickets.py
+++ b/railsail/scheduling/tickets.py
@@ -32,7 +32,8 @@
     long as its entry lets it; its caller would come back within ``returns_within`` seconds, 0 for
     not at all. The request runs in one of ``regions``, in any
     where none are named. A repeat of it has the same ``fingerprint``, 0 where there is none. Its
-    entry may not send it to the replicas ``excluded``.
+    entry may not send it to the replicas ``excluded``. ``route`` is the fingerprint of its route, 0
+    where there is none.
     """
 
     entry: str
@@ -54,6 +55,7 @@
     regions: tuple[str, ...] = ()
     fingerprint: int = 0
     excluded: tuple[str, ...] = ()
+    route: int = 0
 
     @property
     def key(self) -> TicketKey:
--- /dev/null
+++ b/railsail/scheduling/versions.py
@@ -0,0 +1,128 @@
+"""Which replica a ticket is bound to while a service moves to another software version."""
+
+import random
+from collections.abc import Collection, Iterable
+
+from railsail.rollouts.orders import Order
+from railsail.rollouts.stages import Stage
+from railsail.scheduling.exposure import Exposure
+from railsail.scheduling.placing import Openings, Placing, Standing, look
+from railsail.scheduling.room import ReplicaRoom
+from railsail.scheduling.tickets import Ticket
+
+
+class VersionPlacing:
+    """Choose replicas as ``Placing`` does, of the version that a ticket may run on.
+
+    The target version and the others have each their own homes of prompts' beginnings, so that
+    those of the others stay while the target version is tried.
+    """
+
+    def __init__(self, rng: random.Random, use_prefixes: bool) -> None:
+        self._others = Placing(rng, use_prefixes)
+        self._target = Placing(rng, use_prefixes)
+        self.exposure: Exposure | None = None
+        self._versions: dict[str, str] = {}
+
+    def set_order(self, order: Order | None) -> None:
+        """Follow the order that runs, ``None`` for none."""
+        if order is None:
+            self.exposure = None
+        elif self.exposure is None or self.exposure.order.version != order.version:
+            self.exposure = Exposure(order)
+
+    def set_versions(self, versions: dict[str, str]) -> None:
+        """Set the version that each replica runs."""
+        self._versions = versions
+
+    def version_of(self, replica: str) -> str:
+        """Return the version that ``replica`` runs, empty where that is not known."""
+        return self._versions.get(replica, "")
+
+    def is_target(self, replica: str) -> bool:
+        """Say whether ``replica`` runs the version that the service moves to."""
+        if self.exposure is None:
+            return False
+        return self._versions.get(replica, "") == self.exposure.target_version
+
+    def group(self, replica: str, rooms: Iterable[ReplicaRoom]) -> list[ReplicaRoom]:
+        """Return those of ``rooms`` that are on the same side of a rollout as ``replica``."""
+        if self.exposure is None:
+            return list(rooms)
+        side = self.is_target(replica)
+        return [room for room in rooms if self.is_target(room.name) is side]
+
+    def on_trial(self, replica: str, now: float) -> bool:
+        """Say whether the version of ``replica`` is still being tried."""
+        if self.exposure is None or not self.is_target(replica):
+            return False
+        return self.exposure.stage(now) in (Stage.HOLD, Stage.CANARY)
+
+    def open_rooms(self, rooms: Collection[ReplicaRoom], now: float) -> Collection[ReplicaRoom]:
+        """Return those of ``rooms`` that requests may run on at the present stage."""
+        if self.exposure is None:
+            return rooms
+        stage = self.exposure.stage(now)
+        if stage is Stage.SHIFT:
+            return rooms
+        return [room for room in rooms if self.is_target(room.name) is (stage is Stage.DRAIN)]
+
+    def look(self, rooms: Collection[ReplicaRoom], now: float, urgent: bool = False) -> Openings:
+        """Return which of ``rooms`` may be given calls, and have room, at ``now``."""
+        if self.exposure is None:
+            return look(rooms, now, urgent)
+        canaries = self._canaries(rooms) if self.exposure.due(now) else []
+        return look([*self.open_rooms(rooms, now), *canaries], now, urgent)
+
+    def _canaries(self, rooms: Iterable[ReplicaRoom]) -> list[ReplicaRoom]:
+        return [r for r in rooms if self.is_target(r.name) and self.exposure.names(r.name)]
+
+    def choose(
+        self,
+        ticket: Ticket,
+        openings: Openings,
+        now: float,
+        standing: Standing = Standing.EVEN,
+    ) -> ReplicaRoom | None:
+        """Return the replica that ``ticket`` is bound to now, or ``None`` if it has to wait."""
+        if self.exposure is None:
+            return self._others.choose(ticket, openings, now, standing)
+        target, others = self._split(openings)
+        found = None
+        match self.exposure.stage(now):
+            case Stage.DRAIN:
+                return self._target.choose(ticket, target, now, standing)
+            case Stage.SHIFT if not self._failed_there(ticket):
+                found = self._target.choose(ticket, target, now, standing)
+            case Stage.CANARY if not ticket.returned and not self._failed_there(ticket):
+                found = _canary(ticket, target, now)
+        return found or self._others.choose(ticket, others, now, standing)
+
+    def _split(self, openings: Openings) -> tuple[Openings, Openings]:
+        """Return the openings of the target version, and those of the others."""
+        sides = [
+            Openings(
+                [room for room in openings.serving if self.is_target(room.name) is side],
+                [room for room in openings.free if self.is_target(room.name) is side],
+            )
+            for side in (True, False)
+        ]
+        return sides[0], sides[1]
+
+    def _failed_there(self, ticket: Ticket) -> bool:
+        return bool(ticket.avoid) and self.is_target(ticket.avoid)
+
+    def granted(self, replica: str, now: float) -> None:
+        """Take note of a call that was granted to ``replica``."""
+        if self.is_target(replica):
+            self.exposure.sent(now)
+
+
+def _canary(ticket: Ticket, openings: Openings, now: float) -> ReplicaRoom | None:
+    """Return the fullest replica that can take ``ticket``, so that it runs several at once."""
+    able = [
+        room
+        for room in openings.free
+        if ticket.may_run_on(room.name, room.region) and room.reads_in_time(ticket, now)
+    ]
+    return max(able, key=lambda room: (room.in_flight, room.name), default=None)
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -12,11 +12,13 @@
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from functools import reduce
+from typing import Protocol
 
 from railsail.core.clock import steady_seconds
 from railsail.core.events import EventLog, Kind
 from railsail.peers.messages import UpstreamNews
 from railsail.peers.records import DomainRecord
+from railsail.rollouts.orders import Order
 from railsail.store.base import Listing, WatchEvent
 from railsail.store.watcher import as_event
 from railsail.upstreams.evacuations import Evacuation, Evacuations
@@ -35,6 +37,26 @@
 KIND = "upstream"
 
 
+class VersionRules(Protocol):
+    """Which software versions of a service are sent requests, as its rollouts decide it."""
+
+    def running(self, service: str) -> Order | None:
+        """Return the order of the rollout that runs, ``None`` if there is none."""
+
+    def takes_work(self, service: str, software_version: str) -> bool:
+        """Say whether replicas of a version may be given new work."""
+
+
+class _AnyVersion:
+    """The rules where nothing is known of rollouts."""
+
+    def running(self, service: str) -> Order | None:
+        return None
+
+    def takes_work(self, service: str, software_version: str) -> bool:
+        return True
+
+
 class UpstreamDirectory:
     """Hold the records of all replicas; ``flood`` passes news to all neighbours but one."""
 
@@ -60,6 +82,7 @@
         self._upstreams: dict[str, Upstream] = {}
         self._digest = 0
         self._listeners: list[Callable[[], None]] = []
+        self._rules: VersionRules = _AnyVersion()
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change."""
@@ -78,7 +101,35 @@
 
     def takes_work(self, upstream: Upstream) -> bool:
         """Say whether ``upstream`` may be given new work."""
-        return not (upstream.leaving or self.evacuations.active(upstream.failure_domain))
+        if upstream.leaving or self.evacuations.active(upstream.failure_domain):
+            return False
+        return self.takes_version(upstream)
+
+    def takes_version(self, upstream: Upstream) -> bool:
+        """Say whether the software version of ``upstream`` may be given new work."""
+        return self._rules.takes_work(upstream.pool, upstream.software_version)
+
+    def follow_rollouts(self, rules: VersionRules) -> None:
+        """Give work to software versions by ``rules`` from now on."""
+        self._rules = rules
+        self._changed()
+
+    def rollouts_changed(self) -> None:
+        """Take note that the rules of software versions say something else now."""
+        self._changed()
+
+    def rollout(self, pool: str) -> Order | None:
+        """Return the order of the rollout of ``pool`` that runs, ``None`` if there is none."""
+        return self._rules.running(pool)
+
+    def keeps_prefixes(self, upstream: Upstream) -> bool:
+        """Say whether prompts' beginnings may have their home at ``upstream``.
+
+        They move to the target version of a rollout once that has succeeded.
+        """
+        order = self.rollout(upstream.pool)
+        target = order is not None and upstream.software_version == order.target_version
+        return not target and self.takes_work(upstream)
 
     def cold_seconds(self, name: str, after_evacuation: float) -> float:
         """Return for how many seconds a replica will be cold, 0 or less if it is not.
