--- a/railsail/scheduling/versions.py
+++ b/railsail/scheduling/versions.py
@@ -14,8 +14,9 @@
 class VersionPlacing:
     """Choose replicas as ``Placing`` does, of the version that a ticket may run on.
 
-    The target version and the others have each their own homes of prompts' beginnings, so that
-    those of the others stay while the target version is tried.
+    Homes of prompts' beginnings are chosen among the replicas of one side, the target version or
+    the others, so that those of the others stay while the target version is tried. Each side has a
+    ``Placing`` of its own, which remembers homes among one set of replicas only.
     """
 
     def __init__(self, rng: random.Random, use_prefixes: bool) -> None:
--- /dev/null
+++ b/tests/scheduling/test_versions.py
@@ -0,0 +1,345 @@
+"""While a service moves to another software version, calls run on the version that they may."""
+
+import random
+import unittest
+from collections import Counter
+
+from railsail.core.outcomes import Reason
+from railsail.rollouts.orders import Order
+from railsail.rollouts.stages import Stage
+from railsail.scheduling.decisions import Flight, Grant, Refusal
+from railsail.scheduling.dispatcher import CellDispatcher
+from railsail.scheduling.exposure import Allowance
+from railsail.scheduling.health import CallResult
+from railsail.scheduling.room import LONG_PREFIX_TOKENS
+from railsail.scheduling.tickets import Ticket
+
+ORDER = Order("model", 7, "v2", 12.0)
+OLD = [f"old{n}" for n in range(3)]
+NEW = [f"new{n}" for n in range(3)]
+VERSIONS = dict.fromkeys(OLD, "v1") | dict.fromkeys(NEW, "v2")
+CANARIES = frozenset(NEW[:1])
+
+
+class RolloutTestCase(unittest.TestCase):
+    slots = 8
+
+    def setUp(self):
+        self.dispatcher = self.cell()
+        self.number = 0
+        self.serial = 0
+
+    def cell(self, order: Order | None = ORDER) -> CellDispatcher:
+        dispatcher = CellDispatcher(lambda workspace: 1.0, random.Random(3))
+        dispatcher.set_replicas(dict.fromkeys([*OLD, *NEW], self.slots))
+        dispatcher.set_order(order, start=1)
+        dispatcher.set_versions(VERSIONS, {})
+        return dispatcher
+
+    def allow(self, stage: Stage, calls: int = 0, now: float = 0.0, valid: float = 100.0) -> None:
+        self.serial += 1
+        allowance = Allowance(1, self.serial, stage, calls, now + valid, CANARIES)
+        self.dispatcher.versions.exposure.allow(allowance, now)
+
+    def ticket(self, now: float, workspace: str = "one", **fields) -> Ticket:
+        self.number += 1
+        return Ticket("e", self.number, 1, workspace, 0.0, 10.0, now, **fields)
+
+    def offer(self, now: float, workspace: str = "one", **fields) -> str:
+        """Offer a ticket, and return the replica that it was bound to, empty if it waits."""
+        ticket = self.ticket(now, workspace, **fields)
+        for decision in self.dispatcher.offer(ticket, now):
+            if isinstance(decision, Grant) and decision.ticket.key == ticket.key:
+                return decision.replica
+        return ""
+
+    def end(self, now: float, result: CallResult = CallResult.GOOD) -> None:
+        """End the newest call."""
+        self.dispatcher.release(("e", self.number), 10.0, now, result)
+
+    def serve(self, count: int, begin: float, gap: float = 0.01, **fields) -> Counter:
+        """Offer ``count`` tickets that end at once; count the calls of each version."""
+        served: Counter[str] = Counter()
+        for step in range(count):
+            replica = self.offer(begin + step * gap, **fields)
+            served[VERSIONS.get(replica, "none")] += 1
+            self.end(begin + step * gap)
+        return served
+
+
+class StageTests(RolloutTestCase):
+    def test_nothing_goes_to_the_target_without_an_allowance(self):
+        self.assertEqual(self.serve(200, 0.0), {"v1": 200})
+
+    def test_all_versions_serve_without_an_order(self):
+        self.dispatcher = self.cell(order=None)
+        served = self.serve(200, 0.0)
+        self.assertGreater(min(served["v1"], served["v2"]), 50)
+
+    def test_canary_gets_what_is_allowed_on_named_replicas(self):
+        self.allow(Stage.CANARY, 20)
+        served: Counter[str] = Counter()
+        for step in range(200):
+            served[self.offer(step * 0.02)] += 1
+            self.end(step * 0.02)
+        self.assertEqual(served["new0"], 20)
+        self.assertEqual(served["new1"] + served["new2"], 0)
+
+    def test_canary_calls_run_together(self):
+        self.allow(Stage.CANARY, 20)
+        most = 0
+        for step in range(100):
+            self.offer(step * 0.004)
+            room = self.dispatcher.replicas["new0"]
+            most = max(most, room.in_flight)
+            # Each call takes four steps.
+            self.dispatcher.release(("e", self.number - 3), 10.0, step * 0.004, CallResult.GOOD)
+        self.assertGreaterEqual(most, 2)
+
+    def test_calls_of_a_group_go_to_one_of_several_canaries(self):
+        allowance = Allowance(1, 1, Stage.CANARY, 8, 100.0, frozenset(NEW))
+        self.dispatcher.versions.exposure.allow(allowance, 0.0)
+        bound = [self.offer(step * 0.001) for step in range(4)]
+        self.assertEqual(len(set(bound)), 1)
+        self.assertIn(bound[0], NEW)
+
+    def test_lapsed_allowance_sends_the_target_nothing(self):
+        self.allow(Stage.SHIFT, valid=1.0)
+        self.assertEqual(set(self.serve(50, 0.0)), {"v2"})
+        self.assertEqual(self.serve(50, 1.0), {"v1": 50})
+
+    def test_shift_fills_the_target_and_leaves_the_rest_to_others(self):
+        self.allow(Stage.SHIFT)
+        bound = [VERSIONS.get(self.offer(0.0), "none") for _ in range(5 * self.slots)]
+        target = len(NEW) * (self.slots + 1)
+        self.assertEqual(bound[:target], ["v2"] * target)
+        self.assertEqual(set(bound[target:]), {"v1"})
+
+    def test_drain_sends_the_others_nothing(self):
+        self.allow(Stage.DRAIN)
+        bound = Counter(VERSIONS.get(self.offer(0.0), "none") for _ in range(60))
+        self.assertEqual(bound["v1"], 0)
+        self.assertEqual(bound["v2"], len(NEW) * (self.slots + 1))
+
+    def test_end_of_the_order_lifts_all_limits(self):
+        self.dispatcher.set_order(None, start=2)
+        self.assertIsNone(self.dispatcher.tallies)
+        self.assertGreater(self.serve(100, 0.0)["v2"], 20)
+
+    def test_two_dispatchers_need_an_allowance_each(self):
+        self.allow(Stage.CANARY, 20)
+        first, self.dispatcher = self.dispatcher, self.cell()
+        self.assertEqual(self.serve(100, 0.0), {"v1": 100})
+        self.dispatcher = first
+        self.assertEqual(self.serve(200, 0.0, gap=0.05)["v2"], 20)
+
+
+class CanaryTicketTests(RolloutTestCase):
+    def test_retry_of_a_canary_failure_goes_to_the_others(self):
+        self.allow(Stage.CANARY, 100)
+        for step in range(50):
+            replica = self.offer(step * 0.1, avoid="new0")
+            self.assertEqual(VERSIONS[replica], "v1")
+            self.end(step * 0.1)
+
+    def test_retry_at_the_shift_goes_to_the_others(self):
+        self.allow(Stage.SHIFT)
+        self.assertEqual(self.serve(30, 0.0, avoid="new1"), {"v1": 30})
+
+    def test_returned_caller_is_no_canary(self):
+        self.allow(Stage.CANARY, 100)
+        self.assertEqual(self.serve(30, 0.0, returned=True), {"v1": 30})
+
+    def test_flood_of_one_workspace_does_not_take_all_canary_calls(self):
+        self.allow(Stage.CANARY, 40)
+        exposed: Counter[str] = Counter()
+        for step in range(1000):
+            now = step * 0.002
+            workspace = "quiet" if step % 10 == 0 else "flood"
+            if VERSIONS.get(self.offer(now, workspace)) == "v2":
+                exposed[workspace] += 1
+            self.end(now)
+        self.assertEqual(exposed.total(), 40)
+        self.assertGreater(exposed["quiet"], 0)
+        self.assertGreater(exposed["flood"], 0)
+
+    def test_excluded_canary_is_not_sent_to(self):
+        self.allow(Stage.CANARY, 100)
+        self.assertEqual(self.serve(30, 0.0, excluded=("new0",)), {"v1": 30})
+
+
+class HomesTests(RolloutTestCase):
+    def homes(self, begin: float) -> dict[int, str]:
+        """Return where a prompt with each of some long beginnings goes."""
+        found = {}
+        for prefix in range(1, 40):
+            now = begin + prefix
+            fields = {"prefix": prefix, "objective": 1.0, "returned": True}
+            tokens = {"prompt_tokens": 2 * LONG_PREFIX_TOKENS, "shared_tokens": LONG_PREFIX_TOKENS}
+            found[prefix] = self.offer(now, **fields, **tokens)
+            self.end(now + 0.1)
+        return found
+
+    def test_homes_of_the_others_stay_until_the_shift(self):
+        only_old = CellDispatcher(lambda workspace: 1.0, random.Random(3))
+        only_old.set_replicas(dict.fromkeys(OLD, self.slots))
+        dispatcher, self.dispatcher = self.dispatcher, only_old
+        before = self.homes(0.0)
+        self.dispatcher = dispatcher
+        self.assertEqual(self.homes(100.0), before)
+        self.allow(Stage.CANARY, 1000, now=200.0)
+        self.assertEqual(self.homes(200.0), before)
+        self.allow(Stage.SHIFT, now=300.0)
+        self.assertTrue(set(self.homes(300.0).values()) <= set(NEW))
+        self.allow(Stage.HOLD, now=400.0)
+        self.assertEqual(self.homes(400.0), before)
+
+
+class RoomTests(RolloutTestCase):
+    def fill_others(self) -> None:
+        for name in OLD:
+            for _ in range(self.slots + 1):
+                self.number += 1
+                flight = Flight(1, "one", name, 10.0, 0.0)
+                self.dispatcher.resume_flight(("e", self.number), flight)
+
+    def test_urgent_ticket_is_refused_at_once_where_only_held_replicas_have_room(self):
+        self.fill_others()
+        # Urgent work may be queued twice as deep.
+        self.fill_others()
+        decisions = self.dispatcher.offer(self.ticket(0.0, urgent=True), 0.0)
+        self.assertIsInstance(decisions[0], Refusal)
+        self.assertIs(decisions[0].reason, Reason.NO_ROOM)
+
+    def test_held_replicas_are_no_room(self):
+        self.assertEqual(self.dispatcher.room(0.0), len(OLD) * self.slots)
+        self.fill_others()
+        self.assertEqual(self.dispatcher.room(0.0), 0)
+        self.assertEqual(self.offer(0.0), "")
+
+    def test_room_of_the_shift_is_all(self):
+        self.allow(Stage.SHIFT)
+        self.assertEqual(self.dispatcher.room(0.0), len(VERSIONS) * self.slots)
+
+    def test_new_version_is_held_for_a_time_without_an_order(self):
+        self.dispatcher = self.cell(order=None)
+        self.dispatcher.set_versions(VERSIONS, {"v2": 1.0})
+        self.assertEqual(self.serve(50, 0.0), {"v1": 50})
+        self.assertGreater(self.serve(50, 1.0)["v2"], 5)
+
+    def test_order_of_a_version_ends_its_hold(self):
+        self.dispatcher.set_versions(VERSIONS, {"v2": 1.0})
+        self.allow(Stage.SHIFT)
+        self.assertEqual(self.serve(5, 0.0), {"v2": 5})
+
+
+class HealthTests(RolloutTestCase):
+    def test_failures_on_trial_do_not_close_the_canary(self):
+        self.allow(Stage.CANARY, 100)
+        failed = 0
+        for step in range(400):
+            replica = self.offer(step * 0.01)
+            bad = VERSIONS.get(replica) == "v2"
+            failed += bad
+            self.end(step * 0.01, CallResult.ERROR if bad else CallResult.GOOD)
+        self.assertGreater(failed, 30)
+        self.assertFalse(self.dispatcher.replicas["new0"].health.tripped)
+
+    def test_failures_of_the_target_do_not_cover_a_sick_replica_of_the_others(self):
+        self.allow(Stage.SHIFT)
+        for step in range(60):
+            self.offer(step * 0.01)
+            self.end(step * 0.01, CallResult.ERROR)
+        self.allow(Stage.HOLD, now=1.0)
+        closed = False
+        for step in range(60):
+            replica = self.offer(1.0 + step * 0.01)
+            sick = replica == "old0"
+            self.end(1.0 + step * 0.01, CallResult.ERROR if sick else CallResult.GOOD)
+            closed |= self.dispatcher.replicas["old0"].health.tripped
+        self.assertTrue(closed)
+
+    def test_unreachable_canary_is_closed(self):
+        self.allow(Stage.CANARY, 100)
+        for step in range(100):
+            replica = self.offer(step * 0.01)
+            bad = replica == "new0"
+            self.end(step * 0.01, CallResult.UNREACHABLE if bad else CallResult.GOOD)
+        self.assertTrue(self.dispatcher.replicas["new0"].health.tripped)
+
+
+class EvidenceTests(RolloutTestCase):
+    def tallies(self) -> dict:
+        return {
+            (key.route, key.software_version, key.replica): tally
+            for key, tally in self.dispatcher.tallies.items()
+        }
+
+    def test_sums_by_route_version_and_target_replica(self):
+        self.allow(Stage.CANARY, 4)
+        for step in range(20):
+            now = step * 0.01
+            replica = self.offer(now, route=5 if step % 2 else 6)
+            self.dispatcher.answered(("e", self.number), now + 0.010)
+            failed = replica == "new0"
+            self.end(now + 0.100, CallResult.BROKE_OFF if failed else CallResult.GOOD)
+        found = self.tallies()
+        self.assertEqual(self.dispatcher.tallies.arrivals, 20)
+        self.assertEqual(self.dispatcher.versions.exposure.exposed, 4)
+        target = [tally for key, tally in found.items() if key[1] == "v2"]
+        self.assertEqual({key[2] for key in found if key[1] == "v2"}, {"new0"})
+        self.assertEqual(sum(tally.answers for tally in target), 4)
+        self.assertEqual(sum(tally.failed for tally in target), 4)
+        others = [found[(route, "v1", "")] for route in (5, 6)]
+        self.assertEqual(sum(tally.answers for tally in others), 16)
+        self.assertEqual(sum(tally.failed for tally in others), 0)
+        # Ten milliseconds lie in class 6, a tenth of a second in class 13.
+        self.assertEqual(sum(tally.first[6] for tally in others), 16)
+        self.assertEqual(sum(tally.whole[13] for tally in others), 16)
+
+    def test_rest_and_lost_connections_are_no_answers(self):
+        for result in (CallResult.NOTHING, CallResult.UNREACHABLE):
+            self.offer(0.0)
+            self.end(0.1, result)
+        self.assertEqual(self.tallies(), {})
+        self.assertEqual(self.dispatcher.tallies.arrivals, 2)
+
+    def test_caller_that_left_early_tells_nothing(self):
+        self.serve_in(0.1)
+        self.offer(50.0)
+        self.end(50.1, CallResult.CALLER_LEFT)
+        self.assertEqual(self.tallies()[(0, "v1", "")].answers, 20)
+
+    def test_caller_that_left_late_tells_of_a_slow_answer(self):
+        self.serve_in(0.1)
+        self.allow(Stage.SHIFT, now=50.0)
+        replica = self.offer(50.0)
+        self.end(50.9, CallResult.CALLER_LEFT)
+        tally = self.tallies()[(0, "v2", replica)]
+        self.assertEqual((tally.answers, tally.failed), (1, 0))
+        self.assertEqual(sum(tally.first[19:]), 1)
+
+    def serve_in(self, seconds: float) -> None:
+        for step in range(20):
+            self.offer(float(step))
+            self.end(step + seconds)
+
+    def test_resumed_call_counts_as_exposed_and_keeps_its_version(self):
+        flight = Flight(1, "one", "new1", 10.0, 0.0)
+        self.dispatcher.resume_flight(("other", 1), flight)
+        self.assertEqual(self.dispatcher.versions.exposure.exposed, 1)
+        self.dispatcher.release(("other", 1), 10.0, 1.0, CallResult.ERROR)
+        self.assertEqual(self.tallies()[(0, "v2", "new1")].failed, 1)
+
+    def test_new_order_begins_new_sums(self):
+        self.serve(5, 0.0)
+        self.dispatcher.set_order(Order("model", 9, "v2", 12.0), start=44)
+        self.assertEqual(self.tallies(), {})
+        self.assertEqual(self.dispatcher.tallies.start, 44)
+
+    def test_order_told_again_keeps_sums_and_allowance(self):
+        self.allow(Stage.CANARY, 20)
+        self.serve(5, 0.0)
+        self.dispatcher.set_order(ORDER, start=44)
+        self.assertEqual(self.dispatcher.tallies.start, 1)
+        self.assertIs(self.dispatcher.versions.exposure.stage(1.0), Stage.CANARY)
