scheduling: bounded calls to the target version at each stage, and let idle canaries take turns

The coordinator reserves the calls of the shift and the drain as well as those of the canary. Where a cell has used them up, the other versions serve its callers until the next allowance.

--- a/railsail/scheduling/exposure.py
+++ b/railsail/scheduling/exposure.py
@@ -21,8 +21,9 @@
 class Allowance:
     """What a coordinator of ``term`` lets a cell send until ``until``, by the cell's clock.
 
-    It replaces those of a lower ``serial``. In all, ``calls`` canary calls may be sent in the term;
-    they go to ``replicas``, to any of the target version where none are named.
+    It replaces those of a lower ``serial``. In all, ``calls`` calls may be sent in the term, at
+    whichever stage. Canary calls go to ``replicas``, to any of the target version where none are
+    named.
     """
 
     term: int
@@ -78,8 +79,12 @@
         return True
 
     def stage(self, now: float) -> Stage:
-        """Return the stage at ``now``; without an allowance that lasts it is ``HOLD``."""
-        return self._allowance.stage if now < self._allowance.until else Stage.HOLD
+        """Return the stage at ``now``; without an allowance that lasts it is ``HOLD``.
+
+        So it is where all allowed calls were sent: callers are served by the other versions then.
+        """
+        lasts = now < self._allowance.until and self.unspent > 0
+        return self._allowance.stage if lasts else Stage.HOLD
 
     def names(self, replica: str) -> bool:
         """Say whether canary calls may go to ``replica`` of the target version."""
@@ -87,7 +92,7 @@
 
     def due(self, now: float) -> bool:
         """Say whether the next call should be a canary call."""
-        if self.stage(now) is not Stage.CANARY or not self.unspent:
+        if self.stage(now) is not Stage.CANARY:
             return False
         self._earn(now)
         needed = 1 if self._in_group else min(GROUP_CALLS, self.unspent)
--- a/railsail/scheduling/versions.py
+++ b/railsail/scheduling/versions.py
@@ -1,6 +1,7 @@
 """Which replica a ticket is bound to while a service moves to another software version."""
 
 import random
+from collections import Counter
 from collections.abc import Collection, Iterable
 
 from railsail.rollouts.orders import Order
@@ -23,6 +24,8 @@
         self._others = Placing(rng, use_prefixes)
         self._target = Placing(rng, use_prefixes)
         self.exposure: Exposure | None = None
+        # Calls that each replica of the target version was given.
+        self._calls: Counter[str] = Counter()
         self._versions: dict[str, str] = {}
 
     def set_order(self, order: Order | None) -> None:
@@ -31,6 +34,7 @@
             self.exposure = None
         elif self.exposure is None or self.exposure.order.version != order.version:
             self.exposure = Exposure(order)
+            self._calls.clear()
 
     def set_versions(self, versions: dict[str, str]) -> None:
         """Set the version that each replica runs."""
@@ -96,7 +100,7 @@
             case Stage.SHIFT if not self._failed_there(ticket):
                 found = self._target.choose(ticket, target, now, standing)
             case Stage.CANARY if not ticket.returned and not self._failed_there(ticket):
-                found = _canary(ticket, target, now)
+                found = self._canary(ticket, target, now)
         return found or self._others.choose(ticket, others, now, standing)
 
     def _split(self, openings: Openings) -> tuple[Openings, Openings]:
@@ -117,13 +121,19 @@
         """Take note of a call that was granted to ``replica``."""
         if self.is_target(replica):
             self.exposure.sent(now)
-
-
-def _canary(ticket: Ticket, openings: Openings, now: float) -> ReplicaRoom | None:
-    """Return the fullest replica that can take ``ticket``, so that it runs several at once."""
-    able = [
-        room
-        for room in openings.free
-        if ticket.may_run_on(room.name, room.region) and room.reads_in_time(ticket, now)
-    ]
-    return max(able, key=lambda room: (room.in_flight, room.name), default=None)
+            self._calls[replica] += 1
+
+    def _canary(self, ticket: Ticket, openings: Openings, now: float) -> ReplicaRoom | None:
+        """Return a replica that takes ``ticket``: the fullest, so that it runs several at once.
+
+        Of idle ones it is the one that was given the fewest calls, since one sick replica alone
+        tells little of its version.
+        """
+        able = [
+            room
+            for room in openings.free
+            if ticket.may_run_on(room.name, room.region) and room.reads_in_time(ticket, now)
+        ]
+        if not able:
+            return None
+        return max(able, key=lambda room: (room.in_flight, -self._calls[room.name]))
--- a/tests/scheduling/test_exposure.py
+++ b/tests/scheduling/test_exposure.py
@@ -48,7 +48,7 @@
         self.assertIs(self.exposure.stage(0.5), Stage.HOLD)
 
     def test_shift_lapses_to_hold(self):
-        self.exposure.allow(Allowance(1, 1, Stage.SHIFT, 0, 2.0), 0.0)
+        self.exposure.allow(Allowance(1, 1, Stage.SHIFT, 1 << 40, 2.0), 0.0)
         self.assertIs(self.exposure.stage(1.9), Stage.SHIFT)
         self.assertIs(self.exposure.stage(2.0), Stage.HOLD)
 
--- a/tests/scheduling/test_versions.py
+++ b/tests/scheduling/test_versions.py
@@ -19,6 +19,7 @@
 NEW = [f"new{n}" for n in range(3)]
 VERSIONS = dict.fromkeys(OLD, "v1") | dict.fromkeys(NEW, "v2")
 CANARIES = frozenset(NEW[:1])
+MANY = 1 << 40
 
 
 class RolloutTestCase(unittest.TestCase):
@@ -36,7 +37,9 @@
         dispatcher.set_versions(VERSIONS, {})
         return dispatcher
 
-    def allow(self, stage: Stage, calls: int = 0, now: float = 0.0, valid: float = 100.0) -> None:
+    def allow(
+        self, stage: Stage, calls: int = MANY, now: float = 0.0, valid: float = 100.0
+    ) -> None:
         self.serial += 1
         allowance = Allowance(1, self.serial, stage, calls, now + valid, CANARIES)
         self.dispatcher.versions.exposure.allow(allowance, now)
@@ -103,6 +106,23 @@
         self.assertEqual(len(set(bound)), 1)
         self.assertIn(bound[0], NEW)
 
+    def test_idle_canaries_take_turns(self):
+        allowance = Allowance(1, 1, Stage.CANARY, 30, 100.0, frozenset(NEW))
+        self.dispatcher.versions.exposure.allow(allowance, 0.0)
+        self.serve(200, 0.0, gap=0.05)
+        calls = Counter(key.replica for key, tally in self.dispatcher.tallies.items())
+        self.assertEqual(set(calls), {"", *NEW})
+        for key, tally in self.dispatcher.tallies.items():
+            self.assertTrue(not key.replica or tally.answers == 10, key)
+
+    def test_calls_of_an_allowance_bound_the_shift_as_well(self):
+        self.allow(Stage.SHIFT, 5)
+        self.assertEqual(self.serve(50, 0.0), {"v2": 5, "v1": 45})
+
+    def test_callers_are_served_where_the_drain_has_no_calls_left(self):
+        self.allow(Stage.DRAIN, 5)
+        self.assertEqual(self.serve(50, 0.0), {"v2": 5, "v1": 45})
+
     def test_lapsed_allowance_sends_the_target_nothing(self):
         self.allow(Stage.SHIFT, valid=1.0)
         self.assertEqual(set(self.serve(50, 0.0)), {"v2"})
