--- a/railsail/dispatch/rolloutlog.py
+++ b/railsail/dispatch/rolloutlog.py
@@ -16,17 +16,15 @@
 
     def __init__(self, dispatchers: Mapping[Cell, CellDispatcher], kernel: Kernel) -> None:
         self._dispatchers = dispatchers
-        self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
 
     def granted(self, cell: Cell, grant: Grant) -> None:
         """Take note of a grant, if a rollout runs."""
         versions = self._dispatchers[cell].versions
-        exposure = versions.exposure
-        if exposure is None:
+        exposure, stage = versions.exposure, grant.stage
+        if exposure is None or stage is None:
             return
-        stage = exposure.stage(self._clock.monotonic())
         to_target = versions.is_target(grant.replica)
         side = "target" if to_target else "other"
         self._metrics.rollout_calls.inc({"pool": cell.pool, "stage": stage.name, "version": side})
--- a/railsail/scheduling/decisions.py
+++ b/railsail/scheduling/decisions.py
@@ -3,16 +3,21 @@
 from dataclasses import dataclass
 
 from railsail.core.outcomes import Reason
+from railsail.rollouts.stages import Stage
 from railsail.scheduling.tickets import Ticket
 
 
 @dataclass(frozen=True)
 class Grant:
-    """Tell the entry to call ``replica``; ``counter`` is the workspace's, after the charge."""
+    """Tell the entry to call ``replica``; ``counter`` is the workspace's, after the charge.
+
+    ``stage`` is that of the rollout that runs, ``None`` where none does.
+    """
 
     ticket: Ticket
     replica: str
     counter: float
+    stage: Stage | None = None
 
 
 @dataclass(frozen=True)
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -391,14 +391,14 @@
             self.versions.version_of(room.name),
         )
         self.flights[ticket.key] = flight
-        self.versions.granted(room.name, now)
+        stage = self.versions.granted(room.name, now)
         if self.tallies is not None:
             self.tallies.arrivals += 1
         self._unread[ticket.workspace] += 1
         self._usage.charge(ticket.workspace, ticket.estimate, now)
         room.started(now)
         self._expect(room, ticket.key, flight)
-        return Grant(ticket, room.name, self.queue.counter(ticket.workspace))
+        return Grant(ticket, room.name, self.queue.counter(ticket.workspace), stage)
 
     def _charge(self, workspace: str, cost: float) -> None:
         self.queue.charge(workspace, cost)
--- a/railsail/scheduling/versions.py
+++ b/railsail/scheduling/versions.py
@@ -117,11 +117,15 @@
     def _failed_there(self, ticket: Ticket) -> bool:
         return bool(ticket.avoid) and self.is_target(ticket.avoid)
 
-    def granted(self, replica: str, now: float) -> None:
-        """Take note of a call that was granted to ``replica``."""
+    def granted(self, replica: str, now: float) -> Stage | None:
+        """Take note of a call that was granted to ``replica``, and return at which stage."""
+        if self.exposure is None:
+            return None
+        stage = self.exposure.stage(now)
         if self.is_target(replica):
             self.exposure.sent(now)
             self._calls[replica] += 1
+        return stage
 
     def _canary(self, ticket: Ticket, openings: Openings, now: float) -> ReplicaRoom | None:
         """Return a replica that takes ``ticket``: the fullest, so that it runs several at once.
--- /dev/null
+++ b/tests/dispatch/test_rollouts.py
@@ -0,0 +1,429 @@
+"""Allowances reach the cells of a node, evidence its coordinator, and entries refuse old grants."""
+
+import random
+import unittest
+
+from railsail.core.clock import Clock
+from railsail.core.events import EventLog, Kind
+from railsail.core.fingerprints import route_fingerprint
+from railsail.core.kernel import Kernel
+from railsail.core.metrics import Metrics
+from railsail.dispatch.bookings import Want, to_place, to_ticket
+from railsail.dispatch.cellmap import CellMap
+from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.gate import SendGate
+from railsail.dispatch.replicas import CellReplicas, FleetBounds
+from railsail.dispatch.rollouts import HEARD_SECONDS, RolloutDispatch
+from railsail.dispatch.service import DispatcherService
+from railsail.objects.catalog import Catalog
+from railsail.peers.link import Identity
+from railsail.peers.messages import (
+    Begun,
+    Granted,
+    Place,
+    Release,
+    Resync,
+    RolloutAllowance,
+    RolloutEvidence,
+)
+from railsail.peers.records import FlightRecord
+from railsail.rollouts.orders import Order
+from railsail.rollouts.stages import Stage
+from railsail.scheduling.cells import Cell
+from railsail.scheduling.health import CallResult
+from railsail.scheduling.newversions import HOLD_SECONDS
+from railsail.store.base import WatchEvent
+from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.rests import Rests
+
+OWN, ENTRY, COORDINATOR = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
+CELL = Cell("model", 0, 1)
+MANY = 1 << 40
+START = 1000.0
+
+
+class SteppedClock(Clock):
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = START
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+class Hub:
+    """Record what is sent, and let tests call the handlers."""
+
+    def __init__(self) -> None:
+        self.own = Identity(OWN, 1)
+        self.handlers = {}
+        self.sent: list[tuple[str, object]] = []
+
+    def handle(self, kind, handler) -> None:
+        self.handlers[kind] = handler
+
+    def on_up(self, listener) -> None:
+        pass
+
+    def on_down(self, listener) -> None:
+        pass
+
+    def last_heard(self, node: str) -> float:
+        return START
+
+    def connected(self, node: str) -> bool:
+        return True
+
+    def send(self, node: str, message) -> bool:
+        self.sent.append((node, message))
+        return True
+
+    def deliver(self, node: str, message) -> None:
+        self.handlers[type(message)](node, message)
+
+    def take(self, kind) -> list:
+        """Return what was sent of ``kind``, and forget it."""
+        found = [message for _, message in self.sent if isinstance(message, kind)]
+        self.sent = [pair for pair in self.sent if not isinstance(pair[1], kind)]
+        return found
+
+
+class Book:
+    """The agreed interface to rollouts, set by tests."""
+
+    def __init__(self) -> None:
+        self.order: Order | None = None
+        self.closed: set[str] = set()
+        self._listeners = []
+
+    def running(self, service: str) -> Order | None:
+        return self.order if self.order is not None and self.order.service == service else None
+
+    def takes_work(self, service: str, software_version: str) -> bool:
+        return software_version not in self.closed
+
+    def on_change(self, listener) -> None:
+        self._listeners.append(listener)
+
+    def set(self, order: Order | None, *closed: str) -> None:
+        self.order = order
+        self.closed = set(closed)
+        for listener in self._listeners:
+            listener()
+
+
+class Loads:
+    """Replicas report nothing."""
+
+    def on_report(self, listener) -> None:
+        pass
+
+    def ask(self, cell, dispatcher) -> None:
+        pass
+
+
+class Trials:
+    """No request ends replicas."""
+
+    def undecided(self, fingerprint: int) -> bool:
+        return False
+
+    def is_second(self, dispatcher, ticket) -> bool:
+        return False
+
+    def ended(self, flight, result) -> None:
+        pass
+
+
+class RolloutCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = SteppedClock()
+        self.kernel = Kernel(self.clock, random.Random(1), EventLog(OWN, self.clock), Metrics())
+        self.hub = Hub()
+        self.book = Book()
+        self.directory = UpstreamDirectory(
+            lambda *told: None, self.kernel.events, self.clock.monotonic, self.clock.wall
+        )
+        self.cells = CellMap(OWN, self.directory, lambda: [OWN], 64, local=True)
+        self.replicas = CellReplicas(self.cells, self.directory, Catalog, FleetBounds(), self.clock)
+        self.dispatchers = DispatcherService(
+            self.cells,
+            self.replicas,
+            Catalog,
+            Loads(),
+            self.hub,
+            self.kernel,
+            True,
+            0.0,
+            Trials(),
+        )
+        self.directory.on_change(self.dispatchers.renew_replicas)
+        self.desk = TicketDesk(self.cells, self.hub, self.kernel)
+        self.rests = Rests()
+        self.gate = SendGate(self.directory, self.rests, {}, self.hub, self.kernel)
+        self.rollouts = RolloutDispatch(
+            self.book, self.directory, self.dispatchers, self.desk, self.hub, self.kernel
+        )
+        self.revision = 0
+        self.number = 0
+        self.serial = 0
+        for number in range(2):
+            self.list_replica(f"old{number}", "v1")
+
+    def list_replica(self, name: str, version: str) -> None:
+        self.revision += 1
+        record = {
+            "pool": "model",
+            "endpoint": "127.0.0.1:9",
+            "failure_domain": "a",
+            "state": "live",
+            "slots": 8,
+            "born": self.revision,
+            "software_version": version,
+        }
+        self.directory.seen(WatchEvent("upstream", name, self.revision, record))
+
+    def order(self, version: int = 7) -> None:
+        self.book.set(Order("model", version, "v2", 12.0))
+        for number in range(2):
+            self.list_replica(f"new{number}", "v2")
+
+    def allow(self, stage: Stage, calls: int = MANY, term: int = 1, version: int = 7) -> None:
+        self.serial += 1
+        message = RolloutAllowance(
+            "model", 0, version, term, self.serial, int(stage), calls, 1000, ["new0"]
+        )
+        self.hub.deliver(COORDINATOR, message)
+
+    def place(self, route: int = 0) -> str:
+        """Place a ticket, and return the replica that is granted, empty if none is."""
+        self.number += 1
+        want = Want(f"r-{self.number}", "model", "one", 0.0, 10.0, False, route=route)
+        self.hub.deliver(ENTRY, to_place(want, self.number, 1, CELL, 0.0))
+        return next((grant.replica for grant in self.hub.take(Granted)), "")
+
+    def end(self, result: CallResult = CallResult.GOOD) -> None:
+        self.hub.deliver(ENTRY, Release(self.number, 1, 10, int(result)))
+
+    def serve(self, count: int, route: int = 0) -> dict[str, int]:
+        """Serve calls one after the other, and return how many each version got."""
+        served = {"old": 0, "new": 0, "": 0}
+        for _ in range(count):
+            served[self.place(route)[:3]] += 1
+            self.end()
+        return served
+
+    def evidence(self) -> RolloutEvidence:
+        return self.hub.take(RolloutEvidence)[-1]
+
+
+class AllowanceTests(RolloutCase):
+    async def test_target_gets_nothing_before_an_allowance(self):
+        self.order()
+        self.assertEqual(self.serve(40), {"old": 40, "new": 0, "": 0})
+
+    async def test_allowance_moves_calls_until_it_lapses(self):
+        self.order()
+        self.allow(Stage.SHIFT)
+        self.assertEqual(self.serve(40)["new"], 40)
+        self.clock.now += 1.0
+        self.assertEqual(self.serve(40)["old"], 40)
+
+    async def test_allowance_of_an_older_term_changes_nothing(self):
+        self.order()
+        self.allow(Stage.HOLD, 0, term=2)
+        self.allow(Stage.SHIFT, term=1)
+        self.assertEqual(self.serve(40)["new"], 0)
+
+    async def test_allowance_of_another_order_changes_nothing(self):
+        self.order()
+        self.allow(Stage.SHIFT, version=6)
+        self.assertEqual(self.serve(40)["new"], 0)
+        self.assertEqual(self.hub.take(RolloutEvidence), [])
+
+    async def test_allowance_does_not_outlive_its_order(self):
+        self.order()
+        self.allow(Stage.SHIFT)
+        self.order(version=9)
+        self.assertEqual(self.serve(40)["new"], 0)
+
+    async def test_dispatcher_made_by_an_allowance_begins_with_its_calls(self):
+        self.order()
+        self.assertEqual(self.dispatchers.dispatchers(), {})
+        self.allow(Stage.CANARY, 3)
+        served = {"old": 0, "new": 0}
+        for _ in range(60):
+            self.clock.now += 0.01
+            served[self.place()[:3]] += 1
+            self.end()
+        self.assertEqual(served["new"], 3)
+
+    async def test_flight_of_an_earlier_dispatcher_counts_as_exposed(self):
+        self.order()
+        flights = [FlightRecord(n, 1, "one", "new0", 10, 100, 1, 0) for n in (901, 902)]
+        self.hub.deliver(ENTRY, Resync("model", 0, [], flights, []))
+        self.allow(Stage.CANARY, 3)
+        self.assertEqual(self.evidence().exposed, 2)
+        self.assertEqual(self.serve(1)["new"], 1)
+        self.assertEqual(self.serve(40)["new"], 0)
+
+    async def test_rollback_stops_what_the_allowance_lets(self):
+        self.order()
+        self.allow(Stage.SHIFT)
+        self.book.set(None, "v2")
+        self.assertEqual(self.serve(40), {"old": 40, "new": 0, "": 0})
+
+    async def test_success_stops_the_other_versions(self):
+        self.order()
+        self.book.set(None, "v1")
+        self.assertEqual(self.serve(40), {"old": 0, "new": 40, "": 0})
+
+
+class NewVersionTests(RolloutCase):
+    async def test_version_without_an_order_is_held_for_a_moment(self):
+        self.clock.now += 10.0
+        self.list_replica("new0", "v2")
+        self.assertEqual(self.serve(40)["new"], 0)
+        self.clock.now += HOLD_SECONDS
+        self.assertGreater(self.serve(40)["new"], 5)
+
+    async def test_order_that_comes_within_the_hold_is_not_overtaken(self):
+        self.clock.now += 10.0
+        self.list_replica("new0", "v2")
+        self.clock.now += HOLD_SECONDS / 2
+        self.order()
+        self.clock.now += HOLD_SECONDS
+        self.assertEqual(self.serve(40)["new"], 0)
+
+
+class EvidenceTests(RolloutCase):
+    async def test_evidence_is_told_at_once_and_then_by_and_by(self):
+        self.order()
+        self.allow(Stage.CANARY, 20)
+        self.assertEqual(self.hub.sent[-1][0], COORDINATOR)
+        self.assertEqual(self.evidence().arrivals, 0)
+        self.serve(10)
+        self.rollouts.tell_all()
+        self.assertEqual(self.evidence().arrivals, 10)
+
+    async def test_coordinator_that_is_not_heard_is_told_no_more(self):
+        self.order()
+        self.allow(Stage.CANARY, 20)
+        self.hub.sent.clear()
+        self.clock.now += HEARD_SECONDS + 0.1
+        self.rollouts.tell_all()
+        self.assertEqual(self.hub.sent, [])
+
+    async def test_ended_order_is_told_no_more(self):
+        self.order()
+        self.allow(Stage.CANARY, 20)
+        self.hub.sent.clear()
+        self.book.set(None, "v2")
+        self.rollouts.tell_all()
+        self.assertEqual(self.hub.take(RolloutEvidence), [])
+
+    async def test_sums_by_route_and_version(self):
+        self.order()
+        self.allow(Stage.CANARY, 4)
+        for step in range(20):
+            replica = self.place(route=5)
+            self.clock.now += 0.010
+            self.hub.deliver(ENTRY, Begun(self.number, 1))
+            self.clock.now += 0.010
+            bad = replica.startswith("new")
+            self.end(CallResult.ERROR if bad and step % 2 else CallResult.GOOD)
+        self.rollouts.tell_all()
+        evidence = self.evidence()
+        self.assertEqual((evidence.term, evidence.exposed, evidence.arrivals), (1, 4, 20))
+        sums = {(t.route, t.software_version, t.replica): t for t in evidence.tallies}
+        self.assertEqual(set(sums), {(5, "v1", ""), (5, "v2", "new0")})
+        self.assertEqual((sums[5, "v2", "new0"].answers, sums[5, "v1", ""].answers), (4, 16))
+        self.assertEqual(sums[5, "v2", "new0"].failed, 2)
+        self.assertEqual(sum(sums[5, "v1", ""].first), 16)
+
+    async def test_running_counts_calls_on_other_versions(self):
+        self.order()
+        self.place()
+        self.place()
+        self.allow(Stage.SHIFT)
+        self.place()
+        self.rollouts.tell_all()
+        self.assertEqual(self.evidence().running, 2)
+
+
+class RouteTests(unittest.TestCase):
+    def test_route_travels_from_entry_to_ticket(self):
+        route = route_fingerprint("briefings")
+        want = Want("r", "model", "one", 0.0, 10.0, False, route=route)
+        place = to_place(want, 1, 1, CELL, 0.0)
+        self.assertIsInstance(place, Place)
+        self.assertEqual(to_ticket(ENTRY, place, 0.0).route, route)
+
+    def test_fingerprints_of_routes_differ_and_are_never_0(self):
+        found = {route_fingerprint(f"route-{number}") for number in range(200)}
+        self.assertEqual(len(found), 200)
+        self.assertTrue(all(0 < value < 1 << 62 for value in found))
+
+
+class GateTests(RolloutCase):
+    async def test_grant_of_a_version_that_was_rolled_back_is_not_sent(self):
+        self.order()
+        self.assertEqual(self.gate.admit("new0"), "")
+        self.book.set(None, "v2")
+        self.assertIn("rolled back", self.gate.admit("new0"))
+        self.assertEqual(self.gate.admit("old0"), "")
+
+    async def test_request_is_refused_where_all_that_takes_work_rests(self):
+        self.order()
+        self.book.set(None, "v2")
+        want = Want("r", "model", "one", 0.0, 10.0, False)
+        for name in ("old0", "old1"):
+            self.rests.asked(name, 10.0, self.clock.now)
+        self.assertIsNotNone(self.gate.refusal(want))
+
+
+class HomeCellTests(RolloutCase):
+    async def test_prompts_keep_their_cells_until_the_rollout_has_succeeded(self):
+        before = {prefix: self.cells._holder("model", prefix) for prefix in range(1, 60)}
+        self.order()
+        during = {prefix: self.cells._holder("model", prefix) for prefix in range(1, 60)}
+        self.assertEqual(during, before)
+        self.book.set(None, "v1")
+        after = {self.cells._holder("model", prefix) for prefix in range(1, 60)}
+        self.assertEqual(after, {"new0", "new1"})
+
+
+class LogTests(RolloutCase):
+    async def test_canary_grant_says_version_and_stage(self):
+        self.order()
+        self.allow(Stage.CANARY, 1)
+        self.place()
+        told = [event for event in self.kernel.events if event.kind is Kind.GRANTED]
+        self.assertEqual(told[-1].facts["software_version"], "v2")
+        self.assertEqual(told[-1].facts["stage"], "CANARY")
+        self.assertEqual(told[-1].facts["ticket"], f"{ENTRY}#1")
+
+    async def test_entry_names_the_version_while_a_rollout_runs(self):
+        want = Want("r-1", "model", "one", 0.0, 10.0, False)
+        for running in (False, True):
+            if running:
+                self.order()
+            booking = self.desk.place(want, self.clock.now)
+            self.hub.deliver(OWN, Granted(booking.number, 1, "old0", 0))
+            told = [event for event in self.kernel.events if event.kind is Kind.GRANTED][-1]
+            self.assertEqual(told.facts.get("software_version"), "v1" if running else None)
+
+    async def test_grants_are_counted_by_stage_and_version(self):
+        self.serve(3)
+        counter = self.kernel.metrics.rollout_calls
+        self.assertEqual(counter.get_all(), [])
+        self.order()
+        self.allow(Stage.SHIFT)
+        self.serve(5)
+        labels = {"pool": "model", "stage": "SHIFT", "version": "target"}
+        self.assertEqual(counter.get(labels), 5)
