--- /dev/null
+++ b/benchmarks/rollouts.py
@@ -0,0 +1,187 @@
+"""Rollouts of versions that are good, or bad in each of several ways, on daemons of their own.
+
+    python -m benchmarks.rollouts [--fault=fails] [--seconds=12] [--daemons=12] [--rate=240]
+
+Daemons as processes, six replicas of the old version, and six of the new one that are listed when
+the order is given. ``--fault`` is ``none``, ``fails`` (half of its answers), ``slow`` (ten times),
+``later`` (half of its answers fail after three seconds), ``loaded`` (only where a replica runs two
+at once), ``route`` (on one of two routes), or ``all`` of them, one run after the other.
+
+Printed are what the new version received between order and deadline, and what it may; what reached
+it later than ``rollback_ms`` after its 50th bad answer; how many bad answers it gave; how calls
+were answered, by status, 0 for not at all; how the rollout ended and when, in seconds since the
+order. As the platform does, the old replicas are stopped when it has succeeded, and the new ones
+are emptied when it was rolled back.
+"""
+
+import asyncio
+import json
+import logging
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import fire
+
+from railsail.core.logs import configure_logs
+from tests.platform.base import configuration
+from tests.platform.processes import ProcessFleet
+from tests.platform.standins import ReplicaStandin
+from tests.platform.versions import Fault, SoftwareVersion
+
+SERVICE = "desk"
+OLD, NEW = "v1", "v2"
+REPLICAS = 6
+SLOTS = 16
+EXPOSE_SHARE = 0.1
+EXPOSE_SLACK = 50
+ROLLBACK_SECONDS = 5.0
+BAD_ANSWERS = 50
+ROUTES = ("once", "again")
+WARM_SECONDS = 5.0
+# Traffic goes on for so long after the deadline.
+AFTER_SECONDS = 8.0
+DRAIN_SECONDS = 2.0
+LOOK_SECONDS = 0.02
+SETTINGS = {
+    "expose-share": str(EXPOSE_SHARE),
+    "expose-slack": str(EXPOSE_SLACK),
+    "rollback-ms": str(round(ROLLBACK_SECONDS * 1000)),
+}
+
+
+@dataclass
+class Run:
+    """One rollout; times are of the event loop."""
+
+    fleet: ProcessFleet
+    old: SoftwareVersion
+    new: SoftwareVersion
+    seconds: float
+    ordered_at: float = 0.0
+    states: list[tuple[float, str]] = field(default_factory=list)
+    answers: Counter[str] = field(default_factory=Counter)
+    started: dict[str, list[ReplicaStandin]] = field(default_factory=dict)
+
+    async def start_version(self, version: SoftwareVersion) -> None:
+        """Start the replicas of ``version``."""
+        self.started[version.name] = [
+            await self.fleet.add_replica(version.script, SERVICE, SLOTS, version.name)
+            for _ in range(REPLICAS)
+        ]
+
+    async def ask(self, number: int) -> None:
+        """Make one call, and count how it ended."""
+        daemons = self.fleet.balanced()
+        route = ROUTES[number // len(daemons) % len(ROUTES)]
+        answer = await self.fleet.call(daemons[number % len(daemons)], f"/{route}/{number}")
+        status = answer.status if answer is not None else 0
+        self.answers[str(status)] += 1
+
+    async def order(self) -> None:
+        """Order the rollout, and start the replicas of the new version."""
+        self.ordered_at = asyncio.get_running_loop().time()
+        spec = {"service": SERVICE, "target_version": NEW, "duration_s": self.seconds}
+        self.fleet.store.put("rollouts", SERVICE, spec)
+        await self.start_version(self.new)
+
+    async def follow(self) -> None:
+        """Do what the platform does when the state changes, until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            item = self.fleet.store.objects.get(("rollouts", SERVICE), {})
+            state = (item.get("status") or {}).get("state", "")
+            if state and (not self.states or self.states[-1][1] != state):
+                now = asyncio.get_running_loop().time()
+                self.states.append((round(now - self.ordered_at, 2), state))
+                await self._platform_follows(state)
+
+    async def _platform_follows(self, state: str) -> None:
+        if state == "succeeded":
+            for replica in self.started[OLD]:
+                self.fleet.remove_replica(replica)
+        elif state == "rolled_back":
+            await asyncio.sleep(DRAIN_SECONDS)
+            for replica in self.started[NEW]:
+                self.fleet.store.remove("servers", replica.name)
+
+    def figures(self) -> dict[str, object]:
+        """Return what was measured."""
+        ends = self.ordered_at + self.seconds
+        arrivals = [at for version in (self.old, self.new) for at in version.arrivals]
+        in_time = sum(self.ordered_at <= at < ends for at in arrivals)
+        bad = sorted(self.new.bad_answers)
+        late_from = bad[BAD_ANSWERS - 1] + ROLLBACK_SECONDS if len(bad) >= BAD_ANSWERS else None
+        late = sum(at > late_from for at in self.new.arrivals) if late_from is not None else 0
+        return {
+            "fault": str(self.new.fault),
+            "received": sum(at < ends for at in self.new.arrivals),
+            "allowed": round(EXPOSE_SHARE * in_time + EXPOSE_SLACK),
+            "of": in_time,
+            "late": late,
+            "bad_answers": len(bad),
+            "most_running": self.new.most_running,
+            "answers": dict(self.answers),
+            "states": self.states,
+            "by_second": self._by_second(),
+        }
+
+    def _by_second(self) -> list[int]:
+        counts = Counter(int(at - self.ordered_at) for at in self.new.arrivals)
+        return [counts[second] for second in range(max(counts, default=-1) + 1)]
+
+
+async def _traffic(run: Run, rate: float, until: float) -> list[asyncio.Task]:
+    loop = asyncio.get_running_loop()
+    calls: list[asyncio.Task] = []
+    begun = loop.time()
+    while loop.time() < until:
+        while len(calls) < rate * (loop.time() - begun):
+            calls.append(asyncio.ensure_future(run.ask(len(calls))))
+        await asyncio.sleep(1 / rate)
+    return calls
+
+
+async def _play(fault: Fault, seconds: float, daemons: int, rate: float, folder: Path) -> Run:
+    fleet = ProcessFleet(folder, settings=SETTINGS)
+    run = Run(fleet, SoftwareVersion(OLD), SoftwareVersion(NEW, fault), seconds)
+    fleet.store.put("config", "main", configuration(3))
+    await run.start_version(run.old)
+    try:
+        await fleet.add_daemons(daemons, 3)
+        await fleet.until_ready()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WARM_SECONDS + seconds + AFTER_SECONDS
+        traffic = asyncio.ensure_future(_traffic(run, rate, until))
+        await asyncio.sleep(WARM_SECONDS)
+        await run.order()
+        following = asyncio.ensure_future(run.follow())
+        await asyncio.gather(*await traffic)
+        following.cancel()
+    finally:
+        await fleet.stop()
+    return run
+
+
+def main(
+    fault: str = "all",
+    seconds: float = 12.0,
+    daemons: int = 12,
+    rate: float = 240.0,
+    logs: str = "",
+) -> None:
+    """Play the rollouts, and print their figures; ``logs`` names a folder for the daemons' logs."""
+    configure_logs("critical", "benchmark")
+    logging.getLogger("tornado").setLevel(logging.CRITICAL)
+    faults = list(Fault) if fault == "all" else [Fault(fault)]
+    for each in faults:
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = Path(logs or temporary) / each
+            folder.mkdir(parents=True, exist_ok=True)
+            run = asyncio.run(_play(each, seconds, daemons, rate, folder))
+        print(json.dumps(run.figures()), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -60,6 +60,8 @@
     killed: bool = False
     # Where the sources of its build are.
     sources: Path = ROOT
+    # Further settings, by flag.
+    settings: dict[str, str] = field(default_factory=dict)
     # Where it listens for peers behind a relay, 0 for no relay.
     listen_port: int = 0
     # When it was started or went on after a pause, by the clock of the event loop.
@@ -107,7 +109,7 @@
             "seeds": ",".join(seeds),
             "listen-port": self.listen_port,
         }
-        return [f"--{name}={value}" for name, value in (SHARED | own).items()]
+        return [f"--{name}={value}" for name, value in (SHARED | own | self.settings).items()]
 
 
 @dataclass
@@ -118,19 +120,33 @@
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     replicas: list[ReplicaStandin] = field(default_factory=list)
     daemons: list[Daemon] = field(default_factory=list)
+    # Settings that daemons have beside ``SHARED``, by flag.
+    settings: dict[str, str] = field(default_factory=dict)
     # Between the daemons, where there is one.
     relay: Relay | None = None
 
     async def add_replica(
-        self, script: Script | None = None, service: str = "desk", slots: int = 64
-    ) -> None:
-        """Start a replica, and list it."""
+        self,
+        script: Script | None = None,
+        service: str = "desk",
+        slots: int = 64,
+        version: str = "",
+    ) -> ReplicaStandin:
+        """Start a replica of a software ``version``, and list it."""
         replica = ReplicaStandin(f"i-{len(self.replicas)}", script or answering())
         await replica.start()
         self.replicas.append(replica)
         addr = f"{LOOPBACK}:{replica.port}"
         spec = {"service": service, "addr": addr, "zone": "a", "slots": slots, "state": "ready"}
+        if version:
+            spec["version"] = version
         self.store.put("servers", replica.name, spec | {"seq": 1})
+        return replica
+
+    def remove_replica(self, replica: ReplicaStandin) -> None:
+        """End a replica at once, as the platform does without a drain, and list it no more."""
+        self.store.remove("servers", replica.name)
+        replica.crash()
 
     async def add_daemons(self, count: int, domains: int, other: Path = ROOT) -> None:
         """Start ``count`` daemons in ``domains`` failure domains, each other one of ``other``."""
@@ -142,6 +158,7 @@
             ports = free_ports(4, ip)
             daemon = Daemon(ip, ports[:3], domain, self.store.add_access(), log)
             daemon.sources = other if number % 2 else ROOT
+            daemon.settings = self.settings
             if self.relay is not None:
                 daemon.listen_port = ports[3]
                 await self.relay.listen(ip, ports[2], ports[3])
