--- a/railsail/scheduling/decisions.py
+++ b/railsail/scheduling/decisions.py
@@ -3,16 +3,21 @@
 from dataclasses import dataclass
 
 from railsail.core.outcomes import Reason
+from railsail.rollouts.stages import Stage
 from railsail.scheduling.tickets import Ticket
 
 
 @dataclass(frozen=True)
 class Grant:
-    """Tell the entry to call ``replica``; ``counter`` is the workspace's, after the charge."""
+    """Tell the entry to call ``replica``; ``counter`` is the workspace's, after the charge.
+
+    ``stage`` is that of the rollout that runs, ``None`` where none does.
+    """
 
     ticket: Ticket
     replica: str
     counter: float
+    stage: Stage | None = None
 
 
 @dataclass(frozen=True)
@@ -42,7 +47,9 @@
     """A granted request that has not been released; ``charged`` is in cost units.
 
     ``unread`` are the tokens of its prompt until its answer begins, and 0 from then on. Repeats of
-    the request have the same ``fingerprint``, 0 where there is none.
+    the request have the same ``fingerprint``, 0 where there is none. ``route`` is the fingerprint
+    of its route, 0 where that is not known, and ``software_version`` what the replica runs. Its
+    answer began at ``begun_at``, 0 before.
     """
 
     attempt: int
@@ -52,3 +59,6 @@
     started_at: float
     unread: int = 0
     fingerprint: int = 0
+    route: int = 0
+    software_version: str = ""
+    begun_at: float = 0.0
