--- a/railsail/rollouts/part.py
+++ b/railsail/rollouts/part.py
@@ -1,9 +1,14 @@
-"""The rollouts' part of a daemon: the book of orders, and the coordination of those that run."""
+"""The rollouts' part of a daemon.
+
+It keeps the book of orders, coordinates those that run, and follows allowances in the cells that
+this node dispatches.
+"""
 
 import asyncio
 from typing import TYPE_CHECKING
 
 from railsail.core.parts import PARTS
+from railsail.dispatch.rollouts import RolloutDispatch
 from railsail.peers.link import Identity
 from railsail.peers.messages import RolloutEvidence, RolloutUpdate
 from railsail.rollouts.book import KIND, RolloutBook
@@ -34,6 +39,7 @@
         )
         fleet = Fleet(node)
         self.coordinator = Coordinator(self.book, node.store, fleet, bounds, node.kernel)
+        self._dispatch: RolloutDispatch | None = None
         if self.enabled:
             self._connect(node)
 
@@ -43,6 +49,9 @@
         node.hub.handle(RolloutEvidence, self.coordinator.received)
         node.hub.on_up(self._link_up)
         node.lifecycle.on_change(lambda state: self.coordinator.wake())
+        self._dispatch = RolloutDispatch(
+            self.book, node.directory, node.dispatchers, node.desk, node.hub, node.kernel
+        )
 
     def _link_up(self, peer: Identity) -> None:
         update = self.book.update()
@@ -55,13 +64,16 @@
 
     async def run(self) -> None:
         """Coordinate rollouts until cancelled."""
-        if not self.enabled:
+        if self._dispatch is None:
             await asyncio.Event().wait()
-        await self.coordinator.run()
+            return
+        await asyncio.gather(self.coordinator.run(), self._dispatch.run())
 
     def stop(self) -> None:
         """Coordinate nothing any more."""
         self.coordinator.stop()
+        if self._dispatch is not None:
+            self._dispatch.stop()
 
 
 @PARTS.register(NAME)
