--- a/railsail/rollouts/coordination.py
+++ b/railsail/rollouts/coordination.py
@@ -21,7 +21,7 @@
 from railsail.rollouts.publishing import StatusWriter
 from railsail.rollouts.stages import Stage
 from railsail.rollouts.tenure import LEASE_SECONDS, Tenure
-from railsail.rollouts.verdict import Judgement, judge
+from railsail.rollouts.verdict import Judgement
 from railsail.store.base import Store
 from railsail.store.journal import Backoff
 
@@ -55,7 +55,7 @@
         fleet: Fleet,
         bounds: ExposureBounds,
         kernel: Kernel,
-        judging: Callable[[list], Judgement] = judge,
+        judging: Callable[[list], Judgement] | None = None,
     ) -> None:
         self.order = order
         self.tenure: Tenure | None = None
--- a/railsail/rollouts/tenure.py
+++ b/railsail/rollouts/tenure.py
@@ -23,7 +23,7 @@
 from railsail.rollouts.plan import FREE_AFTER_SECONDS, Plan, Situation, plan
 from railsail.rollouts.recent import RecentEvidence
 from railsail.rollouts.stages import Stage
-from railsail.rollouts.verdict import Judgement, Verdict, judge
+from railsail.rollouts.verdict import Judgement, Verdict, VersionJudge
 
 # An allowance is renewed several times before it lapses.
 ALLOW_SECONDS = 0.25
@@ -69,7 +69,7 @@
         fleet: Fleet,
         bounds: ExposureBounds,
         kernel: Kernel,
-        judging: Callable[[list], Judgement] = judge,
+        judging: Callable[[list], Judgement] | None = None,
     ) -> None:
         self.order = order
         self.entry = entry
@@ -78,7 +78,7 @@
         self._fleet = fleet
         self._bounds = bounds
         self._kernel = kernel
-        self._judge = judging
+        self._judge = judging or VersionJudge().judge
         self._reserved_before = entry.reserved
         self._arrivals_before = entry.arrivals
         self._gathering = Gathering()
