rollouts: gave the canary of a service with few calls a larger part of the bounds

A version counts as good from forty answers on, which a service with 26 calls a second did not reach in twelve seconds. As far as a shift of 1.2 s is left of the bounds, the canary takes up to eighty. Late evidence is not judged by itself any more: the judge's sequential test finds what turns bad.

--- a/railsail/rollouts/bounds.py
+++ b/railsail/rollouts/bounds.py
@@ -5,6 +5,7 @@
 what may be sent at any time follows from the calls that have arrived by then.
 """
 
+import math
 from dataclasses import dataclass
 
 # A canary that took all of the bound would leave nothing for the shift, in which the version gets
@@ -15,6 +16,10 @@
 # once and the rest over the time of the order, since a version may turn bad later.
 CANARY_SLACK = 0.4
 CANARY_SLACK_AT_ONCE = 0.1
+# A service with few calls needs a larger part of the bound for its canary: by the deadline it may
+# take so many calls, as far as all calls of so many seconds are left for the shift.
+ENOUGH_CALLS = 80
+KEPT_SECONDS = 1.2
 # Calls arrive elsewhere later than they are counted here, and a call may be sent twice.
 SHIFT_SHARE = 0.95
 SHIFT_SLACK = 0.8
@@ -40,14 +45,17 @@
         """Return for how long a dispatcher may act on an allowance without another one."""
         return min(MOST_VALID_SECONDS, VALID_SHARE * self.rollback)
 
-    def canary_calls(self, arrivals: int, elapsed: float = 1.0) -> int:
+    def canary_calls(self, arrivals: int, rate: float = math.inf, elapsed: float = 1.0) -> int:
         """Return how many calls the target may have got in the canary.
 
-        A part ``elapsed`` of the order's time is over.
+        Calls come at ``rate`` a second, and a part ``elapsed`` of the order's time is over.
         """
-        over_time = (CANARY_SLACK - CANARY_SLACK_AT_ONCE) * min(1.0, max(0.0, elapsed))
+        elapsed = min(1.0, max(0.0, elapsed))
+        over_time = (CANARY_SLACK - CANARY_SLACK_AT_ONCE) * elapsed
         slack = (CANARY_SLACK_AT_ONCE + over_time) * self.slack
-        return int(CANARY_SHARE * self.share * arrivals + slack)
+        usual = CANARY_SHARE * self.share * arrivals + slack
+        spare = self.shift_calls(arrivals) - KEPT_SECONDS * rate
+        return int(max(usual, min(ENOUGH_CALLS * elapsed, spare)))
 
     def shift_calls(self, arrivals: int) -> int:
         """Return how many calls the target may have got in all before the deadline."""
--- a/railsail/rollouts/evidence.py
+++ b/railsail/rollouts/evidence.py
@@ -55,19 +55,6 @@
             total.whole = _sum(total.whole, other.whole)
         return total
 
-    def since(self, before: "Tally") -> "Tally":
-        """Return what was counted after ``before``, an earlier state of this tally."""
-        return Tally(
-            max(0, self.answers - before.answers),
-            max(0, self.failed - before.failed),
-            _difference(self.first, before.first),
-            _difference(self.whole, before.whole),
-        )
-
-
-def _difference(left: Sequence[int], right: Sequence[int]) -> list[int]:
-    return [max(0, a - b) for a, b in zip(left, right, strict=True)]
-
 
 def _sum(left: Sequence[int], right: Sequence[int]) -> list[int]:
     return [a + b for a, b in zip(left, right, strict=True)]
--- a/railsail/rollouts/tenure.py
+++ b/railsail/rollouts/tenure.py
@@ -21,7 +21,6 @@
 from railsail.rollouts.ledger import Entry
 from railsail.rollouts.orders import Order, State
 from railsail.rollouts.plan import FREE_AFTER_SECONDS, Plan, Situation, plan
-from railsail.rollouts.recent import RecentEvidence
 from railsail.rollouts.stages import Stage
 from railsail.rollouts.verdict import Judgement, Verdict, VersionJudge
 
@@ -83,7 +82,6 @@
         self._arrivals_before = entry.arrivals
         self._gathering = Gathering()
         self._allotments = Allotments()
-        self._recent = RecentEvidence()
         waiting = Judgement(Verdict.UNDECIDED, "no evidence yet")
         self._progress = _Progress(Plan(Stage.HOLD, "the term begins"), waiting)
 
@@ -138,22 +136,14 @@
         if not self.leads():
             return
         if self._progress.unjudged:
-            self._progress.judgement = self._judged()
+            routes = self._gathering.routes(self.order.target_version)
+            self._progress.judgement = self._judge(routes)
             self._progress.unjudged = False
         situation = self._situation()
         self._follow(self._plan(situation), situation)
         self._divide()
         self._allow()
 
-    def _judged(self) -> Judgement:
-        """Judge all that was seen, and that of late: a version may turn bad after a good start."""
-        routes = self._gathering.routes(self.order.target_version)
-        whole = self._judge(routes)
-        late = self._judge(self._recent.of(routes, self._now()))
-        if late.verdict is Verdict.BAD and whole.verdict is not Verdict.BAD:
-            return Judgement(Verdict.BAD, f"of late: {late.reason}")
-        return whole
-
     def _plan(self, situation: Situation) -> Plan:
         # A decision may be on its way to the store, so that it stands whatever is seen since.
         return self.decided or plan(situation, self._bounds)
@@ -285,7 +275,8 @@
     def _wanted(self) -> int:
         """Return how many calls are to be reserved in all."""
         if self.stage is Stage.CANARY:
-            return self._bounds.canary_calls(self.arrivals, self._elapsed())
+            rate = self._gathering.rate(self._now())
+            return self._bounds.canary_calls(self.arrivals, rate, self._elapsed())
         if self.stage is Stage.HOLD or self._is_free():
             return self.entry.reserved
         wanted = self.entry.reserved + max(0, self._ahead() - self._unused())
--- a/tests/rollouts/test_plan.py
+++ b/tests/rollouts/test_plan.py
@@ -3,7 +3,7 @@
 import unittest
 from dataclasses import replace
 
-from railsail.rollouts.bounds import ExposureBounds
+from railsail.rollouts.bounds import KEPT_SECONDS, ExposureBounds
 from railsail.rollouts.orders import State
 from railsail.rollouts.plan import (
     FREE_AFTER_SECONDS,
@@ -43,6 +43,21 @@
             self.assertLess(BOUNDS.canary_calls(arrivals), 0.5 * allowed)
             self.assertLess(BOUNDS.shift_calls(arrivals), allowed)
 
+    def test_few_calls_give_the_canary_more_and_leave_the_shift_its_part(self):
+        for rate in (0.5, 5.0, 26.0, 60.0, 500.0):
+            for seconds in (1, 6, 12):
+                arrivals = int(rate * seconds)
+                found = BOUNDS.canary_calls(arrivals, rate, seconds / 12)
+                usual = BOUNDS.canary_calls(arrivals, elapsed=seconds / 12)
+                left = BOUNDS.shift_calls(arrivals) - found
+                self.assertGreaterEqual(found, usual)
+                self.assertTrue(found == usual or left >= int(KEPT_SECONDS * rate))
+        self.assertGreater(BOUNDS.canary_calls(312, 26.0), BOUNDS.canary_calls(312))
+
+    def test_slack_of_the_canary_comes_over_time(self):
+        found = [BOUNDS.canary_calls(0, elapsed=share) for share in (-1.0, 0.0, 0.5, 1.0, 9.0)]
+        self.assertEqual(found, [5, 5, 12, 20, 20])
+
 
 class PlanTests(unittest.TestCase):
     def assert_plan(self, situation: Situation, stage: Stage, state: State = State.NONE) -> None:
