--- a/railsail/rollouts/report.py
+++ b/railsail/rollouts/report.py
@@ -36,7 +36,7 @@
     return {
         "term": tenure.entry.term,
         "stage": tenure.stage.name.lower(),
-        "verdict": tenure.verdict.value,
+        "verdict": tenure.verdict.name.lower(),
         "reason": tenure.reason,
         "left_ms": round(tenure.seconds_left * 1000),
         "arrivals": tenure.arrivals,
--- a/railsail/rollouts/tenure.py
+++ b/railsail/rollouts/tenure.py
@@ -275,13 +275,19 @@
     def _wanted(self) -> int:
         """Return how many calls are to be reserved in all."""
         if self.stage is Stage.CANARY:
-            rate = self._gathering.rate(self._now())
-            return self._bounds.canary_calls(self.arrivals, rate, self._elapsed())
+            return self._canary_calls()
         if self.stage is Stage.HOLD or self._is_free():
             return self.entry.reserved
         wanted = self.entry.reserved + max(0, self._ahead() - self._unused())
         return min(wanted, self._bounds.shift_calls(self.arrivals))
 
+    def _canary_calls(self) -> int:
+        if self._is_free():
+            # The shift needs none of the bounds any more.
+            return self._bounds.shift_calls(self.arrivals)
+        rate = self._gathering.rate(self._now())
+        return self._bounds.canary_calls(self.arrivals, rate, self._elapsed())
+
     def _elapsed(self) -> float:
         """Return which part of the order's time is over, above 1 after its deadline."""
         duration = (self.entry.ends - self.entry.seen) / _MS
@@ -312,7 +318,7 @@
             term=self.entry.term,
             stage=chosen.stage.name.lower(),
             state=chosen.state.name.lower(),
-            verdict=self.verdict.value,
+            verdict=self.verdict.name.lower(),
             evidence=self._progress.judgement.reason,
             arrivals=situation.arrivals,
             rate=round(situation.rate, 1),
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -118,6 +118,15 @@
         self.assertEqual(self.store.status()["state"], "succeeded")
         self.assertLessEqual(self.used, 0.1 * RATE * 20 + 50)
 
+    async def test_order_that_nothing_decided_gets_more_calls_after_its_deadline(self):
+        await self.begin()
+        await self.pass_time(19.0)
+        before = self.store.ledger()["reserved"]
+        self.assertLessEqual(before, BOUNDS.canary_calls(2000, RATE))
+        await self.pass_time(2.0)
+        self.assertGreater(self.store.ledger()["reserved"], 2 * before)
+        self.assertEqual(self.leader().allowed.stage, Stage.CANARY)
+
     async def test_calls_on_other_versions_are_waited_for(self):
         leader = await self.begin()
         self.judge(Verdict.GOOD)
