dispatch: gave each cell replicas of both versions while a rollout runs

A pool of more than a cell's limit was cut by name, so that the replicas of a rollout made cells of their own: tickets placed there found held replicas only, and prompts' beginnings moved at the order. Cells are cut by the replicas that no rollout concerns, and the others spread over them. Where nothing follows rollouts, no version is held.

--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -75,7 +75,9 @@
         """Make one call, and count how it ended."""
         daemons = self.fleet.balanced()
         route = ROUTES[number // len(daemons) % len(ROUTES)]
-        answer = await self.fleet.call(daemons[number % len(daemons)], f"/{route}/{number}")
+        daemon = daemons[number % len(daemons)]
+        name = f"r-{number}"
+        answer = await self.fleet.call(daemon, f"/{route}/{number}", Request_Id=name)
         status = answer.status if answer is not None else 0
         self.answers[str(status)] += 1
 
--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from railsail.membership.placement import choose, rank
-from railsail.scheduling.cells import Cell, cut
+from railsail.scheduling.cells import Cell, cut, spread
 from railsail.upstreams.directory import UpstreamDirectory
 
 # An entry sends the tickets of a pool that share no beginning with others to this many cells at
@@ -51,8 +51,11 @@
     def cells(self, pool: str) -> dict[Cell, list[str]]:
         """Return the replicas of each cell of ``pool``."""
         if pool not in self._cells:
-            names = [upstream.name for upstream in self._directory.of_pool(pool)]
-            self._cells[pool] = cut(pool, names, self._limit)
+            upstreams = self._directory.of_pool(pool)
+            names = [each.name for each in upstreams if self._directory.settled(each)]
+            cells = cut(pool, names or [each.name for each in upstreams], self._limit)
+            # A cell needs replicas of each version of a rollout: its tickets run on one of them.
+            self._cells[pool] = spread(cells, [each.name for each in upstreams])
         return self._cells[pool]
 
     def cell(self, pool: str, number: int) -> Cell:
--- a/railsail/dispatch/replicas.py
+++ b/railsail/dispatch/replicas.py
@@ -55,6 +55,8 @@
 
     def _observe_versions(self) -> None:
         """Take note of the software versions of each pool that take work."""
+        if not self._directory.follows_rollouts:
+            return
         now = self._clock.monotonic()
         pools: dict[str, dict[str, int]] = {}
         for upstream in self._directory.all():
--- a/railsail/scheduling/cells.py
+++ b/railsail/scheduling/cells.py
@@ -32,3 +32,17 @@
     for index, replica in enumerate(ordered):
         cells[Cell(pool, index * count // len(ordered), count)].append(replica)
     return cells
+
+
+def spread(cells: dict[Cell, list[str]], replicas: Sequence[str]) -> dict[Cell, list[str]]:
+    """Return ``cells`` with those of ``replicas`` that are in none of them, evenly and by name.
+
+    What the cells hold stays where it is. They may hold more then than their limit.
+    """
+    held = {name for names in cells.values() for name in names}
+    added = sorted(name for name in replicas if name not in held)
+    numbered = list(cells)
+    spread_out = {cell: list(names) for cell, names in cells.items()}
+    for index, name in enumerate(added):
+        spread_out[numbered[index * len(numbered) // len(added)]].append(name)
+    return spread_out
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -114,6 +114,11 @@
         self._rules = rules
         self._changed()
 
+    @property
+    def follows_rollouts(self) -> bool:
+        """Say whether rollouts decide which software versions are given work."""
+        return not isinstance(self._rules, _AnyVersion)
+
     def rollouts_changed(self) -> None:
         """Take note that the rules of software versions say something else now."""
         self._changed()
@@ -127,9 +132,14 @@
 
         They move to the target version of a rollout once that has succeeded.
         """
+        return self.settled(upstream) and self.takes_work(upstream)
+
+    def settled(self, upstream: Upstream) -> bool:
+        """Say whether no rollout tries the version of ``upstream``, or has stopped it."""
         order = self.rollout(upstream.pool)
-        target = order is not None and upstream.software_version == order.target_version
-        return not target and self.takes_work(upstream)
+        if order is not None and upstream.software_version == order.target_version:
+            return False
+        return self.takes_version(upstream)
 
     def cold_seconds(self, name: str, after_evacuation: float) -> float:
         """Return for how many seconds a replica will be cold, 0 or less if it is not.
--- a/tests/dispatch/test_rollouts.py
+++ b/tests/dispatch/test_rollouts.py
@@ -30,6 +30,7 @@
 from railsail.rollouts.orders import Order
 from railsail.rollouts.stages import Stage
 from railsail.scheduling.cells import Cell
+from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.health import CallResult
 from railsail.scheduling.newversions import HOLD_SECONDS
 from railsail.store.base import WatchEvent
@@ -301,6 +302,23 @@
         self.assertEqual(self.serve(40)["new"], 0)
 
 
+class NoRolloutsTests(unittest.TestCase):
+    def test_no_version_is_held_where_nothing_follows_rollouts(self):
+        clock = SteppedClock()
+        directory = UpstreamDirectory(
+            lambda *told: None, EventLog(OWN, clock), clock.monotonic, clock.wall
+        )
+        cells = CellMap(OWN, directory, lambda: [OWN], 64, local=True)
+        replicas = CellReplicas(cells, directory, Catalog, FleetBounds(), clock)
+        dispatcher = CellDispatcher(lambda workspace: 1.0, random.Random(1))
+        for number, version in enumerate(("v1", "v2"), start=1):
+            record = {"pool": "model", "endpoint": "127.0.0.1:9", "failure_domain": "a"}
+            record |= {"state": "live", "software_version": version}
+            directory.seen(WatchEvent("upstream", version, number, record))
+            replicas.set_all(CELL, dispatcher)
+        self.assertTrue(all(room.serves(clock.now) for room in dispatcher.replicas.values()))
+
+
 class EvidenceTests(RolloutCase):
     async def test_evidence_is_told_at_once_and_then_by_and_by(self):
         self.order()
@@ -398,6 +416,27 @@
         self.assertEqual(after, {"new0", "new1"})
 
 
+class LargePoolTests(RolloutCase):
+    async def test_each_cell_has_replicas_of_both_versions_and_keeps_its_own(self):
+        for number in range(70):
+            self.list_replica(f"old{number:03}", "v1")
+        before = self.cells.cells("model")
+        self.assertEqual(len(before), 2)
+        self.book.set(Order("model", 7, "v2", 12.0))
+        for number in range(70):
+            self.list_replica(f"new{number:03}", "v2")
+        during = self.cells.cells("model")
+        self.assertEqual(list(during), list(before))
+        for cell, names in during.items():
+            self.assertEqual([name for name in names if name.startswith("old")], before[cell])
+            self.assertEqual(sum(name.startswith("new") for name in names), 35)
+        self.book.set(None, "v2")
+        self.assertEqual(self.cells.cells("model"), during)
+        self.book.set(None, "v1")
+        for names in self.cells.cells("model").values():
+            self.assertEqual(sum(name.startswith("new") for name in names), 35)
+
+
 class LogTests(RolloutCase):
     async def test_canary_grant_says_version_and_stage(self):
         self.order()
--- a/tests/scheduling/test_cells.py
+++ b/tests/scheduling/test_cells.py
@@ -9,7 +9,7 @@
 from railsail.membership import overlay, tree
 from railsail.membership.placement import choose, rank
 from railsail.scheduling.balance import FleetBalance
-from railsail.scheduling.cells import cut
+from railsail.scheduling.cells import cut, spread
 from railsail.scheduling.totals import PoolTotals
 
 
@@ -18,6 +18,20 @@
         cells = cut("model", [f"r{n}" for n in range(16)], 16)
         self.assertEqual([cell.count for cell in cells], [1])
 
+    def test_replicas_that_are_added_are_spread_and_move_no_other(self):
+        cells = cut("model", [f"old{n:02}" for n in range(40)], 16)
+        names = [f"old{n:02}" for n in range(40)] + [f"new{n:02}" for n in range(20)]
+        found = spread(cells, names)
+        self.assertEqual(sorted(name for held in found.values() for name in held), sorted(names))
+        for cell, held in cells.items():
+            self.assertEqual(found[cell][: len(held)], held)
+            self.assertIn(len(found[cell]) - len(held), (6, 7))
+
+    def test_nothing_added_changes_nothing(self):
+        cells = cut("model", [f"r{n}" for n in range(40)], 16)
+        self.assertEqual(spread(cells, [f"r{n}" for n in range(40)]), cells)
+        self.assertEqual(spread(cut("model", [], 16), []), cut("model", [], 16))
+
     @settings(deadline=None, derandomize=True)
     @given(st.integers(0, 300), st.integers(1, 20))
     def test_every_replica_is_in_one_cell_and_no_cell_is_too_large(self, count, limit):
