--- a/railsail/rollouts/coordination.py
+++ b/railsail/rollouts/coordination.py
@@ -25,7 +25,8 @@
 from railsail.store.base import Store
 from railsail.store.journal import Backoff
 
-TICK_SECONDS = 0.05
+TICK_SECONDS = 0.1
+TICK_SECONDS_IN_SHIFT = 0.05
 # The ledger is written more often while the target gets all calls, which are then reserved soon
 # before they come.
 RENEW_SECONDS = 0.8
@@ -101,7 +102,8 @@
     async def _tick_on(self) -> None:
         while self.tenure is not None:
             self.tick()
-            await asyncio.sleep(TICK_SECONDS)
+            shifts = self.tenure is not None and self.tenure.stage >= Stage.SHIFT
+            await asyncio.sleep(TICK_SECONDS_IN_SHIFT if shifts else TICK_SECONDS)
 
     def tick(self) -> None:
         """Do what needs no store: judge, plan and allow calls."""
