--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -1,11 +1,14 @@
 """Rollouts of versions that are good, or bad in each of several ways, on daemons of their own.
 
     python -m benchmarks.rollouts [--fault=fails] [--seconds=12] [--daemons=12] [--rate=240]
+                                  [--kill=dispatcher]
 
 Daemons as processes, six replicas of the old version, and six of the new one that are listed when
 the order is given. ``--fault`` is ``none``, ``fails`` (half of its answers), ``slow`` (ten times),
 ``later`` (half of its answers fail after three seconds), ``loaded`` (only where a replica runs two
-at once), ``route`` (on one of two routes), or ``all`` of them, one run after the other.
+at once), ``route`` (on one of two routes), or ``all`` of them, one run after the other. ``--kill``
+names a daemon that is killed a third of the time after the order and started again two seconds
+later: the ``dispatcher`` of the replicas, or the ``coordinator`` of the rollout.
 
 Printed are what the new version received between order and deadline, and what it may; what reached
 it later than ``rollback_ms`` after its 50th bad answer; how many bad answers it gave; how calls
@@ -25,6 +28,7 @@
 import fire
 
 from railsail.core.logs import configure_logs
+from railsail.membership.placement import rank
 from tests.platform.base import configuration
 from tests.platform.processes import ProcessFleet
 from tests.platform.standins import ReplicaStandin
@@ -43,6 +47,8 @@
 # Traffic goes on for so long after the deadline.
 AFTER_SECONDS = 8.0
 DRAIN_SECONDS = 2.0
+# A daemon that is killed is away for so long.
+AWAY_SECONDS = 2.0
 LOOK_SECONDS = 0.02
 SETTINGS = {
     "expose-share": str(EXPOSE_SHARE),
@@ -88,6 +94,17 @@
         self.fleet.store.put("rollouts", SERVICE, spec)
         await self.start_version(self.new)
 
+    async def kill(self, role: str) -> None:
+        """Kill the daemon that has ``role`` now, and start it again."""
+        await asyncio.sleep(self.seconds / 3)
+        topics = {"dispatcher": f"cell {SERVICE}/0", "coordinator": f"rollout of {SERVICE}"}
+        first = rank(topics[role], [daemon.node for daemon in self.fleet.daemons])[0]
+        daemon = next(each for each in self.fleet.daemons if each.node == first)
+        daemon.leaves_at = asyncio.get_running_loop().time()
+        await self.fleet.kill(daemon)
+        await asyncio.sleep(AWAY_SECONDS)
+        self.fleet.start(daemon)
+
     async def follow(self) -> None:
         """Do what the platform does when the state changes, until cancelled."""
         while True:
@@ -145,7 +162,9 @@
     return calls
 
 
-async def _play(fault: Fault, seconds: float, daemons: int, rate: float, folder: Path) -> Run:
+async def _play(
+    fault: Fault, seconds: float, daemons: int, rate: float, kill: str, folder: Path
+) -> Run:
     fleet = ProcessFleet(folder, settings=SETTINGS)
     run = Run(fleet, SoftwareVersion(OLD), SoftwareVersion(NEW, fault), seconds)
     fleet.store.put("config", "main", configuration(3))
@@ -159,6 +178,8 @@
         await asyncio.sleep(WARM_SECONDS)
         await run.order()
         following = asyncio.ensure_future(run.follow())
+        if kill:
+            await run.kill(kill)
         await asyncio.gather(*await traffic)
         following.cancel()
     finally:
@@ -171,6 +192,7 @@
     seconds: float = 12.0,
     daemons: int = 12,
     rate: float = 240.0,
+    kill: str = "",
     logs: str = "",
 ) -> None:
     """Play the rollouts, and print their figures; ``logs`` names a folder for the daemons' logs."""
@@ -181,7 +203,7 @@
         with tempfile.TemporaryDirectory() as temporary:
             folder = Path(logs or temporary) / each
             folder.mkdir(parents=True, exist_ok=True)
-            run = asyncio.run(_play(each, seconds, daemons, rate, folder))
+            run = asyncio.run(_play(each, seconds, daemons, rate, kill, folder))
         print(json.dumps(run.figures()), flush=True)
 
 
