scheduling: held only versions that were started lately

A new process saw the versions of a pool in any order, and would have held all but the first for a second. It learns of orders before it dispatches, and an order is never later than ten seconds.

--- a/railsail/dispatch/replicas.py
+++ b/railsail/dispatch/replicas.py
@@ -58,14 +58,16 @@
         if not self._directory.follows_rollouts:
             return
         now = self._clock.monotonic()
-        pools: dict[str, dict[str, int]] = {}
+        wall = self._clock.wall()
+        pools: dict[str, dict[str, float]] = {}
         for upstream in self._directory.all():
             if self._directory.takes_work(upstream):
-                born = pools.setdefault(upstream.pool, {})
+                ages = pools.setdefault(upstream.pool, {})
                 version = upstream.software_version
-                born[version] = min(born.get(version, upstream.born), upstream.born)
-        for pool, born in pools.items():
-            self._new_versions.observe(pool, born, now)
+                age = wall - upstream.born / 1000 if upstream.born else 0.0
+                ages[version] = max(ages.get(version, age), age)
+        for pool, ages in pools.items():
+            self._new_versions.observe(pool, ages, now)
 
     def set_all(self, cell: Cell, dispatcher: CellDispatcher) -> None:
         """Set all that is known of the replicas of ``cell``."""
--- a/railsail/scheduling/newversions.py
+++ b/railsail/scheduling/newversions.py
@@ -10,6 +10,8 @@
 
 # An order has reached the nodes in touch this many seconds after the first replica of its version.
 HOLD_SECONDS = 1.0
+# Replicas that have run for longer are not those of an order that is still on its way.
+RECENT_SECONDS = 10.0
 # Versions that are remembered of each pool.
 MOST_VERSIONS = 1000
 
@@ -22,22 +24,20 @@
         self._until: dict[str, dict[str, float]] = {}
         self._working: dict[str, frozenset[str]] = {}
 
-    def observe(self, pool: str, born: Mapping[str, int], now: float) -> None:
-        """Take note of the versions that work in ``pool``, and of when each was started first.
+    def observe(self, pool: str, ages: Mapping[str, float], now: float) -> None:
+        """Take note of the versions that work in ``pool``, and of how old each is, in seconds.
 
-        Of versions that are seen first together, the oldest is not held.
+        Versions that are seen first together are not held, since a process that starts learns of
+        orders before it dispatches, and neither is one whose replicas have run for a while.
         """
         known = self._until.setdefault(pool, {})
-        first = min(born.values(), default=0)
-        new = {
-            version: _hold(bool(known) or began > first, now)
-            for version, began in born.items()
-            if version not in known
-        }
-        known |= new
+        first = not known
+        for version, age in ages.items():
+            held = not first and age < RECENT_SECONDS
+            known.setdefault(version, now + HOLD_SECONDS if held else -math.inf)
         while len(known) > MOST_VERSIONS:
             del known[next(iter(known))]
-        self._working[pool] = frozenset(born)
+        self._working[pool] = frozenset(ages)
 
     def held(self, pool: str) -> Mapping[str, float]:
         """Return until when each version of ``pool`` is sent nothing.
@@ -46,7 +46,3 @@
         """
         several = len(self._working.get(pool, ())) > 1
         return self._until[pool] if several else {}
-
-
-def _hold(held: bool, now: float) -> float:
-    return now + HOLD_SECONDS if held else -math.inf
--- a/tests/dispatch/test_rollouts.py
+++ b/tests/dispatch/test_rollouts.py
@@ -184,7 +184,7 @@
             "failure_domain": "a",
             "state": "live",
             "slots": 8,
-            "born": self.revision,
+            "born": round(self.clock.now * 1000),
             "software_version": version,
         }
         self.directory.seen(WatchEvent("upstream", name, self.revision, record))
