rollouts: coordinated nothing any more once a daemon stops

A coordination that is cancelled wakes the loop that starts them, and asyncio.wait_for loses a cancellation that comes in the same turn as what it waits for, so that a daemon that was stopped in one process with others began anew, and took the ledger.

--- a/railsail/rollouts/coordination.py
+++ b/railsail/rollouts/coordination.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from railsail.core.events import Kind
@@ -128,11 +129,10 @@
         return True
 
     async def _sleep(self, seconds: float) -> None:
-        try:
-            await asyncio.wait_for(self._wake.wait(), seconds)
-        except TimeoutError:
-            return
-        self._wake.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
+                self._wake.clear()
 
     async def _try_step(self) -> float:
         try:
--- a/railsail/rollouts/coordinator.py
+++ b/railsail/rollouts/coordinator.py
@@ -1,6 +1,7 @@
 """All rollouts that this node leads or stands by for."""
 
 import asyncio
+import contextlib
 
 from railsail.core.exceptions import StoreError
 from railsail.core.kernel import Kernel
@@ -43,6 +44,7 @@
         self._writing: set[str] = set()
         self._tasks = TaskSet()
         self._changed = asyncio.Event()
+        self._stopped = False
         book.on_change(self.wake)
 
     def wake(self) -> None:
@@ -67,16 +69,19 @@
             self._changed.clear()
             self._book.tick()
             self._look()
-            try:
-                await asyncio.wait_for(self._changed.wait(), LOOK_SECONDS)
-            except TimeoutError:
-                continue
+            # Another way to wait would lose a cancellation that comes with the event.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOOK_SECONDS):
+                    await self._changed.wait()
 
     def stop(self) -> None:
         """Coordinate nothing any more."""
+        self._stopped = True
         self._tasks.cancel()
 
     def _look(self) -> None:
+        if self._stopped:
+            return
         for rollout in self._book.all():
             service = rollout.order.service
             order = self._book.running(service)
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -419,6 +419,30 @@
         self.assertEqual(store.ledger("app")["target_version"], "v9")
         self.assertEqual(store.ledger()["target_version"], "v2")
 
+    async def test_nothing_is_coordinated_after_the_stop(self):
+        clock = ManualClock(START)
+        store = FakeStore()
+        store.order()
+        node = FakeNode("a", ["a"], store, clock)
+        coordinator = Coordinator(node.book, store, node.fleet, BOUNDS, new_kernel(clock))
+
+        async def part() -> None:
+            await asyncio.gather(coordinator.run())
+
+        running = asyncio.ensure_future(part())
+        async with asyncio.timeout(5.0):
+            while not store.status(SERVICE):
+                await asyncio.sleep(0.02)
+        # As a daemon stops: its parts' tasks are cancelled, and its parts are stopped at once.
+        running.cancel()
+        coordinator.stop()
+        await asyncio.sleep(0.1)
+        self.assertTrue(running.cancelled())
+        self.assertIsNone(coordinator.coordination(SERVICE))
+        writes = store.writes
+        await asyncio.sleep(1.0)
+        self.assertEqual(store.writes, writes)
+
 
 if __name__ == "__main__":
     unittest.main()
