--- a/railsail/dispatch/rollouts.py
+++ b/railsail/dispatch/rollouts.py
@@ -107,15 +107,14 @@
         order = self._book.running(message.service)
         if order is None or order.version != message.version:
             # One of the two has not heard of the order, or of its end, yet.
-            get_logger().info(
-                "allowance for another order",
-                service=message.service,
-                coordinator=node,
-                order_version=message.version,
-                known_version=order.version if order else 0,
-            )
+            known = order.version if order else 0
+            self._tell_ignored(node, message, "another order", known_version=known)
             return
         cell, dispatcher = self._dispatchers.dispatcher(message.service, message.cell)
+        if cell.number != message.cell:
+            # One of the two knows replicas that the other does not: the cells are cut otherwise.
+            self._tell_ignored(node, message, "a cell that is not known here", cell=message.cell)
+            return
         exposure = dispatcher.versions.exposure
         now = self._clock.monotonic()
         if exposure is None or not exposure.allow(_to_allowance(message, now), now):
@@ -123,6 +122,15 @@
         self._coordinators[cell] = _Coordinator(node, now)
         self._tell(cell, node)
 
+    def _tell_ignored(self, node: str, message: RolloutAllowance, what: str, **facts: Fact) -> None:
+        get_logger().info(
+            f"allowance for {what}",
+            service=message.service,
+            coordinator=node,
+            order_version=message.version,
+            **facts,
+        )
+
     def _tell(self, cell: Cell, node: str) -> None:
         dispatcher = self._dispatchers.dispatchers().get(cell)
         if dispatcher is None or dispatcher.tallies is None:
--- a/tests/dispatch/test_rollouts.py
+++ b/tests/dispatch/test_rollouts.py
@@ -247,6 +247,12 @@
         self.assertEqual(self.serve(40)["new"], 0)
         self.assertEqual(self.hub.take(RolloutEvidence), [])
 
+    async def test_allowance_of_an_unknown_cell_is_no_other_cells(self):
+        self.order()
+        message = RolloutAllowance("model", 3, 7, 1, 1, int(Stage.SHIFT), MANY, 1000, [])
+        self.hub.deliver(COORDINATOR, message)
+        self.assertEqual(self.serve(40)["new"], 0)
+
     async def test_allowance_does_not_outlive_its_order(self):
         self.order()
         self.allow(Stage.SHIFT)
