dispatch: cut pools by region, each cell dispatched in its own

Requests dispatched from another region of AERDP waited 44 ms at least and 39% of them expired, against 12% in the own region; 2,489 grants came too late. A pool of a fleet with several regions in domain-regions is now a cell or more for each, an entry asks its own region's first, and tickets that a region cannot begin are passed on. With one region cells, numbers and dispatchers are as before.

--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -1,9 +1,14 @@
-"""Which cells there are, and which member dispatches each; computed alike by all."""
+"""Which cells there are, and which member dispatches each; computed alike by all.
+
+Where the fleet has several regions, a cell lies in one of them and is dispatched by a node there,
+and an entry asks the cells of its own region first. ``docs/design/regions.md`` has the reasons.
+"""
 
 from collections.abc import Callable
 
+from railsail.dispatch.regions import FleetRegions
 from railsail.membership.placement import choose, rank
-from railsail.scheduling.cells import Cell, cut
+from railsail.scheduling.cells import Cell, cut_by_region
 from railsail.upstreams.directory import UpstreamDirectory
 
 # An entry sends the tickets of a pool that share no beginning with others to this many cells at
@@ -17,26 +22,29 @@
 class CellMap:
     """Cut pools into cells, and name the dispatcher of each.
 
-    ``usable`` gives the nodes that this node may choose. ``local`` makes every node dispatch for
-    itself, which is the baseline of the measurements.
+    ``usable`` gives the nodes that this node may choose, all of them or those of a region.
+    ``local`` makes every node dispatch for itself, which is the baseline of the measurements.
     """
 
     def __init__(
         self,
         own: str,
         directory: UpstreamDirectory,
-        usable: Callable[[], list[str]],
+        usable: Callable[..., list[str]],
         limit: int,
         local: bool,
+        regions: FleetRegions | None = None,
     ) -> None:
         self._own = own
         self._directory = directory
         self._usable = usable
         self._limit = limit
         self._local = local
+        self._regions = regions or FleetRegions()
         self._cells: dict[str, dict[Cell, list[str]]] = {}
         self._dispatchers: dict[Cell, str] = {}
-        self._holders: dict[tuple[str, int], str] = {}
+        self._open: dict[tuple[str, tuple[str, ...]], list[Cell]] = {}
+        self._holders: dict[tuple[str, int, tuple[str, ...]], str | None] = {}
         directory.on_change(self._replicas_changed)
 
     def _replicas_changed(self) -> None:
@@ -47,51 +55,102 @@
         """Compute everything anew when it is asked for next."""
         self._cells.clear()
         self._dispatchers.clear()
+        self._open.clear()
 
     def cells(self, pool: str) -> dict[Cell, list[str]]:
         """Return the replicas of each cell of ``pool``."""
         if pool not in self._cells:
-            names = [upstream.name for upstream in self._directory.of_pool(pool)]
-            self._cells[pool] = cut(pool, names, self._limit)
+            of_domains = self._regions.of_domains
+            regions = {
+                upstream.name: of_domains.get(upstream.failure_domain, "")
+                for upstream in self._directory.of_pool(pool)
+            }
+            self._cells[pool] = cut_by_region(pool, regions, self._limit, self._regions.named())
         return self._cells[pool]
 
     def cell(self, pool: str, number: int) -> Cell:
-        """Return the cell of ``pool`` with ``number``, or its last one if there are fewer."""
+        """Return the cell of ``pool`` with ``number``, or another one if there is none."""
         cells = list(self.cells(pool))
-        return cells[min(number, len(cells) - 1)]
+        named = (cell for cell in cells if cell.number == number)
+        return next(named, cells[min(number, len(cells) - 1)])
 
     def dispatcher(self, cell: Cell) -> str:
         """Return the node that dispatches ``cell``; this node itself if it knows no other."""
         if self._local:
             return self._own
         if cell not in self._dispatchers:
-            ranked = rank(f"cell {cell}", self._usable())
+            ranked = rank(f"cell {cell}", self._nodes(cell))
             self._dispatchers[cell] = ranked[0] if ranked else self._own
         return self._dispatchers[cell]
 
-    def home(self, pool: str, prefix: int) -> Cell:
+    def _nodes(self, cell: Cell) -> list[str]:
+        near = self._usable(cell.region) if cell.region else []
+        return near or self._usable()
+
+    def way_seconds(self, entry: str, dispatcher: str) -> float:
+        """Return how long a ticket of ``entry`` and its grant are on their way between regions."""
+        return self._regions.way_seconds(entry, dispatcher)
+
+    def home(self, pool: str, prefix: int, regions: tuple[str, ...] = ()) -> Cell:
         """Return the cell of the replica that should have the beginning ``prefix`` in memory.
 
-        Every entry names the same one, however the pool is cut: where each entry chose among cells
-        of its own, every cell came to read every beginning.
+        Every entry of a region names the same one, however the pool is cut: where each entry chose
+        among cells of its own, every cell came to read every beginning.
         """
-        holder = self._holder(pool, prefix)
-        cells = self.cells(pool)
-        return next((cell for cell, names in cells.items() if holder in names), next(iter(cells)))
+        cells = self.open_cells(pool, regions)
+        holder = self._holder(pool, prefix, regions)
+        return next((cell for cell in cells if holder in self.cells(pool)[cell]), cells[0])
 
-    def _holder(self, pool: str, prefix: int) -> str | None:
-        key = (pool, prefix)
+    def _holder(self, pool: str, prefix: int, regions: tuple[str, ...]) -> str | None:
+        key = (pool, prefix, regions)
         if key not in self._holders:
             if len(self._holders) >= MOST_REMEMBERED:
                 self._holders.clear()
-            upstreams = self._directory.of_pool(pool)
-            staying = [u.name for u in upstreams if self._directory.takes_work(u)]
-            names = staying or [upstream.name for upstream in upstreams]
-            self._holders[key] = choose(str(prefix), names)
+            cells = self.cells(pool)
+            names = [name for cell in self.open_cells(pool, regions) for name in cells[cell]]
+            staying = [name for name in names if self._takes_work(name)]
+            self._holders[key] = choose(str(prefix), staying or names)
         return self._holders[key]
 
-    def homes(self, pool: str) -> list[Cell]:
-        """Return the few cells of ``pool`` to which this node sends its tickets."""
-        cells = {str(cell): cell for cell in self.cells(pool)}
-        ranked = rank(f"homes of {self._own}", cells)
-        return [cells[name] for name in ranked[:HOME_CELLS]]
+    def _takes_work(self, replica: str) -> bool:
+        upstream = self._directory.get(replica)
+        return upstream is not None and self._directory.takes_work(upstream)
+
+    def homes(self, pool: str, regions: tuple[str, ...] = ()) -> list[Cell]:
+        """Return the few cells of ``pool`` to which this node sends its tickets.
+
+        They are in one of ``regions``, where some are named.
+        """
+        return self._ranked(self.open_cells(pool, regions))[:HOME_CELLS]
+
+    def others(self, cell: Cell, regions: tuple[str, ...] = ()) -> list[Cell]:
+        """Return the cells to try after ``cell``, those of this node's region first."""
+        homes = self.homes(cell.pool, regions)
+        rest = [other for other in self._allowed(cell.pool, regions) if other.region]
+        far = [other for other in self._ranked(rest) if other not in homes]
+        return [other for other in homes + far if other != cell]
+
+    def _ranked(self, cells: list[Cell]) -> list[Cell]:
+        named = {str(cell): cell for cell in cells}
+        return [named[name] for name in rank(f"homes of {self._own}", named)]
+
+    def open_cells(self, pool: str, regions: tuple[str, ...] = ()) -> list[Cell]:
+        """Return the cells that this node may ask: those of its own region, if they take work."""
+        key = (pool, regions)
+        if key not in self._open:
+            cells = self._allowed(pool, regions)
+            near = [cell for cell in cells if cell.region == self._regions.own]
+            self._open[key] = near or cells
+        return self._open[key]
+
+    def _allowed(self, pool: str, regions: tuple[str, ...]) -> list[Cell]:
+        """Return the cells in one of ``regions``, those that take work if there are any."""
+        cells = list(self.cells(pool))
+        allowed = [c for c in cells if not (regions and c.region) or c.region in regions]
+        return [cell for cell in allowed if self.takes_work(cell)] or allowed or cells
+
+    def takes_work(self, cell: Cell) -> bool:
+        """Say whether a replica of ``cell`` may be given new work; always with one region only."""
+        if not cell.region:
+            return True
+        return any(self._takes_work(name) for name in self.cells(cell.pool).get(cell, ()))
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -108,8 +108,8 @@
 
     def _choose_cell(self, want: Want) -> Cell:
         if want.prefix:
-            return self._cells.home(want.pool, want.prefix)
-        homes = self._cells.homes(want.pool)
+            return self._cells.home(want.pool, want.prefix, want.regions)
+        homes = self._cells.homes(want.pool, want.regions)
         if len(homes) == 1:
             return homes[0]
         # Each workspace is spread over all homes, so that every cell can weigh it against the rest.
@@ -155,7 +155,7 @@
         """Move bookings whose cell has another dispatcher now."""
         moved: set[tuple[str, Cell]] = set()
         for booking in self._bookings.values():
-            cell = self._cells.cell(booking.cell.pool, booking.cell.number)
+            cell = self._cell_now(booking)
             node = self._cells.dispatcher(cell)
             if (node, cell) == (booking.node, booking.cell):
                 continue
@@ -177,6 +177,12 @@
                 # Whoever dispatches this cell again later must be told everything anew.
                 self._told_at.pop((node, cell), None)
 
+    def _cell_now(self, booking: Booking) -> Cell:
+        """Return the cell of ``booking``, or another one if it waits where nothing takes work."""
+        cell = self._cells.cell(booking.cell.pool, booking.cell.number)
+        stays = cell.region == booking.cell.region and self._cells.takes_work(cell)
+        return cell if stays or not booking.waiting else self._choose_cell(booking.want)
+
     def _has_bookings(self, node: str, cell: Cell) -> bool:
         return any((b.node, b.cell) == (node, cell) for b in self._bookings.values())
 
@@ -238,6 +244,8 @@
 
     def _to_place(self, booking: Booking) -> Place:
         waited = self._clock.monotonic() - booking.placed_at
+        # Its grant must be back in time.
+        waited += self._cells.way_seconds(self._hub.own.node, booking.node)
         return to_place(booking.want, booking.number, booking.attempt, booking.cell, waited)
 
     def _to_flight(self, booking: Booking) -> FlightRecord:
@@ -311,7 +319,7 @@
         if booking is None:
             return
         reason = Reason(message.reason)
-        others = [cell for cell in self._cells.homes(booking.want.pool) if cell != booking.cell]
+        others = self._cells.others(booking.cell, booking.want.regions)
         # Whoever has waited for its time, or had its share, would only be refused there again.
         if others and not booking.refused and reason is Reason.NO_ROOM:
             booking.refused = True
--- a/railsail/dispatch/exchange.py
+++ b/railsail/dispatch/exchange.py
@@ -2,16 +2,18 @@
 
 Each cell has at most eight neighbours, as in the members' overlay. A cell with waiting tickets
 says so; a cell with room, or with a much shorter queue, asks the neighbour with the longest one.
+Neighbours are in the same region; ``RegionOverflow`` passes tickets between regions.
 """
 
 from dataclasses import dataclass
 
 from railsail.core.clock import Clock
 from railsail.dispatch.cellmap import CellMap
+from railsail.dispatch.overflow import RegionOverflow
 from railsail.dispatch.service import DispatcherService
 from railsail.membership import overlay
 from railsail.peers.hub import PeerHub
-from railsail.peers.messages import CellHint, Moved, Passed
+from railsail.peers.messages import CellHint, Passed
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import CellDispatcher
 
@@ -48,6 +50,7 @@
         self._dispatchers = dispatchers
         self._hub = hub
         self._clock = clock
+        self._overflow = RegionOverflow(cells, dispatchers, hub, clock)
         self._sides: dict[Cell, _Side] = {}
         self._known: dict[Cell, dict[Cell, int]] = {}
         hub.handle(CellHint, self._hint)
@@ -58,6 +61,8 @@
         """Tell neighbours, or ask them, if the state of ``cell`` gives cause to."""
         if cell.count == 1:
             return
+        if cell.region:
+            self._overflow.look(cell, dispatcher)
         now = self._clock.monotonic()
         side = self._sides.setdefault(cell, _Side())
         waiting = len(dispatcher.queue)
@@ -87,7 +92,7 @@
         return 0
 
     def _neighbours(self, cell: Cell) -> list[Cell]:
-        ring = list(self._cells.cells(cell.pool))
+        ring = [c for c in self._cells.cells(cell.pool) if c.region == cell.region]
         return overlay.neighbours(ring, cell) if cell in ring else []
 
     def _tell(self, cell: Cell, neighbour: Cell, waiting: int, wanted: int) -> None:
@@ -97,6 +102,9 @@
     def _hint(self, node: str, hint: CellHint) -> None:
         cell = self._cells.cell(hint.pool, hint.to_cell)
         asking = self._cells.cell(hint.pool, hint.from_cell)
+        if asking.region != cell.region:
+            self._overflow.hint(cell, asking, hint)
+            return
         self._known.setdefault(cell, {})[asking] = hint.waiting
         dispatcher = self._dispatchers.dispatchers().get(cell)
         if hint.wanted:
@@ -122,10 +130,7 @@
     def _pass_one(self, dispatcher: CellDispatcher, asking: Cell, node: str) -> None:
         head = dispatcher.queue.head(dispatcher.queue.first_workspace())
         dispatcher.queue.remove(head.key)
-        place = self._dispatchers.to_place(head, asking)
-        self._dispatchers.forget(head.key)
-        self._hub.send(head.entry, Moved(head.number, head.attempt, asking.number, node))
-        self._hub.send(node, Passed(head.entry, asking.number, place))
+        self._dispatchers.pass_on(head, asking, node)
 
     def _passed(self, node: str, message: Passed) -> None:
         cell, dispatcher = self._dispatchers.dispatcher(message.ticket.pool, message.cell)
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -24,6 +24,8 @@
     Granted,
     HandedOver,
     Held,
+    Moved,
+    Passed,
     Place,
     Probe,
     ProbeReply,
@@ -115,13 +117,17 @@
         """Call ``listener`` after each change of a cell, when its grants have been made."""
         self._pumped.append(listener)
 
-    def forget(self, key: TicketKey) -> None:
-        """Forget where the ticket of ``key`` was, because it was passed on."""
-        self._where.pop(key, None)
+    def pass_on(self, ticket: Ticket, cell: Cell, node: str) -> None:
+        """Pass a ``ticket`` that was taken out of its queue on to ``cell`` at ``node``."""
+        place = self._to_place(ticket, cell, node)
+        self._where.pop(ticket.key, None)
+        self._hub.send(ticket.entry, Moved(ticket.number, ticket.attempt, cell.number, node))
+        self._hub.send(node, Passed(ticket.entry, cell.number, place))
 
-    def to_place(self, ticket: Ticket, cell: Cell) -> Place:
-        """Return the message that places ``ticket`` with ``cell``."""
+    def _to_place(self, ticket: Ticket, cell: Cell, node: str) -> Place:
         waited = self._clock.monotonic() - ticket.enqueued_at
+        if not self._cells.way_seconds(ticket.entry, self._hub.own.node):
+            waited += self._cells.way_seconds(ticket.entry, node)
         return to_place(ticket, ticket.number, ticket.attempt, cell, waited)
 
     def renew_replicas(self) -> None:
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -29,6 +29,7 @@
 from railsail.dispatch.exchange import CellExchange
 from railsail.dispatch.gate import SendGate
 from railsail.dispatch.loads import LoadReports
+from railsail.dispatch.regions import FleetRegions
 from railsail.dispatch.replicas import CellReplicas, FleetBounds
 from railsail.dispatch.service import DispatcherService
 from railsail.dispatch.tree import ServiceTree
@@ -136,7 +137,13 @@
         )
         self.membership = Membership(MemberTable(own), self.hub, self.kernel)
         self.membership.add_seeds([str(seed) for seed in settings.seeds])
-        self.view = FleetView(self.membership, self.hub, len(settings.seeds), self._unreachable)
+        self.view = FleetView(
+            self.membership,
+            self.hub,
+            len(settings.seeds),
+            self._unreachable,
+            settings.domain_regions,
+        )
 
     def _build_configuration(self) -> None:
         settings = self.settings
@@ -201,6 +208,11 @@
             self.view.fast_enough,
             settings.cell_replicas,
             settings.scheduling == "local",
+            FleetRegions(
+                self.view.region_of(settings.node_id),
+                settings.domain_regions,
+                self.view.region_of,
+            ),
         )
         self._build_quarantine()
         rests = Rests()
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -10,7 +10,7 @@
 from railsail.scheduling.decisions import Decision, Flight, Grant, Hold, Refusal
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
 from railsail.scheduling.health import CallResult, Peers
-from railsail.scheduling.placing import Placing, Standing, look
+from railsail.scheduling.placing import HUNGRY_SECONDS, Placing, Standing, look
 from railsail.scheduling.returning import RETURN_WAIT_OBJECTIVES, RefusedCallers
 from railsail.scheduling.returns import ReturnPlan
 from railsail.scheduling.room import LoadReport, ReplicaRoom
@@ -382,6 +382,14 @@
         """Return how many more calls fit into the slots of the cell, without overlap."""
         return sum(room.room(now) for room in self.replicas.values())
 
+    def spare(self, now: float) -> int:
+        """Return how many more calls the replicas with little to read could begin now."""
+        return sum(
+            room.room(now)
+            for room in self.replicas.values()
+            if room.unread_seconds < HUNGRY_SECONDS and not room.health.tripped
+        )
+
 
 def _returned(ticket: Ticket) -> Ticket:
     """Return the ticket of a caller that was refused before."""
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -75,9 +75,15 @@
 
     count = 1
 
-    def homes(self, pool: str) -> list[Cell]:
+    def homes(self, pool: str, regions: tuple[str, ...] = ()) -> list[Cell]:
         return [Cell("model", number, self.count) for number in range(self.count)]
 
+    def others(self, cell: Cell, regions: tuple[str, ...]) -> list[Cell]:
+        return [other for other in self.homes(cell.pool, regions) if other != cell]
+
+    def way_seconds(self, entry: str, dispatcher: str) -> float:
+        return 0.0
+
     def dispatcher(self, cell: Cell) -> str:
         return OTHER
 
