dispatch: bound requests and their answers to allowed regions

A workspace's regions were heeded for routes only, not at the interface of this project; the answer of a claimed request was kept at its entry, whatever the region; and a request whose regions had no replica left waited until it expired. The last is refused at once now, and an answer is kept only where its workspace allows the region.

--- a/railsail/dispatch/gate.py
+++ b/railsail/dispatch/gate.py
@@ -68,10 +68,13 @@
         return upstream is not None and upstream.pool == pool
 
     def refusal(self, want: Want) -> NotRun | None:
-        """Return a refusal if each replica that ``want`` could run on rests, else ``None``.
+        """Return a refusal if no replica could run ``want`` now, else ``None``.
 
-        Its caller may come back when the first of them is free.
+        Where all of them rest, its caller may come back when the first of them is free. Where it
+        is bound to regions, none of their replicas may take work at all.
         """
+        if want.regions and not self._any_takes(want):
+            return NotRun(Reason.NO_ROOM, "no replica in its regions takes work")
         if not self._rests:
             return None
         first = self._first_end(want)
@@ -81,6 +84,9 @@
         detail = "all replicas asked this node for rest"
         return NotRun(Reason.NO_ROOM, detail, retry_after=after, come_back=after)
 
+    def _any_takes(self, want: Want) -> bool:
+        return any(self._may_run(want, u) for u in self._directory.each_of_pool(want.pool))
+
     def _first_end(self, want: Want) -> float:
         """Return after how many seconds a replica may be sent ``want``, 0 if one may now.
 
--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -41,7 +41,7 @@
 
 
 class Server:
-    """Serve the requests of callers."""
+    """Serve the requests of callers; this node is in ``region``."""
 
     def __init__(
         self,
@@ -52,8 +52,10 @@
         shelf: AnswerShelf,
         admission: Admission,
         kernel: Kernel,
+        region: str = "",
     ) -> None:
         self._catalog = catalog
+        self._region = region
         self._judge = judge
         self._tries = tries
         self._claims = claims
@@ -121,7 +123,7 @@
             if answer.result is ClaimResult.CLAIMED:
                 self._events.emit(Kind.CLAIMED, "", served.id, served.workspace)
                 outcome = await self._run_holding(served, claim)
-                kept = _kept(served, outcome)
+                kept = self._kept(served, outcome)
                 return outcome
         finally:
             self._shelf.end(key, running, kept)
@@ -147,9 +149,12 @@
             return Conflict("an earlier try has the key, and its answer is not to be had")
         return Replay(answer)
 
-
-def _kept(served: Served, outcome: Outcome) -> KeptAnswer | None:
-    if not isinstance(outcome, Completed):
-        return None
-    sink = served.sink
-    return KeptAnswer(outcome.status, sink.content_type, served.id, sink.copy())
+    def _kept(self, served: Served, outcome: Outcome) -> KeptAnswer | None:
+        owner = self._catalog().workspace(served.workspace)
+        if not isinstance(outcome, Completed):
+            return None
+        if owner is not None and owner.regions and self._region not in owner.regions:
+            # What may be served in other regions only is not stored in this one either.
+            return None
+        sink = served.sink
+        return KeptAnswer(outcome.status, sink.content_type, served.id, sink.copy())
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -114,6 +114,7 @@
     def _want(self, served: Served) -> Want:
         pool = served.pool
         estimate = self._estimator.estimate(served.workspace, pool.name, pool.first_estimate)
+        owner = self._catalog().workspace(served.workspace)
         return Want(
             served.id,
             pool.name,
@@ -123,6 +124,7 @@
             served.verdict.may_wait == 0,
             served.request.prefix,
             served.avoid,
+            regions=owner.regions if owner is not None else (),
             fingerprint=served.fingerprint,
         )
 
--- a/railsail/membership/view.py
+++ b/railsail/membership/view.py
@@ -1,6 +1,6 @@
 """Which nodes this one can give work to now, as far as it can tell."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 from railsail.membership.service import Membership
 from railsail.membership.speed import fast_enough
@@ -16,7 +16,6 @@
     """Choose among the members; ``unreachable`` gives those that did not answer when last asked.
 
     ``seeds`` says how many nodes there are at least, those included that cannot be seen.
-    ``domain_regions`` names the region of each failure domain.
     """
 
     def __init__(
@@ -25,14 +24,12 @@
         hub: PeerHub,
         seeds: int,
         unreachable: Callable[[], set[str]],
-        domain_regions: Mapping[str, str] | None = None,
     ) -> None:
         self._membership = membership
         self._table = membership.table
         self._hub = hub
         self._seeds = seeds
         self._unreachable = unreachable
-        self._domain_regions = domain_regions or {}
         # The nodes that watch the store, until the members change.
         self._watchers: set[str] | None = None
         membership.on_change(self._members_changed)
@@ -70,18 +67,13 @@
         """Return the usable nodes that may dispatch, of all or of those in ``region``."""
         members = self.usable_members()
         if region:
-            members = [member for member in members if self.region_of(member.node) == region]
+            members = [member for member in members if member.region == region]
         return [member.node for member in fast_enough(members)]
 
     def region_of(self, node: str) -> str:
-        """Return the region of ``node``, empty if the node is not known.
-
-        It is that of the node's failure domain, or else the one that the node tells.
-        """
+        """Return the region of ``node``, empty if the node is not known."""
         member = self._table.get(node)
-        if member is None:
-            return ""
-        return self._domain_regions.get(member.failure_domain, member.region)
+        return member.region if member is not None else ""
 
     def watches_store(self) -> bool:
         """Say whether this node watches the store for itself and for others."""
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -133,17 +133,11 @@
             MemberState.ALIVE,
             settings.admin_port,
             settings.failure_domain,
-            settings.region,
+            settings.domain_regions.get(settings.failure_domain, settings.region),
         )
         self.membership = Membership(MemberTable(own), self.hub, self.kernel)
         self.membership.add_seeds([str(seed) for seed in settings.seeds])
-        self.view = FleetView(
-            self.membership,
-            self.hub,
-            len(settings.seeds),
-            self._unreachable,
-            settings.domain_regions,
-        )
+        self.view = FleetView(self.membership, self.hub, len(settings.seeds), self._unreachable)
 
     def _build_configuration(self) -> None:
         settings = self.settings
@@ -200,6 +194,10 @@
         if settings.node_list == "store":
             self.watcher.follow(NODE, self.membership.listed, self.membership.seen)
 
+    @property
+    def _region(self) -> str:
+        return self.membership.table.own.region
+
     def _build_dispatch(self) -> None:
         settings = self.settings
         self.cells = CellMap(
@@ -208,11 +206,7 @@
             self.view.fast_enough,
             settings.cell_replicas,
             settings.scheduling == "local",
-            FleetRegions(
-                self.view.region_of(settings.node_id),
-                settings.domain_regions,
-                self.view.region_of,
-            ),
+            FleetRegions(self._region, settings.domain_regions, self.view.region_of),
         )
         self._build_quarantine()
         rests = Rests()
@@ -284,7 +278,14 @@
         )
         shelf = AnswerShelf(self.hub, self.membership.gone, self.rng)
         server = Server(
-            self._catalog, self.judge, tries, self.claims, shelf, self.admission, self.kernel
+            self._catalog,
+            self.judge,
+            tries,
+            self.claims,
+            shelf,
+            self.admission,
+            self.kernel,
+            self._region,
         )
         self.gateway = Gateway(server, self.carrier.held, self.kernel, self._new_id)
         self.front: RouteFront | None = None
--- a/tests/fleet/base.py
+++ b/tests/fleet/base.py
@@ -67,14 +67,22 @@
         same_speed.start()
         self.addCleanup(same_speed.stop)
         self.fleet = StandinFleet.start(seed=7)
+        self.add_replicas()
+        self.fleet.configure(self.configuration())
+        for number in range(self.daemons):
+            await self.fleet.add_node(f"domain-{number}", **self.node_settings)
+        await self.settle()
+
+    def add_replicas(self) -> None:
+        """Start the engines and the service replicas."""
         for number in range(self.engines):
             self.fleet.add_engine(f"model-{number}", "model", self.engine)
         for number in range(self.services):
             self.fleet.add_service(f"desk-{number}", "desk")
-        self.fleet.configure(objects(**self.policies))
-        for number in range(self.daemons):
-            await self.fleet.add_node(f"domain-{number}", **self.node_settings)
-        await self.settle()
+
+    def configuration(self) -> list[dict]:
+        """Return the objects of the configuration."""
+        return objects(**self.policies)
 
     async def asyncTearDown(self) -> None:
         await self.fleet.stop()
--- a/tests/scheduling/test_cells.py
+++ b/tests/scheduling/test_cells.py
@@ -9,7 +9,7 @@
 from railsail.membership import overlay, tree
 from railsail.membership.placement import choose, rank
 from railsail.scheduling.balance import FleetBalance
-from railsail.scheduling.cells import cut
+from railsail.scheduling.cells import Cell, cut, cut_by_region
 from railsail.scheduling.totals import PoolTotals
 
 
@@ -27,6 +27,54 @@
         self.assertTrue(all(len(part) <= limit for part in cells.values()))
 
 
+REGIONS = ("coast", "east", "ridge")
+# The replicas of three regions, two in each.
+TWO_EACH = {f"r{number}": REGIONS[number % 3] for number in range(6)}
+
+
+class CutByRegionTests(unittest.TestCase):
+    def cut(self, regions: dict[str, str], limit: int = 16) -> dict[Cell, list[str]]:
+        return cut_by_region("model", regions, limit, REGIONS)
+
+    def test_each_region_is_a_cell(self):
+        cells = self.cut(TWO_EACH)
+        self.assertEqual([(c.number, c.count, c.region) for c in cells], _numbered(REGIONS, 3))
+        self.assertEqual(list(cells.values()), [["r0", "r3"], ["r1", "r4"], ["r2", "r5"]])
+
+    def test_region_without_replicas_leaves_the_cells_of_others_as_they_are(self):
+        without = {name: region for name, region in TWO_EACH.items() if region != "coast"}
+        self.assertEqual(list(self.cut(without)), list(self.cut(TWO_EACH))[1:])
+
+    def test_large_region_is_several_cells_and_the_others_keep_their_numbers(self):
+        large = TWO_EACH | {f"s{number:02}": "east" for number in range(20)}
+        cells = self.cut(large)
+        self.assertEqual([c.number for c in cells], [0, 1, 2, 4])
+        self.assertEqual([c.region for c in cells], ["coast", "east", "ridge", "east"])
+        self.assertTrue(all(len(names) <= 16 for names in cells.values()))
+
+    @settings(deadline=None, derandomize=True)
+    @given(st.integers(0, 300), st.integers(1, 20), st.sampled_from([(), ("one",)]))
+    def test_one_region_is_cut_as_if_there_were_none(self, count, limit, named):
+        names = [f"r{number}" for number in range(count)]
+        regions = dict.fromkeys(names, named[0] if named else "")
+        found = cut_by_region("model", regions, limit, named)
+        self.assertEqual(found, cut("model", names, limit))
+        self.assertEqual({cell.region for cell in found}, {""})
+
+    @settings(deadline=None, derandomize=True)
+    @given(st.lists(st.sampled_from(REGIONS), max_size=200), st.integers(1, 20))
+    def test_every_replica_is_in_one_cell_of_its_region(self, found, limit):
+        regions = {f"r{number}": region for number, region in enumerate(found)}
+        cells = self.cut(regions, limit)
+        self.assertEqual(sorted(r for part in cells.values() for r in part), sorted(regions))
+        self.assertTrue(all(regions[r] == cell.region for cell in cells for r in cells[cell]))
+        self.assertTrue(all(len(part) <= limit for part in cells.values()))
+
+
+def _numbered(regions: tuple[str, ...], count: int) -> list[tuple[int, int, str]]:
+    return [(number, count, region) for number, region in enumerate(regions)]
+
+
 class PlacementTests(unittest.TestCase):
     def test_loss_of_a_node_moves_only_its_jobs(self):
         nodes = [f"n{n}" for n in range(20)]
