scheduling: passed on to other regions what a cell would refuse

A grant for a ticket that was passed on is lost where its entry has no link to the other region's dispatcher, and kept a slot until the entry was lost. Entries keep a link to each such dispatcher of pools that they use, and tell it what they have there.

The sums of service go over the dispatchers of a pool that spans regions, not over all members, which would carry news of all workspaces between regions twice a second.

--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -87,6 +87,11 @@
         near = self._usable(cell.region) if cell.region else []
         return near or self._usable()
 
+    def far_dispatchers(self, pool: str) -> set[str]:
+        """Return the nodes that dispatch cells of ``pool`` in other regions than this node's."""
+        cells = [c for c in self.cells(pool) if c.region and c.region != self._regions.own]
+        return {self.dispatcher(cell) for cell in cells}
+
     def way_seconds(self, entry: str, dispatcher: str) -> float:
         """Return how long a ticket of ``entry`` and its grant are on their way between regions."""
         return self._regions.way_seconds(entry, dispatcher)
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -60,6 +60,9 @@
         # Since when a dispatcher knows what this entry has of a cell; what is not named here may
         # still have calls that ended while it could not be told.
         self._told_at: dict[tuple[str, Cell], float] = {}
+        # Dispatchers that a ticket of this entry was passed on to, and that have yet to be told.
+        self._passed_to: set[tuple[str, Cell]] = set()
+        self._pools: set[str] = set()
         hub.handle(Granted, self._granted)
         hub.handle(Refused, self._refused)
         hub.handle(Held, self._held)
@@ -88,6 +91,7 @@
 
         It has waited since ``asked_at``.
         """
+        self._pools.add(want.pool)
         cell = self._choose_cell(want)
         node = self._cells.dispatcher(cell)
         booking = Booking(self._next_number, want, asked_at, cell, node)
@@ -226,6 +230,8 @@
     def tick(self) -> None:
         """Do what is due; to be called about twice a second."""
         self._reach.tick()
+        self._link_far()
+        self._tell_passed()
         now = self._clock.monotonic()
         for (node, cell), told_at in list(self._told_at.items()):
             if now - told_at > RESYNC_SECONDS:
@@ -235,6 +241,25 @@
                 else:
                     del self._told_at[(node, cell)]
 
+    def _link_far(self) -> None:
+        """Make a link to a dispatcher of another region, if one is lacking.
+
+        A ticket that is passed on there would have expired before a new link is made.
+        """
+        named = (self._cells.far_dispatchers(pool) for pool in sorted(self._pools))
+        lacking = [node for node in sorted(set().union(*named)) if not self._hub.connected(node)]
+        if lacking:
+            # One at a time: a node that has just become a dispatcher is dialled by all entries.
+            self._hub.dial(self._rng.choice(lacking))
+
+    def _tell_passed(self) -> None:
+        """Tell dispatchers what this entry has there; a grant may have been lost on its way."""
+        for node, cell in sorted(self._passed_to):
+            if self._hub.connected(node):
+                self._passed_to.discard((node, cell))
+                if (node, cell) not in self._told_at:
+                    self._resync(node, cell)
+
     def _send_place(self, booking: Booking) -> None:
         self._reach.asked(booking.node)
         if (booking.node, booking.cell) not in self._told_at:
@@ -347,5 +372,6 @@
         booking.cell = self._cells.cell(booking.cell.pool, message.to_cell)
         if booking.waiting:
             booking.node = message.node
+            self._passed_to.add((message.node, booking.cell))
             # The grant comes from there; a link that is new tells the ticket once more.
             self._hub.dial(message.node)
--- a/railsail/dispatch/regions.py
+++ b/railsail/dispatch/regions.py
@@ -6,9 +6,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-# A ticket that is decided in another region than its entry's takes about so many seconds there and
-# back: links between the regions of one fleet take 5 to 25 ms one way.
-WAY_SECONDS = 0.04
+from railsail.scheduling.overflow import WAY_SECONDS
 
 
 @dataclass(frozen=True)
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -37,9 +37,10 @@
 from railsail.peers.records import CounterRecord
 from railsail.quarantine.trials import Trials
 from railsail.scheduling.cells import Cell
-from railsail.scheduling.decisions import Decision, Flight, Grant, Hold, Refusal
+from railsail.scheduling.decisions import Decision, Flight, Grant, Hold, Move, Refusal
 from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.health import CallResult
+from railsail.scheduling.overflow import Overflow
 from railsail.scheduling.room import LoadReport
 from railsail.scheduling.tickets import Ticket, TicketKey
 
@@ -172,7 +173,11 @@
         dispatcher = self._dispatchers.get(cell)
         if dispatcher is None:
             dispatcher = CellDispatcher(
-                self._weight, self._rng, self._use_prefixes, self._fair_window
+                self._weight,
+                self._rng,
+                self._use_prefixes,
+                self._fair_window,
+                Overflow() if cell.region else None,
             )
             self._dispatchers[cell] = dispatcher
             self._replicas.set_all(cell, dispatcher)
@@ -344,6 +349,9 @@
     def _carry_out(self, cell: Cell, decisions: list[Decision]) -> None:
         for decision in decisions:
             ticket = decision.ticket
+            if isinstance(decision, Move):
+                self.pass_on(ticket, decision.cell, self._cells.dispatcher(decision.cell))
+                continue
             if isinstance(decision, Grant):
                 self._metrics.granted.inc({"cell": str(cell)})
                 message = Granted(
@@ -352,13 +360,17 @@
             elif isinstance(decision, Hold):
                 message = Held(ticket.number, ticket.attempt, round(ticket.patience * 1000))
             else:
-                self._where.pop(ticket.key, None)
-                if decision.reason is not Reason.NO_ROOM:
-                    self._tell_refused(cell, ticket.entry, ticket.number)
-                come_back = round(decision.come_back * 1000)
-                message = Refused(ticket.number, ticket.attempt, decision.reason, come_back)
+                message = self._refused(cell, decision)
             self._hub.send(ticket.entry, message)
 
+    def _refused(self, cell: Cell, decision: Refusal) -> Refused:
+        ticket = decision.ticket
+        self._where.pop(ticket.key, None)
+        if decision.reason is not Reason.NO_ROOM:
+            self._tell_refused(cell, ticket.entry, ticket.number)
+        come_back = round(decision.come_back * 1000)
+        return Refused(ticket.number, ticket.attempt, decision.reason, come_back)
+
     def _reported(self, cell: Cell, name: str, report: LoadReport) -> None:
         dispatcher = self._dispatchers.get(cell)
         if dispatcher is not None:
--- a/railsail/dispatch/tree.py
+++ b/railsail/dispatch/tree.py
@@ -1,4 +1,4 @@
-"""Carry the sums of service up and down the tree over the members.
+"""Carry the sums of service up and down the tree over the members, or over the dispatchers only.
 
 Only pools of several cells take part; a pool of one cell has all its counters in one place.
 """
@@ -64,7 +64,7 @@
     def _exchange(self, pool: str) -> None:
         totals = self._totals_of(pool)
         own = self._hub.own.node
-        nodes = self._usable()
+        nodes = self._nodes(pool)
         if own not in nodes:
             return
         ordered = tree.order(f"service of {pool}", nodes)
@@ -83,6 +83,16 @@
         self._tell_children(pool, totals, children)
         self._steer(pool, totals.fleet_gains(), tree.depth(len(ordered)))
 
+    def _nodes(self, pool: str) -> list[str]:
+        """Return the members of the tree of ``pool``.
+
+        Where it spans regions, they are its few dispatchers: news to all would cross regions.
+        """
+        cells = self._cells.cells(pool)
+        if any(cell.region for cell in cells):
+            return sorted({self._cells.dispatcher(cell) for cell in cells})
+        return self._usable()
+
     def _decide_period(self, pool: str) -> None:
         # Every node follows the root, whose messages are as many as any node's, but for the one up.
         period = self._sent_in.get(pool, 0) / BYTES_PER_SECOND
--- a/railsail/scheduling/decisions.py
+++ b/railsail/scheduling/decisions.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from railsail.core.outcomes import Reason
+from railsail.scheduling.cells import Cell
 from railsail.scheduling.tickets import Ticket
 
 
@@ -34,7 +35,15 @@
     ticket: Ticket
 
 
-Decision = Grant | Refusal | Hold
+@dataclass(frozen=True)
+class Move:
+    """A ticket goes to a cell of another region, which can begin it sooner."""
+
+    ticket: Ticket
+    cell: Cell
+
+
+Decision = Grant | Refusal | Hold | Move
 
 
 @dataclass
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -7,9 +7,11 @@
 from dataclasses import replace
 
 from railsail.core.outcomes import Reason
-from railsail.scheduling.decisions import Decision, Flight, Grant, Hold, Refusal
+from railsail.scheduling.cells import Cell
+from railsail.scheduling.decisions import Decision, Flight, Grant, Hold, Move, Refusal
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
 from railsail.scheduling.health import CallResult, Peers
+from railsail.scheduling.overflow import Overflow
 from railsail.scheduling.placing import HUNGRY_SECONDS, Placing, Standing, look
 from railsail.scheduling.returning import RETURN_WAIT_OBJECTIVES, RefusedCallers
 from railsail.scheduling.returns import ReturnPlan
@@ -29,7 +31,8 @@
 class CellDispatcher:
     """Order the tickets of one cell fairly, and bind each late to a replica with room.
 
-    Every method takes ``now`` in seconds of a monotonic clock and does no input or output.
+    ``overflow`` is given where cells of other regions may take tickets. Every method takes ``now``
+    in seconds of a monotonic clock and does no input or output.
     """
 
     def __init__(
@@ -38,11 +41,13 @@
         rng: random.Random,
         use_prefixes: bool = True,
         fair_window: float = 0.0,
+        overflow: Overflow | None = None,
     ) -> None:
         self.queue = FairQueue(weight_of)
         self.replicas: dict[str, ReplicaRoom] = {}
         self.flights: dict[TicketKey, Flight] = {}
         self.served: dict[str, float] = {}
+        self.overflow = overflow
         self._placing = Placing(rng, use_prefixes)
         self._returns = ReturnPlan(rng)
         self._refused = RefusedCallers()
@@ -157,7 +162,7 @@
             ticket = _returned(ticket)
         self._usage.asked(ticket.workspace, ticket.estimate, now)
         if self._is_excess(ticket, now):
-            return [self._refuse(ticket, Reason.OVER_SHARE, now)]
+            return [self._move_excess(ticket, now) or self._refuse(ticket, Reason.OVER_SHARE, now)]
         self.queue.push(ticket)
         return [Hold(ticket)] if came_back else []
 
@@ -168,6 +173,22 @@
         # Where a replica has room now, nobody else is served instead of the one that is refused.
         return self._usage.over_share(ticket.workspace, now) and not self._fits(ticket, now)
 
+    def _move_excess(self, ticket: Ticket, now: float) -> Move | None:
+        if self.overflow is None:
+            return None
+        self.overflow.pressed(now)
+        cell = self.overflow.taker(ticket, now)
+        return Move(ticket, cell) if cell is not None else None
+
+    def _move_waiting(self, now: float) -> list[Decision]:
+        """Take out the tickets that cells of other regions begin sooner."""
+        if self.overflow is None or not len(self.queue):
+            return []
+        if self.spare(now) and not self.overloaded(now):
+            return []
+        self.overflow.pressed(now)
+        return [Move(ticket, cell) for ticket, cell in self.overflow.passed_on(self.queue, now)]
+
     def overloaded(self, now: float) -> bool:
         """Say whether a ticket expired so lately that not all can be served."""
         return now - self._expired_at <= OVERLOAD_SECONDS
@@ -296,6 +317,7 @@
         decisions: list[Decision] = []
         if len(self.queue):
             decisions += self._grant_waiting(now)
+            decisions += self._move_waiting(now)
             decisions += self._refuse_expired(now)
         return decisions
 
@@ -382,6 +404,12 @@
         """Return how many more calls fit into the slots of the cell, without overlap."""
         return sum(room.room(now) for room in self.replicas.values())
 
+    def wanted(self, now: float) -> tuple[Cell, int] | None:
+        """Return which cell of another region to ask for how many tickets, or ``None``."""
+        if self.overflow is None or not self.overflow.may_ask(now):
+            return None
+        return self.overflow.wanted(len(self.queue), self.spare(now), now)
+
     def spare(self, now: float) -> int:
         """Return how many more calls the replicas with little to read could begin now."""
         return sum(
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -81,6 +81,9 @@
     def others(self, cell: Cell, regions: tuple[str, ...]) -> list[Cell]:
         return [other for other in self.homes(cell.pool, regions) if other != cell]
 
+    def far_dispatchers(self, pool: str) -> set[str]:
+        return set()
+
     def way_seconds(self, entry: str, dispatcher: str) -> float:
         return 0.0
 
--- /dev/null
+++ b/tests/scheduling/test_speeds.py
@@ -0,0 +1,110 @@
+"""Replicas of one pool that differ in speed, as a dispatcher finds out by their answers."""
+
+import random
+import unittest
+from collections import Counter
+
+from railsail.scheduling.decisions import Decision, Grant
+from railsail.scheduling.dispatcher import CellDispatcher
+from railsail.scheduling.health import CallResult
+from railsail.scheduling.room import ReplicaRoom
+from railsail.scheduling.tickets import Ticket, TicketKey
+
+SPEEDS = {"usual": 1.0, "fast": 1.3}
+READ_RATE = 60_000.0
+# Prompts of three lengths come by turns.
+LENGTHS = (800, 2400, 5800)
+TOKENS = sum(LENGTHS) / len(LENGTHS)
+# Any answer takes so many seconds beyond reading, and as many more until it is whole.
+BASE_SECONDS = 0.03
+STEP_SECONDS = 0.005
+
+
+class Pool:
+    """Two engines that read one prompt after the other, and their dispatcher."""
+
+    def __init__(self) -> None:
+        self.cell = CellDispatcher(lambda workspace: 1.0, random.Random(5))
+        self.cell.set_replicas(dict.fromkeys(SPEEDS, 12))
+        self.granted: Counter[str] = Counter()
+        self._free_at = dict.fromkeys(SPEEDS, 0.0)
+        self._begins: list[tuple[float, TicketKey]] = []
+
+    def play(self, seconds: float, every: float) -> None:
+        """Offer a ticket ``every`` so many seconds."""
+        steps = round(seconds / STEP_SECONDS)
+        number, due = 0, 0.0
+        for step in range(steps):
+            now = step * STEP_SECONDS
+            self._answer(now)
+            while due <= now:
+                number += 1
+                due += every
+                self._grant(self.cell.offer(_ticket(number, now), now), now)
+            self._grant(self.cell.pump(now), now)
+
+    def _grant(self, decisions: list[Decision], now: float) -> None:
+        for decision in decisions:
+            if isinstance(decision, Grant):
+                name = decision.replica
+                self.granted[name] += 1
+                seconds = decision.ticket.prompt_tokens / (READ_RATE * SPEEDS[name])
+                self._free_at[name] = max(self._free_at[name], now) + seconds
+                begins = self._free_at[name] + BASE_SECONDS
+                self._begins.append((begins, decision.ticket.key))
+
+    def _answer(self, now: float) -> None:
+        for begins, key in sorted(self._begins):
+            if begins > now:
+                return
+            self._begins.remove((begins, key))
+            self.cell.answered(key, begins)
+            self.cell.release(key, 1.0, begins, CallResult.GOOD)
+
+
+def _ticket(number: int, now: float) -> Ticket:
+    return Ticket(
+        "entry",
+        number,
+        1,
+        "one",
+        0.0,
+        1.0,
+        now,
+        prompt_tokens=LENGTHS[number % len(LENGTHS)],
+        objective=0.6,
+        patience=0.12,
+    )
+
+
+class SpeedTests(unittest.TestCase):
+    def setUp(self):
+        self.pool = Pool()
+        # Nine tenths of what both can read.
+        self.pool.play(40.0, TOKENS / (0.9 * READ_RATE * sum(SPEEDS.values())))
+        self.rooms = self.pool.cell.replicas
+
+    def test_speed_of_each_replica_is_learnt(self):
+        usual, fast = (self.rooms[name].read_rate for name in ("usual", "fast"))
+        self.assertAlmostEqual(fast / usual, 1.3, delta=0.2)
+
+    def test_faster_one_is_given_more(self):
+        granted = self.pool.granted
+        self.assertGreater(granted["fast"], 1.15 * granted["usual"])
+
+    def test_faster_one_may_have_more_to_read(self):
+        admitted = {name: self.admitted(room) for name, room in self.rooms.items()}
+        self.assertGreater(admitted["fast"], 1.15 * admitted["usual"])
+
+    def admitted(self, room: ReplicaRoom) -> int:
+        """Return how many tokens ``room`` takes until another prompt would be late there."""
+        now, number = 1000.0, 0
+        tokens = LENGTHS[0]
+        while room.reads_in_time(_ticket(0, now), now):
+            number += 1
+            room.expect(("next", number), tokens, now)
+        return number * tokens
+
+
+if __name__ == "__main__":
+    unittest.main()
