--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -18,13 +18,14 @@
 
 import fire
 
+from railsail.membership.placement import choose
 from railsail.scheduling.cells import Cell, cut, cut_by_region
 from railsail.scheduling.decisions import Decision, Grant, Move
 from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.health import CallResult
 from railsail.scheduling.overflow import WAY_SECONDS, Overflow
 from railsail.scheduling.placing import Openings, Placing, Standing
-from railsail.scheduling.room import ReplicaRoom
+from railsail.scheduling.room import LONG_PREFIX_TOKENS, ReplicaRoom
 from railsail.scheduling.tickets import WAIT_SHARE, Ticket
 
 REGIONS = ("costa", "oriente", "sierra")
@@ -69,12 +70,17 @@
 
 @dataclass(frozen=True)
 class Way:
-    """A way to dispatch; ``near`` prefers a replica of the entry's region within a cell."""
+    """A way to dispatch.
+
+    ``near`` prefers a replica of the entry's region within a cell; ``one_home`` sends a prompt with
+    a long beginning to the region of the one replica that should have it.
+    """
 
     name: str
     by_region: bool
     passes: bool = False
     near: bool = False
+    one_home: bool = False
 
 
 WAYS = (
@@ -82,6 +88,7 @@
     Way("one cell, near replicas first", by_region=False, near=True),
     Way("cells by region, each alone", by_region=True),
     Way("cells by region, tickets passed on", by_region=True, passes=True),
+    Way("the same, one home over all regions", by_region=True, passes=True, one_home=True),
 )
 
 
@@ -245,8 +252,13 @@
         return NEAR_SECONDS if left == right else FAR_SECONDS
 
     def _come(self, ticket: Ticket) -> None:
-        cells = [cell for cell in self.cells if cell.region in ("", ticket.entry)]
-        (cell,) = cells
+        region = ticket.entry
+        if self._way.one_home and ticket.shared_tokens >= LONG_PREFIX_TOKENS:
+            region = self.engines[choose(str(ticket.prefix), self.engines)].region
+        (cell,) = [cell for cell in self.cells if cell.region in ("", region)]
+        if region != ticket.entry:
+            earlier = ticket.enqueued_at - WAY_SECONDS
+            ticket = dataclasses.replace(ticket, enqueued_at=earlier)
         self.at(self._seconds(ticket.entry, self._region(cell)), self._place, cell, ticket)
 
     def _place(self, cell: Cell, ticket: Ticket) -> None:
--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -65,7 +65,12 @@
     ),
     Option("listen_port", Number(0, 65_535), "Port to listen on for peers if it is mapped.", "0"),
     Option("failure_domain", Name(), "Failure domain of this node."),
-    Option("region", Name(), "Region of this node.", "default"),
+    Option(
+        "region",
+        Name(),
+        "Region of this node, where domain-regions does not name that of its failure domain.",
+        "default",
+    ),
     Option("store", EndpointList(minimum=1), "Endpoints ip:port of the platform's object API."),
     Option("store_kind", Name(), "Name of the store client plug-in.", "http"),
     Option("watch_seconds", Decimal(0.1, 300), "Longest wait of a watch on the store.", "25"),
@@ -114,7 +119,13 @@
         "1",
     ),
     Option("cold_slack", Decimal(0, 1_000_000), "Calls that it may get beyond.", "0"),
-    Option("domain_regions", NameMap(), "The region of each failure domain.", ""),
+    Option(
+        "domain_regions",
+        NameMap(),
+        "The region of each failure domain, of nodes and of replicas; with several regions each"
+        " dispatches its own replicas.",
+        "",
+    ),
     Option("max_body_bytes", Number(1024, 64 << 20), "Largest request body.", str(4 << 20)),
     Option(
         "open_files",
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -11,13 +11,14 @@
 from railsail.core.metrics import Metrics
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.acquire import MOST_GRANTS, ReplicaAcquirer
-from railsail.dispatch.bookings import Want
+from railsail.dispatch.bookings import Booking, Want
 from railsail.dispatch.entry import TicketDesk
 from railsail.dispatch.gate import COME_BACK_SPREAD_SECONDS, SendGate
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
     Cancel,
     Granted,
+    Moved,
     Place,
     Refused,
     Release,
@@ -31,7 +32,7 @@
 from railsail.upstreams.rests import TRIAL_SECONDS, Rests
 from railsail.upstreams.signs import Source
 
-OWN, OTHER = "127.0.0.1:1", "127.0.0.1:2"
+OWN, OTHER, FAR = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
 WANT = Want("r-1", "model", "one", 0.0, 10.0, False)
 RECORD = {"pool": "model", "endpoint": "127.0.0.1:9", "failure_domain": "a", "state": "live"}
 
@@ -81,6 +82,9 @@
     def others(self, cell: Cell, regions: tuple[str, ...]) -> list[Cell]:
         return [other for other in self.homes(cell.pool, regions) if other != cell]
 
+    def cell(self, pool: str, number: int) -> Cell:
+        return Cell(pool, number, self.count)
+
     def far_dispatchers(self, pool: str) -> set[str]:
         return set()
 
@@ -108,6 +112,41 @@
         self.clock = clock
 
 
+class PassedTests(EntryTestCase):
+    """A ticket that its dispatcher passed on to a cell that this entry never asked."""
+
+    async def passed(self) -> Booking:
+        self.cells.count = 2
+        booking = self.desk.place(WANT, self.clock.monotonic())
+        self.hub.deliver(Moved(booking.number, 1, 1, FAR))
+        return booking
+
+    def told(self) -> list[Resync]:
+        """Return what was told of the other cell."""
+        return [m for m in self.hub.sent if isinstance(m, Resync) and m.cell == 1]
+
+    async def test_its_grant_comes_from_there(self):
+        booking = await self.passed()
+        self.hub.deliver(Granted(booking.number, 1, "i-1", 0))
+        self.assertEqual(await booking.granted, "i-1")
+
+    async def test_dispatcher_there_is_told_so_that_a_lost_grant_keeps_no_slot(self):
+        """A grant is lost where there is no link yet, and the entry may have given up since."""
+        booking = await self.passed()
+        self.desk.withdraw(booking)
+        self.desk.tick()
+        (resync,) = self.told()
+        self.assertEqual((resync.waiting, resync.flights), ([], []))
+        self.desk.tick()
+        self.assertEqual(len(self.told()), 1)
+
+    async def test_what_still_waits_is_told_with_it(self):
+        booking = await self.passed()
+        self.desk.tick()
+        (resync,) = self.told()
+        self.assertEqual([place.number for place in resync.waiting], [booking.number])
+
+
 class CrossingTests(EntryTestCase):
     async def answer_at_the_end_of_the_wait(self, message) -> NotRun:
         """Let ``message`` come after the wait has ended and before its task runs again."""
--- a/tests/fleet/test_regions.py
+++ b/tests/fleet/test_regions.py
@@ -86,6 +86,19 @@
 
 
 class DispatchTests(RegionsTestCase):
+    async def test_region_of_a_node_is_that_of_its_failure_domain(self):
+        # Hand-overs and answers that are kept go by it, also where no node was told its region.
+        self.assertEqual({n.settings.region for n in self.fleet.nodes}, {"default"})
+        for node in self.fleet.nodes:
+            members = node.membership.table.usable()
+            known = {member.failure_domain: member.region for member in members}
+            self.assertEqual(known, dict(pair.split("=") for pair in DOMAINS.split(",")))
+
+    async def test_entries_keep_links_to_dispatchers_of_other_regions(self):
+        await self.assert_whole(self.ask(self.north, 2))
+        named = self.dispatcher(self.north[0], "south")
+        await self.until(lambda: all(node.hub.connected(named) for node in self.north))
+
     async def test_each_region_is_dispatched_and_served_in_itself(self):
         for region, nodes in (("north", self.north), ("south", self.south)):
             named = {self.dispatcher(node, region) for node in self.fleet.nodes}
@@ -131,6 +144,20 @@
         self.assertGreaterEqual(self.runs(NORTH), 1)
 
 
+class MixedTests(RegionsTestCase):
+    """Nodes that know the regions beside others for which a pool is one cell."""
+
+    daemons = 2
+
+    async def test_all_is_served_once_while_nodes_disagree(self):
+        for number in (2, 3):
+            await self.fleet.add_node(f"domain-{number}")
+        await self.settle()
+        self.assertEqual({len(n.cells.cells("model")) for n in self.fleet.nodes}, {1, 2})
+        await self.assert_whole(self.ask(self.fleet.nodes, 16))
+        self.assertEqual(self.runs(NORTH) + self.runs(SOUTH), 16)
+
+
 class CutTests(RegionsTestCase):
     def cut(self) -> None:
         """Let nothing pass between the regions, as a network that is cut between them does."""
