--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -32,11 +32,15 @@
 from railsail.peers.records import CounterRecord, FlightRecord
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.health import CallResult
+from railsail.scheduling.overflow import WAY_SECONDS
+from railsail.scheduling.room import LONG_PREFIX_TOKENS
 
 RESYNC_SECONDS = 10.0
 # A dispatcher's refusal may come this long after the wait has ended: a look at its queue, and a way
 # back to the entry.
 DECISION_SECONDS = 0.025
+# A request goes to another region for its prompt's beginning if it may wait for so many ways.
+LEAST_PATIENCE_WAYS = 4
 
 
 class TicketDesk:
@@ -63,6 +67,9 @@
         # Since when a dispatcher knows what this entry has of a cell; what is not named here may
         # still have calls that ended while it could not be told.
         self._told_at: dict[tuple[str, Cell], float] = {}
+        # Dispatchers that a ticket of this entry was passed on to, and that have yet to be told.
+        self._passed_to: set[tuple[str, Cell]] = set()
+        self._pools: set[str] = set()
         hub.handle(Granted, self._granted)
         hub.handle(Refused, self._refused)
         hub.handle(Held, self._held)
@@ -91,6 +98,7 @@
 
         It has waited since ``asked_at``.
         """
+        self._pools.add(want.pool)
         cell = self._choose_cell(want)
         node = self._cells.dispatcher(cell)
         booking = Booking(self._next_number, want, asked_at, cell, node)
@@ -111,8 +119,9 @@
 
     def _choose_cell(self, want: Want) -> Cell:
         if want.prefix:
-            return self._cells.home(want.pool, want.prefix)
-        homes = self._cells.homes(want.pool)
+            anywhere = _affords_way(want)
+            return self._cells.home(want.pool, want.prefix, want.regions, anywhere)
+        homes = self._cells.homes(want.pool, want.regions)
         if len(homes) == 1:
             return homes[0]
         # Each workspace is spread over all homes, so that every cell can weigh it against the rest.
@@ -158,7 +167,7 @@
         """Move bookings whose cell has another dispatcher now."""
         moved: set[tuple[str, Cell]] = set()
         for booking in self._bookings.values():
-            cell = self._cells.cell(booking.cell.pool, booking.cell.number)
+            cell = self._cell_now(booking)
             node = self._cells.dispatcher(cell)
             if (node, cell) == (booking.node, booking.cell):
                 continue
@@ -180,6 +189,12 @@
                 # Whoever dispatches this cell again later must be told everything anew.
                 self._told_at.pop((node, cell), None)
 
+    def _cell_now(self, booking: Booking) -> Cell:
+        """Return the cell of ``booking``, or another one if it waits where nothing takes work."""
+        cell = self._cells.cell(booking.cell.pool, booking.cell.number)
+        stays = cell.region == booking.cell.region and self._cells.takes_work(cell)
+        return cell if stays or not booking.waiting else self._choose_cell(booking.want)
+
     def _has_bookings(self, node: str, cell: Cell) -> bool:
         return any((b.node, b.cell) == (node, cell) for b in self._bookings.values())
 
@@ -223,6 +238,8 @@
     def tick(self) -> None:
         """Do what is due; to be called about twice a second."""
         self._reach.tick()
+        self._link_far()
+        self._tell_passed()
         now = self._clock.monotonic()
         for (node, cell), told_at in list(self._told_at.items()):
             if now - told_at > RESYNC_SECONDS:
@@ -232,6 +249,25 @@
                 else:
                     del self._told_at[(node, cell)]
 
+    def _link_far(self) -> None:
+        """Make a link to a dispatcher of another region, if one is lacking.
+
+        A ticket that is passed on there would have expired before a new link is made.
+        """
+        named = (self._cells.far_dispatchers(pool) for pool in sorted(self._pools))
+        lacking = [node for node in sorted(set().union(*named)) if not self._hub.connected(node)]
+        if lacking:
+            # One at a time: a node that has just become a dispatcher is dialled by all entries.
+            self._hub.dial(self._rng.choice(lacking))
+
+    def _tell_passed(self) -> None:
+        """Tell dispatchers what this entry has there; a grant may have been lost on its way."""
+        for node, cell in sorted(self._passed_to):
+            if self._hub.connected(node):
+                self._passed_to.discard((node, cell))
+                if (node, cell) not in self._told_at:
+                    self._resync(node, cell)
+
     def _send_place(self, booking: Booking) -> None:
         self._reach.asked(booking.node)
         if (booking.node, booking.cell) not in self._told_at:
@@ -241,6 +277,8 @@
 
     def _to_place(self, booking: Booking) -> Place:
         waited = self._clock.monotonic() - booking.placed_at
+        # Its grant must be back in time.
+        waited += self._cells.way_seconds(self._hub.own.node, booking.node)
         return to_place(booking.want, booking.number, booking.attempt, booking.cell, waited)
 
     def _to_flight(self, booking: Booking) -> FlightRecord:
@@ -315,7 +353,7 @@
         if booking is None:
             return
         reason = Reason(message.reason)
-        others = [cell for cell in self._cells.homes(booking.want.pool) if cell != booking.cell]
+        others = self._cells.others(booking.cell, booking.want.regions)
         # Whoever has waited for its time, or had its share, would only be refused there again.
         if others and not booking.refused and reason is Reason.NO_ROOM:
             booking.refused = True
@@ -343,5 +381,17 @@
         booking.cell = self._cells.cell(booking.cell.pool, message.to_cell)
         if booking.waiting:
             booking.node = message.node
+            self._passed_to.add((message.node, booking.cell))
             # The grant comes from there; a link that is new tells the ticket once more.
             self._hub.dial(message.node)
+
+
+def _affords_way(want: Want) -> bool:
+    """Say whether ``want`` goes to the home of its prompt's beginning in whichever region.
+
+    Reading a long beginning once in the fleet, and not once in each region, leaves replicas time
+    and memory for other prompts. It costs a way between regions, which must be a small part of what
+    the request may wait.
+    """
+    long = want.shared_tokens >= LONG_PREFIX_TOKENS
+    return long and want.patience >= LEAST_PATIENCE_WAYS * WAY_SECONDS
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -30,6 +30,7 @@
 from railsail.dispatch.exchange import CellExchange
 from railsail.dispatch.gate import SendGate
 from railsail.dispatch.loads import LoadReports
+from railsail.dispatch.regions import FleetRegions
 from railsail.dispatch.replicas import CellReplicas, FleetBounds
 from railsail.dispatch.service import DispatcherService
 from railsail.dispatch.tree import ServiceTree
@@ -134,7 +135,7 @@
             MemberState.ALIVE,
             settings.admin_port,
             settings.failure_domain,
-            settings.region,
+            settings.domain_regions.get(settings.failure_domain, settings.region),
         )
         self.membership = Membership(MemberTable(own), self.hub, self.kernel)
         self.membership.add_seeds([str(seed) for seed in settings.seeds])
@@ -195,6 +196,10 @@
         if settings.node_list == "store":
             self.watcher.follow(NODE, self.membership.listed, self.membership.seen)
 
+    @property
+    def _region(self) -> str:
+        return self.membership.table.own.region
+
     def _build_dispatch(self) -> None:
         settings = self.settings
         self.cells = CellMap(
@@ -203,6 +208,7 @@
             self.view.fast_enough,
             settings.cell_replicas,
             settings.scheduling == "local",
+            FleetRegions(self._region, settings.domain_regions, self.view.region_of),
         )
         self._build_quarantine()
         rests = Rests()
@@ -274,7 +280,14 @@
         )
         shelf = AnswerShelf(self.hub, self.membership.gone, self.rng)
         server = Server(
-            self._catalog, self.judge, tries, self.claims, shelf, self.admission, self.kernel
+            self._catalog,
+            self.judge,
+            tries,
+            self.claims,
+            shelf,
+            self.admission,
+            self.kernel,
+            self._region,
         )
         self.gateway = Gateway(server, self.carrier.held, self.kernel, self._new_id)
         self.front: RouteFront | None = None
