upstreams: kept connections to replicas between requests

A replica may forget an idle connection and reset what is sent next, and then nobody knows whether a request ran. So the first line goes ahead in two segments, which no replica can run, and the rest follows when it was acknowledged. Otherwise the request goes on a new connection, which is no second send.

One answer too many is passed over by its Request-Id; other bytes, errors and unread bodies close the connection. An exchange no longer waits to write a body whose answer is whole.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -122,6 +122,13 @@
         "Files and connections that this process may have open; 0 asks the system.",
         "0",
     ),
+    Option(
+        "keep_connections_seconds",
+        Decimal(0, 300),
+        "For how long connections to replicas of routes are kept while idle, where replicas say "
+        "nothing shorter; 0 opens one for each request.",
+        "0",
+    ),
     Option("queue_per_workspace", Number(1, 100_000), "Waiting requests a workspace here.", "256"),
     Option("queue_total", Number(1, 100_000), "Waiting requests of all workspaces here.", "1024"),
     Option("cell_replicas", Number(1, 10_000), "Most replicas that one dispatcher serves.", "16"),
@@ -187,6 +194,7 @@
     domain_regions: dict[str, str]
     max_body_bytes: int
     open_files: int
+    keep_connections_seconds: float
     queue_per_workspace: int
     queue_total: int
     cell_replicas: int
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -47,6 +47,14 @@
             "railsail_store_calls_total", "Calls to the platform's store, by operation and result."
         )
         self.retries = self._counter("railsail_retries_total", "Calls tried again, by cause.")
+        self.upstream_connections = self._counter(
+            "railsail_upstream_connections_total",
+            "Connections that requests were sent to replicas on, new and kept ones.",
+        )
+        self.upstream_connections_closed = self._counter(
+            "railsail_upstream_connections_closed_total",
+            "Connections to replicas that this node closed, by reason.",
+        )
         self.replica_ends = self._counter(
             "railsail_replica_ends_total",
             "Replicas whose process ended while they ran requests, as this node has seen.",
--- a/railsail/core/sockets.py
+++ b/railsail/core/sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from typing import TypeVar
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -14,6 +15,8 @@
 PROBE_EVERY_SECONDS = 1
 MOST_PROBES = 3
 
+Stream = TypeVar("Stream", bound=IOStream)
+
 
 class CannotConnect(RailsailError):
     """There is no connection, and so nothing was sent.
@@ -26,15 +29,15 @@
         self.refused = refused
 
 
-async def open_stream(ip: str, port: int, seconds: float) -> IOStream:
-    """Return a new connection, made within ``seconds``; raise ``CannotConnect``.
+async def open_stream(ip: str, port: int, seconds: float, kind: type[Stream] = IOStream) -> Stream:
+    """Return a new connection of ``kind``, made within ``seconds``; raise ``CannotConnect``.
 
     An IP number needs no resolver, which the library's own client asks in a thread: 1.7 ms.
     """
     family = socket.AF_INET6 if ":" in ip else socket.AF_INET
     connection = socket.socket(family, socket.SOCK_STREAM)
     detect_dead_peer(connection)
-    stream = IOStream(connection)
+    stream = kind(connection)
     try:
         async with asyncio.timeout(seconds):
             await stream.connect((ip, port))
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -69,10 +69,12 @@
 from railsail.store.proofs import ProofExchange
 from railsail.store.standby import PROVED_SHARE
 from railsail.store.watcher import StoreWatcher
+from railsail.upstreams.connections import ConnectionPool
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.evacuations import KIND as EVACUATION
 from railsail.upstreams.heard import HeardSigns
+from railsail.upstreams.idle import Place
 from railsail.upstreams.rests import Rests
 
 NATIVE_INTERFACE = "native"
@@ -277,6 +279,7 @@
         self.gateway = Gateway(server, self.carrier.held, self.kernel, self._new_id)
         self.front: RouteFront | None = None
         self.forwarder: Forwarder | None = None
+        self.connections: ConnectionPool | None = None
         # The servers of callers, and of requests that other nodes hand on.
         self.clients: list[ClientServer] = []
         if settings.caller_interface != NATIVE_INTERFACE:
@@ -284,6 +287,11 @@
 
     def _build_routes(self) -> None:
         settings = self.settings
+        self.connections = ConnectionPool(
+            settings.keep_connections_seconds, self._takes_work, self.kernel
+        )
+        self.directory.on_change(self.connections.review)
+        self.directory.on_rebirth(lambda before: self.connections.drop(before.name, "reborn"))
         protocol = ROUTE_PROTOCOLS.get(settings.caller_interface)()
         bounds = RetryBounds(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_seconds
@@ -296,6 +304,7 @@
             bounds,
             self.view.size,
             self.heard,
+            self.connections,
             self.kernel,
         )
         limits = NodeLimits()
@@ -366,6 +375,12 @@
     def _calls_on(self, replica: str, before: float) -> set[int]:
         return self.dispatchers.calls_on(replica, before)
 
+    def _takes_work(self, place: Place) -> bool:
+        upstream = self.directory.get(place.replica)
+        if upstream is None or upstream.endpoint != place.endpoint:
+            return False
+        return self.directory.takes_work(upstream)
+
     def _new_id(self) -> str:
         return f"req-{self._id_rng.getrandbits(64):016x}"
 
@@ -530,6 +545,8 @@
             server.stop()
         for task in self._tasks:
             task.cancel()
+        if self.connections is not None:
+            self.connections.close()
         self.ends.stop()
         self.ledger.stop()
         await self.hub.stop()
--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -127,11 +127,15 @@
             _end_to_end(headers, frozenset()),
             not_run=NOT_RUN in headers or status == _MISDIRECTED,
             misdirected=status == _MISDIRECTED,
-            request_id=headers.get(REQUEST_ID, ""),
+            request_id=self.answered_id(headers),
             signed=SIGNATURE in headers,
             asks_rest=asks_rest(status, headers),
         )
 
+    def answered_id(self, headers: HTTPHeaders) -> str:
+        """Return the id of the request that an answer belongs to, nothing if it does not say."""
+        return headers.get(REQUEST_ID, "")
+
     def read_signs(self, status: int, headers: HTTPHeaders, wall: float) -> AnswerSigns:
         """Return what the head of a replica's answer says of the replica itself."""
         leaving = headers.get(LEAVING, "").strip() not in _NOT_LEAVING
--- a/railsail/routing/protocol.py
+++ b/railsail/routing/protocol.py
@@ -35,6 +35,9 @@
     def read_answer(self, status: int, headers: HTTPHeaders) -> AnswerHead:
         """Return what the head of a replica's answer says."""
 
+    def answered_id(self, headers: HTTPHeaders) -> str:
+        """Return the id of the request that an answer belongs to, nothing if it does not say."""
+
     def read_signs(self, status: int, headers: HTTPHeaders, wall: float) -> AnswerSigns:
         """Return what the head of a replica's answer says of the replica itself.
 
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -22,7 +22,7 @@
 from railsail.scheduling.health import CallResult
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.heard import HeardSigns
-from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
+from railsail.upstreams.http import Connections, CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.signs import Source
 from railsail.upstreams.sse import BadStream
 
@@ -94,6 +94,7 @@
         bounds: RetryBounds,
         members: Callable[[], int],
         heard: HeardSigns,
+        connections: Connections,
         kernel: Kernel,
     ) -> None:
         self._protocol = protocol
@@ -103,6 +104,7 @@
         self._bounds = bounds
         self._members = members
         self._heard = heard
+        self._connections = connections
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
@@ -235,6 +237,9 @@
             open_ended=True,
             connect_seconds=min(CONNECT_SECONDS, left),
             on_head=self._heard.listener(replica, self._protocol.read_signs),
+            replica=replica,
+            request_id=request.id,
+            read_id=self._protocol.answered_id,
         )
         answer = ReplicaAnswer(
             self._protocol,
@@ -285,9 +290,9 @@
     ) -> None:
         if not routed.may_repeat:
             # Silence is no reason to end what cannot be done again.
-            await exchange(call, answer)
+            await exchange(call, answer, self._connections)
             return
-        task = asyncio.ensure_future(exchange(call, answer))
+        task = asyncio.ensure_future(exchange(call, answer, self._connections))
         loop = asyncio.get_running_loop()
         try:
             while not task.done():
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -1,8 +1,8 @@
 """One HTTP exchange over one connection, with an exact point of no return.
 
-The library's client pools, retries and queues out of sight in some versions; here one connection
-carries one request, by the library's own HTTP/1 codec. Until the first byte is written the request
-has not run; from then on that is not known.
+The library's client pools, retries and queues out of sight in some versions; here an exchange takes
+one connection and sends one request, by the library's own HTTP/1 codec. Until all of its head is
+written the request has not run; from then on that is not known.
 """
 
 import asyncio
@@ -18,6 +18,8 @@
 from railsail.conf.values import parse_endpoint
 from railsail.core.exceptions import RailsailError
 from railsail.core.sockets import CannotConnect, open_stream
+from railsail.upstreams.keepalive import FIRST_ERROR, idle_seconds, may_be_kept
+from railsail.upstreams.streams import UpstreamStream
 
 CONNECT_SECONDS = 2.0
 SILENT_SECONDS = 60.0
@@ -26,7 +28,7 @@
 
 
 class NotSent(RailsailError):
-    """No byte of the request was written.
+    """No request was written.
 
     ``refused`` says that nobody listens at the replica's port, though its host answers.
     """
@@ -47,13 +49,22 @@
     """Take no note of what an answer says of its replica."""
 
 
+IdReader = Callable[[HTTPHeaders], str]
+
+
+def read_no_id(headers: HTTPHeaders) -> str:
+    """Return no id of the request that an answer belongs to."""
+    return ""
+
+
 @dataclass(frozen=True)
 class HttpRequest:
     """What is sent; ``endpoint`` is ``ip:port``.
 
     ``open_ended`` says that an answer without a length is whole when its connection was closed in
     order. ``connect_seconds`` bounds the time to connect. ``on_head`` hears status and headers of
-    any answer before its receiver does, which may refuse it.
+    any answer before its receiver does, which may refuse it. Connections are kept by ``replica``;
+    ``read_id`` reads from an answer the id of its request, which is ``request_id``.
     """
 
     endpoint: str
@@ -64,6 +75,9 @@
     open_ended: bool = False
     connect_seconds: float = CONNECT_SECONDS
     on_head: HeadListener = ignore_head
+    replica: str = ""
+    request_id: str = ""
+    read_id: IdReader = read_no_id
 
 
 class Receiver(Protocol):
@@ -76,15 +90,68 @@
         """Take a piece of the body."""
 
 
+class Connections(Protocol):
+    """Where exchanges take their connections from, and what becomes of these afterwards."""
+
+    most_idle_seconds: float
+
+    def keeps(self, request: HttpRequest) -> bool:
+        """Say whether the connection of ``request`` may be kept."""
+
+    async def take(self, request: HttpRequest) -> UpstreamStream:
+        """Return a connection for ``request``; raise ``NotSent`` if there is none."""
+
+    def give_back(self, request: HttpRequest, stream: UpstreamStream, seconds: float) -> None:
+        """Take back the connection of a whole answer, which may be idle for ``seconds``."""
+
+    def broke(self, request: HttpRequest, stream: UpstreamStream, problem: BaseException) -> None:
+        """Close the connection of an exchange that ended with ``problem``."""
+
+
+class NewConnections:
+    """Open a connection for each exchange, and close it after it."""
+
+    most_idle_seconds = 0.0
+
+    def keeps(self, request: HttpRequest) -> bool:
+        """Say that no connection is kept."""
+        return False
+
+    async def take(self, request: HttpRequest) -> UpstreamStream:
+        """Return a new connection; raise ``NotSent`` if there is none."""
+        return await connect(request)
+
+    def give_back(self, request: HttpRequest, stream: UpstreamStream, seconds: float) -> None:
+        """Close the connection."""
+        stream.close()
+
+    def broke(self, request: HttpRequest, stream: UpstreamStream, problem: BaseException) -> None:
+        """Close the connection."""
+        stream.close()
+
+
+NEW_CONNECTIONS = NewConnections()
+
+
 class _Delegate(HTTPMessageDelegate):
-    def __init__(self, receiver: Receiver, stream: IOStream, on_head: HeadListener) -> None:
+    def __init__(
+        self,
+        request: HttpRequest,
+        receiver: Receiver,
+        stream: UpstreamStream,
+        most_idle_seconds: float,
+    ) -> None:
+        self._request = request
         self._receiver = receiver
         self._stream = stream
-        self._on_head = on_head
+        self._most_idle_seconds = most_idle_seconds
         self.error: Exception | None = None
         self._loop = asyncio.get_running_loop()
         self.whole = False
         self.framed = False
+        # It answers another request, whose answer came late.
+        self.foreign = False
+        self.idle_seconds = 0.0
         self.busy = False
         self.last = self._loop.time()
 
@@ -93,18 +160,42 @@
     ) -> Awaitable[None] | None:
         self.framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         self.framed = self.framed or start_line.code in (204, 304)
-        self._on_head(start_line.code, headers)
+        self.foreign = self._is_foreign(start_line.code, headers)
+        if self.foreign:
+            return None
+        self.idle_seconds = 0.0
+        if self.framed and may_be_kept(start_line, headers):
+            self.idle_seconds = idle_seconds(headers, self._most_idle_seconds)
+        self._request.on_head(start_line.code, headers)
         return self._guard(self._receiver.head(start_line.code, headers))
 
+    def _is_foreign(self, status: int, headers: HTTPHeaders) -> bool:
+        """Say whether an answer on a kept connection belongs to another request."""
+        if not self._stream.reused:
+            return False
+        answered = self._request.read_id(headers)
+        if not answered:
+            # An error may have been answered before the id was read; a success was not.
+            return status < FIRST_ERROR
+        return answered != self._request.request_id
+
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        return self._guard(self._receiver.data(chunk))
+        return None if self.foreign else self._guard(self._receiver.data(chunk))
 
     def finish(self) -> None:
         self.whole = True
+        if self._stream.writing():
+            # The replica may never read the rest of the request, for which the codec would wait.
+            self._stream.close()
 
     def on_connection_close(self) -> None:
         self.whole = False
 
+    def expect_another(self) -> None:
+        """Expect the request's own answer after one that belonged to another request."""
+        self.whole = False
+        self.last = self._loop.time()
+
     async def _guard(self, work: Awaitable[None]) -> None:
         # Time during which the caller holds us back is not silence of the upstream.
         self.busy = True
@@ -122,39 +213,51 @@
         return not self.busy and self._loop.time() - self.last > SILENT_SECONDS
 
 
-async def exchange(request: HttpRequest, receiver: Receiver) -> None:
+async def exchange(
+    request: HttpRequest, receiver: Receiver, connections: Connections = NEW_CONNECTIONS
+) -> None:
     """Send ``request`` and put the whole answer into ``receiver``.
 
     Raise ``NotSent`` or ``CutOff``. Cancelling the task closes the connection.
     """
-    stream = await _connect(request.endpoint, request.connect_seconds)
+    stream = await connections.take(request)
+    most_idle = connections.most_idle_seconds if connections.keeps(request) else 0.0
     try:
-        await _exchange_on(stream, request, receiver)
-    finally:
-        stream.close()
-
-
-async def _connect(endpoint: str, seconds: float) -> IOStream:
-    target = parse_endpoint(endpoint)
+        seconds = await _exchange_on(stream, request, receiver, most_idle)
+    except BaseException as problem:
+        connections.broke(request, stream, problem)
+        raise
+    connections.give_back(request, stream, seconds)
+
+
+async def connect(request: HttpRequest) -> UpstreamStream:
+    """Return a new connection for ``request``; raise ``NotSent`` if there is none."""
+    target = parse_endpoint(request.endpoint)
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
     try:
-        return await open_stream(target.ip, target.port, seconds)
+        stream = await open_stream(target.ip, target.port, request.connect_seconds, UpstreamStream)
     except CannotConnect as problem:
         reason = f"the replica cannot be connected to: {problem}"
         raise NotSent(reason, problem.refused) from None
+    stream.connect_seconds = loop.time() - begun
+    return stream
 
 
-async def _exchange_on(stream: IOStream, request: HttpRequest, receiver: Receiver) -> None:
-    parameters = HTTP1ConnectionParameters(
-        no_keep_alive=True, max_header_size=MOST_HEADER_BYTES, max_body_size=MOST_BODY_BYTES
-    )
-    connection = HTTP1Connection(stream, is_client=True, params=parameters)
-    delegate = _Delegate(receiver, stream, request.on_head)
+async def _exchange_on(
+    stream: UpstreamStream, request: HttpRequest, receiver: Receiver, most_idle: float
+) -> float:
+    """Make an exchange on ``stream``; return for how long the connection may be idle after it."""
+    delegate = _Delegate(request, receiver, stream, most_idle)
     watch = asyncio.ensure_future(_close_when_silent(stream, delegate))
     try:
+        connection = _codec(stream)
         start = RequestStartLine(request.method, request.path, "")
-        connection.write_headers(start, _headers(request), request.body)
+        connection.write_headers(start, _headers(request, most_idle > 0), request.body)
         connection.finish()
         await connection.read_response(delegate)
+        if delegate.foreign and delegate.whole:
+            await _read_own(stream, delegate)
     except (OSError, StreamClosedError, ValueError) as problem:
         if delegate.error is not None:
             raise delegate.error from None
@@ -163,6 +266,22 @@
         watch.cancel()
     if delegate.error is not None:
         raise delegate.error
+    _check_whole(stream, request, delegate)
+    return delegate.idle_seconds
+
+
+async def _read_own(stream: UpstreamStream, delegate: _Delegate) -> None:
+    # One answer too many may come late, and stands before the request's own.
+    delegate.expect_another()
+    connection = _codec(stream)
+    connection.finish()
+    await connection.read_response(delegate)
+    delegate.idle_seconds = 0.0
+
+
+def _check_whole(stream: UpstreamStream, request: HttpRequest, delegate: _Delegate) -> None:
+    if delegate.foreign:
+        raise CutOff("the replica answered another request")
     if not delegate.whole:
         raise CutOff("the replica closed before the end of its answer")
     if not delegate.framed and not (request.open_ended and stream.error is None):
@@ -170,8 +289,22 @@
         raise CutOff("the replica gave no length of its answer")
 
 
-def _headers(request: HttpRequest) -> HTTPHeaders:
-    headers = HTTPHeaders({"Host": request.endpoint, "Connection": "close"})
+def _codec(stream: UpstreamStream) -> HTTP1Connection:
+    parameters = HTTP1ConnectionParameters(
+        no_keep_alive=True, max_header_size=MOST_HEADER_BYTES, max_body_size=MOST_BODY_BYTES
+    )
+    return HTTP1Connection(stream, is_client=True, params=parameters)
+
+
+def first_line(request: HttpRequest) -> bytes:
+    """Return the first bytes of ``request`` as the codec writes them: its first line."""
+    return f"{request.method} {request.path} HTTP/1.1\r\n".encode()
+
+
+def _headers(request: HttpRequest, keep: bool) -> HTTPHeaders:
+    headers = HTTPHeaders({"Host": request.endpoint})
+    if not keep:
+        headers["Connection"] = "close"
     for name, value in request.headers.items():
         headers[name] = value
     if request.body or request.method not in ("GET", "HEAD"):
