upstreams: refused to send ahead a line that its path breaks

The codec refuses a path with a line break, but the first line of a request on a kept connection was sent before the codec saw it. Callers cannot send such a path through the fleet's own server, which splits lines before that; the pool now does not rely on it.

--- a/railsail/upstreams/connections.py
+++ b/railsail/upstreams/connections.py
@@ -52,11 +52,13 @@
     def keeps(self, request: HttpRequest) -> bool:
         """Say whether the connection of ``request`` may be kept.
 
-        Without an id a late answer to another request cannot be told from its own.
+        Without an id a late answer to another request cannot be told from its own. A path that
+        breaks the first line is refused by the codec, and must not be sent ahead.
         """
         if self._closed or not self.most_idle_seconds:
             return False
-        return bool(request.replica and request.request_id) and request.method != "HEAD"
+        named = request.replica and request.request_id
+        return bool(named) and request.method != "HEAD" and request.path.isprintable()
 
     async def take(self, request: HttpRequest) -> UpstreamStream:
         """Return a connection for ``request``; raise ``NotSent`` if there is none."""
--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -125,8 +125,9 @@
         request_id = f"r{self.asked}"
         headers = {"Request-Id": request_id}
         given = {"replica": "one", "read_id": lambda head: head.get("Request-Id", "")} | given
+        path = given.pop("path", "/path")
         request = HttpRequest(
-            self.endpoint, method, "/path", headers, body, request_id=request_id, **given
+            self.endpoint, method, path, headers, body, request_id=request_id, **given
         )
         collector = Collector()
         try:
@@ -300,6 +301,13 @@
         await self.ask()
         self.assertEqual((len(self.pool), self.replica.opened), (0, 2))
 
+    async def test_path_that_breaks_its_line_is_sent_nowhere(self):
+        await self.ask()
+        with self.assertRaises(CutOff):
+            await self.ask(path="/ HTTP/1.1\r\nRequest-Id: x\r\n\r\n")
+        await asyncio.sleep(0.1)
+        self.assertEqual(dict(self.replica.ran), {"r1": 1})
+
     async def test_what_cannot_be_told_apart_is_not_kept(self):
         await self.ask(replica="")
         await self.ask("HEAD", b"", read_id=lambda head: "")
