--- a/railsail/upstreams/connections.py
+++ b/railsail/upstreams/connections.py
@@ -15,8 +15,9 @@
 from railsail.upstreams.idle import MOST_AT_PLACE, IdleConnections, Place
 from railsail.upstreams.streams import UpstreamStream
 
-# A connection is looked at after the time that it took to connect, and then less and less often.
-LEAST_PAUSE_SECONDS = 0.001
+# A connection is looked at after the time that it took to connect and a little more, and then less
+# and less often. The replica's process may reset it after its system has acknowledged the line.
+SETTLE_SECONDS = 0.003
 MOST_PAUSE_SECONDS = 0.05
 # Acknowledgements may be held back for 40 ms.
 MOST_CHECK_SECONDS = 0.1
@@ -122,7 +123,7 @@
         self.drop(request.replica, "broke")
         if stream.reused:
             detail = "a kept connection broke under a request"
-            self._tell(detail, request, stream, problem=str(problem))
+            self._tell(detail, request, stream, notable=True, problem=str(problem))
 
     def _tell(
         self, detail: str, request: HttpRequest, stream: UpstreamStream, **facts: Fact
@@ -131,7 +132,6 @@
             Kind.UPSTREAM,
             detail,
             request.request_id,
-            notable=True,
             replica=request.replica,
             answers=stream.answers,
             since_answer_ms=round((self._clock.monotonic() - stream.answered_at) * 1000),
@@ -190,7 +190,7 @@
         return "closed"
     loop = asyncio.get_running_loop()
     begun = loop.time()
-    pause = min(max(stream.connect_seconds, LEAST_PAUSE_SECONDS), MOST_PAUSE_SECONDS)
+    pause = min(stream.connect_seconds + SETTLE_SECONDS, MOST_PAUSE_SECONDS)
     stream.set_nodelay(True)
     stream.send_ahead(line)
     while loop.time() - begun < MOST_CHECK_SECONDS:
