--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -1,16 +1,21 @@
 """Connections to replicas that are kept, on the whole path: nothing runs twice, nothing is lost."""
 
 import asyncio
-import socket
-import struct
 import unittest
 
 from railsail.node import Node
+from tests.forgetting import start_forgetting_server
 from tests.platform.base import Answer, PlatformTestCase
-from tests.platform.standins import Received, ReplicaStandin, answering, closing, streaming
+from tests.platform.standins import (
+    LOOPBACK,
+    Received,
+    ReplicaStandin,
+    answering,
+    closing,
+    streaming,
+)
 from tests.platform.test_path import allow_repeats
 
-_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 KEPT = {"keep_connections_seconds": "30"}
 
 
@@ -21,6 +26,14 @@
     # Resets a connection when something comes on it after its first answer.
     forgets = False
 
+    async def start(self) -> None:
+        self._answered: set[asyncio.Transport] = set()
+        self._server = await start_forgetting_server(self._serve, LOOPBACK, self._forgotten)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def _forgotten(self, transport: asyncio.Transport) -> bool:
+        return self.forgets and transport in self._answered
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
         self._writers.add(writer)
@@ -41,11 +54,7 @@
             request = Received(line, headers, body, asyncio.get_running_loop().time())
             self.received.append(request)
             await self.script(self, request, writer)
-            if self.forgets:
-                await reader.read(1)
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
-                writer.transport.abort()
+            self._answered.add(writer.transport)
 
 
 class KeptConnectionsTests(PlatformTestCase):
--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-import socket
-import struct
 import unittest
 from collections import Counter
 from unittest import mock
@@ -16,8 +14,8 @@
 from railsail.upstreams.connections import ConnectionPool
 from railsail.upstreams.http import Collector, CutOff, HttpRequest, exchange
 from railsail.upstreams.streams import UpstreamStream
+from tests.forgetting import reset, start_forgetting_server
 
-_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 KEEP_SECONDS = 30.0
 BIG_BODY = b"x" * (32 << 20)
 
@@ -28,12 +26,6 @@
     return f"{head}{headers}\r\n".encode() + body
 
 
-def close_with_reset(writer: asyncio.StreamWriter) -> None:
-    connection = writer.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
-    writer.transport.abort()
-
-
 class Replica:
     """A replica that answers each request with the next of ``script``, and counts what ran.
 
@@ -44,23 +36,19 @@
         self.script = []
         self.ran: Counter[str] = Counter()
         self.opened = 0
-        # Resets a connection when something comes on it after so many answers.
-        self.forgets_after = 0
+        # Resets a connection when something comes on it after its first answer.
+        self.forgets = False
         # Sends these bytes so soon after an answer that the connection is idle.
         self.stray = b""
         self.closes_idle = False
         self.reads_bodies = True
+        self._answered: set[asyncio.Transport] = set()
         self._serving: set[asyncio.Task] = set()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
         self._serving.add(asyncio.current_task())
-        served = 0
         while True:
-            if self.forgets_after and served == self.forgets_after:
-                await reader.read(1)
-                close_with_reset(writer)
-                return
             try:
                 request_id = await self._read(reader)
             except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
@@ -70,10 +58,10 @@
             script = self.script.pop(0) if self.script else answer
             data = script(request_id)
             if data is None:
-                close_with_reset(writer)
+                reset(writer.transport)
                 return
             writer.write(data)
-            served += 1
+            self._answered.add(writer.transport)
             if self.stray:
                 await asyncio.sleep(0.02)
                 writer.write(self.stray)
@@ -82,6 +70,9 @@
                 writer.close()
                 return
 
+    def forgotten(self, transport: asyncio.Transport) -> bool:
+        return self.forgets and transport in self._answered
+
     async def ended(self) -> None:
         """Wait until all connections are closed."""
         await asyncio.wait(self._serving, timeout=1.0)
@@ -104,7 +95,9 @@
         self.leaving = set()
         self.pool = self.new_pool(KEEP_SECONDS)
         self.replica = Replica()
-        self.server = await asyncio.start_server(self.replica.serve, "127.0.0.1", 0)
+        self.server = await start_forgetting_server(
+            self.replica.serve, "127.0.0.1", self.replica.forgotten
+        )
         self.addAsyncCleanup(self.end)
         self.endpoint = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         self.asked = 0
@@ -171,14 +164,14 @@
         self.assertEqual((self.replica.opened, len(self.pool)), (2, 0))
 
     async def test_request_goes_on_a_new_connection_where_the_kept_one_was_forgotten(self):
-        self.replica.forgets_after = 1
+        self.replica.forgets = True
         await self.ask_twice()
         self.assertEqual((self.replica.opened, self.closed()), (2, {"forgotten": 1}))
         self.assertEqual(self.told(), ["an idle connection is forgotten"])
 
     async def test_others_of_a_replica_that_forgot_one_are_closed(self):
         self.pool = self.new_pool(KEEP_SECONDS, most_at_place=2)
-        self.replica.forgets_after = 1
+        self.replica.forgets = True
         await asyncio.gather(self.ask(), self.ask())
         await self.ask()
         self.assertEqual((self.replica.opened, self.closed()), (3, {"forgotten": 2}))
