--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -132,8 +132,13 @@
         spec = {"service": service, "addr": addr, "zone": "a", "slots": slots, "state": "ready"}
         self.store.put("servers", replica.name, spec | {"seq": 1})
 
-    async def add_daemons(self, count: int, domains: int, other: Path = ROOT) -> None:
-        """Start ``count`` daemons in ``domains`` failure domains, each other one of ``other``."""
+    async def add_daemons(
+        self, count: int, domains: int, other: Path | None = None, sources: Path = ROOT
+    ) -> None:
+        """Start ``count`` daemons of ``sources`` in ``domains`` failure domains.
+
+        Each other one is of ``other``, if given.
+        """
         first = len(self.daemons)
         for number in range(first, first + count):
             ip = f"127.0.1.{10 + number}"
@@ -141,7 +146,7 @@
             log = self.folder / f"{number}.log"
             ports = free_ports(4, ip)
             daemon = Daemon(ip, ports[:3], domain, self.store.add_access(), log)
-            daemon.sources = other if number % 2 else ROOT
+            daemon.sources = other if other and number % 2 else sources
             if self.relay is not None:
                 daemon.listen_port = ports[3]
                 await self.relay.listen(ip, ports[2], ports[3])
