core: imported the libraries without what is never used, and without garbage collection

Cause: a daemon imported the standard library's reader of packages (for websockets, which uses it in development versions only), process pools and terminal control (for tornado), and a second library of types (for msgspec), none of which it calls; and the collector went over all that the imports had made again and again. What was kept out before is kept out as before; all of it can be imported again later on, since the replacements end with the imports. What was imported is left out of later collections as well.

Ruled out: the console renderer of structlog and the proxies of websockets, whose names are looked up by the importing modules.

--- a/railsail/daemon.py
+++ b/railsail/daemon.py
@@ -1,13 +1,13 @@
 """The entry point of the daemon ``railsaild``."""
 
-from railsail.core.lean import skip_command_line_parts
+from railsail.core.lean import lean_imports
 
 
 def main() -> None:
     """Run the daemon."""
-    skip_command_line_parts()
-    # Imported only now, since it imports the libraries whose parts are skipped.
-    from railsail.process import run
+    with lean_imports():
+        # Imported only now, since it imports the libraries whose parts are skipped.
+        from railsail.process import run
 
     run()
 
--- a/tests/core/test_lean.py
+++ b/tests/core/test_lean.py
@@ -5,21 +5,50 @@
 import unittest
 
 _PROGRAM = """
+import gc
 import sys
-from railsail.core.lean import skip_command_line_parts
-skip_command_line_parts()
-import railsail.process
+from railsail.core.lean import lean_imports
+with lean_imports():
+    import railsail.process
+import railsail.platform
 from railsail.policy.programs import check_program
-heavy = [name for name in ("rich.console", "typer", "prompt_toolkit") if name in sys.modules]
-print(heavy, check_program("rank", "1 + 1", "p"))
+kept_out = (
+    "rich",
+    "typer",
+    "prompt_toolkit",
+    "zipfile",
+    "importlib.metadata",
+    "multiprocessing",
+    "curses",
+    "typing_extensions",
+)
+held = [name for name in sys.modules if name in kept_out or name.startswith("rich.")]
+print(held, check_program("rank", "1 + 1", "p"), gc.isenabled(), gc.get_freeze_count() > 0)
 """
+_LATER = """
+from railsail.core.lean import lean_imports
+with lean_imports():
+    import railsail.process
+import importlib.metadata
+import multiprocessing
+print(importlib.metadata.version("websockets") > "", multiprocessing.cpu_count() > 0)
+"""
+
+
+def run(program: str) -> subprocess.CompletedProcess:
+    command = [sys.executable, "-c", program]
+    return subprocess.run(command, check=False, capture_output=True, text=True)
 
 
 class LeanTests(unittest.TestCase):
-    def test_command_line_parts_stay_out_and_policies_work(self):
-        command = [sys.executable, "-c", _PROGRAM]
-        done = subprocess.run(command, check=False, capture_output=True, text=True)
-        self.assertEqual((done.stdout.strip(), done.returncode), ("[] []", 0), done.stderr)
+    def test_unused_parts_stay_out_and_policies_work(self):
+        done = run(_PROGRAM)
+        expected = ("[] [] True True", 0)
+        self.assertEqual((done.stdout.strip(), done.returncode), expected, done.stderr)
+
+    def test_what_was_kept_out_can_be_imported_later(self):
+        done = run(_LATER)
+        self.assertEqual((done.stdout.strip(), done.returncode), ("True True", 0), done.stderr)
 
 
 if __name__ == "__main__":
