core: let timers of the loop call what runs in steady periods

Cause: each part that does something in steady periods slept as a task, which takes two turns of the loop, a future and a step of a task each time; and calls to the store asked a thread for the address of an IP number. Timers now call those parts directly; the sample of the loop's lag still is taken in the turn after its timer, so that it measures what it did. The loop asks a thread for names only.

Ruled out: one grid for all periods, on which a late loop would be sampled more often than now, so that limits would be learnt faster.

--- a/benchmarks/processor.py
+++ b/benchmarks/processor.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.processor [--other=DIR] [--runs=3] [--seconds=8] [--rate=100]
 
-A fleet of processes is played ``runs`` times for this build and, with ``other``, for the build whose
-sources are in DIR, by turns. All figures are processor time (user and system) of the daemons:
+A fleet of processes is played ``runs`` times for this build and, with ``other``, for the build in
+the sources DIR, by turns. All figures are processor time (user and system) of the daemons:
 milliseconds to start one until it is ready, milliseconds a second of an idle one, and milliseconds
 a plain request over all daemons, what they use when idle taken off.
 """
--- a/railsail/core/clock.py
+++ b/railsail/core/clock.py
@@ -1,6 +1,7 @@
 """Clocks that every part takes as an argument, so that tests and golden files are exact."""
 
 import asyncio
+import socket
 import time
 from datetime import UTC, datetime
 
@@ -17,12 +18,34 @@
 
 
 class SteadyEventLoop(asyncio.SelectorEventLoop):
-    """An event loop whose timers count the time of a suspension too."""
+    """An event loop whose timers count the time of a suspension too.
+
+    It asks the resolver in a thread only for names, not for IP numbers.
+    """
 
     def time(self) -> float:
         """Return the time of the loop's timers, in seconds."""
         return steady_seconds()
 
+    async def getaddrinfo(
+        self,
+        host: str | bytes | None,
+        port: str | int | None,
+        *,
+        family: int = 0,
+        type: int = 0,
+        proto: int = 0,
+        flags: int = 0,
+    ) -> list[tuple]:
+        """Return the addresses of ``host``, as ``socket.getaddrinfo`` has them."""
+        try:
+            numeric = flags | socket.AI_NUMERICHOST | socket.AI_NUMERICSERV
+            return socket.getaddrinfo(host, port, family, type, proto, numeric)
+        except socket.gaierror:
+            return await super().getaddrinfo(
+                host, port, family=family, type=type, proto=proto, flags=flags
+            )
+
 
 class Clock:
     """Tell the time of this machine."""
--- a/railsail/core/looplag.py
+++ b/railsail/core/looplag.py
@@ -72,7 +72,30 @@
 
     async def run(self) -> None:
         """Take samples until cancelled."""
-        while True:
-            due = self._clock() + STEP_SECONDS
-            await asyncio.sleep(STEP_SECONDS)
-            self.take(self._clock() - due)
+        loop = asyncio.get_running_loop()
+        failed = loop.create_future()
+
+        def wait() -> None:
+            nonlocal timer
+            timer = loop.call_later(STEP_SECONDS, come_due, self._clock() + STEP_SECONDS)
+
+        def come_due(due: float) -> None:
+            # What became ready with the timer is part of the lag, and runs before this.
+            loop.call_soon(sample, due)
+
+        def sample(due: float) -> None:
+            if failed.done():
+                return
+            try:
+                self.take(self._clock() - due)
+            except Exception as problem:
+                failed.set_exception(problem)
+                return
+            wait()
+
+        timer: asyncio.TimerHandle
+        wait()
+        try:
+            await failed
+        finally:
+            timer.cancel()
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -10,6 +10,7 @@
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Reason
+from railsail.core.tasks import every
 from railsail.dispatch.bookings import ticket_name, to_place, to_ticket
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.loads import LoadReports
@@ -150,15 +151,16 @@
 
     async def run(self) -> None:
         """Look after rooms that open again, and ask for load reports, until cancelled."""
-        while True:
-            await asyncio.sleep(TICK_SECONDS)
-            now = self._clock.monotonic()
-            for cell, dispatcher in list(self._dispatchers.items()):
-                self._replicas.set_cold(cell, dispatcher)
-                self._pump(cell, dispatcher)
-                self._loads.ask(cell, dispatcher)
-                self._shares.tell(cell, dispatcher, now)
-                self._drop_idle(cell, dispatcher, now)
+        await every(TICK_SECONDS, self._tick)
+
+    def _tick(self) -> None:
+        now = self._clock.monotonic()
+        for cell, dispatcher in list(self._dispatchers.items()):
+            self._replicas.set_cold(cell, dispatcher)
+            self._pump(cell, dispatcher)
+            self._loads.ask(cell, dispatcher)
+            self._shares.tell(cell, dispatcher, now)
+            self._drop_idle(cell, dispatcher, now)
 
     def dispatcher(self, pool: str, number: int) -> tuple[Cell, CellDispatcher]:
         """Return a cell and its dispatcher, which is made if there is none yet."""
--- a/railsail/gateway/pace.py
+++ b/railsail/gateway/pace.py
@@ -1,11 +1,11 @@
 """Whether this node keeps up with its callers, and what it tells the others of its speed."""
 
-import asyncio
 import math
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.looplag import LoopLag
+from railsail.core.tasks import every
 from railsail.gateway.admission import Admission
 from railsail.membership.service import Membership
 from railsail.membership.speed import RISE_SECONDS, SAMPLE_SECONDS, UNKNOWN_LEVEL, SpeedMeter
@@ -37,15 +37,16 @@
     async def run(self) -> None:
         """Measure and tell until cancelled."""
         meter = SpeedMeter(self._clock.monotonic)
-        while True:
-            await asyncio.sleep(SAMPLE_SECONDS)
-            meter.sample()
-            self._note_lateness()
-            # Who is late for its callers must not make those of other nodes wait as well.
-            late = self._clock.monotonic() < self._late_until
-            level = UNKNOWN_LEVEL if late else meter.level
-            if level != self._membership.table.own.speed:
-                self._membership.change_own(speed=level)
+        await every(SAMPLE_SECONDS, lambda: self._sample(meter))
+
+    def _sample(self, meter: SpeedMeter) -> None:
+        meter.sample()
+        self._note_lateness()
+        # Who is late for its callers must not make those of other nodes wait as well.
+        late = self._clock.monotonic() < self._late_until
+        level = UNKNOWN_LEVEL if late else meter.level
+        if level != self._membership.table.own.speed:
+            self._membership.change_own(speed=level)
 
     def _note_lateness(self) -> None:
         now = self._clock.monotonic()
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -22,7 +22,7 @@
 from railsail.core.looplag import LoopLag
 from railsail.core.metrics import Metrics
 from railsail.core.registry import load_plugins
-from railsail.core.tasks import keep_running
+from railsail.core.tasks import every, keep_running
 from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.entry import TicketDesk
@@ -412,7 +412,7 @@
         self._listen_to_callers()
         parts = [self.membership, self.watcher, self.dispatchers, self.tree, self.lag, self.pace]
         runs = {type(part).__name__: part.run for part in parts if part is not None}
-        runs["Node"] = self._tick
+        runs["Node"] = self._run_ticks
         self._tasks = [asyncio.ensure_future(keep_running(run, name)) for name, run in runs.items()]
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.watcher.tried.wait(), FIRST_LOOK_SECONDS)
@@ -439,13 +439,14 @@
         self._servers.append(server)
         return sockets[0].getsockname()[1]
 
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_SECONDS)
-            # What can be reached changes without any message; the cells follow twice a second.
-            self.cells.forget()
-            self.desk.replan()
-            self.desk.tick()
+    async def _run_ticks(self) -> None:
+        await every(TICK_SECONDS, self._tick)
+
+    def _tick(self) -> None:
+        # What can be reached changes without any message; the cells follow twice a second.
+        self.cells.forget()
+        self.desk.replan()
+        self.desk.tick()
 
     def not_ready(self) -> list[str]:
         """Return the reasons why the balancer must send no callers here; none if it may."""
--- a/tests/core/test_clock.py
+++ b/tests/core/test_clock.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 import time
 import unittest
 from unittest import mock
@@ -53,5 +54,26 @@
         return time.perf_counter() - begun
 
 
+class ResolverTests(unittest.TestCase):
+    def resolve(self, host: str) -> tuple[list[str], bool]:
+        """Return the IP numbers of ``host``, and whether a thread asked for them."""
+        with asyncio.Runner(loop_factory=SteadyEventLoop) as runner:
+            loop = runner.get_loop()
+            with mock.patch.object(
+                loop, "run_in_executor", side_effect=loop.run_in_executor
+            ) as threads:
+                found = runner.run(loop.getaddrinfo(host, 80, type=socket.SOCK_STREAM))
+        return [address[0] for *_, address in found], threads.called
+
+    def test_ip_number_is_not_asked_for_in_a_thread(self):
+        self.assertEqual(self.resolve("127.0.0.1"), (["127.0.0.1"], False))
+        self.assertEqual(self.resolve("::1"), (["::1"], False))
+
+    def test_name_is(self):
+        numbers, in_thread = self.resolve("localhost")
+        self.assertTrue(in_thread)
+        self.assertTrue({"127.0.0.1", "::1"} & set(numbers))
+
+
 if __name__ == "__main__":
     unittest.main()
