peers: worked out the types of messages once, not at each conversion

Cause: msgspec keeps what it works out of a struct's types, but not of a bare union, so that each message of a peer paid for going over all 28 kinds.

--- a/railsail/peers/codec.py
+++ b/railsail/peers/codec.py
@@ -18,6 +18,15 @@
 TIME_MODULUS = 1 << 16
 
 
+class _Messages(msgspec.Struct, array_like=True):
+    """The messages of a frame.
+
+    ``msgspec`` works out the types of a struct once, and those of a bare union at each conversion.
+    """
+
+    all: list[AnyMessage]
+
+
 def encode_message(message: Message, level: int = NEWEST) -> bytes:
     """Return ``message`` as one CBOR item that peers of ``level`` read."""
     if level < NEWEST:
@@ -55,7 +64,7 @@
 def read_messages(items: list) -> list[AnyMessage]:
     """Return the messages of a frame; raise ``ProtocolError`` if one cannot be read."""
     try:
-        return [msgspec.convert(item, AnyMessage) for item in items[1:]]
+        return msgspec.convert([items[1:]], _Messages).all
     except msgspec.ValidationError as problem:
         raise ProtocolError(f"invalid message: {problem}") from None
 
