core: recorded metrics by the labels as given, and handed them over when read

Cause: the library checks the names of labels by a pattern and renders them as JSON twice for each value that is recorded; a request records about 17. Counters and gauges now keep values by the labels as given until they are read, histograms find the series of labels that they have seen.

--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -1,8 +1,9 @@
 """The metrics of a daemon; ``docs/ref/metrics.md`` says what to do about each."""
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus import Registry
 from aioprometheus.renderer import render
 
+from railsail.core.collectors import Counter, Gauge, Histogram
 from railsail.core.logs import LeftOut
 
 _LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0]
