policy: kept the results of programs that read only fields with few values

Cause: the policy of routes gives the same for all requests of a route, but was run three times for each of them. A program is a function of the fields that it reads; where these are names, classes, flags, the priority or the objective, its last 64 results are kept by them, with their types. Others, such as paths and loads, would only fill the memory.

Failures are not kept.

--- a/railsail/policy/programs.py
+++ b/railsail/policy/programs.py
@@ -5,6 +5,7 @@
 faster than its length.
 """
 
+import functools
 import re
 from dataclasses import dataclass
 from typing import Protocol
@@ -15,6 +16,22 @@
 from railsail.core.checks import Finding, error
 
 LONGEST_WAIT = 86_400.0
+# Results of a program that are kept, of those that read only fields with few values.
+MOST_RESULTS_KEPT = 64
+_FEW_VALUES = frozenset(
+    {
+        ("workspace", "name"),
+        ("workspace", "priority_class"),
+        ("workspace", "weight"),
+        ("request", "pool"),
+        ("request", "kind"),
+        ("request", "stream"),
+        ("request", "has_key"),
+        ("request", "priority"),
+        ("request", "objective"),
+        ("request", "repeatable"),
+    }
+)
 
 _COLUMN = re.compile(r"<input>:(\d+):(\d+): (?:Syntax error: )?([^\n]*)")
 _MACRO = re.compile(r"\.\s*(all|exists|exists_one|map|filter)\s*\(")
@@ -134,17 +151,22 @@
 
     def __init__(self, source: str) -> None:
         self._program = cel.compile(source)
-        self._reads = {name: _fields_read(source, name) for name in Inputs.__struct_fields__}
+        read = {name: _fields_read(source, name) for name in Inputs.__struct_fields__}
+        self._reads = [(name, field) for name, fields in read.items() for field in fields]
+        self._run = self._run_now
+        if _FEW_VALUES.issuperset(self._reads):
+            # What a program gives depends on nothing else.
+            self._run = functools.lru_cache(MOST_RESULTS_KEPT, typed=True)(self._run_now)
 
     def execute(self, inputs: Inputs) -> object:
-        """Return the result for ``inputs``; raise one of ``_RUN_TIME_ERRORS``.
-
-        The library copies all that it is given, which takes far longer than a run of the program.
-        """
-        context = {}
-        for name, fields in self._reads.items():
-            given = getattr(inputs, name)
-            context[name] = {field: getattr(given, field) for field in fields}
+        """Return the result for ``inputs``; raise one of ``_RUN_TIME_ERRORS``."""
+        return self._run(*[getattr(getattr(inputs, name), field) for name, field in self._reads])
+
+    def _run_now(self, *values: object) -> object:
+        # The library copies all that it is given, which takes far longer than a run of the program.
+        context: dict[str, dict[str, object]] = {name: {} for name in Inputs.__struct_fields__}
+        for (name, field), value in zip(self._reads, values, strict=True):
+            context[name][field] = value
         return self._program.execute(context)
 
 
--- a/tests/policy/test_programs.py
+++ b/tests/policy/test_programs.py
@@ -71,6 +71,21 @@
                     self.assertEqual((verdict.rank, verdict.failed), (0.0, ("rank",)))
                 self.assertEqual((verdict.may_wait, verdict.never_repeat), (0.25, False))
 
+    def test_result_follows_the_inputs(self):
+        policy = CompiledPolicy(Source("request.priority * 2"))
+        for priority in (1, 2, 1, 2):
+            request = msgspec.structs.replace(INPUTS.request, priority=priority)
+            inputs = msgspec.structs.replace(INPUTS, request=request)
+            self.assertEqual(policy.judge(inputs).rank, 2.0 * priority)
+
+    def test_failure_is_told_each_time(self):
+        policy = CompiledPolicy(Source("1 / request.priority"))
+        request = msgspec.structs.replace(INPUTS.request, priority=0)
+        inputs = msgspec.structs.replace(INPUTS, request=request)
+        for _ in range(2):
+            self.assertEqual(policy.judge(inputs).failed, ("rank",))
+        self.assertEqual(policy.judge(INPUTS).failed, ())
+
     def test_most_of_them_give_a_number(self):
         given = [source for source in PROGRAMS if on_all_inputs(source) is not None]
         self.assertGreaterEqual(len(given), 15)
