core: kept the logger of the process

Cause: each line asked structlog for a logger, which put its processors together anew though it is told to do so once: that holds for a logger that is kept. It is forgotten when logs are configured.

--- a/railsail/core/logs.py
+++ b/railsail/core/logs.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import functools
 import io
 import logging
 import os
@@ -141,9 +142,12 @@
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(node=node)
+    # A logger that was used keeps what was configured then.
+    get_logger.cache_clear()
     return left_out
 
 
+@functools.cache
 def get_logger() -> structlog.stdlib.BoundLogger:
     """Return the logger of this process."""
     return structlog.get_logger()
