conf: kept the endpoints that were parsed

Cause: the endpoint of a replica was parsed again for each request to it, and that of a peer for each dial. The last 4,096 are kept.

Processor time of an endpoint (3,000): 13.7 microseconds before; a look into a dictionary after.

--- a/railsail/conf/values.py
+++ b/railsail/conf/values.py
@@ -1,5 +1,6 @@
 """Converters from the text of a setting to its value."""
 
+import functools
 import ipaddress
 import re
 from dataclasses import dataclass
@@ -7,6 +8,8 @@
 
 _NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 _SHORTEST_SECRET = 16
+# A node calls the same replicas and peers again and again.
+MOST_ENDPOINTS_KEPT = 4096
 
 
 @dataclass(frozen=True)
@@ -199,6 +202,7 @@
         return tuple(parse_endpoint(word) for word in words)
 
 
+@functools.lru_cache(MOST_ENDPOINTS_KEPT)
 def parse_endpoint(text: str) -> Endpoint:
     """Return the endpoint of ``ip:port`` or ``[ip]:port``; raise ``ValueError`` otherwise."""
     host, separator, port = text.rpartition(":")
