--- a/railsail/admin/app.py
+++ b/railsail/admin/app.py
@@ -60,8 +60,7 @@
         return body
 
     def reply_findings(self, findings: list[Finding]) -> None:
-        items = [vars(finding) for finding in findings]
-        self.reply({"findings": items}, 422)
+        self.reply({"findings": findings}, 422)
 
 
 class _Live(_Handler):
--- a/railsail/conf/values.py
+++ b/railsail/conf/values.py
@@ -3,17 +3,17 @@
 import functools
 import ipaddress
 import re
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 _NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 _SHORTEST_SECRET = 16
 # A node calls the same replicas and peers again and again.
 MOST_ENDPOINTS_KEPT = 4096
 
 
-@dataclass(frozen=True)
-class Endpoint:
+class Endpoint(msgspec.Struct, frozen=True):
     """A TCP endpoint by IP number."""
 
     ip: str
--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -10,7 +10,6 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -50,8 +49,7 @@
 Listener = Callable[[Catalog], None]
 
 
-@dataclass(frozen=True)
-class Held:
+class Held(msgspec.Struct, frozen=True):
     """Which configuration is in force here, and how well it is known to be the newest.
 
     ``source`` is the peer that told it, or the store; ``proof_age`` is for how many seconds at most
--- a/railsail/configuration/changes.py
+++ b/railsail/configuration/changes.py
@@ -1,7 +1,6 @@
 """The change: what is committed as one, and carried to every daemon."""
 
 import json
-from dataclasses import dataclass
 
 import msgspec
 
@@ -53,8 +52,7 @@
         self.other = other
 
 
-@dataclass(frozen=True)
-class Proposal:
+class Proposal(msgspec.Struct, frozen=True):
     """A change that an operator asks for; ``base`` is the version that the operator had seen."""
 
     id: str
--- a/railsail/configuration/repository.py
+++ b/railsail/configuration/repository.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import random
-from dataclasses import dataclass
 
 import msgspec
 
@@ -48,8 +47,7 @@
     objects: tuple[dict[str, object], ...] | None = None
 
 
-@dataclass(frozen=True)
-class Committed:
+class Committed(msgspec.Struct, frozen=True):
     """The configuration as the store has it; ``stored_version`` is the store's, of the head."""
 
     stored_version: int
--- a/railsail/core/checks/messages.py
+++ b/railsail/core/checks/messages.py
@@ -2,7 +2,8 @@
 
 import enum
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 
 class Level(enum.StrEnum):
@@ -12,8 +13,7 @@
     WARNING = "warning"
 
 
-@dataclass(frozen=True)
-class Finding:
+class Finding(msgspec.Struct, frozen=True):
     """One fault with its place.
 
     ``id`` is stable (``railsail.E001``) and documented in ``docs/ref/checks.md``. ``place`` names
--- a/railsail/core/kernel.py
+++ b/railsail/core/kernel.py
@@ -1,7 +1,8 @@
 """What every part of a daemon shares."""
 
 import random
-from dataclasses import dataclass, field
+
+import msgspec
 
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog
@@ -9,12 +10,11 @@
 from railsail.core.pauses import Pauses
 
 
-@dataclass(frozen=True)
-class Kernel:
+class Kernel(msgspec.Struct, frozen=True):
     """The clock, the seeded generator, the time line, the metrics and the pauses of one daemon."""
 
     clock: Clock
     rng: random.Random
     events: EventLog
     metrics: Metrics
-    pauses: Pauses = field(default_factory=Pauses)
+    pauses: Pauses = msgspec.field(default_factory=Pauses)
--- a/railsail/dispatch/replicas.py
+++ b/railsail/dispatch/replicas.py
@@ -1,7 +1,8 @@
 """Tell the dispatcher of a cell which replicas there are, and what is known of each."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from railsail.core.clock import Clock
 from railsail.dispatch.cellmap import CellMap
@@ -14,8 +15,7 @@
 from railsail.upstreams.records import Upstream
 
 
-@dataclass(frozen=True)
-class FleetBounds:
+class FleetBounds(msgspec.Struct, frozen=True):
     """What holds for the whole fleet, beyond what single replicas say.
 
     All nodes together may send a cold replica ``cold_over`` times as many calls as it bears, and
@@ -26,7 +26,7 @@
     cold_over: float = 1.0
     cold_slack: float = 0.0
     share: Callable[[], float] = lambda: 1.0
-    domain_regions: Mapping[str, str] = field(default_factory=dict)
+    domain_regions: Mapping[str, str] = msgspec.field(default_factory=dict)
 
     def of_cold(self, pool: Pool) -> WarmupBound:
         """Return what cold replicas of ``pool`` may be sent."""
--- a/railsail/gateway/answers.py
+++ b/railsail/gateway/answers.py
@@ -9,7 +9,8 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from railsail.core.tasks import TaskSet
 from railsail.peers.hub import PeerHub
@@ -21,8 +22,7 @@
 LINK_PAUSE_SECONDS = 0.1
 
 
-@dataclass(frozen=True)
-class KeptAnswer:
+class KeptAnswer(msgspec.Struct, frozen=True):
     """A whole answer; ``request`` is the id of the request that it was given to."""
 
     status: int
--- a/railsail/gateway/requests.py
+++ b/railsail/gateway/requests.py
@@ -4,7 +4,8 @@
 import re
 import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from railsail.core.outcomes import NotRun, Reason
 
@@ -27,8 +28,7 @@
         self.outcome = NotRun(Reason.BAD_REQUEST, detail)
 
 
-@dataclass(frozen=True)
-class CallerRequest:
+class CallerRequest(msgspec.Struct, frozen=True):
     """One checked request.
 
     ``path`` and ``body`` are what the upstream is sent. ``deadline`` is in seconds from the start,
--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -1,7 +1,8 @@
 """Serve one request: admit, judge, claim, and bring it to a replica."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from railsail.core.events import Kind
 from railsail.core.fingerprints import fingerprint_name, request_fingerprint
@@ -23,15 +24,13 @@
 CLAIM_SECONDS = 15.0
 
 
-@dataclass(frozen=True)
-class Replay:
+class Replay(msgspec.Struct, frozen=True):
     """The answer that an earlier try of the same key was given."""
 
     answer: KeptAnswer
 
 
-@dataclass(frozen=True)
-class Conflict:
+class Conflict(msgspec.Struct, frozen=True):
     """The key was claimed by an earlier try; ``detail`` says why there is no answer of it."""
 
     detail: str
--- a/railsail/objects/catalog.py
+++ b/railsail/objects/catalog.py
@@ -4,7 +4,8 @@
 
 import hashlib
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from railsail.core.checks import Finding, error
 from railsail.objects.kinds import Policy, Pool, PriorityClass, Resource, Route, Workspace
@@ -12,20 +13,18 @@
 Key = tuple[str, str]
 
 
-@dataclass(frozen=True)
-class Operation:
+class Operation(msgspec.Struct, frozen=True):
     """One part of a change: put ``resource`` at ``key``, or delete the object if it is ``None``."""
 
     key: Key
     resource: Resource | None
 
 
-@dataclass(frozen=True)
-class Catalog:
+class Catalog(msgspec.Struct, frozen=True):
     """All objects at one ``version``; versions only rise."""
 
     version: int = 0
-    resources: Mapping[Key, Resource] = field(default_factory=dict)
+    resources: Mapping[Key, Resource] = msgspec.field(default_factory=dict)
 
     def changed(self, version: int, operations: Iterable[Operation]) -> Catalog:
         """Return the catalog at ``version``, with ``operations`` applied in order."""
--- a/railsail/objects/parse.py
+++ b/railsail/objects/parse.py
@@ -3,7 +3,6 @@
 import functools
 import typing
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 import msgspec
 
@@ -30,8 +29,7 @@
     return _parse_fields(KINDS[kind], raw, label, findings)
 
 
-@dataclass(frozen=True)
-class _Field:
+class _Field(msgspec.Struct, frozen=True):
     """A field of a kind; ``hint`` is its type with its bounds."""
 
     name: str
--- a/railsail/peers/link.py
+++ b/railsail/peers/link.py
@@ -4,9 +4,9 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
 from websockets.exceptions import ConnectionClosed
 
 from railsail.core.events import EventLog
@@ -50,8 +50,7 @@
         """Close the connection."""
 
 
-@dataclass(frozen=True)
-class Identity:
+class Identity(msgspec.Struct, frozen=True):
     """Who one side of a link is."""
 
     node: str
--- a/railsail/policy/programs.py
+++ b/railsail/policy/programs.py
@@ -7,7 +7,6 @@
 
 import functools
 import re
-from dataclasses import dataclass
 from typing import Protocol
 
 import cel
@@ -83,8 +82,7 @@
     load: LoadInput = LoadInput()
 
 
-@dataclass(frozen=True)
-class Verdict:
+class Verdict(msgspec.Struct, frozen=True):
     """What a policy says of one request; ``failed`` names the programs that went wrong."""
 
     rank: float
--- a/railsail/quarantine/ledger.py
+++ b/railsail/quarantine/ledger.py
@@ -8,7 +8,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -53,8 +52,7 @@
     ends: list[StoredEnd] = []
 
 
-@dataclass(frozen=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True):
     """That a replica ended while it ran ``request``, and whether that one is cleared of it."""
 
     replica: str
--- a/railsail/quarantine/table.py
+++ b/railsail/quarantine/table.py
@@ -19,6 +19,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, replace
 
+import msgspec
+
 # A request is held back once so many replicas have ended under it. After two it may be chance: of
 # requests that were cut off twice in a pool whose replicas crash at random, some are served by
 # their third attempt.
@@ -79,8 +81,7 @@
         return replace(self, requests=requests, cleared=self.cleared | other.cleared)
 
 
-@dataclass(frozen=True)
-class Standing:
+class Standing(msgspec.Struct, frozen=True):
     """What is known of one request: the replicas that ended under it, and until when it is held.
 
     ``held_until`` is in seconds of this node's clock, 0 where it is not held.
--- a/railsail/routing/budget.py
+++ b/railsail/routing/budget.py
@@ -9,7 +9,8 @@
 """
 
 from collections import deque
-from dataclasses import dataclass
+
+import msgspec
 
 # Arrivals at replicas are counted there, a little later than they are counted here.
 WINDOW_MARGIN = 1.1
@@ -17,8 +18,7 @@
 SHARE_MARGIN = 0.8
 
 
-@dataclass(frozen=True)
-class RetryBounds:
+class RetryBounds(msgspec.Struct, frozen=True):
     """Repeats allowed in ``window`` seconds: ``ratio`` for each request, and ``slack``."""
 
     ratio: float
--- a/railsail/routing/forwarding.py
+++ b/railsail/routing/forwarding.py
@@ -10,8 +10,8 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
+import msgspec
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPHeaders,
@@ -42,8 +42,7 @@
 MOST_STATUS_LINE_BYTES = 1024
 
 
-@dataclass(frozen=True)
-class Forwarded:
+class Forwarded(msgspec.Struct, frozen=True):
     """A request as it is handed on: its first line, headers and body.
 
     ``ends_at`` is when its final answer is due, in seconds of the monotonic clock.
--- a/railsail/routing/messages.py
+++ b/railsail/routing/messages.py
@@ -1,23 +1,21 @@
 """What the parts of the routed path tell each other of requests and answers."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
+import msgspec
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 EVENT_STREAM = "text/event-stream"
 
 
-@dataclass(frozen=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt; parts with the same ``digest`` are the same tokens."""
 
     digest: int
     tokens: int
 
 
-@dataclass(frozen=True)
-class Prompt:
+class Prompt(msgspec.Struct, frozen=True):
     """What a request tells of the tokens that it needs.
 
     ``tokens`` are those of the prompt, ``most_output`` bounds those to be made and
@@ -43,8 +41,7 @@
         return sum(part.tokens for part in self.parts[:-1])
 
 
-@dataclass(frozen=True)
-class RoutedRequest:
+class RoutedRequest(msgspec.Struct, frozen=True):
     """One request as it came, read but not changed.
 
     ``target`` is path and query as sent, ``path`` the path alone. ``headers`` are those that are
@@ -66,8 +63,7 @@
     prompt: Prompt = Prompt()
 
 
-@dataclass(frozen=True)
-class Arrival:
+class Arrival(msgspec.Struct, frozen=True):
     """A request as it came; ``at`` is when, in seconds of the monotonic clock."""
 
     line: RequestStartLine
@@ -81,8 +77,7 @@
         return self.line.path.partition("?")[0]
 
 
-@dataclass(frozen=True)
-class Origin:
+class Origin(msgspec.Struct, frozen=True):
     """What tells who sent a request, and to which route.
 
     ``key`` is the caller's bearer key, empty for none. ``deadline`` is in seconds from the
@@ -95,8 +90,7 @@
     deadline: float
 
 
-@dataclass(frozen=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True):
     """What is added to a request when it is sent to ``replica``.
 
     ``workspace`` is empty for requests that belong to none; ``seconds`` are left to answer it.
@@ -108,8 +102,7 @@
     last_event: str = ""
 
 
-@dataclass(frozen=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct, frozen=True):
     """Status and headers of a replica's answer.
 
     ``headers`` are those that are passed on. ``not_run`` says that the replica did not run the
--- a/railsail/routing/relief.py
+++ b/railsail/routing/relief.py
@@ -7,7 +7,8 @@
 
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from railsail.core.fingerprints import request_fingerprint
 from railsail.core.kernel import Kernel
@@ -26,8 +27,7 @@
 from railsail.scheduling.returning import RefusedCallers
 
 
-@dataclass(frozen=True)
-class _Case:
+class _Case(msgspec.Struct, frozen=True):
     """A request that came to a full node, as far as it was read, and its caller."""
 
     arrival: Arrival
--- a/railsail/scheduling/decisions.py
+++ b/railsail/scheduling/decisions.py
@@ -2,12 +2,13 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from railsail.core.outcomes import Reason
 from railsail.scheduling.tickets import Ticket
 
 
-@dataclass(frozen=True)
-class Grant:
+class Grant(msgspec.Struct, frozen=True):
     """Tell the entry to call ``replica``; ``counter`` is the workspace's, after the charge."""
 
     ticket: Ticket
@@ -15,8 +16,7 @@
     counter: float
 
 
-@dataclass(frozen=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """Tell ``ticket``'s entry that the request cannot be served now.
 
     ``come_back`` is the time in seconds after which its caller should, 0 where it is not known.
@@ -27,8 +27,7 @@
     come_back: float = 0.0
 
 
-@dataclass(frozen=True)
-class Hold:
+class Hold(msgspec.Struct, frozen=True):
     """Tell ``ticket``'s entry that its caller was refused before, and what it may wait now."""
 
     ticket: Ticket
--- a/railsail/scheduling/health.py
+++ b/railsail/scheduling/health.py
@@ -7,7 +7,8 @@
 """
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason
 
@@ -57,8 +58,7 @@
 }
 
 
-@dataclass(frozen=True)
-class Peers:
+class Peers(msgspec.Struct, frozen=True):
     """How the other replicas of a cell do.
 
     ``error_share`` is the mean of theirs; ``may_close`` says that enough of them are open.
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -6,7 +6,8 @@
 """
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass
+
+import msgspec
 
 from railsail.scheduling.health import CallResult, Peers, ReplicaHealth
 from railsail.scheduling.tickets import Ticket, TicketKey
@@ -57,8 +58,7 @@
 SILENT_SECONDS = 0.8
 
 
-@dataclass(frozen=True)
-class Unread:
+class Unread(msgspec.Struct, frozen=True):
     """A call whose answer has not begun: its prompt tokens, and those read before it and with it.
 
     ``since`` is in seconds of the dispatcher's clock.
@@ -69,8 +69,7 @@
     since: float
 
 
-@dataclass(frozen=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True):
     """What a replica says of itself.
 
     ``slots`` is how many calls it works on at once, ``running`` and ``waiting`` are the calls it
--- a/railsail/scheduling/usage.py
+++ b/railsail/scheduling/usage.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 # The level of shares is computed anew after so many seconds: it changes by a few hundredths of the
 # window in that time, and to compute it for each ticket takes 30 microseconds of 30 workspaces.
 LEVEL_SECONDS = 0.05
@@ -28,8 +30,7 @@
     served: Counter[str] = field(default_factory=Counter)
 
 
-@dataclass(frozen=True)
-class Share:
+class Share(msgspec.Struct, frozen=True):
     """What a workspace asked for in the window, and what it was served, in cost units."""
 
     workspace: str
--- a/railsail/scheduling/warmup.py
+++ b/railsail/scheduling/warmup.py
@@ -11,7 +11,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 # Dispatchers that may serve one cell at the same time while one takes over from another.
 DISPATCHERS_AT_ONCE = 2
@@ -23,8 +24,7 @@
 LATE_SECONDS = 0.01
 
 
-@dataclass(frozen=True)
-class WarmupBound:
+class WarmupBound(msgspec.Struct, frozen=True):
     """What a cold replica bears.
 
     ``per_second`` are the calls that it bears in a second, 0 where any number. All nodes together
--- a/railsail/store/claims.py
+++ b/railsail/store/claims.py
@@ -12,6 +12,8 @@
 import random
 from dataclasses import dataclass, field
 
+import msgspec
+
 from railsail.core.clock import Clock
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
 from railsail.store.base import Store
@@ -57,8 +59,7 @@
         return (self.node, self.start_id, self.attempt)
 
 
-@dataclass(frozen=True)
-class ClaimAnswer:
+class ClaimAnswer(msgspec.Struct, frozen=True):
     """The result of a claim, and the claim that stands."""
 
     result: ClaimResult
--- a/railsail/store/freshness.py
+++ b/railsail/store/freshness.py
@@ -6,11 +6,11 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
+import msgspec
 
-@dataclass(frozen=True)
-class Proof:
+
+class Proof(msgspec.Struct, frozen=True):
     """That all changes of ``kind`` up to the store's ``version`` are held.
 
     That version was the store's newest one at ``at``, in seconds of the monotonic clock.
--- a/railsail/upstreams/base.py
+++ b/railsail/upstreams/base.py
@@ -1,17 +1,17 @@
 """The typed interface to upstreams; each kind is a plug-in in its own module."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from railsail.core.outcomes import Outcome
 from railsail.objects.kinds import CostUnit
 from railsail.scheduling.room import LoadReport
 from railsail.upstreams.http import HeadListener, ignore_head
 
 
-@dataclass(frozen=True)
-class UpstreamCall:
+class UpstreamCall(msgspec.Struct, frozen=True):
     """One call to one replica.
 
     ``endpoint`` is ``ip:port``. ``priority`` is passed to kinds that honour one, lower first.
--- a/railsail/upstreams/evacuations.py
+++ b/railsail/upstreams/evacuations.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from railsail.core.events import EventLog, Kind
 from railsail.peers.records import DomainRecord
@@ -15,8 +16,7 @@
 KIND = "evacuation"
 
 
-@dataclass(frozen=True)
-class Evacuation:
+class Evacuation(msgspec.Struct, frozen=True):
     """Whether ``domain`` is evacuated, as the store had it at ``version``."""
 
     domain: str
--- a/railsail/upstreams/signs.py
+++ b/railsail/upstreams/signs.py
@@ -5,8 +5,8 @@
 """
 
 import enum
-from dataclasses import dataclass
 
+import msgspec
 from tornado.httputil import HTTPHeaders
 
 from railsail.core.retryafter import rest_seconds
@@ -26,8 +26,7 @@
     PEER = "peer"
 
 
-@dataclass(frozen=True)
-class AnswerSigns:
+class AnswerSigns(msgspec.Struct, frozen=True):
     """What one answer says of its replica.
 
     ``leaving`` says that it is to get no new work. It wants nothing from this node for ``rest``
--- a/railsail/upstreams/sse.py
+++ b/railsail/upstreams/sse.py
@@ -1,7 +1,5 @@
 """Events of a server-sent event stream, as engines send them."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 MOST_EVENT_BYTES = 1 << 20
@@ -28,8 +26,7 @@
     """The stream is not what an engine sends."""
 
 
-@dataclass(frozen=True)
-class StreamEvent:
+class StreamEvent(msgspec.Struct, frozen=True):
     """One event: its bytes as received, its number in the stream, and its data."""
 
     raw: bytes
