core: called what runs in steady periods with the samples of the loop's lag

Cause: a wake-up costs an idle daemon more than most of what is done then. The loop's lag is sampled twenty times a second; the sampling of the speed, the ticks of the dispatchers and those of the node woke it up another 12 times. They are now called with the nearest sample, by the clock, so that a late loop does not make their periods longer than they were. One that fails ends alone and runs again, as before.

The test of the pace calls its step once where it waited for a timer; new tests hold the periods, what a late loop does, and that a failure ends one call alone.

--- a/railsail/core/looplag.py
+++ b/railsail/core/looplag.py
@@ -25,6 +25,26 @@
 BUSY_SECONDS = 0.012
 
 
+class PeriodicCall:
+    """Call ``do`` every so many ``seconds`` until it fails; times are in seconds of one clock."""
+
+    def __init__(self, seconds: float, do: Callable[[], None], now: float) -> None:
+        self.failed = asyncio.get_running_loop().create_future()
+        self._seconds = seconds
+        self._do = do
+        self._due = now + seconds
+
+    def run_if_due(self, now: float) -> None:
+        """Call it if it is due nearer to ``now`` than to the next sample."""
+        if self.failed.done() or now < self._due - STEP_SECONDS / 2:
+            return
+        self._due = now + self._seconds
+        try:
+            self._do()
+        except Exception as problem:
+            self.failed.set_exception(problem)
+
+
 class LoopLag:
     """Follow the lag of the loop; ``clock`` tells seconds, ``pauses`` is told of long ones."""
 
@@ -34,6 +54,7 @@
         self._samples: deque[float] = deque([0.0] * SAMPLES, maxlen=SAMPLES)
         self._late_since = math.inf
         self._listeners: list[Callable[[], None]] = []
+        self._parts: list[PeriodicCall] = []
 
     def on_sample(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each sample."""
@@ -70,6 +91,19 @@
         for listener in self._listeners:
             listener()
 
+    async def every(self, seconds: float, do: Callable[[], None]) -> None:
+        """Call ``do`` about every ``seconds`` until cancelled, or until it fails.
+
+        It is called with the nearest sample: to wake up once more would cost an idle daemon more
+        than most of what is done then.
+        """
+        part = PeriodicCall(seconds, do, self._clock())
+        self._parts.append(part)
+        try:
+            await part.failed
+        finally:
+            self._parts.remove(part)
+
     async def run(self) -> None:
         """Take samples until cancelled."""
         loop = asyncio.get_running_loop()
@@ -91,6 +125,9 @@
             except Exception as problem:
                 failed.set_exception(problem)
                 return
+            now = self._clock()
+            for part in self._parts:
+                part.run_if_due(now)
             wait()
 
         timer: asyncio.TimerHandle
--- a/railsail/core/tasks.py
+++ b/railsail/core/tasks.py
@@ -24,31 +24,6 @@
             await asyncio.sleep(RESTART_SECONDS)
 
 
-async def every(seconds: float, do: Callable[[], None]) -> None:
-    """Call ``do`` ``seconds`` from now, and so long after each call, until cancelled or it fails.
-
-    A timer of the loop calls it, which takes one turn of the loop where a task that sleeps takes
-    two: an idle daemon does little else.
-    """
-    loop = asyncio.get_running_loop()
-    failed = loop.create_future()
-
-    def call() -> None:
-        nonlocal timer
-        try:
-            do()
-        except Exception as problem:
-            failed.set_exception(problem)
-            return
-        timer = loop.call_later(seconds, call)
-
-    timer = loop.call_later(seconds, call)
-    try:
-        await failed
-    finally:
-        timer.cancel()
-
-
 class TaskSet:
     """Hold the tasks that one part has started, until they end."""
 
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -10,7 +10,6 @@
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Reason
-from railsail.core.tasks import every
 from railsail.dispatch.bookings import ticket_name, to_place, to_ticket
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.loads import LoadReports
@@ -149,11 +148,8 @@
                 virtual_time = round(dispatcher.queue.virtual_time)
                 self._hub.send(node, HandedOver(cell.pool, cell.number, records, virtual_time))
 
-    async def run(self) -> None:
-        """Look after rooms that open again, and ask for load reports, until cancelled."""
-        await every(TICK_SECONDS, self._tick)
-
-    def _tick(self) -> None:
+    def tick(self) -> None:
+        """Look after rooms that open again, and ask for load reports."""
         now = self._clock.monotonic()
         for cell, dispatcher in list(self._dispatchers.items()):
             self._replicas.set_cold(cell, dispatcher)
--- a/railsail/gateway/pace.py
+++ b/railsail/gateway/pace.py
@@ -5,7 +5,6 @@
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.looplag import LoopLag
-from railsail.core.tasks import every
 from railsail.gateway.admission import Admission
 from railsail.membership.service import Membership
 from railsail.membership.speed import RISE_SECONDS, SAMPLE_SECONDS, UNKNOWN_LEVEL, SpeedMeter
@@ -37,7 +36,7 @@
     async def run(self) -> None:
         """Measure and tell until cancelled."""
         meter = SpeedMeter(self._clock.monotonic)
-        await every(SAMPLE_SECONDS, lambda: self._sample(meter))
+        await self._lag.every(SAMPLE_SECONDS, lambda: self._sample(meter))
 
     def _sample(self, meter: SpeedMeter) -> None:
         meter.sample()
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -22,7 +22,7 @@
 from railsail.core.looplag import LoopLag
 from railsail.core.metrics import Metrics
 from railsail.core.registry import load_plugins
-from railsail.core.tasks import every, keep_running
+from railsail.core.tasks import keep_running
 from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.entry import TicketDesk
@@ -30,6 +30,7 @@
 from railsail.dispatch.gate import SendGate
 from railsail.dispatch.loads import LoadReports
 from railsail.dispatch.replicas import CellReplicas, FleetBounds
+from railsail.dispatch.service import TICK_SECONDS as DISPATCH_SECONDS
 from railsail.dispatch.service import DispatcherService
 from railsail.dispatch.tree import ServiceTree
 from railsail.gateway.admission import Admission
@@ -410,8 +411,9 @@
         await self.hub.start()
         self._listen(self.settings.admin_port, admin_app.application(self))
         self._listen_to_callers()
-        parts = [self.membership, self.watcher, self.dispatchers, self.tree, self.lag, self.pace]
+        parts = [self.membership, self.watcher, self.tree, self.lag, self.pace]
         runs = {type(part).__name__: part.run for part in parts if part is not None}
+        runs["DispatcherService"] = self._run_dispatchers
         runs["Node"] = self._run_ticks
         self._tasks = [asyncio.ensure_future(keep_running(run, name)) for name, run in runs.items()]
         with contextlib.suppress(TimeoutError):
@@ -439,8 +441,11 @@
         self._servers.append(server)
         return sockets[0].getsockname()[1]
 
+    async def _run_dispatchers(self) -> None:
+        await self.lag.every(DISPATCH_SECONDS, self.dispatchers.tick)
+
     async def _run_ticks(self) -> None:
-        await every(TICK_SECONDS, self._tick)
+        await self.lag.every(TICK_SECONDS, self._tick)
 
     def _tick(self) -> None:
         # What can be reached changes without any message; the cells follow twice a second.
--- a/tests/core/test_looplag.py
+++ b/tests/core/test_looplag.py
@@ -1,10 +1,19 @@
 """How the lag of the event loop is told from its samples."""
 
 import asyncio
+import itertools
 import time
 import unittest
+from unittest import mock
 
-from railsail.core.looplag import BUSY_SECONDS, LATE_SECONDS, SAMPLES, STEP_SECONDS, LoopLag
+from railsail.core.looplag import (
+    BUSY_SECONDS,
+    LATE_SECONDS,
+    SAMPLES,
+    STEP_SECONDS,
+    LoopLag,
+    PeriodicCall,
+)
 
 MORE = LATE_SECONDS * 2
 
@@ -91,5 +100,54 @@
             await asyncio.wait_for(self.lag.run(), 10.0)
 
 
+class EveryTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.lag = LoopLag(time.monotonic)
+        self.called_at: list[float] = []
+        self.third = asyncio.Event()
+        running = asyncio.ensure_future(self.lag.run())
+        self.addCleanup(running.cancel)
+
+    def note(self) -> None:
+        self.called_at.append(time.monotonic())
+        if len(self.called_at) == 3:
+            self.third.set()
+
+    async def test_calls_about_every_so_many_seconds_until_cancelled(self):
+        seconds = 3 * STEP_SECONDS
+        begun = time.monotonic()
+        task = asyncio.ensure_future(self.lag.every(seconds, self.note))
+        await asyncio.wait_for(self.third.wait(), 10.0)
+        times = [begun, *self.called_at]
+        for before, after in itertools.pairwise(times):
+            self.assertGreater(after - before, seconds - STEP_SECONDS)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(2 * seconds)
+        self.assertEqual(len(self.called_at), 3)
+
+    async def test_failure_of_one_ends_it_alone_and_is_told(self):
+        do = mock.Mock(side_effect=LookupError)
+        other = asyncio.ensure_future(self.lag.every(STEP_SECONDS, self.note))
+        self.addCleanup(other.cancel)
+        with self.assertRaises(LookupError):
+            await asyncio.wait_for(self.lag.every(STEP_SECONDS, do), 10.0)
+        await asyncio.wait_for(self.third.wait(), 10.0)
+        do.assert_called_once()
+
+
+class PeriodicCallTests(unittest.IsolatedAsyncioTestCase):
+    async def test_is_made_at_the_nearest_sample_and_once_for_all_that_was_due(self):
+        do = mock.Mock()
+        call = PeriodicCall(3 * STEP_SECONDS, do, 100.0)
+        made = []
+        for steps in (1.0, 2.1, 2.6, 4.0, 5.0, 5.7, 20.0, 21.0, 22.0, 23.0):
+            before = do.call_count
+            call.run_if_due(100.0 + steps * STEP_SECONDS)
+            made.append(do.call_count - before)
+        self.assertEqual(made, [0, 0, 1, 0, 0, 1, 1, 0, 0, 1])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/core/test_tasks.py
+++ b/tests/core/test_tasks.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from railsail.core import tasks
-from railsail.core.tasks import every, keep_running
+from railsail.core.tasks import keep_running
 
 
 class KeepRunningTests(unittest.IsolatedAsyncioTestCase):
@@ -36,33 +36,5 @@
             await task
 
 
-class EveryTests(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        self.calls = 0
-        self.third = asyncio.Event()
-
-    def count(self) -> None:
-        self.calls += 1
-        if self.calls == 3:
-            self.third.set()
-
-    async def test_calls_until_cancelled(self):
-        task = asyncio.ensure_future(every(0.001, self.count))
-        await asyncio.wait_for(self.third.wait(), 10.0)
-        task.cancel()
-        with self.assertRaises(asyncio.CancelledError):
-            await task
-        calls = self.calls
-        await asyncio.sleep(0.02)
-        self.assertEqual(self.calls, calls)
-
-    async def test_failure_ends_it_and_is_told(self):
-        do = mock.Mock(side_effect=LookupError)
-        with self.assertRaises(LookupError):
-            await asyncio.wait_for(every(0.001, do), 10.0)
-        await asyncio.sleep(0.02)
-        do.assert_called_once()
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_pace.py
+++ b/tests/gateway/test_pace.py
@@ -1,8 +1,8 @@
 """What a node tells of its speed while it is late for its callers."""
 
-import asyncio
 import random
 import unittest
+from collections.abc import Callable
 
 from railsail.core.clock import ManualClock
 from railsail.core.events import EventLog
@@ -50,11 +50,14 @@
         self.clock.advance(seconds)
 
     async def told_after_a_step(self) -> list[int]:
-        task = asyncio.ensure_future(self.pace.run())
-        await asyncio.sleep(SAMPLE_SECONDS * 1.5)
-        task.cancel()
+        self.lag.every = self.call_once
+        await self.pace.run()
         return self.membership.told
 
+    async def call_once(self, seconds: float, do: Callable[[], None]) -> None:
+        self.assertEqual(seconds, SAMPLE_SECONDS)
+        do()
+
     def test_short_lateness_counts_for_nothing(self):
         self.hold(LEAST_CROWD)
         self.be_late(LATE_FOR_SECONDS / 2)
