--- a/railsail/core/lean.py
+++ b/railsail/core/lean.py
@@ -3,8 +3,8 @@
 The CEL binding imports its own command-line tool, structlog's console renderer imports ``rich``
 where it finds it, websockets and tornado import the standard library's readers of packages, its
 process pools and its terminal control. Nothing of these is called here. Together they would take
-about 12 MB of the 64 MB that a daemon may have, and a quarter of the processor time of its start
-(Python 3.11, common-expression-language 0.10, structlog 26.1, websockets 17.4, tornado 6.6).
+about 12 MB of the 64 MB that a daemon may have (Python 3.11, common-expression-language 0.10,
+structlog 26.1, websockets 17.4, tornado 6.6).
 """
 
 import contextlib
@@ -23,8 +23,8 @@
 def lean_imports() -> Iterator[None]:
     """Make those parts empty or absent while the libraries are imported.
 
-    Nothing that an import makes is garbage, so that none is looked for in the meantime, nor in what
-    was imported later on.
+    Next to nothing that an import makes is garbage, so that none is looked for in the meantime, nor
+    later on in what was imported.
     """
     replaced = [name for name in (*_EMPTY_MODULES, *_ABSENT_MODULES) if name not in sys.modules]
     for name in replaced:
