--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -157,17 +157,15 @@
                 virtual_time = round(dispatcher.queue.virtual_time)
                 self._hub.send(node, HandedOver(cell.pool, cell.number, records, virtual_time))
 
-    async def run(self) -> None:
-        """Look after rooms that open again, and ask for load reports, until cancelled."""
-        while True:
-            await asyncio.sleep(TICK_SECONDS)
-            now = self._clock.monotonic()
-            for cell, dispatcher in list(self._dispatchers.items()):
-                self._replicas.set_cold(cell, dispatcher)
-                self._pump(cell, dispatcher)
-                self._loads.ask(cell, dispatcher)
-                self._shares.tell(cell, dispatcher, now)
-                self._drop_idle(cell, dispatcher, now)
+    def tick(self) -> None:
+        """Look after rooms that open again, and ask for load reports."""
+        now = self._clock.monotonic()
+        for cell, dispatcher in list(self._dispatchers.items()):
+            self._replicas.set_cold(cell, dispatcher)
+            self._pump(cell, dispatcher)
+            self._loads.ask(cell, dispatcher)
+            self._shares.tell(cell, dispatcher, now)
+            self._drop_idle(cell, dispatcher, now)
 
     def dispatcher(self, pool: str, number: int) -> tuple[Cell, CellDispatcher]:
         """Return a cell and its dispatcher, which is made if there is none yet."""
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -32,6 +32,7 @@
 from railsail.dispatch.loads import LoadReports
 from railsail.dispatch.regions import FleetRegions
 from railsail.dispatch.replicas import CellReplicas, FleetBounds
+from railsail.dispatch.service import TICK_SECONDS as DISPATCH_SECONDS
 from railsail.dispatch.service import DispatcherService
 from railsail.dispatch.tree import ServiceTree
 from railsail.gateway.admission import Admission
@@ -440,10 +441,11 @@
         await self.hub.start()
         self._listen(self.settings.admin_port, admin_app.application(self))
         self._listen_to_callers()
-        parts = [self.membership, self.watcher, self.dispatchers, self.tree, self.lag, self.pace]
+        parts = [self.membership, self.watcher, self.tree, self.lag, self.pace]
         runs = {type(part).__name__: part.run for part in parts if part is not None}
         runs |= {name: part.run for name, part in self.parts.items()}
-        runs["Node"] = self._tick
+        runs["DispatcherService"] = self._run_dispatchers
+        runs["Node"] = self._run_ticks
         self._tasks = [asyncio.ensure_future(keep_running(run, name)) for name, run in runs.items()]
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.watcher.tried.wait(), FIRST_LOOK_SECONDS)
@@ -470,13 +472,17 @@
         self._servers.append(server)
         return sockets[0].getsockname()[1]
 
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_SECONDS)
-            # What can be reached changes without any message; the cells follow twice a second.
-            self.cells.forget()
-            self.desk.replan()
-            self.desk.tick()
+    async def _run_dispatchers(self) -> None:
+        await self.lag.every(DISPATCH_SECONDS, self.dispatchers.tick)
+
+    async def _run_ticks(self) -> None:
+        await self.lag.every(TICK_SECONDS, self._tick)
+
+    def _tick(self) -> None:
+        # What can be reached changes without any message; the cells follow twice a second.
+        self.cells.forget()
+        self.desk.replan()
+        self.desk.tick()
 
     def not_ready(self) -> list[str]:
         """Return the reasons why the balancer must send no callers here; none if it may."""
--- a/tests/core/test_looplag.py
+++ b/tests/core/test_looplag.py
@@ -1,8 +1,19 @@
 """How the lag of the event loop is told from its samples."""
 
+import asyncio
+import itertools
+import time
 import unittest
+from unittest import mock
 
-from railsail.core.looplag import BUSY_SECONDS, LATE_SECONDS, SAMPLES, LoopLag
+from railsail.core.looplag import (
+    BUSY_SECONDS,
+    LATE_SECONDS,
+    SAMPLES,
+    STEP_SECONDS,
+    LoopLag,
+    PeriodicCall,
+)
 
 MORE = LATE_SECONDS * 2
 
@@ -42,5 +53,101 @@
         self.assertEqual(self.lag.late_for(), 0.0)
 
 
+class RunTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.lag = LoopLag(time.monotonic)
+        self.taken: list[float] = []
+        self.sampled = asyncio.Event()
+        self.lag.take = self.take
+
+    def take(self, seconds: float) -> None:
+        self.taken.append(seconds)
+        self.sampled.set()
+
+    async def next_sample(self) -> float:
+        self.sampled.clear()
+        await asyncio.wait_for(self.sampled.wait(), 10.0)
+        return self.taken[-1]
+
+    async def test_lag_holds_the_turn_of_its_timer_and_what_that_made_ready(self):
+        task = asyncio.ensure_future(self.lag.run())
+        await self.next_sample()
+        loop = asyncio.get_running_loop()
+
+        def end_turn() -> None:
+            loop.call_soon(time.sleep, 2 * MORE)
+
+        def stand_still() -> None:
+            time.sleep(2 * STEP_SECONDS)
+            # The sample is due by now; this runs in the turn in which its timer comes.
+            loop.call_soon(end_turn)
+
+        loop.call_soon(stand_still)
+        self.assertGreaterEqual(await self.next_sample(), STEP_SECONDS + 2 * MORE)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        count = len(self.taken)
+        await asyncio.sleep(2 * STEP_SECONDS)
+        self.assertEqual(len(self.taken), count)
+
+    async def test_failure_ends_it_and_is_told(self):
+        def fail(seconds: float) -> None:
+            raise LookupError
+
+        self.lag.take = fail
+        with self.assertRaises(LookupError):
+            await asyncio.wait_for(self.lag.run(), 10.0)
+
+
+class EveryTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.lag = LoopLag(time.monotonic)
+        self.called_at: list[float] = []
+        self.third = asyncio.Event()
+        running = asyncio.ensure_future(self.lag.run())
+        self.addCleanup(running.cancel)
+
+    def note(self) -> None:
+        self.called_at.append(time.monotonic())
+        if len(self.called_at) == 3:
+            self.third.set()
+
+    async def test_calls_about_every_so_many_seconds_until_cancelled(self):
+        seconds = 3 * STEP_SECONDS
+        begun = time.monotonic()
+        task = asyncio.ensure_future(self.lag.every(seconds, self.note))
+        await asyncio.wait_for(self.third.wait(), 10.0)
+        times = [begun, *self.called_at]
+        for before, after in itertools.pairwise(times):
+            self.assertGreater(after - before, seconds - STEP_SECONDS)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(2 * seconds)
+        self.assertEqual(len(self.called_at), 3)
+
+    async def test_failure_of_one_ends_it_alone_and_is_told(self):
+        do = mock.Mock(side_effect=LookupError)
+        other = asyncio.ensure_future(self.lag.every(STEP_SECONDS, self.note))
+        self.addCleanup(other.cancel)
+        with self.assertRaises(LookupError):
+            await asyncio.wait_for(self.lag.every(STEP_SECONDS, do), 10.0)
+        await asyncio.wait_for(self.third.wait(), 10.0)
+        do.assert_called_once()
+
+
+class PeriodicCallTests(unittest.IsolatedAsyncioTestCase):
+    async def test_is_made_at_the_nearest_sample_and_once_for_all_that_was_due(self):
+        do = mock.Mock()
+        call = PeriodicCall(3 * STEP_SECONDS, do, 100.0)
+        made = []
+        for steps in (1.0, 2.1, 2.6, 4.0, 5.0, 5.7, 20.0, 21.0, 22.0, 23.0):
+            before = do.call_count
+            call.run_if_due(100.0 + steps * STEP_SECONDS)
+            made.append(do.call_count - before)
+        self.assertEqual(made, [0, 0, 1, 0, 0, 1, 1, 0, 0, 1])
+
+
 if __name__ == "__main__":
     unittest.main()
