dispatch: looked up the nodes of a region once for all cells in it

Which nodes may dispatch was computed anew for each cell, twice a second at each node, and a pool of three regions has three cells. What is kept is dropped with the dispatchers that it decides.

--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -43,6 +43,7 @@
         self._regions = regions or FleetRegions()
         self._cells: dict[str, dict[Cell, list[str]]] = {}
         self._dispatchers: dict[Cell, str] = {}
+        self._nodes_of: dict[str, list[str]] = {}
         self._open: dict[tuple[str, tuple[str, ...]], list[Cell]] = {}
         self._holders: dict[tuple[str, int, tuple[str, ...]], str | None] = {}
         directory.on_change(self._replicas_changed)
@@ -55,6 +56,7 @@
         """Compute everything anew when it is asked for next."""
         self._cells.clear()
         self._dispatchers.clear()
+        self._nodes_of.clear()
         self._open.clear()
 
     def cells(self, pool: str) -> dict[Cell, list[str]]:
@@ -79,13 +81,16 @@
         if self._local:
             return self._own
         if cell not in self._dispatchers:
-            ranked = rank(f"cell {cell}", self._nodes(cell))
+            ranked = rank(f"cell {cell}", self._nodes(cell.region))
             self._dispatchers[cell] = ranked[0] if ranked else self._own
         return self._dispatchers[cell]
 
-    def _nodes(self, cell: Cell) -> list[str]:
-        near = self._usable(cell.region) if cell.region else []
-        return near or self._usable()
+    def _nodes(self, region: str) -> list[str]:
+        """Return the nodes that may dispatch in ``region``; any, where none is there."""
+        if region not in self._nodes_of:
+            near = self._usable(region) if region else self._usable()
+            self._nodes_of[region] = near or (self._nodes("") if region else [])
+        return self._nodes_of[region]
 
     def far_dispatchers(self, pool: str) -> set[str]:
         """Return the nodes that dispatch cells of ``pool`` in other regions than this node's."""
