rollouts: let nodes agree that read different orders before the object went

They kept their own records, since neither was newer. Seeded runs of operators, nodes that start anew, readers and tellers hold that all agree and that news does not go round for ever.

--- a/railsail/rollouts/merging.py
+++ b/railsail/rollouts/merging.py
@@ -48,8 +48,10 @@
     return known, candidate
 
 
-def _age(rollout: Rollout) -> tuple[int, bool, State]:
-    return (rollout.stored, rollout.gone, rollout.written)
+def _age(rollout: Rollout) -> tuple[int, bool, int, State, State]:
+    # Nodes that read different orders before an object went must agree on one.
+    version = rollout.order.version
+    return (rollout.stored, rollout.gone, version, rollout.written, rollout.state)
 
 
 def _same_order(newer: Rollout, older: Rollout) -> bool:
--- /dev/null
+++ b/tests/rollouts/test_merging.py
@@ -0,0 +1,115 @@
+"""Nodes that read the store at other times and tell each other come to agree."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from railsail.rollouts.merging import merge
+from railsail.rollouts.orders import Order, Rollout, State
+from tests.rollouts.base import SERVICE
+
+NODES = 4
+STEPS = 30
+RUNS = 1500
+# Rounds in which each node tells each other all; news that goes round for longer never ends.
+MOST_ROUNDS = 20
+
+
+class World:
+    """An operator's object, and what nodes know of it; a seed decides what happens."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.version = 0
+        self.stored: Rollout | None = None
+        self.nodes: list[Rollout | None] = [None] * NODES
+
+    def step(self) -> None:
+        deeds = (self._order, self._take_away, self._decide, self._write, self._start_anew)
+        weights = (3, 1, 2, 2, 1)
+        self.rng.choices((*deeds, self._read, self._tell), (*weights, 6, 6))[0]()
+
+    def _node(self) -> int:
+        return self.rng.randrange(NODES)
+
+    def _store(self, rollout: Rollout) -> None:
+        self.version += 1
+        order = replace(rollout.order, version=self.version)
+        read = replace(rollout, order=order, stored=self.version)
+        self.stored = replace(read, written=read.current)
+
+    def _order(self) -> None:
+        target, duration = self.rng.choice(("v2", "v3")), self.rng.choice((20.0, 30.0))
+        before = self.stored or Rollout(Order(SERVICE, 0, "", 0.0))
+        if (before.order.target_version, before.order.duration) != (target, duration):
+            self._store(replace(before, order=Order(SERVICE, 0, target, duration)))
+
+    def _take_away(self) -> None:
+        self.version += 1
+        self.stored = None
+
+    def _decide(self) -> None:
+        node = self._node()
+        known = self.nodes[node]
+        if known is not None and known.current is State.RUNNING:
+            state = self.rng.choice((State.SUCCEEDED, State.ROLLED_BACK))
+            self.nodes[node] = merge(known, replace(known, state=state))
+
+    def _write(self) -> None:
+        known = self.nodes[self._node()]
+        if known is None or self.stored is None or known.gone or not _alike(known, self.stored):
+            return
+        state = max(known.current, State.RUNNING)
+        target = known.order.target_version
+        if (self.stored.state, self.stored.decided_version) != (state, target):
+            self._store(replace(self.stored, state=state, decided_version=target))
+
+    def _start_anew(self) -> None:
+        self.nodes[self._node()] = None
+
+    def _read(self) -> None:
+        node = self._node()
+        known = self.nodes[node]
+        if self.stored is not None:
+            self.nodes[node] = merge(known, self.stored)
+        elif known is not None and not known.gone:
+            self.nodes[node] = merge(known, replace(known, gone=True, stored=self.version))
+
+    def _tell(self) -> None:
+        teller, hearer = self.rng.sample(range(NODES), 2)
+        self.hear(teller, hearer)
+
+    def hear(self, teller: int, hearer: int) -> bool:
+        """Let ``hearer`` hear what ``teller`` knows; say whether that was news."""
+        told, known = self.nodes[teller], self.nodes[hearer]
+        if told is None or teller == hearer:
+            return False
+        self.nodes[hearer] = merge(known, told)
+        return self.nodes[hearer] != known
+
+    def tell_all(self) -> bool:
+        """Let all tell all; say whether anything was news."""
+        pairs = [(a, b) for a in range(NODES) for b in range(NODES)]
+        return any([self.hear(teller, hearer) for teller, hearer in pairs])
+
+
+def _alike(left: Rollout, right: Rollout) -> bool:
+    mine, other = left.order, right.order
+    return (mine.target_version, mine.duration) == (other.target_version, other.duration)
+
+
+class ConvergenceTests(unittest.TestCase):
+    def test_all_agree_and_news_ends(self):
+        for seed in range(RUNS):
+            world = World(seed)
+            for _ in range(STEPS):
+                world.step()
+            rounds = 0
+            while world.tell_all():
+                rounds += 1
+                self.assertLess(rounds, MOST_ROUNDS, seed)
+            self.assertEqual(len(set(world.nodes)), 1, seed)
+
+
+if __name__ == "__main__":
+    unittest.main()
