--- a/tests/rollouts/test_merging.py
+++ b/tests/rollouts/test_merging.py
@@ -90,7 +90,8 @@
     def tell_all(self) -> bool:
         """Let all tell all; say whether anything was news."""
         pairs = [(a, b) for a in range(NODES) for b in range(NODES)]
-        return any([self.hear(teller, hearer) for teller, hearer in pairs])
+        news = [self.hear(teller, hearer) for teller, hearer in pairs]
+        return any(news)
 
 
 def _alike(left: Rollout, right: Rollout) -> bool:
