rollouts: compared no target with calls that were placed before the order

Such calls have no known route. Where they lasted and were more than one in a hundred, they counted as a common route of which the target had no answers, and never would have, so that a good version was never decided: seen in a trial with calls of two seconds.

--- a/railsail/rollouts/gathering.py
+++ b/railsail/rollouts/gathering.py
@@ -10,6 +10,8 @@
 
 # Dispatchers tell four times a second; one that told nothing for so long is not heard.
 HEARD_SECONDS = 1.0
+# The fingerprint of calls whose route is not known.
+UNKNOWN_ROUTE = 0
 # The rate of calls is that of the last seconds.
 RATE_SECONDS = 3.0
 
@@ -95,7 +97,11 @@
         return sum(self._heard[source].newest.running for source in sources)
 
     def routes(self, target_version: str) -> list[RouteEvidence]:
-        """Return the sums of all dispatchers by route."""
+        """Return the sums of all dispatchers by route.
+
+        Calls that were placed before the order have no known route. Where none of these went to the
+        target they tell nothing of it, and there will be none to compare them with.
+        """
         baseline: dict[int, Tally] = defaultdict(Tally)
         target: dict[int, dict[str, Tally]] = defaultdict(dict)
         for heard in self._heard.values():
@@ -104,6 +110,8 @@
                     _add(target[record.route], record)
                 else:
                     baseline[record.route] = baseline[record.route].merged([_tally(record)])
+        if UNKNOWN_ROUTE not in target:
+            baseline.pop(UNKNOWN_ROUTE, None)
         routes = sorted(baseline.keys() | target.keys())
         return [_evidence(route, baseline, target) for route in routes]
 
--- /dev/null
+++ b/tests/rollouts/test_gathering.py
@@ -0,0 +1,83 @@
+"""What the coordinator makes of the evidence of several dispatchers."""
+
+import unittest
+from dataclasses import dataclass
+
+import msgspec
+
+from railsail.peers.messages import RolloutEvidence
+from railsail.rollouts.gathering import HEARD_SECONDS, Gathering
+from tests.rollouts.base import evidence, tally
+
+
+@dataclass
+class Told:
+    """Evidence of one dispatcher, which grows."""
+
+    start: int = 1
+    arrivals: int = 0
+
+    def next(self, arrivals: int, *tallies) -> RolloutEvidence:
+        self.arrivals += arrivals
+        told = evidence(self.arrivals, start=self.start)
+        return msgspec.structs.replace(told, tallies=list(tallies))
+
+
+class GatheringTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.gathering = Gathering()
+        self.told = Told()
+
+    def hear(self, now: float, arrivals: int = 0, *tallies, node: str = "d", process: int = 1):
+        self.gathering.received(node, process, self.told.next(arrivals, *tallies), now)
+
+    def test_arrivals_count_from_the_first_evidence(self):
+        self.hear(0.0, 500)
+        self.hear(1.0, 40)
+        self.assertEqual(self.gathering.arrivals, 40)
+
+    def test_arrivals_of_one_that_is_gone_stay(self):
+        self.hear(0.0)
+        self.hear(1.0, 40)
+        self.told = Told(start=2)
+        self.hear(1.5, node="e")
+        self.hear(2.5, 10, node="e")
+        self.assertEqual(self.gathering.arrivals, 50)
+        self.assertEqual([s.node for s in self.gathering.lately(2.5)], ["e"])
+
+    def test_evidence_that_was_overtaken_is_left_out(self):
+        early = self.told.next(5)
+        self.hear(0.0, 5)
+        self.hear(1.0, 5)
+        self.gathering.received("d", 1, early, 1.1)
+        self.assertEqual(self.gathering.arrivals, 5)
+
+    def test_one_that_is_silent_is_not_heard(self):
+        self.hear(0.0)
+        self.assertEqual(len(self.gathering.lately(HEARD_SECONDS / 2)), 1)
+        self.assertEqual(self.gathering.lately(HEARD_SECONDS), [])
+
+    def test_rate_is_that_of_the_last_seconds(self):
+        for step in range(41):
+            self.hear(step / 4, 25 if step < 20 else 50)
+        self.assertAlmostEqual(self.gathering.rate(10.0), 200.0, delta=1.0)
+
+    def test_sums_by_route_version_and_replica(self):
+        self.hear(0.0, 9, tally(5, "v1", "", 7, 1), tally(5, "v0", "", 2), tally(5, "v2", "a", 3))
+        self.told = Told(start=2)
+        self.hear(0.1, 9, tally(5, "v1", "", 4), tally(5, "v2", "a", 2, 1), tally(6, "v2", "b", 1))
+        five, six = self.gathering.routes("v2")
+        self.assertEqual((five.baseline.answers, five.baseline.failed), (13, 1))
+        self.assertEqual((five.target["a"].answers, five.target["a"].failed), (5, 1))
+        self.assertEqual((six.route, six.baseline.answers, list(six.target)), (6, 0, ["b"]))
+
+    def test_calls_of_before_the_order_are_no_route_of_their_own(self):
+        self.hear(0.0, 9, tally(0, "v1", "", 8), tally(5, "v1", "", 2), tally(5, "v2", "a", 2))
+        self.assertEqual([route.route for route in self.gathering.routes("v2")], [5])
+        # Where entries tell no routes, the target has such calls as well.
+        self.hear(0.1, 9, tally(0, "v1", "", 8), tally(0, "v2", "a", 2))
+        self.assertEqual([route.route for route in self.gathering.routes("v2")], [0])
+
+
+if __name__ == "__main__":
+    unittest.main()
