rollouts: wrote that an order runs again where a copy of the store lacks it

An end was written again, but not the running state, since the coordinator remembered that it had written it. Held by tests on a daemon whose store comes back from a copy, before and after an end.

--- a/railsail/rollouts/coordination.py
+++ b/railsail/rollouts/coordination.py
@@ -249,7 +249,7 @@
         if not self._may_lead():
             self._step_back()
             return LOOK_SECONDS
-        if not self._began_here and not self._begun():
+        if self._lacks_status():
             self._began_here = await self._status.write(self.order, State.RUNNING)
             if not self._began_here:
                 # The store has another order, of which the book hears in a moment.
@@ -262,6 +262,17 @@
             await self._carry_out(tenure.entry)
         return RENEW_SECONDS_IN_SHIFT if tenure.stage >= Stage.SHIFT else RENEW_SECONDS
 
+    def _lacks_status(self) -> bool:
+        """Say whether it is to be written that the order runs, for the first time or again.
+
+        A store that came back from a copy may have lost it. Where the status of an earlier order
+        said the same, it was written and nothing changed.
+        """
+        rollout = self._book.get(self.order.service)
+        if rollout is None or rollout.written is not State.NONE:
+            return False
+        return not self._began_here or rollout.stored > self.order.version
+
     async def _carry_out(self, entry: Entry) -> None:
         """Do what the ledger says was decided; the order then runs no more."""
         labels = {"service": self.order.service, "state": entry.state.name.lower()}
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -76,6 +76,34 @@
         self.store.remove("rollouts", "desk")
         await self.until(lambda: book.get("desk").gone)
 
+    async def test_store_that_comes_back_from_a_copy(self):
+        self.store.put("rollouts", "desk", ORDER)
+        node = await self.serve(answering(), expose_share="0.1")
+        book = self.book(node)
+        await self.until(lambda: self.status() == RUNNING)
+        copy = self.store.copy()
+        ended = RUNNING | {"state": "rolled_back"}
+        self.store.put_status("rollouts", "desk", ended)
+        await self.until(lambda: book.get("desk").current is State.ROLLED_BACK)
+        self.store.restore(copy)
+        self.assertEqual(self.status(), RUNNING)
+        await self.until(lambda: self.status() == ended)
+        self.assertIs(book.get("desk").current, State.ROLLED_BACK)
+
+    async def test_ledger_that_a_copy_lacks_is_written_again(self):
+        copy = self.store.copy()
+        node = await self.serve(answering(), expose_share="0.1")
+        self.store.put("rollouts", "desk", ORDER)
+        await self.until(lambda: self.status() == RUNNING)
+        ledger = ("railsail-rollouts", "desk")
+        ends = self.store.objects[ledger]["spec"]["ends"]
+        self.store.restore(copy)
+        # The operator writes the order again; it is the same one.
+        self.store.put("rollouts", "desk", ORDER)
+        await self.until(lambda: ledger in self.store.objects and self.status() == RUNNING)
+        self.assertEqual(self.store.objects[ledger]["spec"]["ends"], ends)
+        self.assertIsNotNone(self.book(node).running("desk"))
+
     async def test_text_that_is_no_utf8(self):
         node = await self.serve(answering(), expose_share="0.1")
         self.store.put("rollouts", "desk", ORDER)
