--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -1,14 +1,15 @@
 """Rollouts of versions that are good, or bad in each of several ways, on daemons of their own.
 
     python -m benchmarks.rollouts [--fault=fails] [--seconds=12] [--daemons=12] [--rate=240]
-                                  [--kill=dispatcher]
+                                  [--kill=dispatcher] [--cell_replicas=64]
 
 Daemons as processes, six replicas of the old version, and six of the new one that are listed when
 the order is given. ``--fault`` is ``none``, ``fails`` (half of its answers), ``slow`` (ten times),
 ``later`` (half of its answers fail after three seconds), ``loaded`` (only where a replica runs two
 at once), ``route`` (on one of two routes), or ``all`` of them, one run after the other. ``--kill``
 names a daemon that is killed a third of the time after the order and started again two seconds
-later: the ``dispatcher`` of the replicas, or the ``coordinator`` of the rollout.
+later: the ``dispatcher`` of the replicas, or the ``coordinator`` of the rollout. With fewer
+``--cell_replicas`` the replicas are several cells.
 
 Printed are what the new version received between order and deadline, and what it may; what reached
 it later than ``rollback_ms`` after its 50th bad answer; how many bad answers it gave; how calls
@@ -163,9 +164,16 @@
 
 
 async def _play(
-    fault: Fault, seconds: float, daemons: int, rate: float, kill: str, folder: Path
+    fault: Fault,
+    seconds: float,
+    daemons: int,
+    rate: float,
+    kill: str,
+    cell_replicas: int,
+    folder: Path,
 ) -> Run:
-    fleet = ProcessFleet(folder, settings=SETTINGS)
+    settings = SETTINGS | {"cell-replicas": str(cell_replicas)}
+    fleet = ProcessFleet(folder, settings=settings)
     run = Run(fleet, SoftwareVersion(OLD), SoftwareVersion(NEW, fault), seconds)
     fleet.store.put("config", "main", configuration(3))
     await run.start_version(run.old)
@@ -193,6 +201,7 @@
     daemons: int = 12,
     rate: float = 240.0,
     kill: str = "",
+    cell_replicas: int = 64,
     logs: str = "",
 ) -> None:
     """Play the rollouts, and print their figures; ``logs`` names a folder for the daemons' logs."""
@@ -203,7 +212,7 @@
         with tempfile.TemporaryDirectory() as temporary:
             folder = Path(logs or temporary) / each
             folder.mkdir(parents=True, exist_ok=True)
-            run = asyncio.run(_play(each, seconds, daemons, rate, kill, folder))
+            run = asyncio.run(_play(each, seconds, daemons, rate, kill, cell_replicas, folder))
         print(json.dumps(run.figures()), flush=True)
 
 
