rollouts: shortened the shift, so that a good version is in force before its deadline

Cause: calls of full traffic can go to the target only for what is left of the bound, about a fifteenth of the order's time; 0.6 s of load ended after the deadline of an order of 12 s, which is counted from when it was seen here. Ruled out: to begin earlier, which the bound does not last for.

--- a/railsail/rollouts/plan.py
+++ b/railsail/rollouts/plan.py
@@ -21,8 +21,8 @@
 RATE_MARGIN = 1.05
 # A version may be bad under load only. Before other versions get no calls any more, the target has
 # had the load for so long; and for so long before the rollout succeeds.
-SHIFT_SECONDS = 0.3
-LOADED_SECONDS = 0.6
+SHIFT_SECONDS = 0.2
+LOADED_SECONDS = 0.45
 # The shift begins at most so long before the deadline: the longer it lasts, the more calls end on
 # other versions by themselves, and the more a version that turns bad receives.
 MOST_SHIFT_SECONDS = 15.0
