--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -6,7 +6,7 @@
 from railsail.core.events import Kind
 from railsail.node import Node
 from railsail.rollouts.orders import State
-from tests.platform.base import LONG_MS, PlatformTestCase, configuration
+from tests.platform.base import LONG_MS, LONGEST_SECONDS, PlatformTestCase, configuration
 from tests.platform.standins import LOOPBACK, ReplicaStandin
 from tests.platform.versions import Fault, SoftwareVersion
 
@@ -62,7 +62,7 @@
     async def call_until(self, node: Node, condition) -> list[int]:
         """Make calls all the time until ``condition`` holds, and return their statuses."""
         statuses = []
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(4 * LONGEST_SECONDS):
             while not condition():
                 calls = [
                     self.call(node, "/again/x", Request_Id=f"r-{len(statuses) + n}")
