--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -10,6 +10,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import statistics
 from collections import Counter, OrderedDict
@@ -366,7 +367,7 @@
         "in time": sum(call.in_time for call in calls) / len(calls),
         "in time, without the flooder": sum(c.in_time for c in own) / len(own),
         "the same in the flooded region": sum(c.in_time for c in flooded) / len(flooded),
-        "least served workspace in time": min(shares),
+        "least served workspace in time": min(shares, default=math.nan),
         "median wait, ms": statistics.median(waits),
         "90th percentile of waits, ms": statistics.quantiles(waits, n=10)[-1],
         "grants too late": model.too_late,
