--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True)
-class Story:
+class RequestTrace:
     """The lines that tell of a request, in order; its cause in a sentence; what the logs lack."""
 
     lines: list[LogLine]
@@ -24,12 +24,12 @@
     left_out: str
 
 
-def tell_story(request: str, lines: Iterable[LogLine]) -> Story:
+def tell_story(request: str, lines: Iterable[LogLine]) -> RequestTrace:
     """Return all that ``lines`` tell of ``request``, and of what its daemons believed then."""
     known = list(lines)
     own = [line for line in known if line.request == request]
     if not own:
-        return Story([], "", _left_out(known))
+        return RequestTrace([], "", _left_out(known))
     tickets = {line.facts["ticket"] for line in own if "ticket" in line.facts}
     told = [line for line in known if not line.request and line.facts.get("ticket") in tickets]
     nodes = {line.node for line in [*own, *told]}
@@ -42,7 +42,7 @@
         if line.event in _BELIEFS and line.node in nodes and begun <= line.seconds <= ended
     ]
     story = sorted([*own, *told, *beliefs], key=lambda line: (line.stamp, line.node))
-    return Story(story, explain_cause(own, told), _left_out(known))
+    return RequestTrace(story, explain_cause(own, told), _left_out(known))
 
 
 def explain_cause(own: list[LogLine], told: list[LogLine]) -> str:
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from railsail.cli.explain import Story, tell_story
+from railsail.cli.explain import RequestTrace, tell_story
 from railsail.cli.loglines import parse_line
 from railsail.core.decisions import DecisionLog, line_fields
 from railsail.node import Node
@@ -26,7 +26,7 @@
     def _write(self, event, ordinary):
         self.lines.append(json.dumps({"event": event.kind, **line_fields(event)}))
 
-    def story(self, request: str = "r-1") -> Story:
+    def story(self, request: str = "r-1") -> RequestTrace:
         return tell_story(request, [parse_line(line) for line in self.lines])
 
     # A replica that answers nothing is left alone after a while, which is not what this is about.
