--- a/railsail/core/logs.py
+++ b/railsail/core/logs.py
@@ -31,7 +31,7 @@
 
 
 @dataclass
-class LeftOut:
+class DroppedLines:
     """How many lines were left out, in all and since it was told last."""
 
     over_budget: int = 0
@@ -61,7 +61,7 @@
 class LineWriter:
     """A text file for structlog that leaves a line out where writing it would have to wait."""
 
-    def __init__(self, file: TextIO, left_out: LeftOut) -> None:
+    def __init__(self, file: TextIO, left_out: DroppedLines) -> None:
         self._file = file
         self._left_out = left_out
         self._poll = select.poll()
@@ -99,7 +99,7 @@
     """The step of structlog that leaves lines out; lines with ``ordinary`` go first."""
 
     def __init__(
-        self, per_second: float, left_out: LeftOut, clock: Callable[[], float] = steady_seconds
+        self, per_second: float, left_out: DroppedLines, clock: Callable[[], float] = steady_seconds
     ) -> None:
         self._budget = LineBudget(per_second, clock())
         self._left_out = left_out
@@ -122,12 +122,12 @@
 
 def configure_logs(
     level: str, node: str, lines_per_second: int = DEFAULT_LINES_PER_SECOND
-) -> LeftOut:
+) -> DroppedLines:
     """Set up structlog, and return the counts of what it will leave out.
 
     ``level`` is a name of the standard library's levels.
     """
-    left_out = LeftOut()
+    left_out = DroppedLines()
     structlog.configure(
         processors=[
             BudgetProcessor(lines_per_second, left_out),
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -4,7 +4,7 @@
 from aioprometheus.renderer import render
 
 from railsail.core.collectors import Counter, Gauge, Histogram
-from railsail.core.logs import LeftOut
+from railsail.core.logs import DroppedLines
 
 _LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0]
 
@@ -14,7 +14,7 @@
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self._left_out = LeftOut()
+        self._left_out = DroppedLines()
         self.requests = self._counter("railsail_requests_total", "Requests by pool and outcome.")
         self.forwarded = self._counter(
             "railsail_forwarded_total",
@@ -106,7 +106,7 @@
     def _histogram(self, name: str, doc: str) -> Histogram:
         return Histogram(name, doc, registry=self.registry, buckets=_LATENCY_BUCKETS)
 
-    def count_left_out_lines(self, left_out: LeftOut) -> None:
+    def count_left_out_lines(self, left_out: DroppedLines) -> None:
         """Show the counts of ``left_out`` from now on."""
         self._left_out = left_out
 
--- a/railsail/process.py
+++ b/railsail/process.py
@@ -11,7 +11,7 @@
 from railsail.core.clock import SteadyEventLoop
 from railsail.core.decisions import DecisionLog
 from railsail.core.exceptions import ImproperlyConfigured
-from railsail.core.logs import LeftOut, configure_logs, get_logger
+from railsail.core.logs import DroppedLines, configure_logs, get_logger
 from railsail.node import Node
 
 EXIT_OK = 0
@@ -35,7 +35,7 @@
         sys.exit(runner.run(_run(settings, left_out)))
 
 
-async def _run(settings: Settings, left_out: LeftOut) -> int:
+async def _run(settings: Settings, left_out: DroppedLines) -> int:
     node = Node(settings)
     decisions = DecisionLog(node.clock, settings.log_requests_per_second)
     node.events.on_emit(decisions.take)
--- a/tests/core/test_logs.py
+++ b/tests/core/test_logs.py
@@ -9,7 +9,13 @@
 from railsail.core.clock import ManualClock
 from railsail.core.decisions import MOST_HELD_BACK, DecisionLog, Sampling
 from railsail.core.events import EventLog, Kind
-from railsail.core.logs import MOST_LINE_BYTES, BudgetProcessor, LeftOut, LineBudget, LineWriter
+from railsail.core.logs import (
+    MOST_LINE_BYTES,
+    BudgetProcessor,
+    DroppedLines,
+    LineBudget,
+    LineWriter,
+)
 
 
 class BudgetTests(unittest.TestCase):
@@ -26,7 +32,7 @@
 
     def test_what_was_left_out_is_told_with_the_next_line(self):
         now = [0.0]
-        left_out = LeftOut()
+        left_out = DroppedLines()
         step = BudgetProcessor(1, left_out, lambda: now[0])
         step(None, "info", {"event": "a"})
         for _ in range(3):
@@ -44,7 +50,7 @@
         self.read, self.write = os.pipe()
         self.addCleanup(os.close, self.read)
         self.file = os.fdopen(self.write, "w")
-        self.left_out = LeftOut()
+        self.left_out = DroppedLines()
         self.writer = LineWriter(self.file, self.left_out)
 
     def tearDown(self):
