--- a/railsail/gateway/answers.py
+++ b/railsail/gateway/answers.py
@@ -31,7 +31,7 @@
     body: bytes
 
 
-class AnswerShelf:
+class AnswerCache:
     """Keep the answers of this node's claimed requests, and ask other nodes for theirs.
 
     ``gone`` says whether the process of a node with a start id is known to have ended: its answers
--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -9,7 +9,7 @@
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason
 from railsail.gateway.admission import Admission
-from railsail.gateway.answers import AnswerShelf, KeptAnswer
+from railsail.gateway.answers import AnswerCache, KeptAnswer
 from railsail.gateway.claims import ClaimDesk
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerSink
@@ -48,7 +48,7 @@
         judge: Judge,
         tries: Tries,
         claims: ClaimDesk,
-        shelf: AnswerShelf,
+        shelf: AnswerCache,
         admission: Admission,
         kernel: Kernel,
         region: str = "",
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -37,7 +37,7 @@
 from railsail.dispatch.service import DispatcherService
 from railsail.dispatch.tree import ServiceTree
 from railsail.gateway.admission import Admission
-from railsail.gateway.answers import AnswerShelf
+from railsail.gateway.answers import AnswerCache
 from railsail.gateway.app import Gateway
 from railsail.gateway.claims import ClaimDesk
 from railsail.gateway.concurrency import NodeLimits
@@ -282,7 +282,7 @@
             self.heard,
             self.kernel,
         )
-        shelf = AnswerShelf(self.hub, self.membership.gone, self.rng)
+        shelf = AnswerCache(self.hub, self.membership.gone, self.rng)
         server = Server(
             self._catalog,
             self.judge,
--- a/railsail/routing/crowding.py
+++ b/railsail/routing/crowding.py
@@ -14,7 +14,7 @@
 TELL_SECONDS = 1.0
 
 
-class CrowdLog:
+class OverloadLog:
     """Count the requests that a full node did not serve itself, and tell of them each second."""
 
     def __init__(self, kernel: Kernel) -> None:
--- a/railsail/routing/relief.py
+++ b/railsail/routing/relief.py
@@ -18,7 +18,7 @@
 from railsail.gateway.concurrency import ConcurrencyLimit
 from railsail.objects.kinds import Route
 from railsail.routing.client import ClientAnswer, ClientLeft
-from railsail.routing.crowding import CrowdLog
+from railsail.routing.crowding import OverloadLog
 from railsail.routing.endings import Endings
 from railsail.routing.forwarding import Forwarded, Forwarder
 from railsail.routing.messages import Arrival, Origin
@@ -61,7 +61,7 @@
         self._clock = kernel.clock
         self._metrics = kernel.metrics
         self._endings = Endings(kernel)
-        self._crowd_log = CrowdLog(kernel)
+        self._crowd_log = OverloadLog(kernel)
         self._refused = RefusedCallers()
 
     async def relieved(self, arrival: Arrival, client: ClientAnswer, may_forward: bool) -> bool:
