dispatch, gateway: named the two sides of tickets and claims client and service

Renames alone: TicketDesk, which places tickets with dispatchers, is TicketClient; ClaimDesk, which makes claims and batches those of others, is ClaimService.

--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -11,7 +11,7 @@
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.bookings import Booking, TicketRefused, Want
-from railsail.dispatch.entry import DECISION_SECONDS, TicketDesk
+from railsail.dispatch.entry import DECISION_SECONDS, TicketClient
 from railsail.dispatch.gate import SendGate
 from railsail.quarantine.service import Quarantine
 
@@ -30,7 +30,7 @@
     """Acquire replicas through the tickets of ``desk``."""
 
     def __init__(
-        self, desk: TicketDesk, gate: SendGate, quarantine: Quarantine, kernel: Kernel
+        self, desk: TicketClient, gate: SendGate, quarantine: Quarantine, kernel: Kernel
     ) -> None:
         self._desk = desk
         self._gate = gate
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -43,7 +43,7 @@
 LEAST_PATIENCE_WAYS = 4
 
 
-class TicketDesk:
+class TicketClient:
     """Hold the bookings of this node, and tell dispatchers of them."""
 
     def __init__(
--- a/railsail/dispatch/rollouts.py
+++ b/railsail/dispatch/rollouts.py
@@ -13,7 +13,7 @@
 from railsail.core.events import Fact
 from railsail.core.kernel import Kernel
 from railsail.core.logs import get_logger
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.entry import TicketClient
 from railsail.dispatch.service import DispatcherService
 from railsail.peers.hub import PeerHub
 from railsail.peers.messages import RolloutAllowance, RolloutEvidence
@@ -63,7 +63,7 @@
         book: RolloutBook,
         directory: UpstreamDirectory,
         dispatchers: DispatcherService,
-        desk: TicketDesk,
+        desk: TicketClient,
         hub: PeerHub,
         kernel: Kernel,
     ) -> None:
--- a/railsail/gateway/claims.py
+++ b/railsail/gateway/claims.py
@@ -39,7 +39,7 @@
     at: float
 
 
-class ClaimDesk:
+class ClaimService:
     """Make claims for this node's requests, and batch those of the shards that it is named for."""
 
     def __init__(
--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -10,7 +10,7 @@
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason
 from railsail.gateway.admission import Admission
 from railsail.gateway.answers import AnswerCache, KeptAnswer
-from railsail.gateway.claims import ClaimDesk
+from railsail.gateway.claims import ClaimService
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerSink
 from railsail.gateway.tries import Served, Tries
@@ -47,7 +47,7 @@
         catalog: Callable[[], Catalog],
         judge: Judge,
         tries: Tries,
-        claims: ClaimDesk,
+        claims: ClaimService,
         shelf: AnswerCache,
         admission: Admission,
         kernel: Kernel,
--- a/railsail/gateway/sink.py
+++ b/railsail/gateway/sink.py
@@ -6,7 +6,7 @@
 
 from railsail.core.exceptions import RailsailError
 from railsail.dispatch.bookings import Booking
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.entry import TicketClient
 from railsail.gateway.answers import MOST_ANSWER_BYTES
 from railsail.scheduling.estimates import ChargeMeter
 
@@ -40,10 +40,10 @@
         self._kept: list[bytes] = []
         self._kept_bytes = 0
         self._meter: ChargeMeter | None = None
-        self._desk: TicketDesk | None = None
+        self._desk: TicketClient | None = None
         self._booking: Booking | None = None
 
-    def meter(self, meter: ChargeMeter, desk: TicketDesk, booking: Booking) -> None:
+    def meter(self, meter: ChargeMeter, desk: TicketClient, booking: Booking) -> None:
         """Charge ``booking`` from now on."""
         self.cost = 0.0
         self._meter = meter
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -11,7 +11,7 @@
 from railsail.core.tasks import TaskSet
 from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.bookings import Booking, Want
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.entry import TicketClient
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerLeft, CallerSink
 from railsail.objects.catalog import Catalog
@@ -60,7 +60,7 @@
         self,
         catalog: Callable[[], Catalog],
         directory: UpstreamDirectory,
-        desk: TicketDesk,
+        desk: TicketClient,
         acquirer: ReplicaAcquirer,
         kind_of: Callable[[str], UpstreamKind | None],
         heard: HeardSigns,
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -27,7 +27,7 @@
 from railsail.core.tasks import keep_running
 from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.cellmap import CellMap
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.entry import TicketClient
 from railsail.dispatch.exchange import CellExchange
 from railsail.dispatch.gate import SendGate
 from railsail.dispatch.loads import LoadReports
@@ -39,7 +39,7 @@
 from railsail.gateway.admission import Admission
 from railsail.gateway.answers import AnswerCache
 from railsail.gateway.app import Gateway
-from railsail.gateway.claims import ClaimDesk
+from railsail.gateway.claims import ClaimService
 from railsail.gateway.concurrency import NodeLimits
 from railsail.gateway.pace import OwnPace
 from railsail.gateway.serve import Server
@@ -217,7 +217,7 @@
         self._build_quarantine()
         rests = Rests()
         gate = SendGate(self.directory, rests, settings.domain_regions, self.hub, self.kernel)
-        self.desk = TicketDesk(self.cells, self.hub, self.kernel)
+        self.desk = TicketClient(self.cells, self.hub, self.kernel)
         self.acquirer = ReplicaAcquirer(self.desk, gate, self.quarantine, self.kernel)
         self.heard = HeardSigns(self.directory, rests, self.kernel)
         self.loads = LoadReports(self._catalog, self.directory, self.heard, rests, self.clock)
@@ -266,7 +266,7 @@
 
     def _build_gateway(self) -> None:
         settings = self.settings
-        self.claims = ClaimDesk(
+        self.claims = ClaimService(
             self.store, self.hub, self.view.usable, settings.claim_seconds, self.kernel
         )
         self.admission = Admission(settings.queue_per_workspace, settings.queue_total)
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -10,7 +10,7 @@
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
 from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.bookings import Booking, Want
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.entry import TicketClient
 from railsail.objects.kinds import CostUnit, Pool, Route
 from railsail.policy.programs import Verdict
 from railsail.routing.answer import AnswerRefused, ReplicaAnswer, StreamState
@@ -90,7 +90,7 @@
         self,
         protocol: RouteProtocol,
         directory: UpstreamDirectory,
-        desk: TicketDesk,
+        desk: TicketClient,
         acquirer: ReplicaAcquirer,
         bounds: RetryBounds,
         members: Callable[[], int],
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -12,7 +12,7 @@
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.acquire import MOST_GRANTS, ReplicaAcquirer
 from railsail.dispatch.bookings import Booking, Want
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.entry import TicketClient
 from railsail.dispatch.gate import COME_BACK_SPREAD_SECONDS, SendGate
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
@@ -113,7 +113,7 @@
         self.rests = Rests()
         gate = SendGate(self.directory, self.rests, {"a": "north"}, self.hub, kernel)
         quarantine = Quarantine(lambda *told: None, self.hub, kernel)
-        self.desk = TicketDesk(self.cells, self.hub, kernel)
+        self.desk = TicketClient(self.cells, self.hub, kernel)
         self.acquirer = ReplicaAcquirer(self.desk, gate, quarantine, kernel)
         self.clock = clock
 
--- a/tests/dispatch/test_rollouts.py
+++ b/tests/dispatch/test_rollouts.py
@@ -10,7 +10,7 @@
 from railsail.core.metrics import Metrics
 from railsail.dispatch.bookings import Want, to_place, to_ticket
 from railsail.dispatch.cellmap import CellMap
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.entry import TicketClient
 from railsail.dispatch.gate import SendGate
 from railsail.dispatch.replicas import CellReplicas, FleetBounds
 from railsail.dispatch.rollouts import HEARD_SECONDS, RolloutDispatch
@@ -164,7 +164,7 @@
             Trials(),
         )
         self.directory.on_change(self.dispatchers.renew_replicas)
-        self.desk = TicketDesk(self.cells, self.hub, self.kernel)
+        self.desk = TicketClient(self.cells, self.hub, self.kernel)
         self.rests = Rests()
         self.gate = SendGate(self.directory, self.rests, {}, self.hub, self.kernel)
         self.rollouts = RolloutDispatch(
