--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -14,7 +14,7 @@
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerSink
 from railsail.gateway.tries import Served, Tries
-from railsail.gateway.verdicts import Judge, describe
+from railsail.gateway.verdicts import PolicyEvaluator, describe
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Pool
 from railsail.store.claims import Claim, ClaimResult, claim_key, fingerprint
@@ -45,7 +45,7 @@
     def __init__(
         self,
         catalog: Callable[[], Catalog],
-        judge: Judge,
+        judge: PolicyEvaluator,
         tries: Tries,
         claims: ClaimService,
         shelf: AnswerCache,
--- a/railsail/gateway/verdicts.py
+++ b/railsail/gateway/verdicts.py
@@ -1,4 +1,4 @@
-"""Judge requests by the policies in force."""
+"""PolicyEvaluator requests by the policies in force."""
 
 from collections.abc import Callable
 
@@ -20,7 +20,7 @@
 NO_POLICY = Verdict(0.0, 60.0, True, ("policy",))
 
 
-class Judge:
+class PolicyEvaluator:
     """Run the workspace's policy on each request; programs are compiled once a version."""
 
     def __init__(
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -44,7 +44,7 @@
 from railsail.gateway.pace import OwnPace
 from railsail.gateway.serve import Server
 from railsail.gateway.tries import Tries
-from railsail.gateway.verdicts import Judge
+from railsail.gateway.verdicts import PolicyEvaluator
 from railsail.membership.service import KIND as NODE
 from railsail.membership.service import Membership
 from railsail.membership.table import Member, MemberState, MemberTable
@@ -271,7 +271,7 @@
         )
         self.admission = Admission(settings.queue_per_workspace, settings.queue_total)
         self.pace = OwnPace(self.lag, self.admission, self.membership, self.kernel)
-        self.judge = Judge(self._catalog, self.admission, self.metrics)
+        self.judge = PolicyEvaluator(self._catalog, self.admission, self.metrics)
         kind_of = self.loads.kind_of
         tries = Tries(
             self._catalog,
--- a/railsail/rollouts/tenure.py
+++ b/railsail/rollouts/tenure.py
@@ -132,7 +132,7 @@
         return self._now() < self._began + LEASE_SECONDS
 
     def tick(self) -> None:
-        """Judge, plan, and allow calls; without the lease nothing is allowed any more."""
+        """PolicyEvaluator, plan, and allow calls; without the lease nothing is allowed any more."""
         if not self.leads():
             return
         if self._progress.unjudged:
--- a/railsail/rollouts/verdict.py
+++ b/railsail/rollouts/verdict.py
@@ -102,7 +102,7 @@
 
 
 class VersionJudge:
-    """Judge one version by evidence that grows."""
+    """PolicyEvaluator one version by evidence that grows."""
 
     def __init__(self) -> None:
         self._routes: dict[int, _Route] = {}
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -14,7 +14,7 @@
 from railsail.gateway.admission import Admission
 from railsail.gateway.callers import Callers
 from railsail.gateway.concurrency import ConcurrencyLimit
-from railsail.gateway.verdicts import Judge
+from railsail.gateway.verdicts import PolicyEvaluator
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Pool, Route
 from railsail.policy.programs import RequestInput, Verdict
@@ -41,7 +41,7 @@
         self,
         protocol: RouteProtocol,
         relay: Relay,
-        judge: Judge,
+        judge: PolicyEvaluator,
         admission: Admission,
         callers: Callers,
         configuration: ConfigurationCarrier,
