--- a/railsail/dispatch/gate.py
+++ b/railsail/dispatch/gate.py
@@ -16,7 +16,7 @@
 from railsail.peers.messages import MOST_EXCLUDED
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.records import Upstream
-from railsail.upstreams.rests import Rests
+from railsail.upstreams.rests import ReplicaBackoffs
 
 # Callers that find all replicas at rest come back within so many seconds after the first one is
 # free, spread evenly: it is tried by one request, whose answer takes a part of that time.
@@ -32,7 +32,7 @@
     def __init__(
         self,
         directory: UpstreamDirectory,
-        rests: Rests,
+        rests: ReplicaBackoffs,
         regions: Mapping[str, str],
         hub: PeerHub,
         kernel: Kernel,
--- a/railsail/dispatch/loads.py
+++ b/railsail/dispatch/loads.py
@@ -12,7 +12,7 @@
 from railsail.upstreams.base import UpstreamKind
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.heard import HeardSigns
-from railsail.upstreams.rests import Rests
+from railsail.upstreams.rests import ReplicaBackoffs
 from railsail.upstreams.signs import Source, read_signs
 
 BUSY_SECONDS = 1.0
@@ -27,7 +27,7 @@
         catalog: Callable[[], Catalog],
         directory: UpstreamDirectory,
         heard: HeardSigns,
-        rests: Rests,
+        rests: ReplicaBackoffs,
         clock: Clock,
     ) -> None:
         self._catalog = catalog
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -79,7 +79,7 @@
 from railsail.upstreams.evacuations import KIND as EVACUATION
 from railsail.upstreams.heard import HeardSigns
 from railsail.upstreams.idle import Place
-from railsail.upstreams.rests import Rests
+from railsail.upstreams.rests import ReplicaBackoffs
 
 NATIVE_INTERFACE = "native"
 FIRST_LOOK_SECONDS = 3.0
@@ -215,7 +215,7 @@
             FleetRegions(self._region, settings.domain_regions, self.view.region_of),
         )
         self._build_quarantine()
-        rests = Rests()
+        rests = ReplicaBackoffs()
         gate = SendGate(self.directory, rests, settings.domain_regions, self.hub, self.kernel)
         self.desk = TicketClient(self.cells, self.hub, self.kernel)
         self.acquirer = ReplicaAcquirer(self.desk, gate, self.quarantine, self.kernel)
--- a/railsail/upstreams/heard.py
+++ b/railsail/upstreams/heard.py
@@ -9,7 +9,7 @@
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.http import HeadListener
 from railsail.upstreams.records import Upstream
-from railsail.upstreams.rests import Rests
+from railsail.upstreams.rests import ReplicaBackoffs
 from railsail.upstreams.signs import AnswerSigns, Source
 
 SignReader = Callable[[int, HTTPHeaders, float], AnswerSigns]
@@ -22,7 +22,9 @@
     this node alone.
     """
 
-    def __init__(self, directory: UpstreamDirectory, rests: Rests, kernel: Kernel) -> None:
+    def __init__(
+        self, directory: UpstreamDirectory, rests: ReplicaBackoffs, kernel: Kernel
+    ) -> None:
         self._directory = directory
         self._rests = rests
         self._clock = kernel.clock
--- a/railsail/upstreams/rests.py
+++ b/railsail/upstreams/rests.py
@@ -30,7 +30,7 @@
         return max(self.until, self.tried_at + TRIAL_SECONDS)
 
 
-class Rests:
+class ReplicaBackoffs:
     """Remember what replicas asked of this node."""
 
     def __init__(self) -> None:
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -29,7 +29,7 @@
 from railsail.scheduling.cells import Cell
 from railsail.store.base import WatchEvent
 from railsail.upstreams.directory import UpstreamDirectory
-from railsail.upstreams.rests import TRIAL_SECONDS, Rests
+from railsail.upstreams.rests import TRIAL_SECONDS, ReplicaBackoffs
 from railsail.upstreams.signs import Source
 
 OWN, OTHER, FAR = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
@@ -110,7 +110,7 @@
         self.directory = UpstreamDirectory(lambda *told: None, kernel.events)
         for number in (1, 2, 3):
             self.directory.seen(WatchEvent("upstream", f"i-{number}", number, RECORD))
-        self.rests = Rests()
+        self.rests = ReplicaBackoffs()
         gate = SendGate(self.directory, self.rests, {"a": "north"}, self.hub, kernel)
         quarantine = Quarantine(lambda *told: None, self.hub, kernel)
         self.desk = TicketClient(self.cells, self.hub, kernel)
--- a/tests/dispatch/test_rollouts.py
+++ b/tests/dispatch/test_rollouts.py
@@ -35,7 +35,7 @@
 from railsail.scheduling.newversions import HOLD_SECONDS
 from railsail.store.base import WatchEvent
 from railsail.upstreams.directory import UpstreamDirectory
-from railsail.upstreams.rests import Rests
+from railsail.upstreams.rests import ReplicaBackoffs
 
 OWN, ENTRY, COORDINATOR = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
 CELL = Cell("model", 0, 1)
@@ -165,7 +165,7 @@
         )
         self.directory.on_change(self.dispatchers.renew_replicas)
         self.desk = TicketClient(self.cells, self.hub, self.kernel)
-        self.rests = Rests()
+        self.rests = ReplicaBackoffs()
         self.gate = SendGate(self.directory, self.rests, {}, self.hub, self.kernel)
         self.rollouts = RolloutDispatch(
             self.book, self.directory, self.dispatchers, self.desk, self.hub, self.kernel
--- a/tests/upstreams/test_rests.py
+++ b/tests/upstreams/test_rests.py
@@ -3,12 +3,12 @@
 import unittest
 
 from railsail.upstreams import rests as module
-from railsail.upstreams.rests import TRIAL_SECONDS, Rests
+from railsail.upstreams.rests import TRIAL_SECONDS, ReplicaBackoffs
 
 
 class RestsTests(unittest.TestCase):
     def setUp(self):
-        self.rests = Rests()
+        self.rests = ReplicaBackoffs()
         self.rests.asked("r", 3.0, 100.0)
 
     def test_it_rests_until_its_time_has_passed(self):
