--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -10,7 +10,7 @@
 from railsail.core.events import Fact, Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import NotRun, Reason
-from railsail.dispatch.bookings import Booking, TicketRefused, Want
+from railsail.dispatch.bookings import Booking, PoolRequest, TicketRefused
 from railsail.dispatch.entry import DECISION_SECONDS, TicketClient
 from railsail.dispatch.gate import SendGate
 from railsail.quarantine.service import Quarantine
@@ -38,7 +38,7 @@
         self._clock = kernel.clock
         self._events = kernel.events
 
-    async def acquire(self, want: Want, seconds: float) -> Booking | NotRun:
+    async def acquire(self, want: PoolRequest, seconds: float) -> Booking | NotRun:
         """Wait at most ``seconds`` for a replica, and return the booking that has one.
 
         The replica may be sent the request at once.
@@ -60,7 +60,9 @@
             want = replace(want, avoid=booking.replica)
         return NotRun(Reason.NO_ROOM, f"the replica that was granted last is not sent to: {closed}")
 
-    async def _wait_for_any(self, want: Want, asked_at: float, seconds: float) -> Booking | NotRun:
+    async def _wait_for_any(
+        self, want: PoolRequest, asked_at: float, seconds: float
+    ) -> Booking | NotRun:
         """Wait for a replica until ``seconds`` after ``asked_at``."""
         refusal = self._quarantined(want) or self._gate.refusal(want)
         if refusal is not None:
@@ -91,7 +93,7 @@
             return refusal
         return booking
 
-    def _quarantined(self, want: Want) -> NotRun | None:
+    def _quarantined(self, want: PoolRequest) -> NotRun | None:
         refusal = self._quarantine.refusal(want.fingerprint)
         if refusal is not None:
             self._quarantine.tell_refused(want.request_id, want.workspace, want.fingerprint)
--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True)
-class Want:
+class PoolRequest:
     """What a request asks of a pool.
 
     ``rank`` and ``urgent`` come from the policy, ``estimate`` is in cost units, ``prefix`` is a
@@ -66,7 +66,7 @@
     """One ticket of this entry, from its placing to its release."""
 
     number: int
-    want: Want
+    want: PoolRequest
     placed_at: float
     cell: Cell
     node: str
@@ -91,7 +91,9 @@
     return f"{entry}#{number}"
 
 
-def to_place(asked: Want | Ticket, number: int, attempt: int, cell: Cell, waited: float) -> Place:
+def to_place(
+    asked: PoolRequest | Ticket, number: int, attempt: int, cell: Cell, waited: float
+) -> Place:
     """Return the message that places with ``cell`` what has ``waited`` for so many seconds."""
     return Place(
         number,
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -12,7 +12,7 @@
 from railsail.core.events import Fact, Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Reason
-from railsail.dispatch.bookings import Booking, TicketRefused, Want, ticket_name, to_place
+from railsail.dispatch.bookings import Booking, PoolRequest, TicketRefused, ticket_name, to_place
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.reach import DispatcherReach
 from railsail.peers.hub import PeerHub
@@ -93,7 +93,7 @@
     def __len__(self) -> int:
         return len(self._bookings)
 
-    def place(self, want: Want, asked_at: float) -> Booking:
+    def place(self, want: PoolRequest, asked_at: float) -> Booking:
         """Place a ticket, and return its booking, which ends with a grant or ``TicketRefused``.
 
         It has waited since ``asked_at``.
@@ -117,7 +117,7 @@
         """Return how logs name the ticket of ``booking``."""
         return ticket_name(self._hub.own.node, booking.number)
 
-    def _choose_cell(self, want: Want) -> Cell:
+    def _choose_cell(self, want: PoolRequest) -> Cell:
         if want.prefix:
             anywhere = _affords_way(want)
             return self._cells.home(want.pool, want.prefix, want.regions, anywhere)
@@ -335,7 +335,12 @@
         self._hub.send(node, Release(message.number, message.attempt, 0, CallResult.NOTHING))
 
     def _tell_returned(
-        self, replica: str, dispatcher: str, ticket: str, why: str = "", want: Want | None = None
+        self,
+        replica: str,
+        dispatcher: str,
+        ticket: str,
+        why: str = "",
+        want: PoolRequest | None = None,
     ) -> None:
         self._metrics.returned.inc({})
         self._events.emit(
@@ -386,7 +391,7 @@
             self._hub.dial(message.node)
 
 
-def _affords_way(want: Want) -> bool:
+def _affords_way(want: PoolRequest) -> bool:
     """Say whether ``want`` goes to the home of its prompt's beginning in whichever region.
 
     Reading a long beginning once in the fleet, and not once in each region, leaves replicas time
--- a/railsail/dispatch/gate.py
+++ b/railsail/dispatch/gate.py
@@ -11,7 +11,7 @@
 
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import NotRun, Reason
-from railsail.dispatch.bookings import Want
+from railsail.dispatch.bookings import PoolRequest
 from railsail.peers.hub import PeerHub
 from railsail.peers.messages import MOST_EXCLUDED
 from railsail.upstreams.directory import UpstreamDirectory
@@ -69,7 +69,7 @@
         upstream = self._directory.get(replica)
         return upstream is not None and upstream.pool == pool
 
-    def refusal(self, want: Want) -> NotRun | None:
+    def refusal(self, want: PoolRequest) -> NotRun | None:
         """Return a refusal if no replica could run ``want`` now, else ``None``.
 
         Where all of them rest, its caller may come back when the first of them is free. Where it
@@ -86,10 +86,10 @@
         detail = "all replicas asked this node for rest"
         return NotRun(Reason.NO_ROOM, detail, retry_after=after, come_back=after)
 
-    def _any_takes(self, want: Want) -> bool:
+    def _any_takes(self, want: PoolRequest) -> bool:
         return any(self._may_run(want, u) for u in self._directory.each_of_pool(want.pool))
 
-    def _first_end(self, want: Want) -> float:
+    def _first_end(self, want: PoolRequest) -> float:
         """Return after how many seconds a replica may be sent ``want``, 0 if one may now.
 
         Where no replica takes work at all, it is 0 too: the dispatcher decides.
@@ -103,7 +103,7 @@
                     break
         return first if math.isfinite(first) else 0.0
 
-    def _may_run(self, want: Want, upstream: Upstream) -> bool:
+    def _may_run(self, want: PoolRequest, upstream: Upstream) -> bool:
         if not self._directory.takes_work(upstream):
             return False
         return not want.regions or self._regions.get(upstream.failure_domain) in want.regions
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -10,7 +10,7 @@
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
 from railsail.core.tasks import TaskSet
 from railsail.dispatch.acquire import ReplicaAcquirer
-from railsail.dispatch.bookings import Booking, Want
+from railsail.dispatch.bookings import Booking, PoolRequest
 from railsail.dispatch.entry import TicketClient
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerLeft, CallerSink
@@ -112,11 +112,11 @@
             return booking
         return await self._call(served, booking, booking.replica)
 
-    def _want(self, served: Served) -> Want:
+    def _want(self, served: Served) -> PoolRequest:
         pool = served.pool
         estimate = self._estimator.estimate(served.workspace, pool.name, pool.first_estimate)
         owner = self._catalog().workspace(served.workspace)
-        return Want(
+        return PoolRequest(
             served.id,
             pool.name,
             served.workspace,
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -9,7 +9,7 @@
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
 from railsail.dispatch.acquire import ReplicaAcquirer
-from railsail.dispatch.bookings import Booking, Want
+from railsail.dispatch.bookings import Booking, PoolRequest
 from railsail.dispatch.entry import TicketClient
 from railsail.objects.kinds import CostUnit, Pool, Route
 from railsail.policy.programs import Verdict
@@ -177,10 +177,10 @@
         least = RESUME_WAIT_SECONDS if routed.stream.head is not None else LEAST_WAIT_SECONDS
         return max(0.0, min(max(routed.offer_by - now, least), routed.ends_at - now))
 
-    def _want(self, routed: Routed, patience: float) -> Want:
+    def _want(self, routed: Routed, patience: float) -> PoolRequest:
         prompt = routed.request.prompt
         now = self._clock.monotonic()
-        return Want(
+        return PoolRequest(
             request_id=routed.request.id,
             pool=routed.pool.name,
             workspace=routed.workspace,
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -11,7 +11,7 @@
 from railsail.core.metrics import Metrics
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.acquire import MOST_GRANTS, ReplicaAcquirer
-from railsail.dispatch.bookings import Booking, Want
+from railsail.dispatch.bookings import Booking, PoolRequest
 from railsail.dispatch.entry import TicketClient
 from railsail.dispatch.gate import COME_BACK_SPREAD_SECONDS, SendGate
 from railsail.peers.link import Identity
@@ -33,7 +33,7 @@
 from railsail.upstreams.signs import Source
 
 OWN, OTHER, FAR = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
-WANT = Want("r-1", "model", "one", 0.0, 10.0, False)
+WANT = PoolRequest("r-1", "model", "one", 0.0, 10.0, False)
 RECORD = {"pool": "model", "endpoint": "127.0.0.1:9", "failure_domain": "a", "state": "live"}
 
 
@@ -222,7 +222,7 @@
 class ClosedReplicaTests(EntryTestCase):
     """A dispatcher grants a replica that this node may not send to."""
 
-    def ask(self, want: Want = WANT) -> asyncio.Task:
+    def ask(self, want: PoolRequest = WANT) -> asyncio.Task:
         return asyncio.ensure_future(self.acquirer.acquire(want, 30.0))
 
     async def grant(self, replica: str) -> None:
--- a/tests/dispatch/test_rollouts.py
+++ b/tests/dispatch/test_rollouts.py
@@ -8,7 +8,7 @@
 from railsail.core.fingerprints import route_fingerprint
 from railsail.core.kernel import Kernel
 from railsail.core.metrics import Metrics
-from railsail.dispatch.bookings import Want, to_place, to_ticket
+from railsail.dispatch.bookings import PoolRequest, to_place, to_ticket
 from railsail.dispatch.cellmap import CellMap
 from railsail.dispatch.entry import TicketClient
 from railsail.dispatch.gate import SendGate
@@ -204,7 +204,7 @@
     def place(self, route: int = 0) -> str:
         """Place a ticket, and return the replica that is granted, empty if none is."""
         self.number += 1
-        want = Want(f"r-{self.number}", "model", "one", 0.0, 10.0, False, route=route)
+        want = PoolRequest(f"r-{self.number}", "model", "one", 0.0, 10.0, False, route=route)
         self.hub.deliver(ENTRY, to_place(want, self.number, 1, CELL, 0.0))
         return next((grant.replica for grant in self.hub.take(Granted)), "")
 
@@ -383,7 +383,7 @@
 class RouteTests(unittest.TestCase):
     def test_route_travels_from_entry_to_ticket(self):
         route = route_fingerprint("briefings")
-        want = Want("r", "model", "one", 0.0, 10.0, False, route=route)
+        want = PoolRequest("r", "model", "one", 0.0, 10.0, False, route=route)
         place = to_place(want, 1, 1, CELL, 0.0)
         self.assertIsInstance(place, Place)
         self.assertEqual(to_ticket(ENTRY, place, 0.0).route, route)
@@ -405,7 +405,7 @@
     async def test_request_is_refused_where_all_that_takes_work_rests(self):
         self.order()
         self.book.set(None, "v2")
-        want = Want("r", "model", "one", 0.0, 10.0, False)
+        want = PoolRequest("r", "model", "one", 0.0, 10.0, False)
         for name in ("old0", "old1"):
             self.rests.asked(name, 10.0, self.clock.now)
         self.assertIsNotNone(self.gate.refusal(want))
@@ -457,7 +457,7 @@
         self.assertEqual(told[-1].facts["ticket"], f"{ENTRY}#1")
 
     async def test_entry_names_the_version_while_a_rollout_runs(self):
-        want = Want("r-1", "model", "one", 0.0, 10.0, False)
+        want = PoolRequest("r-1", "model", "one", 0.0, 10.0, False)
         for running in (False, True):
             if running:
                 self.order()
