upstreams: read on after a late answer that came while a body was written

The end of any answer closed a connection on which the request was still being written. A late answer to another request did that too, although the request's own answer was still to come: one that may not be repeated was lost. Only the own answer ends the writing now; the replica may still read the rest.

--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -184,7 +184,7 @@
 
     def finish(self) -> None:
         self.whole = True
-        if self._stream.writing():
+        if self._stream.writing() and not self.foreign:
             # The replica may never read the rest of the request, for which the codec would wait.
             self._stream.close()
 
--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -41,6 +41,8 @@
         # Sends these bytes so soon after an answer that the connection is idle.
         self.stray = b""
         self.closes_idle = False
+        # Sends these bytes when the head of the next request was read, and its body was not.
+        self.late = b""
         self.reads_bodies = True
         self._answered: set[asyncio.Transport] = set()
         self._serving: set[asyncio.Task] = set()
@@ -50,7 +52,7 @@
         self._serving.add(asyncio.current_task())
         while True:
             try:
-                request_id = await self._read(reader)
+                request_id = await self._read(reader, writer)
             except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
                 writer.close()
                 return
@@ -77,8 +79,11 @@
         """Wait until all connections are closed."""
         await asyncio.wait(self._serving, timeout=1.0)
 
-    async def _read(self, reader: asyncio.StreamReader) -> str:
+    async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> str:
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        if self.late:
+            writer.write(self.late)
+            await asyncio.sleep(0.02)
         lines = [line.partition(": ") for line in head.split("\r\n")]
         fields = {name: value for name, _, value in lines}
         if self.reads_bodies:
@@ -212,6 +217,12 @@
         self.assertEqual((await self.ask()).body, b"ok")
         self.assertEqual((self.replica.opened, len(self.pool)), (1, 0))
 
+    async def test_late_answer_while_the_body_is_written_is_passed_over(self):
+        await self.ask()
+        self.replica.late = answer("r1", body=b"late")
+        self.assertEqual((await self.ask(body=BIG_BODY)).body, b"ok")
+        self.assertEqual((self.replica.opened, len(self.pool)), (1, 0))
+
     async def test_late_answer_that_comes_before_the_request_closes_the_connection(self):
         self.replica.stray = answer("r0", body=b"late")
         await self.ask_twice()
