upstreams: gave up silent connections after the tenth of a second that is named

The pause before the last look was doubled whatever time was left, so that a silent connection was held for up to twice 0.1 s, half of the objective of a short request. The last look comes at the end of that time.

--- a/railsail/upstreams/connections.py
+++ b/railsail/upstreams/connections.py
@@ -189,12 +189,12 @@
     if not stream.quiet():
         return "closed"
     loop = asyncio.get_running_loop()
-    begun = loop.time()
+    ends_at = loop.time() + MOST_CHECK_SECONDS
     pause = min(stream.connect_seconds + SETTLE_SECONDS, MOST_PAUSE_SECONDS)
     stream.set_nodelay(True)
     stream.send_ahead(line)
-    while loop.time() - begun < MOST_CHECK_SECONDS:
-        await asyncio.sleep(pause)
+    while loop.time() < ends_at:
+        await asyncio.sleep(min(pause, ends_at - loop.time()))
         acknowledged = stream.acknowledged()
         if not stream.quiet():
             return "forgotten"
--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -12,11 +12,13 @@
 from railsail.core.metrics import Metrics
 from railsail.upstreams import connections as module
 from railsail.upstreams.connections import ConnectionPool
-from railsail.upstreams.http import Collector, CutOff, HttpRequest, exchange
+from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.streams import UpstreamStream
 from tests.forgetting import reset, start_forgetting_server
 
 KEEP_SECONDS = 30.0
+# What the loop may be late by when it wakes a task.
+LOOP_SECONDS = 0.1
 BIG_BODY = b"x" * (32 << 20)
 
 
@@ -187,6 +189,24 @@
             await self.ask()
         self.assertEqual((self.replica.opened, self.closed()), (2, {"silent": 1}))
 
+    async def test_silent_connection_is_given_up_in_time(self):
+        await self.ask()
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        # The connection took so long to connect that a second look comes late.
+        first_look = 0.9 * module.MOST_CHECK_SECONDS
+        with (
+            mock.patch.object(module, "SETTLE_SECONDS", first_look),
+            mock.patch.object(module, "MOST_PAUSE_SECONDS", first_look),
+            mock.patch.object(UpstreamStream, "acknowledged", lambda stream: False),
+            mock.patch.object(module, "connect", mock.AsyncMock(side_effect=NotSent("none"))),
+            self.assertRaises(NotSent),
+        ):
+            await self.ask()
+        waited = loop.time() - begun
+        self.assertGreaterEqual(waited, module.MOST_CHECK_SECONDS)
+        self.assertLess(waited, module.MOST_CHECK_SECONDS + LOOP_SECONDS)
+
     async def test_connection_that_its_replica_closed_is_not_used(self):
         self.replica.closes_idle = True
         await self.ask_twice()
