scheduling: cut no pool of a one-region fleet by a replica of unknown region

A replica whose failure domain was named with no region counted as a second region: in a fleet of one region its pool fell into two cells, with tickets passed between them. The regions that are named decide now.

--- a/railsail/scheduling/cells.py
+++ b/railsail/scheduling/cells.py
@@ -44,9 +44,9 @@
     ``regions`` gives the region of each replica, ``named`` are the regions of the fleet. A region
     without replicas has no cell, and the cells of the others keep their numbers.
     """
-    names = sorted({*named, *regions.values()})
-    if len(names) <= 1 or not regions:
+    if len(set(named)) <= 1 or not regions:
         return cut(pool, list(regions), limit)
+    names = sorted({*named, *regions.values()})
     inside: dict[str, list[str]] = defaultdict(list)
     for replica, region in regions.items():
         inside[region].append(replica)
--- a/tests/scheduling/test_cells.py
+++ b/tests/scheduling/test_cells.py
@@ -83,6 +83,12 @@
         self.assertEqual(found, cut("model", names, limit))
         self.assertEqual({cell.region for cell in found}, {""})
 
+    def test_replica_of_an_unknown_region_does_not_cut_a_fleet_of_one(self):
+        regions = {"r0": "one", "r1": "one", "r2": ""}
+        found = cut_by_region("model", regions, 16, {"one"})
+        self.assertEqual(found, cut("model", list(regions), 16))
+        self.assertEqual({cell.region for cell in found}, {""})
+
     @settings(deadline=None, derandomize=True)
     @given(st.lists(st.sampled_from(REGIONS), max_size=200), st.integers(1, 20))
     def test_every_replica_is_in_one_cell_of_its_region(self, found, limit):
