routing: handed on no request whose regions exclude those of the nodes

A full node handed requests on within its region, which it took for that of the caller. Where all nodes of a region are gone, its callers reach another one, and the body of a request that is bound to the first went to a node that is neither in its regions nor in the caller's. The node cannot tell where a caller is, so it serves what may not run in its region by itself, or refuses it.

--- a/railsail/routing/forwarding.py
+++ b/railsail/routing/forwarding.py
@@ -45,13 +45,15 @@
 class Forwarded(msgspec.Struct, frozen=True):
     """A request as it is handed on: its first line, headers and body.
 
-    ``ends_at`` is when its final answer is due, in seconds of the monotonic clock.
+    ``ends_at`` is when its final answer is due, in seconds of the monotonic clock. It runs in one
+    of ``regions``, in any where none are named.
     """
 
     line: RequestStartLine
     headers: HTTPHeaders
     body: bytes
     ends_at: float
+    regions: tuple[str, ...] = ()
 
 
 class Forwarder:
@@ -65,7 +67,7 @@
 
     async def forward(self, request: Forwarded, client: ClientAnswer) -> Completed | Unknown | None:
         """Have another node answer ``request``; ``None`` says that none was sent it."""
-        if self._limit.full(self.total):
+        if self._limit.full(self.total) or not self._targets.may_be_sent(request.regions):
             return None
         self.total += 1
         try:
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -64,6 +64,7 @@
         self._relief = Relief(
             protocol,
             self._find_route,
+            self._regions,
             callers,
             admission,
             limit,
--- a/railsail/routing/relief.py
+++ b/railsail/routing/relief.py
@@ -44,6 +44,7 @@
         self,
         protocol: RouteProtocol,
         find_route: Callable[[str, str], Route | None],
+        regions_of: Callable[[Route, str], tuple[str, ...]],
         callers: Callers,
         admission: Admission,
         limit: ConcurrencyLimit,
@@ -53,6 +54,7 @@
     ) -> None:
         self._protocol = protocol
         self._find_route = find_route
+        self._regions_of = regions_of
         self._callers = callers
         self._admission = admission
         self._limit = limit
@@ -94,7 +96,9 @@
         longest = min(origin.deadline or route.timeout, route.timeout)
         spent = self._clock.monotonic() - arrival.at
         headers = self._protocol.forward_headers(arrival.headers, spent)
-        request = Forwarded(arrival.line, headers, arrival.body, arrival.at + longest)
+        ends_at = arrival.at + longest
+        regions = self._regions_of(route, case.workspace)
+        request = Forwarded(arrival.line, headers, arrival.body, ends_at, regions)
         try:
             outcome = await self._forwarder.forward(request, case.client)
             if outcome is None:
--- a/railsail/routing/targets.py
+++ b/railsail/routing/targets.py
@@ -40,6 +40,13 @@
         self._running: Counter[str] = Counter()
         self._failed_until: dict[str, float] = {}
 
+    def may_be_sent(self, regions: tuple[str, ...]) -> bool:
+        """Say whether the nodes, all of one region, may be sent what runs in ``regions`` alone.
+
+        Its caller may have come from another region, whose nodes are all gone.
+        """
+        return not regions or self._own().region in regions
+
     def choose(self, now: float) -> Member | None:
         """Return the node with the least running for its speed, or ``None`` if there is none."""
         if now >= self._look_up_at:
--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -33,6 +33,7 @@
     ROUTES,
     Answer,
     PlatformTestCase,
+    configuration,
     read_answer,
     request,
 )
@@ -237,6 +238,15 @@
         self.assertEqual([answer.status for answer in answers], [200] * MORE)
         self.assertEqual(third.membership.table.own.forward_port > 0, True)
 
+    async def test_request_that_may_not_run_in_the_region_is_not_handed_on_in_it(self):
+        full, _ = await self.serve_crowded()
+        limited = configuration(4, again={"allowed_regions": ["south"]})
+        self.store.put("config", "main", limited)
+        await self.until(lambda: full.carrier.catalog.version == 4)
+        full.forwarder._targets.choose = choose = mock.Mock(return_value=None)
+        self.assertEqual((await self.call(full, "/again/")).status, 503)
+        choose.assert_not_called()
+
     async def test_request_is_handed_on_once_only(self):
         full, idle = await self.serve_crowded()
         idle.front._relief._limit.limit = 0.0
--- a/tests/routing/test_targets.py
+++ b/tests/routing/test_targets.py
@@ -50,6 +50,12 @@
         self.members += [peer("a", domain="other"), peer("b")]
         self.assertEqual(self.chosen(5), {"b": 5})
 
+    def test_nodes_of_a_region_are_sent_only_what_may_run_there(self):
+        self.own = replace(self.own, region="south")
+        allowed = {(): True, ("north", "south"): True, ("north",): False}
+        for regions, expected in allowed.items():
+            self.assertEqual(self.targets.may_be_sent(regions), expected)
+
     def test_dispatchers_are_the_last_resort(self):
         self.members += [peer("a"), peer("b")]
         self.dispatchers = {"a"}
