dispatch: told dispatchers of other regions what ended while a link was cut

An entry tells a dispatcher anew when it places something there. Where a ticket was passed on to another region, nothing may be placed there again: the end of a call was lost with the link, and the dispatcher kept a slot of its replica for it. The entry now tells it what it has there once the link is back.

--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -67,8 +67,9 @@
         # Since when a dispatcher knows what this entry has of a cell; what is not named here may
         # still have calls that ended while it could not be told.
         self._told_at: dict[tuple[str, Cell], float] = {}
-        # Dispatchers that a ticket of this entry was passed on to, and that have yet to be told.
-        self._passed_to: set[tuple[str, Cell]] = set()
+        # Dispatchers that have yet to be told: a ticket of this entry was passed on to them, or the
+        # link to them in another region has ended.
+        self._to_tell: set[tuple[str, Cell]] = set()
         self._pools: set[str] = set()
         hub.handle(Granted, self._granted)
         hub.handle(Refused, self._refused)
@@ -224,8 +225,12 @@
             self._resync(peer.node, cell)
 
     def _forget_told(self, node: str) -> None:
+        far = self._cells.way_seconds(self._hub.own.node, node) > 0
         for told in [told for told in self._told_at if told[0] == node]:
             del self._told_at[told]
+            if far:
+                # Perhaps nothing is placed there any more that would tell it what ended meanwhile.
+                self._to_tell.add(told)
 
     def _link_down(self, node: str) -> None:
         self._forget_told(node)
@@ -239,7 +244,7 @@
         """Do what is due; to be called about twice a second."""
         self._reach.tick()
         self._link_far()
-        self._tell_passed()
+        self._tell_others()
         now = self._clock.monotonic()
         for (node, cell), told_at in list(self._told_at.items()):
             if now - told_at > RESYNC_SECONDS:
@@ -260,11 +265,11 @@
             # One at a time: a node that has just become a dispatcher is dialled by all entries.
             self._hub.dial(self._rng.choice(lacking))
 
-    def _tell_passed(self) -> None:
-        """Tell dispatchers what this entry has there; a grant may have been lost on its way."""
-        for node, cell in sorted(self._passed_to):
+    def _tell_others(self) -> None:
+        """Tell dispatchers what this entry has there; a grant or an end may have been lost."""
+        for node, cell in sorted(self._to_tell):
             if self._hub.connected(node):
-                self._passed_to.discard((node, cell))
+                self._to_tell.discard((node, cell))
                 if (node, cell) not in self._told_at:
                     self._resync(node, cell)
 
@@ -381,7 +386,7 @@
         booking.cell = self._cells.cell(booking.cell.pool, message.to_cell)
         if booking.waiting:
             booking.node = message.node
-            self._passed_to.add((message.node, booking.cell))
+            self._to_tell.add((message.node, booking.cell))
             # The grant comes from there; a link that is new tells the ticket once more.
             self._hub.dial(message.node)
 
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -27,6 +27,8 @@
 )
 from railsail.quarantine.service import Quarantine
 from railsail.scheduling.cells import Cell
+from railsail.scheduling.health import CallResult
+from railsail.scheduling.overflow import WAY_SECONDS
 from railsail.store.base import WatchEvent
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.rests import TRIAL_SECONDS, Rests
@@ -168,6 +170,20 @@
         (resync,) = self.told()
         self.assertEqual([place.number for place in resync.waiting], [booking.number])
 
+    async def test_dispatcher_of_another_region_is_told_what_ended_while_it_was_cut_off(self):
+        booking = await self.passed()
+        self.hub.handlers[Granted](FAR, Granted(booking.number, 1, "i-1", 0))
+        self.desk.tick()
+        self.cells.way_seconds = lambda entry, dispatcher: WAY_SECONDS * (dispatcher == FAR)
+        self.desk._link_down(FAR)
+        # No link carries this.
+        self.desk.release(booking, 1.0, CallResult.GOOD)
+        self.desk._link_up(Identity(FAR, 1))
+        self.hub.sent.clear()
+        self.desk.tick()
+        self.assertEqual([type(message) for message in self.hub.sent], [Resync])
+        self.assertEqual(self.hub.sent[0].flights, [])
+
 
 class CrossingTests(EntryTestCase):
     async def answer_at_the_end_of_the_wait(self, message) -> NotRun:
