--- a/tests/fleet/test_regions.py
+++ b/tests/fleet/test_regions.py
@@ -1,10 +1,11 @@
 """A fleet over two regions: who dispatches, who serves, and what stays where it may be."""
 
 import asyncio
-import dataclasses
 import statistics
 import time
 
+import msgspec
+
 from railsail.node import Node
 from railsail.objects.catalog import hash_key
 from railsail.standins.batching import EngineSettings
@@ -317,7 +318,7 @@
             # Nothing that the store tells is taken in here.
             node.carrier.seen = node.carrier.listed = lambda told: None
         catalog = self.north[0].carrier.catalog
-        newer = dataclasses.replace(catalog, version=catalog.version + 5)
+        newer = msgspec.structs.replace(catalog, version=catalog.version + 5)
         self.north[0].carrier._bring_into_force(newer, [], "")
         began = time.monotonic()
         nodes = self.fleet.nodes
