dispatch: asked no cell of unknown region for a request that is bound to some

A cell without a region was taken for one of a fleet of one region, which all requests may be asked of. In a fleet of several it holds replicas whose failure domain names no region, and none of them may run a bound request: part of these waited there until they expired.

--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -181,7 +181,8 @@
     def _allowed(self, pool: str, regions: tuple[str, ...]) -> list[Cell]:
         """Return the cells in one of ``regions``, those that take work if there are any."""
         cells = list(self.cells(pool))
-        allowed = [c for c in cells if not (regions and c.region) or c.region in regions]
+        bound = regions and any(cell.region for cell in cells)
+        allowed = [cell for cell in cells if not bound or cell.region in regions]
         return [cell for cell in allowed if self.takes_work(cell)] or allowed or cells
 
     def takes_work(self, cell: Cell) -> bool:
--- a/tests/dispatch/test_cellmap.py
+++ b/tests/dispatch/test_cellmap.py
@@ -1,6 +1,7 @@
 """Which cell is asked for a prompt's beginning, as the entries of a fleet compute it."""
 
 import unittest
+from unittest import mock
 
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog
@@ -131,6 +132,14 @@
             homes = {cells.home(POOL, prefix).region for prefix in PREFIXES}
             self.assertEqual(homes, {region})
 
+    def test_bound_requests_are_not_sent_where_the_region_is_unknown(self):
+        with mock.patch.dict(DOMAINS):
+            del DOMAINS["b"]
+            cells = map_of("west 0", spread(30))
+            self.assertIn("", {cell.region for cell in cells.cells(POOL)})
+            homes = cells.homes(POOL, ("north",))
+            self.assertEqual({cell.region for cell in homes}, {"north"})
+
     def test_entries_of_a_region_name_one_home_and_it_is_there(self):
         # More than a cell's limit in each region.
         known = spread(90)
