--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -111,9 +111,8 @@
     ) -> Cell:
         """Return the cell of the replica that should have the beginning ``prefix`` in memory.
 
-        Every entry of a region names the same one, however the pool is cut: where each entry chose
-        among cells of its own, every cell came to read every beginning. ``anywhere`` names the one
-        home in the fleet, in whichever region.
+        Every entry of a region names the same one, however the pool is cut, so that one cell reads
+        a beginning and not each. ``anywhere`` names the one home in the fleet, in whichever region.
         """
         choice = self.reached_cells if anywhere else self.open_cells
         cells = choice(pool, regions)
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -51,8 +51,8 @@
     place. ``attempts`` counts the replicas that it was sent to; ``ran`` says that one of them may
     have run it. ``replica`` was sent it last. ``waited`` are the seconds that it waited for places,
     ``first_after`` those from its arrival to the first byte of an answer, 0 if there is none;
-    ``given_up`` says why no further attempt was made. It runs in one of ``regions``,
-    in any where none are named. Its repeats have the same ``fingerprint``.
+    ``given_up`` says why no further attempt was made. It runs in one of ``regions``, in any where
+    none are named. Its repeats have the same ``fingerprint``.
     """
 
     request: RoutedRequest
--- a/railsail/scheduling/tickets.py
+++ b/railsail/scheduling/tickets.py
@@ -30,10 +30,9 @@
     are not known. ``returned`` says that the caller was refused before; it is served late rather
     than refused again, after all others. It may wait ``patience`` seconds for its place, 0 for as
     long as its entry lets it; its caller would come back within ``returns_within`` seconds, 0 for
-    not at all. The request runs in one of ``regions``, in any
-    where none are named. A repeat of it has the same ``fingerprint``, 0 where there is none. Its
-    entry may not send it to the replicas ``excluded``. ``route`` is the fingerprint of its route, 0
-    where there is none.
+    not at all. The request runs in one of ``regions``, in any where none are named. A repeat of it
+    has the same ``fingerprint``, 0 where there is none. Its entry may not send it to the replicas
+    ``excluded``. ``route`` is the fingerprint of its route, 0 where there is none.
     """
 
     entry: str
