scheduling: sent no tickets to a cell that has become pressed since it asked

What a cell asked for stood for 0.3 s, also when it was pressed by then. Two cells that had asked each other passed a ticket of a workspace that had its share to and fro until its time ended, seven times in the test. The word that a cell is pressed ends what it asked for; it may cross the ticket once.

--- a/railsail/scheduling/overflow.py
+++ b/railsail/scheduling/overflow.py
@@ -94,7 +94,9 @@
         }
 
     def told(self, other: Cell, waiting: int, now: float) -> None:
-        """Take note that so many tickets wait in ``other``."""
+        """Take note that so many tickets wait in ``other``, which takes no more if some do."""
+        if waiting:
+            self._offers.pop(other, None)
         self._waiting[other] = waiting
         self._heard_at[other] = now
 
--- a/tests/scheduling/test_overflow.py
+++ b/tests/scheduling/test_overflow.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from railsail.core.outcomes import Reason
 from railsail.scheduling.cells import Cell
@@ -20,6 +21,7 @@
 )
 from railsail.scheduling.tickets import Ticket
 
+NORTH = Cell("model", 0, 3, "north")
 SOUTH = Cell("model", 1, 3, "south")
 WEST = Cell("model", 2, 3, "west")
 NOW = 100.0
@@ -118,6 +120,13 @@
         self.assertEqual(len(waiting), 3)
         self.assertEqual(self.passed(waiting), [])
 
+    def test_cell_that_is_pressed_takes_nothing_until_it_asks_again(self):
+        self.overflow.offered(SOUTH, 9, NOW)
+        self.overflow.told(SOUTH, 3, NOW)
+        self.assertIsNone(self.overflow.taker(ticket(1), NOW))
+        self.overflow.offered(SOUTH, 9, NOW)
+        self.assertEqual(self.overflow.taker(ticket(1), NOW), SOUTH)
+
     def test_what_was_asked_for_stands_for_a_moment(self):
         self.overflow.offered(SOUTH, 2, NOW - 0.5 * OFFER_SECONDS)
         self.assertEqual(self.passed(queue(ticket(1))), [1])
@@ -148,6 +157,50 @@
         self.assertEqual(self.passed(waiting), [2])
 
 
+class ReturnTests(unittest.TestCase):
+    """Two full cells of which each asked the other for tickets just before."""
+
+    def setUp(self):
+        self.cells = {NORTH: self.full(), SOUTH: self.full()}
+        self.cells[NORTH].overflow.offered(SOUTH, MOST_ASKED, NOW)
+        self.cells[SOUTH].overflow.offered(NORTH, MOST_ASKED, NOW)
+
+    def full(self) -> CellDispatcher:
+        """Return a cell that serves nobody of workspace ``one`` any more."""
+        cell = CellDispatcher(
+            lambda workspace: 1.0, random.Random(1), fair_window=4.0, overflow=Overflow()
+        )
+        cell.set_replicas({"r": 1})
+        for number, workspace in ((1, "one"), (2, "one"), (3, "other")):
+            cell.offer(ticket(number, 0.3, workspace, patience=0.25), NOW - 0.1)
+        cell.pump(NOW)
+        return cell
+
+    def moves(self, placed: Ticket) -> int:
+        """Return how often ``placed``, whose entry is in the north, is passed on from there."""
+        at, other, now = NORTH, SOUTH, NOW
+        for count in range(MOST_ASKED):
+            (decision,) = self.cells[at].put(placed, now)
+            self.tell(other, at, now)
+            if not isinstance(decision, Move):
+                return count
+            waited = now - placed.enqueued_at + (WAY_SECONDS if at == NORTH else 0.0)
+            now += WAY_SECONDS / 2
+            placed = replace(placed, enqueued_at=now - waited)
+            at, other = other, at
+        return MOST_ASKED
+
+    def tell(self, source: Cell, target: Cell, now: float) -> None:
+        """Tell ``target`` how ``source`` is; the news comes behind a ticket of the same time."""
+        waiting = self.cells[source].overflow.news(0, now)
+        if waiting is not None:
+            self.cells[target].overflow.told(source, waiting, now)
+
+    def test_ticket_does_not_go_to_and_fro(self):
+        # The first time it comes back it meets the news that this cell is full.
+        self.assertLessEqual(self.moves(ticket(9, waited=0.0)), 3)
+
+
 class DispatcherTests(unittest.TestCase):
     """A cell of one replica with one slot, and an offer of another region."""
 
