--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -230,6 +230,18 @@
         await self.ask()
         self.assertEqual(self.replica.opened, 2)
 
+    async def test_caller_that_leaves_ends_the_look_at_a_connection(self):
+        await self.ask()
+        with (
+            mock.patch.object(UpstreamStream, "acknowledged", lambda stream: False),
+            self.assertRaises(TimeoutError),
+        ):
+            async with asyncio.timeout(0.02):
+                await self.ask()
+        await self.replica.ended()
+        self.assertEqual((len(self.pool), self.closed()), (0, {"cancelled": 1}))
+        self.assertEqual((self.replica.opened, dict(self.replica.ran)), (1, {"r1": 1}))
+
     async def test_late_answer_to_another_request_is_passed_over(self):
         await self.ask()
         late = answer("r1", body=b"late")
