dispatch: told a dispatcher that was passed a ticket also where its grant came first

The grant of a ticket that was passed on may overtake the word of that, which comes from another node. The entry then never told the dispatcher what it has there, and an end that was lost with the link kept a slot for good.

--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -384,9 +384,10 @@
         if booking is None or booking.attempt != message.attempt:
             return
         booking.cell = self._cells.cell(booking.cell.pool, message.to_cell)
+        # Its grant may have come first, on another link.
+        self._to_tell.add((message.node, booking.cell))
         if booking.waiting:
             booking.node = message.node
-            self._to_tell.add((message.node, booking.cell))
             # The grant comes from there; a link that is new tells the ticket once more.
             self._hub.dial(message.node)
 
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -170,6 +170,15 @@
         (resync,) = self.told()
         self.assertEqual([place.number for place in resync.waiting], [booking.number])
 
+    async def test_dispatcher_there_is_told_where_its_grant_was_heard_first(self):
+        self.cells.count = 2
+        booking = self.desk.place(WANT, self.clock.monotonic())
+        self.hub.handlers[Granted](FAR, Granted(booking.number, 1, "i-1", 0))
+        self.hub.deliver(Moved(booking.number, 1, 1, FAR))
+        self.desk.tick()
+        (resync,) = self.told()
+        self.assertEqual([flight.number for flight in resync.flights], [booking.number])
+
     async def test_dispatcher_of_another_region_is_told_what_ended_while_it_was_cut_off(self):
         booking = await self.passed()
         self.hub.handlers[Granted](FAR, Granted(booking.number, 1, "i-1", 0))
