--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -12,11 +12,13 @@
 from railsail.core.metrics import Metrics
 from railsail.upstreams import connections as module
 from railsail.upstreams.connections import ConnectionPool
-from railsail.upstreams.http import Collector, CutOff, HttpRequest, exchange
+from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.streams import UpstreamStream
 from tests.forgetting import reset, start_forgetting_server
 
 KEEP_SECONDS = 30.0
+# What the loop may be late by when it wakes a task.
+LOOP_SECONDS = 0.1
 BIG_BODY = b"x" * (32 << 20)
 
 
@@ -41,6 +43,8 @@
         # Sends these bytes so soon after an answer that the connection is idle.
         self.stray = b""
         self.closes_idle = False
+        # Sends these bytes when the head of the next request was read, and its body was not.
+        self.late = b""
         self.reads_bodies = True
         self._answered: set[asyncio.Transport] = set()
         self._serving: set[asyncio.Task] = set()
@@ -50,7 +54,7 @@
         self._serving.add(asyncio.current_task())
         while True:
             try:
-                request_id = await self._read(reader)
+                request_id = await self._read(reader, writer)
             except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
                 writer.close()
                 return
@@ -77,8 +81,11 @@
         """Wait until all connections are closed."""
         await asyncio.wait(self._serving, timeout=1.0)
 
-    async def _read(self, reader: asyncio.StreamReader) -> str:
+    async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> str:
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        if self.late:
+            writer.write(self.late)
+            await asyncio.sleep(0.02)
         lines = [line.partition(": ") for line in head.split("\r\n")]
         fields = {name: value for name, _, value in lines}
         if self.reads_bodies:
@@ -182,6 +189,24 @@
             await self.ask()
         self.assertEqual((self.replica.opened, self.closed()), (2, {"silent": 1}))
 
+    async def test_silent_connection_is_given_up_in_time(self):
+        await self.ask()
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        # The connection took so long to connect that a second look comes late.
+        first_look = 0.9 * module.MOST_CHECK_SECONDS
+        with (
+            mock.patch.object(module, "SETTLE_SECONDS", first_look),
+            mock.patch.object(module, "MOST_PAUSE_SECONDS", first_look),
+            mock.patch.object(UpstreamStream, "acknowledged", lambda stream: False),
+            mock.patch.object(module, "connect", mock.AsyncMock(side_effect=NotSent("none"))),
+            self.assertRaises(NotSent),
+        ):
+            await self.ask()
+        waited = loop.time() - begun
+        self.assertGreaterEqual(waited, module.MOST_CHECK_SECONDS)
+        self.assertLess(waited, module.MOST_CHECK_SECONDS + LOOP_SECONDS)
+
     async def test_connection_that_its_replica_closed_is_not_used(self):
         self.replica.closes_idle = True
         await self.ask_twice()
@@ -205,6 +230,18 @@
         await self.ask()
         self.assertEqual(self.replica.opened, 2)
 
+    async def test_caller_that_leaves_ends_the_look_at_a_connection(self):
+        await self.ask()
+        with (
+            mock.patch.object(UpstreamStream, "acknowledged", lambda stream: False),
+            self.assertRaises(TimeoutError),
+        ):
+            async with asyncio.timeout(0.02):
+                await self.ask()
+        await self.replica.ended()
+        self.assertEqual((len(self.pool), self.closed()), (0, {"cancelled": 1}))
+        self.assertEqual((self.replica.opened, dict(self.replica.ran)), (1, {"r1": 1}))
+
     async def test_late_answer_to_another_request_is_passed_over(self):
         await self.ask()
         late = answer("r1", body=b"late")
@@ -212,6 +249,12 @@
         self.assertEqual((await self.ask()).body, b"ok")
         self.assertEqual((self.replica.opened, len(self.pool)), (1, 0))
 
+    async def test_late_answer_while_the_body_is_written_is_passed_over(self):
+        await self.ask()
+        self.replica.late = answer("r1", body=b"late")
+        self.assertEqual((await self.ask(body=BIG_BODY)).body, b"ok")
+        self.assertEqual((self.replica.opened, len(self.pool)), (1, 0))
+
     async def test_late_answer_that_comes_before_the_request_closes_the_connection(self):
         self.replica.stray = answer("r0", body=b"late")
         await self.ask_twice()
