scheduling: tried other canaries, and drained to nobody that is gone

A canary names few replicas. Where these were evacuated, taken away or lost, the dispatcher gave the allowed calls to none (0 of 20) until the coordinator learnt of it; where none was named in a cell, cold replicas were tried, whose times speak against a good version. A drain sent callers to the target version though none of its replicas served: 50 of 50 found no place beside three idle replicas of the other version.

Now a canary call goes to another warm replica of the target where no named one serves, and never to a cold one. In a drain the other versions serve while no replica of the target does, and count as room. The number of calls sent to the target is bounded as before.

Ruled out: to name more canaries, which spreads few calls thinner. Left: a call that begins on another version between the coordinator's decision and its status, while the target is gone for a moment, may be cut.

--- a/railsail/scheduling/versions.py
+++ b/railsail/scheduling/versions.py
@@ -64,23 +64,43 @@
         return self.exposure.stage(now) in (Stage.HOLD, Stage.CANARY)
 
     def open_rooms(self, rooms: Collection[ReplicaRoom], now: float) -> Collection[ReplicaRoom]:
-        """Return those of ``rooms`` that requests may run on at the present stage."""
+        """Return those of ``rooms`` that requests may run on at the present stage.
+
+        Where no replica of the target version serves, callers of a drain run on the others: the
+        coordinator may learn later than this dispatcher that a failure domain was lost.
+        """
         if self.exposure is None:
             return rooms
         stage = self.exposure.stage(now)
         if stage is Stage.SHIFT:
             return rooms
-        return [room for room in rooms if self.is_target(room.name) is (stage is Stage.DRAIN)]
+        target, others = self._sides(rooms)
+        drains = stage is Stage.DRAIN and any(room.serves(now) for room in target)
+        return target if drains else others
+
+    def _sides(self, rooms: Iterable[ReplicaRoom]) -> tuple[list[ReplicaRoom], list[ReplicaRoom]]:
+        """Return those of ``rooms`` that run the target version, and the others."""
+        sides: tuple[list[ReplicaRoom], list[ReplicaRoom]] = ([], [])
+        for room in rooms:
+            sides[0 if self.is_target(room.name) else 1].append(room)
+        return sides
 
     def look(self, rooms: Collection[ReplicaRoom], now: float, urgent: bool = False) -> Openings:
         """Return which of ``rooms`` may be given calls, and have room, at ``now``."""
         if self.exposure is None:
             return look(rooms, now, urgent)
-        canaries = self._canaries(rooms) if self.exposure.due(now) else []
+        canaries = self._canaries(rooms, now) if self.exposure.due(now) else []
         return look([*self.open_rooms(rooms, now), *canaries], now, urgent)
 
-    def _canaries(self, rooms: Iterable[ReplicaRoom]) -> list[ReplicaRoom]:
-        return [r for r in rooms if self.is_target(r.name) and self.exposure.names(r.name)]
+    def _canaries(self, rooms: Iterable[ReplicaRoom], now: float) -> list[ReplicaRoom]:
+        """Return the replicas that canary calls go to, others where none of those named serves.
+
+        Those named may be lost, evacuated or taken away since. Cold ones are slow and show nothing.
+        """
+        target, _ = self._sides(rooms)
+        able = [room for room in target if room.serves(now) and not room.warmup.cold(now)]
+        named = [room for room in able if self.exposure.names(room.name)]
+        return named or able
 
     def choose(
         self,
@@ -95,7 +115,7 @@
         target, others = self._split(openings)
         found = None
         match self.exposure.stage(now):
-            case Stage.DRAIN:
+            case Stage.DRAIN if target.serving:
                 return self._target.choose(ticket, target, now, standing)
             case Stage.SHIFT if not self._failed_there(ticket):
                 found = self._target.choose(ticket, target, now, standing)
@@ -105,14 +125,9 @@
 
     def _split(self, openings: Openings) -> tuple[Openings, Openings]:
         """Return the openings of the target version, and those of the others."""
-        sides = [
-            Openings(
-                [room for room in openings.serving if self.is_target(room.name) is side],
-                [room for room in openings.free if self.is_target(room.name) is side],
-            )
-            for side in (True, False)
-        ]
-        return sides[0], sides[1]
+        serving = self._sides(openings.serving)
+        free = self._sides(openings.free)
+        return Openings(serving[0], free[0]), Openings(serving[1], free[1])
 
     def _failed_there(self, ticket: Ticket) -> bool:
         return bool(ticket.avoid) and self.is_target(ticket.avoid)
--- /dev/null
+++ b/tests/scheduling/test_overlaps.py
@@ -0,0 +1,75 @@
+"""A rollout, evacuations, losses and cold replicas meet in one cell."""
+
+from collections import Counter
+
+from railsail.rollouts.stages import Stage
+from railsail.scheduling.exposure import Allowance
+from railsail.scheduling.warmup import WarmupBound
+from tests.scheduling.test_versions import NEW, OLD, VERSIONS, RolloutTestCase
+
+ALL = dict.fromkeys([*OLD, *NEW], 8)
+
+
+class CanaryTests(RolloutTestCase):
+    def allow_canary(self, calls: int, *named: str) -> None:
+        allowance = Allowance(1, 1, Stage.CANARY, calls, 100.0, frozenset(named))
+        self.dispatcher.versions.exposure.allow(allowance, 0.0)
+
+    def test_another_replica_is_tried_where_those_named_are_evacuated(self):
+        self.allow_canary(20, "new0")
+        self.dispatcher.set_replicas(ALL, leaving=["new0"])
+        self.assertEqual(self.serve(200, 0.0, gap=0.02)["v2"], 20)
+
+    def test_another_replica_is_tried_where_those_named_are_lost(self):
+        self.allow_canary(20, "new0", "new1")
+        for name in ("new0", "new1"):
+            self.dispatcher.replicas[name].health._closed_until = 100.0
+        self.assertEqual(self.serve(200, 0.0, gap=0.02)["v2"], 20)
+
+    def test_cold_replica_is_tried_in_place_of_no_other(self):
+        self.allow_canary(20, "new0")
+        self.dispatcher.set_replicas(ALL, leaving=["new0"])
+        self.dispatcher.set_bound(WarmupBound(per_second=50.0, seconds=60.0))
+        for name in ("new1", "new2"):
+            self.dispatcher.set_cold(name, 60.0, 0.0)
+        self.assertEqual(self.serve(200, 0.0, gap=0.02)["v2"], 0)
+
+    def test_cold_replica_is_not_tried_where_none_is_named(self):
+        self.allow_canary(20)
+        self.dispatcher.set_bound(WarmupBound(per_second=50.0, seconds=60.0))
+        for name in NEW:
+            self.dispatcher.set_cold(name, 60.0, 0.0)
+        self.assertEqual(self.serve(200, 0.0, gap=0.02)["v2"], 0)
+
+    def test_those_named_are_tried_alone_while_one_serves(self):
+        self.allow_canary(20, "new0", "new1")
+        self.dispatcher.set_replicas(ALL, leaving=["new0"])
+        bound = Counter()
+        for step in range(200):
+            bound[self.offer(step * 0.02)] += 1
+            self.end(step * 0.02)
+        self.assertEqual((bound["new1"], bound["new2"]), (20, 0))
+
+
+class DrainTests(RolloutTestCase):
+    def test_others_serve_where_the_whole_target_is_evacuated(self):
+        self.allow(Stage.DRAIN)
+        self.dispatcher.set_replicas(ALL, leaving=NEW)
+        self.assertEqual(self.serve(50, 0.0), {"v1": 50})
+
+    def test_others_serve_where_the_whole_target_is_lost(self):
+        self.allow(Stage.DRAIN)
+        for name in NEW:
+            self.dispatcher.replicas[name].health._closed_until = 100.0
+        self.assertEqual(self.serve(50, 0.0), {"v1": 50})
+
+    def test_room_is_that_of_the_others_where_the_target_is_evacuated(self):
+        self.allow(Stage.DRAIN)
+        self.dispatcher.set_replicas(ALL, leaving=NEW)
+        self.assertEqual(self.dispatcher.room(0.0), 8 * len(OLD))
+
+    def test_target_alone_serves_while_one_replica_of_it_does(self):
+        self.allow(Stage.DRAIN)
+        self.dispatcher.set_replicas(ALL, leaving=NEW[1:])
+        bound = Counter(VERSIONS.get(self.offer(0.0), "none") for _ in range(30))
+        self.assertEqual(bound["v1"], 0)
