scheduling: compared replicas with those that answer, and planned returns for those that serve

Beside a lost failure domain a replica that failed half of its calls stayed open: the unreachable replicas' share of errors, near 1, raised the mean that it is compared with (3 of 9 lost for 200 s: bound 0.66, its own share 0.55 at most). Beside evacuated replicas none was ever closed for errors, since those that leave counted as closed (5 of 9 leaving: 6 failures in a row closed nothing).

Callers that were refused were told to come back at the pace of all replicas, also those that leave, are closed or are cold: with 3 of 4 leaving four times the pace that the last one reads at.

Replicas that leave are no peers any more; those out of reach still count as closed, but their errors are not compared. Returns are planned for replicas that serve, the warm ones if there are any. Ruled out: to drop replicas that were closed for errors from the mean as well, by which a cell whose replicas all fail would close one after the other up to half.

--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -231,7 +231,13 @@
         return self.versions.open_rooms(self.replicas.values(), now)
 
     def _read_rate(self, now: float) -> float:
-        return max(1.0, sum(room.read_rate for room in self.open_rooms(now)))
+        """Return the tokens a second that the replicas read which serve callers that come back.
+
+        Cold ones bear too few calls to be counted beside warm ones.
+        """
+        serving = [room for room in self.open_rooms(now) if room.serves(now)]
+        warm = [room for room in serving if not room.warmup.cold(now)]
+        return max(1.0, sum(room.read_rate for room in warm or serving))
 
     def _refuse(self, ticket: Ticket, reason: Reason, now: float) -> Refusal:
         if not ticket.returns_within:
@@ -300,14 +306,22 @@
             self._unread[flight.workspace] -= 1
 
     def _peers_of(self, room: ReplicaRoom, now: float) -> Peers:
-        group = self.versions.group(room.name, self.replicas.values())
+        """Return how the replicas do that ``room`` is compared with.
+
+        Those that leave are no part of the cell any more, and those that cannot be reached tell
+        nothing of how others answer: beside a lost failure domain a sick replica is still the worst
+        of those that answer.
+        """
+        rooms = [other for other in self.replicas.values() if not other.leaving]
+        group = self.versions.group(room.name, rooms)
         others = [other for other in group if other is not room]
         # What fails on trial is the version, which is judged as a whole.
         if not others or self.versions.on_trial(room.name, now):
             return Peers(may_close=False)
         closed = sum(not other.serves(now) or other.health.tripped for other in others)
-        shares = [other.health.error_share for other in others]
-        return Peers(sum(shares) / len(shares), closed + 1 <= len(group) // 2)
+        shares = [other.health.error_share for other in others if not other.health.lost]
+        mean = sum(shares) / len(shares) if shares else 0.0
+        return Peers(mean, closed + 1 <= len(group) // 2)
 
     def report(self, replica: str, report: LoadReport, now: float) -> None:
         """Take in a load report of ``replica``."""
--- /dev/null
+++ b/tests/scheduling/test_losses.py
@@ -0,0 +1,75 @@
+"""Replicas that are evacuated, lost or cold, and the decisions about those beside them."""
+
+import random
+import unittest
+
+from railsail.scheduling.decisions import Grant
+from railsail.scheduling.dispatcher import CellDispatcher
+from railsail.scheduling.health import CallResult
+from railsail.scheduling.tickets import Ticket
+from railsail.scheduling.warmup import WarmupBound
+
+
+class PeersTests(unittest.TestCase):
+    """One replica of a cell fails part of its calls while a failure domain is gone."""
+
+    def setUp(self):
+        self.dispatcher = CellDispatcher(lambda w: 1.0, random.Random(4), use_prefixes=False)
+        self.names = list("abcdefghi")
+        self.dispatcher.set_replicas(dict.fromkeys(self.names, 8))
+        self.number = 0
+
+    def call(self, replica: str, result: CallResult, now: float) -> None:
+        self.number += 1
+        others = tuple(name for name in self.names if name != replica)
+        ticket = Ticket("e", self.number, 1, "one", 0.0, 1.0, now, excluded=others)
+        if any(isinstance(found, Grant) for found in self.dispatcher.offer(ticket, now)):
+            self.dispatcher.release(ticket.key, 1.0, now, result)
+        self.dispatcher.cancel(ticket.key)
+
+    def closed_when_grey(self, now: float) -> bool:
+        for step in range(6):
+            self.call("i", CallResult.ERROR, now + step * 0.01)
+        return self.dispatcher.replicas["i"].health.closed(now + 0.06)
+
+    def test_sick_replica_is_closed_beside_a_lost_domain(self):
+        for step in range(400):
+            for lost in "abc":
+                self.call(lost, CallResult.UNREACHABLE, step * 0.5)
+        closed = False
+        for step in range(20):
+            failed = step % 4 < 2
+            self.call("i", CallResult.ERROR if failed else CallResult.GOOD, 200 + step * 0.01)
+            closed |= self.dispatcher.replicas["i"].health.closed(200 + step * 0.01)
+        self.assertTrue(closed)
+
+    def test_sick_replica_is_closed_beside_evacuated_domains(self):
+        self.dispatcher.set_replicas(dict.fromkeys(self.names, 8), leaving="abcde")
+        self.assertTrue(self.closed_when_grey(0.0))
+
+    def test_half_of_those_that_may_serve_stay_open(self):
+        self.dispatcher.set_replicas(dict.fromkeys(self.names, 8), leaving="abcde")
+        for name in "fgh":
+            for step in range(6):
+                self.call(name, CallResult.ERROR, step * 0.01)
+        self.assertFalse(self.closed_when_grey(0.1))
+
+
+class ReturnTests(unittest.TestCase):
+    """Callers that are refused come back at the rate of the replicas that will serve them."""
+
+    def read_rate(self, leaving: str = "", cold: str = "") -> float:
+        """Return how many tokens a second callers are sent back for."""
+        dispatcher = CellDispatcher(lambda w: 1.0, random.Random(4), use_prefixes=False)
+        dispatcher.set_replicas(dict.fromkeys("abcd", 1), leaving=leaving)
+        dispatcher.set_bound(WarmupBound(per_second=5.0, seconds=60.0))
+        for name in cold:
+            dispatcher.set_cold(name, 60.0, 0.0)
+        return dispatcher._read_rate(0.0)
+
+    def test_replicas_that_take_no_work_are_not_counted(self):
+        self.assertAlmostEqual(self.read_rate(leaving="abc"), self.read_rate() / 4)
+
+    def test_cold_replicas_are_not_counted_beside_warm_ones(self):
+        self.assertAlmostEqual(self.read_rate(cold="ab"), self.read_rate() / 2)
+        self.assertAlmostEqual(self.read_rate(cold="abcd"), self.read_rate())
