scheduling: counted one call for a cold replica's room, and no times of cold replicas

- A cell told its neighbours that a cold replica could begin a call in each of its slots, and took over that many tickets, which then waited for its warm-up rate: three of four replicas of 8 slots cold, 32 told where 11 can begin.
It can begin one call at a time (ReplicaRoom.can_begin).
- A replica that is cold is slow whatever it runs.
In a shift, cold replicas of the target spoke against a good version; cold ones of the others made what is usual slower, so that a slow version looked as good.
Of their answers only those that fail count now, for either side.

Ruled out: to send cold replicas nothing in a shift, since the target's cold ones warm up by it and the others take the rest anyhow.

--- a/railsail/rollouts/tallies.py
+++ b/railsail/rollouts/tallies.py
@@ -44,11 +44,14 @@
         """Give all tallies."""
         yield from self._tallies.items()
 
-    def ended(self, flight: Flight, now: float, result: CallResult) -> None:
+    def ended(self, flight: Flight, now: float, result: CallResult, was_cold: bool = False) -> None:
         """Count the end of a granted call at ``now``, if it tells of the version that ran it.
 
-        A replica that could not be connected to has answered nothing.
+        A replica that could not be connected to has answered nothing. One that ``was_cold`` is slow
+        whichever version it runs, so that of its answers only those that fail tell anything.
         """
+        if was_cold and not result.failed:
+            return
         whole = now - flight.started_at
         first = (flight.begun_at or now) - flight.started_at
         if result is CallResult.CALLER_LEFT:
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -287,9 +287,10 @@
         self._charge(flight.workspace, cost - flight.charged)
         self._usage.charge(flight.workspace, cost - flight.charged, now)
         self._has_begun(flight)
-        if self.tallies is not None:
-            self.tallies.ended(flight, now, result)
         room = self.replicas.get(flight.replica)
+        if self.tallies is not None:
+            was_cold = room is not None and room.warmup.cold(flight.started_at)
+            self.tallies.ended(flight, now, result, was_cold)
         if room is None:
             return True
         room.forget(key)
@@ -453,7 +454,7 @@
 
     def room(self, now: float) -> int:
         """Return how many more calls fit into the slots of the cell, without overlap."""
-        return sum(room.room(now) for room in self.open_rooms(now))
+        return sum(room.can_begin(now) for room in self.open_rooms(now))
 
     def wanted(self, now: float) -> tuple[Cell, int] | None:
         """Return which cell of another region to ask for how many tickets, or ``None``."""
@@ -464,7 +465,7 @@
     def spare(self, now: float) -> int:
         """Return how many more calls the replicas with little to read could begin now."""
         return sum(
-            room.room(now)
+            room.can_begin(now)
             for room in self.open_rooms(now)
             if room.unread_seconds < HUNGRY_SECONDS and not room.health.tripped
         )
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -144,6 +144,11 @@
             return 0
         return max(0, int(self.limit) + extra - self.in_flight - self.foreign)
 
+    def can_begin(self, now: float) -> int:
+        """Return how many calls can begin at ``now``: a cold replica is given one after another."""
+        free = self.room(now)
+        return min(free, 1) if self.warmup.cold(now) else free
+
     @property
     def read_rate(self) -> float:
         """Return the prompt tokens that the replica reads in a second."""
--- a/tests/scheduling/test_losses.py
+++ b/tests/scheduling/test_losses.py
@@ -73,3 +73,26 @@
     def test_cold_replicas_are_not_counted_beside_warm_ones(self):
         self.assertAlmostEqual(self.read_rate(cold="ab"), self.read_rate() / 2)
         self.assertAlmostEqual(self.read_rate(cold="abcd"), self.read_rate())
+
+
+class ColdRoomTests(unittest.TestCase):
+    """What a cell says that it can begin, while a failure domain of it comes back cold."""
+
+    def setUp(self):
+        self.dispatcher = CellDispatcher(lambda w: 1.0, random.Random(4), use_prefixes=False)
+        self.dispatcher.set_replicas(dict.fromkeys("abcd", 8))
+        self.dispatcher.set_bound(WarmupBound(per_second=5.0, seconds=60.0))
+
+    def test_cold_replica_can_begin_one_call(self):
+        for name in "abc":
+            self.dispatcher.set_cold(name, 60.0, 0.0)
+        self.assertEqual(self.dispatcher.room(0.0), 8 + 3)
+        self.assertEqual(self.dispatcher.spare(0.0), 8 + 3)
+
+    def test_warm_replicas_can_begin_as_many_as_they_have_slots(self):
+        self.assertEqual(self.dispatcher.room(0.0), 32)
+        self.assertEqual(self.dispatcher.spare(0.0), 32)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/scheduling/test_overlaps.py
+++ b/tests/scheduling/test_overlaps.py
@@ -4,6 +4,7 @@
 
 from railsail.rollouts.stages import Stage
 from railsail.scheduling.exposure import Allowance
+from railsail.scheduling.health import CallResult
 from railsail.scheduling.warmup import WarmupBound
 from tests.scheduling.test_versions import NEW, OLD, VERSIONS, RolloutTestCase
 
@@ -73,3 +74,35 @@
         self.dispatcher.set_replicas(ALL, leaving=NEW[1:])
         bound = Counter(VERSIONS.get(self.offer(0.0), "none") for _ in range(30))
         self.assertEqual(bound["v1"], 0)
+
+
+class ColdEvidenceTests(RolloutTestCase):
+    """Replicas come back cold while traffic is moved; cold ones are slow whatever they run."""
+
+    def answers(self, result: CallResult, *cold: str) -> dict[str, int]:
+        """Return how many answers are known of each version after 60 that took a second."""
+        self.allow(Stage.SHIFT)
+        self.dispatcher.set_bound(WarmupBound(per_second=1000.0, seconds=60.0))
+        for name in cold:
+            self.dispatcher.set_cold(name, 60.0, 0.0)
+        for step in range(60):
+            self.offer(step * 0.01)
+        for number in range(1, 61):
+            self.dispatcher.release(("e", number), 1.0, 1.0 + number * 0.01, result)
+        known = Counter()
+        for key, tally in self.dispatcher.tallies.items():
+            known[key.software_version] += tally.answers
+        return known
+
+    def test_times_of_cold_replicas_tell_of_no_version(self):
+        warm = self.answers(CallResult.GOOD)
+        self.setUp()
+        cold = self.answers(CallResult.GOOD, "new0", "old0")
+        for version in ("v1", "v2"):
+            self.assertLess(cold[version], warm[version])
+            self.assertGreater(cold[version], 0)
+
+    def test_failures_of_cold_replicas_count(self):
+        warm = self.answers(CallResult.ERROR)
+        self.setUp()
+        self.assertEqual(self.answers(CallResult.ERROR, *NEW), warm)
