--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -10,6 +10,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import statistics
 from collections import Counter, OrderedDict
@@ -24,7 +25,7 @@
 from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.health import CallResult
 from railsail.scheduling.overflow import WAY_SECONDS, Overflow
-from railsail.scheduling.placing import Openings, Placing, Standing
+from railsail.scheduling.placing import Openings, Placing, ShareState
 from railsail.scheduling.room import LONG_PREFIX_TOKENS, ReplicaRoom
 from railsail.scheduling.tickets import WAIT_SHARE, Ticket
 
@@ -114,7 +115,7 @@
         ticket: Ticket,
         openings: Openings,
         now: float,
-        standing: Standing = Standing.EVEN,
+        standing: ShareState = ShareState.EVEN,
     ) -> ReplicaRoom | None:
         """Return the replica that ``ticket`` is bound to, as ``Placing`` does."""
         near = dataclasses.replace(ticket, regions=(ticket.entry,))
@@ -366,7 +367,7 @@
         "in time": sum(call.in_time for call in calls) / len(calls),
         "in time, without the flooder": sum(c.in_time for c in own) / len(own),
         "the same in the flooded region": sum(c.in_time for c in flooded) / len(flooded),
-        "least served workspace in time": min(shares),
+        "least served workspace in time": min(shares, default=math.nan),
         "median wait, ms": statistics.median(waits),
         "90th percentile of waits, ms": statistics.quantiles(waits, n=10)[-1],
         "grants too late": model.too_late,
--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -111,9 +111,8 @@
     ) -> Cell:
         """Return the cell of the replica that should have the beginning ``prefix`` in memory.
 
-        Every entry of a region names the same one, however the pool is cut: where each entry chose
-        among cells of its own, every cell came to read every beginning. ``anywhere`` names the one
-        home in the fleet, in whichever region.
+        Every entry of a region names the same one, however the pool is cut, so that one cell reads
+        a beginning and not each. ``anywhere`` names the one home in the fleet, in whichever region.
         """
         choice = self.reached_cells if anywhere else self.open_cells
         cells = choice(pool, regions)
@@ -181,7 +180,8 @@
     def _allowed(self, pool: str, regions: tuple[str, ...]) -> list[Cell]:
         """Return the cells in one of ``regions``, those that take work if there are any."""
         cells = list(self.cells(pool))
-        allowed = [c for c in cells if not (regions and c.region) or c.region in regions]
+        bound = regions and any(cell.region for cell in cells)
+        allowed = [cell for cell in cells if not bound or cell.region in regions]
         return [cell for cell in allowed if self.takes_work(cell)] or allowed or cells
 
     def takes_work(self, cell: Cell) -> bool:
--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -9,12 +9,12 @@
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason
 from railsail.gateway.admission import Admission
-from railsail.gateway.answers import AnswerShelf, KeptAnswer
-from railsail.gateway.claims import ClaimDesk
+from railsail.gateway.answers import AnswerCache, KeptAnswer
+from railsail.gateway.claims import ClaimService
 from railsail.gateway.requests import CallerRequest
 from railsail.gateway.sink import CallerSink
 from railsail.gateway.tries import Served, Tries
-from railsail.gateway.verdicts import Judge, describe
+from railsail.gateway.verdicts import PolicyEvaluator, describe
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Pool
 from railsail.store.claims import Claim, ClaimResult, claim_key, fingerprint
@@ -45,10 +45,10 @@
     def __init__(
         self,
         catalog: Callable[[], Catalog],
-        judge: Judge,
+        judge: PolicyEvaluator,
         tries: Tries,
-        claims: ClaimDesk,
-        shelf: AnswerShelf,
+        claims: ClaimService,
+        shelf: AnswerCache,
         admission: Admission,
         kernel: Kernel,
         region: str = "",
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -27,7 +27,7 @@
 from railsail.core.tasks import keep_running
 from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.cellmap import CellMap
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.entry import TicketClient
 from railsail.dispatch.exchange import CellExchange
 from railsail.dispatch.gate import SendGate
 from railsail.dispatch.loads import LoadReports
@@ -37,14 +37,14 @@
 from railsail.dispatch.service import DispatcherService
 from railsail.dispatch.tree import ServiceTree
 from railsail.gateway.admission import Admission
-from railsail.gateway.answers import AnswerShelf
+from railsail.gateway.answers import AnswerCache
 from railsail.gateway.app import Gateway
-from railsail.gateway.claims import ClaimDesk
+from railsail.gateway.claims import ClaimService
 from railsail.gateway.concurrency import NodeLimits
 from railsail.gateway.pace import OwnPace
 from railsail.gateway.serve import Server
 from railsail.gateway.tries import Tries
-from railsail.gateway.verdicts import Judge
+from railsail.gateway.verdicts import PolicyEvaluator
 from railsail.membership.service import KIND as NODE
 from railsail.membership.service import Membership
 from railsail.membership.table import Member, MemberState, MemberTable
@@ -79,7 +79,7 @@
 from railsail.upstreams.evacuations import KIND as EVACUATION
 from railsail.upstreams.heard import HeardSigns
 from railsail.upstreams.idle import Place
-from railsail.upstreams.rests import Rests
+from railsail.upstreams.rests import ReplicaBackoffs
 
 NATIVE_INTERFACE = "native"
 FIRST_LOOK_SECONDS = 3.0
@@ -215,9 +215,9 @@
             FleetRegions(self._region, settings.domain_regions, self.view.region_of),
         )
         self._build_quarantine()
-        rests = Rests()
+        rests = ReplicaBackoffs()
         gate = SendGate(self.directory, rests, settings.domain_regions, self.hub, self.kernel)
-        self.desk = TicketDesk(self.cells, self.hub, self.kernel)
+        self.desk = TicketClient(self.cells, self.hub, self.kernel)
         self.acquirer = ReplicaAcquirer(self.desk, gate, self.quarantine, self.kernel)
         self.heard = HeardSigns(self.directory, rests, self.kernel)
         self.loads = LoadReports(self._catalog, self.directory, self.heard, rests, self.clock)
@@ -266,12 +266,12 @@
 
     def _build_gateway(self) -> None:
         settings = self.settings
-        self.claims = ClaimDesk(
+        self.claims = ClaimService(
             self.store, self.hub, self.view.usable, settings.claim_seconds, self.kernel
         )
         self.admission = Admission(settings.queue_per_workspace, settings.queue_total)
         self.pace = OwnPace(self.lag, self.admission, self.membership, self.kernel)
-        self.judge = Judge(self._catalog, self.admission, self.metrics)
+        self.judge = PolicyEvaluator(self._catalog, self.admission, self.metrics)
         kind_of = self.loads.kind_of
         tries = Tries(
             self._catalog,
@@ -282,7 +282,7 @@
             self.heard,
             self.kernel,
         )
-        shelf = AnswerShelf(self.hub, self.membership.gone, self.rng)
+        shelf = AnswerCache(self.hub, self.membership.gone, self.rng)
         server = Server(
             self._catalog,
             self.judge,
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -9,8 +9,8 @@
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
 from railsail.dispatch.acquire import ReplicaAcquirer
-from railsail.dispatch.bookings import Booking, Want
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.bookings import Booking, PoolRequest
+from railsail.dispatch.entry import TicketClient
 from railsail.objects.kinds import CostUnit, Pool, Route
 from railsail.policy.programs import Verdict
 from railsail.routing.answer import AnswerRefused, ReplicaAnswer, StreamState
@@ -51,8 +51,8 @@
     place. ``attempts`` counts the replicas that it was sent to; ``ran`` says that one of them may
     have run it. ``replica`` was sent it last. ``waited`` are the seconds that it waited for places,
     ``first_after`` those from its arrival to the first byte of an answer, 0 if there is none;
-    ``given_up`` says why no further attempt was made. It runs in one of ``regions``,
-    in any where none are named. Its repeats have the same ``fingerprint``.
+    ``given_up`` says why no further attempt was made. It runs in one of ``regions``, in any where
+    none are named. Its repeats have the same ``fingerprint``.
     """
 
     request: RoutedRequest
@@ -90,7 +90,7 @@
         self,
         protocol: RouteProtocol,
         directory: UpstreamDirectory,
-        desk: TicketDesk,
+        desk: TicketClient,
         acquirer: ReplicaAcquirer,
         bounds: RetryBounds,
         members: Callable[[], int],
@@ -177,10 +177,10 @@
         least = RESUME_WAIT_SECONDS if routed.stream.head is not None else LEAST_WAIT_SECONDS
         return max(0.0, min(max(routed.offer_by - now, least), routed.ends_at - now))
 
-    def _want(self, routed: Routed, patience: float) -> Want:
+    def _want(self, routed: Routed, patience: float) -> PoolRequest:
         prompt = routed.request.prompt
         now = self._clock.monotonic()
-        return Want(
+        return PoolRequest(
             request_id=routed.request.id,
             pool=routed.pool.name,
             workspace=routed.workspace,
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -14,7 +14,7 @@
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
 from railsail.scheduling.health import CallResult, Peers
 from railsail.scheduling.overflow import Overflow
-from railsail.scheduling.placing import HUNGRY_SECONDS, Standing
+from railsail.scheduling.placing import HUNGRY_SECONDS, ShareState
 from railsail.scheduling.returning import RETURN_WAIT_OBJECTIVES, RefusedCallers
 from railsail.scheduling.returns import ReturnPlan
 from railsail.scheduling.room import LoadReport, ReplicaRoom
@@ -231,7 +231,13 @@
         return self.versions.open_rooms(self.replicas.values(), now)
 
     def _read_rate(self, now: float) -> float:
-        return max(1.0, sum(room.read_rate for room in self.open_rooms(now)))
+        """Return the tokens a second that the replicas read which serve callers that come back.
+
+        Cold ones bear too few calls to be counted beside warm ones.
+        """
+        serving = [room for room in self.open_rooms(now) if room.serves(now)]
+        warm = [room for room in serving if not room.warmup.cold(now)]
+        return max(1.0, sum(room.read_rate for room in warm or serving))
 
     def _refuse(self, ticket: Ticket, reason: Reason, now: float) -> Refusal:
         if not ticket.returns_within:
@@ -281,9 +287,10 @@
         self._charge(flight.workspace, cost - flight.charged)
         self._usage.charge(flight.workspace, cost - flight.charged, now)
         self._has_begun(flight)
-        if self.tallies is not None:
-            self.tallies.ended(flight, now, result)
         room = self.replicas.get(flight.replica)
+        if self.tallies is not None:
+            was_cold = room is not None and room.warmup.cold(flight.started_at)
+            self.tallies.ended(flight, now, result, was_cold)
         if room is None:
             return True
         room.forget(key)
@@ -300,14 +307,22 @@
             self._unread[flight.workspace] -= 1
 
     def _peers_of(self, room: ReplicaRoom, now: float) -> Peers:
-        group = self.versions.group(room.name, self.replicas.values())
+        """Return how the replicas do that ``room`` is compared with.
+
+        Those that leave are no part of the cell any more, and those that cannot be reached tell
+        nothing of how others answer: beside a lost failure domain a sick replica is still the worst
+        of those that answer.
+        """
+        rooms = [other for other in self.replicas.values() if not other.leaving]
+        group = self.versions.group(room.name, rooms)
         others = [other for other in group if other is not room]
         # What fails on trial is the version, which is judged as a whole.
         if not others or self.versions.on_trial(room.name, now):
             return Peers(may_close=False)
         closed = sum(not other.serves(now) or other.health.tripped for other in others)
-        shares = [other.health.error_share for other in others]
-        return Peers(sum(shares) / len(shares), closed + 1 <= len(group) // 2)
+        shares = [other.health.error_share for other in others if not other.health.lost]
+        mean = sum(shares) / len(shares) if shares else 0.0
+        return Peers(mean, closed + 1 <= len(group) // 2)
 
     def report(self, replica: str, report: LoadReport, now: float) -> None:
         """Take in a load report of ``replica``."""
@@ -377,11 +392,11 @@
                 return self._bind(ticket, room, now)
         return None
 
-    def _standing(self, workspace: str, now: float) -> Standing:
+    def _standing(self, workspace: str, now: float) -> ShareState:
         if self._usage.follows and self.overloaded(now):
             over = self._usage.over_share(workspace, now)
-            return Standing.OVER if over else Standing.OWED
-        return Standing.EVEN if self._unread.get(workspace) else Standing.FIRST
+            return ShareState.OVER if over else ShareState.OWED
+        return ShareState.EVEN if self._unread.get(workspace) else ShareState.FIRST
 
     def _decide_urgent(self, ticket: Ticket, now: float) -> Decision:
         # Urgent work goes ahead of waiting work, but only while its workspace is not far above the
@@ -439,7 +454,7 @@
 
     def room(self, now: float) -> int:
         """Return how many more calls fit into the slots of the cell, without overlap."""
-        return sum(room.room(now) for room in self.open_rooms(now))
+        return sum(room.can_begin(now) for room in self.open_rooms(now))
 
     def wanted(self, now: float) -> tuple[Cell, int] | None:
         """Return which cell of another region to ask for how many tickets, or ``None``."""
@@ -450,7 +465,7 @@
     def spare(self, now: float) -> int:
         """Return how many more calls the replicas with little to read could begin now."""
         return sum(
-            room.room(now)
+            room.can_begin(now)
             for room in self.open_rooms(now)
             if room.unread_seconds < HUNGRY_SECONDS and not room.health.tripped
         )
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -11,8 +11,8 @@
 from railsail.core.metrics import Metrics
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.acquire import MOST_GRANTS, ReplicaAcquirer
-from railsail.dispatch.bookings import Booking, Want
-from railsail.dispatch.entry import TicketDesk
+from railsail.dispatch.bookings import Booking, PoolRequest
+from railsail.dispatch.entry import TicketClient
 from railsail.dispatch.gate import COME_BACK_SPREAD_SECONDS, SendGate
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
@@ -27,13 +27,15 @@
 )
 from railsail.quarantine.service import Quarantine
 from railsail.scheduling.cells import Cell
+from railsail.scheduling.health import CallResult
+from railsail.scheduling.overflow import WAY_SECONDS
 from railsail.store.base import WatchEvent
 from railsail.upstreams.directory import UpstreamDirectory
-from railsail.upstreams.rests import TRIAL_SECONDS, Rests
+from railsail.upstreams.rests import TRIAL_SECONDS, ReplicaBackoffs
 from railsail.upstreams.signs import Source
 
 OWN, OTHER, FAR = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
-WANT = Want("r-1", "model", "one", 0.0, 10.0, False)
+WANT = PoolRequest("r-1", "model", "one", 0.0, 10.0, False)
 RECORD = {"pool": "model", "endpoint": "127.0.0.1:9", "failure_domain": "a", "state": "live"}
 
 
@@ -110,10 +112,10 @@
         self.directory = UpstreamDirectory(lambda *told: None, kernel.events)
         for number in (1, 2, 3):
             self.directory.seen(WatchEvent("upstream", f"i-{number}", number, RECORD))
-        self.rests = Rests()
+        self.rests = ReplicaBackoffs()
         gate = SendGate(self.directory, self.rests, {"a": "north"}, self.hub, kernel)
         quarantine = Quarantine(lambda *told: None, self.hub, kernel)
-        self.desk = TicketDesk(self.cells, self.hub, kernel)
+        self.desk = TicketClient(self.cells, self.hub, kernel)
         self.acquirer = ReplicaAcquirer(self.desk, gate, quarantine, kernel)
         self.clock = clock
 
@@ -168,6 +170,29 @@
         (resync,) = self.told()
         self.assertEqual([place.number for place in resync.waiting], [booking.number])
 
+    async def test_dispatcher_there_is_told_where_its_grant_was_heard_first(self):
+        self.cells.count = 2
+        booking = self.desk.place(WANT, self.clock.monotonic())
+        self.hub.handlers[Granted](FAR, Granted(booking.number, 1, "i-1", 0))
+        self.hub.deliver(Moved(booking.number, 1, 1, FAR))
+        self.desk.tick()
+        (resync,) = self.told()
+        self.assertEqual([flight.number for flight in resync.flights], [booking.number])
+
+    async def test_dispatcher_of_another_region_is_told_what_ended_while_it_was_cut_off(self):
+        booking = await self.passed()
+        self.hub.handlers[Granted](FAR, Granted(booking.number, 1, "i-1", 0))
+        self.desk.tick()
+        self.cells.way_seconds = lambda entry, dispatcher: WAY_SECONDS * (dispatcher == FAR)
+        self.desk._link_down(FAR)
+        # No link carries this.
+        self.desk.release(booking, 1.0, CallResult.GOOD)
+        self.desk._link_up(Identity(FAR, 1))
+        self.hub.sent.clear()
+        self.desk.tick()
+        self.assertEqual([type(message) for message in self.hub.sent], [Resync])
+        self.assertEqual(self.hub.sent[0].flights, [])
+
 
 class CrossingTests(EntryTestCase):
     async def answer_at_the_end_of_the_wait(self, message) -> NotRun:
@@ -222,7 +247,7 @@
 class ClosedReplicaTests(EntryTestCase):
     """A dispatcher grants a replica that this node may not send to."""
 
-    def ask(self, want: Want = WANT) -> asyncio.Task:
+    def ask(self, want: PoolRequest = WANT) -> asyncio.Task:
         return asyncio.ensure_future(self.acquirer.acquire(want, 30.0))
 
     async def grant(self, replica: str) -> None:
