Delayed bytes between nodes in the soak's relay, and recorded calls

The relay takes a delay for pairs of addresses; the fleet of processes notes each call by its id, the state of the daemon that got it, and when daemons were disturbed.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,8 +1,9 @@
 """A relay in front of each daemon's peer port, which can cut the path between two nodes.
 
 A daemon dials from its own IP number, so that the relay knows both ends. Bytes of a cut direction
-are held back, as by a network that drops packets; they go on when the cut heals. Connections that
-were silenced carry nothing any more, and are not reset; new ones work.
+are held back, as by a network that drops packets; they go on when the cut heals. Those of a
+direction with a delay arrive so much later, in their order. Connections that were silenced carry
+nothing any more, and are not reset; new ones work.
 """
 
 import asyncio
@@ -10,6 +11,8 @@
 
 CHUNK = 65_536
 LOOK_SECONDS = 0.02
+# Chunks of one direction that are on their way.
+MOST_CHUNKS = 64
 
 
 class Relay:
@@ -17,6 +20,8 @@
 
     def __init__(self) -> None:
         self._cut: set[tuple[str, str]] = set()
+        # Seconds by which bytes of a direction are late.
+        self._delays: dict[tuple[str, str], float] = {}
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task] = set()
         # Connections are numbered; those with a lower number than the second one are silent.
@@ -43,6 +48,12 @@
                 if both:
                     self._cut.add((b, a))
 
+    def delay(self, left: list[str], right: list[str], seconds: float) -> None:
+        """Let bytes between the IP numbers ``left`` and ``right`` be late, both ways."""
+        for a in left:
+            for b in right:
+                self._delays[(a, b)] = self._delays[(b, a)] = seconds
+
     def heal(self) -> None:
         """End all cuts."""
         self._cut.clear()
@@ -98,9 +109,39 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self._keep(asyncio.current_task())
-        with contextlib.suppress(OSError):
-            while data := await reader.read(CHUNK):
+        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(MOST_CHUNKS)
+        delay = self._delays.get((source, target), 0.0)
+        reading = asyncio.ensure_future(_read(reader, chunks, delay))
+        try:
+            while data := await _next_chunk(chunks):
                 while (source, target) in self._cut or number < self._first_heard:
                     await asyncio.sleep(LOOK_SECONDS)
                 writer.write(data)
                 await writer.drain()
+        except OSError:
+            pass
+        finally:
+            reading.cancel()
+
+
+async def _read(
+    reader: asyncio.StreamReader, chunks: asyncio.Queue[tuple[float, bytes]], delay: float
+) -> None:
+    """Put what comes into ``chunks`` with the time at which it is due; no bytes at the end."""
+    loop = asyncio.get_running_loop()
+    data = b"-"
+    while data:
+        try:
+            data = await reader.read(CHUNK)
+        except OSError:
+            data = b""
+        await chunks.put((loop.time() + delay, data))
+
+
+async def _next_chunk(chunks: asyncio.Queue[tuple[float, bytes]]) -> bytes:
+    """Return the next bytes when they are due."""
+    due, data = await chunks.get()
+    wait = due - asyncio.get_running_loop().time()
+    if wait > 0:
+        await asyncio.sleep(wait)
+    return data
--- a/tests/platform/operator.py
+++ b/tests/platform/operator.py
@@ -29,8 +29,10 @@
 class Operator:
     """Change the configuration; times are those of the event loop."""
 
-    def __init__(self, store: PlatformStoreStandin) -> None:
+    def __init__(self, store: PlatformStoreStandin, tenants: list[dict] | None = None) -> None:
         self._store = store
+        # Workspaces that every version has beside the usual one.
+        self._tenants = tenants or []
         self.version = FIRST_VERSION
         self.sent_at: dict[int, float] = {}
         # When the store confirmed each version.
@@ -47,6 +49,7 @@
             added = {"name": f"added-{version}", "path_prefix": route_of(version)}
             value["routes"].append(like | added)
             value["tenants"][0]["api_keys"].append(key_of(version))
+        value["tenants"] += self._tenants
         now = asyncio.get_running_loop().time()
         self.sent_at[self.version] = now
         self._store.put("config", "main", value)
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -70,6 +70,8 @@
     leaves_at: float = float("inf")
     # When the store began to answer it again.
     answered_since: float = 0.0
+    # When it began to reach its peers again, infinite while it is cut from them.
+    reached_since: float = 0.0
 
     @property
     def node(self) -> str:
@@ -88,6 +90,11 @@
             return float("inf")
         return max(self.up_since, self.answered_since)
 
+    @property
+    def well_since(self) -> float:
+        """Return since when it has run, been answered by the store and reached its peers."""
+        return max(self.served_since, self.reached_since)
+
     def turn_away(self, how: TurnedAway) -> None:
         """Let the store turn its calls away."""
         self.access.turned_away = how
@@ -112,6 +119,16 @@
         return [f"--{name}={value}" for name, value in (SHARED | own | self.settings).items()]
 
 
+@dataclass
+class MadeCall:
+    """A call as it was made at ``daemon``; ``status`` is 0 until it was answered."""
+
+    daemon: Daemon
+    target: str
+    well_since: float
+    status: int = 0
+
+
 @dataclass
 class ProcessFleet:
     """A store, replicas and daemons; ``stop`` ends exactly those."""
@@ -124,6 +141,12 @@
     settings: dict[str, str] = field(default_factory=dict)
     # Between the daemons, where there is one.
     relay: Relay | None = None
+    # All calls that were made, by request id, and the failure domains of replicas, by name.
+    calls: dict[str, MadeCall] = field(default_factory=dict)
+    zones: dict[str, str] = field(default_factory=dict)
+    # When a daemon was killed, asked to stop, paused or resumed.
+    disturbed_at: list[float] = field(default_factory=list)
+    replica_class: type[ReplicaStandin] = ReplicaStandin
 
     async def add_replica(
         self,
@@ -131,13 +154,15 @@
         service: str = "desk",
         slots: int = 64,
         version: str = "",
+        zone: str = "a",
     ) -> ReplicaStandin:
-        """Start a replica of a software ``version``, and list it."""
-        replica = ReplicaStandin(f"i-{len(self.replicas)}", script or answering())
+        """Start a replica of a software ``version`` in a failure domain, and list it."""
+        replica = self.replica_class(f"i-{len(self.replicas)}", script or answering())
         await replica.start()
         self.replicas.append(replica)
         addr = f"{LOOPBACK}:{replica.port}"
-        spec = {"service": service, "addr": addr, "zone": "a", "slots": slots, "state": "ready"}
+        self.zones[replica.name] = zone
+        spec = {"service": service, "addr": addr, "zone": zone, "slots": slots, "state": "ready"}
         if version:
             spec["version"] = version
         self.store.put("servers", replica.name, spec | {"seq": 1})
@@ -196,25 +221,32 @@
     async def kill(self, daemon: Daemon) -> None:
         """Kill a daemon."""
         daemon.killed = True
+        self._disturb()
         daemon.process.kill()
         await asyncio.to_thread(daemon.process.wait)
 
     async def end(self, daemon: Daemon) -> None:
         """Ask a daemon to stop, and wait until it has."""
         daemon.leaves_at = asyncio.get_running_loop().time()
+        self._disturb()
         daemon.process.terminate()
         await asyncio.to_thread(daemon.process.wait)
 
     def pause(self, daemon: Daemon) -> None:
         """Let a daemon stand still."""
+        self._disturb()
         daemon.process.send_signal(signal.SIGSTOP)
         daemon.up_since = float("inf")
 
     def resume(self, daemon: Daemon) -> None:
         """Let a daemon go on."""
+        self._disturb()
         daemon.process.send_signal(signal.SIGCONT)
         daemon.up_since = asyncio.get_running_loop().time()
 
+    def _disturb(self) -> None:
+        self.disturbed_at.append(asyncio.get_running_loop().time())
+
     async def until_ready(self) -> None:
         """Wait until each daemon says that it is ready."""
         async with asyncio.timeout(4 * LONGEST_SECONDS):
@@ -240,9 +272,13 @@
             reader, writer = await asyncio.open_connection(daemon.ip, daemon.ports[0])
         except OSError:
             return None
+        made = MadeCall(daemon, target, daemon.well_since)
+        self.calls[headers["Request_Id"]] = made
         try:
             writer.write(request(target, "GET", b"", **headers))
-            return await read_answer(reader)
+            answer = await read_answer(reader)
+            made.status = answer.status
+            return answer
         finally:
             writer.close()
 
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -1,62 +1,16 @@
 """Connections to replicas that are kept, on the whole path: nothing runs twice, nothing is lost."""
 
-import asyncio
 import unittest
 
 from railsail.node import Node
-from tests.forgetting import start_forgetting_server
 from tests.platform.base import Answer, PlatformTestCase
-from tests.platform.standins import (
-    LOOPBACK,
-    Received,
-    ReplicaStandin,
-    answering,
-    closing,
-    streaming,
-)
+from tests.platform.keeping import KeepingReplica
+from tests.platform.standins import answering, closing, streaming
 from tests.platform.test_path import allow_repeats
 
 KEPT = {"keep_connections_seconds": "30"}
 
 
-class KeepingReplica(ReplicaStandin):
-    """A replica that serves one request after the other on a connection."""
-
-    opened = 0
-    # Resets a connection when something comes on it after its first answer.
-    forgets = False
-
-    async def start(self) -> None:
-        self._answered: set[asyncio.Transport] = set()
-        self._server = await start_forgetting_server(self._serve, LOOPBACK, self._forgotten)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def _forgotten(self, transport: asyncio.Transport) -> bool:
-        return self.forgets and transport in self._answered
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.opened += 1
-        self._writers.add(writer)
-        try:
-            await self._serve_all(reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            self._writers.discard(writer)
-            writer.close()
-
-    async def _serve_all(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while not writer.is_closing():
-            text = (await reader.readuntil(b"\r\n\r\n")).decode()
-            line, *rest = text.strip().split("\r\n")
-            headers = dict(item.split(": ", 1) for item in rest)
-            body = await reader.readexactly(int(headers.get("Content-Length", "0")))
-            request = Received(line, headers, body, asyncio.get_running_loop().time())
-            self.received.append(request)
-            await self.script(self, request, writer)
-            self._answered.add(writer.transport)
-
-
 class KeptConnectionsTests(PlatformTestCase):
     async def add_replica(self, script, slots: int = 4) -> KeepingReplica:
         replica = KeepingReplica(f"i-{len(self.replicas)}", script)
