--- /dev/null
+++ b/benchmarks/promises.py
@@ -0,0 +1,151 @@
+"""What the replicas and the store of a soak saw, held against the promises of the fleet.
+
+Each check returns findings as text, none where the promise held.
+"""
+
+from collections import Counter
+
+from tests.platform.orders import KIND, UNUSED, Order, Orders
+from tests.platform.processes import ProcessFleet
+from tests.platform.versions import Fault
+
+EXPOSE_SHARE = 0.1
+EXPOSE_SLACK = 50
+ROLLBACK_SECONDS = 5.0
+BAD_ANSWERS = 50
+# Bad by half from the start, whatever the load.
+ALWAYS_BAD = (Fault.FAILS, Fault.SLOW)
+# A daemon that was disturbed so long before an order may have made its answers slow, or cut them.
+EXPLAINS_SECONDS = 6.0
+ENDS = ("succeeded", "rolled_back")
+NOT_RUN = 503
+ONCE = "/once/"
+# Requests whose ids begin so are of a workspace that is bound to one region.
+BOUND = "n-"
+
+
+def findings(fleet: ProcessFleet, orders: Orders, allowed_zones: tuple[str, ...]) -> list[str]:
+    """Return all promises that were broken."""
+    found = [*_repeated(fleet), *_untrue(fleet), *_out_of_region(fleet, allowed_zones)]
+    for order in orders.orders:
+        found += [*_exposed(orders, order), *_late(fleet, order), *_wrong_end(fleet, order)]
+    return found + _changed_ends(fleet) + _unused_end(fleet)
+
+
+def told(orders: Orders) -> list[str]:
+    """Return how each order went, and what its version received until the deadline."""
+    lines = []
+    for order in orders.orders:
+        received, of = _arrivals(orders, order)
+        bad = len(order.version.bad_answers)
+        lines.append(f"{order}, received {received} of {of}, {bad} bad answers")
+    return lines
+
+
+def _arrivals(orders: Orders, order: Order) -> tuple[int, int]:
+    """Return how many requests an order's version and all versions got until its deadline."""
+    begins, ends = order.ordered_at, order.deadline
+    counts = {
+        version.name: sum(begins <= at < ends for at in version.arrivals)
+        for version in orders.versions
+    }
+    return counts[order.version.name], sum(counts.values())
+
+
+def _ids(fleet: ProcessFleet) -> Counter[str]:
+    """Return how often replicas received each request."""
+    return Counter(got.headers["Request-Id"] for each in fleet.replicas for got in each.received)
+
+
+def _repeated(fleet: ProcessFleet) -> list[str]:
+    return [
+        f"{name} ran {count} times"
+        for name, count in _ids(fleet).items()
+        if count > 1 and name in fleet.calls and fleet.calls[name].target.startswith(ONCE)
+    ]
+
+
+def _untrue(fleet: ProcessFleet) -> list[str]:
+    ran = _ids(fleet)
+    return [
+        f"{name} was refused as not run by {call.daemon.node}, and ran"
+        for name, call in fleet.calls.items()
+        if call.status == NOT_RUN and ran[name]
+    ]
+
+
+def _out_of_region(fleet: ProcessFleet, allowed_zones: tuple[str, ...]) -> list[str]:
+    return [
+        f"{got.headers['Request-Id']} was sent to {each.name} in {fleet.zones[each.name]}"
+        for each in fleet.replicas
+        if fleet.zones[each.name] not in allowed_zones
+        for got in each.received
+        if got.headers["Request-Id"].startswith(BOUND)
+    ]
+
+
+def _exposed(orders: Orders, order: Order) -> list[str]:
+    """Return whether a bad version received more until its deadline than it may."""
+    if order.version.fault is Fault.NONE:
+        return []
+    received, of = _arrivals(orders, order)
+    allowed = EXPOSE_SHARE * of + EXPOSE_SLACK
+    return [f"{order}: received {received} of {of}"] if received > allowed else []
+
+
+def _late(fleet: ProcessFleet, order: Order) -> list[str]:
+    """Return what daemons that were well sent to a version known to be bad for too long."""
+    bad = sorted(order.version.bad_answers)
+    if len(bad) < BAD_ANSWERS or order.version.fault is Fault.NONE:
+        return []
+    known_at = bad[BAD_ANSWERS - 1]
+    version = order.version.name
+    late = [
+        got.headers["Request-Id"]
+        for each in fleet.replicas
+        if fleet.versions[each.name] == version
+        for got in each.received
+        if got.at > known_at + ROLLBACK_SECONDS
+        and fleet.calls[got.headers["Request-Id"]].well_since <= known_at
+    ]
+    return [f"{order}: {len(late)} too late, {late[:3]}"] if late else []
+
+
+def _wrong_end(fleet: ProcessFleet, order: Order) -> list[str]:
+    if order.ended == "succeeded" and order.version.fault in ALWAYS_BAD:
+        return [f"{order}: succeeded though bad"]
+    if order.ended != "rolled_back" or order.version.fault is not Fault.NONE:
+        return []
+    begins = order.ordered_at - EXPLAINS_SECONDS
+    explained = any(begins <= at <= order.ended_at for at in fleet.disturbed_at)
+    return [] if explained else [f"{order}: rolled back though good"]
+
+
+def _changed_ends(fleet: ProcessFleet) -> list[str]:
+    """Return statuses that followed the end of the same order."""
+    found, spec, last = [], None, None
+    for kind, item, gone in fleet.store.changes:
+        if kind != KIND or item["metadata"]["name"] == UNUSED:
+            continue
+        status = None if gone else item.get("status")
+        if gone:
+            spec, last = None, None
+        elif item["spec"] != spec and _readable(item["spec"]):
+            spec, last = item["spec"], status
+        elif status != last:
+            if last and last["state"] in ENDS and last["target_version"] == spec["target_version"]:
+                found.append(f"status {last} became {status}")
+            last = status
+    return found
+
+
+def _readable(spec: dict) -> bool:
+    """Say whether an order is one: others leave the one before in force."""
+    seconds, version = spec["duration_s"], spec["target_version"]
+    return isinstance(seconds, float) and seconds > 0 and isinstance(version, str) and version != ""
+
+
+def _unused_end(fleet: ProcessFleet) -> list[str]:
+    status = fleet.store.objects[(KIND, UNUSED)].get("status")
+    ended = bool(status) and status["state"] in ENDS
+    return [f"a version that nobody called: {status}"] if ended else []
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -141,9 +141,11 @@
     settings: dict[str, str] = field(default_factory=dict)
     # Between the daemons, where there is one.
     relay: Relay | None = None
-    # All calls that were made, by request id, and the failure domains of replicas, by name.
+    # All calls that were made, by request id.
     calls: dict[str, MadeCall] = field(default_factory=dict)
+    # Failure domains and software versions of replicas, by name.
     zones: dict[str, str] = field(default_factory=dict)
+    versions: dict[str, str] = field(default_factory=dict)
     # When a daemon was killed, asked to stop, paused or resumed.
     disturbed_at: list[float] = field(default_factory=list)
     replica_class: type[ReplicaStandin] = ReplicaStandin
@@ -162,6 +164,7 @@
         self.replicas.append(replica)
         addr = f"{LOOPBACK}:{replica.port}"
         self.zones[replica.name] = zone
+        self.versions[replica.name] = version
         spec = {"service": service, "addr": addr, "zone": zone, "slots": slots, "state": "ready"}
         if version:
             spec["version"] = version
