--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -123,22 +123,30 @@
 
 def _changed_ends(fleet: ProcessFleet) -> list[str]:
     """Return statuses that followed the end of the same order."""
-    found, spec, last = [], None, None
-    for kind, item, gone in fleet.store.changes:
-        if kind != KIND or item["metadata"]["name"] == UNUSED:
-            continue
-        status = None if gone else item.get("status")
+    found, spec, before, last = [], None, None, None
+    for item, gone in _changes(fleet):
+        status = item.get("status")
         if gone:
-            spec, last = None, None
+            spec, before, last = None, None, None
         elif item["spec"] != spec and _readable(item["spec"]):
-            spec, last = item["spec"], status
-        elif status != last:
+            # The status is still that of the order before.
+            spec, before, last = item["spec"], status, None
+        elif status != (last or before):
             if last and last["state"] in ENDS and last["target_version"] == spec["target_version"]:
                 found.append(f"status {last} became {status}")
             last = status
     return found
 
 
+def _changes(fleet: ProcessFleet) -> list[tuple[dict, bool]]:
+    """Return the store's changes of orders of the service that is used."""
+    return [
+        (item, gone)
+        for kind, item, gone in fleet.store.changes
+        if kind == KIND and item["metadata"]["name"] != UNUSED
+    ]
+
+
 def _readable(spec: dict) -> bool:
     """Say whether an order is one: others leave the one before in force."""
     seconds, version = spec["duration_s"], spec["target_version"]
