Kept calls of the wide soak off routes that come and go

A version is judged on each route that has a hundredth of the calls, and the operator of the soak adds and drops a route with each change, so that some route always lacks its 8 answers.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -74,6 +74,9 @@
 # The pause between two requests of a wide run, and between two changes of what replicas forget.
 ASK_SECONDS = 0.02
 FORGET_SECONDS = 0.5
+# A version is judged on each route that has calls, so that routes which come and go all the while
+# must have none.
+ROUTE_SHARE = 0.0
 # All daemons serve so soon after the last fault.
 SERVES_SECONDS = 15.0
 LOOK_SECONDS = 0.1
@@ -195,6 +198,7 @@
         callers = Callers(
             self.fleet, operator, self._rng("callers"), BOUND_SECONDS, SETTLED_SECONDS
         )
+        callers.route_share = ROUTE_SHARE
         around = [callers.run(), _change(operator, self._rng("operator")), self._ask()]
         tasks = [asyncio.ensure_future(each) for each in [*around, self._forget()]]
         series = _series(self.fleet, self.seed, WIDE_FAULTS)
