Placed requests whose time was over in a form that peers read

A node that stood still for 4.5 s told a dispatcher of a waiting request after its final answer was due, with a negative time within which its caller would come back. The time is 0 now, which says that it is not known, where the request is made and where it is written. The new test fails without the latter.

--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -109,7 +109,7 @@
         asked.shared_tokens,
         round(asked.objective * 1000),
         round(asked.patience * 1000),
-        round(asked.returns_within * 1000),
+        max(0, round(asked.returns_within * 1000)),
         list(asked.regions),
         asked.fingerprint,
         list(asked.excluded),
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -193,7 +193,7 @@
             shared_tokens=prompt.shared_tokens,
             objective=routed.route.objective,
             patience=patience,
-            returns_within=RETRY_SHARE * (routed.ends_at - now),
+            returns_within=RETRY_SHARE * max(0.0, routed.ends_at - now),
             regions=routed.regions,
             fingerprint=routed.fingerprint,
             route=self._route(routed),
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -11,9 +11,10 @@
 from railsail.core.metrics import Metrics
 from railsail.core.outcomes import NotRun, Reason
 from railsail.dispatch.acquire import MOST_GRANTS, ReplicaAcquirer
-from railsail.dispatch.bookings import Booking, Want
+from railsail.dispatch.bookings import Booking, Want, to_place
 from railsail.dispatch.entry import TicketDesk
 from railsail.dispatch.gate import COME_BACK_SPREAD_SECONDS, SendGate
+from railsail.peers.codec import decode_frame, encode_message, join_frame
 from railsail.peers.link import Identity
 from railsail.peers.messages import (
     Cancel,
@@ -37,6 +38,15 @@
 RECORD = {"pool": "model", "endpoint": "127.0.0.1:9", "failure_domain": "a", "state": "live"}
 
 
+class PlaceTests(unittest.TestCase):
+    def test_request_whose_time_is_over_is_a_message_that_peers_read(self):
+        late = replace(WANT, returns_within=-0.3)
+        place = to_place(late, 1, 1, Cell("model", 0, 1), 0.2)
+        frame = join_frame(0, [encode_message(place)])
+        self.assertEqual(decode_frame(frame)[1], [place])
+        self.assertEqual(place.returns_within, 0)
+
+
 class Hub:
     """Record what is sent, and let tests call the handlers."""
 
