--- a/tests/rollouts/test_missed_end.py
+++ b/tests/rollouts/test_missed_end.py
@@ -1,4 +1,4 @@
-"""A node that missed how a rollout ended does not take the version in use from the others."""
+"""A rollout's record of before its end does not take the version in use from other nodes."""
 
 import unittest
 
@@ -14,7 +14,7 @@
 
 class MissedEndTests(unittest.TestCase):
     def setUp(self):
-        begun = rollout("v2", 1, State.RUNNING, 2)
+        self.begun = begun = rollout("v2", 1, State.RUNNING, 2)
         succeeded = rollout("v2", 1, State.SUCCEEDED, 3)
         self.next = rollout("v3", 4, State.RUNNING, 5)
         self.knows = merge(merge(begun, succeeded), self.next)
@@ -24,6 +24,9 @@
     def test_premise_that_the_others_have_it_in_use(self):
         self.assertEqual(self.knows.dropped, frozenset())
 
+    def test_version_in_use_is_not_dropped_by_late_news_of_its_rollout(self):
+        self.assertNotIn("v2", merge(self.knows, self.begun).dropped)
+
     def test_version_in_use_is_dropped_by_no_node_once_they_tell_each_other(self):
         self.assertNotIn("v2", merge(self.knows, self.missed).dropped)
         self.assertNotIn("v2", merge(self.missed, self.knows).dropped)
