--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -111,7 +111,7 @@
         asked.shared_tokens,
         round(asked.objective * 1000),
         round(asked.patience * 1000),
-        round(asked.returns_within * 1000),
+        max(0, round(asked.returns_within * 1000)),
         list(asked.regions),
         asked.fingerprint,
         list(asked.excluded),
--- a/tests/platform/operator.py
+++ b/tests/platform/operator.py
@@ -29,8 +29,10 @@
 class Operator:
     """Change the configuration; times are those of the event loop."""
 
-    def __init__(self, store: PlatformStoreStandin) -> None:
+    def __init__(self, store: PlatformStoreStandin, tenants: list[dict] | None = None) -> None:
         self._store = store
+        # Workspaces that every version has beside the usual one.
+        self._tenants = tenants or []
         self.version = FIRST_VERSION
         self.sent_at: dict[int, float] = {}
         # When the store confirmed each version.
@@ -47,6 +49,7 @@
             added = {"name": f"added-{version}", "path_prefix": route_of(version)}
             value["routes"].append(like | added)
             value["tenants"][0]["api_keys"].append(key_of(version))
+        value["tenants"] += self._tenants
         now = asyncio.get_running_loop().time()
         self.sent_at[self.version] = now
         self._store.put("config", "main", value)
@@ -105,6 +108,8 @@
     bound: float
     settled: float = 6.0
     every: float = 0.02
+    # The part of the calls that are made on routes that versions add; others have a key they add.
+    route_share: float = 0.5
     asked: int = 0
     served: int = 0
     old: list[OldAnswer] = field(default_factory=list)
@@ -134,7 +139,7 @@
         self.asked += 1
         number = f"c-{self.asked}"
         sent_at = loop.time()
-        if self.rng.random() < 0.5:
+        if self.rng.random() < self.route_share:
             target, headers = route_of(version), {}
         else:
             target, headers = "/again/", {"Authorization": f"Bearer {key_of(version)}"}
