rollouts: kept the version in use from being dropped by nodes that missed how its rollout ended

Cause: a node that was cut off while a rollout succeeded, and read the store again when the next order ran, took the version for one whose rollout was cut short. It told others, whose records were merged by union, so that no node sent the version in use anything any more.

Records tell the version that succeeded last, with the version of its order, and the newer one wins over what others dropped. Ruled out: to drop nothing that was superseded, which would give a version that nobody proved to all callers. A node that missed the end and hears no peer still drops it.

--- a/railsail/peers/records.py
+++ b/railsail/peers/records.py
@@ -111,7 +111,8 @@
     ``duration`` is in milliseconds. ``gone`` says that the operator took the order away. ``state``
     is a ``railsail.rollouts.orders.State``, which is about ``decided_version``. ``stored`` is the
     version of the stored object that was read last, and ``written`` the state that it tells.
-    ``dropped`` are versions whose rollouts did not succeed before.
+    ``dropped`` are versions whose rollouts did not succeed before, ``in_use`` the one that did
+    last, by the order of version ``in_use_order``.
     """
 
     service: Text
@@ -124,6 +125,8 @@
     stored: Natural = 0
     written: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
     dropped: Annotated[list[Text], msgspec.Meta(max_length=64)] = []
+    in_use: Text = ""
+    in_use_order: Natural = 0
 
 
 class TallyRecord(Message, frozen=True):
--- a/railsail/rollouts/book.py
+++ b/railsail/rollouts/book.py
@@ -202,6 +202,8 @@
         rollout.stored,
         int(rollout.written),
         sorted(rollout.dropped),
+        rollout.in_use,
+        rollout.in_use_order,
     )
 
 
@@ -211,5 +213,13 @@
     state, written = State(record.state), State(record.written)
     dropped = frozenset(record.dropped)
     return Rollout(
-        order, record.gone, state, record.decided_version, record.stored, written, dropped
+        order,
+        record.gone,
+        state,
+        record.decided_version,
+        record.stored,
+        written,
+        dropped,
+        record.in_use,
+        record.in_use_order,
     )
--- a/railsail/rollouts/merging.py
+++ b/railsail/rollouts/merging.py
@@ -21,6 +21,8 @@
         return candidate
     newer, older = _by_age(known, candidate)
     merged = _merge(newer, older)
+    in_use_order, in_use = max(_in_use(merged), _in_use(newer), _in_use(older))
+    merged = replace(merged, in_use=in_use, in_use_order=in_use_order)
     return replace(merged, dropped=_dropped(merged, newer, older))
 
 
@@ -36,12 +38,22 @@
     dropped = newer.dropped | older.dropped
     if older.current is not State.SUCCEEDED:
         dropped |= {older.order.target_version}
-    proved = {merged.order.target_version}
-    if merged.state is State.SUCCEEDED:
-        proved.add(merged.decided_version)
+    proved = {merged.order.target_version, merged.in_use}
     return frozenset(sorted(dropped - proved)[-MOST_DROPPED:])
 
 
+def _in_use(rollout: Rollout) -> tuple[int, str]:
+    """Return the version that succeeded last, as ``rollout`` tells, after that of its order."""
+    known = (rollout.in_use_order, rollout.in_use)
+    if rollout.state is not State.SUCCEEDED:
+        return known
+    version = rollout.order.version
+    if rollout.current is State.NONE:
+        # The status is left from an order before this one.
+        version -= 1
+    return max(known, (version, rollout.decided_version))
+
+
 def _by_age(known: Rollout, candidate: Rollout) -> tuple[Rollout, Rollout]:
     if _age(candidate) > _age(known):
         return candidate, known
--- a/railsail/rollouts/orders.py
+++ b/railsail/rollouts/orders.py
@@ -40,7 +40,9 @@
     is left from an earlier order. ``stored`` is the version of the stored object that was read
     last, which changes with the status too, and ``written`` the state of this order that its
     status tells. ``dropped`` names versions whose rollouts did not succeed before this order: they
-    are not proved, and get no calls.
+    are not proved, and get no calls. ``in_use`` is the version that succeeded last, as far as it is
+    known, by the order of version ``in_use_order``: a node that missed that end must not take it
+    for one that did not succeed.
     """
 
     order: Order
@@ -50,6 +52,8 @@
     stored: int = 0
     written: State = State.NONE
     dropped: frozenset[str] = frozenset()
+    in_use: str = ""
+    in_use_order: int = 0
 
     @property
     def current(self) -> State:
