Kept late news of a rollout from dropping the version in use

A record of a rollout that still ran, held back by a cut or a pause, reached nodes after the next order. The merge took its version for one that was replaced while its order ran, though it had succeeded, and told all nodes; the only version in use got nothing any more. Only a node that holds such a record when the next order comes takes the version for replaced now.

--- a/railsail/rollouts/merging.py
+++ b/railsail/rollouts/merging.py
@@ -21,7 +21,8 @@
         return candidate
     newer, older = _by_age(known, candidate)
     merged = _merge(newer, older)
-    return replace(merged, dropped=_dropped(merged, newer, older))
+    dropped = newer.dropped | older.dropped | _not_succeeded(older, older is known)
+    return replace(merged, dropped=_without_proved(dropped, merged))
 
 
 def _merge(newer: Rollout, older: Rollout) -> Rollout:
@@ -31,11 +32,20 @@
     return _furthest(replace(newer, order=replace(newer.order, version=version)), older)
 
 
-def _dropped(merged: Rollout, newer: Rollout, older: Rollout) -> frozenset[str]:
-    """Return the versions that were ordered before and did not succeed, the latest of them."""
-    dropped = newer.dropped | older.dropped
-    if older.current is not State.SUCCEEDED:
-        dropped |= {older.order.target_version}
+def _not_succeeded(older: Rollout, held: bool) -> frozenset[str]:
+    """Return the version of the order before, where it did not succeed.
+
+    An order that runs is replaced only where its record was ``held`` when the next order came: one
+    that comes later may be of before its end.
+    """
+    replaced = held and older.current is not State.SUCCEEDED
+    if replaced or older.current is State.ROLLED_BACK:
+        return frozenset({older.order.target_version})
+    return frozenset()
+
+
+def _without_proved(dropped: frozenset[str], merged: Rollout) -> frozenset[str]:
+    """Return the versions that get no calls, the latest of them."""
     proved = {merged.order.target_version}
     if merged.state is State.SUCCEEDED:
         proved.add(merged.decided_version)
