--- a/railsail/rollouts/merging.py
+++ b/railsail/rollouts/merging.py
@@ -22,8 +22,9 @@
     newer, older = _by_age(known, candidate)
     merged = _merge(newer, older)
     in_use_order, in_use = max(_in_use(merged), _in_use(newer), _in_use(older))
-    merged = replace(merged, in_use=in_use, in_use_order=in_use_order)
-    return replace(merged, dropped=_dropped(merged, newer, older))
+    dropped = newer.dropped | older.dropped | _not_succeeded(older, older is known)
+    dropped = _without_proved(dropped, merged, in_use)
+    return replace(merged, in_use=in_use, in_use_order=in_use_order, dropped=dropped)
 
 
 def _merge(newer: Rollout, older: Rollout) -> Rollout:
@@ -33,12 +34,21 @@
     return _furthest(replace(newer, order=replace(newer.order, version=version)), older)
 
 
-def _dropped(merged: Rollout, newer: Rollout, older: Rollout) -> frozenset[str]:
-    """Return the versions that were ordered before and did not succeed, the latest of them."""
-    dropped = newer.dropped | older.dropped
-    if older.current is not State.SUCCEEDED:
-        dropped |= {older.order.target_version}
-    proved = {merged.order.target_version, merged.in_use}
+def _not_succeeded(older: Rollout, held: bool) -> frozenset[str]:
+    """Return the version of the order before, where it did not succeed.
+
+    An order that runs is replaced only where its record was ``held`` when the next order came: one
+    that comes later may be of before its end.
+    """
+    replaced = held and older.current is not State.SUCCEEDED
+    if replaced or older.current is State.ROLLED_BACK:
+        return frozenset({older.order.target_version})
+    return frozenset()
+
+
+def _without_proved(dropped: frozenset[str], merged: Rollout, in_use: str) -> frozenset[str]:
+    """Return the versions that get no calls, the latest of them."""
+    proved = {merged.order.target_version, in_use}
     return frozenset(sorted(dropped - proved)[-MOST_DROPPED:])
 
 
--- a/railsail/rollouts/verdict.py
+++ b/railsail/rollouts/verdict.py
@@ -40,6 +40,9 @@
 LEAST_ANSWERS = 40
 LEAST_ROUTE_ANSWERS = 8
 COMMON_SHARE = 0.01
+# A route that the others went on without for so many updates, about ten seconds, is not common any
+# more: its requests may come no longer, and no answers of the version on it either.
+QUIET_UPDATES = 40
 # A route on which the share of bad answers exceeds the baseline's by more is not held for good.
 DOUBTFUL_EXCESS = 0.2
 
@@ -92,11 +95,13 @@
 class _Route:
     """What is kept of one route: its last sums, its recent baseline, and the test of each aspect.
 
-    ``bad`` counts the bad answers of the target version by replica and aspect.
+    ``bad`` counts the bad answers of the target version by replica and aspect. The last ``quiet``
+    updates brought no answers of the baseline.
     """
 
     before: RouteEvidence
     baseline: Tally = field(default_factory=Tally)
+    quiet: int = 0
     sums: dict[Aspect, float] = field(default_factory=dict)
     bad: dict[Aspect, dict[str, _Counts]] = field(default_factory=dict)
 
@@ -118,6 +123,8 @@
 
     def _update(self, evidence: Sequence[RouteEvidence]) -> None:
         gains = dict.fromkeys(Aspect, 0.0)
+        for route in self._routes.values():
+            route.quiet += 1
         for item in evidence:
             route = self._routes.setdefault(item.route, _Route(_nothing(item.route)))
             self._learn_baseline(route, item)
@@ -135,6 +142,7 @@
         if not new.answers:
             # All calls go to the target version now: the last ones of the others stay the measure.
             return
+        route.quiet = 0
         _fade(route.baseline, new.answers)
         route.baseline = route.baseline.merged([new])
 
@@ -174,7 +182,8 @@
             return Judgement(Verdict.UNDECIDED, f"{answers} answers of {LEAST_ANSWERS} are known")
         baseline = sum(route.before.baseline.answers for route in self._routes.values())
         for number, route in self._routes.items():
-            common = route.before.baseline.answers >= COMMON_SHARE * baseline
+            often = route.before.baseline.answers >= COMMON_SHARE * baseline
+            common = often and route.quiet < QUIET_UPDATES
             known = _target_answers(route)
             if common and known < LEAST_ROUTE_ANSWERS:
                 reason = f"{known} answers of a common route are known"
--- a/tests/rollouts/test_verdict.py
+++ b/tests/rollouts/test_verdict.py
@@ -60,6 +60,18 @@
     def test_nothing_is_known_without_answers(self):
         self.assertIs(VersionJudge().judge([]).verdict, Verdict.UNDECIDED)
 
+    def test_route_that_ended_is_waited_for_no_longer(self):
+        """A route is dropped by a configuration before the version had enough answers on it."""
+        fleet = Fleet()
+        ended = RouteEvidence(3, Tally(answers=400, first=[400] + [0] * 31), {})
+        for step in range(2 * UPDATES):
+            fleet.step()
+            evidence = [RouteEvidence(r, fleet.baseline[r], fleet.target[r]) for r in (1, 2)]
+            verdict = fleet.judge.judge([*evidence, ended]).verdict
+            if step == UPDATES // 4:
+                self.assertIs(verdict, Verdict.UNDECIDED)
+        self.assertIs(verdict, Verdict.GOOD)
+
     def test_one_whose_single_replica_fails_is_not_bad(self):
         verdict = Fleet().verdict(fails=lambda route, replica: 0.9 * (replica == "i-2"))
         self.assertIsNot(verdict, Verdict.BAD)
