gateway, rollouts: mended sentences that a rename of a class had changed

Cause: the class Judge was renamed by its word, which also stands as a verb at the beginning of four doc comments; they read "PolicyEvaluator requests by the policies in force". Ruled out: others of the renamed words, all lines with a new name in a comment or in docs/ were read.

--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -89,7 +89,7 @@
 
 
 def play(kind: Version, rate: float, share: float, seconds: float, seed: int) -> Outcome:
-    """PolicyEvaluator one version at ``rate`` requests a second, of which it gets ``share``."""
+    """Judge one version at ``rate`` requests a second, of which it gets ``share``."""
     rng = random.Random(seed)
     sums = {number: _Sums() for number in range(len(ROUTES))}
     judge = VersionJudge()
--- a/railsail/gateway/verdicts.py
+++ b/railsail/gateway/verdicts.py
@@ -1,4 +1,4 @@
-"""PolicyEvaluator requests by the policies in force."""
+"""Judge requests by the policies in force."""
 
 from collections.abc import Callable
 
--- a/railsail/rollouts/tenure.py
+++ b/railsail/rollouts/tenure.py
@@ -134,7 +134,7 @@
         return self._now() < self._began + LEASE_SECONDS
 
     def tick(self) -> None:
-        """PolicyEvaluator, plan, and allow calls; without the lease nothing is allowed any more."""
+        """Judge, plan, and allow calls; without the lease nothing is allowed any more."""
         if not self.leads():
             return
         if self._progress.unjudged:
--- a/railsail/rollouts/verdict.py
+++ b/railsail/rollouts/verdict.py
@@ -107,7 +107,7 @@
 
 
 class VersionJudge:
-    """PolicyEvaluator one version by evidence that grows."""
+    """Judge one version by evidence that grows."""
 
     def __init__(self) -> None:
         self._routes: dict[int, _Route] = {}
