core, dispatch, rollouts: shared how values are handed over, and named one type for the book

Cause: counters and gauges had the same two methods; the dispatcher's side knew the book of rollouts by a protocol of the same name, from before the book was there; whether the part is on stood in two attributes. Ruled out: to drop the directory's protocol of version rules too, since upstreams must not import what is above them.

--- a/railsail/core/collectors.py
+++ b/railsail/core/collectors.py
@@ -11,7 +11,24 @@
 _Key = tuple[tuple[str, str], ...]
 
 
-class Counter(aioprometheus.Counter):
+class _HandedOverWhenRead:
+    """What counters and gauges share: the library gets the values before they are read."""
+
+    def get_value(self, labels: Labels) -> float:
+        """Return the value of a series; raise ``KeyError`` if there is none."""
+        self._hand_over()
+        return super().get_value(labels)
+
+    def get_all(self) -> list[tuple[Labels, float]]:
+        """Return the labels and the value of each series."""
+        self._hand_over()
+        return super().get_all()
+
+    def _hand_over(self) -> None:
+        raise NotImplementedError
+
+
+class Counter(_HandedOverWhenRead, aioprometheus.Counter):
     """A counter that adds up what was added since it was read."""
 
     def __init__(self, *arguments, **options) -> None:
@@ -29,23 +46,13 @@
             raise ValueError("Counters can't decrease")
         self._added[key] = added + value
 
-    def get_value(self, labels: Labels) -> float:
-        """Return the value of a series; raise ``KeyError`` if there is none."""
-        self._hand_over()
-        return super().get_value(labels)
-
-    def get_all(self) -> list[tuple[Labels, float]]:
-        """Return the labels and the value of each series."""
-        self._hand_over()
-        return super().get_all()
-
     def _hand_over(self) -> None:
         added, self._added = self._added, {}
         for key, value in added.items():
             super().add(dict(key), value)
 
 
-class Gauge(aioprometheus.Gauge):
+class Gauge(_HandedOverWhenRead, aioprometheus.Gauge):
     """A gauge that keeps what was set since it was read."""
 
     def __init__(self, *arguments, **options) -> None:
@@ -62,16 +69,6 @@
             del self._set[key]
         self._set[key] = value
 
-    def get_value(self, labels: Labels) -> float:
-        """Return the value of a series; raise ``KeyError`` if there is none."""
-        self._hand_over()
-        return super().get_value(labels)
-
-    def get_all(self) -> list[tuple[Labels, float]]:
-        """Return the labels and the value of each series."""
-        self._hand_over()
-        return super().get_all()
-
     def _hand_over(self) -> None:
         given, self._set = self._set, {}
         for key, value in given.items():
--- a/railsail/dispatch/rollouts.py
+++ b/railsail/dispatch/rollouts.py
@@ -6,9 +6,8 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Protocol
 
 from railsail.core.events import Fact
 from railsail.core.kernel import Kernel
@@ -18,8 +17,8 @@
 from railsail.peers.hub import PeerHub
 from railsail.peers.messages import RolloutAllowance, RolloutEvidence
 from railsail.peers.records import TallyRecord
+from railsail.rollouts.book import RolloutBook
 from railsail.rollouts.evidence import Tally
-from railsail.rollouts.orders import Order
 from railsail.rollouts.stages import Stage
 from railsail.rollouts.tallies import TallyKey
 from railsail.scheduling.cells import Cell
@@ -34,19 +33,6 @@
 MOST_TALLIES = 2000
 
 
-class RolloutBook(Protocol):
-    """The rollouts that this node knows of."""
-
-    def running(self, service: str) -> Order | None:
-        """Return the order of the rollout that runs, ``None`` if there is none."""
-
-    def takes_work(self, service: str, software_version: str) -> bool:
-        """Say whether replicas of a version may be given new work."""
-
-    def on_change(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` after each change."""
-
-
 @dataclass(frozen=True)
 class _Coordinator:
     """The sender of a cell's newest allowance, and when that came."""
--- a/railsail/rollouts/part.py
+++ b/railsail/rollouts/part.py
@@ -31,7 +31,6 @@
 
     def __init__(self, node: "Node") -> None:
         settings = node.settings
-        self.enabled = settings.expose_share > 0
         self._hub = node.hub
         self.book = RolloutBook(node.membership.flood, node.kernel)
         bounds = ExposureBounds(
@@ -40,7 +39,7 @@
         fleet = Fleet(node)
         self.coordinator = Coordinator(self.book, node.store, fleet, bounds, node.kernel)
         self._dispatch: RolloutDispatch | None = None
-        if self.enabled:
+        if settings.expose_share > 0:
             self._connect(node)
 
     def _connect(self, node: "Node") -> None:
