objects: asked the catalog for the regions of a workspace

Cause: routes, the model interface and the cache of answers each looked up the workspace and stood in for one that is not known; the cache did so for answers it does not keep as well.

--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -149,10 +149,10 @@
         return Replay(answer)
 
     def _kept(self, served: Served, outcome: Outcome) -> KeptAnswer | None:
-        owner = self._catalog().workspace(served.workspace)
         if not isinstance(outcome, Completed):
             return None
-        if owner is not None and owner.regions and self._region not in owner.regions:
+        regions = self._catalog().regions_of(served.workspace)
+        if regions and self._region not in regions:
             # What may be served in other regions only is not stored in this one either.
             return None
         sink = served.sink
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -115,7 +115,6 @@
     def _want(self, served: Served) -> PoolRequest:
         pool = served.pool
         estimate = self._estimator.estimate(served.workspace, pool.name, pool.first_estimate)
-        owner = self._catalog().workspace(served.workspace)
         return PoolRequest(
             served.id,
             pool.name,
@@ -125,7 +124,7 @@
             served.verdict.may_wait == 0,
             served.request.prefix,
             served.avoid,
-            regions=owner.regions if owner is not None else (),
+            regions=self._catalog().regions_of(served.workspace),
             fingerprint=served.fingerprint,
             route=self._route(served),
         )
--- a/railsail/objects/catalog.py
+++ b/railsail/objects/catalog.py
@@ -40,6 +40,11 @@
         """Return the workspace of ``name``."""
         return self._get(Workspace, name)
 
+    def regions_of(self, workspace: str) -> tuple[str, ...]:
+        """Return the regions that ``workspace`` is bound to, none if it runs in any."""
+        owner = self.workspace(workspace)
+        return owner.regions if owner is not None else ()
+
     def policy(self, name: str) -> Policy | None:
         """Return the policy of ``name``."""
         return self._get(Policy, name)
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -213,8 +213,7 @@
 
     def _regions(self, route: Route, workspace: str) -> tuple[str, ...]:
         """Return where a request may run, nothing for anywhere; both have to allow it."""
-        owner = self._catalog.workspace(workspace)
-        of_owner = owner.regions if owner is not None else ()
+        of_owner = self._catalog.regions_of(workspace)
         if not (route.regions and of_owner):
             return route.regions or of_owner
         # A region that nobody has lets the request run nowhere.
