dispatch, scheduling: worked out the regions of a fleet once, and copied no cells in vain

Cause: each ticket put the regions of all failure domains into a set, also in a fleet of one region; and twice a second each node copied all cells of a pool to join replicas of a new version, where there were none.

--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -69,8 +69,7 @@
             of_domains = self._regions.of_domains
             regions = {each.name: of_domains.get(each.failure_domain, "") for each in upstreams}
             settled = {u.name: regions[u.name] for u in upstreams if self._directory.settled(u)}
-            named = self._regions.named()
-            cells = cut_by_region(pool, settled or regions, self._limit, named)
+            cells = cut_by_region(pool, settled or regions, self._limit, self._regions.named)
             # A cell needs replicas of each version of a rollout: its tickets run on one of them.
             self._cells[pool] = spread(cells, regions)
         return self._cells[pool]
--- a/railsail/dispatch/regions.py
+++ b/railsail/dispatch/regions.py
@@ -3,6 +3,7 @@
 ``--domain-regions`` names the region of each failure domain, of nodes and of replicas alike.
 """
 
+import functools
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -21,13 +22,14 @@
     of_domains: Mapping[str, str] = field(default_factory=dict)
     of_node: Callable[[str], str] = lambda node: ""
 
-    def named(self) -> set[str]:
+    @functools.cached_property
+    def named(self) -> frozenset[str]:
         """Return the regions of the fleet."""
-        return set(self.of_domains.values())
+        return frozenset(self.of_domains.values())
 
     def way_seconds(self, entry: str, dispatcher: str) -> float:
         """Return how long a ticket and its grant are on their way between two nodes."""
-        if len(self.named()) <= 1:
+        if len(self.named) <= 1:
             return 0.0
         regions = {self.of_node(entry), self.of_node(dispatcher)}
         return WAY_SECONDS if len(regions) > 1 and "" not in regions else 0.0
--- a/railsail/scheduling/cells.py
+++ b/railsail/scheduling/cells.py
@@ -77,6 +77,8 @@
     any. What the cells hold stays where it is. They may hold more then than their limit.
     """
     held = {name for names in cells.values() for name in names}
+    if len(held) == len(regions):
+        return cells
     added: dict[str, list[str]] = defaultdict(list)
     for name in sorted(regions.keys() - held):
         added[regions[name]].append(name)
