--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -24,7 +24,7 @@
     left_out: str
 
 
-def tell_story(request: str, lines: Iterable[LogLine]) -> RequestTrace:
+def trace_request(request: str, lines: Iterable[LogLine]) -> RequestTrace:
     """Return all that ``lines`` tell of ``request``, and of what its daemons believed then."""
     known = list(lines)
     own = [line for line in known if line.request == request]
@@ -41,8 +41,8 @@
         for line in known
         if line.event in _BELIEFS and line.node in nodes and begun <= line.seconds <= ended
     ]
-    story = sorted([*own, *told, *beliefs], key=lambda line: (line.stamp, line.node))
-    return RequestTrace(story, explain_cause(own, told), _left_out(known))
+    lines_of_request = sorted([*own, *told, *beliefs], key=lambda line: (line.stamp, line.node))
+    return RequestTrace(lines_of_request, explain_cause(own, told), _left_out(known))
 
 
 def explain_cause(own: list[LogLine], told: list[LogLine]) -> str:
--- a/railsail/cli/main.py
+++ b/railsail/cli/main.py
@@ -12,7 +12,7 @@
 
 from railsail.cli.account import COLUMNS, Grouping, make_account, plot_account
 from railsail.cli.client import AdminClient, Reply
-from railsail.cli.explain import line_row, tell_story
+from railsail.cli.explain import line_row, trace_request
 from railsail.cli.files import read_objects
 from railsail.cli.loglines import read_lines
 from railsail.cli.output import complain, show, show_stamp
@@ -134,12 +134,12 @@
 
         Lines may bear whatever a log collector puts before the JSON object.
         """
-        story = tell_story(str(request), read_lines([str(file) for file in files]))
-        if not story.lines:
-            _fail(EXIT_UNAVAILABLE, f"the logs tell nothing of {request}; {story.left_out}")
-        rows = [line_row(line) for line in story.lines]
+        trace = trace_request(str(request), read_lines([str(file) for file in files]))
+        if not trace.lines:
+            _fail(EXIT_UNAVAILABLE, f"the logs tell nothing of {request}; {trace.left_out}")
+        rows = [line_row(line) for line in trace.lines]
         show(rows, ("time", "node", "event", "facts"), self._output)
-        complain(story.cause)
+        complain(trace.cause)
 
     def account(self, *files: str, by: str = Grouping.ROUTE, plot: str = "") -> None:
         """Count from logs in FILES what was served, late, refused and lost, by route.
--- a/railsail/gateway/serve.py
+++ b/railsail/gateway/serve.py
@@ -48,7 +48,7 @@
         judge: PolicyEvaluator,
         tries: Tries,
         claims: ClaimService,
-        shelf: AnswerCache,
+        answers: AnswerCache,
         admission: Admission,
         kernel: Kernel,
         region: str = "",
@@ -58,7 +58,7 @@
         self._judge = judge
         self._tries = tries
         self._claims = claims
-        self._shelf = shelf
+        self._answers = answers
         self._admission = admission
         self._clock = kernel.clock
         self._events = kernel.events
@@ -114,7 +114,7 @@
         key = claim_key(served.workspace, request.key)
         claim = self._claims.new_claim(key, fingerprint(request.method, request.path, request.body))
         # A second try at another node may ask for the answer before the claim's reply is here.
-        running = self._shelf.begin(key)
+        running = self._answers.begin(key)
         kept: KeptAnswer | None = None
         try:
             left = served.ends_at - self._clock.monotonic()
@@ -125,7 +125,7 @@
                 kept = self._kept(served, outcome)
                 return outcome
         finally:
-            self._shelf.end(key, running, kept)
+            self._answers.end(key, running, kept)
         if answer.result is ClaimResult.HELD:
             return await self._second_try(served, claim, answer.holder)
         return NotRun(Reason.CLAIM_UNAVAILABLE, "the key could not be claimed in time", 2.0)
@@ -143,7 +143,7 @@
         if holder.fingerprint != claim.fingerprint:
             return Conflict("the key was used for another request")
         left = served.ends_at - self._clock.monotonic()
-        answer = await self._shelf.find(claim.key, holder.node, holder.start_id, left)
+        answer = await self._answers.find(claim.key, holder.node, holder.start_id, left)
         if answer is None:
             return Conflict("an earlier try has the key, and its answer is not to be had")
         return Replay(answer)
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -282,13 +282,13 @@
             self.heard,
             self.kernel,
         )
-        shelf = AnswerCache(self.hub, self.membership.gone, self.rng)
+        answers = AnswerCache(self.hub, self.membership.gone, self.rng)
         server = Server(
             self._catalog,
             self.judge,
             tries,
             self.claims,
-            shelf,
+            answers,
             self.admission,
             self.kernel,
             self._region,
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from railsail.cli.explain import tell_story
+from railsail.cli.explain import trace_request
 from railsail.cli.loglines import parse_line
 
 STAMP = 1_700_000_000_000 << 16
@@ -19,7 +19,7 @@
 class ExplainTests(unittest.TestCase):
     def tell(self, *lines: str):
         parsed = [parse_line(line) for line in lines]
-        return tell_story("r-1", [line for line in parsed if line is not None])
+        return trace_request("r-1", [line for line in parsed if line is not None])
 
     def test_request_that_is_held_back_names_the_replicas_that_ended(self):
         story = self.tell(
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from railsail.cli.explain import RequestTrace, tell_story
+from railsail.cli.explain import RequestTrace, trace_request
 from railsail.cli.loglines import parse_line
 from railsail.core.decisions import DecisionLog, line_fields
 from railsail.node import Node
@@ -27,7 +27,7 @@
         self.lines.append(json.dumps({"event": event.kind, **line_fields(event)}))
 
     def story(self, request: str = "r-1") -> RequestTrace:
-        return tell_story(request, [parse_line(line) for line in self.lines])
+        return trace_request(request, [parse_line(line) for line in self.lines])
 
     # A replica that answers nothing is left alone after a while, which is not what this is about.
     @mock.patch("railsail.scheduling.room.SILENT_SECONDS", LONGEST_SECONDS)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,7 +4,7 @@
 import unittest
 from pathlib import Path
 
-from railsail.cli.explain import tell_story
+from railsail.cli.explain import trace_request
 from railsail.cli.loglines import parse_line
 from railsail.core.events import Kind
 
@@ -23,7 +23,7 @@
             with self.subTest(request=request):
                 lines = [parse_line(line) for line in text.splitlines()]
                 self.assertNotIn(None, lines)
-                self.assertEqual(tell_story(request, lines).cause, " ".join(told.split()))
+                self.assertEqual(trace_request(request, lines).cause, " ".join(told.split()))
 
     def test_events_and_facts_of_the_examples_are_listed(self):
         for _, text, _ in EXAMPLE.findall(PAGE):
