dispatch: called the client of tickets by what it is wherever it is held

Names alone, left over from the rename of its class: attributes and arguments that were called desk are called tickets. The stand-ins of tests that are services called desk keep their name.

--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -27,12 +27,12 @@
 
 
 class ReplicaAcquirer:
-    """Acquire replicas through the tickets of ``desk``."""
+    """Acquire replicas through ``tickets``."""
 
     def __init__(
-        self, desk: TicketClient, gate: SendGate, quarantine: Quarantine, kernel: Kernel
+        self, tickets: TicketClient, gate: SendGate, quarantine: Quarantine, kernel: Kernel
     ) -> None:
-        self._desk = desk
+        self._tickets = tickets
         self._gate = gate
         self._quarantine = quarantine
         self._clock = kernel.clock
@@ -56,7 +56,7 @@
             if not closed:
                 return booking
             self._gate.tell(booking.node, booking.replica)
-            self._desk.give_back(booking, closed)
+            self._tickets.give_back(booking, closed)
             want = replace(want, avoid=booking.replica)
         return NotRun(Reason.NO_ROOM, f"the replica that was granted last is not sent to: {closed}")
 
@@ -67,7 +67,7 @@
         refusal = self._quarantined(want) or self._gate.refusal(want)
         if refusal is not None:
             return refusal
-        booking = self._desk.place(want, asked_at)
+        booking = self._tickets.place(want, asked_at)
         left = asked_at + seconds - self._clock.monotonic()
         try:
             # The dispatcher decides, and says when to come back, unless it is not heard in time.
@@ -79,17 +79,17 @@
             self._tell_expired(
                 booking,
                 cell=str(booking.cell),
-                dispatcher_heard_ms_ago=self._desk.quiet_ms(booking),
+                dispatcher_heard_ms_ago=self._tickets.quiet_ms(booking),
             )
-            self._desk.withdraw(booking)
+            self._tickets.withdraw(booking)
             return NotRun(Reason.EXPIRED, _REFUSALS[Reason.EXPIRED])
         except asyncio.CancelledError:
-            self._desk.withdraw(booking)
+            self._tickets.withdraw(booking)
             raise
         refusal = self._quarantined(want)
         if refusal is not None:
             # Another replica has ended under the same request while this one waited.
-            self._desk.withdraw(booking)
+            self._tickets.withdraw(booking)
             return refusal
         return booking
 
@@ -117,7 +117,7 @@
             detail,
             booking.want.request_id,
             booking.want.workspace,
-            ticket=self._desk.ticket_name(booking),
+            ticket=self._tickets.ticket_name(booking),
             dispatcher=booking.node,
             waited_ms=round(waited * 1000),
             **facts,
--- a/railsail/dispatch/rollouts.py
+++ b/railsail/dispatch/rollouts.py
@@ -49,7 +49,7 @@
         book: RolloutBook,
         directory: UpstreamDirectory,
         dispatchers: DispatcherService,
-        desk: TicketClient,
+        tickets: TicketClient,
         hub: PeerHub,
         kernel: Kernel,
     ) -> None:
@@ -60,7 +60,7 @@
         self._clock = kernel.clock
         self._coordinators: dict[Cell, _Coordinator] = {}
         hub.handle(RolloutAllowance, self._allowed)
-        desk.facts_of = self._facts_of
+        tickets.facts_of = self._facts_of
         directory.follow_rollouts(book)
         book.on_change(directory.rollouts_changed)
 
--- a/railsail/gateway/sink.py
+++ b/railsail/gateway/sink.py
@@ -40,14 +40,14 @@
         self._kept: list[bytes] = []
         self._kept_bytes = 0
         self._meter: ChargeMeter | None = None
-        self._desk: TicketClient | None = None
+        self._tickets: TicketClient | None = None
         self._booking: Booking | None = None
 
-    def meter(self, meter: ChargeMeter, desk: TicketClient, booking: Booking) -> None:
+    def meter(self, meter: ChargeMeter, tickets: TicketClient, booking: Booking) -> None:
         """Charge ``booking`` from now on."""
         self.cost = 0.0
         self._meter = meter
-        self._desk = desk
+        self._tickets = tickets
         self._booking = booking
 
     async def start(self, status: int, content_type: str, whole: bool = False) -> None:
@@ -74,7 +74,7 @@
         self.cost = max(self.cost, cost)
         charged = self._meter.overrun(cost) if self._meter else None
         if charged is not None:
-            self._desk.progress(self._booking, charged)
+            self._tickets.progress(self._booking, charged)
 
     def copy(self) -> bytes:
         """Return the body that was kept."""
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -60,7 +60,7 @@
         self,
         catalog: Callable[[], Catalog],
         directory: UpstreamDirectory,
-        desk: TicketClient,
+        tickets: TicketClient,
         acquirer: ReplicaAcquirer,
         kind_of: Callable[[str], UpstreamKind | None],
         heard: HeardSigns,
@@ -68,7 +68,7 @@
     ) -> None:
         self._catalog = catalog
         self._directory = directory
-        self._desk = desk
+        self._tickets = tickets
         self._acquirer = acquirer
         self._kind_of = kind_of
         self._heard = heard
@@ -142,10 +142,10 @@
         upstream = self._directory.get(replica)
         kind = self._kind_of(served.pool.name)
         if upstream is None or kind is None:
-            self._desk.release(booking, 0.0, CallResult.NOTHING)
+            self._tickets.release(booking, 0.0, CallResult.NOTHING)
             return NotRun(Reason.UNREACHABLE, f"{replica} is not known here")
         call = self._upstream_call(served, replica, upstream.endpoint)
-        served.sink.meter(ChargeMeter(booking.charged), self._desk, booking)
+        served.sink.meter(ChargeMeter(booking.charged), self._tickets, booking)
         self._events.emit(Kind.SENT, replica, served.id, served.workspace)
         outcome: Outcome = Unknown(CANCELLED)
         served.sent = True
@@ -182,7 +182,7 @@
         cost = 0.0 if isinstance(outcome, NotRun) else max(outcome.cost, served.sink.cost)
         if isinstance(outcome, Completed) and outcome.status < 400:
             self._estimator.observe(served.workspace, served.pool.name, cost)
-        self._desk.release(booking, cost, _learnt(outcome))
+        self._tickets.release(booking, cost, _learnt(outcome))
         if isinstance(outcome, Unknown):
             served.ran = True
         if isinstance(outcome, NotRun):
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -217,8 +217,8 @@
         self._build_quarantine()
         rests = ReplicaBackoffs()
         gate = SendGate(self.directory, rests, settings.domain_regions, self.hub, self.kernel)
-        self.desk = TicketClient(self.cells, self.hub, self.kernel)
-        self.acquirer = ReplicaAcquirer(self.desk, gate, self.quarantine, self.kernel)
+        self.tickets = TicketClient(self.cells, self.hub, self.kernel)
+        self.acquirer = ReplicaAcquirer(self.tickets, gate, self.quarantine, self.kernel)
         self.heard = HeardSigns(self.directory, rests, self.kernel)
         self.loads = LoadReports(self._catalog, self.directory, self.heard, rests, self.clock)
         bounds = FleetBounds(
@@ -276,7 +276,7 @@
         tries = Tries(
             self._catalog,
             self.directory,
-            self.desk,
+            self.tickets,
             self.acquirer,
             kind_of,
             self.heard,
@@ -316,7 +316,7 @@
         relay = Relay(
             protocol,
             self.directory,
-            self.desk,
+            self.tickets,
             self.acquirer,
             bounds,
             self.view.size,
@@ -355,10 +355,10 @@
 
     def _connect(self) -> None:
         self.membership.describe_with(self._heartbeat)
-        self.membership.watch_also(lambda: self.desk.dispatchers() | self.claims.batchers())
+        self.membership.watch_also(lambda: self.tickets.dispatchers() | self.claims.batchers())
         self.membership.on_change(self._members_changed)
         self.directory.on_change(self.dispatchers.renew_replicas)
-        self.directory.on_change(self.desk.replan)
+        self.directory.on_change(self.tickets.replan)
         self.carrier.on_change(self.gateway.callers.configured)
         self.carrier.on_change(self.judge.configured)
         self.carrier.on_change(lambda catalog: self.dispatchers.renew_replicas())
@@ -387,7 +387,7 @@
         )
 
     def _unreachable(self) -> set[str]:
-        return self.desk.unreachable
+        return self.tickets.unreachable
 
     def _calls_on(self, replica: str, before: float) -> set[int]:
         return self.dispatchers.calls_on(replica, before)
@@ -420,7 +420,7 @@
 
     def _members_changed(self) -> None:
         self.cells.forget()
-        self.desk.replan()
+        self.tickets.replan()
         for member in self.membership.table.all():
             if member.state is MemberState.DEAD:
                 self.dispatchers.drop_entry(member.node)
@@ -482,8 +482,8 @@
     def _tick(self) -> None:
         # What can be reached changes without any message; the cells follow twice a second.
         self.cells.forget()
-        self.desk.replan()
-        self.desk.tick()
+        self.tickets.replan()
+        self.tickets.tick()
 
     def not_ready(self) -> list[str]:
         """Return the reasons why the balancer must send no callers here; none if it may."""
@@ -534,7 +534,7 @@
         self.membership.change_own(state=MemberState.LEAVING)
         self.cells.forget()
         self.dispatchers.hand_over()
-        self.desk.replan()
+        self.tickets.replan()
         loop = asyncio.get_running_loop()
         ends = loop.time() + self.settings.drain_seconds
         # The balancer sends callers until it has seen that this node is not ready.
--- a/railsail/rollouts/part.py
+++ b/railsail/rollouts/part.py
@@ -49,7 +49,7 @@
         node.hub.on_up(self._link_up)
         node.lifecycle.on_change(lambda state: self.coordinator.wake())
         self._dispatch = RolloutDispatch(
-            self.book, node.directory, node.dispatchers, node.desk, node.hub, node.kernel
+            self.book, node.directory, node.dispatchers, node.tickets, node.hub, node.kernel
         )
 
     def _link_up(self, peer: Identity) -> None:
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -90,7 +90,7 @@
         self,
         protocol: RouteProtocol,
         directory: UpstreamDirectory,
-        desk: TicketClient,
+        tickets: TicketClient,
         acquirer: ReplicaAcquirer,
         bounds: RetryBounds,
         members: Callable[[], int],
@@ -100,7 +100,7 @@
     ) -> None:
         self._protocol = protocol
         self._directory = directory
-        self._desk = desk
+        self._tickets = tickets
         self._acquirer = acquirer
         self._bounds = bounds
         self._members = members
@@ -223,7 +223,7 @@
             if outcome is None or not isinstance(outcome, Completed):
                 routed.avoid = replica
             used = outcome is None or not isinstance(outcome, NotRun)
-            self._desk.release(booking, booking.want.estimate if used else 0.0, result)
+            self._tickets.release(booking, booking.want.estimate if used else 0.0, result)
 
     async def _send(self, routed: Routed, booking: Booking, replica: str) -> Outcome:
         upstream = self._directory.get(replica)
@@ -270,7 +270,7 @@
     def _begun(self, routed: Routed, booking: Booking) -> None:
         if not routed.first_after:
             routed.first_after = self._clock.monotonic() - routed.received_at
-        self._desk.begun(booking)
+        self._tickets.begun(booking)
 
     async def _exchange(
         self, routed: Routed, replica: str, call: HttpRequest, answer: ReplicaAnswer
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -125,15 +125,15 @@
         self.rests = ReplicaBackoffs()
         gate = SendGate(self.directory, self.rests, {"a": "north"}, self.hub, kernel)
         quarantine = Quarantine(lambda *told: None, self.hub, kernel)
-        self.desk = TicketClient(self.cells, self.hub, kernel)
-        self.acquirer = ReplicaAcquirer(self.desk, gate, quarantine, kernel)
+        self.tickets = TicketClient(self.cells, self.hub, kernel)
+        self.acquirer = ReplicaAcquirer(self.tickets, gate, quarantine, kernel)
         self.clock = clock
 
 
 class PromptHomeTests(EntryTestCase):
     def asked_anywhere(self, shared_tokens: int, patience: float) -> bool:
         want = replace(WANT, prefix=7, shared_tokens=shared_tokens, patience=patience)
-        self.desk.place(want, self.clock.monotonic())
+        self.tickets.place(want, self.clock.monotonic())
         return self.cells.anywhere
 
     async def test_long_beginning_is_asked_for_in_the_whole_fleet(self):
@@ -151,7 +151,7 @@
 
     async def passed(self) -> Booking:
         self.cells.count = 2
-        booking = self.desk.place(WANT, self.clock.monotonic())
+        booking = self.tickets.place(WANT, self.clock.monotonic())
         self.hub.deliver(Moved(booking.number, 1, 1, FAR))
         return booking
 
@@ -167,39 +167,39 @@
     async def test_dispatcher_there_is_told_so_that_a_lost_grant_keeps_no_slot(self):
         """A grant is lost where there is no link yet, and the entry may have given up since."""
         booking = await self.passed()
-        self.desk.withdraw(booking)
-        self.desk.tick()
+        self.tickets.withdraw(booking)
+        self.tickets.tick()
         (resync,) = self.told()
         self.assertEqual((resync.waiting, resync.flights), ([], []))
-        self.desk.tick()
+        self.tickets.tick()
         self.assertEqual(len(self.told()), 1)
 
     async def test_what_still_waits_is_told_with_it(self):
         booking = await self.passed()
-        self.desk.tick()
+        self.tickets.tick()
         (resync,) = self.told()
         self.assertEqual([place.number for place in resync.waiting], [booking.number])
 
     async def test_dispatcher_there_is_told_where_its_grant_was_heard_first(self):
         self.cells.count = 2
-        booking = self.desk.place(WANT, self.clock.monotonic())
+        booking = self.tickets.place(WANT, self.clock.monotonic())
         self.hub.handlers[Granted](FAR, Granted(booking.number, 1, "i-1", 0))
         self.hub.deliver(Moved(booking.number, 1, 1, FAR))
-        self.desk.tick()
+        self.tickets.tick()
         (resync,) = self.told()
         self.assertEqual([flight.number for flight in resync.flights], [booking.number])
 
     async def test_dispatcher_of_another_region_is_told_what_ended_while_it_was_cut_off(self):
         booking = await self.passed()
         self.hub.handlers[Granted](FAR, Granted(booking.number, 1, "i-1", 0))
-        self.desk.tick()
+        self.tickets.tick()
         self.cells.way_seconds = lambda entry, dispatcher: WAY_SECONDS * (dispatcher == FAR)
-        self.desk._link_down(FAR)
+        self.tickets._link_down(FAR)
         # No link carries this.
-        self.desk.release(booking, 1.0, CallResult.GOOD)
-        self.desk._link_up(Identity(FAR, 1))
+        self.tickets.release(booking, 1.0, CallResult.GOOD)
+        self.tickets._link_up(Identity(FAR, 1))
         self.hub.sent.clear()
-        self.desk.tick()
+        self.tickets.tick()
         self.assertEqual([type(message) for message in self.hub.sent], [Resync])
         self.assertEqual(self.hub.sent[0].flights, [])
 
@@ -209,20 +209,20 @@
         """Let ``message`` come after the wait has ended and before its task runs again."""
         task = asyncio.ensure_future(self.acquirer.acquire(WANT, 30.0))
         await asyncio.sleep(0)
-        self.desk.waiting()[0].granted.cancel()
+        self.tickets.waiting()[0].granted.cancel()
         self.hub.deliver(message)
         with self.assertRaises(asyncio.CancelledError):
             await task
 
     async def test_grant_is_handed_back_and_the_ticket_forgotten(self):
         await self.answer_at_the_end_of_the_wait(Granted(1, 1, "i-1", 0))
-        self.assertEqual(len(self.desk), 0)
+        self.assertEqual(len(self.tickets), 0)
         released = [message for message in self.hub.sent if isinstance(message, Release)]
         self.assertEqual([(r.number, r.attempt, r.cost) for r in released], [(1, 1, 0)])
 
     async def test_refusal_changes_nothing_and_the_ticket_is_withdrawn(self):
         await self.answer_at_the_end_of_the_wait(Refused(1, 1, Reason.NO_ROOM))
-        self.assertEqual(len(self.desk), 0)
+        self.assertEqual(len(self.tickets), 0)
         cancelled = [message for message in self.hub.sent if isinstance(message, Cancel)]
         self.assertEqual([message.number for message in cancelled], [1])
 
@@ -240,7 +240,7 @@
                 self.hub.sent.clear()
                 task = asyncio.ensure_future(self.acquirer.acquire(WANT, 30.0))
                 await asyncio.sleep(0)
-                number = self.desk.waiting()[0].number
+                number = self.tickets.waiting()[0].number
                 self.hub.deliver(Refused(number, 1, reason))
                 asked = [m for m in self.hub.sent if isinstance(m, Place | Resync)]
                 self.assertEqual(len(asked), placed)
@@ -251,7 +251,7 @@
         await asyncio.sleep(0)
         self.hub.deliver(Granted(1, 1, "i-1", 0))
         booking = await task
-        self.assertEqual((booking.replica, len(self.desk)), ("i-1", 1))
+        self.assertEqual((booking.replica, len(self.tickets)), ("i-1", 1))
 
 
 class ClosedReplicaTests(EntryTestCase):
@@ -263,7 +263,7 @@
     async def grant(self, replica: str) -> None:
         """Answer the ticket that waits."""
         await asyncio.sleep(0)
-        booking = self.desk.waiting()[0]
+        booking = self.tickets.waiting()[0]
         self.hub.deliver(Granted(booking.number, booking.attempt, replica, 0))
         for _ in range(5):
             await asyncio.sleep(0)
@@ -308,7 +308,7 @@
         for _ in range(MOST_GRANTS):
             await self.grant("i-1")
         outcome = await task
-        self.assertEqual((outcome.reason, len(self.desk)), (Reason.NO_ROOM, 0))
+        self.assertEqual((outcome.reason, len(self.tickets)), (Reason.NO_ROOM, 0))
         self.assertEqual(len(self.released()), MOST_GRANTS)
 
     async def test_new_ticket_has_waited_as_long_as_the_request(self):
--- a/tests/dispatch/test_rollouts.py
+++ b/tests/dispatch/test_rollouts.py
@@ -164,11 +164,11 @@
             Trials(),
         )
         self.directory.on_change(self.dispatchers.renew_replicas)
-        self.desk = TicketClient(self.cells, self.hub, self.kernel)
+        self.tickets = TicketClient(self.cells, self.hub, self.kernel)
         self.rests = ReplicaBackoffs()
         self.gate = SendGate(self.directory, self.rests, {}, self.hub, self.kernel)
         self.rollouts = RolloutDispatch(
-            self.book, self.directory, self.dispatchers, self.desk, self.hub, self.kernel
+            self.book, self.directory, self.dispatchers, self.tickets, self.hub, self.kernel
         )
         self.revision = 0
         self.number = 0
@@ -461,7 +461,7 @@
         for running in (False, True):
             if running:
                 self.order()
-            booking = self.desk.place(want, self.clock.now)
+            booking = self.tickets.place(want, self.clock.now)
             self.hub.deliver(OWN, Granted(booking.number, 1, "old0", 0))
             told = [event for event in self.kernel.events if event.kind is Kind.GRANTED][-1]
             self.assertEqual(told.facts.get("software_version"), "v1" if running else None)
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -42,7 +42,7 @@
         ]
 
     def waiting(self) -> int:
-        return sum(len(node.desk.waiting()) for node in self.fleet.nodes)
+        return sum(len(node.tickets.waiting()) for node in self.fleet.nodes)
 
 
 class FreedRoomTests(DispatchTestCase):
@@ -179,7 +179,7 @@
         self.freeze(frozen)
         response = await self.ask([entry], 1)[0]
         self.assertTrue(whole(response))
-        self.assertIn(name, entry.desk.unreachable)
+        self.assertIn(name, entry.tickets.unreachable)
 
     async def test_dispatcher_that_wakes_up_is_asked_again(self):
         frozen, entry = self.dispatcher(), self.others()[0]
@@ -189,7 +189,7 @@
         self.assertTrue(whole(await self.ask([entry], 1)[0]))
         frozen.hub._received = received
         del frozen.hub.send
-        await self.until(lambda: name not in entry.desk.unreachable)
+        await self.until(lambda: name not in entry.tickets.unreachable)
         self.assertTrue(whole(await self.ask([entry], 1)[0]))
 
     async def test_dispatcher_with_nothing_to_grant_is_not_left(self):
@@ -199,7 +199,7 @@
         calls = self.ask([entry], 6, tokens=100)
         await self.until(lambda: self.waiting() >= 1)
         await asyncio.gather(*calls)
-        self.assertEqual(entry.desk.unreachable, set())
+        self.assertEqual(entry.tickets.unreachable, set())
         told = [event.detail for event in entry.events if "silent" in event.detail]
         self.assertEqual(told, [])
 
--- a/tests/fleet/test_once.py
+++ b/tests/fleet/test_once.py
@@ -57,9 +57,9 @@
         self.assertNotEqual(expired.code, 200)
         reader, writer = await asyncio.open_connection("127.0.0.1", node.settings.caller_port)
         writer.write(raw_post("k9"))
-        await self.until(node.desk.waiting)
+        await self.until(node.tickets.waiting)
         writer.close()
-        await self.until(lambda: not node.desk.waiting())
+        await self.until(lambda: not node.tickets.waiting())
         del reader
         self.assertEqual(self.runs(), [])
         for each in self.fleet.nodes:
--- a/tests/fleet/test_path.py
+++ b/tests/fleet/test_path.py
@@ -54,7 +54,7 @@
         # The limit is reported; until then a first guess is used.
         await self.until(lambda: 1.0 in self.limits())
         drafts = [asyncio.ensure_future(self.complete(node, 100)) for _ in range(4)]
-        await self.until(lambda: len(engine.log) == 3 and len(node.desk.waiting()) == 2)
+        await self.until(lambda: len(engine.log) == 3 and len(node.tickets.waiting()) == 2)
         body = {"model": "model", "max_tokens": 1, "prompt": "x", "stream": True}
         body["metadata"] = {"output_tokens": "1"}
         urgent = [
--- a/tests/fleet/test_regions.py
+++ b/tests/fleet/test_regions.py
@@ -128,7 +128,7 @@
 
     async def test_tickets_that_wait_where_the_replicas_leave_go_elsewhere(self):
         calls = self.ask(self.north, 5, tokens=150)
-        await self.until(lambda: sum(len(node.desk.waiting()) for node in self.north) >= 1)
+        await self.until(lambda: sum(len(node.tickets.waiting()) for node in self.north) >= 1)
         self.leave(NORTH)
         await self.assert_whole(calls)
         self.assertGreaterEqual(self.runs(SOUTH), 1)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -206,7 +206,7 @@
         writer.close()
         await self.until(lambda: self.replicas[0].left == 1)
         await self.until(lambda: node.admission.total == 0)
-        self.assertEqual(len(node.desk), 0)
+        self.assertEqual(len(node.tickets), 0)
 
 
 class StreamTests(PlatformTestCase):
--- a/tests/platform/test_signs.py
+++ b/tests/platform/test_signs.py
@@ -202,7 +202,7 @@
 
     async def test_request_that_was_booked_before_is_not_sent(self):
         node = await self.serve(saying(Server_Leaving="1"), answering())
-        granted = node.desk._granted
+        granted = node.tickets._granted
         # The grant comes just after another answer has said that the replica leaves.
         self.passed = []
 
@@ -222,7 +222,7 @@
         self.assertEqual(self.passed, ["i-0"])
         self.assertEqual({answer.status for answer in answers}, {200})
         self.assertEqual(self.received()[0], 0)
-        self.assertEqual(len(node.desk), 0)
+        self.assertEqual(len(node.tickets), 0)
 
 
 class RestTests(SignsTestCase):
@@ -291,7 +291,7 @@
     async def test_it_counts_as_no_error_of_the_replica(self):
         node = await self.serve(self.turning_away(), answering(), answering())
         await self.call_until_reached(node, "/again/")
-        await self.until(lambda: not len(node.desk))
+        await self.until(lambda: not len(node.tickets))
         rooms = [d.replicas["i-0"] for d in node.dispatchers.dispatchers().values()]
         self.assertEqual([room.health.error_share for room in rooms], [0.0] * len(rooms))
 
