routing, cli: logged which stream a request resumes, and the software version of each attempt

Streams were continued at replicas of another software version, and the logs could not tell the hypotheses apart: no line had a software version (that of a replica was in the operator's log alone), and none said that a request resumes a stream, or which one.

'received' now has the request that a caller resumes and the last event, 'sent' the software version of the replica and the event after which it continues a stream. 'railsail explain' takes in the lines of all attempts at one stream and names the replicas and versions that it was sent to. The header with which a caller names the request that began its stream is read, and nothing is decided by it yet.

--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -31,11 +31,13 @@
 def trace_request(request: str, lines: Iterable[LogLine]) -> RequestTrace:
     """Return the trace of ``request``.
 
-    Besides the lines of the request itself, it has the lines about its tickets, and the state
+    Besides the lines of the request itself, it has those of the other requests for the same stream
+    if a caller resumed one, the lines about their tickets, and the state
     events of the nodes involved from ``STATE_LOOKBACK_SECONDS`` before the request until its end.
     """
     all_lines = list(lines)
-    request_lines = [line for line in all_lines if line.request == request]
+    attempts = _attempts_at_stream(request, all_lines)
+    request_lines = [line for line in all_lines if line.request in attempts]
     if not request_lines:
         return RequestTrace([], "", _describe_missing_lines(all_lines))
     tickets = {line.facts["ticket"] for line in request_lines if "ticket" in line.facts}
@@ -59,6 +61,15 @@
     )
 
 
+def _attempts_at_stream(request: str, lines: list[LogLine]) -> set[str]:
+    """Return ``request`` and the other requests for the same stream, from its start or resumed."""
+    resumed_by = {
+        line.request: str(line.facts["resumes"]) for line in lines if line.facts.get("resumes")
+    }
+    start = resumed_by.get(request, request)
+    return {request, start, *(name for name, first in resumed_by.items() if first == start)}
+
+
 def explain_cause(request_lines: list[LogLine], ticket_lines: list[LogLine]) -> str:
     """Return why the request ended as it did, in a few sentences.
 
@@ -67,7 +78,12 @@
     end_lines = [line for line in request_lines if line.event == Kind.ENDED]
     if not end_lines:
         return "it has no end here: its daemon was killed meanwhile, or it still runs"
-    return " ".join(_explain_end(end, request_lines, ticket_lines) for end in end_lines)
+    return " ".join(
+        _explain_end(
+            end, [line for line in request_lines if line.request == end.request], ticket_lines
+        )
+        for end in end_lines
+    )
 
 
 def _explain_end(end: LogLine, request_lines: list[LogLine], ticket_lines: list[LogLine]) -> str:
@@ -89,6 +105,13 @@
         for line in request_lines
         if line.event == Kind.QUARANTINED
     ]
+    sent_to = [
+        f"{line.facts.get('replica')} (version {line.facts['software_version']})"
+        for line in request_lines
+        if line.event == Kind.SENT and line.facts.get("software_version")
+    ]
+    if len(sent_to) > 1:
+        parts.append(f"It was sent to {', then '.join(sent_to)}.")
     if "given_up" in facts:
         parts.append(f"No further attempt was made, since {facts['given_up']}.")
     return " ".join(parts)
--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -21,6 +21,8 @@
 # The time that is left, in milliseconds.
 DEADLINE = "Deadline-Ms"
 LAST_EVENT = "Last-Event-Id"
+# The id of the request whose answer brought the first event of a stream that is resumed.
+RESUMES = "Resumes"
 # The tokens of the prompt and the maximum of its output, separated by a comma.
 TOKENS = "Token-Count"
 # The parts of a prompt from its start, each as ``digest:tokens``, separated by commas.
@@ -97,6 +99,7 @@
             key=_bearer_key(headers.get(KEY, "")),
             deadline=_parse_number(headers.get(DEADLINE, ""), DEADLINE) / 1000,
             last_event=headers.get(LAST_EVENT, ""),
+            resumes=headers.get(RESUMES, ""),
             prompt=_parse_prompt(headers),
         )
 
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from railsail.configuration.carrier import ConfigurationCarrier
-from railsail.core.events import Kind
+from railsail.core.events import Fact, Kind
 from railsail.core.fingerprints import fingerprint_name, request_fingerprint
 from railsail.core.kernel import Kernel
 from railsail.core.logs import get_logger
@@ -197,6 +197,7 @@
             objective_ms=round(route.objective * 1000),
             rank=decision.rank,
             fingerprint=fingerprint_name(shared_fingerprint),
+            **_resume_facts(request),
         )
         return RoutingContext(
             request,
@@ -245,3 +246,10 @@
         )
         policy = self._catalog.policy(owner.policy) if owner else None
         return self._evaluator.evaluate_policy(policy or DEFAULT_POLICY, workspace, policy_input)
+
+
+def _resume_facts(request: RoutedRequest) -> dict[str, Fact]:
+    """Return what to log about a request that resumes a stream, nothing for any other request."""
+    if not request.last_event:
+        return {}
+    return {"resumes": request.resumes, "last_event": request.last_event}
--- a/railsail/routing/messages.py
+++ b/railsail/routing/messages.py
@@ -47,7 +47,8 @@
     ``target`` is the path with the query as sent, ``path`` the path alone. ``headers`` are those to
     forward. ``key`` is the caller's bearer key, empty for none. ``deadline`` is in seconds from the
     request's arrival, 0 for none. ``last_event`` is the id of the event after which an interrupted
-    stream is to be resumed, empty for a stream from its start.
+    stream is to be resumed, empty for a stream from its start. ``resumes`` is the id of the request
+    whose answer began that stream, empty if the caller does not name it.
     """
 
     id: str
@@ -60,6 +61,7 @@
     key: str = ""
     deadline: float = 0.0
     last_event: str = ""
+    resumes: str = ""
     prompt: Prompt = Prompt()
 
 
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from railsail.core.events import Kind
+from railsail.core.events import Fact, Kind
 from railsail.core.fingerprints import route_fingerprint
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
@@ -278,8 +278,10 @@
             replica=replica,
             endpoint=upstream.endpoint,
             listed_version=upstream.version,
+            software_version=upstream.software_version,
             attempt=context.attempts + 1,
             left_ms=round(remaining * 1000),
+            **_continuation_facts(context),
         )
         return await self._exchange(context, replica, call, answer)
 
@@ -377,6 +379,11 @@
     return max(1.0, prompt.tokens + OUTPUT_TOKEN_COST * output)
 
 
+def _continuation_facts(context: RoutingContext) -> dict[str, Fact]:
+    """Return where an attempt continues a stream, nothing if it starts at its beginning."""
+    return {"last_event": context.stream.last_event} if context.stream.last_event else {}
+
+
 def _silence_timeout(context: RoutingContext) -> float:
     if context.stream.head is not None and context.route.pause:
         return max(MIN_SILENCE_TIMEOUT_SECONDS, SILENCE_TIMEOUT_PAUSES * context.route.pause)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -74,6 +74,19 @@
         )
         self.assertIn("12 tickets waited, and 2 of 3 replicas served", trace.cause)
 
+    def test_stream_that_was_resumed_shows_all_attempts_and_their_versions(self):
+        trace = self.trace(
+            text("received", "a", 0, request="r-0"),
+            text("sent", "a", 1, request="r-0", replica="i-1", software_version="v1"),
+            text("sent", "a", 2, request="r-0", replica="i-2", software_version="v2"),
+            text("ended", "a", 3, request="r-0", outcome="unknown", total_ms=3, detail="cut"),
+            text("received", "b", 4, request="r-1", resumes="r-0", last_event="7"),
+            text("sent", "b", 5, request="r-1", replica="i-3", software_version="v1"),
+            text("received", "b", 5, request="r-2", resumes="r-9", last_event="7"),
+        )
+        self.assertEqual([line.request for line in trace.lines], ["r-0"] * 4 + ["r-1"] * 2)
+        self.assertIn("It was sent to i-1 (version v1), then i-2 (version v2).", trace.cause)
+
     def test_lost_answer_is_explained_with_the_reason_for_no_retry(self):
         trace = self.trace(
             text("received", "a", 0, request="r-1"),
