--- a/tests/platform/base.py
+++ b/tests/platform/base.py
@@ -101,17 +101,21 @@
             await self.until(lambda: len(node.directory.all()) == len(self.replicas))
         return node
 
-    async def add_replica(self, script: Script, slots: int = 4) -> ReplicaStandin:
+    async def add_replica(self, script: Script, slots: int = 4, **fields: object) -> ReplicaStandin:
+        """Start a replica, and list it with ``fields`` of its record."""
         replica = ReplicaStandin(f"i-{len(self.replicas)}", script)
         await replica.start()
         self.addCleanup(replica.stop)
         self.replicas.append(replica)
-        self.list_replica(replica, "ready", slots)
+        self.list_replica(replica, "ready", slots, **fields)
         return replica
 
-    def list_replica(self, replica: ReplicaStandin, state: str, slots: int = 4) -> None:
+    def list_replica(
+        self, replica: ReplicaStandin, state: str, slots: int = 4, **fields: object
+    ) -> None:
         spec = {"service": "desk", "addr": f"{LOOPBACK}:{replica.port}", "zone": "a"}
-        self.store.put("servers", replica.name, spec | {"slots": slots, "state": state, "seq": 1})
+        spec |= {"slots": slots, "state": state, "seq": 1}
+        self.store.put("servers", replica.name, spec | fields)
 
     async def add_node(self, **more: str) -> Node:
         ports = free_ports(3)
