dispatch: continued a broken stream only at the software version that began it

Callers saw one answer with events of two software versions: when a replica broke off a stream, the daemon sent the rest to any replica of the pool. Replicas of several versions may serve side by side without a rollout, what they write does not fit together, and replicas do not check it.

Cause: the version of a replica was known to every daemon and used by rollouts alone. The ticket of the next attempt did not name it. With a rollout, a ticket that had failed at one version was sent to the other on purpose.

A stream now keeps the version of the replica that wrote its first event. Its further tickets name that version (protocol level 5), and the entry checks each grant again just before it sends, so that a dispatcher of an older build, or with an older list, does no harm. Such tickets wait apart from those of their workspaces, since they can run on a part of the replicas only and would block the others; they go first, are charged as all tickets, and are not refused as excess. Where no replica of the version takes work they are refused at once, by the entry or the dispatcher. In a pool of several cells they are placed where the version has replicas, and are not handed to other cells. A stream of the version that a rollout replaces is continued there; one of its target version needs an allowance, because these calls count.

Streams that callers resume at another daemon are still continued at any version.

--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -26,6 +26,7 @@
     NO_CONFIGURATION = "no-configuration"
     UNPROVED_CONFIGURATION = "unproved-configuration"
     QUARANTINED = "quarantined"
+    VERSION_GONE = "version-gone"
 
 
 @dataclass(frozen=True)
--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -23,6 +23,7 @@
 _REFUSALS = {
     Reason.EXPIRED: "no replica had room in time",
     Reason.OVER_SHARE: "its workspace had its share of the replicas while others waited",
+    Reason.VERSION_GONE: "no replica of the software version that began the stream takes work",
     Reason.QUARANTINED: "a replica ended while it ran this request, which is being tried again",
 }
 
@@ -54,7 +55,7 @@
             call = await self._wait_for_any(request, requested_at, max_wait)
             if isinstance(call, NotRun):
                 return call
-            rejection = self._gate.admit(call.replica)
+            rejection = self._gate.admit(call.replica, request.software_version)
             if not rejection:
                 return call
             self._gate.send_if_leaving(call.node, call.replica)
--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -11,6 +11,7 @@
 
 URGENT_FLAG = 1
 RETRY_FLAG = 2
+CONTINUATION_FLAG = 4
 RANK_SCALE = 1000
 
 
@@ -33,6 +34,9 @@
     the replicas ``excluded``, which are in backoff at this entry. Repeats of the request have the
     same ``fingerprint``, 0 if there is none. ``route`` is the fingerprint of its route, 0 while no
     rollout of the pool runs.
+
+    A request that continues a stream can be sent only to replicas of ``software_version``, the one
+    that began the stream; the version is ``None`` for all other requests.
     """
 
     request_id: str
@@ -53,6 +57,7 @@
     fingerprint: int = 0
     excluded: tuple[str, ...] = ()
     route: int = 0
+    software_version: str | None = None
 
 
 class TicketRefused(RailsailError):
@@ -120,7 +125,7 @@
         round(request.rank * RANK_SCALE),
         round(request.estimate),
         max(0, round(waited * 1000)),
-        (URGENT_FLAG if request.urgent else 0) | (RETRY_FLAG if request.returned else 0),
+        _flags(request),
         request.prefix,
         request.avoid,
         request.prompt_tokens,
@@ -132,9 +137,19 @@
         request.fingerprint,
         list(request.excluded),
         request.route,
+        request.software_version or "",
     )
 
 
+def _flags(request: PoolRequest | Ticket) -> int:
+    flags = URGENT_FLAG if request.urgent else 0
+    if request.returned:
+        flags |= RETRY_FLAG
+    if request.software_version is not None:
+        flags |= CONTINUATION_FLAG
+    return flags
+
+
 def to_ticket(entry: str, message: Place, now: float) -> Ticket:
     """Return the ticket that ``message`` from ``entry`` places.
 
@@ -162,4 +177,5 @@
         fingerprint=message.fingerprint,
         excluded=tuple(message.excluded),
         route=message.route,
+        software_version=(message.software_version if message.flags & CONTINUATION_FLAG else None),
     )
--- a/railsail/dispatch/cellmap.py
+++ b/railsail/dispatch/cellmap.py
@@ -122,6 +122,37 @@
         owner = self._prefix_owner(pool, prefix, cells)
         return next((cell for cell in cells if owner in self.cells(pool)[cell]), cells[0])
 
+    def continuation_cell(
+        self, pool: str, version: str, prefix: int, regions: tuple[str, ...] = ()
+    ) -> Cell:
+        """Return the cell where a stream that ``version`` began is continued.
+
+        It has a replica of that version, if any cell has one. Cells of this region are preferred,
+        and among these the one whose replica of the version owns ``prefix``.
+        """
+        allowed = self._allowed(pool, regions)
+        cells = [cell for cell in allowed if self.has_version(cell, version)] or allowed
+        cells = [cell for cell in cells if cell.region == self._regions.own] or cells
+        if not prefix or len(cells) == 1:
+            return self._ranked(cells)[0]
+        replicas = {name: cell for cell in cells for name in self._of_version(cell, version)}
+        owner = choose(str(prefix), replicas)
+        return replicas[owner] if owner is not None else cells[0]
+
+    def has_version(self, cell: Cell, version: str) -> bool:
+        """Return True if ``cell`` has a replica of ``version`` that accepts new work."""
+        return bool(self._of_version(cell, version))
+
+    def _of_version(self, cell: Cell, version: str) -> list[str]:
+        found = (self._directory.get(name) for name in self.cells(cell.pool).get(cell, ()))
+        return [
+            upstream.name
+            for upstream in found
+            if upstream is not None
+            and upstream.software_version == version
+            and self._directory.takes_work(upstream)
+        ]
+
     def _prefix_owner(self, pool: str, prefix: int, cells: list[Cell]) -> str | None:
         key = (pool, prefix, tuple(cell.number for cell in cells))
         if key not in self._prefix_owners:
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -123,6 +123,10 @@
         return ticket_name(self._hub.own.node, call.number)
 
     def _choose_cell(self, request: PoolRequest) -> Cell:
+        if request.software_version is not None:
+            return self._cells.continuation_cell(
+                request.pool, request.software_version, request.prefix, request.regions
+            )
         if request.prefix:
             anywhere = _uses_fleet_wide_owner(request)
             return self._cells.owner_cell(request.pool, request.prefix, request.regions, anywhere)
@@ -204,8 +208,13 @@
     def _current_cell(self, call: Booking) -> Cell:
         """Return the cell of ``call``, or another if it waits where no replica accepts work."""
         cell = self._cells.cell(call.cell.pool, call.cell.number)
+        if not call.waiting:
+            return cell
+        version = call.want.software_version
+        if version is not None and not self._cells.has_version(cell, version):
+            return self._choose_cell(call.want)
         stays = cell.region == call.cell.region and self._cells.takes_work(cell)
-        return cell if stays or not call.waiting else self._choose_cell(call.want)
+        return cell if stays else self._choose_cell(call.want)
 
     def _has_calls(self, node: str, cell: Cell) -> bool:
         return any((each.node, each.cell) == (node, cell) for each in self._calls.values())
--- a/railsail/dispatch/exchange.py
+++ b/railsail/dispatch/exchange.py
@@ -130,7 +130,8 @@
         count: int,
     ) -> None:
         forwarded = 0
-        while dispatcher is not None and len(dispatcher.queue) and forwarded < count:
+        # Tickets that continue streams stay: the other cell may lack replicas of their version.
+        while dispatcher is not None and dispatcher.queue.workspaces() and forwarded < count:
             self._forward_first(dispatcher, requester, node)
             forwarded += 1
         waiting = len(dispatcher.queue) if dispatcher is not None else 0
--- a/railsail/dispatch/gate.py
+++ b/railsail/dispatch/gate.py
@@ -45,12 +45,16 @@
         self._clock = kernel.clock
         self._rng: random.Random = kernel.rng
 
-    def admit(self, replica: str) -> str:
+    def admit(self, replica: str, software_version: str | None = None) -> str:
         """Return why ``replica`` cannot be sent a request now, or an empty string if it can.
 
-        If it can, the caller is expected to send the request at once.
+        If it can, the caller is expected to send the request at once. A request that continues a
+        stream of ``software_version`` can be sent only to a replica that is known to run it,
+        whatever the dispatcher knew.
         """
         upstream = self._directory.get(replica)
+        if software_version is not None and not _runs(upstream, software_version):
+            return f"the stream began at software version {software_version!r}"
         if upstream is not None and not self._directory.takes_version(upstream):
             return f"its version {upstream.software_version!r} was rolled back or replaced"
         if upstream is not None and not self._directory.takes_work(upstream):
@@ -78,8 +82,12 @@
 
         This is the case if all replicas are in backoff: the caller can retry when the first backoff
         ends. It is also the case if the request is bound to regions in which no replica accepts
-        work.
+        work, or continues a stream of a software version of which no replica accepts work.
         """
+        if request.software_version is not None and not self._any_can_run(request):
+            version = request.software_version
+            detail = f"no replica of version {version!r}, which began the stream, takes work"
+            return NotRun(Reason.VERSION_GONE, detail)
         if request.regions and not self._any_can_run(request):
             return NotRun(Reason.NO_ROOM, "no replica in its regions takes work")
         if not self._backoffs:
@@ -111,6 +119,8 @@
     def _can_run(self, request: PoolRequest, upstream: Upstream) -> bool:
         if not self._directory.takes_work(upstream):
             return False
+        if request.software_version not in (None, upstream.software_version):
+            return False
         return not request.regions or self._regions.get(upstream.failure_domain) in request.regions
 
     def send_if_leaving(self, node: str, replica: str) -> None:
@@ -118,3 +128,7 @@
         upstream = self._directory.get(replica)
         if upstream is not None and upstream.leaving:
             self._hub.send(node, self._directory.news_of(upstream))
+
+
+def _runs(upstream: Upstream | None, software_version: str) -> bool:
+    return upstream is not None and upstream.software_version == software_version
--- a/railsail/peers/levels.py
+++ b/railsail/peers/levels.py
@@ -24,7 +24,9 @@
 PROOFS = 3
 # Adds rollouts, the software version of a replica, and the route of a ticket.
 ROLLOUTS = 4
-NEWEST = ROLLOUTS
+# Adds the software version that a stream has to be continued at.
+STREAMS = 5
+NEWEST = STREAMS
 
 # Numbers of the messages that distinguish level 1 from level 0, and the length of a heartbeat of
 # level 0 as an array: its number, configuration, members, upstreams, wants_reply.
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -116,15 +116,16 @@
 class Place(Message, frozen=True, tag=10):
     """Place a ticket with the dispatcher of a cell.
 
-    ``flags`` is a sum of 1 for urgent work and 2 for a request whose caller was refused before. The
-    ticket may wait for ``patience`` milliseconds. If it is refused, its caller is expected to retry
+    ``flags`` is a sum of 1 for urgent work, 2 for a request whose caller was refused before and 4
+    for one that continues a stream, which only replicas of ``software_version`` may do. The ticket
+    may wait for ``patience`` milliseconds. If it is refused, its caller is expected to retry
     within ``returns_within`` milliseconds, with a request of the same ``fingerprint``. Its entry
     may not send it to the replicas ``excluded``. ``route`` is the fingerprint of its route, 0 if
     there is none. For the other fields see ``railsail.scheduling.tickets.Ticket``; ``rank`` is in
     thousandths, ``waited`` and ``objective`` are in milliseconds.
     """
 
-    FIELD_COUNTS: ClassVar[Mapping[int, int]] = {QUARANTINE: 18, PROOFS: 19}
+    FIELD_COUNTS: ClassVar[Mapping[int, int]] = {QUARANTINE: 18, PROOFS: 19, ROLLOUTS: 20}
 
     number: Natural
     attempt: Natural
@@ -146,6 +147,7 @@
     fingerprint: Natural = 0
     excluded: Annotated[list[Text], msgspec.Meta(max_length=MOST_EXCLUDED)] = []
     route: Natural = 0
+    software_version: Text = ""
 
 
 class Granted(Message, frozen=True, tag=11):
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -19,21 +19,31 @@
 
 
 class StreamState:
-    """What the caller has received of an event stream, from all replicas that sent a part of it."""
+    """What the caller has received of an event stream, from all replicas that sent a part of it.
+
+    ``software_version`` is the version that began the stream, ``None`` before its first event. What
+    two versions write does not fit together, so that no other version may continue it.
+    """
 
     def __init__(self, client: ClientAnswer, last_event: str) -> None:
         self.client = client
         self.head: AnswerHead | None = None
         self.last_event = last_event
+        self.software_version: str | None = None
 
-    async def forward(self, head: AnswerHead, events: list[StreamEvent]) -> None:
+    async def forward(
+        self, head: AnswerHead, events: list[StreamEvent], software_version: str
+    ) -> None:
         """Send whole events to the caller, the first ones together with the head of the answer.
 
-        Raise ``AnswerRefused`` if the number of an event is not above that of the event before it.
+        ``software_version`` is that of the replica that wrote the events. Raise ``AnswerRefused``
+        if the number of an event is not above that of the event before it.
         """
         checked = self._check_order(events)
         if not checked:
             return
+        if self.software_version is None:
+            self.software_version = software_version
         data = b"".join(event.raw for event in checked)
         numbered = [event.number for event in checked if event.number >= 0]
         if numbered:
@@ -60,8 +70,8 @@
     """Receiver of one answer of one replica.
 
     An event stream is forwarded in whole events, so that another replica can resume a stream that
-    breaks within an event. Any other answer is buffered until it is complete. ``on_body`` is called
-    for each piece of the body of a successful answer.
+    breaks within an event. Any other answer is buffered until it is complete. ``software_version``
+    is that of the replica. ``on_body`` is called for each piece of the body of a successful answer.
     """
 
     def __init__(
@@ -70,6 +80,7 @@
         request: RoutedRequest,
         streaming: bool,
         stream: StreamState,
+        software_version: str,
         on_body: Callable[[], None],
     ) -> None:
         self.received_head: AnswerHead | None = None
@@ -78,6 +89,7 @@
         self._protocol = protocol
         self._request = request
         self._streaming = streaming
+        self._software_version = software_version
         self._on_body = on_body
         self._splitter = EventSplitter()
         self._buffer: list[bytes] = []
@@ -108,7 +120,8 @@
             self._on_body()
         self._record_progress()
         if self.is_stream:
-            await self.stream.forward(self.received_head, self._splitter.feed(chunk))
+            events = self._splitter.feed(chunk)
+            await self.stream.forward(self.received_head, events, self._software_version)
             self._record_progress()
             return
         self._buffered_bytes += len(chunk)
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -205,6 +205,7 @@
             regions=context.regions,
             fingerprint=context.fingerprint,
             route=self._route(context),
+            software_version=context.stream.software_version,
         )
 
     def _route(self, context: RoutingContext) -> int:
@@ -269,6 +270,7 @@
             request,
             context.route.streaming,
             context.stream,
+            upstream.software_version,
             lambda: self._answer_started(context, pending_call),
         )
         self._events.emit(
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -200,7 +200,8 @@
 
     def _is_excess(self, ticket: Ticket, now: float) -> bool:
         """Return True if a ticket would displace others though its workspace has had its share."""
-        if ticket.returned or not self.overloaded(now):
+        # A stream to be continued has been served in part, which would be lost.
+        if ticket.returned or ticket.is_continuation or not self.overloaded(now):
             return False
         # While a replica has a free slot, refusing the ticket would help nobody else.
         return self._usage.over_share(ticket.workspace, now) and not self._can_place(ticket, now)
@@ -365,11 +366,7 @@
         """Drop the tickets and calls of ``entry`` that are not in ``keys``."""
         for key in [key for key in self.flights if key[0] == entry and key not in keys]:
             self.release(key, self.flights[key].charged, now)
-        for name in self.queue.workspaces():
-            self._drop_waiting(name, entry, keys)
-
-    def _drop_waiting(self, workspace: str, entry: str, keys: set[TicketKey]) -> None:
-        for ticket in self.queue.tickets(workspace):
+        for ticket in self.queue.all_tickets():
             if ticket.entry == entry and ticket.key not in keys:
                 self.queue.remove(ticket.key)
 
@@ -380,14 +377,47 @@
         """
         decisions: list[Decision] = []
         if len(self.queue):
+            decisions += self._decide_continuations(now)
             decisions += self._grant_waiting(now)
             decisions += self._move_waiting(now)
             decisions += self._refuse_expired(now)
         return decisions
 
+    def _decide_continuations(self, now: float) -> list[Decision]:
+        """Grant tickets that continue streams, and refuse those that no replica can continue.
+
+        They go before other tickets: their streams have been served in part, and can be continued
+        only here. They are charged as all others, and a workspace far above the lowest counter has
+        to wait, so that none gains by resuming streams.
+        """
+        decisions: list[Decision] = []
+        for ticket in self.queue.continuations():
+            if not self.versions.can_continue(ticket, self.replicas.values()):
+                self.queue.remove(ticket.key)
+                decisions.append(Refusal(ticket, Reason.VERSION_GONE))
+                continue
+            if self._must_yield(ticket):
+                continue
+            state = self.versions.choose_for_continuation(ticket, self.replicas.values(), now)
+            if state is not None:
+                self.queue.dequeue(ticket)
+                self._add_served(ticket.workspace, ticket.estimate)
+                decisions.append(self._grant(ticket, state, now))
+        return decisions
+
+    def _must_yield(self, ticket: Ticket) -> bool:
+        """Return True if ``ticket`` may not go before those of other workspaces that wait.
+
+        This is the case if its workspace is far above the lowest counter.
+        """
+        if not self.queue.workspaces():
+            return False
+        max_lead = CATCH_UP_CHARGES * ticket.estimate / self.queue.weight(ticket.workspace)
+        return self.queue.lead(ticket.workspace) > max_lead
+
     def _grant_waiting(self, now: float) -> list[Decision]:
         grants: list[Decision] = []
-        while len(self.queue):
+        while self.queue.workspaces():
             grant = self._grant_next(now)
             if grant is None:
                 break
@@ -422,8 +452,7 @@
     def _decide_urgent(self, ticket: Ticket, now: float) -> Decision:
         # An urgent ticket goes ahead of waiting ones only while its workspace is not far above the
         # others. Otherwise one workspace could starve the rest by marking all its requests urgent.
-        bound = CATCH_UP_CHARGES * ticket.estimate / self.queue.weight(ticket.workspace)
-        if len(self.queue) and self.queue.lead(ticket.workspace) > bound:
+        if self._must_yield(ticket):
             return Refusal(ticket, Reason.NO_ROOM)
         available = self.versions.find_available(self.replicas.values(), now, urgent=True)
         state = self.versions.choose(ticket, available, now)
@@ -468,9 +497,7 @@
     def holds(self, fingerprint: int) -> bool:
         """Return True if a request with ``fingerprint`` is waiting or running here."""
         return any(flight.fingerprint == fingerprint for flight in self.flights.values()) or any(
-            ticket.fingerprint == fingerprint
-            for workspace in self.queue.workspaces()
-            for ticket in self.queue.tickets(workspace)
+            ticket.fingerprint == fingerprint for ticket in self.queue.all_tickets()
         )
 
     def room(self, now: float) -> int:
--- a/railsail/scheduling/fairqueue.py
+++ b/railsail/scheduling/fairqueue.py
@@ -44,7 +44,12 @@
 
 
 class FairQueue:
-    """The waiting tickets of one cell, and the counters of their workspaces."""
+    """The waiting tickets of one cell, and the counters of their workspaces.
+
+    Tickets that continue streams are kept apart from those of their workspaces. They can run on a
+    part of the replicas only, so that one of them at the head of a workspace would block tickets
+    that can run on the others.
+    """
 
     def __init__(self, weight_of: Callable[[str], float]) -> None:
         self._weight_of = weight_of
@@ -52,6 +57,8 @@
         # The tickets of each workspace that waits, in the order in which they are served.
         self._queues: dict[str, list[_QueuedTicket]] = {}
         self._waiting: dict[TicketKey, _QueuedTicket] = {}
+        # The tickets that continue streams, in the order of their arrival.
+        self._continuations: dict[TicketKey, Ticket] = {}
         self._sequence = 0
         self._virtual_time = 0.0
         self._largest_charge = 1.0
@@ -60,16 +67,19 @@
         self.credit = 0.0
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._waiting) + len(self._continuations)
 
     def __contains__(self, key: TicketKey) -> bool:
-        return key in self._waiting
+        return key in self._waiting or key in self._continuations
 
     def push(self, ticket: Ticket) -> None:
         """Add ``ticket``; it replaces one with the same key."""
         self.remove(ticket.key)
         if ticket.workspace not in self._queues:
             self.raise_counter(ticket.workspace)
+        if ticket.is_continuation:
+            self._continuations[ticket.key] = ticket
+            return
         self._sequence += 1
         queued = _QueuedTicket(ticket.sort_key, self._sequence, ticket)
         insort(self._queues.setdefault(ticket.workspace, []), queued)
@@ -79,7 +89,7 @@
         """Remove the ticket of ``key`` and return it, or ``None`` if it does not wait."""
         queued = self._waiting.pop(key, None)
         if queued is None:
-            return None
+            return self._continuations.pop(key, None)
         workspace = queued.ticket.workspace
         queue = self._queues[workspace]
         del queue[bisect_left(queue, queued)]
@@ -88,7 +98,10 @@
         return queued.ticket
 
     def workspaces(self) -> list[str]:
-        """Return the workspaces that wait, in the order in which they are served."""
+        """Return the workspaces that wait, in the order in which they are served.
+
+        Those of which only continuations of streams wait are left out.
+        """
         return sorted(self._queues, key=lambda name: (self.counter(name), name))
 
     def head(self, workspace: str) -> Ticket:
@@ -103,9 +116,20 @@
         return min(self._queues, key=lambda name: (self.counter(name), name))
 
     def tickets(self, workspace: str) -> list[Ticket]:
-        """Return the tickets of ``workspace``, in the order in which they are served."""
+        """Return the tickets of ``workspace``, in the order in which they are served.
+
+        Those that continue streams are left out.
+        """
         return [queued.ticket for queued in self._queues.get(workspace, ())]
 
+    def continuations(self) -> list[Ticket]:
+        """Return the tickets that continue streams, in the order of their arrival."""
+        return list(self._continuations.values())
+
+    def all_tickets(self) -> list[Ticket]:
+        """Return all waiting tickets, in no particular order."""
+        return [*(queued.ticket for queued in self._waiting.values()), *self.continuations()]
+
     def dequeue(self, ticket: Ticket) -> None:
         """Remove a waiting ``ticket`` in order to serve it, and charge its estimate."""
         workspace = ticket.workspace
@@ -115,14 +139,11 @@
 
     def pop_expired(self, now: float) -> list[Ticket]:
         """Remove and return the tickets that have waited longer than their maximum at ``now``."""
-        expired = [ticket for ticket in self._all_tickets() if ticket.has_expired(now)]
+        expired = [ticket for ticket in self.all_tickets() if ticket.has_expired(now)]
         for ticket in expired:
             self.remove(ticket.key)
         return expired
 
-    def _all_tickets(self) -> list[Ticket]:
-        return [queued.ticket for queued in self._waiting.values()]
-
     def counter(self, workspace: str) -> float:
         """Return the counter of ``workspace``, in cost units per weight."""
         return self._counters.get(workspace, self._virtual_time)
--- a/railsail/scheduling/tickets.py
+++ b/railsail/scheduling/tickets.py
@@ -42,7 +42,8 @@
     are 0 where there is none.
 
     The request may run only in ``regions``, or in any region if the tuple is empty, and not on the
-    replicas in ``excluded``.
+    replicas in ``excluded``. One that continues a stream may run only on replicas of
+    ``software_version``, which is ``None`` for all others.
     """
 
     entry: str
@@ -65,12 +66,18 @@
     fingerprint: int = 0
     excluded: tuple[str, ...] = ()
     route: int = 0
+    software_version: str | None = None
 
     @property
     def key(self) -> TicketKey:
         """Return the key that identifies the ticket at its dispatcher."""
         return (self.entry, self.number)
 
+    @property
+    def is_continuation(self) -> bool:
+        """Return True if the request continues a stream, at one software version only."""
+        return self.software_version is not None
+
     def can_run_in(self, region: str) -> bool:
         """Return True if the request may run in ``region``."""
         return not self.regions or region in self.regions
--- a/railsail/scheduling/versions.py
+++ b/railsail/scheduling/versions.py
@@ -23,12 +23,13 @@
     A rollout divides the replicas into two sides: those of the target version, and the others. Each
     side has its own ``ReplicaSelector``, which remembers the owners of prompt prefixes among one
     set of replicas. So the owners among the others stay the same while the target version is on
-    trial.
+    trial. So has the choice for tickets that continue streams, among the replicas of one version.
     """
 
     def __init__(self, rng: random.Random, use_prefixes: bool) -> None:
         self._others = ReplicaSelector(rng, use_prefixes)
         self._target = ReplicaSelector(rng, use_prefixes)
+        self._continuations = ReplicaSelector(rng, use_prefixes)
         self.exposure: Exposure | None = None
         # The number of calls given to each replica of the target version.
         self._calls: Counter[str] = Counter()
@@ -140,6 +141,35 @@
                 found = self._choose_canary(ticket, target, now)
         return found or self._others.choose(ticket, others, now, share_state)
 
+    def choose_for_continuation(
+        self, ticket: Ticket, states: Iterable[ReplicaState], now: float
+    ) -> ReplicaState | None:
+        """Return the replica that continues the stream of ``ticket``, ``None`` if it has to wait.
+
+        The version that began the stream may have been replaced in the meantime, and gets no other
+        tickets then. Those that began at the target version of a rollout need an allowance, because
+        all calls to that version count.
+        """
+        if self._needs_allowance(ticket.software_version, now):
+            return None
+        own = [state for state in states if self.version_of(state.name) == ticket.software_version]
+        available = find_available(own, now)
+        return self._continuations.choose(ticket, available, now, ShareState.BELOW_SHARE)
+
+    def _needs_allowance(self, software_version: str | None, now: float) -> bool:
+        if self.exposure is None or software_version != self.exposure.target_version:
+            return False
+        return self.exposure.stage(now) is Stage.HOLD
+
+    def can_continue(self, ticket: Ticket, states: Iterable[ReplicaState]) -> bool:
+        """Return True if a replica of the version that began the stream accepts work."""
+        return any(
+            not state.leaving
+            and self.version_of(state.name) == ticket.software_version
+            and ticket.can_run_in(state.region)
+            for state in states
+        )
+
     def _split(self, available: AvailableReplicas) -> tuple[AvailableReplicas, AvailableReplicas]:
         """Return the available replicas of the target version, and the available others."""
         serving = self._sides(available.serving)
--- a/tests/peers/test_levels.py
+++ b/tests/peers/test_levels.py
@@ -25,6 +25,7 @@
     OLDEST,
     PROOFS,
     QUARANTINE,
+    ROLLOUTS,
     inferred_level,
     negotiated_level,
 )
@@ -73,7 +74,8 @@
         for level in (OLDEST, QUARANTINE):
             self.assertEqual(sent(PLACE, level), SHORT_PLACE)
         self.assertEqual(sent(PLACE, PROOFS), [*SHORT_PLACE, ["i-1"]])
-        self.assertEqual(sent(PLACE, NEWEST), [*SHORT_PLACE, ["i-1"], 0])
+        self.assertEqual(sent(PLACE, ROLLOUTS), [*SHORT_PLACE, ["i-1"], 0])
+        self.assertEqual(sent(PLACE, NEWEST), [*SHORT_PLACE, ["i-1"], 0, ""])
 
     def test_contained_messages_and_records_have_the_fields_of_the_level(self):
         resync = Resync("lm", 0, [PLACE], [FLIGHT], [])
