streams: resumed a caller's stream only at the software version that began it

Callers whose stream broke off with its daemon got the rest, at another daemon, from replicas of any software version, or of another service where a route has several. The next daemon knew the last event and nothing of the version that wrote the events before it; the request that began the stream, which callers name, was not read.

A daemon now records where a stream began (pool and version) before it sends the first event, and sends the record to two peers, chosen by rendezvous hashing of the workspace and the request's id, and to one of another region. The daemon at which the stream is resumed asks up to ten candidates of each region; it waits 0.3 s at most, and not for peers of older builds. Records are kept for the route's timeout and 15 s. Nothing is guessed: without a record, a stream is resumed only if it can have begun at one version of one service, over that time, and this daemon or a peer that it asked cannot have missed another one (it has followed the store without a gap since the first start of the fleet, or for that long, and has a recent proof of it). All others are refused at once as not run, also those whose version is gone or whose route no longer leads to their service.

Ruled out: the store (a write per stream; 1,200 a second for all), a version chosen by a function of the id (daemons see a new version at different times), the dispatcher's memory alone (a stream may be resumed through another cell, and the dispatcher is often the daemon that was lost).

The nodes of the platform's test case now have the setting first-start, as the platform gives it when the fleet starts for the first time; the test of a caller that resumes without naming the request needs it.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -197,6 +197,12 @@
         "leave_seconds", Decimal(0, 600), "Time for the balancer to notice that a node stops.", "2"
     ),
     Option("claim_seconds", Integer(60, 604_800), "How long a claimed key is kept.", "3600"),
+    Option(
+        "first_start",
+        Choice("true", "false"),
+        "Whether the fleet starts for the first time, so that callers have no streams to resume.",
+        "false",
+    ),
     Option(
         "scheduling",
         Choice("fleet", "cells", "local"),
@@ -273,6 +279,7 @@
     drain_seconds: float
     leave_seconds: float
     claim_seconds: int
+    first_start: str
     scheduling: str
     fair_window_seconds: float
     affinity: str
--- a/railsail/core/events.py
+++ b/railsail/core/events.py
@@ -26,6 +26,7 @@
     SENT = "sent"
     FIRST_BYTE = "first-byte"
     RETRIED = "retried"
+    RESUMED = "resumed"
     ENDED = "ended"
     MEMBER = "member"
     UPSTREAM = "upstream"
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -53,6 +53,10 @@
             "railsail_store_calls_total", "Calls to the platform's store, by operation and result."
         )
         self.retries = self._counter("railsail_retries_total", "Calls retried, by cause.")
+        self.resumed_streams = self._counter(
+            "railsail_resumed_streams_total",
+            "Streams that callers resumed, by what this node could find out about their start.",
+        )
         self.upstream_connections = self._counter(
             "railsail_upstream_connections_total",
             "Connections used for requests to replicas, new and reused ones.",
--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -27,6 +27,8 @@
     UNPROVED_CONFIGURATION = "unproved-configuration"
     QUARANTINED = "quarantined"
     VERSION_GONE = "version-gone"
+    UNKNOWN_STREAM = "unknown-stream"
+    SERVICE_CHANGED = "service-changed"
 
 
 @dataclass(frozen=True)
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -73,6 +73,7 @@
 from railsail.store.proofs import ProofExchange
 from railsail.store.standby import PROVED_SHARE
 from railsail.store.watcher import StoreWatcher
+from railsail.streams.service import StreamOrigins
 from railsail.upstreams.connections import ConnectionPool
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.directory import UpstreamDirectory
@@ -301,6 +302,7 @@
         self.gateway = Gateway(server, self.carrier.held, self.kernel, self._new_id)
         self.front: RouteFront | None = None
         self.forwarder: Forwarder | None = None
+        self.origins: StreamOrigins | None = None
         self.connections: ConnectionPool | None = None
         # The servers for callers and for requests that other nodes forward; empty with the native
         # interface.
@@ -342,6 +344,18 @@
             lambda: limits.adjust(self.lag.busy, self.admission.total, forwarder.total)
         )
         self.forwarder = forwarder
+        self.origins = StreamOrigins(
+            self.directory,
+            self.view,
+            self._all_dispatchers,
+            self._stream_proof_age,
+            PROVED_SHARE * settings.watch_seconds,
+            settings.first_start == "true",
+            self._region,
+            self.hub,
+            self.kernel,
+        )
+        self.carrier.on_change(self.origins.configured)
         self.front = RouteFront(
             protocol,
             relay,
@@ -351,6 +365,7 @@
             self.carrier,
             limits.served,
             forwarder,
+            self.origins,
             self.kernel,
         )
         self.client_servers = [
@@ -406,6 +421,10 @@
             return False
         return self.directory.takes_work(upstream)
 
+    def _stream_proof_age(self) -> float:
+        """Return the age of the proof that this node has all changes of replicas and routes."""
+        return max(self.freshness.age(UPSTREAM), self.freshness.age(CONFIGURATION))
+
     def _new_id(self) -> str:
         return f"req-{self._id_rng.getrandbits(64):016x}"
 
@@ -495,6 +514,8 @@
         self.cells.forget()
         self.tickets.replan()
         self.tickets.tick()
+        if self.origins is not None:
+            self.origins.tick()
 
     def not_ready(self) -> list[str]:
         """Return the reasons why the balancer must not send callers here; empty if ready."""
--- a/railsail/peers/hub.py
+++ b/railsail/peers/hub.py
@@ -129,6 +129,11 @@
         """Return True if there is a link to ``node``."""
         return node == self.own.node or bool(self._links.get(node))
 
+    def speaks(self, node: str, level: int) -> bool:
+        """Return True if there is a link to ``node`` of protocol level ``level`` or higher."""
+        links = self._links.get(node)
+        return bool(links) and links[-1].level >= level
+
     def peers(self) -> list[str]:
         """Return the nodes to which there is a link."""
         return [node for node, links in self._links.items() if links]
--- a/railsail/peers/levels.py
+++ b/railsail/peers/levels.py
@@ -24,7 +24,7 @@
 PROOFS = 3
 # Adds rollouts, the software version of a replica, and the route of a ticket.
 ROLLOUTS = 4
-# Adds the software version that a stream has to be continued at.
+# Adds where streams began, and the software version that a ticket is bound to by its stream.
 STREAMS = 5
 NEWEST = STREAMS
 
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -13,12 +13,13 @@
 
 from railsail.core.outcomes import Reason
 from railsail.peers.base import Blob, Digest, Message, Natural, Signed, Text
-from railsail.peers.levels import OLDEST, PROOFS, QUARANTINE, ROLLOUTS
+from railsail.peers.levels import OLDEST, PROOFS, QUARANTINE, ROLLOUTS, STREAMS
 from railsail.peers.records import (
     CounterRecord,
     DomainRecord,
     FlightRecord,
     MemberRecord,
+    OriginRecord,
     ProofRecord,
     ReplicaEndRecord,
     RolloutRecord,
@@ -411,6 +412,50 @@
     tallies: Annotated[list[TallyRecord], msgspec.Meta(max_length=2000)]
 
 
+class StreamBegun(Message, frozen=True, tag=37):
+    """Report where the stream ``key`` began, to be kept for ``keep`` milliseconds.
+
+    The key is that of ``railsail.streams.origins.stream_key``.
+    """
+
+    SINCE_LEVEL: ClassVar[int] = STREAMS
+
+    key: Natural
+    pool: Text
+    software_version: Text
+    keep: Natural
+
+
+class StreamQuery(Message, frozen=True, tag=38):
+    """Ask where the stream ``key`` began, and where streams of ``host`` may begin.
+
+    The key is 0 for a stream whose caller does not name it.
+    """
+
+    SINCE_LEVEL: ClassVar[int] = STREAMS
+
+    number: Natural
+    key: Natural
+    host: Text
+
+
+class StreamReply(Message, frozen=True, tag=39):
+    """Answer a query about a stream.
+
+    ``known`` is where the stream began, empty if the sender does not know it; it was recorded
+    ``age`` milliseconds ago. ``possible`` is where streams of the host may have begun recently.
+    ``complete`` is set if the sender is certain that it lacks none of these.
+    """
+
+    SINCE_LEVEL: ClassVar[int] = STREAMS
+
+    number: Natural
+    known: Annotated[list[OriginRecord], msgspec.Meta(max_length=1)]
+    age: Natural
+    possible: Annotated[list[OriginRecord], msgspec.Meta(max_length=100)]
+    complete: bool
+
+
 AnyMessage = (
     Heartbeat
     | MemberNews
@@ -443,4 +488,7 @@
     | HandedOver
     | RolloutAllowance
     | RolloutEvidence
+    | StreamBegun
+    | StreamQuery
+    | StreamReply
 )
--- a/railsail/peers/records.py
+++ b/railsail/peers/records.py
@@ -152,3 +152,10 @@
     failed: Natural
     first: Annotated[list[Natural], msgspec.Meta(max_length=64)]
     whole: Annotated[list[Natural], msgspec.Meta(max_length=64)]
+
+
+class OriginRecord(Message, frozen=True):
+    """Where streams begin; see ``railsail.streams.origins.StreamOrigin``."""
+
+    pool: Text
+    software_version: Text
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -22,14 +22,22 @@
     """What the caller has received of an event stream, from all replicas that sent a part of it.
 
     ``software_version`` is the version that began the stream, ``None`` before its first event. What
-    two versions write does not fit together, so that no other version may continue it.
+    two versions write does not fit together, so that no other version may continue it. ``on_begin``
+    is called with it before the caller is sent the first event of this answer.
     """
 
-    def __init__(self, client: ClientAnswer, last_event: str) -> None:
+    def __init__(
+        self,
+        client: ClientAnswer,
+        last_event: str,
+        software_version: str | None,
+        on_begin: Callable[[str], None],
+    ) -> None:
         self.client = client
         self.head: AnswerHead | None = None
         self.last_event = last_event
-        self.software_version: str | None = None
+        self.software_version = software_version
+        self._on_begin = on_begin
 
     async def forward(
         self, head: AnswerHead, events: list[StreamEvent], software_version: str
@@ -50,6 +58,7 @@
             self.last_event = str(numbered[-1])
         if self.head is None:
             self.head = head
+            self._on_begin(self.software_version)
             await self.client.start(head.status, head.headers, data)
         else:
             await self.client.write(data)
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -28,12 +29,25 @@
 from railsail.routing.outcome_recorder import OutcomeRecorder
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.relay import Relay, RoutingContext
-from railsail.routing.table import RouteTable, choose_pool
+from railsail.routing.table import RouteTable, choose_pool, pools_in_use
+from railsail.streams.origins import StreamOrigin
+from railsail.streams.service import StreamOrigins, keep_seconds
 
 # The name of no region: a request that is restricted to it can run nowhere.
 NO_REGION = "-"
 
 
+@dataclass(frozen=True)
+class Destination:
+    """The pool that runs a request.
+
+    One that resumes a stream runs at ``software_version`` only, which is ``None`` for all others.
+    """
+
+    pool: Pool
+    software_version: str | None
+
+
 class RouteFront:
     """Handler of callers' requests by the routes of the active configuration."""
 
@@ -47,6 +61,7 @@
         configuration: ConfigurationCarrier,
         limit: ConcurrencyLimit,
         forwarder: Forwarder,
+        origins: StreamOrigins,
         kernel: Kernel,
     ) -> None:
         self._protocol = protocol
@@ -55,6 +70,7 @@
         self._admission = admission
         self._callers = callers
         self._configuration = configuration
+        self._origins = origins
         self._clock = kernel.clock
         self._events = kernel.events
         self._recorder = OutcomeRecorder(kernel)
@@ -140,20 +156,56 @@
     ) -> tuple[Outcome, RoutingContext | None]:
         found = self._resolve(request)
         if isinstance(found, NotRun):
-            configuration = self._configuration.held()
-            self._events.emit(Kind.RECEIVED, request=request.id, **configuration.facts())
+            self._log_refused(request)
             return found, None
-        route, pool, workspace = found
+        route, workspace = found
         refusal = self._admission.admit(workspace)
         if refusal is not None:
             return refusal, None
         try:
-            context = self._create_context(request, route, pool, workspace, client, received_at)
+            destination = await self._destination(request, route, workspace)
+            if isinstance(destination, NotRun):
+                self._log_refused(request)
+                return destination, None
+            context = self._create_context(
+                request, route, destination, workspace, client, received_at
+            )
             return await self._relay.run(context), context
         finally:
             self._admission.release(workspace)
 
-    def _resolve(self, request: RoutedRequest) -> NotRun | tuple[Route, Pool, str]:
+    def _log_refused(self, request: RoutedRequest) -> None:
+        configuration = self._configuration.held()
+        self._events.emit(
+            Kind.RECEIVED, request=request.id, **configuration.facts(), **_resume_facts(request)
+        )
+
+    async def _destination(
+        self, request: RoutedRequest, route: Route, workspace: str
+    ) -> Destination | NotRun:
+        """Return where ``request`` may run.
+
+        A stream is resumed only where it began: what two services or two software versions write
+        does not fit together.
+        """
+        if not (route.streaming and request.last_event):
+            return self._to_destination(choose_pool(route, self._rng), None)
+        origin = await self._origins.find(request.id, workspace, route.host, request.resumes)
+        if origin is None:
+            return NotRun(Reason.UNKNOWN_STREAM, "it is not certain where the stream began")
+        # The configuration may have changed in the meantime.
+        if origin.pool not in pools_in_use(route):
+            detail = f"the route does not lead to {origin.pool!r} any more, where the stream began"
+            return NotRun(Reason.SERVICE_CHANGED, detail)
+        return self._to_destination(origin.pool, origin.software_version)
+
+    def _to_destination(self, name: str, software_version: str | None) -> Destination | NotRun:
+        pool = self._catalog.pool(name)
+        if pool is None:
+            return NotRun(Reason.UNKNOWN_POOL, f"there is no pool {name!r}")
+        return Destination(pool, software_version)
+
+    def _resolve(self, request: RoutedRequest) -> NotRun | tuple[Route, str]:
         catalog = self._catalog
         if not catalog.version:
             return NotRun(Reason.NO_CONFIGURATION, "this node has no configuration yet")
@@ -165,21 +217,18 @@
         workspace = self._callers.workspace_of(request.key) or ""
         if not workspace and self._callers.has_workspaces and not route.public:
             return self._configuration.held().refusal(Reason.UNAUTHORIZED, "the key is not known")
-        name = choose_pool(route, self._rng)
-        pool = catalog.pool(name)
-        if pool is None:
-            return NotRun(Reason.UNKNOWN_POOL, f"there is no pool {name!r}")
-        return route, pool, workspace
+        return route, workspace
 
     def _create_context(
         self,
         request: RoutedRequest,
         route: Route,
-        pool: Pool,
+        destination: Destination,
         workspace: str,
         client: ClientAnswer,
         received_at: float,
     ) -> RoutingContext:
+        pool = destination.pool
         decision = self._evaluate_policy(request, route, pool, workspace)
         timeout = min(request.deadline or route.timeout, route.timeout)
         may_wait = decision.may_wait
@@ -208,12 +257,26 @@
             client,
             received_at + timeout,
             received_at + may_wait,
-            StreamState(client, request.last_event),
+            StreamState(
+                client,
+                request.last_event,
+                destination.software_version,
+                lambda version: self._stream_began(request, route, pool, workspace, version),
+            ),
             received_at=received_at,
             regions=self._regions(route, workspace),
             fingerprint=shared_fingerprint,
         )
 
+    def _stream_began(
+        self, request: RoutedRequest, route: Route, pool: Pool, workspace: str, version: str
+    ) -> None:
+        if route.resumable:
+            # A caller that resumes a stream more than once goes on naming its first request.
+            names = [name for name in (request.id, request.resumes) if name]
+            origin = StreamOrigin(pool.name, version)
+            self._origins.began(workspace, names, origin, keep_seconds(route))
+
     def _regions(self, route: Route, workspace: str) -> tuple[str, ...]:
         """Return the regions in which a request may run, empty for any region.
 
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -33,8 +33,7 @@
 # Minimum wait for a replica, also after the time in which the request may wait, so that a retry
 # after a refusal is not refused at once.
 MIN_WAIT_SECONDS = 0.02
-# Minimum wait for another replica after a stream broke off; a caller gives up after about this
-# long.
+# Minimum wait for a replica that continues a stream; a caller gives up after about this long.
 RESUME_WAIT_SECONDS = 1.0
 # If a request can be retried, an attempt is cut off after its replica was silent for this many
 # objectives of the route or, within a stream, for this many of its longest pauses between two
@@ -182,7 +181,8 @@
 
     def _wait_seconds(self, context: RoutingContext) -> float:
         now = self._clock.monotonic()
-        min_wait = RESUME_WAIT_SECONDS if context.stream.head is not None else MIN_WAIT_SECONDS
+        continues = context.stream.software_version is not None
+        min_wait = RESUME_WAIT_SECONDS if continues else MIN_WAIT_SECONDS
         return max(0.0, min(max(context.wait_until - now, min_wait), context.deadline_at - now))
 
     def _pool_request(self, context: RoutingContext, max_wait: float) -> PoolRequest:
--- a/railsail/routing/table.py
+++ b/railsail/routing/table.py
@@ -44,6 +44,12 @@
     return rng.choices(names, weights)[0]
 
 
+def pools_in_use(route: Route) -> set[str]:
+    """Return the pools that ``choose_pool`` may return for ``route``."""
+    weighted = {share.pool for share in route.pools if share.weight}
+    return weighted or {route.pools[0].pool}
+
+
 def _without_port(host: str) -> str:
     name, separator, port = host.rpartition(":")
     return name if separator and port.isdigit() else host
--- /dev/null
+++ b/railsail/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Where event streams began, so that they are continued there."""
--- /dev/null
+++ b/railsail/streams/service.py
@@ -0,0 +1,311 @@
+"""The origins of event streams, which nodes keep for each other.
+
+When the first event of a stream is sent to a caller, the node records where the stream began, and
+sends the record to a few peers. A caller that resumes the stream at another node names the request
+that began it, and that node asks these peers. A stream without a record is continued only if it can
+have begun in one place only.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from railsail.core.events import Fact, Kind
+from railsail.core.kernel import Kernel
+from railsail.membership.view import FleetView
+from railsail.objects.catalog import Catalog
+from railsail.objects.kinds import Route
+from railsail.peers.hub import PeerHub
+from railsail.peers.levels import STREAMS
+from railsail.peers.link import Identity
+from railsail.peers.messages import StreamBegun, StreamQuery, StreamReply
+from railsail.peers.records import OriginRecord
+from railsail.streams import holders
+from railsail.streams.history import OriginHistory
+from railsail.streams.origins import RETURN_SECONDS, OriginTable, StreamOrigin, stream_key
+from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.records import Listed
+
+# Maximum wait for the replies of peers. Those that are paused or cut off do not reply.
+QUERY_SECONDS = 0.3
+# The nodes that may keep records are determined anew after this time.
+REFRESH_SECONDS = 0.5
+# Links to such nodes that are opened at a time, so that a fleet that starts is not busy with them.
+MAX_DIALS = 3
+# Changes may have been missed if the newest proof that this node has all of them is older than this
+# many of the longest waits for a new one.
+INTERRUPTED_SHARE = 2.0
+# Origins that a reply names at most. A caller's stream is continued only if there is one.
+MAX_POSSIBLE = 10
+_OWN = "this node"
+
+
+@dataclass
+class _Query:
+    """A query to peers that has not been answered by all of them; ``done`` ends the wait."""
+
+    message: StreamQuery
+    asked: set[str] = field(default_factory=set)
+    replies: dict[str, StreamReply] = field(default_factory=dict)
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def found(self) -> tuple[str, StreamReply] | None:
+        """Return a peer that knows the stream and its reply, ``None`` if none does yet."""
+        return next(((node, reply) for node, reply in self.replies.items() if reply.known), None)
+
+
+class StreamOrigins:
+    """The origins of streams known at this node, and those that it asks its peers for.
+
+    ``dispatchers`` returns the nodes that dispatch, and ``proof_age`` the age in seconds of the
+    proof that this node has all changes of replicas and routes. ``longest_wait`` is the time in
+    seconds within which a new proof arrives while the store can be read. ``first_start`` is True if
+    the fleet has not run before.
+    """
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        view: FleetView,
+        dispatchers: Callable[[], set[str]],
+        proof_age: Callable[[], float],
+        longest_wait: float,
+        first_start: bool,
+        own_region: str,
+        hub: PeerHub,
+        kernel: Kernel,
+    ) -> None:
+        self._directory = directory
+        self._view = view
+        self._dispatchers = dispatchers
+        self._proof_age = proof_age
+        self._longest_wait = longest_wait
+        self._own_region = own_region
+        self._hub = hub
+        self._clock = kernel.clock
+        self._events = kernel.events
+        self._metrics = kernel.metrics
+        self._table = OriginTable()
+        self._history = OriginHistory(first_start, kernel.clock.monotonic())
+        self._was_proved = False
+        self._candidates: dict[str, list[str]] = {}
+        self._refresh_at = 0.0
+        self._queries: dict[int, _Query] = {}
+        self._next_number = 1
+        directory.on_change(self._observe_versions)
+        hub.handle(StreamBegun, self._handle_begun)
+        hub.handle(StreamQuery, self._handle_query)
+        hub.handle(StreamReply, self._handle_reply)
+        hub.on_up(self._link_up)
+
+    def configured(self, catalog: Catalog) -> None:
+        """Observe the routes of a new version of the configuration."""
+        pools: dict[str, set[str]] = {}
+        window = 0.0
+        for route in catalog.of_kind(Route):
+            if route.streaming:
+                names = {share.pool for share in route.pools}
+                pools.setdefault(route.host.lower(), set()).update(names)
+                window = max(window, keep_seconds(route))
+        self._history.window = max(self._history.window, window)
+        self._history.observe_pools(pools, self._clock.monotonic())
+
+    def tick(self) -> None:
+        """Do the periodic work; call it about twice a second."""
+        now = self._clock.monotonic()
+        age = self._proof_age()
+        self._was_proved |= age <= self._longest_wait
+        if self._was_proved and age > INTERRUPTED_SHARE * self._longest_wait:
+            self._history.interrupt(now)
+        self._dial_candidates()
+
+    def _observe_versions(self) -> None:
+        versions: dict[str, set[str]] = {}
+        for upstream in self._directory.all():
+            if upstream.listed is not Listed.GONE:
+                versions.setdefault(upstream.pool, set()).add(upstream.software_version)
+        self._history.observe_versions(versions, self._clock.monotonic())
+
+    def _dial_candidates(self) -> None:
+        nodes = [node for nodes in self._current_candidates().values() for node in nodes]
+        for node in [node for node in nodes if not self._hub.connected(node)][:MAX_DIALS]:
+            self._hub.dial(node)
+
+    def _current_candidates(self) -> dict[str, list[str]]:
+        now = self._clock.monotonic()
+        if now >= self._refresh_at:
+            self._refresh_at = now + REFRESH_SECONDS
+            own = self._hub.own.node
+            others = [each for each in self._view.usable_members() if each.node != own]
+            self._candidates = holders.candidates(others, self._dispatchers())
+        return self._candidates
+
+    def _reachable_candidates(self) -> dict[str, list[str]]:
+        """Return the candidates of each region that can be sent messages about streams now."""
+        return {
+            region: [node for node in nodes if self._hub.speaks(node, STREAMS)]
+            for region, nodes in self._current_candidates().items()
+        }
+
+    def began(self, workspace: str, requests: list[str], origin: StreamOrigin, keep: float) -> None:
+        """Record that a stream began at ``origin``, here and at peers, for ``keep`` seconds.
+
+        ``requests`` are the ids by which its caller may name it.
+        """
+        now = self._clock.monotonic()
+        by_region = self._reachable_candidates()
+        for request in requests:
+            key = stream_key(workspace, request)
+            self._table.record(key, origin, keep, now)
+            message = StreamBegun(key, origin.pool, origin.software_version, round(keep * 1000))
+            for node in holders.keepers(key, by_region, self._own_region):
+                self._hub.send(node, message)
+
+    async def find(
+        self, request: str, workspace: str, host: str, resumes: str
+    ) -> StreamOrigin | None:
+        """Return where the stream that ``request`` resumes began, ``None`` if it is not certain.
+
+        ``resumes`` is the request that began it, empty if the caller does not name it.
+        """
+        key = stream_key(workspace, resumes) if resumes else 0
+        record = self._table.find(key, self._clock.monotonic())
+        if record is not None:
+            age = self._clock.monotonic() - record.recorded_at
+            return self._resumed(request, resumes, record.origin, _OWN, "known", age)
+        replies: dict[str, StreamReply] = {}
+        # Without a record, more can be learnt from peers only if this node may have missed changes.
+        if key or not self._is_certain():
+            query = await self._ask(key, host)
+            if query.found is not None:
+                node, reply = query.found
+                origin = _to_origin(reply.known[0])
+                return self._resumed(request, resumes, origin, node, "known", reply.age / 1000)
+            replies = query.replies
+        return self._only_origin(request, host, resumes, replies)
+
+    def _is_certain(self) -> bool:
+        """Return True if this node knows all places where streams may have begun."""
+        is_fresh = self._proof_age() <= self._longest_wait
+        return is_fresh and self._history.is_complete(self._clock.monotonic())
+
+    def _only_origin(
+        self, request: str, host: str, resumes: str, replies: dict[str, StreamReply]
+    ) -> StreamOrigin | None:
+        """Return where streams of ``host`` began, if that is certain and one place only."""
+        origins = self._possible(host)
+        for reply in replies.values():
+            origins |= {_to_origin(record) for record in reply.possible}
+        certain = [node for node, reply in replies.items() if reply.complete]
+        if self._is_certain():
+            certain.insert(0, _OWN)
+        if certain and len(origins) == 1:
+            return self._resumed(request, resumes, origins.pop(), certain[0], "only-origin")
+        self._metrics.resumed_streams.inc({"result": "unknown"})
+        self._events.emit(
+            Kind.RESUMED,
+            "it is not certain where the stream began",
+            request,
+            notable=True,
+            resumes=resumes,
+            possible=" ".join(f"{o.pool}@{o.software_version}" for o in sorted(origins)),
+            certain=" ".join(certain),
+            replies=len(replies),
+        )
+        return None
+
+    def _possible(self, host: str) -> set[StreamOrigin]:
+        """Return where streams of ``host`` may have begun recently, as far as known here."""
+        return self._history.origins(host.lower(), self._clock.monotonic())
+
+    def _resumed(
+        self,
+        request: str,
+        resumes: str,
+        origin: StreamOrigin,
+        source: str,
+        result: str,
+        age: float | None = None,
+    ) -> StreamOrigin:
+        facts: dict[str, Fact] = {} if age is None else {"age_ms": round(age * 1000)}
+        self._metrics.resumed_streams.inc({"result": result})
+        self._events.emit(
+            Kind.RESUMED,
+            request=request,
+            resumes=resumes,
+            pool=origin.pool,
+            software_version=origin.software_version,
+            source=source,
+            **facts,
+        )
+        return origin
+
+    async def _ask(self, key: int, host: str) -> _Query:
+        """Ask peers for stream ``key``, 0 for none, and where streams of ``host`` may begin."""
+        number = self._next_number
+        self._next_number += 1
+        query = _Query(StreamQuery(number, key, host))
+        self._queries[number] = query
+        try:
+            for node in holders.asked(key, self._current_candidates()):
+                self._ask_peer(query, node)
+            if query.asked:
+                async with asyncio.timeout(QUERY_SECONDS):
+                    await query.done.wait()
+        except TimeoutError:
+            pass
+        finally:
+            del self._queries[number]
+        return query
+
+    def _ask_peer(self, query: _Query, node: str) -> None:
+        """Send a query to ``node``, or as soon as there is a link, unless its build is too old."""
+        if self._hub.connected(node) and not self._hub.speaks(node, STREAMS):
+            query.asked.discard(node)
+            return
+        query.asked.add(node)
+        self._hub.send(node, query.message)
+
+    def _link_up(self, peer: Identity) -> None:
+        for query in self._queries.values():
+            if peer.node in query.asked and peer.node not in query.replies:
+                self._ask_peer(query, peer.node)
+
+    def _handle_begun(self, node: str, message: StreamBegun) -> None:
+        origin = StreamOrigin(message.pool, message.software_version)
+        self._table.record(message.key, origin, message.keep / 1000, self._clock.monotonic())
+
+    def _handle_query(self, node: str, message: StreamQuery) -> None:
+        now = self._clock.monotonic()
+        record = self._table.find(message.key, now)
+        possible = sorted(self._possible(message.host))[:MAX_POSSIBLE]
+        reply = StreamReply(
+            message.number,
+            [_to_record(record.origin)] if record is not None else [],
+            round((now - record.recorded_at) * 1000) if record is not None else 0,
+            [_to_record(origin) for origin in possible],
+            self._is_certain(),
+        )
+        self._hub.send(node, reply)
+
+    def _handle_reply(self, node: str, message: StreamReply) -> None:
+        query = self._queries.get(message.number)
+        if query is None:
+            return
+        query.replies[node] = message
+        if message.known or query.asked <= query.replies.keys():
+            query.done.set()
+
+
+def keep_seconds(route: Route) -> float:
+    """Return for how many seconds a caller of ``route`` may resume a stream."""
+    return route.timeout + RETURN_SECONDS
+
+
+def _to_record(origin: StreamOrigin) -> OriginRecord:
+    return OriginRecord(origin.pool, origin.software_version)
+
+
+def _to_origin(record: OriginRecord) -> StreamOrigin:
+    return StreamOrigin(record.pool, record.software_version)
--- a/tests/platform/base.py
+++ b/tests/platform/base.py
@@ -132,6 +132,7 @@
             "plugins": "railsail.platform",
             "caller-interface": "prepared",
             "leave-seconds": "0",
+            "first-start": "true",
             **{name.replace("_", "-"): value for name, value in more.items()},
         }
         settings = parse([f"--{name}={value}" for name, value in values.items()], {}).settings
--- /dev/null
+++ b/tests/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``railsail.streams``."""
--- /dev/null
+++ b/tests/streams/test_service.py
@@ -0,0 +1,208 @@
+"""A node asks its peers where a stream began, whatever their build and however late they reply."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from railsail.core.clock import Clock
+from railsail.core.events import EventLog
+from railsail.core.kernel import Kernel
+from railsail.core.metrics import Metrics
+from railsail.membership.table import Member, MemberState
+from railsail.peers.link import Identity
+from railsail.peers.messages import StreamBegun, StreamQuery, StreamReply
+from railsail.peers.records import OriginRecord
+from railsail.streams import service
+from railsail.streams.origins import StreamOrigin, stream_key
+from railsail.streams.service import StreamOrigins
+from railsail.upstreams.directory import UpstreamDirectory
+
+OWN = "n0"
+HOST = "a.example"
+V1 = StreamOrigin("model", "v1")
+KNOWN = [OriginRecord("model", "v1")]
+WAIT = 2.0
+
+
+class Hub:
+    """Links to peers, of which some may be down or of an older build."""
+
+    def __init__(self) -> None:
+        self.own = Identity(OWN, 1)
+        self.down: set[str] = set()
+        self.older: set[str] = set()
+        self.handlers = {}
+        self.up_listeners = []
+        self.sent: list[tuple[str, object]] = []
+        self.dialled: list[str] = []
+
+    def handle(self, kind, handler) -> None:
+        self.handlers[kind] = handler
+
+    def on_up(self, listener) -> None:
+        self.up_listeners.append(listener)
+
+    def connected(self, node: str) -> bool:
+        return node not in self.down
+
+    def speaks(self, node: str, level: int) -> bool:
+        return node not in self.down | self.older
+
+    def dial(self, node: str) -> None:
+        self.dialled.append(node)
+
+    def send(self, node: str, message) -> bool:
+        if node in self.down:
+            return False
+        self.sent.append((node, message))
+        return True
+
+    def bring_up(self, node: str) -> None:
+        self.down.discard(node)
+        for listener in self.up_listeners:
+            listener(Identity(node, 1))
+
+    def pop(self, kind) -> list[tuple[str, object]]:
+        found = [pair for pair in self.sent if isinstance(pair[1], kind)]
+        self.sent = [pair for pair in self.sent if not isinstance(pair[1], kind)]
+        return found
+
+
+class View:
+    """A fleet of members that can all be reached."""
+
+    def __init__(self, count: int) -> None:
+        self._members = [
+            Member(f"n{number}", 1, 0, MemberState.ALIVE, 1, "a", "") for number in range(count)
+        ]
+
+    def usable_members(self) -> list[Member]:
+        return self._members
+
+
+class ServiceTestCase(unittest.IsolatedAsyncioTestCase):
+    members = 4
+
+    def setUp(self):
+        clock = Clock()
+        self.kernel = Kernel(clock, random.Random(1), EventLog(OWN, clock), Metrics())
+        self.hub = Hub()
+        self.proof_age = 0.0
+        directory = UpstreamDirectory(lambda *args: None, self.kernel.events)
+        self.origins = StreamOrigins(
+            directory,
+            View(self.members),
+            set,
+            lambda: self.proof_age,
+            WAIT,
+            True,
+            "",
+            self.hub,
+            self.kernel,
+        )
+
+    def find(self, resumes: str = "r-1") -> asyncio.Task:
+        return asyncio.ensure_future(self.origins.find("r-2", "one", HOST, resumes))
+
+    async def queries(self) -> list[tuple[str, StreamQuery]]:
+        await asyncio.sleep(0)
+        return self.hub.pop(StreamQuery)
+
+    def reply(self, node: str, query: StreamQuery, known=(), possible=(), complete=False) -> None:
+        message = StreamReply(query.number, list(known), 5, list(possible), complete)
+        self.hub.handlers[StreamReply](node, message)
+
+
+class QueryTests(ServiceTestCase):
+    async def test_first_peer_that_knows_the_stream_decides(self):
+        finding = self.find()
+        queries = await self.queries()
+        self.assertEqual({node for node, _ in queries}, {"n1", "n2", "n3"})
+        self.reply("n1", queries[0][1])
+        self.reply("n2", queries[0][1], KNOWN)
+        self.assertEqual(await finding, V1)
+
+    async def test_wait_ends_when_all_peers_have_replied(self):
+        with mock.patch.object(service, "QUERY_SECONDS", 30.0):
+            finding = self.find()
+            queries = await self.queries()
+            for node, query in queries:
+                self.reply(node, query)
+            self.assertIsNone(await asyncio.wait_for(finding, 5.0))
+
+    async def test_paused_peers_are_not_waited_for(self):
+        with mock.patch.object(service, "QUERY_SECONDS", 0.01):
+            self.assertIsNone(await self.find())
+
+    async def test_peer_without_a_link_is_asked_when_there_is_one(self):
+        self.hub.down = {"n1", "n2", "n3"}
+        with mock.patch.object(service, "QUERY_SECONDS", 30.0):
+            finding = self.find()
+            self.assertEqual(await self.queries(), [])
+            self.hub.bring_up("n2")
+            ((node, query),) = await self.queries()
+            self.reply(node, query, KNOWN)
+            self.assertEqual(await asyncio.wait_for(finding, 5.0), V1)
+
+    async def test_peers_of_older_builds_are_not_waited_for(self):
+        self.hub.older = {"n1", "n2", "n3"}
+        with mock.patch.object(service, "QUERY_SECONDS", 30.0):
+            self.assertIsNone(await asyncio.wait_for(self.find(), 5.0))
+        self.assertEqual(self.hub.pop(StreamQuery), [])
+
+    async def test_late_reply_is_ignored(self):
+        with mock.patch.object(service, "QUERY_SECONDS", 0.01):
+            finding = self.find()
+            ((node, query), *_) = await self.queries()
+            await finding
+            self.reply(node, query, KNOWN)
+
+    async def test_versions_that_peers_know_count(self):
+        other = [OriginRecord("model", "v2")]
+        for possible, found in ((KNOWN, V1), ([*KNOWN, *other], None)):
+            finding = self.find()
+            for node, query in await self.queries():
+                self.reply(node, query, possible=possible, complete=node == "n1")
+            self.assertEqual(await finding, found)
+
+    async def test_peers_that_may_have_missed_changes_prove_nothing(self):
+        self.proof_age = 10 * WAIT
+        finding = self.find()
+        for node, query in await self.queries():
+            self.reply(node, query, possible=KNOWN)
+        self.assertIsNone(await finding)
+
+
+class RecordTests(ServiceTestCase):
+    async def test_record_is_sent_to_peers_that_can_read_it(self):
+        self.hub.older, self.hub.down = {"n1"}, {"n2"}
+        self.origins.began("one", ["r-1"], V1, 30.0)
+        ((node, message),) = self.hub.pop(StreamBegun)
+        self.assertEqual(node, "n3")
+        self.assertEqual(message, StreamBegun(stream_key("one", "r-1"), "model", "v1", 30_000))
+
+    async def test_record_of_a_peer_answers_its_queries(self):
+        key = stream_key("one", "r-1")
+        self.hub.handlers[StreamBegun]("n1", StreamBegun(key, "model", "v1", 30_000))
+        self.hub.handlers[StreamQuery]("n2", StreamQuery(7, key, HOST))
+        ((node, reply),) = self.hub.pop(StreamReply)
+        self.assertEqual((node, reply.number, reply.known), ("n2", 7, KNOWN))
+        self.assertEqual(await self.find(), V1)
+
+    async def test_links_to_peers_that_keep_records_are_opened_ahead(self):
+        self.hub.down = {"n1", "n2", "n3"}
+        self.origins.tick()
+        self.assertEqual(sorted(self.hub.dialled), ["n1", "n2", "n3"])
+
+
+class AloneTests(ServiceTestCase):
+    members = 1
+
+    async def test_node_alone_does_not_wait(self):
+        with mock.patch.object(service, "QUERY_SECONDS", 30.0):
+            self.assertIsNone(await asyncio.wait_for(self.find(), 5.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
