streams: kept three records of where a stream began, and none as complete before a configuration

In a fleet of several regions one of the three is in another region.

A process without a configuration took its history for complete, since it had no window to look back on, and would have told a peer so. A test of the history fails without the fix.

--- a/railsail/streams/history.py
+++ b/railsail/streams/history.py
@@ -45,7 +45,8 @@
         self._complete_since = -math.inf if first_start else now
         self._pools: dict[str, _RecentItems[str]] = {}
         self._versions: dict[str, _RecentItems[str]] = {}
-        self.window = 0.0
+        # Set by the first configuration; before it, nothing is known of callers.
+        self.window = math.inf
 
     def observe_pools(self, pools_of_hosts: Mapping[str, Collection[str]], now: float) -> None:
         """Record the pools whose streams can be requested at each host."""
--- a/railsail/streams/holders.py
+++ b/railsail/streams/holders.py
@@ -10,9 +10,10 @@
 from railsail.membership.placement import rank
 from railsail.membership.table import Member
 
-# The nodes of a region that keep a record. The node that began the stream keeps it as well, but is
-# gone in most cases in which a caller resumes its stream elsewhere.
-COPIES = 2
+# The nodes that keep a record. The node that began the stream keeps it as well, but is gone in most
+# cases in which a caller resumes its stream elsewhere. If half of all nodes are lost at once, one
+# stream in eight of those that they served has no record left.
+COPIES = 3
 # The nodes of each region that are asked for a record. When half of a fleet is lost, half of its
 # candidates may be new ones.
 ASKED = 10
@@ -46,9 +47,10 @@
 
     One of them is in another region, if there is any, in case all nodes of a region are lost.
     """
-    own = rank(f"stream {key}", by_region.get(own_region, ()))
-    remote = [node for region, nodes in by_region.items() if region != own_region for node in nodes]
-    return own[:COPIES] + rank(f"stream {key}", remote)[:1]
+    job = f"stream {key}"
+    others = [node for region, nodes in by_region.items() if region != own_region for node in nodes]
+    remote = rank(job, others)[:1]
+    return rank(job, by_region.get(own_region, ()))[: COPIES - len(remote)] + remote
 
 
 def asked(key: int, by_region: dict[str, list[str]]) -> list[str]:
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -102,13 +103,15 @@
     def configured(self, catalog: Catalog) -> None:
         """Observe the routes of a new version of the configuration."""
         pools: dict[str, set[str]] = {}
-        window = 0.0
+        window = RETURN_SECONDS
         for route in catalog.of_kind(Route):
             if route.streaming:
                 names = {share.pool for share in route.pools}
                 pools.setdefault(route.host.lower(), set()).update(names)
                 window = max(window, keep_seconds(route))
-        self._history.window = max(self._history.window, window)
+        # A stream may have begun under an earlier version with a longer timeout.
+        known = self._history.window
+        self._history.window = window if math.isinf(known) else max(known, window)
         self._history.observe_pools(pools, self._clock.monotonic())
 
     def tick(self) -> None:
--- a/tests/platform/base.py
+++ b/tests/platform/base.py
@@ -181,12 +181,9 @@
     """Read one answer, whole or not."""
     async with asyncio.timeout(LONGEST_SECONDS):
         try:
-            text = (await reader.readuntil(b"\r\n\r\n")).decode()
+            status, headers = await read_head(reader)
         except (asyncio.IncompleteReadError, ConnectionError):
             return Answer(0, {}, b"", False)
-        line, *rest = text.strip().split("\r\n")
-        headers = {k.title(): v for k, v in (item.split(": ", 1) for item in rest)}
-        status = int(line.split()[1])
         if headers.get("Transfer-Encoding") == "chunked":
             body, whole = await _read_chunks(reader)
         else:
@@ -194,6 +191,14 @@
         return Answer(status, headers, body, whole)
 
 
+async def read_head(reader: asyncio.StreamReader) -> tuple[int, dict[str, str]]:
+    """Read the head of an answer, and return its status and headers."""
+    text = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *rest = text.strip().split("\r\n")
+    headers = {k.title(): v for k, v in (item.split(": ", 1) for item in rest)}
+    return int(line.split()[1]), headers
+
+
 async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
     body = b""
     try:
--- a/tests/platform/streams.py
+++ b/tests/platform/streams.py
@@ -1,6 +1,8 @@
 """Streams whose events name the software version of the replica that wrote them."""
 
 import asyncio
+import contextlib
+import random
 import re
 from dataclasses import dataclass, field
 
@@ -13,12 +15,16 @@
 class StreamingVersion:
     """The script of the replicas of one software version, whose streams have ``events`` events.
 
-    With ``breaks_first``, the first stream of each replica breaks off after ``interrupt_after``
-    events. With ``holds``, streams stop there for good, but not those that are resumed.
+    The events are ``pause`` seconds apart. With ``breaks_first``, the first stream of each replica
+    breaks off after ``interrupt_after`` events, and so does a ``break_share`` of all streams. With
+    ``holds``, streams stop there for good, but not those that are resumed.
     """
 
     name: str
     events: int = 6
+    pause: float = 0.0
+    break_share: float = 0.0
+    rng: random.Random = field(default_factory=lambda: random.Random(7))
     interrupt_after: int = 2
     breaks_first: bool = False
     holds: bool = False
@@ -27,16 +33,23 @@
 
     async def script(self, replica: ReplicaStandin, request: Received, writer) -> None:
         """Write a stream, from the event after ``Last-Event-Id``."""
+        # Callers leave in the middle of a stream.
+        with contextlib.suppress(ConnectionError):
+            await self._write(replica, request, writer)
+
+    async def _write(self, replica: ReplicaStandin, request: Received, writer) -> None:
         self.received.append(request)
         kind = {"Content_Type": "text/event-stream", "Transfer_Encoding": "chunked"}
         writer.write(head(request, Response_Seal=f"{SEAL}-{replica.name}", **kind))
         first = int(request.headers.get("Last-Event-Id", "-1")) + 1
         breaks = self.breaks_first and replica.name not in self._broken_at
+        breaks = breaks or self.rng.random() < self.break_share
         holds = self.holds and first == 0
         for number in range(first, self.events):
             if number - first == self.interrupt_after and (breaks or holds):
                 await self._interrupt(replica, breaks, writer)
                 return
+            await asyncio.sleep(self.pause)
             event = f"id: {number}\ndata: {self.name}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
--- a/tests/streams/test_history.py
+++ b/tests/streams/test_history.py
@@ -50,6 +50,9 @@
     def test_history_from_the_first_start_of_the_fleet_is_complete(self):
         self.assertTrue(self.history.is_complete(0.0))
 
+    def test_history_of_a_process_without_a_configuration_is_not_complete(self):
+        self.assertFalse(OriginHistory(False, 0.0).is_complete(1000.0))
+
     def test_interruption_makes_it_incomplete(self):
         self.history.interrupt(10.0)
         self.assertFalse(self.history.is_complete(10.0 + WINDOW - 1))
--- a/tests/streams/test_holders.py
+++ b/tests/streams/test_holders.py
@@ -49,8 +49,8 @@
         regions = {node: region for region, nodes in by_region.items() for node in nodes}
         for key in KEYS:
             found = [regions[node] for node in keepers(key, by_region, "north")]
-            self.assertEqual(found.count("north"), COPIES)
-            self.assertEqual(len(found), COPIES + 1)
+            self.assertEqual(found.count("north"), COPIES - 1)
+            self.assertEqual(len(found), COPIES)
             self.assertTrue(set(keepers(key, by_region, "north")) <= set(asked(key, by_region)))
 
     def test_records_are_spread_evenly(self):
