dispatch: reported to other cells only the tickets that can move there

Cells tell each other how many tickets wait, and hand tickets over. Those that continue streams stay, since the other cell may lack replicas of their version; a cell in which only such tickets wait would have been asked for tickets again and again. A test counts what can move.

--- a/railsail/dispatch/exchange.py
+++ b/railsail/dispatch/exchange.py
@@ -70,7 +70,7 @@
             self._overflow.rebalance(cell, dispatcher)
         now = self._clock.monotonic()
         state = self._states.setdefault(cell, _CellState())
-        waiting = len(dispatcher.queue)
+        waiting = dispatcher.queue.movable
         if state.is_report_due(waiting, now):
             state.reported, state.reported_at = waiting, now
             for neighbour in self._neighbours(cell):
@@ -131,10 +131,10 @@
     ) -> None:
         forwarded = 0
         # Tickets that continue streams stay: the other cell may lack replicas of their version.
-        while dispatcher is not None and dispatcher.queue.workspaces() and forwarded < count:
+        while dispatcher is not None and dispatcher.queue.movable and forwarded < count:
             self._forward_first(dispatcher, requester, node)
             forwarded += 1
-        waiting = len(dispatcher.queue) if dispatcher is not None else 0
+        waiting = dispatcher.queue.movable if dispatcher is not None else 0
         self._send_hint(cell, requester, waiting, 0)
 
     def _forward_first(self, dispatcher: CellDispatcher, requester: Cell, node: str) -> None:
--- a/railsail/dispatch/overflow.py
+++ b/railsail/dispatch/overflow.py
@@ -31,7 +31,7 @@
         if dispatcher.overflow is None:
             return
         now = self._clock.monotonic()
-        waiting = len(dispatcher.queue)
+        waiting = dispatcher.queue.movable
         report = dispatcher.overflow.news(waiting, now)
         if report is not None:
             for other in self._partners(cell):
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -215,7 +215,7 @@
 
     def _move_waiting(self, now: float) -> list[Decision]:
         """Remove the tickets that cells of other regions can start sooner."""
-        if self.overflow is None or not len(self.queue):
+        if self.overflow is None or not self.queue.movable:
             return []
         if self.spare_slots(now) and not self.overloaded(now):
             return []
@@ -410,14 +410,14 @@
 
         This is the case if its workspace is far above the lowest counter.
         """
-        if not self.queue.workspaces():
+        if not self.queue.movable:
             return False
         max_lead = CATCH_UP_CHARGES * ticket.estimate / self.queue.weight(ticket.workspace)
         return self.queue.lead(ticket.workspace) > max_lead
 
     def _grant_waiting(self, now: float) -> list[Decision]:
         grants: list[Decision] = []
-        while self.queue.workspaces():
+        while self.queue.movable:
             grant = self._grant_next(now)
             if grant is None:
                 break
--- a/railsail/scheduling/fairqueue.py
+++ b/railsail/scheduling/fairqueue.py
@@ -69,6 +69,11 @@
     def __len__(self) -> int:
         return len(self._waiting) + len(self._continuations)
 
+    @property
+    def movable(self) -> int:
+        """Return the number of tickets that other cells can serve: all but continuations."""
+        return len(self._waiting)
+
     def __contains__(self, key: TicketKey) -> bool:
         return key in self._waiting or key in self._continuations
 
--- a/tests/scheduling/test_continuations.py
+++ b/tests/scheduling/test_continuations.py
@@ -53,6 +53,12 @@
         for _ in NEW:
             self.assertIn(self.offer(NOW), NEW)
 
+    def test_waiting_continuation_does_not_move_to_other_cells(self):
+        self.fill("v1")
+        self.offer(NOW, software_version="v1")
+        self.assertEqual(len(self.dispatcher.queue), 1)
+        self.assertEqual(self.dispatcher.queue.movable, 0)
+
     def test_continuation_goes_before_tickets_that_start_streams(self):
         self.fill("v1")
         self.fill("v2")
