streams: halved the nodes that may keep records, and played streams in the short soak

At 195 nodes each node held links to 32 candidates, and all nodes that start dialled the same ones first. A twelfth of the nodes is enough: at 390 nodes, 3,200 streams a second make 300 records a second at each of 32 (worked out). They are dialled in random order.

--- a/railsail/streams/holders.py
+++ b/railsail/streams/holders.py
@@ -19,7 +19,7 @@
 ASKED = 10
 # The candidates are this share of a region's nodes, but not fewer than the minimum. Each node has
 # links to all of them.
-CANDIDATE_SHARE = 1 / 6
+CANDIDATE_SHARE = 1 / 12
 MIN_CANDIDATES = 10
 
 
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -85,6 +85,7 @@
         self._own_region = own_region
         self._hub = hub
         self._clock = kernel.clock
+        self._rng = kernel.rng
         self._events = kernel.events
         self._metrics = kernel.metrics
         self._table = OriginTable()
@@ -132,7 +133,9 @@
 
     def _dial_candidates(self) -> None:
         nodes = [node for nodes in self._current_candidates().values() for node in nodes]
-        for node in [node for node in nodes if not self._hub.connected(node)][:MAX_DIALS]:
+        missing = [node for node in nodes if not self._hub.connected(node)]
+        # In random order: all nodes of a fleet that starts dial the same candidates.
+        for node in self._rng.sample(missing, min(MAX_DIALS, len(missing))):
             self._hub.dial(node)
 
     def _current_candidates(self) -> dict[str, list[str]]:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -5,6 +5,10 @@
 were silent, and others of them were paused.
 
 A second run is over two regions, with kept connections, and a version that fails half of its calls.
+
+In others, callers resume streams while replicas of several software versions serve. On a build that
+continued streams at any version, 102 of 410 streams had events of two versions with a third version
+and killed daemons, and 6 of 422 with a failure domain that was cut off.
 """
 
 import tempfile
@@ -12,6 +16,7 @@
 from pathlib import Path
 
 from benchmarks.soak import soak
+from benchmarks.streams import run_scenario
 from tests.platform.processes import ROOT
 
 SEED = 1
@@ -20,6 +25,9 @@
 WIDE_SEED = 25
 WIDE_SECONDS = 5.0
 WIDE_DAEMONS = 6
+STREAM_SEED = 1
+STREAM_SECONDS = 8.0
+STREAM_DAEMONS = 6
 
 
 class SoakTests(unittest.IsolatedAsyncioTestCase):
@@ -37,5 +45,21 @@
         self.assertGreater(result.served, 0)
 
 
+class StreamSoakTests(unittest.IsolatedAsyncioTestCase):
+    async def assert_streams_keep_their_version(self, scenario: str) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            result = await run_scenario(
+                scenario, STREAM_SEED, STREAM_SECONDS, STREAM_DAEMONS, Path(folder)
+            )
+        self.assertTrue(result.passed, str(result))
+        self.assertGreater(result.begun, 0)
+
+    async def test_streams_keep_their_version_while_another_appears_and_daemons_are_killed(self):
+        await self.assert_streams_keep_their_version("third_version")
+
+    async def test_streams_keep_their_version_while_a_failure_domain_is_cut_off(self):
+        await self.assert_streams_keep_their_version("cut_domain")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/streams/test_holders.py
+++ b/tests/streams/test_holders.py
@@ -22,8 +22,8 @@
         self.assertEqual(len(candidates(members(9), {"n1"})[""]), 9)
 
     def test_large_fleet_has_a_share_of_its_nodes_as_candidates(self):
-        self.assertEqual(len(candidates(members(85), set())[""]), 14)
-        self.assertEqual(len(candidates(members(390), set())[""]), 65)
+        self.assertEqual(len(candidates(members(195), set())[""]), 16)
+        self.assertEqual(len(candidates(members(390), set())[""]), 32)
 
     def test_dispatchers_are_left_out_while_there_are_enough_others(self):
         dispatchers = {f"n{number}" for number in range(40)}
