--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -360,8 +360,8 @@
             f"{self.name} seed {self.seed}: {self.streams} streams, {self.begun} begun, "
             f"{self.mixed_answers} answers and {self.mixed_streams} streams of two versions, "
             f"{self.wrong_events} with events missing or repeated, {self.resumed.total()} resumed, "
-            f"{self.went_on:.2f} went on, the others {others}; not counted, at disturbed daemons or "
-            f"with one replica of the version or none: {dict(self.resumed_in_trouble)}"
+            f"{self.went_on:.2f} went on, the others {others}; not counted, at disturbed "
+            f"daemons or with one replica or none: {dict(self.resumed_in_trouble)}"
         )
 
 
