--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -15,8 +15,8 @@
   fewer than two replicas serve, and those resumed at a daemon that was disturbed a moment before,
   are counted separately.
 
-With fewer ``--cell_replicas`` the pool has several cells. With ``--regions`` the failure domains are
-in two regions, each with replicas of both versions.
+With fewer ``--cell_replicas`` the pool has several cells. With ``--regions`` the failure domains
+are in two regions, each with replicas of both versions.
 
 With ``--sources`` the daemons run the build whose sources are in DIR, with ``--other`` every second
 daemon does. On the build that continued streams at any version, 21 of 492 to 78 of 530 streams had
