upstreams: checked a kept connection at least once before it counts as silent

Beside load, requests opened a new connection although the kept one was sound; no request was lost. The check of a kept connection sends the first line of the next request and looks for its acknowledgement for 0.1 s. The time ran from before the line was sent, so that a process that stalled for longer while sending it ended the check without having looked.

The time runs from after the line was sent, and the last look comes after it is over.

--- a/railsail/upstreams/connections.py
+++ b/railsail/upstreams/connections.py
@@ -199,16 +199,19 @@
     if not stream.is_idle():
         return "closed"
     loop = asyncio.get_running_loop()
-    ends_at = loop.time() + MAX_PROBE_SECONDS
     pause = min(stream.connect_seconds + PROBE_MARGIN_SECONDS, MAX_FIRST_CHECK_SECONDS)
     stream.set_nodelay(True)
     stream.send_in_advance(line)
-    while loop.time() < ends_at:
-        await asyncio.sleep(min(pause, ends_at - loop.time()))
+    ends_at = loop.time() + MAX_PROBE_SECONDS
+    # It is checked at least once, however late this process continues: a process that stalled while
+    # it sent the line would otherwise take a sound connection for a silent one.
+    while True:
+        await asyncio.sleep(min(pause, max(0.0, ends_at - loop.time())))
         acknowledged = stream.acknowledged()
         if not stream.is_idle():
             return "forgotten"
         if acknowledged:
             return ""
+        if loop.time() >= ends_at:
+            return "silent"
         pause *= 2
-    return "silent"
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -1,8 +1,12 @@
 """Connections to replicas that are kept, on the whole path: nothing runs twice, nothing is lost."""
 
+import time
 import unittest
+from unittest import mock
 
 from railsail.node import Node
+from railsail.upstreams.connections import MAX_PROBE_SECONDS
+from railsail.upstreams.streams import UpstreamStream
 from tests.platform.base import Answer, PlatformTestCase
 from tests.platform.keeping import KeepingReplica
 from tests.platform.standins import answering, closing, streaming
@@ -40,6 +44,18 @@
         self.assertEqual([answer.status for answer in answers], [200] * 4)
         self.assertEqual(self.replicas[0].opened, 1)
 
+    async def test_connection_is_kept_if_the_process_stalls_while_it_is_probed(self):
+        node = await self.serve(answering(), **KEPT)
+        send = UpstreamStream.send_in_advance
+
+        def send_slowly(stream: UpstreamStream, data: bytes) -> None:
+            send(stream, data)
+            time.sleep(1.5 * MAX_PROBE_SECONDS)
+
+        with mock.patch.object(UpstreamStream, "send_in_advance", send_slowly):
+            await self.call_all(node, "/once/", "/again/", "/once/")
+        self.assertEqual(self.replicas[0].opened, 1)
+
     async def test_streams_share_a_connection(self):
         node = await self.serve(streaming(3), **KEPT)
         answers = await self.call_all(node, "/stream/", "/resume/")
