routing: let a request that starts a stream say nothing of the one that it names

A request with 'Resumes' and without a last event starts a new stream. It was recorded as another attempt at the named one as well, so that a stream whose record was lost would have been resumed at the version of the new one. Found by reading. The test failed before (200 in place of 503) and passes now.

--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -271,11 +271,14 @@
     def _stream_began(
         self, request: RoutedRequest, route: Route, pool: Pool, workspace: str, version: str
     ) -> None:
-        if route.resumable:
+        if not route.resumable:
+            return
+        names = [request.id]
+        if request.last_event and request.resumes:
             # A caller that resumes a stream more than once goes on naming its first request.
-            names = [name for name in (request.id, request.resumes) if name]
-            origin = StreamOrigin(pool.name, version)
-            self._origins.began(workspace, names, origin, keep_seconds(route))
+            names.append(request.resumes)
+        origin = StreamOrigin(pool.name, version)
+        self._origins.began(workspace, names, origin, keep_seconds(route))
 
     def _regions(self, route: Route, workspace: str) -> tuple[str, ...]:
         """Return the regions in which a request may run, empty for any region.
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -204,6 +204,13 @@
         metric = node.metrics.resumed_streams
         self.assertEqual(metric.get({"result": "unknown"}), 2)
 
+    async def test_request_that_starts_a_stream_says_nothing_of_the_one_that_it_names(self):
+        node = await self.serve_versions()
+        for version in self.versions:
+            version.holds = False
+        await self.call(node, "/resume/", Request_Id="s-1", Resumes="s-0", Deadline_Ms=DEADLINE)
+        await self.assert_refused(node, "it is not certain", b"id: 1\ndata: v1\n\n")
+
     async def test_id_of_another_workspace_is_unknown(self):
         keys = [{"name": "two", "api_keys": ["another-key"]}]
         node = await self.serve_versions()
