quarantine, routing: logged the parts of prompts, simultaneous crashes and answers without an end mark

Logs could not tell three explanations of a series of crashes apart: a part that different prompts share, answers that look complete because a crash closed their connection in order, and crashes that are put down to the failure of a host.

The line of a request that is received names the fingerprints of the parts that its prompt shares with others (eight at most), the line of its end says whether only the connection marked the end of its answer, and the line of a crash how many replicas crashed at about that time. Parts get fingerprints of 46 bits beside their 32-bit digest, of which two of 100,000 parts would be the same. No decision changes.

--- a/railsail/core/fingerprints.py
+++ b/railsail/core/fingerprints.py
@@ -1,8 +1,11 @@
-"""Fingerprints: hashes that identify repeats of a request.
+"""Fingerprints: hashes that identify repeats of a request, and parts that prompts share.
 
 The same request may arrive several times: callers retry after a refusal or a failure, and several
 callers may send the same request. Each arrival has its own request id, so that repeats can only be
 recognized by their contents.
+
+Fingerprints of requests and of parts of prompts are kept in the same places. The lowest bits tell
+them apart.
 """
 
 import hashlib
@@ -13,8 +16,15 @@
 # requests, the probability that any two share a fingerprint is 1 in 10.
 FINGERPRINT_BITS = 62
 _DIGEST_BYTES = 8
+# The lowest bits of the fingerprint of a part; no fingerprint of a request ends in them.
+_PART_TAG = 0x9A57
+_TAG_BITS = 16
+_TAG_MASK = (1 << _TAG_BITS) - 1
 # The number of routes whose fingerprints are cached.
 MAX_CACHED_ROUTES = 4096
+# The number of parts whose fingerprints are cached. The last part of each prompt is new, so that
+# shared ones are evicted unless the cache holds the parts of a few seconds.
+MAX_CACHED_PARTS = 8192
 
 
 def request_fingerprint(head: Iterable[str], body: bytes) -> int:
@@ -26,7 +36,20 @@
     digest = hashlib.blake2b("\0".join(head).encode(), digest_size=_DIGEST_BYTES, key=b"head")
     digest.update(b"\0")
     digest.update(body)
-    return _to_fingerprint(digest.digest())
+    value = _to_fingerprint(digest.digest())
+    return value ^ 1 if is_part(value) else value
+
+
+@lru_cache(maxsize=MAX_CACHED_PARTS)
+def part_fingerprint(part: str) -> int:
+    """Return the fingerprint of the part of a prompt whose id is ``part``."""
+    digest = hashlib.blake2b(part.encode(), digest_size=_DIGEST_BYTES, key=b"part").digest()
+    return _to_fingerprint(digest) & ~_TAG_MASK | _PART_TAG
+
+
+def is_part(value: int) -> bool:
+    """Return True if ``value`` is the fingerprint of a part of a prompt."""
+    return value & _TAG_MASK == _PART_TAG
 
 
 @lru_cache(maxsize=MAX_CACHED_ROUTES)
--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -5,6 +5,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from railsail.core.fingerprints import part_fingerprint
 from railsail.core.retryafter import asks_rest
 from railsail.routing.messages import (
     AnswerHead,
@@ -210,7 +211,9 @@
 
 def _parse_part(part: str) -> PromptPart:
     digest, _, tokens = part.strip().partition(":")
-    return PromptPart(zlib.crc32(digest.encode()), int(_parse_number(tokens, PARTS)))
+    count = int(_parse_number(tokens, PARTS))
+    # The id is a hexadecimal number, of which upper and lower case are the same.
+    return PromptPart(zlib.crc32(digest.encode()), count, part_fingerprint(digest.lower()))
 
 
 def _parse_number(text: str, name: str) -> float:
--- a/railsail/quarantine/service.py
+++ b/railsail/quarantine/service.py
@@ -93,6 +93,7 @@
             replica=crash.replica,
             born_ms=crash.start_id,
             requests=len(new.requests),
+            simultaneous=len(self.table.simultaneous(new)),
         )
         self._log_quarantined(new)
         self._publish([new])
--- a/railsail/quarantine/table.py
+++ b/railsail/quarantine/table.py
@@ -145,12 +145,16 @@
         crashes = [self._crashes[key] for key in self._by_request.get(request, ())]
         return [crash for crash in crashes if self._may_be_cause(request, crash)]
 
-    def _may_be_cause(self, request: int, crash: ReplicaCrash) -> bool:
-        simultaneous = [
+    def simultaneous(self, crash: ReplicaCrash) -> list[ReplicaCrash]:
+        """Return the crashes at about the time of ``crash``, which is among them if recorded."""
+        return [
             other
             for other in self._crashes.values()
             if abs(other.at - crash.at) <= SIMULTANEOUS_SECONDS
         ]
+
+    def _may_be_cause(self, request: int, crash: ReplicaCrash) -> bool:
+        simultaneous = self.simultaneous(crash)
         return len(simultaneous) < HOST_FAILURE_CRASHES or all(
             request in other.requests for other in simultaneous
         )
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -9,6 +9,7 @@
 from railsail.routing.client import ClientAnswer
 from railsail.routing.messages import AnswerHead, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
+from railsail.upstreams.http import is_delimited
 from railsail.upstreams.sse import EventSplitter, StreamEvent
 
 MAX_BUFFERED_BYTES = 64 << 20
@@ -95,6 +96,8 @@
         self.received_head: AnswerHead | None = None
         self.stream = stream
         self.is_stream = False
+        # True if only the end of the connection marks the end of the answer.
+        self.ends_with_connection = False
         self._protocol = protocol
         self._request = request
         self._streaming = streaming
@@ -118,6 +121,7 @@
             raise AnswerRefused("a success without a signature")
         self.received_head = head
         self.is_stream = self._streaming and head.success and head.event_stream
+        self.ends_with_connection = not is_delimited(headers)
         self._record_progress()
 
     async def data(self, chunk: bytes) -> None:
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -35,6 +35,8 @@
 
 # The name of no region: a request that is restricted to it can run nowhere.
 NO_REGION = "-"
+# Parts of a prompt that are logged with its request.
+MAX_LOGGED_PARTS = 8
 
 
 @dataclass(frozen=True)
@@ -246,6 +248,7 @@
             objective_ms=round(route.objective * 1000),
             rank=decision.rank,
             fingerprint=fingerprint_name(shared_fingerprint),
+            **_part_facts(request),
             **_resume_facts(request),
         )
         return RoutingContext(
@@ -314,6 +317,14 @@
         return self._evaluator.evaluate_policy(policy or DEFAULT_POLICY, workspace, policy_input)
 
 
+def _part_facts(request: RoutedRequest) -> dict[str, Fact]:
+    """Return what to log about the parts of a prompt, nothing if it shares none."""
+    parts = request.prompt.shared_parts
+    if not parts:
+        return {}
+    return {"parts": " ".join(fingerprint_name(part) for part in parts[:MAX_LOGGED_PARTS])}
+
+
 def _resume_facts(request: RoutedRequest) -> dict[str, Fact]:
     """Return what to log about a request that resumes a stream, nothing for any other request."""
     if not request.last_event:
--- a/railsail/routing/messages.py
+++ b/railsail/routing/messages.py
@@ -6,13 +6,20 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 EVENT_STREAM = "text/event-stream"
+# Parts of one prompt that are examined; any further ones are ignored.
+MAX_SHARED_PARTS = 32
 
 
 class PromptPart(msgspec.Struct, frozen=True):
-    """A part of a prompt; parts with the same ``digest`` consist of the same tokens."""
+    """A part of a prompt; parts with the same ``digest`` consist of the same tokens.
+
+    ``digest`` has 32 bits, so that two parts may share it. ``fingerprint`` is long enough to
+    identify the part.
+    """
 
     digest: int
     tokens: int
+    fingerprint: int
 
 
 class Prompt(msgspec.Struct, frozen=True):
@@ -40,6 +47,12 @@
         """Return the number of tokens in the prompt prefix that other requests share."""
         return sum(part.tokens for part in self.parts[:-1])
 
+    @property
+    def shared_parts(self) -> tuple[int, ...]:
+        """Return the fingerprints of the parts that other prompts may share: all but the last."""
+        fingerprints = dict.fromkeys(part.fingerprint for part in self.parts[:-1])
+        return tuple(fingerprints)[:MAX_SHARED_PARTS]
+
 
 class RoutedRequest(msgspec.Struct, frozen=True):
     """One request as it arrived, parsed but not changed.
--- a/railsail/routing/outcome_recorder.py
+++ b/railsail/routing/outcome_recorder.py
@@ -79,4 +79,6 @@
         "given_up": context.give_up_reason,
         "last_event": context.stream.last_event,
     }
+    if context.ends_with_connection:
+        facts["ends_with_connection"] = 1
     return {name: fact for name, fact in facts.items() if fact != ""}
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -56,8 +56,9 @@
     may have run it. ``replica`` is the one that it was sent to last, ``avoid`` the one that failed
     it last. ``waited`` is how long it waited for replicas in total, ``first_byte_after`` the time
     from its arrival to the first byte of an answer, 0 without an answer. ``give_up_reason`` is why
-    no further attempt was made. The request may run only in ``regions``, or in any region if there
-    are none. Its retries have the same ``fingerprint``.
+    no further attempt was made. ``ends_with_connection`` is true if only the end of its connection
+    marked the end of the last answer. The request may run only in ``regions``, or in any region if
+    there are none. Its retries have the same ``fingerprint``.
     """
 
     request: RoutedRequest
@@ -77,6 +78,7 @@
     waited: float = 0.0
     first_byte_after: float = 0.0
     give_up_reason: str = ""
+    ends_with_connection: bool = False
     regions: tuple[str, ...] = ()
     fingerprint: int = 0
 
@@ -338,6 +340,7 @@
     ) -> Outcome:
         """Return the outcome of a complete answer, which is sent to the caller if it is final."""
         head = answer.received_head
+        context.ends_with_connection = answer.ends_with_connection
         self._connect_failures.record_answer(replica)
         if head.misdirected:
             self._directory.sign_leaving(replica, Source.MISDIRECTED, self._clock.wall())
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -58,6 +58,11 @@
     return ""
 
 
+def is_delimited(headers: HTTPHeaders) -> bool:
+    """Return True if an answer has a length or chunks, so that a truncated one is recognized."""
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
+
+
 @dataclass(frozen=True)
 class HttpRequest:
     """A request to send to ``endpoint``, which is ``ip:port``.
@@ -167,7 +172,7 @@
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
-        self.delimited = "Content-Length" in headers or "Transfer-Encoding" in headers
+        self.delimited = is_delimited(headers)
         self.delimited = self.delimited or start_line.code in (204, 304)
         self.foreign = self._is_foreign(start_line.code, headers)
         if self.foreign:
--- a/tests/core/test_fingerprints.py
+++ b/tests/core/test_fingerprints.py
@@ -1,6 +1,14 @@
 import unittest
+from unittest import mock
 
-from railsail.core.fingerprints import FINGERPRINT_BITS, fingerprint_name, request_fingerprint
+from railsail.core import fingerprints
+from railsail.core.fingerprints import (
+    FINGERPRINT_BITS,
+    fingerprint_name,
+    is_part,
+    part_fingerprint,
+    request_fingerprint,
+)
 
 HEAD = ("one", "POST", "a.example", "/drafts/1?page=2")
 
@@ -23,6 +31,13 @@
             value = request_fingerprint(HEAD, b"%d" % number)
             self.assertTrue(0 < value < 1 << FINGERPRINT_BITS)
 
+    def test_parts_and_requests_have_different_fingerprints(self):
+        parts = {part_fingerprint(f"{number:x}") for number in range(2000)}
+        self.assertEqual(len(parts), 2000)
+        self.assertTrue(all(is_part(part) and part < 1 << FINGERPRINT_BITS for part in parts))
+        with mock.patch.object(fingerprints, "_PART_TAG", request_fingerprint(HEAD, b"x") & 0xFFFF):
+            self.assertFalse(is_part(request_fingerprint(HEAD, b"x")))
+
     def test_name_has_a_fixed_length(self):
         self.assertEqual(fingerprint_name(10), "000000000000000a")
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -259,10 +259,12 @@
     port: int = 0
     # Told when the replica crashes.
     crashed: Callable[["ReplicaStandin"], None] | None = None
+    # A crash closes its connections in order, as the kernel does where nothing is left to be read.
+    closes_in_order: bool = False
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -296,15 +298,22 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def close_connections(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.close()
+
     def stop(self) -> None:
         self._server.close()
 
     def crash(self) -> None:
-        """End as a killed process does: all connections are reset, and the port is dead."""
+        """End as a killed process does: all connections are closed, and the port is dead."""
         if not self._server.is_serving():
             return
         self.stop()
-        self.reset_connections()
+        if self.closes_in_order:
+            self.close_connections()
+        else:
+            self.reset_connections()
         if self.crashed is not None:
             self.crashed(self)
 
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -8,11 +8,18 @@
 from railsail.cli.explain import RequestTrace, trace_request
 from railsail.cli.loglines import parse_line
 from railsail.core.decisions import DecisionLog, line_fields
+from railsail.core.fingerprints import fingerprint_name, part_fingerprint
 from railsail.node import Node
+from railsail.routing import outcome_recorder
 from tests.platform.base import LONGEST_SECONDS, PlatformTestCase
+from tests.platform.crashing import AnswerShape, crashing_on
 from tests.platform.standins import answering, closing, hanging, streaming
 
 
+def parts(*names: str) -> list[int]:
+    return [part_fingerprint(name) for name in names]
+
+
 class ExplainedTests(PlatformTestCase):
     async def serve(self, *scripts, configured: bool = True) -> Node:
         node = await super().serve(*scripts, configured=configured)
@@ -79,6 +86,17 @@
         await self.call(node, "/once/")
         self.assertEqual(self.story().lines, [])
 
+    async def test_parts_of_a_prompt_and_an_answer_that_ends_with_its_connection_are_named(self):
+        cut = crashing_on((), AnswerShape(has_length=False), 0.0)
+        node = await self.serve(cut)
+        headers = {"Token_Count": "9,5", "Prompt_Prefix": "aa:4,bb:4,cc:1"}
+        with mock.patch.object(outcome_recorder, "_is_late", lambda context: True):
+            await self.call(node, "/again/", **headers)
+        received = self.story().lines[0].facts
+        self.assertEqual(received["parts"], " ".join(map(fingerprint_name, parts("aa", "bb"))))
+        ended = [line.facts for line in self.story().lines if line.event == "ended"]
+        self.assertEqual(ended[-1]["ends_with_connection"], 1)
+
     async def test_keys_are_never_logged(self):
         node = await self.serve(closing())
         await self.call(node, "/once/")
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from railsail.core.fingerprints import part_fingerprint
 from railsail.platform.http import PlatformProtocol
 from railsail.routing.messages import Dispatch
 
@@ -39,6 +40,11 @@
 
     def test_prompt_without_parts_has_no_affinity(self):
         self.assertEqual(read(Token_Count="10,5").prompt.affinity_key, 0)
+
+    def test_all_parts_but_the_last_are_shared(self):
+        prompt = read(Token_Count="9,5", Prompt_Prefix="aa:1,BB:1,aa:1,cc:1").prompt
+        self.assertEqual(prompt.shared_parts, (part_fingerprint("aa"), part_fingerprint("bb")))
+        self.assertEqual(read(Token_Count="9,5", Prompt_Prefix="aa:9").prompt.shared_parts, ())
         self.assertEqual(read().prompt.tokens, 0)
 
     def test_invalid_numbers_raise(self):
