--- a/tests/platform/crashing.py
+++ b/tests/platform/crashing.py
@@ -9,6 +9,7 @@
 # From the start of an answer to the crash of its replica.
 CRASH_SECONDS = 0.03
 PIECES = 5
+PORT_RETRY_SECONDS = 0.05
 TEXT = "token"
 
 
@@ -85,9 +86,14 @@
     return data
 
 
-async def restarted(replica: ReplicaStandin, name: str, kind=ReplicaStandin) -> ReplicaStandin:
+async def restarted(replica: ReplicaStandin, name: str) -> ReplicaStandin:
     """Return a new process, with a new name, at the address of a replica that crashed."""
-    again = kind(name, replica.script, port=replica.port, crashed=replica.crashed)
+    again = ReplicaStandin(name, replica.script, port=replica.port, crashed=replica.crashed)
     again.closes_in_order = replica.closes_in_order
-    await again.start()
-    return again
+    while True:
+        try:
+            await again.start()
+            return again
+        except OSError:
+            # An outgoing connection may have taken the port in the meantime.
+            await asyncio.sleep(PORT_RETRY_SECONDS)
