routing: checked that a replica is alive before an answer that ends with its connection is complete

Callers got truncated answers as whole ones, with a length that fitted the truncated body, and streams that a crash had ended between two events with their proper last chunk. The quarantine of equal requests never took hold for such answers: each crash counted as served, and cleared the request of the crashes before it.

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that dies in order. The class: an end that the transport reports, taken for the end of the work.

Only the replica shows the difference, so that it is connected to before such an answer is passed on. If its host refuses, the answer was cut off, is retried or resumed where that is allowed, and the dispatcher looks for a crash. One round trip more for each such answer.

--- a/railsail/quarantine/observer.py
+++ b/railsail/quarantine/observer.py
@@ -9,13 +9,12 @@
 import asyncio
 from collections.abc import Callable
 
-from railsail.conf.values import parse_endpoint
 from railsail.core.kernel import Kernel
-from railsail.core.sockets import CannotConnect, open_stream
 from railsail.core.tasks import TaskSet
 from railsail.quarantine.service import Quarantine
 from railsail.quarantine.table import ReplicaCrash
 from railsail.upstreams.directory import UpstreamDirectory
+from railsail.upstreams.probing import refuses_connections
 from railsail.upstreams.records import Upstream
 
 # A port on which no process listens refuses within a round trip, which takes 40 ms between the
@@ -129,14 +128,3 @@
         if ran:
             crash = ReplicaCrash(upstream.name, upstream.born, broke_off_at, frozenset(ran))
             self._quarantine.record_crash(crash)
-
-
-async def refuses_connections(endpoint: str, seconds: float) -> bool:
-    """Return True if ``endpoint`` refuses a connection within ``seconds``."""
-    target = parse_endpoint(endpoint)
-    try:
-        stream = await open_stream(target.ip, target.port, seconds)
-    except CannotConnect as problem:
-        return problem.refused
-    stream.close()
-    return False
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -17,6 +17,7 @@
 from railsail.routing.budget import RetryBounds, RetryBudget
 from railsail.routing.client import ClientAnswer, ClientDisconnected
 from railsail.routing.connect_failures import ConnectFailures
+from railsail.routing.endings import is_cut_off
 from railsail.routing.messages import Dispatch, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.running import RunningCalls
@@ -302,6 +303,8 @@
         try:
             async with asyncio.timeout(remaining):
                 await self._calls.run(replica, self._exchange_until_silent(context, call, answer))
+                if await is_cut_off(answer, replica, self._directory):
+                    raise CutOff("the replica crashed, which ended its answer")
         except NotSent as problem:
             context.attempts -= 1
             self._connect_failures.record_failure(replica, self._clock.monotonic())
--- a/tests/platform/test_prompt_parts.py
+++ b/tests/platform/test_prompt_parts.py
@@ -26,7 +26,6 @@
     """Four replicas that crash on bad parts, and come back under new names."""
 
     shape = AnswerShape()
-    replica_count = 4
     answer_seconds = ANSWER_SECONDS
 
     async def asyncSetUp(self) -> None:
@@ -155,6 +154,18 @@
         bodies = Counter(answer.body for answer in await asyncio.gather(*sound) if self.ok(answer))
         self.assertEqual(set(bodies) - {sound_body(self.shape)}, set())
 
+    async def test_last_answer_of_a_replica_that_leaves_is_taken_for_cut_off(self):
+        self.replica_count, self.answer_seconds = 1, 0.4
+        (node,) = await self.serve_fleet(nodes=1)
+        (replica,) = self.replicas
+        call = asyncio.ensure_future(self.ask(node, SHARED))
+        await self.until(lambda: replica.received)
+        self.list_replica(replica, "draining", SLOTS)
+        await self.until(lambda: node.directory.get(replica.name).leaving)
+        replica.stop()
+        answer = await call
+        self.assertEqual((answer.status, answer.body), (200, sound_body(self.shape)))
+
     def ok(self, answer: Answer) -> bool:
         return answer.status == 200 and answer.whole
 
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -41,8 +41,10 @@
             task.cancel()
         await super().asyncTearDown()
 
+    replica_count = 4
+
     async def serve_fleet(self, nodes: int = 3, **settings: str) -> list[Node]:
-        for _ in range(4):
+        for _ in range(self.replica_count):
             await self.add_ending_replica()
         first = await self.serve(**settings)
         for _ in range(nodes - 1):
