routing: took an answer that may have been cut off by a crash for no evidence

Cause: the check whether the replica is alive gave up after 0.1 s, and a check without a result counted as a complete answer, which cleared the request. The class: no answer taken for a good one.

The check says now whether the replica listens, refuses or is unknown.

--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -33,10 +33,14 @@
 
 @dataclass(frozen=True)
 class Completed:
-    """The upstream's answer was complete; ``cost`` is in cost units of the pool."""
+    """The upstream's answer was complete; ``cost`` is in cost units of the pool.
+
+    ``uncertain`` is True if the answer may have been cut off by a crash of the upstream.
+    """
 
     status: int
     cost: float
+    uncertain: bool = field(default=False, repr=False)
 
 
 @dataclass(frozen=True)
--- a/railsail/routing/endings.py
+++ b/railsail/routing/endings.py
@@ -6,23 +6,40 @@
 listen any more.
 """
 
+import enum
+
 from railsail.routing.answer import ReplicaAnswer
 from railsail.upstreams.directory import UpstreamDirectory
-from railsail.upstreams.probing import refuses_connections
+from railsail.upstreams.probing import Probe, probe
+
+# The answer is held back during the probe. The host of a replica answers within a round trip, which
+# takes 40 ms between regions, so that only an unreachable host or a busy node takes longer.
+PROBE_SECONDS = 0.5
+
+
+class AnswerEnd(enum.Enum):
+    """What the end of an answer was. An uncertain one is passed on, but proves nothing."""
+
+    COMPLETE = enum.auto()
+    CUT_OFF = enum.auto()
+    UNCERTAIN = enum.auto()
+
 
-# The answer is held back during the probe. The host of a replica that has died refuses within a
-# round trip, which takes 40 ms between regions.
-PROBE_SECONDS = 0.1
+_ENDS = {
+    Probe.LISTENS: AnswerEnd.COMPLETE,
+    Probe.REFUSED: AnswerEnd.CUT_OFF,
+    Probe.UNKNOWN: AnswerEnd.UNCERTAIN,
+}
 
 
-async def is_cut_off(answer: ReplicaAnswer, replica: str, directory: UpstreamDirectory) -> bool:
-    """Return True if the end of ``answer`` is the crash of ``replica``.
+async def check_end(answer: ReplicaAnswer, replica: str, directory: UpstreamDirectory) -> AnswerEnd:
+    """Return what the end of ``answer`` was, which is the crash of ``replica`` if that is gone.
 
     A replica that leaves may exit right after its last answer, so that nothing is known of it.
     """
     if not answer.ends_with_connection or not answer.received_head.success:
-        return False
+        return AnswerEnd.COMPLETE
     upstream = directory.get(replica)
     if upstream is None or upstream.leaving:
-        return False
-    return await refuses_connections(upstream.endpoint, PROBE_SECONDS)
+        return AnswerEnd.UNCERTAIN
+    return _ENDS[await probe(upstream.endpoint, PROBE_SECONDS)]
--- a/railsail/routing/outcome_recorder.py
+++ b/railsail/routing/outcome_recorder.py
@@ -81,4 +81,5 @@
     }
     if context.ends_with_connection:
         facts["ends_with_connection"] = 1
+        facts["uncertain_end"] = int(context.uncertain_end)
     return {name: fact for name, fact in facts.items() if fact != ""}
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -17,7 +17,7 @@
 from railsail.routing.budget import RetryBounds, RetryBudget
 from railsail.routing.client import ClientAnswer, ClientDisconnected
 from railsail.routing.connect_failures import ConnectFailures
-from railsail.routing.endings import is_cut_off
+from railsail.routing.endings import AnswerEnd, check_end
 from railsail.routing.messages import Dispatch, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.running import RunningCalls
@@ -58,7 +58,8 @@
     it last. ``waited`` is how long it waited for replicas in total, ``first_byte_after`` the time
     from its arrival to the first byte of an answer, 0 without an answer. ``give_up_reason`` is why
     no further attempt was made. ``ends_with_connection`` is true if only the end of its connection
-    marked the end of the last answer. The request may run only in ``regions``, or in any region if
+    marked the end of the last answer, and ``uncertain_end`` if that may have been a crash of the
+    replica. The request may run only in ``regions``, or in any region if
     there are none. Its retries have the same ``fingerprint``.
     """
 
@@ -80,6 +81,7 @@
     first_byte_after: float = 0.0
     give_up_reason: str = ""
     ends_with_connection: bool = False
+    uncertain_end: bool = False
     regions: tuple[str, ...] = ()
     fingerprint: int = 0
 
@@ -303,8 +305,10 @@
         try:
             async with asyncio.timeout(remaining):
                 await self._calls.run(replica, self._exchange_until_silent(context, call, answer))
-                if await is_cut_off(answer, replica, self._directory):
+                end = await check_end(answer, replica, self._directory)
+                if end is AnswerEnd.CUT_OFF:
                     raise CutOff("the replica crashed, which ended its answer")
+                context.uncertain_end = end is AnswerEnd.UNCERTAIN
         except NotSent as problem:
             context.attempts -= 1
             self._connect_failures.record_failure(replica, self._clock.monotonic())
@@ -365,7 +369,7 @@
             # The status would tell the caller that nothing ran, which the replica did not say.
             return Unknown(f"status {head.status}", asked_rest=head.asks_rest)
         await context.client.send(head.status, head.headers, answer.body())
-        return Completed(head.status, 0.0)
+        return Completed(head.status, 0.0, context.uncertain_end)
 
     def _end_stream(self, context: RoutingContext, answer: ReplicaAnswer) -> Outcome:
         if answer.trailing_bytes().strip():
@@ -373,7 +377,7 @@
         if context.stream.head is None:
             return Unknown("the stream ended without an event", broke_off=True)
         context.client.end()
-        return Completed(answer.received_head.status, 0.0)
+        return Completed(answer.received_head.status, 0.0, context.uncertain_end)
 
 
 def estimate_cost(context: RoutingContext) -> float:
--- a/railsail/scheduling/health.py
+++ b/railsail/scheduling/health.py
@@ -39,7 +39,9 @@
     def of(cls, outcome: Outcome) -> "CallResult":
         """Return what the ``outcome`` of a call that was sent says about its replica."""
         if isinstance(outcome, Completed):
-            return cls.GOOD if outcome.status < _SERVER_ERROR else cls.ERROR
+            if outcome.status >= _SERVER_ERROR:
+                return cls.ERROR
+            return cls.NOTHING if outcome.uncertain else cls.GOOD
         if outcome.asked_rest:
             # The replica asked this node only to back off; it may serve the others as well as
             # before.
