--- a/railsail/quarantine/service.py
+++ b/railsail/quarantine/service.py
@@ -207,7 +207,7 @@
         for fingerprint in set().union(*(crash.cleared for crash in crashes)):
             self._logged.pop(fingerprint, None)
         fingerprints = set().union(*(crash.suspects for crash in crashes))
-        held = [s for s in map(self.table.status, fingerprints) if s.held_until > now]
+        held = self.table.quarantined(now, fingerprints)
         changed = [s for s in held if self._logged.get(s.fingerprint) != len(s.ends)]
         for suspect in changed:
             self._log_quarantined(suspect, suspect.held_until - now)
--- a/railsail/quarantine/table.py
+++ b/railsail/quarantine/table.py
@@ -14,6 +14,7 @@
 import math
 import zlib
 from collections import OrderedDict
+from collections.abc import Collection
 from dataclasses import replace
 
 import msgspec
@@ -99,16 +100,20 @@
         found = [crash for crash in crashes if crash.at > served_at]
         return sorted(found, key=lambda crash: (crash.at, crash.key))
 
-    def suspects(self, min_crashes: int = 1) -> list[Suspect]:
-        """Return what has at least ``min_crashes`` crashes, that with the most first."""
-        candidates = [f for f, keys in self._by_fingerprint.items() if len(keys) >= min_crashes]
+    def suspects(self, min_crashes: int = 1, among: Collection[int] | None = None) -> list[Suspect]:
+        """Return what has at least ``min_crashes`` crashes, that with the most first.
+
+        Only the fingerprints in ``among`` are looked at, if it is given.
+        """
+        looked_at = self._by_fingerprint if among is None else among
+        candidates = [f for f in looked_at if len(self._by_fingerprint.get(f, ())) >= min_crashes]
         found = [self.status(fingerprint) for fingerprint in candidates]
         matching = [suspect for suspect in found if len(suspect.ends) >= min_crashes]
         return sorted(matching, key=lambda suspect: (-len(suspect.ends), suspect.fingerprint))
 
-    def quarantined(self, now: float) -> list[Suspect]:
-        """Return what is quarantined at ``now``."""
-        suspects = self.suspects(CRASHES_TO_QUARANTINE)
+    def quarantined(self, now: float, among: Collection[int] | None = None) -> list[Suspect]:
+        """Return what is quarantined at ``now``; ``among`` is as for ``suspects``."""
+        suspects = self.suspects(CRASHES_TO_QUARANTINE, among)
         return [suspect for suspect in suspects if suspect.held_until > now]
 
     def record_crash(self, crash: ReplicaCrash, now: float) -> ReplicaCrash | None:
@@ -208,13 +213,12 @@
         """
         if separate_moments(suspect.ends) < MIN_MOMENTS:
             return True
-        explained = {
-            crash.key
-            for other in self.quarantined(now)
-            if other.fingerprint != suspect.fingerprint
-            for crash in other.ends
-        }
-        return all(crash.key in explained for crash in suspect.ends)
+        return all(self._is_explained(crash, suspect.fingerprint, now) for crash in suspect.ends)
+
+    def _is_explained(self, crash: ReplicaCrash, fingerprint: int, now: float) -> bool:
+        """Return True if ``crash`` counts against something quarantined but ``fingerprint``."""
+        others = crash.suspects - {fingerprint}
+        return any(crash in other.ends for other in self.quarantined(now, others))
 
     def clear(self, fingerprint: int, now: float) -> list[ReplicaCrash]:
         """Clear ``fingerprint`` of all crashes up to now, and return those it was not cleared of.
