--- a/railsail/quarantine/table.py
+++ b/railsail/quarantine/table.py
@@ -213,12 +213,15 @@
         """
         if separate_moments(suspect.ends) < MIN_MOMENTS:
             return True
-        return all(self._is_explained(crash, suspect.fingerprint, now) for crash in suspect.ends)
-
-    def _is_explained(self, crash: ReplicaCrash, fingerprint: int, now: float) -> bool:
-        """Return True if ``crash`` counts against something quarantined but ``fingerprint``."""
-        others = crash.suspects - {fingerprint}
-        return any(crash in other.ends for other in self.quarantined(now, others))
+        explained: set[CrashKey] = set()
+        for crash in suspect.ends:
+            if crash.key in explained:
+                continue
+            others = self.quarantined(now, crash.suspects - {suspect.fingerprint})
+            explained |= {end.key for other in others for end in other.ends}
+            if crash.key not in explained:
+                return False
+        return True
 
     def clear(self, fingerprint: int, now: float) -> list[ReplicaCrash]:
         """Clear ``fingerprint`` of all crashes up to now, and return those it was not cleared of.
