quarantine: took an answer that was written for long for no more than what it shows

A part whose answer had been written for a second when it broke off was cleared of all crashes, and so were the parts of all answers that ran for a second anywhere. If an entry stands still, or is cut off, the call of a part that did crash its replica goes on in the dispatcher's books, looks like a long answer, and would clear the part at the next crash.

Such a part is now not blamed for the crash of that replica, and keeps the blame for others. What clears a part is a complete answer. While a part is on trial, an answer that has been written for a second holds up no others.

--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -32,6 +32,7 @@
 
 import fire
 
+from benchmarks.relay import Relay
 from railsail.core.fingerprints import fingerprint_name, part_fingerprint
 from railsail.core.logs import configure_logs
 from tests.platform.base import Answer, configuration, read_answer, request
@@ -51,6 +52,7 @@
 SELF_CRASH_SECONDS = 0.8
 ANSWER_SECONDS = 0.4
 RESTART_SECONDS = 2.0
+CUT_SECONDS = 8.0
 BURST = 30
 ALLOWED_CRASHES = 5
 CONTACT_SECONDS = 3.0
@@ -76,7 +78,8 @@
 
     ``bad_parts`` is how many bad parts come in turn. ``bad_first`` puts them in front of the
     prompt. ``equal`` repeats one request. ``burst`` sends ``BURST`` of them at one moment.
-    ``services`` is how many services have the replicas. ``trouble`` runs beside the bad requests.
+    ``services`` is how many services have the replicas. ``trouble`` runs beside the bad requests;
+    ``relayed`` puts a relay between the daemons for it.
     """
 
     shape: AnswerShape = WITH_LENGTH
@@ -87,6 +90,7 @@
     interval: float = BAD_INTERVAL_SECONDS
     services: int = 1
     trouble: Callable[["PartsRun"], Awaitable[None]] | None = None
+    relayed: bool = False
 
     @property
     def route(self) -> str:
@@ -343,6 +347,25 @@
         run.fleet.start(daemon)
 
 
+async def cut_domain(run: PartsRun) -> None:
+    """Cut a failure domain off from the others for a while; its daemons reach the store."""
+    cut = [daemon.ip for daemon in run.fleet.daemons[::DOMAINS]]
+    others = [daemon.ip for daemon in run.fleet.daemons if daemon.ip not in cut]
+    run.fleet.relay.cut(cut, others, both=True)
+    await asyncio.sleep(CUT_SECONDS)
+    run.fleet.relay.heal()
+
+
+async def pause_daemons(run: PartsRun) -> None:
+    """Pause a third of the daemons while the first replicas crash, and resume them."""
+    daemons = run.fleet.daemons[::DOMAINS]
+    for daemon in daemons:
+        run.fleet.pause(daemon)
+    await asyncio.sleep(CONTACT_SECONDS)
+    for daemon in daemons:
+        run.fleet.resume(daemon)
+
+
 async def store_away(run: PartsRun) -> None:
     """Let the store turn all daemons away."""
     run.fleet.store.down = True
@@ -362,6 +385,8 @@
     "burst": Scenario(burst=True),
     "killed_daemons": Scenario(trouble=kill_daemons),
     "all_restarted": Scenario(trouble=restart_all),
+    "cut_domain": Scenario(trouble=cut_domain, relayed=True),
+    "paused_daemons": Scenario(trouble=pause_daemons),
     "store_away": Scenario(trouble=store_away),
     "two_parts": Scenario(bad_parts=2),
     "two_parts_burst": Scenario(bad_parts=2, burst=True),
@@ -389,7 +414,7 @@
     cell_replicas: int = 64,
 ) -> PartsResult:
     """Run one scenario, and return its figures; the daemons log into ``folder``."""
-    fleet = ProcessFleet(folder)
+    fleet = ProcessFleet(folder, relay=Relay() if SCENARIOS[name].relayed else None)
     fleet.settings = {"cell-replicas": str(cell_replicas)}
     scenario = SCENARIOS[name]
     run = PartsRun(scenario, fleet, random.Random(f"{seed} {name}"))
--- a/railsail/dispatch/service.py
+++ b/railsail/dispatch/service.py
@@ -206,10 +206,13 @@
             for fingerprint in flight.fingerprints
         }
 
-    def survivors(self) -> set[int]:
-        """Return the parts of prompts whose answers replicas have been writing for a while."""
-        now = self._clock.monotonic()
-        return {part for d in self._dispatchers.values() for part in d.survivors(now)}
+    def survivors_on(self, replica: str, at: float) -> set[int]:
+        """Return the parts of prompts that did not cause a crash of ``replica`` at ``at``.
+
+        The replica had been writing the answers to them for a while.
+        """
+        flights = [f for d in self._dispatchers.values() for f in d.flights.values()]
+        return {part for f in flights if f.replica == replica for part in f.survivors(at)}
 
     def _handle_place(self, node: str, message: Place) -> None:
         if self._trials.undecided((message.fingerprint, *message.parts)):
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -255,7 +255,7 @@
             self.quarantine,
             self.directory,
             self._calls_on,
-            self._survivors,
+            self._survivors_on,
             self.kernel,
         )
         self.ledger = QuarantineLedger(
@@ -416,8 +416,8 @@
     def _calls_on(self, replica: str, before: float) -> set[int]:
         return self.dispatchers.calls_on(replica, before)
 
-    def _survivors(self) -> set[int]:
-        return self.dispatchers.survivors()
+    def _survivors_on(self, replica: str, at: float) -> set[int]:
+        return self.dispatchers.survivors_on(replica, at)
 
     def _accepts_work(self, place: Place) -> bool:
         upstream = self.directory.get(place.replica)
--- a/railsail/quarantine/observer.py
+++ b/railsail/quarantine/observer.py
@@ -35,8 +35,8 @@
     """Check the replicas of calls that broke off, and report crashes to the quarantine.
 
     ``calls_on`` returns the fingerprints of the requests in flight on a replica that were sent no
-    later than the given time, and of the shared parts of their prompts. ``survivors`` returns the
-    parts of prompts whose answers replicas have been writing for a while.
+    later than the given time, and of the shared parts of their prompts. ``survivors_on`` returns
+    the parts of those prompts whose answers the replica had been writing for a while at that time.
     """
 
     def __init__(
@@ -44,17 +44,20 @@
         quarantine: Quarantine,
         directory: UpstreamDirectory,
         calls_on: Callable[[str, float], set[int]],
-        survivors: Callable[[], set[int]],
+        survivors_on: Callable[[str, float], set[int]],
         kernel: Kernel,
     ) -> None:
         self._quarantine = quarantine
         self._directory = directory
         self._calls_on = calls_on
-        self._survivors = survivors
+        self._survivors_on = survivors_on
         self._clock = kernel.clock
         self._tasks = TaskSet()
         # By replica and fingerprint, when the last call with it broke off or its caller left.
         self._interrupted_calls: dict[str, dict[int, float]] = {}
+        # By replica, the parts of prompts whose answers it had been writing for a while when they
+        # broke off. They are kept for calls whose end is reported later.
+        self._survivors: dict[str, set[int]] = {}
         self._checking: set[str] = set()
         # Replicas whose first probe since they broke off a call is running.
         self._first_probes: set[str] = set()
@@ -72,12 +75,16 @@
             for fingerprint in fingerprints
         )
 
-    def record_broken_call(self, replica: str, fingerprints: Collection[int]) -> None:
+    def record_broken_call(
+        self, replica: str, fingerprints: Collection[int], survivors: Collection[int]
+    ) -> None:
         """Record that ``replica`` broke off its answer to a request, and check the replica.
 
-        ``fingerprints`` are those of the request and of the parts that may be to blame.
+        ``fingerprints`` are those of the request and of the parts that may be to blame, and
+        ``survivors`` are the parts that are not, if it had been writing the answer for a while.
         """
         self._record(replica, fingerprints)
+        self._survivors.setdefault(replica, set()).update(survivors)
         if replica not in self._checking:
             self._first_probes.add(replica)
         self._start_check(replica)
@@ -101,6 +108,8 @@
         for name, interrupted in list(self._interrupted_calls.items()):
             if name not in self._checking and max(interrupted.values()) < now - SAME_CRASH_SECONDS:
                 del self._interrupted_calls[name]
+        for name in [name for name in self._survivors if self._directory.get(name) is None]:
+            del self._survivors[name]
         self._interrupted_calls.setdefault(replica, {}).update(dict.fromkeys(fingerprints, now))
 
     async def _check(self, upstream: Upstream) -> None:
@@ -126,6 +135,7 @@
 
     def _on_restart(self, former: Upstream) -> None:
         self._report_crash(former)
+        self._survivors.pop(former.name, None)
 
     def _report_crash(self, upstream: Upstream) -> None:
         now = self._clock.monotonic()
@@ -133,8 +143,8 @@
         ran = {fp for fp, at in interrupted.items() if at >= now - SAME_CRASH_SECONDS}
         broke_off_at = min(interrupted.values(), default=now)
         ran |= self._calls_on(upstream.name, broke_off_at)
-        for part in self._survivors():
-            self._quarantine.record_served(part)
+        ran -= self._survivors.get(upstream.name, set())
+        ran -= self._survivors_on(upstream.name, broke_off_at)
         if ran:
             crash = ReplicaCrash(upstream.name, upstream.born, broke_off_at, frozenset(ran))
             self._quarantine.record_crash(crash)
--- a/railsail/quarantine/trials.py
+++ b/railsail/quarantine/trials.py
@@ -44,29 +44,29 @@
         if refusal is not None:
             return refusal.retry_after
         suspects = self._quarantine.on_trial(ticket.fingerprints)
-        return TRIAL_SECONDS if suspects and dispatcher.holds(suspects) else 0.0
+        now = self._clock.monotonic()
+        return TRIAL_SECONDS if suspects and dispatcher.holds(suspects, now) else 0.0
 
     def ended(self, flight: Flight | None, result: CallResult) -> None:
         """Record the result of a call for the quarantine of its request and its parts."""
         if flight is None or not flight.fingerprint or not flight.replica:
             return
-        survived = flight.has_survived(self._clock.monotonic())
-        for fingerprint in _served(flight, result, survived):
+        for fingerprint in _served(flight, result):
             self._quarantine.record_served(fingerprint)
-        suspects = (flight.fingerprint,) if survived else flight.fingerprints
+        survivors = flight.survivors(self._clock.monotonic())
+        suspects = tuple(fp for fp in flight.fingerprints if fp not in survivors)
         if result is CallResult.BROKE_OFF:
-            self._detector.record_broken_call(flight.replica, suspects)
+            self._detector.record_broken_call(flight.replica, suspects, survivors)
         elif result is CallResult.CALLER_LEFT and (flight.unread or suspects[1:]):
             self._detector.record_abandoned_call(flight.replica, suspects)
 
 
-def _served(flight: Flight, result: CallResult, survived: bool) -> tuple[int, ...]:
+def _served(flight: Flight, result: CallResult) -> tuple[int, ...]:
     """Return what the end of ``flight`` shows to crash no replica.
 
-    A rejection shows nothing of the parts, since their prompt was not answered.
+    A rejection shows nothing of the parts, since their prompt was not answered. Neither does an
+    answer that went on for long and broke off: its entry may have stood still, and report late.
     """
     if result is CallResult.GOOD:
         return flight.fingerprints
-    if result is CallResult.REJECTED:
-        return (flight.fingerprint,)
-    return flight.parts if survived else ()
+    return (flight.fingerprint,) if result is CallResult.REJECTED else ()
--- a/railsail/scheduling/decisions.py
+++ b/railsail/scheduling/decisions.py
@@ -86,6 +86,9 @@
         """Return the fingerprints of the request and of the shared parts of its prompt."""
         return (self.fingerprint, *self.parts)
 
-    def has_survived(self, now: float) -> bool:
-        """Return True if the answer began so long ago that its prompt crashes no replica."""
-        return 0 < self.begun_at <= now - SURVIVAL_SECONDS
+    def survivors(self, at: float) -> tuple[int, ...]:
+        """Return the parts that caused no crash at ``at``, since the answer had begun long before.
+
+        There are none if the time at which it began is not known.
+        """
+        return self.parts if 0 < self.begun_at <= at - SURVIVAL_SECONDS else ()
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -495,18 +495,19 @@
     def _add_served(self, workspace: str, cost: float) -> None:
         self.served[workspace] = self.served.get(workspace, 0.0) + cost
 
-    def holds(self, fingerprints: Collection[int]) -> bool:
-        """Return True if a request with one of ``fingerprints`` is waiting or running here."""
-        return any(
-            fingerprint in fingerprints
-            for held in (*self.flights.values(), *self.queue.all_tickets())
-            for fingerprint in held.fingerprints
-        )
+    def holds(self, fingerprints: Collection[int], now: float) -> bool:
+        """Return True if a request with one of ``fingerprints`` is waiting or running here.
 
-    def survivors(self, now: float) -> set[int]:
-        """Return the parts of the prompts whose answers have been written for a while."""
-        flights = [flight for flight in self.flights.values() if flight.has_survived(now)]
-        return {part for flight in flights for part in flight.parts}
+        A part of a prompt whose answer has been written for a while does not count.
+        """
+        waiting = [fp for ticket in self.queue.all_tickets() for fp in ticket.fingerprints]
+        running = [
+            fp
+            for flight in self.flights.values()
+            for fp in flight.fingerprints
+            if fp not in flight.survivors(now)
+        ]
+        return not set(fingerprints).isdisjoint((*waiting, *running))
 
     def room(self, now: float) -> int:
         """Return how many more calls fit into the slots of the cell, without any queueing."""
--- a/tests/quarantine/test_trials.py
+++ b/tests/quarantine/test_trials.py
@@ -25,10 +25,12 @@
 
     def __init__(self) -> None:
         self.broken: list[tuple[int, ...]] = []
+        self.survivors: list[int] = []
         self.abandoned: list[tuple[int, ...]] = []
 
-    def record_broken_call(self, replica: str, fingerprints: tuple[int, ...]) -> None:
+    def record_broken_call(self, replica: str, fingerprints, survivors) -> None:
         self.broken.append(fingerprints)
+        self.survivors += survivors
 
     def record_abandoned_call(self, replica: str, fingerprints: tuple[int, ...]) -> None:
         self.abandoned.append(fingerprints)
@@ -143,8 +145,25 @@
         self.flight.unread = 0
         self.clock.advance(SURVIVAL_SECONDS)
         self.trials.ended(self.flight, CallResult.BROKE_OFF)
-        self.assertFalse(self.is_held())
         self.assertEqual(self.detector.broken, [(self.flight.fingerprint,)])
+        self.assertEqual(self.detector.survivors, [NEW])
+
+    def test_end_that_a_paused_entry_reports_late_clears_the_parts(self):
+        self.flight.begun_at = self.clock.monotonic()
+        self.clock.advance(10 * SURVIVAL_SECONDS)
+        self.trials.ended(self.flight, CallResult.BROKE_OFF)
+        self.assertTrue(self.is_held())
+
+    def test_long_answer_on_trial_holds_up_all_others(self):
+        self.quarantine.lift(NEW)
+        for _ in range(CRASHES_TO_QUARANTINE):
+            self.crash(BAD, NEW)
+        flight = self.run_ticket(NEW)
+        self.assertEqual(self.refusal_seconds(NEW), TRIAL_SECONDS)
+        flight.begun_at = self.clock.monotonic()
+        self.clock.advance(SURVIVAL_SECONDS)
+        self.dispatcher.flights = {("e", 0): flight}
+        self.assertEqual(self.refusal_seconds(NEW), 0.0)
 
 
 if __name__ == "__main__":
