quarantine: corrected what comments say of long answers and of full tables

A comment still said that a long answer counts as served, and two gave the size of a message without parts. Logged verdicts are forgotten with their crashes in place of being kept until they are cleared. No verdict changes.

--- a/railsail/quarantine/served.py
+++ b/railsail/quarantine/served.py
@@ -61,7 +61,7 @@
         return len(self._parts)
 
     def record(self, part: int, now: float) -> None:
-        """Record that the answer to a prompt with ``part`` was complete, or went on for long."""
+        """Record that the answer to a prompt with ``part`` was complete."""
         self._parts.pop(part, None)
         self._parts[part] = _ServedPart(now)
         if len(self._parts) > MAX_SERVED_PARTS:
--- a/railsail/quarantine/service.py
+++ b/railsail/quarantine/service.py
@@ -25,7 +25,7 @@
 from railsail.quarantine.table import QuarantineTable, Suspect
 
 # Minimum time between two messages with all crashes to a node whose digest differs. Updates about
-# single crashes may still be on their way to it, and a message with all of them can have 75 KB.
+# single crashes may still be on their way to it, and a message with all of them can have 150 KB.
 FULL_UPDATE_INTERVAL_SECONDS = 2.0
 # What is quarantined, as metrics and logs name it.
 REQUEST = "request"
@@ -204,8 +204,7 @@
     def _report_quarantined(self, crashes: list[ReplicaCrash]) -> None:
         """Log what of ``crashes`` is quarantined since, or for longer, and notify the listeners."""
         now = self._clock.monotonic()
-        for fingerprint in set().union(*(crash.cleared for crash in crashes)):
-            self._logged.pop(fingerprint, None)
+        self._logged = {fp: ends for fp, ends in self._logged.items() if self.table.has_crashes(fp)}
         fingerprints = set().union(*(crash.suspects for crash in crashes))
         held = self.table.quarantined(now, fingerprints)
         changed = [s for s in held if self._logged.get(s.fingerprint) != len(s.ends)]
--- a/railsail/quarantine/table.py
+++ b/railsail/quarantine/table.py
@@ -37,8 +37,8 @@
 # Crashes are forgotten after this time.
 CRASH_RETENTION_SECONDS = 3600.0
 # Beyond this number of crashes, the oldest that concerns nothing quarantined is dropped. With 64
-# requests each, a large batch of an engine, they take half a megabyte of memory, and a message with
-# all of them takes 75 KB.
+# requests each, a large batch of an engine, and as many parts, they take a megabyte of memory, and
+# a message with all of them takes 150 KB.
 MAX_CRASHES = 128
 # Requests and parts recorded for one crash: twice the largest batch of an engine.
 MAX_REQUESTS_PER_CRASH = 512
@@ -185,7 +185,7 @@
     def record_served(self, fingerprint: int, now: float) -> list[ReplicaCrash]:
         """Record that ``fingerprint`` was served to its end; return the crashes it is cleared of.
 
-        A part counts as served also if the answer to its prompt has gone on for long.
+        A part is served with any request whose prompt has it.
         """
         served = self._served_parts if is_part(fingerprint) else self._served_requests
         served.record(fingerprint, now)
