--- a/railsail/quarantine/blame.py
+++ b/railsail/quarantine/blame.py
@@ -6,9 +6,10 @@
 - If many replicas crash at the same time, a host or a failure domain has failed. Only what ran on
   all of them can be the cause.
 
-A part is in many requests, so that it is on more crashes by chance than a request is, and different
-requests with two bad parts crash replicas at the same time. This is why parts have rules of their
-own.
+A part is in many requests, so that it is on more crashes by chance than a request is: it takes more
+of them if other replicas crashed in between. Different requests with two bad parts crash replicas
+at the same time, so that such crashes count against parts, but leave it in doubt whether they are
+to blame.
 """
 
 import math
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -59,8 +59,8 @@
     from its arrival to the first byte of an answer, 0 without an answer. ``give_up_reason`` is why
     no further attempt was made. ``ends_with_connection`` is true if only the end of its connection
     marked the end of the last answer, and ``uncertain_end`` if that may have been a crash of the
-    replica. The request may run only in ``regions``, or in any region if
-    there are none. Its retries have the same ``fingerprint``.
+    replica. The request may run only in ``regions``, or in any region if there are none. Its
+    retries have the same ``fingerprint``.
     """
 
     request: RoutedRequest
