core: named the kinds of fingerprints in one place

The quarantine, the operators' interface and the explanation of a request each worked out for themselves whether a fingerprint is that of a request or of a part, and spelled the names. One function and two constants serve all three.

--- a/railsail/admin/app.py
+++ b/railsail/admin/app.py
@@ -10,7 +10,7 @@
 from railsail.configuration.changes import ConfigurationConflict, Proposal, snapshot
 from railsail.core.checks import Finding, error
 from railsail.core.exceptions import ImproperlyConfigured, StoreUnavailable
-from railsail.core.fingerprints import fingerprint_name, is_part
+from railsail.core.fingerprints import fingerprint_kind, fingerprint_name
 from railsail.objects.catalog import Operation
 from railsail.objects.checks import check_catalog
 from railsail.objects.kinds import KINDS
@@ -171,7 +171,7 @@
 def _quarantine_row(suspect: Suspect, now: float) -> dict[str, object]:
     return {
         "request": fingerprint_name(suspect.fingerprint),
-        "kind": "part" if is_part(suspect.fingerprint) else "request",
+        "kind": fingerprint_kind(suspect.fingerprint),
         "ends": len(suspect.ends),
         "replicas": suspect.replicas,
         "held_seconds": max(0, round(suspect.held_until - now)),
--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -6,6 +6,7 @@
 from railsail.cli.loglines import LogLine
 from railsail.cli.output import show_stamp
 from railsail.core.events import Kind, describe_facts
+from railsail.core.fingerprints import PART
 from railsail.core.outcomes import Reason
 
 # How long before the request a daemon's state events are still shown.
@@ -118,7 +119,7 @@
 
 
 def _quarantined(line: LogLine) -> str:
-    if line.facts.get("subject") == "part":
+    if line.facts.get("subject") == PART:
         return f"prompts with part {line.facts.get('fingerprint')}"
     return "the same request"
 
--- a/railsail/core/fingerprints.py
+++ b/railsail/core/fingerprints.py
@@ -16,6 +16,9 @@
 # requests, the probability that any two share a fingerprint is 1 in 10.
 FINGERPRINT_BITS = 62
 _DIGEST_BYTES = 8
+# The two kinds of things that have fingerprints.
+REQUEST = "request"
+PART = "part"
 # The lowest bits of the fingerprint of a part; no fingerprint of a request ends in them.
 _PART_TAG = 0x9A57
 _TAG_BITS = 16
@@ -64,6 +67,11 @@
     return (int.from_bytes(digest, "big") >> (8 * _DIGEST_BYTES - FINGERPRINT_BITS)) or 1
 
 
+def fingerprint_kind(value: int) -> str:
+    """Return how metrics, logs and the operators' interface name what ``value`` stands for."""
+    return PART if is_part(value) else REQUEST
+
+
 def fingerprint_name(value: int) -> str:
     """Return a fingerprint as logs and the operators' interface show it: 16 hexadecimal digits."""
     return f"{value:016x}"
--- a/railsail/quarantine/service.py
+++ b/railsail/quarantine/service.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from railsail.core.events import Kind
-from railsail.core.fingerprints import fingerprint_name, is_part
+from railsail.core.fingerprints import PART, fingerprint_kind, fingerprint_name, is_part
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import NotRun, Reason
 from railsail.peers.hub import PeerHub
@@ -27,9 +27,6 @@
 # Minimum time between two messages with all crashes to a node whose digest differs. Updates about
 # single crashes may still be on their way to it, and a message with all of them can have 150 KB.
 FULL_UPDATE_INTERVAL_SECONDS = 2.0
-# What is quarantined, as metrics and logs name it.
-REQUEST = "request"
-PART = "part"
 
 
 class Quarantine:
@@ -129,7 +126,7 @@
         if suspect is None:
             return
         remaining_seconds = suspect.held_until - self._clock.monotonic()
-        subject = _subject(suspect.fingerprint)
+        subject = fingerprint_kind(suspect.fingerprint)
         self._metrics.quarantined.inc({"workspace": workspace, "kind": subject})
         self._events.emit(
             Kind.QUARANTINED,
@@ -178,7 +175,7 @@
             Kind.QUARANTINE,
             detail,
             fingerprint=fingerprint_name(fingerprint),
-            subject=_subject(fingerprint),
+            subject=fingerprint_kind(fingerprint),
             state="cleared",
         )
         self._publish(crashes)
@@ -215,7 +212,7 @@
                 listener()
 
     def _log_quarantined(self, suspect: Suspect, remaining_seconds: float) -> None:
-        subject = _subject(suspect.fingerprint)
+        subject = fingerprint_kind(suspect.fingerprint)
         doubtful = self.table.is_doubtful(suspect, self._clock.monotonic())
         if suspect.fingerprint not in self._logged:
             self._metrics.quarantine_verdicts.inc({"kind": subject})
@@ -261,11 +258,6 @@
         self.merge([_from_record(record, now) for record in update.ends], node)
 
 
-def _subject(fingerprint: int) -> str:
-    """Return how metrics and logs name what ``fingerprint`` stands for."""
-    return PART if is_part(fingerprint) else REQUEST
-
-
 def _ran(suspect: Suspect) -> str:
     return "a part of this prompt" if is_part(suspect.fingerprint) else "this request"
 
