--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -93,6 +93,7 @@
         self.processes: list[subprocess.Popen] = []
         self.daemons: list[Daemon] = []
         self.replicas: dict[str, subprocess.Popen] = {}
+        self.addresses: dict[str, str] = {}
         self.replica_log = self.folder / "replicas.log"
         self.started_at = time.time()
         store, owners, front, ready, control, forward = free_ports(6)
@@ -119,6 +120,7 @@
 
     def start_replica(self, name: str, service: str, address: str, zone: str, *more: str) -> None:
         """Start a replica with further options ``more``."""
+        self.addresses[name] = address
         command = [sys.executable, str(STANDINS / "replica.py"), f"--id={name}"]
         command += [f"--service={service}", f"--address={address}", f"--zone={zone}"]
         command += [f"--owners={self.owners}", f"--log={self.replica_log}", *more]
@@ -245,6 +247,8 @@
 
 def run_case(case: Path, main: Callable[[Fleet], Awaitable[int]]) -> int:
     """Run a case in the folder ``case``, end all its processes, and return its exit code."""
+    # A case that takes too long is sent SIGTERM, and ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     fleet = Fleet(case)
     try:
         return asyncio.run(main(fleet))
