configuration: reported versions that are known and not in force

A daemon that could not put a version of the configuration in force wrote one warning without the version, and no metric changed: railsail_configuration_version showed the old version as if it were the newest. Hypotheses for requests that were handled by an old configuration could not be told apart: the version was not seen, it was seen and rejected, or it came into force late.

The time line now has a line for each rejected version, with the version that stays in force, the source, and the object and field at fault.

--- a/railsail/admin/app.py
+++ b/railsail/admin/app.py
@@ -89,6 +89,7 @@
     def get(self) -> None:
         for kind, age in self.node.freshness.ages().items():
             self.node.metrics.proof_age.set({"kind": kind}, age)
+        self.node.metrics.configuration_behind.set({}, self.node.carrier.behind_seconds)
         body, headers = self.node.metrics.render(self.request.headers.get_list("Accept"))
         for name, value in headers.items():
             self.set_header(name, value)
--- a/railsail/admin/status.py
+++ b/railsail/admin/status.py
@@ -55,6 +55,8 @@
         "state": node.lifecycle.state,
         "not_ready": node.not_ready(),
         "version": node.carrier.catalog.version,
+        "version_seen": node.carrier.version_seen,
+        "behind_ms": round(node.carrier.behind_seconds * 1000),
         "store_reachable": node.watcher.reachable,
         "proof_age_ms": {kind: round(age * 1000) for kind, age in node.freshness.ages().items()},
         "requests": node.admission.total,
--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -119,6 +119,9 @@
         # The newest head object seen in the store, until its configuration is active.
         self._pending: StoredObject | None = None
         self._reading = False
+        # When the first version that is newer than the active one was seen, in seconds of the
+        # monotonic clock; ``None`` while the newest version seen is active.
+        self._behind_since: float | None = None
 
     def held(self) -> Held:
         """Return which version is active, and since when it may be outdated."""
@@ -140,6 +143,18 @@
         if event.name == HEAD and event.value is not None:
             self._apply_head(StoredObject(KIND, HEAD, event.version, event.value))
 
+    @property
+    def version_seen(self) -> int:
+        """Return the newest version that was seen in the store, or the active one if newer."""
+        return max(self.catalog.version, _head_version(self._pending))
+
+    @property
+    def behind_seconds(self) -> float:
+        """Return for how long a newer version than the active one has been known, 0 if none is."""
+        if self._behind_since is None:
+            return 0.0
+        return self._freshness.now() - self._behind_since
+
     def caught_up(self) -> bool:
         """Return True if the newest configuration that was seen in the store is active."""
         return self._pending is None
@@ -148,11 +163,14 @@
         if _head_version(stored) <= max(self.catalog.version, _head_version(self._pending)):
             return
         self._pending = stored
+        if self._behind_since is None:
+            self._behind_since = self._freshness.now()
+        self._metrics.version_seen.set({}, self.version_seen)
         try:
             committed = self._repository.resolve_known(stored, self.catalog)
         except _INVALID_ERRORS as problem:
             # The head stays pending, so that this node sends its peers no proof of its version.
-            get_logger().warning("configuration is invalid", reason=str(problem))
+            self._report_invalid(_head_version(stored), STORE, problem)
             return
         if committed is not None:
             self.committed(committed)
@@ -173,7 +191,7 @@
                 get_logger().warning("configuration could not be read", reason=str(problem))
                 await asyncio.sleep(backoff.pause())
             except _INVALID_ERRORS as problem:
-                get_logger().warning("configuration is invalid", reason=str(problem))
+                self._report_invalid(self.version_seen, STORE, problem)
                 break
         self._reading = False
 
@@ -192,10 +210,22 @@
         try:
             catalog, changes = self._parse_update(update)
         except (ValueError, ImproperlyConfigured) as problem:
-            get_logger().warning("configuration update rejected", peer=node, reason=str(problem))
+            self._report_invalid(update.version, node, problem)
             return
         self._activate(catalog, changes, node)
 
+    def _report_invalid(self, version: int, source: str, problem: Exception) -> None:
+        self._metrics.configuration_rejected.inc({"source": STORE if source == STORE else "peer"})
+        self._events.emit(
+            Kind.CONFIGURATION,
+            str(problem),
+            notable=True,
+            state="rejected",
+            version=version,
+            active=self.catalog.version,
+            source=source,
+        )
+
     def _parse_update(self, update: ConfigurationNews) -> tuple[Catalog, list[Change]]:
         decoded = json.loads(update.body)
         if update.since == 0:
@@ -217,9 +247,11 @@
         self._source = source or STORE
         if _head_version(self._pending) <= catalog.version:
             self._pending = None
+            self._behind_since = None
         by_version = {change.version: change for change in [*self._changes, *changes]}
         self._changes = [by_version[version] for version in sorted(by_version)][-KEPT_CHANGES:]
         self._metrics.version.set({}, catalog.version)
+        self._metrics.version_seen.set({}, self.version_seen)
         self._events.emit(
             Kind.CONFIGURATION,
             "in force",
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -85,6 +85,18 @@
         self.version = self._gauge(
             "railsail_configuration_version", "Version of the configuration in force at this node."
         )
+        self.version_seen = self._gauge(
+            "railsail_configuration_version_seen",
+            "Newest version of the configuration that this node knows of.",
+        )
+        self.configuration_behind = self._gauge(
+            "railsail_configuration_behind_seconds",
+            "How long this node has known of a newer configuration than the one in force.",
+        )
+        self.configuration_rejected = self._counter(
+            "railsail_configuration_rejected_total",
+            "Configurations that could not be put in force, by source (store or peer).",
+        )
         self.proof_age = self._gauge(
             "railsail_store_proof_age_seconds",
             "How long the store may have had changes that this node doesn't have, by kind.",
