configuration: sent updates of any size between daemons, and small ones for small changes

Cause: a new version was sent as one message with all objects, to every neighbour, by every node. The message is bounded by 900,000 bytes, and a key of ten bytes takes 67 there, so that a configuration that the store holds in 160 KB could not be sent. Each attempt ended the link.

Now a change is sent as the objects that differ; keys of a workspace are added and removed one by one. What is longer than 16 KB is announced, and requested from one peer at a time, in pieces of 128 KB, each of which is requested once the one before it has arrived: a link is never held up by more than one piece. A peer that stops answering for 0.5 s, or is lost, is replaced by another one that has the version. A node that missed versions gets the changes since its own, if they are kept, or all objects. Heartbeats and proofs that name a newer version lead to such a request, and no longer to one for all members and replicas.

Builds side by side: the pieces are protocol level 7. Peers of level 6 and lower exchange the former message, and are sent none that they would refuse. Such a build still lacks what its own bounds exclude, and keeps its older version.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -36,8 +36,8 @@
 RESULTS = Path("results") / "capacity.json"
 SHAPE = deploy.ASSOCIATION
 RUN_SECONDS = 12.0
-# The kind of peer message that carries configuration changes, as the metrics label it.
-CONFIGURATION_UPDATE = "ConfigurationNews"
+# The kinds of peer messages that carry configuration changes, as the metrics label them.
+CONFIGURATION_UPDATES = ("ConfigurationNews", "ConfigurationRequest", "ConfigurationPiece")
 
 
 def fit(name: str, points: list[tuple[float, float]]) -> dict:
@@ -243,13 +243,14 @@
     finally:
         deployment.stop()
     pairs = zip(after, before, strict=True)
-    sent = [
-        a.peer_bytes.get(CONFIGURATION_UPDATE, 0.0) - b.peer_bytes.get(CONFIGURATION_UPDATE, 0.0)
-        for a, b in pairs
-    ]
+    sent = [_update_bytes(a) - _update_bytes(b) for a, b in pairs]
     return sum(sent) / len(sent), waits
 
 
+def _update_bytes(usage: deploy.Usage) -> float:
+    return sum(usage.peer_bytes.get(kind, 0.0) for kind in CONFIGURATION_UPDATES)
+
+
 async def _change(deployment: deploy.Deployment, number: int) -> float:
     operation = {"kind": "priorityclass", "name": "gold", "weight": 4.0 + number / 100}
     change = {"id": secrets.token_hex(8), "author": "bench", "operations": [operation]}
--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -1,8 +1,8 @@
 """The active configuration of this daemon, read from the store or received from a peer.
 
 The version of the active configuration only rises. Each node forwards a new version once to its
-neighbours in the overlay, so that a change reaches all nodes in a few hops in a fleet of any size.
-A node that missed it requests it when a heartbeat names a later version.
+neighbours in the overlay, so that a change reaches all nodes in a few hops in a fleet of any size
+(see ``railsail.configuration.exchange``).
 """
 
 import asyncio
@@ -27,6 +27,7 @@
     Committed,
     ConfigurationRepository,
 )
+from railsail.configuration.updates import Update, UpdateHistory, announcement, update_between
 from railsail.core.events import EventLog, Fact, Kind
 from railsail.core.exceptions import ImproperlyConfigured, StoreUnavailable
 from railsail.core.logs import get_logger
@@ -36,6 +37,7 @@
 from railsail.core.tasks import TaskSet
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import KINDS
+from railsail.peers.base import MAX_BLOB_BYTES
 from railsail.peers.messages import ConfigurationNews, StateRequest
 from railsail.store.base import Listing, StoredObject, WatchEvent
 from railsail.store.freshness import Freshness
@@ -46,6 +48,8 @@
 # Backoff of reading the snapshot that a head object builds on.
 INITIAL_BACKOFF_SECONDS = 0.25
 MAX_BACKOFF_SECONDS = 2.0
+# The newest updates, which are kept to send them to peers that lack them.
+MAX_HISTORY_BYTES = 512 << 10
 # Objects that are logged when a version has objects that cannot be used; the others are counted.
 MAX_LOGGED_OBJECTS = 20
 _INVALID_ERRORS = (ImproperlyConfigured, msgspec.ValidationError)
@@ -92,13 +96,14 @@
     """The active configuration: newer ones replace it and are forwarded to peers.
 
     ``broadcast`` sends an update to all neighbours but the given one, and ``send`` a request to one
-    peer. A proof is at most ``max_proof_age`` seconds old while the store can be read.
+    peer. A proof is at most ``max_proof_age`` seconds old while the store can be read. ``history``
+    has the newest updates.
     """
 
     def __init__(
         self,
         repository: ConfigurationRepository,
-        broadcast: Callable[[ConfigurationNews, str], None],
+        broadcast: Callable[[Update, str], None],
         send: Callable[[str, StateRequest], object],
         freshness: Freshness,
         max_proof_age: float,
@@ -107,6 +112,7 @@
         rng: random.Random,
     ) -> None:
         self.catalog = Catalog()
+        self.history = UpdateHistory(KEPT_CHANGES, MAX_HISTORY_BYTES)
         self._source = ""
         self._repository = repository
         self._broadcast = broadcast
@@ -117,11 +123,14 @@
         self._events = events
         self._metrics = metrics
         self._changes: list[Change] = []
+        self._whole_news: ConfigurationNews | None = None
         self._listeners: list[Listener] = []
         self._tasks = TaskSet()
         # The newest head object seen in the store, until its configuration is active.
         self._pending: StoredObject | None = None
         self._reading = False
+        # The newest version that a peer announced.
+        self._announced = 0
         # When the first version that is newer than the active one was seen, in seconds of the
         # monotonic clock; ``None`` while the newest version seen is active.
         self._behind_since: float | None = None
@@ -148,8 +157,8 @@
 
     @property
     def version_seen(self) -> int:
-        """Return the newest version that was seen in the store, or the active one if newer."""
-        return max(self.catalog.version, _head_version(self._pending))
+        """Return the newest version that was seen in the store, at a peer or here."""
+        return max(self.catalog.version, self._announced, _head_version(self._pending))
 
     @property
     def behind_seconds(self) -> float:
@@ -188,6 +197,12 @@
             self._behind_since = self._freshness.now()
         self._metrics.version_seen.set({}, self.version_seen)
 
+    def announced(self, version: int) -> None:
+        """Record that a peer has ``version``."""
+        if version > self.version_seen:
+            self._announced = version
+            self._note_behind()
+
     async def _read_pending(self, steps: Steps[Committed] | None) -> None:
         """Read the pending head, until its configuration is active.
 
@@ -215,9 +230,10 @@
         self._activate(committed.catalog, list(committed.head.changes), "")
 
     def received(self, node: str, update: ConfigurationNews) -> None:
-        """Apply an update received from the peer ``node``."""
+        """Apply an update of the peer ``node``, whose build does not send pieces of updates."""
         if update.version <= self.catalog.version:
             return
+        self.announced(update.version)
         if update.since > self.catalog.version:
             # The sender also has the changes that this update builds on.
             self._send(node, StateRequest(self.catalog.version))
@@ -242,6 +258,10 @@
             raise ValueError("changes are missing")
         return catalog, changes
 
+    def activate(self, catalog: Catalog, source: str) -> None:
+        """Activate a configuration of the peer ``source``, if it is newer."""
+        self._activate(catalog, [], source)
+
     def report_rejected(self, version: int, source: str, problem: Exception) -> None:
         """Report that ``version``, which ``source`` sent, cannot be put in force."""
         kind = STORE if source == STORE else "peer"
@@ -266,12 +286,25 @@
             self._pending = None
         if self.version_seen == catalog.version:
             self._behind_since = None
-        by_version = {change.version: change for change in [*self._changes, *changes]}
-        self._changes = [by_version[version] for version in sorted(by_version)][-KEPT_CHANGES:]
+        self._keep_changes(changes)
+        update = self._record_update(previous)
         self._report_activation(previous)
         for listener in self._listeners:
             listener(catalog)
-        self._broadcast(self.news_since(previous.version), source)
+        self._broadcast(update, source)
+
+    def _keep_changes(self, changes: list[Change]) -> None:
+        by_version = {change.version: change for change in [*self._changes, *changes]}
+        self._changes = [by_version[version] for version in sorted(by_version)][-KEPT_CHANGES:]
+        self._whole_news = None
+
+    def _record_update(self, previous: Catalog) -> Update:
+        """Return the update from ``previous``, or an announcement if there was none."""
+        if not previous.version:
+            return announcement(self.catalog.version)
+        update = update_between(previous, self.catalog)
+        self.history.record(update)
+        return update
 
     def _report_activation(self, previous: Catalog) -> None:
         self._metrics.version.set({}, self.catalog.version)
@@ -310,16 +343,25 @@
                 version=self.catalog.version,
             )
 
-    def news_since(self, version: int) -> ConfigurationNews:
-        """Return an update for a peer at ``version``.
+    def news_since(self, version: int) -> ConfigurationNews | None:
+        """Return an update for a peer at ``version`` whose build does not know pieces of updates.
 
         It holds the changes since that version, or all objects if some of the changes are not kept.
+        Return ``None`` if it is longer than such a peer accepts: its build would close the link.
         """
         missing = [change for change in self._changes if change.version > version]
         complete = len(missing) == self.catalog.version - version
         if version and missing and complete:
-            return ConfigurationNews(version, self.catalog.version, encode(missing))
-        return ConfigurationNews(0, self.catalog.version, encode(snapshot(self.catalog)))
+            news = ConfigurationNews(version, self.catalog.version, encode(missing))
+        else:
+            news = self._whole()
+        return news if len(news.body) <= MAX_BLOB_BYTES else None
+
+    def _whole(self) -> ConfigurationNews:
+        if self._whole_news is None:
+            body = encode(snapshot(self.catalog))
+            self._whole_news = ConfigurationNews(0, self.catalog.version, body)
+        return self._whole_news
 
 
 def _head_version(head: StoredObject | None) -> int:
--- a/railsail/configuration/spreading.py
+++ b/railsail/configuration/spreading.py
@@ -1,4 +1,4 @@
-"""Dissemination of configurations: sent whole within a region, announced to other regions.
+"""Dissemination of configurations: sent within a region, announced to other regions.
 
 Each node forwards a new configuration to all its neighbours, so that most nodes receive it several
 times. Between regions that would be most of the traffic of the daemons. Neighbours in other regions
@@ -8,9 +8,9 @@
 
 import asyncio
 
+from railsail.configuration.exchange import ConfigurationExchange
+from railsail.configuration.updates import Update
 from railsail.membership.service import Membership
-from railsail.peers.hub import PeerHub
-from railsail.peers.messages import ConfigurationNews
 
 # Delay of announcements. Within a region, a configuration reaches all nodes in a few hops of some
 # milliseconds each.
@@ -20,19 +20,19 @@
 class ConfigurationSpread:
     """Send configuration updates to the neighbours of this node."""
 
-    def __init__(self, membership: Membership, hub: PeerHub) -> None:
+    def __init__(self, membership: Membership, exchange: ConfigurationExchange) -> None:
         self._membership = membership
-        self._hub = hub
+        self._exchange = exchange
         self._newest_version = 0
         self._announcement_pending = False
 
-    def send(self, update: ConfigurationNews, source: str = "") -> None:
+    def send(self, update: Update, source: str = "") -> None:
         """Send ``update`` to all neighbours but ``source``."""
         self._newest_version = update.version
         elsewhere = self._neighbours_in_other_regions()
         for node in self._membership.neighbours():
             if node != source and node not in elsewhere:
-                self._hub.send(node, update)
+                self._exchange.send(node, update)
         if elsewhere and not self._announcement_pending:
             self._announcement_pending = True
             asyncio.get_running_loop().call_later(ANNOUNCE_DELAY_SECONDS, self._announce)
@@ -44,8 +44,5 @@
 
     def _announce(self) -> None:
         self._announcement_pending = False
-        # ``since`` is the announced version itself, so that a node that is behind requests the
-        # changes, and no node parses the empty body.
-        announcement = ConfigurationNews(self._newest_version, self._newest_version, b"")
         for node in sorted(self._neighbours_in_other_regions()):
-            self._hub.send(node, announcement)
+            self._exchange.announce(node, self._newest_version)
--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -234,16 +234,15 @@
     def compare(self, node: str, heartbeat: Heartbeat) -> None:
         """Compare a heartbeat of ``node`` with this node's state.
 
-        Request all state of ``node`` if its configuration is newer, or if its digests have differed
-        for ``DIFFERENCES_TO_SYNC`` heartbeats.
+        Request all state of ``node`` if its digests have differed for ``DIFFERENCES_TO_SYNC``
+        heartbeats.
         """
         own = self._heartbeat()
         if heartbeat.wants_reply:
             self._hub.send(node, own)
         same = heartbeat.members == own.members and heartbeat.upstreams == own.upstreams
-        ahead = heartbeat.configuration > own.configuration
-        count = 0 if same and not ahead else self._digest_differences.get(node, 0) + 1
-        if ahead or count >= DIFFERENCES_TO_SYNC:
+        count = 0 if same else self._digest_differences.get(node, 0) + 1
+        if count >= DIFFERENCES_TO_SYNC:
             count = 0
             self._hub.send(node, StateRequest(own.configuration))
         self._digest_differences[node] = count
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -12,9 +12,11 @@
 from railsail.admin import app as admin_app
 from railsail.conf.settings import Settings
 from railsail.configuration.carrier import ConfigurationCarrier
+from railsail.configuration.exchange import ConfigurationExchange
 from railsail.configuration.repository import HEAD, ConfigurationRepository
 from railsail.configuration.repository import KIND as CONFIGURATION
 from railsail.configuration.spreading import ConfigurationSpread
+from railsail.configuration.updates import Update
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog, Kind
 from railsail.core.kernel import Kernel
@@ -54,7 +56,7 @@
 from railsail.peers.hub import PeerHub
 from railsail.peers.levels import ERAS
 from railsail.peers.link import Identity
-from railsail.peers.messages import ConfigurationNews, Heartbeat, StateRequest, UpstreamNews
+from railsail.peers.messages import Heartbeat, StateRequest, UpstreamNews
 from railsail.quarantine.ledger import KIND as QUARANTINE
 from railsail.quarantine.ledger import WATCH_SECONDS as LEDGER_WATCH_SECONDS
 from railsail.quarantine.ledger import QuarantineLedger
@@ -158,7 +160,7 @@
         self.freshness = Freshness(self.clock.monotonic)
         self.carrier = ConfigurationCarrier(
             self.repository,
-            ConfigurationSpread(self.membership, self.hub).send,
+            self._spread_configuration,
             self.hub.send,
             self.freshness,
             PROVED_SHARE * settings.watch_seconds,
@@ -166,6 +168,8 @@
             self.metrics,
             self.rng,
         )
+        self.exchange = ConfigurationExchange(self.carrier, self.hub, self.kernel)
+        self.spread = ConfigurationSpread(self.membership, self.exchange)
         self.directory = UpstreamDirectory(
             broadcast, self.events, self.clock.monotonic, self.clock.wall
         )
@@ -183,6 +187,7 @@
             self.watcher.longest_wait,
             CONFIGURATION,
             lambda: self.carrier.catalog.version,
+            self.exchange.announced,
             self.membership.neighbours,
             self.hub,
         )
@@ -205,6 +210,9 @@
         if settings.node_list == "store":
             self.watcher.follow(NODE, self.membership.listed, self.membership.seen)
 
+    def _spread_configuration(self, update: Update, source: str) -> None:
+        self.spread.send(update, source)
+
     @property
     def _region(self) -> str:
         return self.membership.table.own.region
@@ -387,7 +395,6 @@
         self.carrier.on_change(lambda catalog: self.dispatchers.renew_replicas())
         self.hub.handle(Heartbeat, self._heartbeat_received)
         self.hub.handle(StateRequest, self._state_requested)
-        self.hub.handle(ConfigurationNews, self.carrier.received)
         self.hub.handle(UpstreamNews, self.directory.received)
         self.lifecycle.on_change(self._state_changed)
 
@@ -448,6 +455,7 @@
 
     def _heartbeat_received(self, node: str, heartbeat: Heartbeat) -> None:
         self.membership.compare(node, heartbeat)
+        self.exchange.announced(node, heartbeat.configuration)
         self.quarantine.compare(node, heartbeat)
 
     def _members_changed(self) -> None:
@@ -460,8 +468,7 @@
     def _state_requested(self, node: str, request: StateRequest) -> None:
         self.hub.send(node, self.membership.news())
         self.hub.send(node, self.directory.news())
-        if self.carrier.catalog.version > request.configuration:
-            self.hub.send(node, self.carrier.news_since(request.configuration))
+        self.exchange.send_newer(node, request.configuration)
 
     def _pause_ended(self, seconds: float) -> None:
         self.events.emit(Kind.STATE, "the process was paused", paused_ms=round(seconds * 1000))
--- a/railsail/peers/base.py
+++ b/railsail/peers/base.py
@@ -14,7 +14,8 @@
 Natural = Annotated[int, msgspec.Meta(ge=0, le=(1 << 62))]
 Signed = Annotated[int, msgspec.Meta(ge=-(1 << 62), le=(1 << 62))]
 Digest = Annotated[bytes, msgspec.Meta(min_length=16, max_length=16)]
-Blob = Annotated[bytes, msgspec.Meta(max_length=900_000)]
+MAX_BLOB_BYTES = 900_000
+Blob = Annotated[bytes, msgspec.Meta(max_length=MAX_BLOB_BYTES)]
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
--- a/railsail/peers/levels.py
+++ b/railsail/peers/levels.py
@@ -28,7 +28,9 @@
 STREAMS = 5
 # Adds the shared parts of the prompt of a ticket, and answers that reject a request.
 PARTS = 6
-NEWEST = PARTS
+# Adds updates of the configuration that are requested and sent in pieces.
+PIECES = 7
+NEWEST = PIECES
 
 # Numbers of the messages that distinguish level 1 from level 0, and the length of a heartbeat of
 # level 0 as an array: its number, configuration, members, upstreams, wants_reply.
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -13,7 +13,7 @@
 
 from railsail.core.outcomes import Reason
 from railsail.peers.base import Blob, Digest, Message, Natural, Signed, Text
-from railsail.peers.levels import OLDEST, PARTS, PROOFS, QUARANTINE, ROLLOUTS, STREAMS
+from railsail.peers.levels import OLDEST, PARTS, PIECES, PROOFS, QUARANTINE, ROLLOUTS, STREAMS
 from railsail.peers.records import (
     MOST_PARTS,
     CounterRecord,
@@ -79,7 +79,7 @@
     """Send the changes after version ``since``, or all objects if ``since`` is 0, as JSON.
 
     The result is the configuration of ``version``. If ``since`` equals ``version``, the message
-    announces that version only.
+    announces that version only. Peers that know ``ConfigurationPiece`` are sent announcements only.
     """
 
     since: Natural
@@ -468,6 +468,36 @@
     complete: bool
 
 
+class ConfigurationRequest(Message, frozen=True, tag=40):
+    """Request an update of the configuration from version ``since``, from byte ``offset`` on.
+
+    ``version`` is the version that the pieces received so far lead to, 0 if there are none yet. If
+    the receiver has a newer one, it sends that update from its start.
+    """
+
+    SINCE_LEVEL: ClassVar[int] = PIECES
+
+    since: Natural
+    version: Natural
+    offset: Natural
+
+
+class ConfigurationPiece(Message, frozen=True, tag=41):
+    """Send the bytes from ``offset`` on of an update of the configuration that has ``size`` bytes.
+
+    The update leads from version ``since`` to ``version``, and has all objects if ``since`` is 0
+    (see ``railsail.configuration.updates``).
+    """
+
+    SINCE_LEVEL: ClassVar[int] = PIECES
+
+    since: Natural
+    version: Natural
+    size: Natural
+    offset: Natural
+    body: Blob
+
+
 AnyMessage = (
     Heartbeat
     | MemberNews
@@ -503,4 +533,6 @@
     | StreamBegun
     | StreamQuery
     | StreamReply
+    | ConfigurationRequest
+    | ConfigurationPiece
 )
--- a/railsail/store/proofs.py
+++ b/railsail/store/proofs.py
@@ -13,7 +13,7 @@
 
 from railsail.peers.hub import PeerHub
 from railsail.peers.link import Identity
-from railsail.peers.messages import ProofNews, StateRequest
+from railsail.peers.messages import ProofNews
 from railsail.peers.records import ProofRecord
 from railsail.store.freshness import Freshness, Proof
 
@@ -30,7 +30,8 @@
 
     ``max_wait`` returns the maximum wait of a watch of a kind, in seconds.
     ``configuration_version`` returns the version of the active configuration, and
-    ``configuration_kind`` is the kind of its objects.
+    ``configuration_kind`` is the kind of its objects. ``configuration_announced`` is called with a
+    node that has a newer one, and that version.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         max_wait: Callable[[str], float],
         configuration_kind: str,
         configuration_version: Callable[[], int],
+        configuration_announced: Callable[[str, int], None],
         neighbours: Callable[[], Iterable[str]],
         hub: PeerHub,
     ) -> None:
@@ -46,6 +48,7 @@
         self._max_wait = max_wait
         self._configuration_kind = configuration_kind
         self._configuration_version = configuration_version
+        self._configuration_announced = configuration_announced
         self._neighbours = neighbours
         self._hub = hub
         # By neighbour and kind: the time of the newest proof that it has, as far as known here.
@@ -74,7 +77,7 @@
         proofs = [Proof(r.kind, r.version, sent_at - r.age / 1000) for r in update.proofs]
         self._proved_at[node].update({proof.kind: proof.at for proof in proofs})
         if update.configuration > self._configuration_version():
-            self._hub.send(node, StateRequest(self._configuration_version()))
+            self._configuration_announced(node, update.configuration)
             proofs = [proof for proof in proofs if proof.kind != self._configuration_kind]
         newer = [proof for proof in proofs if self._freshness.record(proof)]
         if newer:
--- a/tests/configuration/test_spreading.py
+++ b/tests/configuration/test_spreading.py
@@ -5,11 +5,11 @@
 from dataclasses import replace
 
 from railsail.configuration.spreading import ANNOUNCE_DELAY_SECONDS, ConfigurationSpread
+from railsail.configuration.updates import Update, announcement
 from railsail.membership.table import MemberTable
-from railsail.peers.messages import ConfigurationNews
 from tests.membership.test_table import member
 
-UPDATE = ConfigurationNews(0, 7, b"{}")
+UPDATE = Update(0, 7, b"{}")
 
 
 class Membership:
@@ -27,16 +27,18 @@
 
 class SpreadTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.sent: list[tuple[str, ConfigurationNews]] = []
+        self.sent: list[tuple[str, Update]] = []
 
-    def send(self, node: str, message: ConfigurationNews) -> bool:
-        self.sent.append((node, message))
-        return True
+    def send(self, node: str, update: Update) -> None:
+        self.sent.append((node, update))
+
+    def announce(self, node: str, version: int) -> None:
+        self.sent.append((node, announcement(version)))
 
     def spread(self, **regions: str) -> ConfigurationSpread:
         return ConfigurationSpread(Membership(**regions), self)
 
-    async def announced(self) -> list[tuple[str, ConfigurationNews]]:
+    async def announced(self) -> list[tuple[str, Update]]:
         self.sent.clear()
         await asyncio.sleep(2 * ANNOUNCE_DELAY_SECONDS)
         return self.sent
@@ -49,13 +51,13 @@
     async def test_neighbours_in_other_regions_are_sent_the_version(self):
         self.spread(a="north", b="south").send(UPDATE)
         self.assertEqual(self.sent, [("a", UPDATE)])
-        self.assertEqual(await self.announced(), [("b", ConfigurationNews(7, 7, b""))])
+        self.assertEqual(await self.announced(), [("b", announcement(7))])
 
     async def test_versions_in_quick_succession_are_announced_once(self):
         spread = self.spread(b="south")
         spread.send(UPDATE)
-        spread.send(ConfigurationNews(0, 9, b"{}"))
-        self.assertEqual(await self.announced(), [("b", ConfigurationNews(9, 9, b""))])
+        spread.send(Update(0, 9, b"{}"))
+        self.assertEqual(await self.announced(), [("b", announcement(9))])
 
     async def test_source_in_another_region_is_not_sent_the_configuration(self):
         self.spread(a="north", b="south").send(UPDATE, "b")
--- a/tests/store/test_proofs.py
+++ b/tests/store/test_proofs.py
@@ -47,6 +47,7 @@
             lambda kind: MAX_WAIT_SECONDS,
             CONFIGURATION,
             lambda: self.version,
+            lambda node, version: self.hub.send(node, StateRequest(self.version)),
             lambda: NEIGHBOURS,
             self.hub,
         )
