peers: a message out of bounds no longer ends its link

All that was queued on the link was lost with it, tickets and answers of other requests too, and what was too long was sent again on the next link.

Cause: a frame with one invalid message was refused whole, and its link closed. The same cause on related paths: lists of records (2,000 members, 5,000 replicas, 1,000 evacuated domains, 2,000 sums and counters, 1,000 rollouts and crashes) had bounds at the receiver and none at the sender; all messages queued in one turn went out as one frame, whatever its length.

Now a receiver leaves out just the message that is invalid, and a sender leaves out what is too long for a frame, or out of the bounds of a peer of an older build, which would end the link. Both are counted (railsail_peer_messages_refused_total) and logged. Lists whose parts are merged one by one are sent in parts; queued messages are sent in as many frames as they need; an entry keeps the counters of 2,000 workspaces of a cell at most, as many as a resync carries.

Left: a resync of more than 5,000 tickets or calls, which queue_total above its default of 1,024 would allow, and rollout evidence of more than 2,000 tallies are left out, with a log line.

--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -101,6 +101,10 @@
             "railsail_configuration_unusable_objects",
             "Objects of the configuration in force that this node cannot use, by kind.",
         )
+        self.peer_messages_refused = self._counter(
+            "railsail_peer_messages_refused_total",
+            "Messages that were out of bounds, by kind and side (sent or received).",
+        )
         self.proof_age = self._gauge(
             "railsail_store_proof_age_seconds",
             "How long the store may have had changes that this node doesn't have, by kind.",
--- a/railsail/dispatch/entry.py
+++ b/railsail/dispatch/entry.py
@@ -36,6 +36,9 @@
 from railsail.scheduling.room import LONG_PREFIX_TOKENS
 
 RESYNC_INTERVAL_SECONDS = 10.0
+# Counters of workspaces that are kept of a cell, those of the newest grants. A resync has room for
+# as many.
+MAX_COUNTERS = 2000
 # A dispatcher's refusal can arrive this long after the wait has ended: the dispatcher has to check
 # its queue, and the message has to travel to the entry.
 DECISION_SECONDS = 0.025
@@ -353,7 +356,10 @@
         call.charged = float(round(call.want.estimate))
         call.granted_at = self._clock.monotonic()
         counters = self._counters.setdefault(call.cell, {})
+        counters.pop(call.want.workspace, None)
         counters[call.want.workspace] = message.counter
+        if len(counters) > MAX_COUNTERS:
+            del counters[next(iter(counters))]
         self._events.emit(
             Kind.GRANTED,
             request=call.want.request_id,
--- a/railsail/peers/codec.py
+++ b/railsail/peers/codec.py
@@ -5,6 +5,8 @@
 line.
 """
 
+import typing
+
 import cbor2
 import msgspec
 
@@ -29,6 +31,16 @@
     all: list[AnyMessage]
 
 
+class InvalidMessage(msgspec.Struct, frozen=True):
+    """A message that is out of bounds or not known: its kind, and what is wrong."""
+
+    kind: str
+    problem: str
+
+
+_KINDS = {kind.__struct_config__.tag: kind.__name__ for kind in typing.get_args(AnyMessage)}
+
+
 def encode_message(message: Message, level: int = NEWEST) -> bytes:
     """Return ``message`` as one CBOR item that peers of ``level`` can read."""
     if level < NEWEST:
@@ -74,6 +86,20 @@
         raise ProtocolError(f"invalid message: {problem}") from None
 
 
+def parse_each(items: list) -> list[AnyMessage | InvalidMessage]:
+    """Return the messages of a loaded frame, with an ``InvalidMessage`` for each invalid one."""
+    return [_parse_one(item) for item in items[1:]]
+
+
+def _parse_one(item: object) -> AnyMessage | InvalidMessage:
+    try:
+        return msgspec.convert([[item]], _Messages).all[0]
+    except msgspec.ValidationError as problem:
+        number = item[0] if isinstance(item, list) and item else None
+        kind = _KINDS.get(number, "unknown") if isinstance(number, int) else "unknown"
+        return InvalidMessage(kind, str(problem))
+
+
 def decode_handshake(data: bytes) -> AnyHandshake:
     """Return a message of the handshake; raise ``ProtocolError`` if it is invalid."""
     try:
--- a/railsail/peers/hub.py
+++ b/railsail/peers/hub.py
@@ -122,7 +122,8 @@
             self.dial(node)
             return False
         self._used_at[node] = self._clock.monotonic()
-        links[-1].send(message)
+        for part in message.split():
+            links[-1].send(part)
         return True
 
     def connected(self, node: str) -> bool:
--- a/railsail/peers/link.py
+++ b/railsail/peers/link.py
@@ -6,24 +6,29 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import cbor2
 import msgspec
 from websockets.exceptions import ConnectionClosed
 
 from railsail.core.events import EventLog
 from railsail.core.exceptions import PeerRefused, ProtocolError
+from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
 from railsail.peers import auth
 from railsail.peers.base import PROTOCOL_VERSION, Message
 from railsail.peers.codec import (
+    MAX_FRAME_BYTES,
     TIME_MODULUS,
+    InvalidMessage,
     decode_handshake,
     encode_message,
     join_frame,
     load_frame,
+    parse_each,
     parse_messages,
 )
 from railsail.peers.handshake import Accept, Challenge, Join
-from railsail.peers.levels import QUARANTINE, inferred_level, negotiated_level
+from railsail.peers.levels import PIECES, QUARANTINE, inferred_level, negotiated_level
 from railsail.peers.messages import AnyMessage
 
 MAX_QUEUED_MESSAGES = 10_000
@@ -31,6 +36,8 @@
 # Longest delay of a message that may share a frame with later ones. A shared frame saves the
 # headers of a frame and of a packet.
 BATCH_SECONDS = 0.1
+# Messages of one frame, whose head takes some bytes as well.
+MAX_BATCH_BYTES = MAX_FRAME_BYTES - 64
 _MS_SHIFT = 16
 _HALF_TIME_MODULUS = 1 << 15
 
@@ -123,13 +130,18 @@
     def send(self, message: Message) -> None:
         """Queue ``message``; a link whose queue overflows is closed.
 
-        A message that the peer's build does not know is dropped.
+        A message that the peer's build does not know is dropped, and so is one that is out of the
+        peer's bounds, since that would end the link with all that is queued on it.
         """
         if self.level < message.SINCE_LEVEL:
             return
         if len(self._queue) >= MAX_QUEUED_MESSAGES:
             self._overflowed = True
         encoded = encode_message(message, self.level)
+        problem = self._out_of_bounds(encoded)
+        if problem:
+            self._report_refused(type(message).__name__, "sent", problem)
+            return
         kind = {"kind": type(message).__name__}
         self._metrics.peer_messages.inc(kind)
         self._metrics.peer_bytes.add(kind, len(encoded))
@@ -139,6 +151,22 @@
         elif len(self._queue) == 1:
             asyncio.get_running_loop().call_later(BATCH_SECONDS, self._wake.set)
 
+    def _out_of_bounds(self, encoded: bytes) -> str:
+        """Return why the peer cannot take a message, empty if it can."""
+        if len(encoded) > MAX_BATCH_BYTES:
+            return f"{len(encoded)} bytes are too long for a frame"
+        if self.level >= PIECES:
+            # Such peers refuse a single message without ending the link.
+            return ""
+        (message,) = parse_each([0, cbor2.loads(encoded)])
+        return message.problem if isinstance(message, InvalidMessage) else ""
+
+    def _report_refused(self, kind: str, side: str, problem: str) -> None:
+        self._metrics.peer_messages_refused.inc({"kind": kind, "side": side})
+        get_logger().warning(
+            "message refused", peer=self.peer.node, kind=kind, side=side, reason=problem
+        )
+
     async def run(self, receive: Callable[[AnyMessage], None]) -> None:
         """Send and receive until the link ends."""
         writer = asyncio.ensure_future(self._write())
@@ -165,26 +193,46 @@
                 if self.level < QUARANTINE:
                     self.level = inferred_level(items)
                 self._observe_time(items[0] % TIME_MODULUS)
-                for message in parse_messages(items):
+                for message in self._parse(items):
                     receive(message)
 
+    def _parse(self, items: list) -> list[AnyMessage]:
+        """Return the valid messages of a frame; the others are reported and left out."""
+        try:
+            return parse_messages(items)
+        except ProtocolError:
+            parsed = parse_each(items)
+        for message in parsed:
+            if isinstance(message, InvalidMessage):
+                self._report_refused(message.kind, "received", message.problem)
+        return [message for message in parsed if not isinstance(message, InvalidMessage)]
+
     async def _write(self) -> None:
         with contextlib.suppress(ConnectionClosed, OSError):
             while not self._overflowed:
                 await self._wake.wait()
                 self._wake.clear()
-                encoded = list(self._queue)
-                self._queue.clear()
-                if not encoded:
-                    continue
-                frame = join_frame(self._events.hybrid.tick() >> _MS_SHIFT, encoded)
-                self._metrics.peer_bytes.add(
-                    {"kind": "frame"},
-                    len(frame) - sum(map(len, encoded)) + _frame_header_bytes(len(frame)),
-                )
-                await self._socket.send(frame)
+                while self._queue:
+                    await self._send_frame(self._next_batch())
         await self.close()
 
+    def _next_batch(self) -> list[bytes]:
+        """Return the queued messages that fit into one frame, and remove them from the queue."""
+        batch = [self._queue.popleft()]
+        size = len(batch[0])
+        while self._queue and size + len(self._queue[0]) <= MAX_BATCH_BYTES:
+            batch.append(self._queue.popleft())
+            size += len(batch[-1])
+        return batch
+
+    async def _send_frame(self, encoded: list[bytes]) -> None:
+        frame = join_frame(self._events.hybrid.tick() >> _MS_SHIFT, encoded)
+        self._metrics.peer_bytes.add(
+            {"kind": "frame"},
+            len(frame) - sum(map(len, encoded)) + _frame_header_bytes(len(frame)),
+        )
+        await self._socket.send(frame)
+
     def _observe_time(self, time_ms: int) -> None:
         # The frame has the peer's time modulo 2**16 ms. The value nearest to our time is assumed.
         own = self._events.hybrid.tick() >> _MS_SHIFT
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -32,6 +32,11 @@
 # Maximum number of replicas that one ticket excludes, which is that of the replicas of a cell.
 MOST_EXCLUDED = 64
 
+# Records of the lists that are sent in parts. A record of a replica's end may have thousands of
+# requests, so that a part has fewer of them.
+_RECORDS_PER_PART = 1000
+_ENDS_PER_PART = 10
+
 # For peers below the level ``QUARANTINE``: the results of calls to send in place of those that they
 # do not know. An answer that broke off becomes an error, and a caller that left becomes no result.
 _RESULTS_BEFORE_QUARANTINE = {4: 2, 5: 0}
@@ -59,6 +64,8 @@
 class MemberNews(Message, frozen=True, tag=2):
     """Send the records of members that are new to the sender, or all."""
 
+    PART_LENGTHS: ClassVar[Mapping[str, int]] = {"members": _RECORDS_PER_PART}
+
     members: Annotated[list[MemberRecord], msgspec.Meta(max_length=2000)]
 
 
@@ -71,6 +78,11 @@
 class UpstreamNews(Message, frozen=True, tag=4):
     """Send the records of replicas and failure domains that are new to the sender, or all."""
 
+    PART_LENGTHS: ClassVar[Mapping[str, int]] = {
+        "upstreams": _RECORDS_PER_PART,
+        "domains": _RECORDS_PER_PART,
+    }
+
     upstreams: Annotated[list[UpstreamRecord], msgspec.Meta(max_length=5000)]
     domains: Annotated[list[DomainRecord], msgspec.Meta(max_length=1000)] = []
 
@@ -91,6 +103,7 @@
     """Send the crashes of replicas that are new to the sender, or all."""
 
     SINCE_LEVEL: ClassVar[int] = QUARANTINE
+    PART_LENGTHS: ClassVar[Mapping[str, int]] = {"ends": _ENDS_PER_PART}
 
     ends: Annotated[list[ReplicaEndRecord], msgspec.Meta(max_length=1000)]
 
@@ -113,6 +126,7 @@
     """Send the rollouts whose order or state is new to the sender, or all."""
 
     SINCE_LEVEL: ClassVar[int] = ROLLOUTS
+    PART_LENGTHS: ClassVar[Mapping[str, int]] = {"rollouts": _RECORDS_PER_PART}
 
     rollouts: Annotated[list[RolloutRecord], msgspec.Meta(max_length=1000)]
 
@@ -272,6 +286,7 @@
     """
 
     SHARES_FRAME: ClassVar[bool] = True
+    PART_LENGTHS: ClassVar[Mapping[str, int]] = {"totals": _RECORDS_PER_PART}
 
     pool: Text
     epoch: Natural
@@ -285,6 +300,7 @@
     """
 
     SHARES_FRAME: ClassVar[bool] = True
+    PART_LENGTHS: ClassVar[Mapping[str, int]] = {"totals": _RECORDS_PER_PART}
 
     pool: Text
     root: Text
@@ -375,6 +391,8 @@
 class HandedOver(Message, frozen=True, tag=34):
     """Transfer the counters of a cell and its virtual time to the node that now dispatches it."""
 
+    PART_LENGTHS: ClassVar[Mapping[str, int]] = {"counters": _RECORDS_PER_PART}
+
     pool: Text
     cell: Natural
     counters: Annotated[list[CounterRecord], msgspec.Meta(max_length=2000)]
