configuration: showed operators which objects cannot be used, and varied the tests' configurations

Why no test had found the fault: the operator of the stand-ins wrote only what its author thought of.

--- a/railsail/admin/status.py
+++ b/railsail/admin/status.py
@@ -57,6 +57,10 @@
         "version": node.carrier.catalog.version,
         "version_seen": node.carrier.version_seen,
         "behind_ms": round(node.carrier.behind_seconds * 1000),
+        "unusable": [
+            {"object": unusable.label, "problem": unusable.problem}
+            for _, unusable in sorted(node.carrier.catalog.unusable.items())
+        ],
         "store_reachable": node.watcher.reachable,
         "proof_age_ms": {kind: round(age * 1000) for kind, age in node.freshness.ages().items()},
         "requests": node.admission.total,
--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -9,6 +9,7 @@
 from railsail.core.fingerprints import PART
 from railsail.core.outcomes import Reason
 
+_UNUSABLE = Reason.UNUSABLE_CONFIGURATION
 # How long before the request a daemon's state events are still shown.
 STATE_LOOKBACK_SECONDS = 5.0
 _STATE_KINDS = frozenset(
@@ -54,14 +55,37 @@
         for line in all_lines
         if line.event in _STATE_KINDS and line.node in nodes and since <= line.seconds <= until
     ]
+    unusable_lines = [
+        line for line in _unusable_lines(request_lines, all_lines) if line not in state_lines
+    ]
     trace_lines = sorted(
-        [*request_lines, *ticket_lines, *state_lines], key=lambda line: (line.stamp, line.node)
+        [*request_lines, *ticket_lines, *state_lines, *unusable_lines],
+        key=lambda line: (line.stamp, line.node),
     )
     return RequestTrace(
-        trace_lines, explain_cause(request_lines, ticket_lines), _describe_missing_lines(all_lines)
+        trace_lines,
+        explain_cause(request_lines, ticket_lines, unusable_lines),
+        _describe_missing_lines(all_lines),
     )
 
 
+def _unusable_lines(request_lines: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
+    """Return the lines about objects that could not be used when the request was refused for one.
+
+    Such an object may have come into force long before.
+    """
+    refused = [line for line in request_lines if line.facts.get("reason") == _UNUSABLE]
+    if not refused:
+        return []
+    end = refused[-1]
+    newest: dict[object, LogLine] = {}
+    for line in lines:
+        before = line.node == end.node and line.stamp <= end.stamp
+        if before and line.event == Kind.CONFIGURATION and "object" in line.facts:
+            newest[line.facts["object"]] = line
+    return [line for line in newest.values() if line.facts.get("state") == "unusable"]
+
+
 def _attempts_at_stream(request: str, lines: list[LogLine]) -> set[str]:
     """Return ``request`` and the other requests for the same stream, from its start or resumed."""
     resumed_by = {
@@ -71,20 +95,29 @@
     return {request, start, *(name for name, first in resumed_by.items() if first == start)}
 
 
-def explain_cause(request_lines: list[LogLine], ticket_lines: list[LogLine]) -> str:
+def explain_cause(
+    request_lines: list[LogLine], ticket_lines: list[LogLine], unusable_lines: list[LogLine]
+) -> str:
     """Return why the request ended as it did, in a few sentences.
 
-    ``request_lines`` are the lines of the request, ``ticket_lines`` those about its tickets.
+    ``request_lines`` are the lines of the request, ``ticket_lines`` those about its tickets, and
+    ``unusable_lines`` those about objects of the configuration that cannot be used.
     """
     end_lines = [line for line in request_lines if line.event == Kind.ENDED]
     if not end_lines:
         return "it has no end here: its daemon was killed meanwhile, or it still runs"
-    return " ".join(
+    explanations = [
         _explain_end(
             end, [line for line in request_lines if line.request == end.request], ticket_lines
         )
         for end in end_lines
-    )
+    ]
+    explanations += [
+        f"{line.facts['object']} cannot be used since version {line.facts.get('version')}: "
+        f"{line.facts.get('detail')}."
+        for line in unusable_lines
+    ]
+    return " ".join(explanations)
 
 
 def _explain_end(end: LogLine, request_lines: list[LogLine], ticket_lines: list[LogLine]) -> str:
--- a/tests/platform/operator.py
+++ b/tests/platform/operator.py
@@ -10,6 +10,8 @@
 
 # Each version adds a route and a key; so many versions later it is taken away again.
 KEPT_VERSIONS = 8
+# Each so many versions, the operator writes one that is out of the usual form or size.
+ODD_VERSIONS = 3
 FIRST_VERSION = 3
 # Statuses with which a node says that there is no such route or key.
 REFUSED_AS_WRONG = frozenset({401, 403, 404})
@@ -26,6 +28,24 @@
     return f"the-key-of-{version}"
 
 
+def odd_shape(version: int) -> tuple[list[dict], list[dict]]:
+    """Return tenants and routes that ``version`` has beside the usual ones, of many sizes."""
+    rng = random.Random(version)
+    prefix = rng.choice(["Customer.", "ärikliendid ", "x" * 200])
+    tenants = [
+        {"name": f"{prefix}{number}", "api_keys": [f"odd-{number}-{key}" for key in range(count)]}
+        for number, count in enumerate((0, 65, rng.choice([200, 3000, 12_000])))
+    ]
+    # Objects that no build can use, and that must not hold back the others.
+    tenants += [{"name": "a\nb", "api_keys": ["nobody"]}, {"name": 7, "api_keys": "none"}]
+    routes = [
+        {"name": "Wide", "path_prefix": f"/odd/{number}/", "priority": rng.choice([0, 5000])}
+        for number in range(rng.choice([1, 100, 1500]))
+    ]
+    routes[0]["backends"] = [{"service": "desk", "weight": share} for share in range(81)]
+    return tenants, routes
+
+
 class Operator:
     """Change the configuration; times are those of the event loop."""
 
@@ -50,6 +70,10 @@
             value["routes"].append(like | added)
             value["tenants"][0]["api_keys"].append(key_of(version))
         value["tenants"] += self._tenants
+        if self.version % ODD_VERSIONS == 0:
+            tenants, routes = odd_shape(self.version)
+            value["tenants"] += tenants
+            value["routes"] += [like | route for route in routes]
         now = asyncio.get_running_loop().time()
         self.sent_at[self.version] = now
         self._store.put("config", "main", value)
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -5,13 +5,14 @@
 import unittest
 from unittest import mock
 
+from railsail.admin.status import status
 from railsail.cli.explain import RequestTrace, trace_request
 from railsail.cli.loglines import parse_line
 from railsail.core.decisions import DecisionLog, line_fields
 from railsail.core.fingerprints import fingerprint_name, part_fingerprint
 from railsail.node import Node
 from railsail.routing import outcome_recorder
-from tests.platform.base import LONGEST_SECONDS, PlatformTestCase
+from tests.platform.base import LONGEST_SECONDS, PlatformTestCase, configuration
 from tests.platform.crashing import AnswerShape, crashing_on
 from tests.platform.standins import answering, closing, hanging, streaming
 
@@ -55,6 +56,24 @@
         for call in first:
             call.cancel()
 
+    async def test_request_of_a_tenant_that_cannot_be_used(self):
+        node = await self.serve(answering())
+        long_name = {"name": "x" * 300, "api_keys": ["a-key"]}
+        value = configuration(5)
+        self.store.put("config", "main", value | {"tenants": [*value["tenants"], long_name]})
+        await self.until(lambda: node.carrier.catalog.version == 5)
+        self.store.put("config", "main", value | {"version": 6, "tenants": [long_name]})
+        await self.until(lambda: node.carrier.catalog.version == 6)
+        with mock.patch("railsail.cli.explain.STATE_LOOKBACK_SECONDS", 0.0):
+            await self.call(node, "/once/", Authorization="Bearer a-key")
+            story = self.story()
+        self.assertIn("cannot be used since version 5", story.cause)
+        self.assertIn(".name: Expected 1 to 256 printable characters", story.cause)
+        (line,) = [line for line in story.lines if line.facts.get("state") == "unusable"]
+        self.assertEqual(line.facts["version"], 5)
+        rows = status(node)["unusable"]
+        self.assertEqual([row["object"] for row in rows], [line.facts["object"]])
+
     async def test_lost_answer_of_a_request_that_may_not_be_repeated(self):
         node = await self.serve(closing())
         answer = await self.call(node, "/once/")
