--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import math
 import random
 from collections.abc import Callable
 
@@ -20,6 +19,7 @@
     restore_steps,
     snapshot,
 )
+from railsail.configuration.held import Held
 from railsail.configuration.repository import (
     HEAD,
     KEPT_CHANGES,
@@ -28,11 +28,10 @@
     ConfigurationRepository,
 )
 from railsail.configuration.updates import Update, UpdateHistory, announcement, update_between
-from railsail.core.events import EventLog, Fact, Kind
+from railsail.core.events import EventLog, Kind
 from railsail.core.exceptions import ImproperlyConfigured, StoreUnavailable
 from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
-from railsail.core.outcomes import NotRun, Reason
 from railsail.core.slices import Steps, run_at_once, run_slice, run_sliced
 from railsail.core.tasks import TaskSet
 from railsail.objects.catalog import Catalog
@@ -56,42 +55,6 @@
 Listener = Callable[[Catalog], None]
 
 
-class Held(msgspec.Struct, frozen=True):
-    """Which version of the configuration is active here, and since when it may be outdated.
-
-    ``source`` is the peer that sent it, or the store. The store can have had a newer version for at
-    most ``proof_age`` seconds, infinite if that is unknown. While the store can be read, a proof is
-    at most ``max_proof_age`` seconds old.
-    """
-
-    version: int
-    source: str
-    proof_age: float
-    max_proof_age: float
-
-    @property
-    def proved(self) -> bool:
-        """Return True if the proof that this is the newest version is recent."""
-        return self.proof_age <= self.max_proof_age
-
-    def refusal(self, reason: Reason, detail: str) -> NotRun:
-        """Return the outcome of a request that this configuration does not allow.
-
-        Callers take ``reason`` as final. Unless this version is proved, another reason is given,
-        since another node may have a newer configuration that allows the request.
-        """
-        if self.proved:
-            return NotRun(reason, detail)
-        return NotRun(Reason.UNPROVED_CONFIGURATION, f"{detail} here, and this node may be behind")
-
-    def facts(self) -> dict[str, Fact]:
-        """Return the fields as facts of an event."""
-        facts: dict[str, Fact] = {"configuration": self.version, "source": self.source}
-        if math.isfinite(self.proof_age):
-            facts["proof_age_ms"] = round(self.proof_age * 1000)
-        return facts
-
-
 class ConfigurationCarrier:
     """The active configuration: newer ones replace it and are forwarded to peers.
 
@@ -211,17 +174,19 @@
         """
         backoff = Backoff(self._rng, INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
         while self._pending is not None:
+            head = self._pending
             try:
                 if steps is not None:
                     self.committed(await run_sliced(steps))
                 else:
-                    self.committed(await self._repository.resolve(self._pending, self.catalog))
+                    self.committed(await self._repository.resolve(head, self.catalog))
             except StoreUnavailable as problem:
                 get_logger().warning("configuration could not be read", reason=str(problem))
                 await asyncio.sleep(backoff.pause())
             except _INVALID_ERRORS as problem:
-                self.report_rejected(_head_version(self._pending), STORE, problem)
-                break
+                self.report_rejected(_head_version(head), STORE, problem)
+                if self._pending is head:
+                    break
             steps = None
         self._reading = False
 
@@ -320,28 +285,30 @@
             source=self._source,
             unusable=len(self.catalog.unusable),
         )
-        new = [
-            unusable
-            for key, unusable in sorted(self.catalog.unusable.items())
-            if previous.unusable.get(key) != unusable
+        self._report_unusable(previous)
+
+    def _report_unusable(self, previous: Catalog) -> None:
+        """Log the objects that cannot be used since this version, and those that can be again."""
+        unusable = [
+            found
+            for key, found in sorted(self.catalog.unusable.items())
+            if previous.unusable.get(key) != found
         ]
-        for unusable in new[:MAX_LOGGED_OBJECTS]:
-            self._events.emit(
-                Kind.CONFIGURATION,
-                unusable.problem,
-                notable=True,
-                state="unusable",
-                object=unusable.label,
-                version=self.catalog.version,
-            )
-        for key in sorted(previous.unusable.keys() - self.catalog.unusable.keys()):
-            self._events.emit(
-                Kind.CONFIGURATION,
-                "it can be used again, or is gone",
-                state="usable",
-                object="/".join(key),
-                version=self.catalog.version,
-            )
+        for found in unusable[:MAX_LOGGED_OBJECTS]:
+            self._report_object(found.label, "unusable", found.problem)
+        usable = sorted(previous.unusable.keys() - self.catalog.unusable.keys())
+        for key in usable[:MAX_LOGGED_OBJECTS]:
+            self._report_object("/".join(key), "usable", "it can be used again, or is gone")
+
+    def _report_object(self, label: str, state: str, detail: str) -> None:
+        self._events.emit(
+            Kind.CONFIGURATION,
+            detail,
+            notable=True,
+            state=state,
+            object=label,
+            version=self.catalog.version,
+        )
 
     def news_since(self, version: int) -> ConfigurationNews | None:
         """Return an update for a peer at ``version`` whose build does not know pieces of updates.
--- a/railsail/gateway/app.py
+++ b/railsail/gateway/app.py
@@ -6,7 +6,7 @@
 
 from tornado.web import Application, RequestHandler
 
-from railsail.configuration.carrier import Held
+from railsail.configuration.held import Held
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Reason, Unknown
