platform: numbered routes of one name in a time that grows with their number

The number of a repeated name was looked for from 2 on, so that 3,500 routes of one name took millions of lookups without a pause.

--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -208,7 +208,7 @@
     """Yield the services and routes of a configuration in their stored form."""
     for service in _decoded(given.services, ServiceSpec, Pool.KIND):
         yield _converted(service, _pool)
-    names: set[str] = set()
+    names: dict[str, int] = {}
     for route in _decoded(given.routes, RouteSpec, Route.KIND):
         stored = _converted(route, _route)
         # Routes are told apart by host and path, and two of them may have the same name.
@@ -248,13 +248,15 @@
     return stored
 
 
-def _unused_name(name: str, used: set[str]) -> str:
-    """Return ``name``, or with a number after it if it is ``used``, and add it to those."""
-    candidate, number = name, 2
-    while candidate in used:
-        candidate, number = f"{name}#{number}", number + 1
-    used.add(candidate)
-    return candidate
+def _unused_name(name: str, counts: dict[str, int]) -> str:
+    """Return ``name``, or with a number after it if it was returned before.
+
+    ``counts`` says how often each name was asked for.
+    """
+    counts[name] = counts.get(name, 0) + 1
+    if counts[name] == 1:
+        return name
+    return _unused_name(f"{name}#{counts[name]}", counts)
 
 
 def _by_name(tenants: Iterator[Any]) -> list[Any]:
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -9,6 +9,7 @@
 from railsail.core.slices import run_at_once
 from railsail.objects.catalog import hash_key
 from railsail.objects.checks import check_catalog
+from railsail.objects.kinds import Route
 from railsail.platform.objects import configuration_steps, replica_value
 
 
@@ -98,6 +99,18 @@
         self.assertEqual((first.priority, second.priority), (0, None))
         self.assertEqual(second.key_hashes, ())
 
+    def test_routes_of_one_name_and_tenants_of_one_name_do_not_hide_each_other(self):
+        like = SPEC["routes"][1]
+        routes = [like | {"path_prefix": f"/{number}/"} for number in range(2000)]
+        routes.append(like | {"name": "r-2#2", "path_prefix": "/x/"})
+        tenants = [{"name": "t", "api_keys": ["k1"]}, {"name": "t", "api_keys": ["k2"]}]
+        spec = {"version": 1, "routes": routes, "tenants": tenants}
+        objects = configuration_value(json.dumps(spec).encode())["objects"]
+        catalog = run_at_once(restore_steps(Snapshot(1, tuple(objects))))
+        prefixes = {route.prefix for route in catalog.of_kind(Route)}
+        self.assertEqual(prefixes, {route["path_prefix"] for route in routes})
+        self.assertEqual(catalog.workspace("t").key_hashes, (hash_key("k1"), hash_key("k2")))
+
     def test_invalid_configuration_raises(self):
         for spec in (b"{", b"[]", b'{"routes": []}', b'{"version": "x"}'):
             with self.subTest(spec=spec), self.assertRaises(msgspec.DecodeError):
