docs: said what ends a link between daemons, and what is left out

The page of the protocol still said that one invalid message ends the link. The tests of large configurations take theirs from the benchmark, which makes the same ones.

--- a/railsail/configuration/exchange.py
+++ b/railsail/configuration/exchange.py
@@ -13,11 +13,12 @@
 import msgspec
 
 from railsail.configuration.carrier import ConfigurationCarrier
-from railsail.configuration.updates import Update, apply_steps, whole_steps
+from railsail.configuration.updates import Update, announcement, apply_steps, whole_steps
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
-from railsail.core.slices import run_slice, run_sliced
+from railsail.core.slices import Steps, run_slice, run_sliced
 from railsail.core.tasks import TaskSet
+from railsail.objects.catalog import Catalog
 from railsail.peers.hub import PeerHub
 from railsail.peers.levels import PIECES
 from railsail.peers.messages import (
@@ -107,10 +108,7 @@
             self.send(node, self._update_since(version))
 
     def send(self, node: str, update: Update) -> None:
-        """Send ``node`` an update if it is small, or else announce its version.
-
-        The whole configuration is announced with an empty update.
-        """
+        """Send ``node`` an update if it is small and not empty, or else announce its version."""
         if self._hub.connected(node) and not self._hub.speaks(node, PIECES):
             news = self._carrier.news_since(update.since if update.body else 0)
             if news is not None:
@@ -132,7 +130,7 @@
         newest = self._carrier.catalog.version
         update = self._carrier.history.since(version)
         if update is None or update.version != newest:
-            return Update(newest, newest, b"")
+            return announcement(newest)
         return update
 
     def _handle_news(self, node: str, news: ConfigurationNews) -> None:
@@ -196,7 +194,7 @@
         self._applying = True
         self._tasks.start(self._apply(node, update, steps))
 
-    async def _apply(self, node: str, update: Update, steps) -> None:
+    async def _apply(self, node: str, update: Update, steps: Steps[Catalog]) -> None:
         try:
             self._carrier.activate(await run_sliced(steps), node)
         except (ValueError, msgspec.DecodeError) as problem:
--- a/railsail/peers/reference.py
+++ b/railsail/peers/reference.py
@@ -7,7 +7,7 @@
 
 from railsail.peers.base import PROTOCOL_VERSION, Message
 from railsail.peers.handshake import AnyHandshake
-from railsail.peers.levels import OLDEST, QUARANTINE
+from railsail.peers.levels import OLDEST, PIECES, QUARANTINE
 from railsail.peers.messages import AnyMessage
 
 _HEAD = f"""# The protocol between daemons, version {PROTOCOL_VERSION}
@@ -16,8 +16,9 @@
 over both nonces that they know the peer secret; nothing else is read before. After that, each
 binary message is a frame: a CBOR array of the sender's logical time in milliseconds (modulo 65,536)
 and then messages. A message is an array of its number and its fields in order. A link is closed if
-a frame is longer than 1 MiB, is nested deeper than 8 levels, has an item of indefinite length, or
-has a message with a wrong type or number of fields.
+a frame is longer than 1 MiB, is nested deeper than 8 levels, or has an item of indefinite length. A
+message with a wrong type or number of fields, or with a value out of bounds, is left out and
+reported. Builds below level {PIECES} close the link then, and are sent no such message.
 
 Builds of several protocol levels can run side by side. The two sides of a link agree on the highest
 level that both speak, by the subprotocol of the websocket (`railsail.N`). A peer without a
--- a/tests/platform/test_large_configuration.py
+++ b/tests/platform/test_large_configuration.py
@@ -9,6 +9,7 @@
 import unittest
 from pathlib import Path
 
+from benchmarks.configurations import with_keys, with_routes
 from tests.platform.base import KEY, LONGEST_SECONDS, configuration
 from tests.platform.processes import Daemon, ProcessFleet
 from tests.platform.standins import TurnedAway
@@ -20,26 +21,8 @@
 # A change is to be in force so many seconds after it was confirmed.
 BOUND_SECONDS = 2.0
 LOOK_SECONDS = 0.02
-KEYS = 15_000
-ROUTES = 3500
 NEW_KEY = "a-new-key"
-TWO = {"name": "two", "api_keys": ["the-key-of-two"]}
-
-
-def with_keys(version: int, key: str) -> dict:
-    """Return a configuration of which one tenant has many keys, ``key`` among them."""
-    keys = [key, *(f"key-{number}" for number in range(KEYS))]
-    return configuration(version) | {"tenants": [{"name": "one", "api_keys": keys}, TWO]}
-
-
-def with_routes(version: int, key: str) -> dict:
-    """Return a configuration with many routes and one key."""
-    value = configuration(version, keys=[key])
-    like = value["routes"][1]
-    for number in range(ROUTES):
-        added = {"name": f"route-{number}", "path_prefix": f"/added/{number}/"}
-        value["routes"].append(like | added)
-    return value
+MAKERS = {"keys": with_keys(15_000), "routes": with_routes(3500)}
 
 
 class LargeConfigurationTests(unittest.IsolatedAsyncioTestCase):
@@ -80,8 +63,8 @@
         self.assertLess(max(seconds), BOUND_SECONDS)
 
     async def test_large_configurations_reach_daemons_that_the_store_does_not_answer(self):
-        for number, make in enumerate((with_keys, with_routes)):
-            with self.subTest(make=make.__name__):
+        for number, (name, make) in enumerate(MAKERS.items()):
+            with self.subTest(many=name):
                 for daemon in self.fleet.daemons[SERVED:]:
                     daemon.turn_away(TurnedAway.SILENT)
                 version = 5 + 10 * number
@@ -95,7 +78,7 @@
         await self.fleet.kill(late)
         for daemon in self.fleet.daemons[1:]:
             daemon.turn_away(TurnedAway.SILENT)
-        self.fleet.store.put("config", "main", with_keys(5, NEW_KEY))
+        self.fleet.store.put("config", "main", MAKERS["keys"](5, NEW_KEY))
         for daemon in told:
             await self.in_force_after(daemon, NEW_KEY, KEY)
         # The only one that the store has told.
