--- a/tests/configuration/test_carrier.py
+++ b/tests/configuration/test_carrier.py
@@ -116,6 +116,23 @@
         self.assertEqual(carrier.catalog.version, 4)
         self.assertTrue(carrier.caught_up())
 
+    async def test_newer_head_is_read_though_the_one_before_turns_out_to_be_invalid(self):
+        carrier = self.carrier()
+        asked, answered = asyncio.Event(), asyncio.Event()
+
+        async def get(store: FailingStore, kind: str, name: str) -> StoredObject:
+            asked.set()
+            await answered.wait()
+            return StoredObject(kind, name, 1, {"version": "none"})
+
+        with mock.patch.object(FailingStore, "get", get):
+            self.seen(carrier, BASE + 1)
+            await asked.wait()
+            self.seen(carrier, BASE + 2, base=0)
+            answered.set()
+            await self.until(lambda: carrier.catalog.version == BASE + 2)
+        self.assertTrue(carrier.caught_up())
+
     async def test_missing_changes_before_an_update_are_requested_from_its_sender(self):
         carrier = self.carrier()
         self.seen(carrier, 2, base=0)
