peers: closed a link whose queue overflows while a frame is being sent

It now stops at once, as it did when one frame took all. Test: OverflowTests; without the repair the queue is sent too.

--- a/railsail/peers/link.py
+++ b/railsail/peers/link.py
@@ -212,7 +212,7 @@
             while not self._overflowed:
                 await self._wake.wait()
                 self._wake.clear()
-                while self._queue:
+                while self._queue and not self._overflowed:
                     await self._send_frame(self._next_batch())
         await self.close()
 
--- a/tests/peers/test_bounds.py
+++ b/tests/peers/test_bounds.py
@@ -15,8 +15,8 @@
 from railsail.peers import hub as hub_module
 from railsail.peers.codec import MAX_FRAME_BYTES
 from railsail.peers.hub import PeerHub
-from railsail.peers.levels import PARTS
-from railsail.peers.link import Identity
+from railsail.peers.levels import NEWEST, PARTS
+from railsail.peers.link import MAX_QUEUED_MESSAGES, Identity, Link
 from railsail.peers.messages import (
     AnswerReply,
     AnyMessage,
@@ -145,5 +145,44 @@
                 self.assertEqual(found, expected | {"totals": SUMS})
 
 
+class SlowSocket:
+    """A connection whose peer reads nothing until ``reading`` is set."""
+
+    subprotocol = f"railsail.{NEWEST}"
+
+    def __init__(self) -> None:
+        self.sending = asyncio.Event()
+        self.reading = asyncio.Event()
+        self.closed = asyncio.Event()
+        self.frames = 0
+
+    async def send(self, data: bytes) -> None:
+        self.sending.set()
+        await self.reading.wait()
+        self.frames += 1
+
+    async def recv(self) -> bytes:
+        await self.closed.wait()
+        raise OSError("closed")
+
+    async def close(self) -> None:
+        self.closed.set()
+
+
+class OverflowTests(unittest.IsolatedAsyncioTestCase):
+    async def test_link_whose_queue_overflowed_is_closed_without_sending_the_queue(self):
+        socket = SlowSocket()
+        link = Link(socket, Identity("a", 1), EventLog("n", Clock()), Metrics())
+        running = asyncio.ensure_future(link.run(lambda message: None))
+        link.send(LAST)
+        await socket.sending.wait()
+        for _ in range(MAX_QUEUED_MESSAGES + 1):
+            link.send(LAST)
+        socket.reading.set()
+        async with asyncio.timeout(30.0):
+            await running
+        self.assertEqual(socket.frames, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
