configuration: divided objects into usable and unusable ones in one place

They keep one mapping now, which Catalog.of divides; Catalog.objects joins the two, in place of two expressions for it. Where a stored configuration has two objects of one kind and name, of which one cannot be used, the last one counts now, as it did for usable ones; before, a node kept both and told its peers the unusable one.

Dead since what is read raises no ImproperlyConfigured: the clauses that caught it in the carrier. Beside ValueError, DecodeError was named too, which is one. The platform's adapter read the bearer scheme by itself; it calls bearer_key. Callers.authenticate had no caller left.

--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -9,7 +9,6 @@
 from railsail.core.fingerprints import PART
 from railsail.core.outcomes import Reason
 
-_UNUSABLE = Reason.UNUSABLE_CONFIGURATION
 # How long before the request a daemon's state events are still shown.
 STATE_LOOKBACK_SECONDS = 5.0
 _STATE_KINDS = frozenset(
@@ -74,7 +73,9 @@
 
     Such an object may have come into force long before.
     """
-    refused = [line for line in request_lines if line.facts.get("reason") == _UNUSABLE]
+    refused = [
+        line for line in request_lines if line.facts.get("reason") == Reason.UNUSABLE_CONFIGURATION
+    ]
     if not refused:
         return []
     end = refused[-1]
--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -29,7 +29,7 @@
 )
 from railsail.configuration.updates import Update, UpdateHistory, announcement, update_between
 from railsail.core.events import EventLog, Kind
-from railsail.core.exceptions import ImproperlyConfigured, StoreUnavailable
+from railsail.core.exceptions import StoreUnavailable
 from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
 from railsail.core.slices import Steps, run_at_once, run_slice, run_sliced
@@ -51,7 +51,6 @@
 MAX_HISTORY_BYTES = 512 << 10
 # Objects that are logged when a version has objects that cannot be used; the others are counted.
 MAX_LOGGED_OBJECTS = 20
-_INVALID_ERRORS = (ImproperlyConfigured, msgspec.ValidationError)
 Listener = Callable[[Catalog], None]
 
 
@@ -144,7 +143,7 @@
         try:
             steps = self._repository.resolve_known(stored, self.catalog)
             finished = run_slice(steps) if steps is not None else None
-        except _INVALID_ERRORS as problem:
+        except msgspec.ValidationError as problem:
             # The head stays pending, so that this node sends its peers no proof of its version.
             self.report_rejected(_head_version(stored), STORE, problem)
             return
@@ -183,7 +182,7 @@
             except StoreUnavailable as problem:
                 get_logger().warning("configuration could not be read", reason=str(problem))
                 await asyncio.sleep(backoff.pause())
-            except _INVALID_ERRORS as problem:
+            except msgspec.ValidationError as problem:
                 self.report_rejected(_head_version(head), STORE, problem)
                 if self._pending is head:
                     break
@@ -205,7 +204,7 @@
             return
         try:
             catalog, changes = self._parse_update(update)
-        except (ValueError, ImproperlyConfigured) as problem:
+        except ValueError as problem:
             self.report_rejected(update.version, node, problem)
             return
         self._activate(catalog, changes, node)
--- a/railsail/configuration/changes.py
+++ b/railsail/configuration/changes.py
@@ -90,23 +90,19 @@
 
 def snapshot(catalog: Catalog) -> Snapshot:
     """Return all objects of ``catalog`` in their stored form."""
-    objects = catalog.resources | catalog.unusable
+    objects = catalog.objects()
     return Snapshot(catalog.version, tuple(to_stored(objects[key]) for key in sorted(objects)))
 
 
 def restore_steps(stored: Snapshot) -> Steps[Catalog]:
     """Return the catalog of a snapshot."""
-    resources: dict[Key, Resource] = {}
-    unusable: dict[Key, UnusableObject] = {}
+    objects: dict[Key, Resource | UnusableObject] = {}
     for count, value in enumerate(stored.objects):
         read = read_resource(value)
-        if isinstance(read, UnusableObject):
-            unusable[read.key] = read
-        else:
-            resources[read.key] = read
+        objects[read.key] = read
         if count % OBJECTS_AT_ONCE == 0:
             yield
-    return Catalog(stored.version, resources, unusable)
+    return Catalog.of(stored.version, objects)
 
 
 def encode(value: Change | Snapshot | list[Change]) -> bytes:
--- a/railsail/configuration/exchange.py
+++ b/railsail/configuration/exchange.py
@@ -10,8 +10,6 @@
 import asyncio
 from dataclasses import dataclass, field
 
-import msgspec
-
 from railsail.configuration.carrier import ConfigurationCarrier
 from railsail.configuration.updates import Update, announcement, apply_steps, whole_steps
 from railsail.core.events import Kind
@@ -185,7 +183,7 @@
         steps = apply_steps(self._carrier.catalog, update.body)
         try:
             finished = run_slice(steps)
-        except (ValueError, msgspec.DecodeError) as problem:
+        except ValueError as problem:
             self._reject(node, update, problem)
             return
         if finished is not None:
@@ -197,7 +195,7 @@
     async def _apply(self, node: str, update: Update, steps: Steps[Catalog]) -> None:
         try:
             self._carrier.activate(await run_sliced(steps), node)
-        except (ValueError, msgspec.DecodeError) as problem:
+        except ValueError as problem:
             self._reject(node, update, problem)
         finally:
             self._applying = False
--- a/railsail/configuration/updates.py
+++ b/railsail/configuration/updates.py
@@ -14,7 +14,7 @@
 from railsail.core.slices import Steps, run_at_once
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Resource, Workspace
-from railsail.objects.reading import Key, UnusableObject, read_resource
+from railsail.objects.reading import UnusableObject, read_resource
 
 # Keys of a workspace in one line, and lines that are read or written without a pause.
 KEYS_PER_LINE = 500
@@ -93,7 +93,7 @@
 
 
 def _differences(before: Catalog, after: Catalog) -> Iterator[Write | Delete | Keys]:
-    old, new = _objects(before), _objects(after)
+    old, new = before.objects(), after.objects()
     for kind, name in sorted(old.keys() - new.keys()):
         yield Delete(kind, name)
     for key in sorted(new):
@@ -102,10 +102,6 @@
             yield from _object_differences(known, new[key])
 
 
-def _objects(catalog: Catalog) -> dict[Key, Resource | UnusableObject]:
-    return {**catalog.resources, **catalog.unusable}
-
-
 def _object_differences(
     known: Resource | UnusableObject | None, new: Resource | UnusableObject
 ) -> Iterator[Write | Keys]:
@@ -162,8 +158,7 @@
 
     def __init__(self, catalog: Catalog, version: int) -> None:
         self._version = version
-        self._resources = dict(catalog.resources)
-        self._unusable = dict(catalog.unusable)
+        self._objects = catalog.objects()
         # By workspace: the hashes of its keys, in order.
         self._keys: dict[str, dict[str, None]] = {}
 
@@ -179,8 +174,7 @@
         if isinstance(record, Write):
             self._write(record)
         elif isinstance(record, Delete):
-            self._resources.pop((record.kind, record.name), None)
-            self._unusable.pop((record.kind, record.name), None)
+            self._objects.pop((record.kind, record.name), None)
         else:
             keys = self._keys_of(record.workspace)
             for key in record.removed:
@@ -191,22 +185,17 @@
         read = read_resource(record.value)
         if record.keeps_keys:
             read = self._with_known_keys(read)
-        self._resources.pop(read.key, None)
-        self._unusable.pop(read.key, None)
-        if isinstance(read, UnusableObject):
-            self._unusable[read.key] = read
-        else:
-            self._resources[read.key] = read
+        self._objects[read.key] = read
 
     def _with_known_keys(self, read: Resource | UnusableObject) -> Workspace:
-        known = self._resources.get(read.key)
+        known = self._objects.get(read.key)
         if not (isinstance(read, Workspace) and isinstance(known, Workspace)):
             raise ValueError(f"the keys of {'/'.join(read.key)} are not known here")
         return msgspec.structs.replace(read, key_hashes=known.key_hashes)
 
     def _keys_of(self, workspace: str) -> dict[str, None]:
         if workspace not in self._keys:
-            known = self._resources.get((Workspace.KIND, workspace))
+            known = self._objects.get((Workspace.KIND, workspace))
             if not isinstance(known, Workspace):
                 raise ValueError(f"there is no workspace {workspace!r} to add keys to")
             self._keys[workspace] = dict.fromkeys(known.key_hashes)
@@ -216,10 +205,10 @@
         """Return the catalog after all lines."""
         for name, keys in self._keys.items():
             key = (Workspace.KIND, name)
-            known = self._resources.get(key)
-            if known is not None:
-                self._resources[key] = msgspec.structs.replace(known, key_hashes=tuple(keys))
-        return Catalog(self._version, self._resources, self._unusable)
+            known = self._objects.get(key)
+            if isinstance(known, Workspace):
+                self._objects[key] = msgspec.structs.replace(known, key_hashes=tuple(keys))
+        return Catalog.of(self._version, self._objects)
 
 
 class UpdateHistory:
--- a/railsail/gateway/callers.py
+++ b/railsail/gateway/callers.py
@@ -51,10 +51,6 @@
             return NotRun(Reason.UNUSABLE_CONFIGURATION, detail)
         return None
 
-    def authenticate(self, authorization: str) -> str | None:
-        """Return the workspace of an ``Authorization`` header, or ``None``."""
-        return self.workspace_of(bearer_key(authorization))
-
     def workspace_of(self, key: str) -> str | None:
         """Return the workspace that owns ``key``, or ``None``."""
         return self._index.get(hash_key(key)) if key else None
--- a/railsail/objects/catalog.py
+++ b/railsail/objects/catalog.py
@@ -32,15 +32,29 @@
 
     def changed(self, version: int, operations: Iterable[Operation]) -> Catalog:
         """Return the catalog at ``version``, with ``operations`` applied in order."""
-        resources, unusable = dict(self.resources), dict(self.unusable)
+        objects = self.objects()
         for operation in operations:
-            resources.pop(operation.key, None)
-            unusable.pop(operation.key, None)
-            if isinstance(operation.resource, UnusableObject):
-                unusable[operation.key] = operation.resource
-            elif operation.resource is not None:
-                resources[operation.key] = operation.resource
-        return Catalog(version, resources, unusable)
+            if operation.resource is None:
+                objects.pop(operation.key, None)
+            else:
+                objects[operation.key] = operation.resource
+        return Catalog.of(version, objects)
+
+    @classmethod
+    def of(cls, version: int, objects: Mapping[Key, Resource | UnusableObject]) -> Catalog:
+        """Return the catalog of ``objects``, of which some may be unusable."""
+        resources: dict[Key, Resource] = {}
+        unusable: dict[Key, UnusableObject] = {}
+        for key, found in objects.items():
+            if isinstance(found, UnusableObject):
+                unusable[key] = found
+            else:
+                resources[key] = found
+        return cls(version, resources, unusable)
+
+    def objects(self) -> dict[Key, Resource | UnusableObject]:
+        """Return all objects, also those that are unusable."""
+        return {**self.resources, **self.unusable}
 
     def contains(self, key: Key) -> bool:
         """Return True if there is an object at ``key``, which may be unusable."""
--- a/railsail/platform/http.py
+++ b/railsail/platform/http.py
@@ -7,6 +7,7 @@
 
 from railsail.core.fingerprints import part_fingerprint
 from railsail.core.retryafter import asks_rest
+from railsail.gateway.callers import bearer_key
 from railsail.routing.messages import (
     AnswerHead,
     Dispatch,
@@ -40,7 +41,6 @@
 _NOT_LEAVING = ("", "0")
 KEY = "Authorization"
 _MISDIRECTED = 421
-_BEARER = "bearer "
 # Headers that apply to one connection only (RFC 9110, section 7.6.1), and the length of the body,
 # which is set again for the next one.
 _HOP_BY_HOP = frozenset(
@@ -191,9 +191,7 @@
 
 
 def _bearer_key(authorization: str) -> str:
-    if not authorization.lower().startswith(_BEARER):
-        return ""
-    key = authorization[len(_BEARER) :].strip()
+    key = bearer_key(authorization)
     if key.isascii():
         return key
     # Tornado decodes headers as Latin-1, and keys are UTF-8.
