tests: let stand-in replicas stand still and go on

Stand-ins answered, refused, broke off or crashed; none stopped for a moment and went on where it was, which a sound replica may do. Scripts wait for the end of a pause before they write.

--- a/tests/platform/keeping.py
+++ b/tests/platform/keeping.py
@@ -41,6 +41,7 @@
             headers = dict(item.split(": ", 1) for item in rest)
             body = await reader.readexactly(int(headers.get("Content-Length", "0")))
             self._idle.discard(writer)
+            await self.until_resumed()
             request = Received(line, headers, body, asyncio.get_running_loop().time())
             self.received.append(request)
             await self.script(self, request, writer)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -262,6 +262,26 @@
     # A crash closes its connections in order, as the kernel does where nothing is left to be read.
     closes_in_order: bool = False
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _not_paused: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        self._not_paused.set()
+
+    def pause(self) -> None:
+        """Stand still as a stopped process does: nothing is read or written, nothing is closed."""
+        self._not_paused.clear()
+
+    def resume(self) -> None:
+        """Go on after a pause where everything was."""
+        self._not_paused.set()
+
+    @property
+    def is_paused(self) -> bool:
+        return not self._not_paused.is_set()
+
+    async def until_resumed(self) -> None:
+        """Wait for the end of a pause; scripts call it before they write."""
+        await self._not_paused.wait()
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
@@ -274,11 +294,13 @@
             line, *rest = head.strip().split("\r\n")
             headers = dict(item.split(": ", 1) for item in rest)
             body = await reader.readexactly(int(headers.get("Content-Length", "0")))
+            await self.until_resumed()
             request = Received(line, headers, body, asyncio.get_running_loop().time())
             self.received.append(request)
             running = asyncio.ensure_future(self.script(self, request, writer))
             gone = asyncio.ensure_future(reader.read(1))
             await asyncio.wait([running, gone], return_when=asyncio.FIRST_COMPLETED)
+            await self.until_resumed()
             if not running.done():
                 self.left += 1
                 running.cancel()
@@ -335,6 +357,7 @@
 
     async def script(replica: ReplicaStandin, request: Received, writer) -> None:
         await asyncio.sleep(seconds)
+        await replica.until_resumed()
         sealed = {"Response_Seal": f"{SEAL}-{replica.name}", "Content_Length": str(len(body))}
         writer.write(head(request, status, **sealed) + body)
         await writer.drain()
--- a/tests/platform/streams.py
+++ b/tests/platform/streams.py
@@ -39,6 +39,7 @@
 
     async def _write(self, replica: ReplicaStandin, request: Received, writer) -> None:
         self.received.append(request)
+        await replica.until_resumed()
         kind = {"Content_Type": "text/event-stream", "Transfer_Encoding": "chunked"}
         writer.write(head(request, Response_Seal=f"{SEAL}-{replica.name}", **kind))
         first = int(request.headers.get("Last-Event-Id", "-1")) + 1
@@ -50,6 +51,7 @@
                 await self._interrupt(replica, breaks, writer)
                 return
             await asyncio.sleep(self.pause)
+            await replica.until_resumed()
             event = f"id: {number}\ndata: {self.name}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
--- a/tests/platform/versions.py
+++ b/tests/platform/versions.py
@@ -57,6 +57,7 @@
             shows = self._shows(replica, request)
             slow = shows and self.fault is Fault.SLOW
             await asyncio.sleep(self.seconds * (self.slowness if slow else 1.0))
+            await replica.until_resumed()
             fails = shows and not slow and self.rng.random() < self.share
             if fails or slow:
                 self.bad_answers.append(asyncio.get_running_loop().time())
