relay: recorded the silence that ends an attempt, and answers that were cut

A silence showed only as the detail of the next line, and no metric counted answers that had begun and were ended by a node. `silent` lines now name the replica and the length of the silence, and `railsail_cut_answers_total` tells a broken replica from a deadline and from a stream that no replica continues. An attempt that is ended for silence can be told from a daemon that was killed (no `ended` line) and from an error of the daemon's own code (its traceback).

--- a/railsail/core/events.py
+++ b/railsail/core/events.py
@@ -25,6 +25,7 @@
     EXPIRED = "expired"
     SENT = "sent"
     FIRST_BYTE = "first-byte"
+    SILENT = "silent"
     RETRIED = "retried"
     RESUMED = "resumed"
     ENDED = "ended"
@@ -43,7 +44,14 @@
 
 Fact = str | int | float
 _ALWAYS_NOTABLE = frozenset(
-    {Kind.EXPIRED, Kind.GRANT_RETURNED, Kind.RETRIED, Kind.CLAIM_HELD, Kind.QUARANTINED}
+    {
+        Kind.EXPIRED,
+        Kind.GRANT_RETURNED,
+        Kind.SILENT,
+        Kind.RETRIED,
+        Kind.CLAIM_HELD,
+        Kind.QUARANTINED,
+    }
 )
 
 
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -53,6 +53,14 @@
             "railsail_store_calls_total", "Calls to the platform's store, by operation and result."
         )
         self.retries = self._counter("railsail_retries_total", "Calls retried, by cause.")
+        self.silences = self._counter(
+            "railsail_silences_total",
+            "Replicas that fell silent under a repeatable request, by how the silence ended.",
+        )
+        self.cut_answers = self._counter(
+            "railsail_cut_answers_total",
+            "Answers that had begun and that this node ended early, by pool and cause.",
+        )
         self.resumed_streams = self._counter(
             "railsail_resumed_streams_total",
             "Streams that callers resumed, by what this node could find out about their start.",
--- a/railsail/routing/outcome_recorder.py
+++ b/railsail/routing/outcome_recorder.py
@@ -54,6 +54,8 @@
             facts |= _request_facts(context)
             self._observe_stages(context, outcome_name, seconds)
         self._metrics.requests.inc({"pool": pool, "outcome": outcome_name})
+        if not status:
+            self._metrics.cut_answers.inc({"pool": pool, "cause": _cut_cause(outcome)})
         detail = outcome.detail if isinstance(outcome, NotRun | Unknown) else ""
         notable = _is_late(context) or not isinstance(outcome, Completed)
         self._events.emit(Kind.ENDED, detail, request_id, notable=notable, **facts)
@@ -66,6 +68,13 @@
                 self._metrics.stages.observe(labels, duration)
 
 
+def _cut_cause(outcome: Outcome) -> str:
+    """Return why an answer that had begun was not completed, as a label of the metric."""
+    if not isinstance(outcome, Unknown):
+        return "not-continued"
+    return "deadline" if outcome.timed_out else "broken-off"
+
+
 def _is_late(context: RoutingContext | None) -> bool:
     return context is not None and 0 < context.route.objective < context.first_byte_after
 
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -337,12 +337,26 @@
                 progressed_at = max(answer.progressed_at, self._pauses.ended_at)
                 timeout_at = progressed_at + _silence_timeout(context)
                 if loop.time() >= timeout_at:
+                    self._record_silence(context, loop.time() - progressed_at)
                     raise CutOff("the replica fell silent")
                 await asyncio.wait([task], timeout=timeout_at - loop.time())
             await task
         finally:
             task.cancel()
 
+    def _record_silence(self, context: RoutingContext, seconds: float) -> None:
+        self._metrics.silences.inc({"end": "cut"})
+        self._events.emit(
+            Kind.SILENT,
+            "the attempt is ended",
+            context.request.id,
+            context.workspace,
+            replica=context.replica,
+            silent_ms=round(seconds * 1000),
+            attempt=context.attempts,
+            last_event=context.stream.last_event,
+        )
+
     async def _handle_answer(
         self, context: RoutingContext, replica: str, answer: ReplicaAnswer
     ) -> Outcome:
