tests: showed that silent replicas' answers are cut without a replacement

A replica pauses within a stream, or before its answer, for longer than the silence timeout, and goes on. Where the retry budget is spent, the route allows no other attempt, no other replica takes the request, or the second one pauses too, the caller's stream is cut and an idempotent request gets 502.

--- a/tests/platform/streams.py
+++ b/tests/platform/streams.py
@@ -17,7 +17,8 @@
 
     The events are ``pause`` seconds apart. With ``breaks_first``, the first stream of each replica
     breaks off after ``interrupt_after`` events, and so does a ``break_share`` of all streams. With
-    ``holds``, streams stop there for good, but not those that are resumed.
+    ``holds``, streams stop there for good, but not those that are resumed. With ``pause_after``, a
+    replica pauses after so many events of a stream, the first ``most_pauses`` times.
     """
 
     name: str
@@ -28,6 +29,8 @@
     interrupt_after: int = 2
     breaks_first: bool = False
     holds: bool = False
+    pause_after: int | None = None
+    most_pauses: int = 1
     received: list[Received] = field(default_factory=list)
     _broken_at: set[str] = field(default_factory=set)
 
@@ -51,6 +54,9 @@
                 await self._interrupt(replica, breaks, writer)
                 return
             await asyncio.sleep(self.pause)
+            if number - first == self.pause_after and self.most_pauses:
+                self.most_pauses -= 1
+                replica.pause()
             await replica.until_resumed()
             event = f"id: {number}\ndata: {self.name}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
--- /dev/null
+++ b/tests/platform/test_silent_replicas.py
@@ -0,0 +1,164 @@
+"""A sound replica may fall silent for a second or so, which is no reason to end an answer.
+
+A stream or a repeatable request was ended with its replica at work on it, where no other attempt
+was allowed or no other replica had room.
+"""
+
+import asyncio
+import itertools
+import unittest
+from unittest import mock
+
+from railsail.node import Node
+from railsail.routing import relay
+from tests.platform.base import ROUTES, Answer, PlatformTestCase
+from tests.platform.standins import Received, ReplicaStandin, Script, answering
+from tests.platform.streams import StreamingVersion, events_of
+
+EVENTS = 6
+SILENCE_SECONDS = 0.2
+# Within this time, an attempt that fell silent is replaced if it can be.
+REPLACEMENT_SECONDS = 4 * SILENCE_SECONDS
+
+
+def pausing_once() -> Script:
+    """Answer whole; the replica that gets the first request pauses before its answer."""
+    answer = answering()
+    requests = itertools.count()
+
+    async def script(replica: ReplicaStandin, request: Received, writer) -> None:
+        if next(requests) == 0:
+            replica.pause()
+        await answer(replica, request, writer)
+
+    return script
+
+
+class SilentReplicaTestCase(PlatformTestCase):
+    """Replicas that pause; a replica counts as silent after ``SILENCE_SECONDS``."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.hold(mock.patch.object(relay, "MIN_SILENCE_TIMEOUT_SECONDS", SILENCE_SECONDS))
+        for name in ("resume", "again"):
+            self.hold(mock.patch.dict(ROUTES[name], {"slo_ms": 10, "gap_slo_ms": 10}))
+        self.version = StreamingVersion("v1", EVENTS, pause_after=2)
+
+    async def serve_repeatable(
+        self, replicas: int, max_attempts: int = 2, script: Script | None = None, slots: int = 4
+    ) -> Node:
+        """Serve with so many ``replicas``, at a node that may repeat requests."""
+        for name in ("resume", "again"):
+            self.hold(mock.patch.dict(ROUTES[name], {"max_attempts": max_attempts}))
+        for _ in range(replicas):
+            await self.add_replica(script or self.version.script, slots)
+        node = await self.serve()
+        self.hold_lag(node)
+        # A process that has just started has no share of the slack of the budget.
+        node.front._relay._started_at -= 1000.0
+        return node
+
+    async def until_paused(self, *others: ReplicaStandin) -> ReplicaStandin:
+        """Return the replica that paused itself, beside ``others``, once there is one."""
+        paused: list[ReplicaStandin] = []
+        while not paused:
+            await asyncio.sleep(0.01)
+            paused = [r for r in self.replicas if r.is_paused and r not in others]
+        return paused[0]
+
+    async def resume_later(self) -> None:
+        """Let all replicas go on after a silence that is long enough for a replacement."""
+        await asyncio.sleep(REPLACEMENT_SECONDS)
+        for replica in self.replicas:
+            replica.resume()
+
+    def assert_whole(self, answer: Answer) -> None:
+        """Check that the caller got each event once."""
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.whole)
+        self.assertEqual([number for number, _ in events_of(answer.body)], list(range(EVENTS)))
+
+    def runs(self) -> int:
+        return sum(len(replica.received) for replica in self.replicas)
+
+
+class WaitingTests(SilentReplicaTestCase):
+    """An attempt goes on where nothing can replace it."""
+
+    async def test_stream_is_not_cut_where_the_retry_budget_is_spent(self):
+        node = await self.serve_repeatable(2)
+        node.front._relay._started_at += 1000.0
+        call = asyncio.ensure_future(self.call(node, "/resume/"))
+        await self.until_paused()
+        await self.resume_later()
+        self.assert_whole(await call)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_stream_is_not_cut_where_the_route_allows_no_other_attempt(self):
+        node = await self.serve_repeatable(2, max_attempts=1)
+        call = asyncio.ensure_future(self.call(node, "/resume/"))
+        await self.until_paused()
+        await self.resume_later()
+        self.assert_whole(await call)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_stream_is_not_cut_where_there_is_no_other_replica(self):
+        node = await self.serve_repeatable(1)
+        call = asyncio.ensure_future(self.call(node, "/resume/"))
+        await self.until_paused()
+        await self.resume_later()
+        self.assert_whole(await call)
+
+    async def test_stream_is_not_cut_where_the_second_replica_falls_silent_too(self):
+        node = await self.serve_repeatable(2)
+        self.version.most_pauses = 2
+        call = asyncio.ensure_future(self.call(node, "/resume/"))
+        await self.until_paused(await self.until_paused())
+        await self.resume_later()
+        self.assert_whole(await call)
+
+    async def test_stream_is_not_cut_where_all_replicas_fall_silent_at_once(self):
+        node = await self.serve_repeatable(3)
+        call = asyncio.ensure_future(self.call(node, "/resume/"))
+        await self.until_paused()
+        for replica in self.replicas:
+            replica.pause()
+        await self.resume_later()
+        self.assert_whole(await call)
+
+    async def test_request_does_not_fail_where_the_retry_budget_is_spent(self):
+        node = await self.serve_repeatable(2, script=pausing_once())
+        node.front._relay._started_at += 1000.0
+        call = asyncio.ensure_future(self.call(node, "/again/"))
+        await self.until_paused()
+        await self.resume_later()
+        answer = await call
+        self.assertEqual((answer.status, answer.body), (200, b"hello"))
+
+    async def test_request_that_may_run_once_only_is_waited_for(self):
+        node = await self.serve_repeatable(2, script=pausing_once())
+        call = asyncio.ensure_future(self.call(node, "/once/"))
+        await self.until_paused()
+        await self.resume_later()
+        self.assertEqual((await call).status, 200)
+        self.assertEqual(self.runs(), 1)
+
+
+class ReplacementTests(SilentReplicaTestCase):
+    """A replica that is silent for good is left."""
+
+    async def test_stream_goes_on_at_another_replica(self):
+        node = await self.serve_repeatable(2)
+        answer = await self.call(node, "/resume/")
+        self.assert_whole(answer)
+        self.assertEqual(self.runs(), 2)
+
+    async def test_request_is_answered_by_another_replica(self):
+        node = await self.serve_repeatable(2, script=pausing_once())
+        answer = await self.call(node, "/again/")
+        self.assertEqual((answer.status, answer.body), (200, b"hello"))
+        self.assertEqual(self.runs(), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
