outcomes: told a replica that fell silent from one that broke off

Cause: an attempt that a node ended because its replica sent nothing was reported as an answer that the replica broke off, and so was a deadline that passed. A dispatcher cannot tell then whether a connection really ended early, which a crash does, or whether the replica stands still and may go on a moment later. It held back the retries of such requests for the probe of a crash.

`Unknown.silent` is the new field, `CallResult.SILENT` (7) its result between daemons. It is a failed call, as before; the quarantine takes it as a call that was abandoned: the replica is still probed, and a crash within a second counts against what ran there, but nothing waits for the probe. In the gateway a deadline without any answer is a silence, and one within an answer is an error.

Builds reject a result that they do not know. The number therefore starts level 8, and a peer below it is sent 4 (broke off), as it was up to now, below level 1 2 (error). Ruled out: one of the known numbers. An error is not looked at by the quarantine, so that a request which freezes a replica before it crashes would go uncounted, and a caller that left does not eject a replica that is gone.

Tests: test_silence_counts_as_a_connection_that_broke, test_replica_that_fell_silent_counts_as_one_ that_broke_off and the levels of Release fail before (no such field, no such result) and pass now.

--- a/railsail/core/outcomes.py
+++ b/railsail/core/outcomes.py
@@ -66,7 +66,8 @@
 
     ``cost`` is the cost known so far, in cost units of the pool. ``timed_out`` is True if the
     deadline for the answer had passed. ``broke_off`` is True if the replica ended its answer or its
-    connection early, or sent nothing more, so that its process may have crashed. ``asked_rest`` is
+    connection early, so that its process may have crashed. ``silent`` is True if this node ended
+    the call because the replica sent nothing for a while; it may go on later. ``asked_rest`` is
     True if its answer requested a backoff with ``Retry-After``.
     """
 
@@ -75,6 +76,7 @@
     timed_out: bool = field(default=False, repr=False)
     broke_off: bool = field(default=False, repr=False)
     asked_rest: bool = field(default=False, repr=False)
+    silent: bool = field(default=False, repr=False)
 
 
 Outcome = Completed | NotRun | Unknown
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -155,7 +155,8 @@
                 outcome = await kind.run(call, served.sink)
         except TimeoutError:
             self._cancel(kind, call)
-            outcome = Unknown("the deadline passed while the request ran", broke_off=True)
+            detail = "the deadline passed while the request ran"
+            outcome = Unknown(detail, timed_out=True, silent=not served.sink.started)
         except (CallerDisconnected, asyncio.CancelledError):
             self._cancel(kind, call)
             raise
--- a/railsail/peers/levels.py
+++ b/railsail/peers/levels.py
@@ -30,7 +30,9 @@
 PARTS = 6
 # Adds updates of the configuration that are requested and sent in pieces.
 PIECES = 7
-NEWEST = PIECES
+# Adds calls that ended because their replica fell silent.
+SILENCES = 8
+NEWEST = SILENCES
 
 # Numbers of the messages that distinguish level 1 from level 0, and the length of a heartbeat of
 # level 0 as an array: its number, configuration, members, upstreams, wants_reply.
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -13,7 +13,16 @@
 
 from railsail.core.outcomes import Reason
 from railsail.peers.base import Blob, Digest, Message, Natural, Signed, Text
-from railsail.peers.levels import OLDEST, PARTS, PIECES, PROOFS, QUARANTINE, ROLLOUTS, STREAMS
+from railsail.peers.levels import (
+    OLDEST,
+    PARTS,
+    PIECES,
+    PROOFS,
+    QUARANTINE,
+    ROLLOUTS,
+    SILENCES,
+    STREAMS,
+)
 from railsail.peers.records import (
     MOST_PARTS,
     CounterRecord,
@@ -40,6 +49,9 @@
 # For peers below the level ``QUARANTINE``: the results of calls to send in place of those that they
 # do not know. An answer that broke off becomes an error, and a caller that left becomes no result.
 _RESULTS_BEFORE_QUARANTINE = {4: 2, 5: 0}
+# For peers below the level ``SILENCES``: they take the end of a call whose replica fell silent for
+# an answer that broke off.
+_RESULTS_BEFORE_SILENCES = {7: 4}
 # For peers below the level ``PARTS``: a rejected request is a success of its replica.
 _RESULTS_BEFORE_PARTS = {6: 1}
 
@@ -213,17 +225,19 @@
 
     ``result`` is 0 if nothing was learnt of the replica, 1 for success, 2 for an error, 3 for an
     unreachable replica, 4 for an answer that broke off, 5 for a caller that left while the replica
-    ran its request, 6 for an answer that rejects the request.
+    ran its request, 6 for an answer that rejects the request, 7 for a replica that fell silent.
     """
 
     number: Natural
     attempt: Natural
     cost: Natural
-    result: Annotated[int, msgspec.Meta(ge=0, le=6)]
+    result: Annotated[int, msgspec.Meta(ge=0, le=7)]
 
     def for_level(self, level: int) -> Self:
         """Return the message with a result that peers of ``level`` know."""
         result = self.result
+        if level < SILENCES:
+            result = _RESULTS_BEFORE_SILENCES.get(result, result)
         if level < PARTS:
             result = _RESULTS_BEFORE_PARTS.get(result, result)
         if level < QUARANTINE:
--- a/railsail/quarantine/observer.py
+++ b/railsail/quarantine/observer.py
@@ -53,7 +53,7 @@
         self._survivors_on = survivors_on
         self._clock = kernel.clock
         self._tasks = TaskSet()
-        # By replica and fingerprint, when the last call with it broke off or its caller left.
+        # By replica and fingerprint, when the last call with it broke off or was abandoned.
         self._interrupted_calls: dict[str, dict[int, float]] = {}
         # By replica, the parts of prompts whose answers it had been writing for a while when they
         # broke off. They are kept for calls whose end is reported later.
@@ -90,9 +90,10 @@
         self._start_check(replica)
 
     def record_abandoned_call(self, replica: str, fingerprints: Collection[int]) -> None:
-        """Record that the caller of a request left before or soon after its answer started.
+        """Record that a call ended before its answer did, though the replica did not break it off.
 
-        The call has ended and cannot break off any more, but the replica may still crash.
+        The caller left before or soon after the answer started, or the replica fell silent. The
+        call cannot break off any more, but the replica may still crash.
         """
         self._record(replica, fingerprints)
         self._start_check(replica)
--- a/railsail/quarantine/trials.py
+++ b/railsail/quarantine/trials.py
@@ -57,7 +57,9 @@
         suspects = tuple(fp for fp in flight.fingerprints if fp not in survivors)
         if result is CallResult.BROKE_OFF:
             self._detector.record_broken_call(flight.replica, suspects, survivors)
-        elif result is CallResult.CALLER_LEFT and (flight.unread or suspects[1:]):
+        elif result is CallResult.SILENT or (
+            result is CallResult.CALLER_LEFT and (flight.unread or suspects[1:])
+        ):
             self._detector.record_abandoned_call(flight.replica, suspects)
 
 
--- a/railsail/rollouts/tallies.py
+++ b/railsail/rollouts/tallies.py
@@ -14,6 +14,7 @@
 # median time to the first byte on other versions, once these have given this many answers.
 LATE_FACTOR = 3.0
 MIN_ANSWERS = 10
+_FAILED_ANSWERS = (CallResult.ERROR, CallResult.BROKE_OFF, CallResult.SILENT)
 
 
 @dataclass(frozen=True)
@@ -59,7 +60,7 @@
                 self._tally_for(flight).add(False, whole, whole)
         elif result.succeeded:
             self._tally_for(flight).add(False, first, whole)
-        elif result in (CallResult.ERROR, CallResult.BROKE_OFF):
+        elif result in _FAILED_ANSWERS:
             self._tally_for(flight).add(True, first, whole)
 
     def _tally_for(self, flight: Flight) -> Tally:
--- a/railsail/scheduling/health.py
+++ b/railsail/scheduling/health.py
@@ -36,6 +36,7 @@
     BROKE_OFF = 4
     CALLER_LEFT = 5
     REJECTED = 6
+    SILENT = 7
 
     @classmethod
     def of(cls, outcome: Outcome) -> "CallResult":
@@ -52,7 +53,9 @@
             return cls.NOTHING
         if isinstance(outcome, NotRun):
             return _OF_REASONS.get(outcome.reason, cls.NOTHING)
-        return cls.BROKE_OFF if outcome.broke_off else cls.ERROR
+        if outcome.broke_off:
+            return cls.BROKE_OFF
+        return cls.SILENT if outcome.silent else cls.ERROR
 
     @property
     def succeeded(self) -> bool:
@@ -62,9 +65,10 @@
     @property
     def failed(self) -> bool:
         """Return True if the replica did not do what was requested of it."""
-        return self in (CallResult.ERROR, CallResult.UNREACHABLE, CallResult.BROKE_OFF)
+        return self in _FAILURES
 
 
+_FAILURES = (CallResult.ERROR, CallResult.UNREACHABLE, CallResult.BROKE_OFF, CallResult.SILENT)
 _OF_REASONS = {
     Reason.UNREACHABLE: CallResult.UNREACHABLE,
     Reason.REFUSED: CallResult.ERROR,
--- a/tests/peers/test_levels.py
+++ b/tests/peers/test_levels.py
@@ -23,6 +23,7 @@
 from railsail.peers.levels import (
     NEWEST,
     OLDEST,
+    PIECES,
     PROOFS,
     QUARANTINE,
     ROLLOUTS,
@@ -95,6 +96,11 @@
         for result, known in results.items():
             self.assertEqual(sent(Release(1, 1, 0, result), OLDEST)[-1], known)
             self.assertEqual(sent(Release(1, 1, 0, result), QUARANTINE)[-1], result)
+        silent = Release(1, 1, 0, CallResult.SILENT)
+        self.assertEqual(
+            [sent(silent, level)[-1] for level in (OLDEST, QUARANTINE, PIECES, NEWEST)],
+            [2, 4, 4, 7],
+        )
         rejected = Release(1, 1, 0, CallResult.REJECTED)
         self.assertEqual(
             [sent(rejected, level)[-1] for level in (OLDEST, STREAMS, NEWEST)], [1, 1, 6]
--- a/tests/quarantine/test_trials.py
+++ b/tests/quarantine/test_trials.py
@@ -133,6 +133,14 @@
         self.assertTrue(self.is_held())
         self.assertEqual(self.detector.broken, [self.flight.fingerprints])
 
+    # A replica that stands still for a moment would count as one that broke its answers off, and
+    # hold back their retries until it was probed.
+    def test_replica_that_fell_silent_counts_as_one_that_broke_off(self):
+        self.trials.ended(self.flight, CallResult.SILENT)
+        self.assertTrue(self.is_held())
+        self.assertEqual(self.detector.broken, [])
+        self.assertEqual(self.detector.abandoned, [self.flight.fingerprints])
+
     def test_caller_that_leaves_as_the_answer_begins_hides_the_crash(self):
         self.flight.begun_at = self.clock.monotonic()
         self.flight.unread = 0
--- a/tests/scheduling/test_health.py
+++ b/tests/scheduling/test_health.py
@@ -3,12 +3,22 @@
 import random
 import unittest
 
+from railsail.core.outcomes import Unknown
 from railsail.scheduling.decisions import Grant
 from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.health import CallResult, GroupHealth, ReplicaHealth
 from railsail.scheduling.tickets import Ticket
 
 
+class ResultTests(unittest.TestCase):
+    # Dispatchers would look for the crash of a replica that only stands still for a moment.
+    def test_silence_counts_as_a_connection_that_broke(self):
+        self.assertIs(CallResult.of(Unknown("silent", silent=True)), CallResult.SILENT)
+        self.assertIs(CallResult.of(Unknown("broke", broke_off=True)), CallResult.BROKE_OFF)
+        late = Unknown("no whole answer in time", timed_out=True)
+        self.assertIs(CallResult.of(late), CallResult.ERROR)
+
+
 class HealthTests(unittest.TestCase):
     def setUp(self):
         self.health = ReplicaHealth()
