relay: kept the attempt of a silent replica until another one holds

Callers saw resumable streams that ended with a closed connection, and 502 for idempotent requests, though a sound replica was at work on them and went on a moment later.

Cause: an attempt that may be repeated was ended after its replica had sent nothing for 1 s or more, and only then was it asked whether the route and the retry budget allow another attempt, and whether a replica has room. Class: something that runs is given up before its replacement is certain.

Now the attempt goes on while another one is looked for. That one needs an attempt of the route, a retry of the budget, a granted replica that is not silent itself, and a connection. The silent attempt ends once the other has begun to answer, or has been at work for 0.3 s; a replica that goes on first ends the other attempt. Both share the caller's stream, and the first piece of one ends the other before anything more is passed on, so that no event comes twice. A request that may run only once has no second attempt, as before.

Ruled out: never to end a silent attempt, which leaves requests of a replica that is gone for good to their deadline; to end it once a replica is granted, which a refusal or a second dead replica turns into a cut; to let both run until the end, which runs a request twice at the same time.

The seven of RaceTests are new.

--- a/railsail/cli/explain.py
+++ b/railsail/cli/explain.py
@@ -134,6 +134,11 @@
         for line in request_lines
         if line.event == Kind.RETRIED
     ]
+    parts += [
+        _explain_silence(line)
+        for line in request_lines
+        if line.event == Kind.SILENT and "end" in line.facts
+    ]
     parts += [
         f"Replicas that ended while they ran {_quarantined(line)}: {line.facts.get('replicas')}; "
         f"it is held back for {line.facts.get('held_ms')} ms more."
@@ -152,6 +157,15 @@
     return " ".join(parts)
 
 
+def _explain_silence(line: LogLine) -> str:
+    facts = line.facts
+    silence = f"{facts.get('replica')} was silent for {facts.get('silent_ms')} ms"
+    explanation = f"{silence}: {facts.get('detail')}."
+    if "not_replaced" in facts:
+        explanation += f" No other attempt replaced it, since {facts['not_replaced']}."
+    return explanation
+
+
 def _quarantined(line: LogLine) -> str:
     if line.facts.get("subject") == PART:
         return f"prompts with part {line.facts.get('fingerprint')}"
--- a/railsail/routing/budget.py
+++ b/railsail/routing/budget.py
@@ -38,7 +38,7 @@
         self._started_at = started_at
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
-        # Retries left at the last call of ``allow``, including the one that it decided on.
+        # Retries left at the last decision, including the one that was decided on.
         self.remaining = 0
 
     def record_request(self, now: float) -> None:
@@ -51,16 +51,20 @@
 
         ``fleet_size`` is the number of nodes in the fleet.
         """
+        if not self.has_room(now, fleet_size):
+            return False
+        self._retries.append(now)
+        return True
+
+    def has_room(self, now: float, fleet_size: int) -> bool:
+        """Return True if the budget allows a retry now, without counting one."""
         _drop_before(self._requests, now - self._bounds.window)
         _drop_before(self._retries, now - self._window)
         allowed = self._bounds.ratio * len(self._requests) * SHARE_MARGIN
         if now - self._started_at >= self._window:
             allowed += self._bounds.slack * SHARE_MARGIN / max(1, fleet_size)
         self.remaining = max(0, int(allowed) - len(self._retries))
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries) + 1 <= allowed
 
 
 def _drop_before(times: deque[float], oldest: float) -> None:
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -22,6 +22,7 @@
 from railsail.policy.programs import RequestInput, Verdict
 from railsail.routing.answer import StreamState
 from railsail.routing.client import ClientAnswer, ClientDisconnected
+from railsail.routing.context import RoutingContext
 from railsail.routing.defaults import DEFAULT_POLICY
 from railsail.routing.error_answers import ErrorAnswers
 from railsail.routing.forwarding import Forwarder
@@ -29,7 +30,7 @@
 from railsail.routing.offload import Offloader
 from railsail.routing.outcome_recorder import OutcomeRecorder
 from railsail.routing.protocol import RouteProtocol
-from railsail.routing.relay import Relay, RoutingContext
+from railsail.routing.relay import Relay
 from railsail.routing.table import RouteTable, choose_pool, pools_in_use
 from railsail.streams.origins import StreamOrigin
 from railsail.streams.service import StreamOrigins, keep_seconds
--- a/railsail/routing/outcome_recorder.py
+++ b/railsail/routing/outcome_recorder.py
@@ -3,7 +3,7 @@
 from railsail.core.events import Fact, Kind
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Unknown
-from railsail.routing.relay import RoutingContext
+from railsail.routing.context import RoutingContext
 
 
 class OutcomeRecorder:
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from railsail.core.events import Fact, Kind
 from railsail.core.fingerprints import route_fingerprint
@@ -11,16 +10,18 @@
 from railsail.dispatch.acquire import ReplicaAcquirer
 from railsail.dispatch.bookings import Booking, PoolRequest
 from railsail.dispatch.entry import TicketClient
-from railsail.objects.kinds import CostUnit, Pool, Route
-from railsail.policy.programs import Verdict
-from railsail.routing.answer import AnswerRefused, ReplicaAnswer, StreamState
+from railsail.objects.kinds import CostUnit
+from railsail.routing.answer import AnswerRefused, ReplicaAnswer
 from railsail.routing.budget import RetryBounds, RetryBudget
-from railsail.routing.client import ClientAnswer, ClientDisconnected
+from railsail.routing.client import ClientDisconnected
 from railsail.routing.connect_failures import ConnectFailures
+from railsail.routing.context import MIN_SILENCE_TIMEOUT_SECONDS, RoutingContext
 from railsail.routing.endings import AnswerEnd, check_end
-from railsail.routing.messages import Dispatch, RoutedRequest
+from railsail.routing.hedging import Attempt, HedgedAttempts
+from railsail.routing.messages import Dispatch
 from railsail.routing.protocol import RouteProtocol
 from railsail.routing.running import RunningCalls
+from railsail.routing.silences import Silences
 from railsail.scheduling.health import CallResult
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.heard import HeardSigns
@@ -36,63 +37,11 @@
 MIN_WAIT_SECONDS = 0.02
 # Minimum wait for a replica that continues a stream; a caller gives up after about this long.
 RESUME_WAIT_SECONDS = 1.0
-# If a request can be retried, an attempt is cut off after its replica was silent for this many
-# objectives of the route or, within a stream, for this many of its longest pauses between two
-# events.
-SILENCE_TIMEOUT_OBJECTIVES = 3.0
-SILENCE_TIMEOUT_PAUSES = 4.0
-MIN_SILENCE_TIMEOUT_SECONDS = 1.0
-# A generated token costs a replica about twice as much as a token of the prompt.
-OUTPUT_TOKEN_COST = 2.0
+# How often it is checked whether a silent attempt can be replaced.
+REPLACEMENT_CHECK_SECONDS = 0.25
 _RETRYABLE_REASONS = (Reason.UNREACHABLE, Reason.REFUSED)
 
 
-@dataclass
-class RoutingContext:
-    """The state of one request while this daemon serves it.
-
-    All times are in seconds; points in time are those of the monotonic clock. ``deadline_at`` is
-    when the final answer is due, ``wait_until`` until when the request may wait for a replica.
-    ``attempts`` counts the replicas that it was sent to; ``may_have_run`` is true if one of them
-    may have run it. ``replica`` is the one that it was sent to last, ``avoid`` the one that failed
-    it last. ``waited`` is how long it waited for replicas in total, ``first_byte_after`` the time
-    from its arrival to the first byte of an answer, 0 without an answer. ``give_up_reason`` is why
-    no further attempt was made. ``ends_with_connection`` is true if only the end of its connection
-    marked the end of the last answer, and ``uncertain_end`` if that may have been a crash of the
-    replica. The request may run only in ``regions``, or in any region if there are none. Its
-    retries have the same ``fingerprint``.
-    """
-
-    request: RoutedRequest
-    route: Route
-    pool: Pool
-    workspace: str
-    decision: Verdict
-    client: ClientAnswer
-    deadline_at: float
-    wait_until: float
-    stream: StreamState
-    attempts: int = 0
-    may_have_run: bool = False
-    avoid: str = ""
-    replica: str = ""
-    received_at: float = 0.0
-    waited: float = 0.0
-    first_byte_after: float = 0.0
-    give_up_reason: str = ""
-    ends_with_connection: bool = False
-    uncertain_end: bool = False
-    regions: tuple[str, ...] = ()
-    fingerprint: int = 0
-
-    @property
-    def can_retry(self) -> bool:
-        """Return True if the request may be sent again after an attempt of unknown outcome."""
-        if self.stream.head is not None and not self.route.resumable:
-            return False
-        return self.route.may_repeat and not self.decision.never_repeat
-
-
 class Relay:
     """Relay of routed requests to replicas; ``fleet_size`` returns the known size of the fleet."""
 
@@ -124,6 +73,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._connect_failures = ConnectFailures()
         self._calls = RunningCalls()
+        self._silences = Silences(kernel)
         directory.on_rebirth(lambda before: self._calls.cancel(before.name))
 
     async def run(self, context: RoutingContext) -> Outcome:
@@ -131,7 +81,7 @@
         budget = self._budget(context.pool.name)
         budget.record_request(self._clock.monotonic())
         while True:
-            outcome = await self._attempt(context)
+            outcome = await self._attempt(context, budget)
             if not self._should_retry(context, outcome, budget):
                 return truth_of(outcome, context.may_have_run)
             self._events.emit(
@@ -164,25 +114,71 @@
         else:
             context.give_up_reason = "it may not be repeated"
             return False
-        if context.attempts >= context.route.max_attempts:
-            context.give_up_reason = f"the route allows {context.route.max_attempts} attempts"
-            return False
+        context.give_up_reason = self._reason_not_to_retry(context, budget)
         # The budget counts calls. As long as no attempt has reached a replica, the next one is the
         # first call and no retry.
-        if context.attempts and not budget.allow(now, self._fleet_size()):
-            context.give_up_reason = "the retry budget is spent"
+        if context.give_up_reason or (context.attempts and not self._spend(budget)):
             return False
         self._metrics.retries.inc({"cause": cause})
         return True
 
-    async def _attempt(self, context: RoutingContext) -> Outcome:
+    def _reason_not_to_retry(self, context: RoutingContext, budget: RetryBudget) -> str:
+        """Return why no further attempt may be made, or an empty string if one may."""
+        if context.attempts >= context.route.max_attempts:
+            return f"the route allows {context.route.max_attempts} attempts"
+        now = self._clock.monotonic()
+        if context.attempts and not budget.has_room(now, self._fleet_size()):
+            return "the retry budget is spent"
+        return ""
+
+    def _spend(self, budget: RetryBudget) -> bool:
+        return budget.allow(self._clock.monotonic(), self._fleet_size())
+
+    async def _attempt(self, context: RoutingContext, budget: RetryBudget) -> Outcome:
         requested_at = self._clock.monotonic()
-        wait = self._wait_seconds(context)
-        pending_call = await self._acquirer.acquire(self._pool_request(context, wait), wait)
+        booking = await self._acquire(context)
         context.waited += self._clock.monotonic() - requested_at
-        if isinstance(pending_call, NotRun):
-            return pending_call
-        return await self._send_granted(context, pending_call, pending_call.replica)
+        if isinstance(booking, NotRun):
+            return booking
+        attempts = HedgedAttempts(
+            context,
+            lambda attempt: self._send_granted(context, attempt),
+            lambda silent: self._find_replacement(context, budget, silent),
+            self._tickets.withdraw,
+            self._silences,
+            self._pauses,
+        )
+        return await attempts.run(booking)
+
+    async def _acquire(self, context: RoutingContext) -> Booking | NotRun:
+        wait = self._wait_seconds(context)
+        return await self._acquirer.acquire(self._pool_request(context, wait), wait)
+
+    async def _find_replacement(
+        self, context: RoutingContext, budget: RetryBudget, silent: str
+    ) -> Booking:
+        """Wait until another attempt may be made and a replica other than ``silent`` is granted."""
+        while True:
+            context.give_up_reason = self._reason_not_to_retry(context, budget)
+            booking = None
+            if not context.give_up_reason:
+                context.avoid = silent
+                booking = await self._acquire(context)
+            if isinstance(booking, Booking):
+                rejection = self._reject_replacement(booking, budget)
+                if not rejection:
+                    return booking
+                self._tickets.return_grant(booking, rejection)
+            await asyncio.sleep(REPLACEMENT_CHECK_SECONDS)
+
+    def _reject_replacement(self, booking: Booking, budget: RetryBudget) -> str:
+        """Return why a grant cannot replace a silent attempt; if it can, spend a retry on it."""
+        if self._silences.is_silent(booking.replica):
+            return "the replica is silent"
+        if not self._spend(budget):
+            return "the retry budget is spent"
+        self._metrics.retries.inc({"cause": "silent"})
+        return ""
 
     def _wait_seconds(self, context: RoutingContext) -> float:
         now = self._clock.monotonic()
@@ -198,7 +194,7 @@
             pool=context.pool.name,
             workspace=context.workspace,
             rank=context.decision.rank,
-            estimate=estimate_cost(context),
+            estimate=context.estimated_cost,
             urgent=False,
             prefix=prompt.affinity_key if context.route.affinity else 0,
             avoid=context.avoid or self._connect_failures.replica_to_avoid(now),
@@ -219,36 +215,35 @@
             return 0
         return route_fingerprint(context.route.name)
 
-    async def _send_granted(
-        self, context: RoutingContext, pending_call: Booking, replica: str
-    ) -> Outcome:
+    async def _send_granted(self, context: RoutingContext, attempt: Attempt) -> Outcome:
+        booking = attempt.booking
         sent_at = self._clock.monotonic()
         result = CallResult.NOTHING
         outcome: Outcome | None = None
         try:
-            outcome = await self._send(context, pending_call, replica)
+            outcome = await self._send(context, attempt)
             result = CallResult.of(outcome)
             return outcome
         except (asyncio.CancelledError, ClientDisconnected):
+            if attempt.superseded_by is not None:
+                context.may_have_run = True
+                outcome = Unknown("another attempt went on first", silent=attempt.fell_silent)
+                result = CallResult.of(outcome) if attempt.fell_silent else CallResult.NOTHING
+                return outcome
             # The caller left, but only after a time in which the answer should have started: the
             # replica is likely to be at fault.
-            if (
-                not pending_call.begun
-                and self._clock.monotonic() - sent_at > MIN_SILENCE_TIMEOUT_SECONDS
-            ):
-                result = CallResult.ERROR
-            else:
-                result = CallResult.CALLER_LEFT
+            seconds = self._clock.monotonic() - sent_at
+            is_silent = not booking.begun and seconds > MIN_SILENCE_TIMEOUT_SECONDS
+            result = CallResult.SILENT if is_silent else CallResult.CALLER_LEFT
             raise
         finally:
             if outcome is None or not isinstance(outcome, Completed):
-                context.avoid = replica
+                context.avoid = attempt.replica
             has_cost = outcome is None or not isinstance(outcome, NotRun)
-            self._tickets.release(
-                pending_call, pending_call.want.estimate if has_cost else 0.0, result
-            )
+            self._tickets.release(booking, booking.want.estimate if has_cost else 0.0, result)
 
-    async def _send(self, context: RoutingContext, pending_call: Booking, replica: str) -> Outcome:
+    async def _send(self, context: RoutingContext, attempt: Attempt) -> Outcome:
+        replica = attempt.replica
         upstream = self._directory.get(replica)
         if upstream is None:
             return NotRun(Reason.UNREACHABLE, "the replica is not known any more")
@@ -277,7 +272,7 @@
             context.route.streaming,
             context.stream,
             upstream.software_version,
-            lambda: self._answer_started(context, pending_call),
+            lambda: self._answer_went_on(context, attempt),
         )
         self._events.emit(
             Kind.SENT,
@@ -291,21 +286,28 @@
             left_ms=round(remaining * 1000),
             **_continuation_facts(context),
         )
-        return await self._exchange(context, replica, call, answer)
+        attempt.sending(answer)
+        return await self._exchange(context, attempt, call, answer)
 
-    def _answer_started(self, context: RoutingContext, pending_call: Booking) -> None:
+    def _answer_went_on(self, context: RoutingContext, attempt: Attempt) -> None:
+        attempt.go_on()
         if not context.first_byte_after:
             context.first_byte_after = self._clock.monotonic() - context.received_at
-        self._tickets.begun(pending_call)
+        self._tickets.begun(attempt.booking)
 
     async def _exchange(
-        self, context: RoutingContext, replica: str, call: HttpRequest, answer: ReplicaAnswer
+        self,
+        context: RoutingContext,
+        attempt: Attempt,
+        call: HttpRequest,
+        answer: ReplicaAnswer,
     ) -> Outcome:
+        replica = attempt.replica
         context.attempts += 1
         remaining = context.deadline_at - self._clock.monotonic()
         try:
             async with asyncio.timeout(remaining):
-                await self._calls.run(replica, self._exchange_until_silent(context, call, answer))
+                await self._calls.run(replica, exchange(call, answer, self._connections))
                 end = await check_end(answer, replica, self._directory)
                 if end is AnswerEnd.CUT_OFF:
                     raise CutOff("the replica crashed, which ended its answer")
@@ -319,49 +321,16 @@
             return Unknown(str(problem), broke_off=isinstance(problem, CutOff))
         except TimeoutError:
             context.may_have_run = True
-            return Unknown("no whole answer in time", timed_out=True, broke_off=True)
-        return await self._handle_answer(context, replica, answer)
-
-    async def _exchange_until_silent(
-        self, context: RoutingContext, call: HttpRequest, answer: ReplicaAnswer
-    ) -> None:
-        if not context.can_retry:
-            # Silence is no reason to cut off a request that cannot be retried.
-            await exchange(call, answer, self._connections)
-            return
-        task = asyncio.ensure_future(exchange(call, answer, self._connections))
-        loop = asyncio.get_running_loop()
-        try:
-            while not task.done():
-                # While this process was paused, it could not receive anything from the replica.
-                progressed_at = max(answer.progressed_at, self._pauses.ended_at)
-                timeout_at = progressed_at + _silence_timeout(context)
-                if loop.time() >= timeout_at:
-                    self._record_silence(context, loop.time() - progressed_at)
-                    raise CutOff("the replica fell silent")
-                await asyncio.wait([task], timeout=timeout_at - loop.time())
-            await task
-        finally:
-            task.cancel()
-
-    def _record_silence(self, context: RoutingContext, seconds: float) -> None:
-        self._metrics.silences.inc({"end": "cut"})
-        self._events.emit(
-            Kind.SILENT,
-            "the attempt is ended",
-            context.request.id,
-            context.workspace,
-            replica=context.replica,
-            silent_ms=round(seconds * 1000),
-            attempt=context.attempts,
-            last_event=context.stream.last_event,
-        )
+            silent = attempt.silent_seconds > MIN_SILENCE_TIMEOUT_SECONDS
+            return Unknown("no whole answer in time", timed_out=True, silent=silent)
+        return await self._handle_answer(context, attempt, answer)
 
     async def _handle_answer(
-        self, context: RoutingContext, replica: str, answer: ReplicaAnswer
+        self, context: RoutingContext, attempt: Attempt, answer: ReplicaAnswer
     ) -> Outcome:
         """Return the outcome of a complete answer, which is sent to the caller if it is final."""
         head = answer.received_head
+        replica = attempt.replica
         context.ends_with_connection = answer.ends_with_connection
         self._connect_failures.record_answer(replica)
         if head.misdirected:
@@ -371,7 +340,7 @@
             return NotRun(Reason.REFUSED, f"status {head.status}", asked_rest=head.asks_rest)
         context.may_have_run = True
         if answer.is_stream:
-            return self._end_stream(context, answer)
+            return self._end_stream(context, attempt, answer)
         if context.stream.head is not None:
             return Unknown(f"status {head.status} in the middle of a stream")
         if (
@@ -383,35 +352,22 @@
         if head.status in (503, 429, 408):
             # The status would tell the caller that nothing ran, which the replica did not say.
             return Unknown(f"status {head.status}", asked_rest=head.asks_rest)
+        attempt.go_on()
         await context.client.send(head.status, head.headers, answer.body())
         return Completed(head.status, 0.0, context.uncertain_end)
 
-    def _end_stream(self, context: RoutingContext, answer: ReplicaAnswer) -> Outcome:
+    def _end_stream(
+        self, context: RoutingContext, attempt: Attempt, answer: ReplicaAnswer
+    ) -> Outcome:
         if answer.trailing_bytes().strip():
             return Unknown("the stream ended within an event", broke_off=True)
         if context.stream.head is None:
             return Unknown("the stream ended without an event", broke_off=True)
+        attempt.go_on()
         context.client.end()
         return Completed(answer.received_head.status, 0.0, context.uncertain_end)
 
 
-def estimate_cost(context: RoutingContext) -> float:
-    """Return the expected cost of a request in the cost unit of its pool."""
-    if context.pool.cost_unit is not CostUnit.TOKENS:
-        return 1.0
-    prompt = context.request.prompt
-    output = prompt.expected_output or prompt.max_output
-    if prompt.max_output:
-        output = min(output, prompt.max_output)
-    return max(1.0, prompt.tokens + OUTPUT_TOKEN_COST * output)
-
-
 def _continuation_facts(context: RoutingContext) -> dict[str, Fact]:
     """Return where an attempt continues a stream, nothing if it starts at its beginning."""
     return {"last_event": context.stream.last_event} if context.stream.last_event else {}
-
-
-def _silence_timeout(context: RoutingContext) -> float:
-    if context.stream.head is not None and context.route.pause:
-        return max(MIN_SILENCE_TIMEOUT_SECONDS, SILENCE_TIMEOUT_PAUSES * context.route.pause)
-    return max(MIN_SILENCE_TIMEOUT_SECONDS, SILENCE_TIMEOUT_OBJECTIVES * context.route.objective)
--- a/tests/platform/test_silent_replicas.py
+++ b/tests/platform/test_silent_replicas.py
@@ -9,10 +9,25 @@
 import unittest
 from unittest import mock
 
+from railsail.core.events import Kind
 from railsail.node import Node
-from railsail.routing import relay
-from tests.platform.base import ROUTES, Answer, PlatformTestCase
-from tests.platform.standins import Received, ReplicaStandin, Script, answering
+from railsail.routing import context, hedging
+from tests.platform.base import (
+    LONGEST_SECONDS,
+    ROUTES,
+    Answer,
+    PlatformTestCase,
+    request,
+)
+from tests.platform.standins import (
+    Received,
+    ReplicaStandin,
+    Script,
+    answering,
+    closing,
+    hanging,
+    refusing,
+)
 from tests.platform.streams import StreamingVersion, events_of
 
 EVENTS = 6
@@ -39,7 +54,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.hold(mock.patch.object(relay, "MIN_SILENCE_TIMEOUT_SECONDS", SILENCE_SECONDS))
+        self.hold(mock.patch.object(context, "MIN_SILENCE_TIMEOUT_SECONDS", SILENCE_SECONDS))
         for name in ("resume", "again"):
             self.hold(mock.patch.dict(ROUTES[name], {"slo_ms": 10, "gap_slo_ms": 10}))
         self.version = StreamingVersion("v1", EVENTS, pause_after=2)
@@ -58,6 +73,14 @@
         node.front._relay._started_at -= 1000.0
         return node
 
+    async def asyncTearDown(self) -> None:
+        for replica in self.replicas:
+            replica.resume()
+        for node in self.nodes:
+            # Each attempt gives its place at the replica back, however it ended.
+            await self.until(lambda node=node: len(node.tickets) == 0)
+        await super().asyncTearDown()
+
     async def until_paused(self, *others: ReplicaStandin) -> ReplicaStandin:
         """Return the replica that paused itself, beside ``others``, once there is one."""
         paused: list[ReplicaStandin] = []
@@ -144,6 +167,101 @@
         self.assertEqual(self.runs(), 1)
 
 
+class RaceTests(SilentReplicaTestCase):
+    """The first of two attempts that goes on is the one that the caller gets."""
+
+    async def serve_race(self, second: Script) -> tuple[Node, asyncio.Task]:
+        """Start a stream whose replica pauses, and whose second attempt is answered by a script."""
+
+        async def script(replica: ReplicaStandin, received: Received, writer) -> None:
+            is_first = not self.version.received
+            await (self.version.script if is_first else second)(replica, received, writer)
+
+        node = await self.serve_repeatable(2, script=script)
+        call = asyncio.ensure_future(self.call(node, "/resume/"))
+        await self.until_paused()
+        await self.until(lambda: self.runs() == 2)
+        return node, call
+
+    def silences(self, node: Node) -> list[str]:
+        """Return how the silences ended."""
+        ends = [event.facts.get("end") for event in node.events if event.kind is Kind.SILENT]
+        return [end for end in ends if end]
+
+    async def test_replica_that_goes_on_first_ends_the_second_attempt(self):
+        self.hold(mock.patch.object(hedging, "OVERLAP_SECONDS", LONGEST_SECONDS))
+        node, call = await self.serve_race(hanging())
+        first = await self.until_paused()
+        first.resume()
+        self.assert_whole(await call)
+        self.assertEqual((self.runs(), first.left), (2, 0))
+        await self.until(lambda: sum(replica.left for replica in self.replicas) == 1)
+        self.assertEqual(self.silences(node), ["went-on"])
+
+    async def test_second_attempt_that_answers_ends_the_silent_one(self):
+        self.hold(mock.patch.object(hedging, "OVERLAP_SECONDS", LONGEST_SECONDS))
+        node, call = await self.serve_race(self.version.script)
+        self.assert_whole(await call)
+        first = await self.until_paused()
+        first.resume()
+        await self.until(lambda: first.left == 1)
+        self.assertEqual(self.silences(node), ["replaced"])
+
+    async def test_second_attempt_that_is_refused_does_not_end_the_silent_one(self):
+        node, call = await self.serve_race(refusing(Not_Run="1"))
+        await self.resume_later()
+        self.assert_whole(await call)
+        self.assertEqual(self.silences(node), ["went-on"])
+
+    async def test_second_attempt_that_breaks_off_does_not_end_the_silent_one(self):
+        node, call = await self.serve_race(closing())
+        await self.resume_later()
+        self.assert_whole(await call)
+        self.assertEqual(self.silences(node), ["went-on"])
+
+    async def test_crash_of_the_silent_replica_leaves_the_second_attempt(self):
+        self.hold(mock.patch.object(hedging, "OVERLAP_SECONDS", LONGEST_SECONDS))
+        released = asyncio.Event()
+
+        async def held(replica: ReplicaStandin, received: Received, writer) -> None:
+            await released.wait()
+            await self.version.script(replica, received, writer)
+
+        node, call = await self.serve_race(held)
+        (await self.until_paused()).crash()
+        await self.until(lambda: self.silences(node) == ["failed"])
+        released.set()
+        self.assert_whole(await call)
+
+    async def test_refusal_after_a_silent_attempt_is_no_promise(self):
+        held = asyncio.Event()
+
+        async def refuse_late(replica: ReplicaStandin, received: Received, writer) -> None:
+            await held.wait()
+            await refusing(Not_Run="1")(replica, received, writer)
+
+        scripts = iter([pausing_once(), refuse_late])
+
+        async def script(replica: ReplicaStandin, received: Received, writer) -> None:
+            await next(scripts)(replica, received, writer)
+
+        node = await self.serve_repeatable(2, script=script)
+        call = asyncio.ensure_future(self.call(node, "/again/"))
+        await self.until(lambda: self.silences(node) == ["replaced"])
+        held.set()
+        self.assertEqual((await call).status, 502)
+
+    async def test_caller_that_leaves_ends_both_attempts(self):
+        self.hold(mock.patch.object(hedging, "OVERLAP_SECONDS", LONGEST_SECONDS))
+        node = await self.serve_repeatable(2, script=hanging())
+        _, writer = await self.connect(node)
+        writer.write(request("/again/"))
+        await self.until(lambda: self.runs() == 2)
+        writer.close()
+        await self.until(lambda: sum(replica.left for replica in self.replicas) == 2)
+        self.assertEqual(self.silences(node), ["caller-left"])
+
+
 class ReplacementTests(SilentReplicaTestCase):
     """A replica that is silent for good is left."""
 
