relay: did not take a slow caller for a silent replica

A stream whose caller reads slowly is held up by the daemon, which does not read on from the replica. That time counted as a silence of the replica: after a second the stream was sent to another one, or cut where that was not allowed. The time in which a piece waits for the caller is progress now. test_stream_that_a_slow_caller_holds_up_is_not_repeated failed before: the stream was cut.

--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -106,7 +106,18 @@
         self._splitter = EventSplitter()
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
-        self.progressed_at = asyncio.get_running_loop().time()
+        self._progressed_at = asyncio.get_running_loop().time()
+        self._waits_for_caller = False
+
+    @property
+    def progressed_at(self) -> float:
+        """Return when the replica last sent anything, in seconds of the event loop.
+
+        It is now while a slow caller holds the answer up, which is no silence of the replica.
+        """
+        if self._waits_for_caller:
+            return asyncio.get_running_loop().time()
+        return self._progressed_at
 
     async def head(self, status: int, headers: HTTPHeaders) -> None:
         """Check the status and headers.
@@ -134,8 +145,12 @@
         self._record_progress()
         if self.is_stream:
             events = self._splitter.feed(chunk)
-            await self.stream.forward(self.received_head, events, self._software_version)
-            self._record_progress()
+            self._waits_for_caller = True
+            try:
+                await self.stream.forward(self.received_head, events, self._software_version)
+            finally:
+                self._waits_for_caller = False
+                self._record_progress()
             return
         self._buffered_bytes += len(chunk)
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
@@ -151,4 +166,4 @@
         return self._splitter.rest
 
     def _record_progress(self) -> None:
-        self.progressed_at = asyncio.get_running_loop().time()
+        self._progressed_at = asyncio.get_running_loop().time()
--- a/tests/platform/test_silent_replicas.py
+++ b/tests/platform/test_silent_replicas.py
@@ -17,20 +17,26 @@
     ROUTES,
     Answer,
     PlatformTestCase,
+    read_answer,
     request,
 )
 from tests.platform.standins import (
+    LOOPBACK,
+    SEAL,
     Received,
     ReplicaStandin,
     Script,
     answering,
     closing,
     hanging,
+    head,
     refusing,
 )
 from tests.platform.streams import StreamingVersion, events_of
 
 EVENTS = 6
+LARGE_EVENT_BYTES = 64 << 10
+LARGE_EVENTS = 200
 SILENCE_SECONDS = 0.2
 # Within this time, an attempt that fell silent is replaced if it can be.
 REPLACEMENT_SECONDS = 4 * SILENCE_SECONDS
@@ -49,6 +55,22 @@
     return script
 
 
+def streaming_large() -> Script:
+    """Stream more than what connections buffer."""
+
+    async def script(replica: ReplicaStandin, received: Received, writer) -> None:
+        kind = {"Content_Type": "text/event-stream", "Transfer_Encoding": "chunked"}
+        writer.write(head(received, Response_Seal=f"{SEAL}-{replica.name}", **kind))
+        for number in range(LARGE_EVENTS):
+            event = f"id: {number}\ndata: ".encode() + b"x" * LARGE_EVENT_BYTES + b"\n\n"
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return script
+
+
 class SilentReplicaTestCase(PlatformTestCase):
     """Replicas that pause; a replica counts as silent after ``SILENCE_SECONDS``."""
 
@@ -261,6 +283,19 @@
         await self.until(lambda: sum(replica.left for replica in self.replicas) == 2)
         self.assertEqual(self.silences(node), ["caller-left"])
 
+    async def test_stream_that_a_slow_caller_holds_up_is_not_repeated(self):
+        node = await self.serve_repeatable(2, script=streaming_large())
+        reader, writer = await asyncio.open_connection(
+            LOOPBACK, node.settings.caller_port, limit=1024
+        )
+        writer.write(request("/resume/"))
+        await self.until(lambda: self.runs() == 1)
+        await asyncio.sleep(REPLACEMENT_SECONDS)
+        answer = await read_answer(reader)
+        writer.close()
+        self.assertTrue(answer.whole)
+        self.assertEqual((self.runs(), self.silences(node)), (1, []))
+
 
 class ReplacementTests(SilentReplicaTestCase):
     """A replica that is silent for good is left."""
