relay: waited for the connection of the attempt that replaces a silent one

The attempt of a silent replica ended 0.3 s after another replica was granted, though a connection to a host that is gone fails only after 0.4 s: the first answer was given up for nothing. The time counts from the send now, of which the exchange tells. test_second_replica_that_cannot_be_connected_to_does_not_end_the_silent_one failed before: the stream was cut.

--- a/railsail/routing/hedging.py
+++ b/railsail/routing/hedging.py
@@ -33,9 +33,10 @@
 class Attempt:
     """One attempt of a request, at the replica that ``booking`` was granted.
 
-    ``sent`` is done once the request is being sent, and ``went_on`` at the next piece of a good
-    answer. ``fell_silent`` is True while its replica is silent. ``superseded_by`` is the attempt
-    whose answer the caller gets instead.
+    ``answer`` receives its answer, ``None`` before there is one to expect. ``sent`` is done once
+    the request is sent, and ``went_on`` at the next piece of a good answer. ``fell_silent`` is True
+    while its replica is silent. ``superseded_by`` is the attempt whose answer the caller gets
+    instead.
     """
 
     def __init__(self, booking: Booking, attempts: "HedgedAttempts") -> None:
@@ -44,7 +45,7 @@
         self.fell_silent = False
         self.superseded_by: Attempt | None = None
         self._attempts = attempts
-        self._answer: ReplicaAnswer | None = None
+        self.answer: ReplicaAnswer | None = None
         loop = asyncio.get_running_loop()
         self._started_at = loop.time()
         self.sent: asyncio.Future[None] = loop.create_future()
@@ -54,7 +55,7 @@
     @property
     def progressed_at(self) -> float:
         """Return when the replica last sent anything, in seconds of the event loop."""
-        return self._answer.progressed_at if self._answer else self._started_at
+        return self.answer.progressed_at if self.answer else self._started_at
 
     @property
     def silent_seconds(self) -> float:
@@ -72,11 +73,9 @@
         """Run ``work``, which makes the attempt."""
         self.task = asyncio.ensure_future(work)
 
-    def sending(self, answer: ReplicaAnswer) -> None:
-        """Record that the request is being sent, and that ``answer`` receives its answer."""
-        self._answer = answer
-        if not self.sent.done():
-            self.sent.set_result(None)
+    def connected(self) -> None:
+        """Record that there is a connection, on which the request is sent now."""
+        self.sent.set_result(None)
 
     def go_on(self) -> None:
         """Record a piece, or the end, of a good answer: the caller gets the answer of this attempt.
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -261,6 +261,7 @@
             request.body,
             open_ended=True,
             connect_seconds=min(CONNECT_SECONDS, remaining),
+            on_connected=attempt.connected,
             on_head=self._replica_signals.listener(replica, self._protocol.read_signs),
             replica=replica,
             request_id=request.id,
@@ -286,7 +287,7 @@
             left_ms=round(remaining * 1000),
             **_continuation_facts(context),
         )
-        attempt.sending(answer)
+        attempt.answer = answer
         return await self._exchange(context, attempt, call, answer)
 
     def _answer_went_on(self, context: RoutingContext, attempt: Attempt) -> None:
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -50,6 +50,10 @@
     """Do nothing with the head of an answer."""
 
 
+def ignore_connection() -> None:
+    """Do nothing when a connection stands."""
+
+
 IdReader = Callable[[HTTPHeaders], str]
 
 
@@ -68,10 +72,11 @@
     """A request to send to ``endpoint``, which is ``ip:port``.
 
     If ``open_ended``, an answer without a length is complete when its connection was closed without
-    an error. ``connect_seconds`` bounds the time to connect. ``on_head`` is called with status and
-    headers of any answer before its receiver, which may refuse the answer. The connection may be
-    kept only for a request that names its ``replica`` and ``request_id``; ``read_id`` returns the
-    id of the request that an answer belongs to, from the headers of the answer.
+    an error. ``connect_seconds`` bounds the time to connect. ``on_connected`` is called when there
+    is a connection, just before the request is sent. ``on_head`` is called with status and headers
+    of any answer before its receiver, which may refuse the answer. The connection may be kept only
+    for a request that names its ``replica`` and ``request_id``; ``read_id`` returns the id of the
+    request that an answer belongs to, from the headers of the answer.
     """
 
     endpoint: str
@@ -81,6 +86,7 @@
     body: bytes = b""
     open_ended: bool = False
     connect_seconds: float = CONNECT_TIMEOUT_SECONDS
+    on_connected: Callable[[], None] = ignore_connection
     on_head: HeadListener = ignore_head
     replica: str = ""
     request_id: str = ""
@@ -240,6 +246,7 @@
     the task closes the connection.
     """
     stream = await connections.acquire(request)
+    request.on_connected()
     max_idle = connections.max_idle_seconds if connections.can_keep(request) else 0.0
     try:
         seconds = await _exchange_on(stream, request, receiver, max_idle)
--- a/tests/platform/test_silent_replicas.py
+++ b/tests/platform/test_silent_replicas.py
@@ -12,6 +12,8 @@
 from railsail.core.events import Kind
 from railsail.node import Node
 from railsail.routing import context, hedging
+from railsail.upstreams.http import HttpRequest, NotSent
+from railsail.upstreams.streams import UpstreamStream
 from tests.platform.base import (
     LONGEST_SECONDS,
     ROUTES,
@@ -241,6 +243,24 @@
         self.assert_whole(await call)
         self.assertEqual(self.silences(node), ["went-on"])
 
+    async def test_second_replica_that_cannot_be_connected_to_does_not_end_the_silent_one(self):
+        self.hold(mock.patch.object(hedging, "OVERLAP_SECONDS", 0.01))
+        node = await self.serve_repeatable(2)
+        call = asyncio.ensure_future(self.call(node, "/resume/"))
+        first = await self.until_paused()
+        released = asyncio.Event()
+
+        async def connect_in_vain(sent: HttpRequest) -> UpstreamStream:
+            await released.wait()
+            raise NotSent("the host is gone")
+
+        node.front._relay._connections.acquire = connect = mock.Mock(wraps=connect_in_vain)
+        await self.until(lambda: connect.called)
+        await self.resume_later()
+        self.assert_whole(await call)
+        released.set()
+        self.assertEqual((self.silences(node)[0], first.left), ("went-on", 0))
+
     async def test_crash_of_the_silent_replica_leaves_the_second_attempt(self):
         self.hold(mock.patch.object(hedging, "OVERLAP_SECONDS", LONGEST_SECONDS))
         released = asyncio.Event()
