health: ejected a replica once for a silence, however many calls it ended

Cause: each failed call beyond the second ejected the replica again and doubled the time. A replica that stands still ends all of its calls at about the same moment, so that five of them were enough for the longest ejection, four seconds, after a silence of little more than one.

Now the silent calls that it was given before the ejection count no further, until it has started a good answer. A probe that falls silent still doubles the time. Errors, connections that break and replicas that cannot be reached are counted as before.

Ruled out: to end the ejection at the first good answer. It gains half a second at most, and a replica that answers half of its calls and hangs on the others would hardly be ejected any more.

--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -311,7 +311,8 @@
         if result.succeeded:
             state.call_succeeded(now, now - flight.started_at)
         elif result.failed:
-            state.call_failed(now, result, self._health_of_others(state, now))
+            others = self._health_of_others(state, now)
+            state.call_failed(now, result, others, flight.started_at)
         return True
 
     def _clear_pending(self, flight: Flight) -> None:
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -281,8 +281,15 @@
             self._limit = min(MAX_LIMIT, self._limit + 1 / self._limit)
         self._mean_duration += MEAN_DURATION_GAIN * (seconds - self._mean_duration)
 
-    def call_failed(self, now: float, result: CallResult, others: GroupHealth) -> None:
-        """Record a call that failed or was refused; enough of them eject the replica."""
+    def call_failed(
+        self, now: float, result: CallResult, others: GroupHealth, started_at: float = math.inf
+    ) -> None:
+        """Record a call that failed or was refused; enough of them eject the replica.
+
+        ``started_at`` is when it was given the call, if that is known.
+        """
+        if self.health.was_ejected_for(result, started_at):
+            return
         self._limit = max(MIN_LIMIT, self._limit * DECREASE_FACTOR)
         self.health.call_failed(now, result, others)
 
--- a/tests/scheduling/test_health.py
+++ b/tests/scheduling/test_health.py
@@ -4,7 +4,7 @@
 import unittest
 
 from railsail.core.outcomes import Unknown
-from railsail.scheduling.decisions import Grant
+from railsail.scheduling.decisions import Flight, Grant
 from railsail.scheduling.dispatcher import CellDispatcher
 from railsail.scheduling.health import CallResult, GroupHealth, ReplicaHealth
 from railsail.scheduling.tickets import Ticket
@@ -96,5 +96,68 @@
         self.assertGreater(sum(granted.values()), 0.95 * 2000)
 
 
+class SilenceTests(unittest.TestCase):
+    """A replica that falls silent under several calls, beside others that answer."""
+
+    def setUp(self):
+        self.dispatcher = CellDispatcher(lambda workspace: 1.0, random.Random(5), False)
+        self.dispatcher.set_replicas(dict.fromkeys("abcdef", 8))
+        self.state = self.dispatcher.replicas["a"]
+        self.number = 0
+
+    def start(self, now: float, count: int = 1) -> list[int]:
+        """Start ``count`` calls at the replica."""
+        numbers = []
+        for _ in range(count):
+            self.number += 1
+            numbers.append(self.number)
+            self.dispatcher.resume_flight(("e", self.number), Flight(1, "one", "a", 1.0, now, 1))
+        return numbers
+
+    def end(self, now: float, *numbers: int, result: CallResult = CallResult.SILENT) -> None:
+        for number in numbers:
+            self.dispatcher.release(("e", number), 1.0, now, result)
+
+    # Six calls that one silence ended would eject the replica for four seconds, although it goes on
+    # a moment later.
+    def test_silence_ejects_once_for_each_call_that_it_ends(self):
+        self.end(1.0, *self.start(0.0, 6))
+        self.assertEqual(self.state.room(1.4), 0)
+        self.assertEqual(self.state.room(1.6), 1)
+        (probe,) = self.start(1.6)
+        self.dispatcher.answered(("e", probe), 1.7)
+        self.assertEqual(self.state.room(1.7), 7)
+
+    # The same, if the last of the calls end after the ejection.
+    def test_late_ends_of_the_calls_of_a_silence_eject_again(self):
+        numbers = self.start(0.0, 6)
+        self.end(1.0, *numbers[:2])
+        self.end(1.6, *numbers[2:])
+        self.assertEqual(self.state.room(1.6), 1)
+
+    def test_replica_that_stays_silent_is_ejected_for_longer_each_time(self):
+        self.end(1.0, *self.start(0.0, 6))
+        now, waits = 1.5, []
+        for _ in range(5):
+            (probe,) = self.start(now)
+            self.assertEqual(self.state.room(now), 0)
+            ended = now + 1.0
+            self.end(ended, probe)
+            now = ended
+            while not self.state.room(now):
+                now += 0.125
+            waits.append(now - ended)
+        self.assertEqual(waits, [1.0, 2.0, 4.0, 4.0, 4.0])
+
+    # A silence after the replica has gone on is another one.
+    def test_second_silence_of_long_calls_ejects_no_more(self):
+        numbers = self.start(0.0, 4)
+        self.end(1.0, *numbers[:2])
+        (probe,) = self.start(1.5)
+        self.dispatcher.answered(("e", probe), 1.6)
+        self.end(3.0, *numbers[2:])
+        self.assertEqual(self.state.room(3.1), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
