client: answered refused HEAD requests

An answer of railsail itself (404, 503, 502, 504) to a HEAD request had a body. The codec allows none there: it closed the connection before a byte of the head was written, and the handler ended with an exception. The caller got neither an answer nor a refusal.

Answers to HEAD are sent without their body; Content-Length is that of the body left out.

Test: three HEAD requests on one connection, refused, served, refused. Before: the connection was closed without a byte (IncompleteReadError, 0 bytes). After: 404, 200, 404.

--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -43,13 +43,17 @@
 class ClientAnswer:
     """The answer to one request.
 
-    ``should_close`` returns whether the connection is to be closed after the answer.
+    ``should_close`` returns whether the connection is to be closed after the answer. The answer to
+    a ``HEAD`` request consists of its head alone.
     """
 
-    def __init__(self, connection: HTTP1Connection, should_close: Callable[[], bool]) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, should_close: Callable[[], bool], method: str
+    ) -> None:
         self.started = False
         self._connection = connection
         self._should_close = should_close
+        self._has_body = method != "HEAD"
 
     async def start(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
         """Send the status, the headers and the first ``chunk`` of the body.
@@ -98,7 +102,7 @@
     async def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Send a complete answer."""
         headers["Content-Length"] = str(len(body))
-        await self.start(status, headers, body)
+        await self.start(status, headers, body if self._has_body else b"")
         self.end()
 
 
@@ -175,7 +179,7 @@
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
     ) -> asyncio.Task:
         """Handle a request that was read completely, and return the task that does so."""
-        answer = ClientAnswer(connection, self._should_close)
+        answer = ClientAnswer(connection, self._should_close, line.method)
         return self._tasks.start(self._handler(line, headers, body, answer))
 
 
