client: replaced an answer that the codec refuses by a failure

An answer counted as started before its head was written. If the codec refused the head (a header that it cannot send), nothing had been sent, but the connection was closed as if a part had been: neither an answer nor a refusal. It counts as started once the head is written. A complete answer is ended in the same step, so that no end of the task between head and end leaves it incomplete.

Test: the codec refuses the head of a success. Before: connection closed, status 0. After: 502, whole.

--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -60,21 +60,20 @@
 
         Without a ``Content-Length`` header the body continues until ``end`` is called.
         """
-        self.started = True
-        if self._should_close():
-            headers["Connection"] = "close"
-        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        try:
-            await self._connection.write_headers(line, headers, chunk)
-        except StreamClosedError:
-            raise ClientDisconnected from None
+        await _accepted(self._write_head(status, headers, chunk))
 
     async def write(self, chunk: bytes) -> None:
         """Send a piece of the body, and wait until the caller's connection has accepted it."""
-        try:
-            await self._connection.write(chunk)
-        except StreamClosedError:
-            raise ClientDisconnected from None
+        await _accepted(self._connection.write(chunk))
+
+    def _write_head(self, status: int, headers: HTTPHeaders, chunk: bytes) -> Awaitable[None]:
+        if self._should_close():
+            headers["Connection"] = "close"
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        accepted = self._connection.write_headers(line, headers, chunk)
+        # If the codec refuses the head, nothing was sent, and another answer can be.
+        self.started = True
+        return accepted
 
     async def write_raw(self, data: bytes) -> None:
         """Send raw bytes of an answer that another node has framed.
@@ -102,8 +101,18 @@
     async def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Send a complete answer."""
         headers["Content-Length"] = str(len(body))
-        await self.start(status, headers, body if self._has_body else b"")
+        accepted = self._write_head(status, headers, body if self._has_body else b"")
+        # Ended before the wait, so that an end of this task does not leave the answer incomplete.
         self.end()
+        await _accepted(accepted)
+
+
+async def _accepted(write: Awaitable[None]) -> None:
+    """Wait until the caller's connection has accepted what was written."""
+    try:
+        await write
+    except StreamClosedError:
+        raise ClientDisconnected from None
 
 
 Handler = Callable[[RequestStartLine, HTTPHeaders, bytes, ClientAnswer], Awaitable[None]]
