--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -43,34 +43,37 @@
 class ClientAnswer:
     """The answer to one request.
 
-    ``should_close`` returns whether the connection is to be closed after the answer.
+    ``should_close`` returns whether the connection is to be closed after the answer. The answer to
+    a ``HEAD`` request consists of its head alone.
     """
 
-    def __init__(self, connection: HTTP1Connection, should_close: Callable[[], bool]) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, should_close: Callable[[], bool], method: str
+    ) -> None:
         self.started = False
         self._connection = connection
         self._should_close = should_close
+        self._has_body = method != "HEAD"
 
     async def start(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
         """Send the status, the headers and the first ``chunk`` of the body.
 
         Without a ``Content-Length`` header the body continues until ``end`` is called.
         """
-        self.started = True
-        if self._should_close():
-            headers["Connection"] = "close"
-        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        try:
-            await self._connection.write_headers(line, headers, chunk)
-        except StreamClosedError:
-            raise ClientDisconnected from None
+        await _accepted(self._write_head(status, headers, chunk))
 
     async def write(self, chunk: bytes) -> None:
         """Send a piece of the body, and wait until the caller's connection has accepted it."""
-        try:
-            await self._connection.write(chunk)
-        except StreamClosedError:
-            raise ClientDisconnected from None
+        await _accepted(self._connection.write(chunk))
+
+    def _write_head(self, status: int, headers: HTTPHeaders, chunk: bytes) -> Awaitable[None]:
+        if self._should_close():
+            headers["Connection"] = "close"
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        accepted = self._connection.write_headers(line, headers, chunk)
+        # If the codec refuses the head, nothing was sent, and another answer can be.
+        self.started = True
+        return accepted
 
     async def write_raw(self, data: bytes) -> None:
         """Send raw bytes of an answer that another node has framed.
@@ -98,8 +101,18 @@
     async def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Send a complete answer."""
         headers["Content-Length"] = str(len(body))
-        await self.start(status, headers, body)
+        accepted = self._write_head(status, headers, body if self._has_body else b"")
+        # Ended before the wait, so that an end of this task does not leave the answer incomplete.
         self.end()
+        await _accepted(accepted)
+
+
+async def _accepted(write: Awaitable[None]) -> None:
+    """Wait until the caller's connection has accepted what was written."""
+    try:
+        await write
+    except StreamClosedError:
+        raise ClientDisconnected from None
 
 
 Handler = Callable[[RequestStartLine, HTTPHeaders, bytes, ClientAnswer], Awaitable[None]]
@@ -175,7 +188,7 @@
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
     ) -> asyncio.Task:
         """Handle a request that was read completely, and return the task that does so."""
-        answer = ClientAnswer(connection, self._should_close)
+        answer = ClientAnswer(connection, self._should_close, line.method)
         return self._tasks.start(self._handler(line, headers, body, answer))
 
 
