soak: let replicas stand still beside all other faults

One, some or all replicas stand still for 0.3 to 2.5 s and go on where they were, in a series of its own beside the others, whose random choices stay as they were. Callers send resumable and other streams, and idempotent and other requests. The soak checks that no daemon ends an answer or answers 502 or 504 where no daemon was killed, paused, resumed or asked to stop until the answer ended, and for all requests that none ran which was refused as not run, none ran twice that may not be repeated, and streams have their events once and in order. It prints how many requests were judged. The replicas of wide runs stand still as well, under the checks that these had.

--- a/benchmarks/silences.py
+++ b/benchmarks/silences.py
@@ -40,7 +40,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -49,7 +49,7 @@
 
 from railsail.core.logs import configure_logs
 from tests.platform.base import configuration, read_head, request
-from tests.platform.processes import ROOT, Daemon, ProcessFleet
+from tests.platform.processes import ROOT, Daemon, ProcessFleet, Silence
 from tests.platform.standins import Received, ReplicaStandin, answering
 from tests.platform.streams import StreamingVersion, events_of
 
@@ -63,6 +63,7 @@
 REQUEST_INTERVAL_SECONDS = 1 / 40
 ROUTE_WEIGHTS = {"resume": 40, "stream": 20, "again": 20, "once": 20}
 REPEATABLE = frozenset({"resume", "again"})
+STREAM_ROUTES = frozenset({"resume", "stream"})
 ROUTE_FIELDS = {"max_attempts": 2, "slo_ms": 800, "gap_slo_ms": 300, "timeout_ms": 8000}
 DEADLINE_SECONDS = 7.5
 # An answer counts as ended at the deadline if it ended at most this long before it.
@@ -88,6 +89,7 @@
     "log-lines-per-second": "5000",
     "log-requests-per-second": "1000",
 }
+SMALL_BUDGET = {"retry-ratio": "0.1", "retry-slack": "10"}
 OK = 200
 NOT_RUN = 503
 
@@ -131,7 +133,7 @@
     @property
     def is_stream(self) -> bool:
         """Return True if the answer is a stream of events."""
-        return self.route in ("resume", "stream")
+        return self.route in STREAM_ROUTES
 
     @property
     def ending(self) -> Ending:
@@ -181,65 +183,50 @@
     ended_at: float = math.inf
 
 
-@dataclass
-class Silence:
-    """A time in which a replica stood still; ``ended_at`` is infinite while it does."""
-
-    replica: str
-    began_at: float
-    ended_at: float = math.inf
-
-    def covers(self, began_at: float, ended_at: float) -> bool:
-        """Return True if the silence has a part of the time between."""
-        return self.began_at < ended_at and began_at < self.ended_at
-
-
 @dataclass
 class Replicas:
-    """Replicas that stand still when told to; their silences and runs are recorded."""
+    """Replicas whose runs are recorded, and that can stand still."""
 
     fleet: ProcessFleet
-    version: StreamingVersion
-    silences: list[Silence] = field(default_factory=list)
-    runs: list[Run] = field(default_factory=list)
-    _plain: Callable[..., Awaitable[None]] = field(
-        default_factory=lambda: answering(seconds=ANSWER_SECONDS)
+    version: StreamingVersion = field(
+        default_factory=lambda: StreamingVersion("v1", EVENTS, PAUSE_SECONDS)
     )
+    runs: list[Run] = field(default_factory=list)
 
-    async def start(self, slots: int) -> None:
-        """Start the replicas, with ``slots`` places each."""
-        for _ in range(REPLICAS):
+    async def start(self, count: int, slots: int) -> None:
+        """Start ``count`` replicas, with ``slots`` places each."""
+        for _ in range(count):
             await self.fleet.add_replica(self._script, slots=slots, version=self.version.name)
 
     async def _script(self, replica: ReplicaStandin, received: Received, writer) -> None:
         run = Run(received.headers["Request-Id"], replica.name, _now())
         self.runs.append(run)
-        is_stream = "/resume/" in received.line or "/stream/" in received.line
-        script = self.version.script if is_stream else self._plain
+        is_stream = received.line.split("/")[1] in STREAM_ROUTES
+        script = self.version.script if is_stream else answering(seconds=ANSWER_SECONDS)
         try:
             await script(replica, received, writer)
         finally:
             run.ended_at = _now()
 
-    def silence(self, replica: ReplicaStandin, seconds: float) -> None:
-        """Let ``replica`` stand still for ``seconds``."""
-        silence = Silence(replica.name, _now())
-        self.silences.append(silence)
-        replica.pause()
-        if math.isfinite(seconds):
-            asyncio.get_running_loop().call_later(seconds, self._go_on, replica, silence)
-
-    def _go_on(self, replica: ReplicaStandin, silence: Silence) -> None:
-        silence.ended_at = _now()
-        replica.resume()
-
     def awake(self) -> list[ReplicaStandin]:
         """Return the replicas that do not stand still."""
         return [replica for replica in self.fleet.replicas if not replica.is_paused]
 
     def silent_for_good(self) -> set[str]:
         """Return the names of the replicas that do not go on any more."""
-        return {each.replica for each in self.silences if math.isinf(each.ended_at)}
+        return {each.replica for each in self.fleet.silences if math.isinf(each.ended_at)}
+
+    def silent_seconds(self, call: CallerRequest) -> float:
+        """Return how long replicas that had a request stood still until its answer ended.
+
+        Silences at once add up.
+        """
+        had_it = {run.replica for run in self.by_request().get(call.name, [])}
+        return sum(
+            each.seconds_within(call.sent_at, call.ended_at)
+            for each in self.fleet.silences
+            if each.replica in had_it
+        )
 
     def overlapping(self) -> int:
         """Return the runs that went on beside a later one of their request for too long.
@@ -251,8 +238,8 @@
             for before, after in itertools.pairwise(runs):
                 ended_at = min(before.ended_at, after.ended_at)
                 stood_still = any(
-                    each.replica == before.replica and each.covers(after.began_at, ended_at)
-                    for each in self.silences
+                    each.replica == before.replica and each.seconds_within(after.began_at, ended_at)
+                    for each in self.fleet.silences
                 )
                 count += ended_at - after.began_at > OVERLAP_SECONDS and not stood_still
         return count
@@ -271,11 +258,12 @@
 
     fleet: ProcessFleet
     rng: random.Random
+    interval: float = REQUEST_INTERVAL_SECONDS
     requests: list[CallerRequest] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
     async def run(self) -> None:
-        """Send requests until cancelled."""
+        """Send a request each ``interval`` seconds until cancelled."""
         routes, weights = list(ROUTE_WEIGHTS), list(ROUTE_WEIGHTS.values())
         while True:
             route = self.rng.choices(routes, weights)[0]
@@ -285,7 +273,7 @@
             task = asyncio.ensure_future(self._call(call))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
+            await asyncio.sleep(self.interval)
 
     async def settle(self) -> None:
         """Wait until all requests have ended."""
@@ -339,13 +327,15 @@
     """Which replicas stand still and for how long, and what happens beside it.
 
     Each ``interval`` seconds, ``replicas`` of those that are awake stand still for ``seconds``.
-    Silences for good happen once. ``slots`` is the number of places of each replica.
+    Silences for good happen once. ``slots`` is the number of places of each replica, and daemons
+    have ``settings`` beside ``SETTINGS``.
     """
 
     replicas: int = 1
     seconds: float = SILENCE_SECONDS
     interval: float = 0.8
     slots: int = SLOTS
+    settings: Mapping[str, str] = field(default_factory=dict)
     beside: "Callable[[SilenceRun], Awaitable[None]] | None" = None
 
 
@@ -366,7 +356,7 @@
     async def start(self, daemons: int, sources: Path, other: Path | None) -> None:
         """Start replicas and daemons, and wait until they serve."""
         self.change()
-        await self.replicas.start(self.scenario.slots)
+        await self.replicas.start(REPLICAS, self.scenario.slots)
         await self.fleet.add_daemons(daemons, DOMAINS, other, sources)
         await self.fleet.until_ready()
 
@@ -395,7 +385,7 @@
         while scenario.replicas:
             awake = self.replicas.awake()
             for replica in self.rng.sample(awake, min(len(awake), scenario.replicas)):
-                self.replicas.silence(replica, scenario.seconds)
+                self.fleet.silence(replica, scenario.seconds)
             if math.isinf(scenario.seconds):
                 return
             await asyncio.sleep(scenario.interval)
@@ -471,6 +461,8 @@
     "long_all_configurations": Scenario(
         replicas=REPLICAS, seconds=1.9, interval=3.5, beside=change_configuration
     ),
+    "one_small_budget": Scenario(settings=SMALL_BUDGET),
+    "all_small_budget": Scenario(replicas=REPLICAS, interval=3.5, settings=SMALL_BUDGET),
     "one_for_good": Scenario(seconds=FOR_GOOD),
     "group_for_good": Scenario(replicas=3, seconds=FOR_GOOD),
 }
@@ -540,16 +532,15 @@
 ) -> SilenceResult:
     """Run one scenario, and return its figures; the logs are in ``folder``."""
     fleet = ProcessFleet(folder)
-    fleet.settings = SETTINGS
-    version = StreamingVersion("v1", EVENTS, PAUSE_SECONDS)
-    replicas = Replicas(fleet, version)
+    fleet.settings = SETTINGS | SCENARIOS[name].settings
+    replicas = Replicas(fleet)
     callers = Callers(fleet, random.Random(f"{seed} callers"))
     rng = random.Random(f"{seed} {name}")
     run = SilenceRun(SCENARIOS[name], fleet, replicas, callers, rng)
     try:
         await run.start(daemons, sources, other)
         await run.run(seconds)
-        _write_logs(run, folder)
+        write_logs(replicas, callers.requests, folder)
         return _to_result(name, seed, run)
     finally:
         await fleet.stop()
@@ -560,7 +551,7 @@
     runs = run.replicas.by_request()
     endings = Counter(call.ending for call in calls)
     again = [call for call in calls if len(runs.get(call.name, [])) > 1]
-    unanswered = [call for call in calls if not _is_answered(call, runs)]
+    unanswered = [call for call in calls if not is_answered(call, runs)]
     silent = run.replicas.silent_for_good()
     lost = [call for call in unanswered if not _is_excused(call, runs, silent)]
     served = [call for call in calls if call.ending is Ending.SERVED]
@@ -587,7 +578,7 @@
     )
 
 
-def _is_answered(call: CallerRequest, runs: dict[str, list[Run]]) -> bool:
+def is_answered(call: CallerRequest, runs: dict[str, list[Run]]) -> bool:
     """Return True if a request got its whole answer or a refusal that holds, or was not sent."""
     if call.ending is Ending.REFUSED:
         return call.name not in runs
@@ -600,25 +591,25 @@
     return not call.may_repeat and bool(silent) and had_it <= silent
 
 
-def _write_logs(run: SilenceRun, folder: Path) -> None:
+def write_logs(replicas: Replicas, calls: list[CallerRequest], folder: Path) -> None:
     """Write what replicas and callers saw into ``folder``, one JSON object a line."""
     to_wall = time.time() - _now()
-    replicas = [
+    spans = [
         {"event": "silence", "replica": each.replica} | _times(each, to_wall)
-        for each in run.replicas.silences
+        for each in replicas.fleet.silences
     ]
-    replicas += [
+    spans += [
         {"event": "run", "replica": each.replica, "request": each.request} | _times(each, to_wall)
-        for each in run.replicas.runs
+        for each in replicas.runs
     ]
     callers = [
         {"request": call.name, "node": call.daemon.node, "ending": call.ending}
         | {"status": call.status, "sent_at": _wall(call.sent_at, to_wall)}
         | {"ended_at": _wall(call.ended_at, to_wall), "events": len(events_of(call.body))}
         | {"longest_gap": round(call.longest_gap, 3)}
-        for call in run.callers.requests
+        for call in calls
     ]
-    _write_lines(folder / "replicas.log", sorted(replicas, key=lambda line: line["began_at"]))
+    _write_lines(folder / "replicas.log", sorted(spans, key=lambda line: line["began_at"]))
     _write_lines(folder / "callers.log", callers)
 
 
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -11,14 +11,22 @@
 - A failure domain or a daemon is cut off from the others, in one direction or both.
 - Links go silent.
 
+Beside these, one, some or all replicas stand still for a moment, and go on where they were.
+
 In the meantime an operator changes the configuration, and callers find out which version decided
-their answers. The soak checks that
+their answers. Others send streams, most of them resumable, and requests, half of them idempotent.
+The soak checks that
 
 - no daemon gives an answer that only an older configuration allows, more than ``BOUND_SECONDS``
   after the newer one was confirmed; this applies to daemons that have run and been answered by the
   store for ``SETTLED_SECONDS``;
 - no daemon closes a connection without an answer, unless it was killed;
-- no daemon closes a link because of a message that it received.
+- no daemon closes a link because of a message that it received;
+- no daemon ends an answer, or answers 502 or 504, where only a silence struck the replica: no
+  daemon was killed, paused, resumed or asked to stop until the answer ended. A request may end at
+  its deadline only if silences took half of its time;
+- no request runs that was refused with 503, none runs twice that may not be repeated, and streams
+  have their events once and in order.
 
 With ``--other``, every second daemon runs the build whose sources are in DIR. Its answers by an
 older configuration are reported, but do not fail the run.
@@ -41,7 +49,7 @@
 
 import fire
 
-from benchmarks import promises
+from benchmarks import promises, silences
 from benchmarks.relay import Relay
 from railsail.core.logs import configure_logs
 from railsail.membership.placement import rank
@@ -64,6 +72,13 @@
 SERIES = 2
 MAX_PAUSE_SECONDS = 3.0
 CHANGE_PAUSES_SECONDS = (0.1, 0.5, 1.0, 2.5)
+# Replicas stand still for a time between these.
+SILENCE_SECONDS = (0.3, 2.5)
+MAX_PAUSE_BETWEEN_SILENCES_SECONDS = 1.0
+REPLICA_SLOTS = 64
+STREAM_INTERVAL_SECONDS = 0.05
+# A request may end at its deadline if silences took this share of its time.
+SILENT_SHARE = 0.5
 # The findings of one kind that are printed for a run.
 MAX_PRINTED_FINDINGS = 5
 LINK_CLOSED = b'"link closed"'
@@ -105,6 +120,7 @@
     rng: random.Random
     faults: list[Callable[["FaultSeries"], Awaitable[None]]]
     injected: list[str] = field(default_factory=list)
+    max_pause: float = MAX_PAUSE_SECONDS
 
     async def run(self, seconds: float) -> None:
         """Inject one fault after the other for ``seconds``."""
@@ -114,7 +130,7 @@
             fault = self.rng.choice(self.faults)
             self.injected.append(fault.__name__)
             await fault(self)
-            await asyncio.sleep(self.rng.uniform(0.0, MAX_PAUSE_SECONDS))
+            await asyncio.sleep(self.rng.uniform(0.0, self.max_pause))
 
     def sample_running(self, max_count: int) -> list[Daemon]:
         """Return a random sample of one to ``max_count`` running daemons."""
@@ -122,6 +138,28 @@
         return self.rng.sample(running, min(len(running), self.rng.randint(1, max_count)))
 
 
+@dataclass(frozen=True)
+class SilenceFindings:
+    """What became of the requests that replicas had which stood still.
+
+    ``judged`` counts the requests whose answers had to come whole, and ``struck`` those of them
+    whose replica stood still. ``lost`` are those whose answers did not. ``violations`` break what
+    holds for all requests.
+    """
+
+    silences: int
+    judged: int
+    struck: int
+    lost: list[str]
+    violations: list[str]
+
+    def __str__(self) -> str:
+        return (
+            f"{self.silences} silences, {self.judged} requests judged, {self.struck} of them "
+            f"struck by a silence, {len(self.lost)} lost"
+        )
+
+
 @dataclass(frozen=True)
 class SoakResult:
     """The results of one run.
@@ -146,12 +184,15 @@
     # Only in a wide run: the violated guarantees, and a description of each rollout.
     violations: list[str] = field(default_factory=list)
     orders: list[str] = field(default_factory=list)
+    # Not in a wide run, whose versions fail requests.
+    silences: SilenceFindings | None = None
 
     @property
     def passed(self) -> bool:
         """Return whether all checks passed."""
+        lost = self.silences is not None and (self.silences.lost or self.silences.violations)
         return not (
-            self.old_answers or self.cut_connections or self.closed_links or self.violations
+            self.old_answers or self.cut_connections or self.closed_links or self.violations or lost
         )
 
     def __str__(self) -> str:
@@ -161,6 +202,7 @@
             f"the longest {self.longest_seconds:.2f} s, "
             f"{len(self.other_build_old_answers)} by the other build, "
             f"{len(self.cut_connections)} cut, {self.closed_links} links closed; "
+            f"{f'{self.silences}; ' if self.silences else ''}"
             f"{' '.join(self.faults)}"
         )
         printed = [
@@ -168,6 +210,8 @@
             *self.cut_connections[:MAX_PRINTED_FINDINGS],
             *self.violations,
             *self.orders,
+            *(self.silences.lost[:MAX_PRINTED_FINDINGS] if self.silences else []),
+            *(self.silences.violations if self.silences else []),
         ]
         return "\n  ".join([line, *map(str, printed)])
 
@@ -191,22 +235,29 @@
 async def _run(
     fleet: ProcessFleet, seed: int, seconds: float, daemons: int, other: Path
 ) -> SoakResult:
-    operator = Operator(fleet.store)
-    for _ in range(REPLICAS):
-        await fleet.add_replica()
+    changes = dict.fromkeys(silences.ROUTE_WEIGHTS, silences.ROUTE_FIELDS)
+    operator = Operator(fleet.store, route_changes=changes)
+    replicas = silences.Replicas(fleet)
+    await replicas.start(REPLICAS, REPLICA_SLOTS)
     await fleet.add_daemons(daemons, DOMAINS, other)
     await fleet.until_ready()
     await asyncio.sleep(STARTUP_SECONDS)
     callers = Callers(fleet, operator, _rng(seed, "callers"), BOUND_SECONDS, SETTLED_SECONDS)
-    sending = asyncio.ensure_future(callers.run())
+    streams = silences.Callers(fleet, _rng(seed, "streams"), STREAM_INTERVAL_SECONDS)
+    sending = [asyncio.ensure_future(each.run()) for each in (callers, streams)]
     changing = asyncio.ensure_future(_change_configuration(operator, _rng(seed, "operator")))
     series = _make_series(fleet, seed, FAULTS, SERIES)
-    await asyncio.gather(*(each.run(seconds) for each in series))
+    silencing = _make_silences(fleet, seed)
+    await asyncio.gather(*(each.run(seconds) for each in [*series, silencing]))
+    sending.pop().cancel()
     await asyncio.sleep(COOLDOWN_SECONDS)
-    sending.cancel()
+    sending.pop().cancel()
     changing.cancel()
-    await callers.settle()
-    return _make_result(fleet, seed, callers, [name for each in series for name in each.injected])
+    await asyncio.gather(callers.settle(), streams.settle())
+    silences.write_logs(replicas, streams.requests, fleet.folder)
+    faults = [name for each in series for name in each.injected]
+    result = _make_result(fleet, seed, callers, faults)
+    return replace(result, silences=_judge(fleet, replicas, streams.requests))
 
 
 def _make_series(
@@ -218,6 +269,66 @@
     return [FaultSeries(fleet, _rng(seed, f"series {number}"), faults) for number in range(count)]
 
 
+def _make_silences(fleet: ProcessFleet, seed: int) -> FaultSeries:
+    rng = _rng(seed, "silences")
+    pause = MAX_PAUSE_BETWEEN_SILENCES_SECONDS
+    return FaultSeries(fleet, rng, [silence_replicas], max_pause=pause)
+
+
+def _judge(
+    fleet: ProcessFleet, replicas: silences.Replicas, calls: list[silences.CallerRequest]
+) -> SilenceFindings:
+    """Return what became of ``calls``."""
+    runs = replicas.by_request()
+    judged = [call for call in calls if call.connected and not _is_disturbed(fleet, call)]
+    silent = {call.name: replicas.silent_seconds(call) for call in judged}
+    lost = [
+        call
+        for call in judged
+        if not silences.is_answered(call, runs) and not _ran_out_of_time(call, silent[call.name])
+    ]
+    return SilenceFindings(
+        len(fleet.silences),
+        len(judged),
+        sum(seconds > 0 for seconds in silent.values()),
+        [_describe(call) for call in lost],
+        _find_violations(calls, runs),
+    )
+
+
+def _is_disturbed(fleet: ProcessFleet, call: silences.CallerRequest) -> bool:
+    """Return True if a daemon was disturbed before the answer ended."""
+    return any(call.sent_at <= at <= call.ended_at for at in fleet.disturbed_at)
+
+
+def _ran_out_of_time(call: silences.CallerRequest, silent_seconds: float) -> bool:
+    """Return True if silences left too little time until the deadline."""
+    return call.ended_at_deadline and silent_seconds >= SILENT_SHARE * call.seconds
+
+
+def _describe(call: silences.CallerRequest) -> str:
+    return (
+        f"{call.name} at {call.daemon.node}: {call.ending} with status {call.status} "
+        f"after {call.seconds:.2f} s"
+    )
+
+
+def _find_violations(
+    calls: list[silences.CallerRequest], runs: dict[str, list[silences.Run]]
+) -> list[str]:
+    """Return a finding for each request that ran though it may not, or has wrong events."""
+    found = []
+    for call in calls:
+        count = len(runs.get(call.name, []))
+        if count > 1 and not call.may_repeat:
+            found.append(f"{call.name} ran {count} times")
+        if count and call.ending is silences.Ending.REFUSED:
+            found.append(f"{call.name} was refused as not run by {call.daemon.node}, and ran")
+        if call.has_wrong_events:
+            found.append(f"{call.name} has events missing, repeated or out of order")
+    return found
+
+
 @dataclass
 class WideRun:
     """A run over two regions, with rollouts and with replicas that keep connections open."""
@@ -242,6 +353,7 @@
         tasks = [asyncio.ensure_future(each) for each in [*background, self._vary_forgetting()]]
         count = self._rng("series").choice(WIDE_SERIES)
         series = _make_series(self.fleet, self.seed, WIDE_FAULTS, count)
+        series.append(_make_silences(self.fleet, self.seed))
         await asyncio.gather(orders.run(seconds), *(each.run(seconds) for each in series))
         violations = await self._find_not_serving()
         for task in tasks:
@@ -451,6 +563,17 @@
     _set_reached_since(series.fleet, ips, asyncio.get_running_loop().time())
 
 
+async def silence_replicas(series: FaultSeries) -> None:
+    """Let one, some or all replicas stand still for a moment."""
+    listening = [replica for replica in series.fleet.replicas if replica.is_listening]
+    some = series.rng.randint(1, len(listening))
+    count = series.rng.choice([1, some, len(listening)])
+    seconds = series.rng.uniform(*SILENCE_SECONDS)
+    for replica in series.rng.sample(listening, count):
+        series.fleet.silence(replica, seconds)
+    await asyncio.sleep(seconds)
+
+
 async def cut_region(series: FaultSeries) -> None:
     """Cut the regions off from each other."""
     north, south = _regions(series.fleet)
--- a/tests/platform/operator.py
+++ b/tests/platform/operator.py
@@ -49,8 +49,15 @@
 class Operator:
     """Change the configuration; times are those of the event loop."""
 
-    def __init__(self, store: PlatformStoreStandin, tenants: list[dict] | None = None) -> None:
+    def __init__(
+        self,
+        store: PlatformStoreStandin,
+        tenants: list[dict] | None = None,
+        route_changes: dict[str, dict] | None = None,
+    ) -> None:
         self._store = store
+        # Fields that routes have in every version, by the name of the route.
+        self._route_changes = route_changes or {}
         # Workspaces that every version has beside the usual one.
         self._tenants = tenants or []
         self.version = FIRST_VERSION
@@ -63,7 +70,7 @@
         """Put the next version into the store."""
         self.version += 1
         kept = range(max(FIRST_VERSION + 1, self.version - KEPT_VERSIONS + 1), self.version + 1)
-        value = configuration(self.version)
+        value = configuration(self.version, **self._route_changes)
         like = next(route for route in value["routes"] if route["name"] == "again")
         for version in kept:
             added = {"name": f"added-{version}", "path_prefix": route_of(version)}
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import os
 import signal
 import subprocess
@@ -129,6 +130,19 @@
     status: int = 0
 
 
+@dataclass
+class Silence:
+    """A time in which a replica stood still; ``ended_at`` is infinite until it goes on."""
+
+    replica: str
+    began_at: float
+    ended_at: float = math.inf
+
+    def seconds_within(self, began_at: float, ended_at: float) -> float:
+        """Return how much of the time between lies in the silence."""
+        return max(0.0, min(self.ended_at, ended_at) - max(self.began_at, began_at))
+
+
 @dataclass
 class ProcessFleet:
     """A store, replicas and daemons; ``stop`` ends exactly those."""
@@ -148,6 +162,8 @@
     versions: dict[str, str] = field(default_factory=dict)
     # When a daemon was killed, asked to stop, paused or resumed.
     disturbed_at: list[float] = field(default_factory=list)
+    # When replicas stood still.
+    silences: list[Silence] = field(default_factory=list)
     replica_class: type[ReplicaStandin] = ReplicaStandin
 
     async def add_replica(
@@ -176,6 +192,18 @@
         self.store.remove("servers", replica.name)
         replica.crash()
 
+    def silence(self, replica: ReplicaStandin, seconds: float) -> None:
+        """Let a replica stand still for ``seconds``, for good if they are infinite."""
+        silence = Silence(replica.name, asyncio.get_running_loop().time())
+        self.silences.append(silence)
+        replica.pause()
+        if math.isfinite(seconds):
+            asyncio.get_running_loop().call_later(seconds, self._go_on, replica, silence)
+
+    def _go_on(self, replica: ReplicaStandin, silence: Silence) -> None:
+        silence.ended_at = asyncio.get_running_loop().time()
+        replica.resume()
+
     async def add_daemons(
         self, count: int, domains: int, other: Path | None = None, sources: Path = ROOT
     ) -> None:
@@ -307,7 +335,10 @@
         for daemon in self.daemons:
             await asyncio.to_thread(daemon.process.wait)
         for replica in self.replicas:
+            # What waits for the end of a pause ends before the loop does.
+            replica.resume()
             replica.stop()
+        await asyncio.sleep(LOOK_SECONDS)
         if self.relay is not None:
             self.relay.stop()
         self.store.stop()
