rollouts: counted the silence of a replica as one failure of its version

Cause: each call that a silent replica did not answer counted as a failed answer of its version. The judge takes answers for independent of each other, and six failures without a usual share of them raise its alarm. Canary calls run together on one replica, so that a single silence of little more than a second made a good version look bad.

Now the calls that a replica had been given when its silence was counted count no further, until it has started an answer. Calls that it was given afterwards count again, and so does each call that hangs beside answers.

Left open: late answers. To count late answers that begin together once would also hide a slow version, whose canary calls are sent together.

Test: test_silence_of_a_replica_counts_for_each_of_its_calls fails before ((6, 6) != (1, 1)).

--- a/railsail/rollouts/tallies.py
+++ b/railsail/rollouts/tallies.py
@@ -40,17 +40,26 @@
     arrivals: int = 0
     _tallies: dict[TallyKey, Tally] = field(default_factory=dict)
     _routes: set[int] = field(default_factory=set)
+    # By replica, when the counted call of its silence ended, until it starts an answer.
+    _silent_at: dict[str, float] = field(default_factory=dict)
 
     def items(self) -> Iterator[tuple[TallyKey, Tally]]:
         """Yield each tally with its key."""
         yield from self._tallies.items()
 
+    def answer_started(self, replica: str) -> None:
+        """Record the start of an answer, which ends the silence of ``replica`` if there was one."""
+        self._silent_at.pop(replica, None)
+
     def ended(self, flight: Flight, now: float, result: CallResult, was_cold: bool = False) -> None:
         """Count the end of a granted call at ``now`` if it is evidence about the version.
 
         A failed connection is not counted, because the replica gave no answer. A replica that
-        ``was_cold`` is slow whichever version it runs, so only its failures are counted.
+        ``was_cold`` is slow whichever version it runs, so only its failures are counted. A silence
+        of a replica ends all of its calls, and counts as one failure.
         """
+        if result is CallResult.SILENT and self._is_counted_silence(flight, now):
+            return
         if was_cold and not result.failed:
             return
         whole = now - flight.started_at
@@ -63,6 +72,14 @@
         elif result in _FAILED_ANSWERS:
             self._tally_for(flight).add(True, first, whole)
 
+    def _is_counted_silence(self, flight: Flight, now: float) -> bool:
+        """Return True if the silence that ended ``flight`` was counted with another call."""
+        silent_at = self._silent_at.get(flight.replica)
+        if silent_at is not None and flight.started_at < silent_at:
+            return True
+        self._silent_at[flight.replica] = now
+        return False
+
     def _tally_for(self, flight: Flight) -> Tally:
         version = flight.software_version
         replica = flight.replica if version == self.target_version else ""
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -162,6 +162,8 @@
             return
         self._clear_pending(flight)
         flight.begun_at = flight.begun_at or now
+        if self.tallies is not None:
+            self.tallies.answer_started(flight.replica)
         state = self.replicas.get(flight.replica)
         if state is not None:
             state.answer_started(key, now)
--- a/tests/scheduling/test_versions.py
+++ b/tests/scheduling/test_versions.py
@@ -339,6 +339,43 @@
         self.assertEqual((tally.answers, tally.failed), (1, 0))
         self.assertEqual(sum(tally.first[19:]), 1)
 
+    # Six calls that one silence of a canary ended were enough to roll back a good version.
+    def test_silence_of_a_replica_counts_for_each_of_its_calls(self):
+        self.allow(Stage.CANARY)
+        numbers = self.start_canary_calls(6, 0.0)
+        for number in numbers[:3]:
+            self.dispatcher.release(("e", number), 10.0, 1.1, CallResult.SILENT)
+        for number in numbers[3:]:
+            self.dispatcher.release(("e", number), 10.0, 1.3, CallResult.SILENT)
+        tally = self.tallies()[(0, "v2", "new0")]
+        self.assertEqual((tally.answers, tally.failed), (1, 1))
+
+    def test_calls_that_are_given_to_a_silent_replica_later_count_again(self):
+        self.allow(Stage.CANARY)
+        for started in (0.0, 2.0, 4.0):
+            (number,) = self.start_canary_calls(1, started)
+            self.dispatcher.release(("e", number), 10.0, started + 1.1, CallResult.SILENT)
+        self.assertEqual(self.tallies()[(0, "v2", "new0")].failed, 3)
+
+    def test_calls_that_hang_beside_answers_count_each(self):
+        self.allow(Stage.CANARY)
+        numbers = self.start_canary_calls(6, 0.0)
+        for step in range(3):
+            self.dispatcher.answered(("e", numbers[step]), 1.1 + step)
+            self.dispatcher.release(("e", numbers[3 + step]), 10.0, 1.5 + step, CallResult.SILENT)
+        self.assertEqual(self.tallies()[(0, "v2", "new0")].failed, 3)
+
+    def start_canary_calls(self, count: int, now: float) -> list[int]:
+        """Start ``count`` calls at the first canary, and return their numbers."""
+        numbers = []
+        for _ in range(count):
+            self.number += 1
+            numbers.append(self.number)
+            self.dispatcher.resume_flight(
+                ("e", self.number), Flight(1, "one", "new0", 10.0, now, 1)
+            )
+        return numbers
+
     def serve_in(self, seconds: float) -> None:
         for step in range(20):
             self.offer(float(step))
