quarantine: dated a crash by the calls of its last second only

Cause: calls that end early at a replica are remembered for a crash that is noticed soon after. They were dropped only once the replica had been without any for a second, and the oldest of them gave the time of the crash. Where callers leave, or a replica falls silent, more often than that, a crash was dated to the first of them, however long ago: requests granted since were not put down to it (they "were sent later"), it counted as simultaneous with others, and the memory grew by each call.

Now what is older than a second is dropped at the next record, and left out of the time.

Tests: test_crash_is_dated_to_the_first_of_many_earlier_silences fails before (1000.0 != 1004.0) and test_calls_that_ended_early_are_remembered_for_good, too (50 != 3).

--- a/railsail/quarantine/observer.py
+++ b/railsail/quarantine/observer.py
@@ -107,7 +107,10 @@
     def _record(self, replica: str, fingerprints: Collection[int]) -> None:
         now = self._clock.monotonic()
         for name, interrupted in list(self._interrupted_calls.items()):
-            if name not in self._checking and max(interrupted.values()) < now - SAME_CRASH_SECONDS:
+            recent = _recent(interrupted, now)
+            if recent:
+                self._interrupted_calls[name] = recent
+            else:
                 del self._interrupted_calls[name]
         for name in [name for name in self._survivors if self._directory.get(name) is None]:
             del self._survivors[name]
@@ -140,8 +143,8 @@
 
     def _report_crash(self, upstream: Upstream) -> None:
         now = self._clock.monotonic()
-        interrupted = self._interrupted_calls.pop(upstream.name, {})
-        ran = {fp for fp, at in interrupted.items() if at >= now - SAME_CRASH_SECONDS}
+        interrupted = _recent(self._interrupted_calls.pop(upstream.name, {}), now)
+        ran = set(interrupted)
         broke_off_at = min(interrupted.values(), default=now)
         ran |= self._calls_on(upstream.name, broke_off_at)
         ran -= self._survivors.get(upstream.name, set())
@@ -149,3 +152,8 @@
         if ran:
             crash = ReplicaCrash(upstream.name, upstream.born, broke_off_at, frozenset(ran))
             self._quarantine.record_crash(crash)
+
+
+def _recent(interrupted: dict[int, float], now: float) -> dict[int, float]:
+    """Return those of ``interrupted`` calls that may be part of a crash that is noticed now."""
+    return {fp: at for fp, at in interrupted.items() if at >= now - SAME_CRASH_SECONDS}
--- a/tests/quarantine/test_observer.py
+++ b/tests/quarantine/test_observer.py
@@ -37,14 +37,16 @@
 
     def __init__(self) -> None:
         self.blamed: list[frozenset[int]] = []
+        self.times: list[float] = []
 
     def record_crash(self, crash) -> None:
         self.blamed.append(crash.fingerprints)
+        self.times.append(crash.at)
 
 
 class CrashTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        clock = Links().clock
+        self.clock = clock = Links().clock
         kernel = Kernel(clock, random.Random(1), EventLog("a", clock), Metrics())
         self.running: set[int] = set()
         self.survivors: set[int] = set()
@@ -57,9 +59,8 @@
             kernel,
         )
         self.addCleanup(self.observer.stop)
-        patch = mock.patch.object(
-            observer, "refuses_connections", mock.AsyncMock(return_value=True)
-        )
+        self.refuses = mock.AsyncMock(return_value=True)
+        patch = mock.patch.object(observer, "refuses_connections", self.refuses)
         patch.start()
         self.addCleanup(patch.stop)
 
@@ -94,6 +95,32 @@
         await self.check()
         self.assertEqual(self.quarantine.blamed, [{REQUEST}, {OTHER}])
 
+    # Calls that ended early long before the crash, one after the other, moved its time to theirs.
+    async def test_crash_is_dated_to_the_first_of_many_earlier_silences(self):
+        started_at = self.clock.monotonic()
+        self.refuses.return_value = False
+        with mock.patch.object(observer, "PROBE_DELAYS_SECONDS", (0.0,)):
+            for number in range(10):
+                self.observer.record_abandoned_call("i-1", (100 + number,))
+                await self.check()
+                self.clock.advance(0.5)
+            self.refuses.return_value = True
+            self.observer.record_broken_call("i-1", (REQUEST,), ())
+            await self.check()
+        self.assertEqual(self.quarantine.blamed, [{108, 109, REQUEST}])
+        self.assertAlmostEqual(self.quarantine.times[0], started_at + 4.0)
+        self.assertEqual(self.observer._interrupted_calls, {})
+
+    # What ended early would be remembered for as long as one call each second ends early.
+    async def test_calls_that_ended_early_are_remembered_for_good(self):
+        self.refuses.return_value = False
+        with mock.patch.object(observer, "PROBE_DELAYS_SECONDS", (0.0,)):
+            for number in range(50):
+                self.observer.record_abandoned_call("i-1", (100 + number,))
+                await self.check()
+                self.clock.advance(0.5)
+        self.assertEqual(len(self.observer._interrupted_calls["i-1"]), 3)
+
 
 if __name__ == "__main__":
     unittest.main()
