health: ejected a replica once for an outage of its link, however many calls it ended

Cause: as with silences, each call that could not connect doubled the ejection. A link that is cut for half a second ends five calls and more of a busy replica, which was then ejected for four seconds.

Now calls that the replica was given before the ejection count no further, if they could not reach it either.

Test: test_outage_ejects_once_for_each_call_that_it_ends fails before (0 != 1).

--- a/railsail/scheduling/health.py
+++ b/railsail/scheduling/health.py
@@ -140,11 +140,12 @@
         self.answer_started()
 
     def was_ejected_for(self, result: CallResult, started_at: float) -> bool:
-        """Return True if the replica is ejected for a silence that ended this call, too.
+        """Return True if the replica is ejected for a silence or outage that ended this call, too.
 
-        One silence ends all calls of a replica, and counts as one ejection however many they are.
+        Either ends all calls of a replica, and counts as one ejection however many they are.
         """
-        return result is CallResult.SILENT and self._tripped and started_at < self._ejected_until
+        is_outage = result in (CallResult.SILENT, CallResult.UNREACHABLE)
+        return is_outage and self._tripped and started_at < self._ejected_until
 
     def call_failed(self, now: float, result: CallResult, others: GroupHealth) -> None:
         """Record a failed call, and eject the replica if it has failed too often."""
--- a/tests/scheduling/test_health.py
+++ b/tests/scheduling/test_health.py
@@ -128,6 +128,13 @@
         self.dispatcher.answered(("e", probe), 1.7)
         self.assertEqual(self.state.room(1.7), 7)
 
+    # The same for calls that could not connect while a link was cut for half a second.
+    def test_outage_ejects_once_for_each_call_that_it_ends(self):
+        numbers = self.start(0.0, 6)
+        self.end(0.4, *numbers, result=CallResult.UNREACHABLE)
+        self.assertEqual(self.state.room(0.8), 0)
+        self.assertEqual(self.state.room(1.0), 1)
+
     # The same, if the last of the calls end after the ejection.
     def test_late_ends_of_the_calls_of_a_silence_eject_again(self):
         numbers = self.start(0.0, 6)
