front: answered each request on which any step fails

Only the part between the parsed request and its outcome had a net. An unexpected error elsewhere, as in forwarding, in reading the request, in an error answer or in what follows an answer, ended the task of the request: the connection stayed open without an answer until the caller gave up. An error after a whole answer closed its connection.

One guard now runs all that serves a request. It logs the error with the id of the request and answers 502, which promises nothing; it breaks off an answer that has begun; it leaves a whole one alone. If even the error answer fails, a plain 502 is sent, and if that fails, the server closes the connection.

--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -17,6 +17,7 @@
 from tornado.iostream import StreamClosedError
 
 from railsail.core.exceptions import RailsailError
+from railsail.core.logs import get_logger
 from railsail.core.sockets import detect_dead_peer
 from railsail.core.tasks import TaskSet
 
@@ -43,14 +44,17 @@
 class ClientAnswer:
     """The answer to one request.
 
-    ``should_close`` returns whether the connection is to be closed after the answer. The answer to
-    a ``HEAD`` request consists of its head alone.
+    ``status`` is 0 before an answer that this node frames. Once the answer has ``ended``, whole or
+    broken off, nothing more may be sent. ``should_close`` returns whether the connection is to be
+    closed after the answer. The answer to a ``HEAD`` request consists of its head alone.
     """
 
     def __init__(
         self, connection: HTTP1Connection, should_close: Callable[[], bool], method: str
     ) -> None:
         self.started = False
+        self.ended = False
+        self.status = 0
         self._connection = connection
         self._should_close = should_close
         self._has_body = method != "HEAD"
@@ -73,6 +77,7 @@
         accepted = self._connection.write_headers(line, headers, chunk)
         # If the codec refuses the head, nothing was sent, and another answer can be.
         self.started = True
+        self.status = status
         return accepted
 
     async def write_raw(self, data: bytes) -> None:
@@ -88,14 +93,17 @@
 
     def close(self) -> None:
         """Close the connection after an answer that another node has framed."""
+        self.ended = True
         self._connection.close()
 
     def end(self) -> None:
         """End a complete body."""
+        self.ended = True
         self._connection.finish()
 
     def abort(self) -> None:
         """Close the connection, so that no caller takes a partial answer for a complete one."""
+        self.ended = True
         self._connection.close()
 
     async def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
@@ -189,7 +197,17 @@
     ) -> asyncio.Task:
         """Handle a request that was read completely, and return the task that does so."""
         answer = ClientAnswer(connection, self._should_close, line.method)
-        return self._tasks.start(self._handler(line, headers, body, answer))
+        task = self._tasks.start(self._handler(line, headers, body, answer))
+        task.add_done_callback(lambda done: _close_unanswered(done, answer))
+        return task
+
+
+def _close_unanswered(task: asyncio.Task, answer: ClientAnswer) -> None:
+    """Close the connection of a request whose ``task`` ended without an answer."""
+    if not task.cancelled() and task.exception() is not None:
+        get_logger().error("the handler of a request failed", exc_info=task.exception())
+    if not answer.ended:
+        answer.abort()
 
 
 class _RequestReceiver(HTTPMessageDelegate):
--- a/railsail/routing/error_answers.py
+++ b/railsail/routing/error_answers.py
@@ -9,13 +9,14 @@
 
 MIN_RETRY_AFTER_SECONDS = 0.3
 MAX_RETRY_AFTER_SECONDS = 2.5
+# The status of an answer that promises nothing: the request may have run.
+UNKNOWN_STATUS = 502
 _STATUS = {
     Reason.BAD_REQUEST: 400,
     Reason.UNAUTHORIZED: 401,
     Reason.UNKNOWN_ROUTE: 404,
 }
 _NOT_RUN_STATUS = 503
-_UNKNOWN_STATUS = 502
 _TIMEOUT_STATUS = 504
 
 
@@ -59,4 +60,4 @@
 def _status(outcome: NotRun | Unknown) -> int:
     if isinstance(outcome, NotRun):
         return _STATUS.get(outcome.reason, _NOT_RUN_STATUS)
-    return _TIMEOUT_STATUS if outcome.timed_out else _UNKNOWN_STATUS
+    return _TIMEOUT_STATUS if outcome.timed_out else UNKNOWN_STATUS
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -10,8 +10,7 @@
 from railsail.core.events import Fact, Kind
 from railsail.core.fingerprints import fingerprint_name, request_fingerprint
 from railsail.core.kernel import Kernel
-from railsail.core.logs import get_logger
-from railsail.core.outcomes import NotRun, Outcome, Reason, Unknown
+from railsail.core.outcomes import NotRun, Outcome, Reason
 from railsail.gateway.admission import Admission
 from railsail.gateway.callers import Callers, missing_pool, unusable_refusal
 from railsail.gateway.concurrency import ConcurrencyLimit
@@ -25,6 +24,7 @@
 from railsail.routing.defaults import DEFAULT_POLICY
 from railsail.routing.error_answers import ErrorAnswers
 from railsail.routing.forwarding import Forwarder
+from railsail.routing.guard import AnswerGuard
 from railsail.routing.messages import IncomingRequest, RoutedRequest
 from railsail.routing.offload import Offloader
 from railsail.routing.outcome_recorder import OutcomeRecorder
@@ -80,6 +80,7 @@
         self._rng: random.Random = kernel.rng
         self._routes = RouteTable()
         self._error_answers = ErrorAnswers(protocol, kernel.rng)
+        self._guard = AnswerGuard(protocol, self._error_answers, self._recorder, kernel.clock)
         self._offloader = Offloader(
             protocol,
             self._find_route,
@@ -110,14 +111,20 @@
     ) -> None:
         """Serve one request of a caller."""
         incoming = IncomingRequest(line, headers, body, self._clock.monotonic())
-        if not await self._offloader.offload(incoming, client, can_forward=True):
-            await self._serve_locally(incoming, client)
+        await self._guard.run(self._forward_or_serve, incoming, client)
 
     async def handle_forwarded(
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, client: ClientAnswer
     ) -> None:
         """Serve one request that another node has forwarded; it is not forwarded again."""
         incoming = IncomingRequest(line, headers, body, self._clock.monotonic())
+        await self._guard.run(self._serve_forwarded, incoming, client)
+
+    async def _forward_or_serve(self, incoming: IncomingRequest, client: ClientAnswer) -> None:
+        if not await self._offloader.offload(incoming, client, can_forward=True):
+            await self._serve_locally(incoming, client)
+
+    async def _serve_forwarded(self, incoming: IncomingRequest, client: ClientAnswer) -> None:
         if not await self._offloader.offload(incoming, client, can_forward=False):
             await self._serve_locally(incoming, client)
 
@@ -132,30 +139,16 @@
             await self._error_answers.send("", 0.0, bad, client)
             return
         try:
-            outcome, context = await self._serve_safely(request, client, incoming.received_at)
+            outcome, context = await self._serve(request, client, incoming.received_at)
             status = await self._error_answers.send(request.id, request.deadline, outcome, client)
-        except (ClientDisconnected, asyncio.CancelledError) as problem:
+        except (ClientDisconnected, asyncio.CancelledError):
             self._recorder.record_disconnect(
                 request.id, self._clock.monotonic() - incoming.received_at
             )
-            if isinstance(problem, asyncio.CancelledError):
-                raise
-            return
+            raise
         seconds = self._clock.monotonic() - incoming.received_at
         self._recorder.record_outcome(request.id, context, outcome, status, seconds)
 
-    async def _serve_safely(
-        self, request: RoutedRequest, client: ClientAnswer, received_at: float
-    ) -> tuple[Outcome, RoutingContext | None]:
-        try:
-            return await self._serve(request, client, received_at)
-        except ClientDisconnected:
-            raise
-        except Exception:
-            # Without an answer the caller would wait until its deadline, at one node after another.
-            get_logger().exception("failed to serve a request", request=request.id)
-            return Unknown("this node failed while it served the request"), None
-
     async def _serve(
         self, request: RoutedRequest, client: ClientAnswer, received_at: float
     ) -> tuple[Outcome, RoutingContext | None]:
--- a/tests/platform/test_every_request_is_answered.py
+++ b/tests/platform/test_every_request_is_answered.py
@@ -1,13 +1,163 @@
 """Every request that was read whole gets a final answer, whatever fails while it is served."""
 
 import asyncio
+import itertools
 import unittest
+from dataclasses import dataclass, field
 from unittest import mock
 
 from tornado.http1connection import HTTP1Connection
 
-from tests.platform.base import PlatformTestCase, read_head, request
-from tests.platform.standins import answering
+from railsail.node import Node
+from tests.platform.base import (
+    LONG_MS,
+    LONGEST_SECONDS,
+    ROUTES,
+    Answer,
+    PlatformTestCase,
+    read_answer,
+    read_head,
+    request,
+)
+from tests.platform.standins import Received, ReplicaStandin, answering
+from tests.platform.steps import Failure, Step, StepFailed, StepWatcher
+from tests.platform.streams import StreamingVersion
+
+# Steps that close the connection by themselves if they fail: they read the request, write to the
+# connection, or are called when all else has failed. The caller finds its connection closed.
+LAST_STEPS = ("railsail.routing.client", "railsail.routing.guard")
+# The servers hold on to the first from their start, so that it cannot be replaced. The second one
+# runs before a request is read.
+NOT_REPLACED = {
+    Step("railsail.routing.front", "RouteFront.handle"),
+    Step("railsail.routing.client", "ClientServer.start_request"),
+}
+# Some of the steps that have to be found.
+FOUND = {
+    Step("railsail.routing.offload", "Offloader.offload"),
+    Step("railsail.routing.front", "RouteFront._serve_locally"),
+    Step("railsail.routing.error_answers", "ErrorAnswers.send"),
+    Step("railsail.platform.http", "PlatformProtocol.read_request"),
+}
+NOT_RUN = (408, 421, 429, 503)
+EVENTS = 6
+SLOTS = 200
+# Calls of a step in a stream that pass before it fails, so that its first event has been sent.
+PASSES = 3
+
+
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+STREAM = b"".join(f"id: {number}\ndata: v1\n\n".encode() for number in range(EVENTS))
+STREAM_FROM_3 = STREAM[STREAM.index(b"id: 3") :]
+
+
+async def by_route(replica: ReplicaStandin, got: Received, writer) -> None:
+    """Stream on the routes for streams, and answer on the others."""
+    streams = "/stream/" in got.line or "/resume/" in got.line
+    script = StreamingVersion("v1", EVENTS, 0.002).script if streams else answering()
+    await script(replica, got, writer)
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """A request and the status that it gets if no step fails."""
+
+    target: str
+    status: int = 200
+    headers: dict[str, str] = field(default_factory=dict)
+
+    def bytes(self, name: str, **more: str) -> bytes:
+        return request(self.target, Request_Id=name, **(self.headers | more))
+
+
+class AnsweredTestCase(PlatformTestCase):
+    """Make each step of serving a request fail in turn, and look for a final answer."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        long = {"slo_ms": LONG_MS, "timeout_ms": LONG_MS}
+        for name in ROUTES:
+            self.hold(mock.patch.dict(ROUTES[name], long | ROUTES[name]))
+        self.names = (f"r-{number}" for number in itertools.count())
+
+    async def serve_all(self, **settings: str) -> Node:
+        """Start a daemon with a replica that streams on the routes for streams."""
+        await self.add_replica(by_route, SLOTS)
+        return await self.serve(retry_slack="1000", **settings)
+
+    async def find_steps(self, node: Node, scenario: Scenario) -> list[Step]:
+        """Return the steps of a request on which nothing fails."""
+        with StepWatcher(self.nodes) as watcher:
+            await self.check(node, scenario)
+        self.assertLessEqual(FOUND, watcher.steps)
+        return sorted(watcher.steps - NOT_REPLACED)
+
+    async def check(self, node: Node, scenario: Scenario) -> None:
+        """Make one request, on which nothing fails."""
+        answer = await self.ask(scenario, next(self.names), await self.connect(node))
+        self.assertEqual((answer.status, answer.whole), (scenario.status, True))
+
+    async def ask(
+        self, scenario: Scenario, name: str, connection: Connection, **headers: str
+    ) -> Answer:
+        """Make one request on ``connection``."""
+        reader, writer = connection
+        self.addCleanup(writer.close)
+        writer.write(scenario.bytes(name, **headers))
+        return await read_answer(reader)
+
+    async def fail_each(
+        self, node: Node, scenario: Scenario, failure: Failure, passes: int = 0
+    ) -> None:
+        steps = await self.find_steps(node, scenario)
+        for step in steps:
+            if failure is Failure.RAISES or step.is_awaited:
+                with self.subTest(step=str(step), failure=failure.name, passes=passes):
+                    await self.fail_one(node, scenario, step, failure, passes)
+
+    async def fail_one(
+        self, node: Node, scenario: Scenario, step: Step, failure: Failure, passes: int
+    ) -> None:
+        async with asyncio.timeout(LONGEST_SECONDS):
+            # A failure before this one may keep requests from its replica for a while.
+            while not await self.reaches(node, scenario, step, failure, passes):
+                await asyncio.sleep(0.05)
+
+    async def reaches(
+        self, node: Node, scenario: Scenario, step: Step, failure: Failure, passes: int
+    ) -> bool:
+        """Make a request while ``step`` fails, and say whether it came to it."""
+        soon = {"Deadline_Ms": "200"} if failure is Failure.HANGS else {}
+        name, connection = next(self.names), await self.connect(node)
+        with step.failing(failure, passes) as calls:
+            answer = await self.ask(scenario, name, connection, **soon)
+        self.assert_final(scenario, step, answer, name)
+        await self.until(lambda: not node.requests)
+        await self.assert_usable(scenario, step, answer, connection)
+        return bool(calls)
+
+    async def assert_usable(
+        self, scenario: Scenario, step: Step, answer: Answer, connection: Connection
+    ) -> None:
+        """Assert that the connection takes a request after a whole answer, and is closed else."""
+        if not answer.whole or answer.headers.get("Connection") == "close":
+            self.assertEqual(await asyncio.wait_for(connection[0].read(), LONGEST_SECONDS), b"")
+            return
+        again = await self.ask(scenario, next(self.names), connection)
+        if step.module not in LAST_STEPS:
+            self.assertTrue(again.whole, "the connection cannot be used any more")
+
+    def assert_final(self, scenario: Scenario, step: Step, answer: Answer, name: str) -> None:
+        if step.module not in LAST_STEPS:
+            self.assertTrue(answer.status, "the connection was closed without an answer")
+        if self.has_run(name):
+            self.assertNotIn(answer.status, NOT_RUN, "told as not run")
+        if answer.status == 200 and answer.whole:
+            self.assertIn(answer.body, (b"hello", STREAM, STREAM_FROM_3), "a part looks whole")
+
+    def has_run(self, name: str) -> bool:
+        received = [got for replica in self.replicas for got in replica.received]
+        return any(got.headers["Request-Id"] == name for got in received)
 
 
 class HeadRequestTests(PlatformTestCase):
@@ -38,5 +188,44 @@
         self.assertEqual((answer.status, answer.whole), (502, True))
 
 
+class FailingStepTests(AnsweredTestCase):
+    """A request on which a step failed waited until its caller gave it up."""
+
+    async def test_served(self):
+        node = await self.serve_all()
+        await self.fail_each(node, Scenario("/again/"), Failure.RAISES)
+
+    async def test_streamed(self):
+        node = await self.serve_all()
+        await self.fail_each(node, Scenario("/stream/"), Failure.RAISES)
+
+    async def test_streamed_after_the_first_event(self):
+        node = await self.serve_all()
+        await self.fail_each(node, Scenario("/stream/"), Failure.RAISES, PASSES)
+
+    async def test_resumed_by_its_caller(self):
+        node = await self.serve_all()
+        resumed = Scenario("/resume/", headers={"Last_Event_Id": "2"})
+        await self.fail_each(node, resumed, Failure.RAISES)
+
+    async def test_refused(self):
+        node = await self.serve_all()
+        await self.fail_each(node, Scenario("/nowhere/", 404), Failure.RAISES)
+
+    async def test_handler_of_the_server(self):
+        """Its failure is the last one: the connection is closed, and not left open."""
+        node = await self.serve_all()
+        node.client_servers[0]._handler = mock.AsyncMock(side_effect=StepFailed)
+        connection = await self.connect(node)
+        answer = await self.ask(Scenario("/again/"), next(self.names), connection)
+        self.assertEqual(answer.status, 0)
+        await self.until(lambda: not node.requests)
+
+    async def test_bad(self):
+        node = await self.serve_all()
+        bad = Scenario("/again/", 400, {"Deadline_Ms": "soon"})
+        await self.fail_each(node, bad, Failure.RAISES)
+
+
 if __name__ == "__main__":
     unittest.main()
