relay: logged why a silent attempt was not replaced

The end of a silence named the budget or the route only. Where no replica had room, or the one that was granted was silent under another request of the node, the line told nothing, and each returned grant was a line of its own, four a second for each silent request.

--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -159,26 +159,32 @@
     ) -> Booking:
         """Wait until another attempt may be made and a replica other than ``silent`` is granted."""
         while True:
-            context.give_up_reason = self._reason_not_to_retry(context, budget)
-            booking = None
-            if not context.give_up_reason:
-                context.avoid = silent
-                booking = await self._acquire(context)
+            booking = await self._acquire_replacement(context, budget, silent)
             if isinstance(booking, Booking):
-                rejection = self._reject_replacement(booking, budget)
-                if not rejection:
-                    return booking
-                self._tickets.return_grant(booking, rejection)
+                return booking
+            context.give_up_reason = booking.detail
             await asyncio.sleep(REPLACEMENT_CHECK_SECONDS)
 
-    def _reject_replacement(self, booking: Booking, budget: RetryBudget) -> str:
-        """Return why a grant cannot replace a silent attempt; if it can, spend a retry on it."""
+    async def _acquire_replacement(
+        self, context: RoutingContext, budget: RetryBudget, silent: str
+    ) -> Booking | NotRun:
+        """Spend a retry on a granted replica, or return why there is none for the request now."""
+        refusal = self._reason_not_to_retry(context, budget)
+        if refusal:
+            return NotRun(Reason.NO_ROOM, refusal)
+        context.avoid = silent
+        booking = await self._acquire(context)
+        if isinstance(booking, NotRun):
+            return booking
         if self._silences.is_silent(booking.replica):
-            return "the replica is silent"
-        if not self._spend(budget):
-            return "the retry budget is spent"
+            refusal = "the replica that was granted is silent too"
+        elif not self._spend(budget):
+            refusal = "the retry budget is spent"
+        if refusal:
+            self._tickets.withdraw(booking)
+            return NotRun(Reason.NO_ROOM, refusal)
         self._metrics.retries.inc({"cause": "silent"})
-        return ""
+        return booking
 
     def _wait_seconds(self, context: RoutingContext) -> float:
         now = self._clock.monotonic()
