front: answered requests that are cancelled though their callers wait

A cancelled step was taken for a caller that left: the request was recorded as such, and its connection ended without an answer. Only the server, which sees the connection close, knows that the caller left; it says so on the answer, and any other cancellation is a failure of this node, which the guard answers by 502 and logs. A body before its head, which such a failure could lead to, is not sent.

Test: each awaited step of five kinds of requests is cancelled in turn.

--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -4,6 +4,7 @@
 import math
 import resource
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
@@ -41,11 +42,16 @@
     """The caller closed its connection."""
 
 
+class AnswerNotStarted(RailsailError):
+    """A piece of an answer's body was to be sent before its head."""
+
+
 class ClientAnswer:
     """The answer to one request.
 
     ``status`` is 0 before an answer that this node frames. Once the answer has ``ended``, whole or
-    broken off, nothing more may be sent. ``should_close`` returns whether the connection is to be
+    broken off, nothing more may be sent. ``left`` is True once the caller has closed its
+    connection. ``should_close`` returns whether the connection is to be
     closed after the answer. The answer to a ``HEAD`` request consists of its head alone.
     """
 
@@ -54,6 +60,7 @@
     ) -> None:
         self.started = False
         self.ended = False
+        self.left = False
         self.status = 0
         self._connection = connection
         self._should_close = should_close
@@ -64,11 +71,14 @@
 
         Without a ``Content-Length`` header the body continues until ``end`` is called.
         """
-        await _accepted(self._write_head(status, headers, chunk))
+        await self._accepted(self._write_head(status, headers, chunk))
 
     async def write(self, chunk: bytes) -> None:
         """Send a piece of the body, and wait until the caller's connection has accepted it."""
-        await _accepted(self._connection.write(chunk))
+        if not self.started:
+            # The codec would send it without a head, which is no answer.
+            raise AnswerNotStarted("a body without a head")
+        await self._accepted(self._connection.write(chunk))
 
     def _write_head(self, status: int, headers: HTTPHeaders, chunk: bytes) -> Awaitable[None]:
         if self._should_close():
@@ -80,16 +90,24 @@
         self.status = status
         return accepted
 
+    async def _accepted(self, write: Awaitable[None]) -> None:
+        """Wait until the caller's connection has accepted what was written."""
+        try:
+            await write
+        except StreamClosedError:
+            self.left = True
+            raise ClientDisconnected from None
+
     async def write_raw(self, data: bytes) -> None:
         """Send raw bytes of an answer that another node has framed.
 
         Such an answer is ended by ``close``.
         """
         self.started = True
-        try:
-            await self._connection.stream.write(data)
-        except StreamClosedError:
-            raise ClientDisconnected from None
+        await self._accepted(self._write_raw(data))
+
+    async def _write_raw(self, data: bytes) -> None:
+        await self._connection.stream.write(data)
 
     def close(self) -> None:
         """Close the connection after an answer that another node has framed."""
@@ -112,15 +130,7 @@
         accepted = self._write_head(status, headers, body if self._has_body else b"")
         # Ended before the wait, so that an end of this task does not leave the answer incomplete.
         self.end()
-        await _accepted(accepted)
-
-
-async def _accepted(write: Awaitable[None]) -> None:
-    """Wait until the caller's connection has accepted what was written."""
-    try:
-        await write
-    except StreamClosedError:
-        raise ClientDisconnected from None
+        await self._accepted(accepted)
 
 
 Handler = Callable[[RequestStartLine, HTTPHeaders, bytes, ClientAnswer], Awaitable[None]]
@@ -194,12 +204,12 @@
 
     def request_received(
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
-    ) -> asyncio.Task:
-        """Handle a request that was read completely, and return the task that does so."""
+    ) -> "_RunningRequest":
+        """Handle a request that was read completely, and return the running request."""
         answer = ClientAnswer(connection, self._should_close, line.method)
         task = self._tasks.start(self._handler(line, headers, body, answer))
         task.add_done_callback(lambda done: _close_unanswered(done, answer))
-        return task
+        return _RunningRequest(answer, task)
 
 
 def _close_unanswered(task: asyncio.Task, answer: ClientAnswer) -> None:
@@ -210,6 +220,19 @@
         answer.abort()
 
 
+@dataclass(frozen=True)
+class _RunningRequest:
+    """A request that was read completely, and the task that handles it."""
+
+    answer: ClientAnswer
+    task: asyncio.Task
+
+    def disconnect(self) -> None:
+        """Cancel the request of a caller that closed its connection."""
+        self.answer.left = True
+        self.task.cancel()
+
+
 class _RequestReceiver(HTTPMessageDelegate):
     """Receiver of one request; the task that serves it is cancelled if the caller disconnects."""
 
@@ -222,7 +245,7 @@
         self._line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._body: list[bytes] = []
-        self._task: asyncio.Task | None = None
+        self._running: _RunningRequest | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -236,7 +259,7 @@
 
     def finish(self) -> None:
         self._connection.set_close_callback(self._disconnected)
-        self._task = self._server.request_received(
+        self._running = self._server.request_received(
             self._line, self._headers, b"".join(self._body), self._connection
         )
 
@@ -245,5 +268,5 @@
         self._disconnected()
 
     def _disconnected(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
+        if self._running is not None:
+            self._running.disconnect()
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -142,9 +142,10 @@
             outcome, context = await self._serve(request, client, incoming.received_at)
             status = await self._error_answers.send(request.id, request.deadline, outcome, client)
         except (ClientDisconnected, asyncio.CancelledError):
-            self._recorder.record_disconnect(
-                request.id, self._clock.monotonic() - incoming.received_at
-            )
+            if client.left:
+                self._recorder.record_disconnect(
+                    request.id, self._clock.monotonic() - incoming.received_at
+                )
             raise
         seconds = self._clock.monotonic() - incoming.received_at
         self._recorder.record_outcome(request.id, context, outcome, status, seconds)
--- a/railsail/routing/guard.py
+++ b/railsail/routing/guard.py
@@ -1,5 +1,6 @@
 """Give every request that was read a final answer, whatever happens while it is served."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from tornado.httputil import HTTPHeaders
@@ -43,7 +44,9 @@
             await serve(incoming, client)
         except ClientDisconnected:
             return
-        except Exception as problem:
+        except (Exception, asyncio.CancelledError) as problem:
+            if client.left:
+                raise
             self._log(incoming, problem)
             await self._answer(incoming, client, _FAILED)
 
@@ -76,9 +79,9 @@
             return client.status
         try:
             return await self._error_answers.send(request_id, 0.0, outcome, client)
-        except ClientDisconnected:
-            raise
-        except Exception as problem:
+        except (Exception, asyncio.CancelledError) as problem:
+            if client.left:
+                raise
             get_logger().error(
                 "failed to send an error answer", request=request_id, exc_info=problem
             )
--- a/tests/platform/test_every_request_is_answered.py
+++ b/tests/platform/test_every_request_is_answered.py
@@ -188,29 +188,42 @@
         self.assertEqual((answer.status, answer.whole), (502, True))
 
 
-class FailingStepTests(AnsweredTestCase):
-    """A request on which a step failed waited until its caller gave it up."""
+class StepScenarios:
+    """The requests whose steps fail in the way of a test case."""
+
+    failure: Failure
 
     async def test_served(self):
         node = await self.serve_all()
-        await self.fail_each(node, Scenario("/again/"), Failure.RAISES)
+        await self.fail_each(node, Scenario("/again/"), self.failure)
 
     async def test_streamed(self):
         node = await self.serve_all()
-        await self.fail_each(node, Scenario("/stream/"), Failure.RAISES)
+        await self.fail_each(node, Scenario("/stream/"), self.failure)
 
     async def test_streamed_after_the_first_event(self):
         node = await self.serve_all()
-        await self.fail_each(node, Scenario("/stream/"), Failure.RAISES, PASSES)
+        await self.fail_each(node, Scenario("/stream/"), self.failure, PASSES)
 
     async def test_resumed_by_its_caller(self):
         node = await self.serve_all()
         resumed = Scenario("/resume/", headers={"Last_Event_Id": "2"})
-        await self.fail_each(node, resumed, Failure.RAISES)
+        await self.fail_each(node, resumed, self.failure)
 
     async def test_refused(self):
         node = await self.serve_all()
-        await self.fail_each(node, Scenario("/nowhere/", 404), Failure.RAISES)
+        await self.fail_each(node, Scenario("/nowhere/", 404), self.failure)
+
+    async def test_bad(self):
+        node = await self.serve_all()
+        bad = Scenario("/again/", 400, {"Deadline_Ms": "soon"})
+        await self.fail_each(node, bad, self.failure)
+
+
+class RaisingStepTests(StepScenarios, AnsweredTestCase):
+    """A request on which a step raised an error waited until its caller gave it up."""
+
+    failure = Failure.RAISES
 
     async def test_handler_of_the_server(self):
         """Its failure is the last one: the connection is closed, and not left open."""
@@ -221,10 +234,11 @@
         self.assertEqual(answer.status, 0)
         await self.until(lambda: not node.requests)
 
-    async def test_bad(self):
-        node = await self.serve_all()
-        bad = Scenario("/again/", 400, {"Deadline_Ms": "soon"})
-        await self.fail_each(node, bad, Failure.RAISES)
+
+class CancelledStepTests(StepScenarios, AnsweredTestCase):
+    """A step that was cancelled without its caller's leaving left the connection open."""
+
+    failure = Failure.CANCELLED
 
 
 if __name__ == "__main__":
