front: answered requests on which a step does not return

Nothing bounded a request as a whole: its parts have bounds of their own, and a step that did not return left the connection open past the deadline of the caller and the timeout of the route. The guard answers 504 a little after that deadline, once every part would have answered, and logs where the request waited. A whole answer that a slow caller is still reading is left to go on.

Test: each awaited step of five kinds of requests hangs in turn, with a deadline of 200 ms.

--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -80,7 +80,9 @@
         self._rng: random.Random = kernel.rng
         self._routes = RouteTable()
         self._error_answers = ErrorAnswers(protocol, kernel.rng)
-        self._guard = AnswerGuard(protocol, self._error_answers, self._recorder, kernel.clock)
+        self._guard = AnswerGuard(
+            protocol, self._find_route, self._error_answers, self._recorder, kernel.clock
+        )
         self._offloader = Offloader(
             protocol,
             self._find_route,
--- a/railsail/routing/guard.py
+++ b/railsail/routing/guard.py
@@ -8,6 +8,7 @@
 from railsail.core.clock import Clock
 from railsail.core.logs import get_logger
 from railsail.core.outcomes import Unknown
+from railsail.objects.kinds import Route
 from railsail.routing.client import ClientAnswer, ClientDisconnected
 from railsail.routing.error_answers import UNKNOWN_STATUS, ErrorAnswers
 from railsail.routing.messages import IncomingRequest
@@ -16,44 +17,66 @@
 
 Serve = Callable[[IncomingRequest, ClientAnswer], Awaitable[None]]
 
+# The parts that serve a request answer it by its deadline, and at most this much later if they wait
+# for another node. The guard answers requests that are still without an answer then.
+GRACE_SECONDS = 0.3
+# Maximum wait for a caller to accept an answer of the guard. The rest of it is sent after that.
+SEND_SECONDS = 1.0
+
 _FAILED = Unknown("this node failed while it served the request")
+_LATE = Unknown("this node had no answer in time", timed_out=True)
 
 
 class AnswerGuard:
     """Guard around all that serves a request, which answers those that are left without an answer.
 
     Without an answer a caller would wait until its deadline, at one node after another. Such a
-    request may have run, so that it is never answered as not run.
+    request may have run, so that it is never answered as not run. ``find_route`` returns the route
+    of a host and a path, ``None`` if there is none.
     """
 
     def __init__(
         self,
         protocol: RouteProtocol,
+        find_route: Callable[[str, str], Route | None],
         error_answers: ErrorAnswers,
         recorder: OutcomeRecorder,
         clock: Clock,
     ) -> None:
         self._protocol = protocol
+        self._find_route = find_route
         self._error_answers = error_answers
         self._recorder = recorder
         self._clock = clock
 
     async def run(self, serve: Serve, incoming: IncomingRequest, client: ClientAnswer) -> None:
-        """Await ``serve``, and answer the request itself if that fails."""
+        """Await ``serve``, and answer the request itself if that fails or takes too long."""
+        timeout = asyncio.timeout(None)
         try:
-            await serve(incoming, client)
+            async with timeout:
+                self._set_end(timeout, incoming)
+                await serve(incoming, client)
         except ClientDisconnected:
             return
         except (Exception, asyncio.CancelledError) as problem:
             if client.left:
                 raise
-            self._log(incoming, problem)
-            await self._answer(incoming, client, _FAILED)
+            outcome = _LATE if timeout.expired() else _FAILED
+            self._log(incoming, outcome, problem)
+            await self._answer(incoming, client, outcome)
+
+    def _set_end(self, timeout: asyncio.Timeout, incoming: IncomingRequest) -> None:
+        origin = self._protocol.read_origin(incoming.headers)
+        route = self._find_route(origin.host, incoming.path)
+        limits = [origin.deadline, route.timeout if route is not None else 0.0]
+        seconds = min((limit for limit in limits if limit), default=0.0)
+        if seconds:
+            now = asyncio.get_running_loop().time()
+            timeout.reschedule(now + seconds + GRACE_SECONDS)
 
-    def _log(self, incoming: IncomingRequest, problem: BaseException) -> None:
-        get_logger().error(
-            "failed to serve a request", request=self._request_id(incoming), exc_info=problem
-        )
+    def _log(self, incoming: IncomingRequest, outcome: Unknown, problem: BaseException) -> None:
+        # The traceback of a request that took too long ends where it waited.
+        get_logger().error(outcome.detail, request=self._request_id(incoming), exc_info=problem)
 
     def _request_id(self, incoming: IncomingRequest) -> str:
         try:
@@ -78,12 +101,16 @@
         if client.ended:
             return client.status
         try:
-            return await self._error_answers.send(request_id, 0.0, outcome, client)
+            async with asyncio.timeout(SEND_SECONDS):
+                return await self._error_answers.send(request_id, 0.0, outcome, client)
         except (Exception, asyncio.CancelledError) as problem:
             if client.left:
                 raise
+            if client.ended:
+                return client.status
             get_logger().error(
                 "failed to send an error answer", request=request_id, exc_info=problem
             )
-        await client.send(UNKNOWN_STATUS, HTTPHeaders(), f"{outcome.detail}\n".encode())
+        async with asyncio.timeout(SEND_SECONDS):
+            await client.send(UNKNOWN_STATUS, HTTPHeaders(), f"{outcome.detail}\n".encode())
         return UNKNOWN_STATUS
--- a/tests/platform/test_every_request_is_answered.py
+++ b/tests/platform/test_every_request_is_answered.py
@@ -9,6 +9,7 @@
 from tornado.http1connection import HTTP1Connection
 
 from railsail.node import Node
+from railsail.routing import guard
 from tests.platform.base import (
     LONG_MS,
     LONGEST_SECONDS,
@@ -26,9 +27,10 @@
 # Steps that close the connection by themselves if they fail: they read the request, write to the
 # connection, or are called when all else has failed. The caller finds its connection closed.
 LAST_STEPS = ("railsail.routing.client", "railsail.routing.guard")
-# The servers hold on to the first from their start, so that it cannot be replaced. The second one
-# runs before a request is read.
+# The first bounds all others. The servers hold on to the second from their start, so that it cannot
+# be replaced. The third runs before a request is read.
 NOT_REPLACED = {
+    Step("railsail.routing.guard", "AnswerGuard.run"),
     Step("railsail.routing.front", "RouteFront.handle"),
     Step("railsail.routing.client", "ClientServer.start_request"),
 }
@@ -241,5 +243,17 @@
     failure = Failure.CANCELLED
 
 
+class HangingStepTests(StepScenarios, AnsweredTestCase):
+    """A request on which a step did not return had no answer at its deadline, nor later."""
+
+    failure = Failure.HANGS
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        # Only so that the test takes less time.
+        self.hold(mock.patch.object(guard, "GRACE_SECONDS", 0.0))
+        self.hold(mock.patch.object(guard, "SEND_SECONDS", 0.1))
+
+
 if __name__ == "__main__":
     unittest.main()
