forwarding: answered requests whose other node ended after the first line of its answer

If the other node closed after the status line, that line alone was known and nothing had been copied to the caller. Its status counted as that of an answer: the connection of the caller was closed without a byte, and the request recorded as completed. What counts is now whether anything was copied: if not, the outcome is unknown, and the caller gets 502.

Test: the other node sends a status line and closes. Before: status 0, connection closed.

--- a/railsail/routing/forwarding.py
+++ b/railsail/routing/forwarding.py
@@ -116,7 +116,7 @@
         finally:
             stream.close()
             self._targets.request_ended(target.node)
-        if not status:
+        if not client.started:
             return Unknown(f"{target.node} took the request and gave no answer")
         if stream.error is not None:
             return Unknown(f"{target.node} broke off its answer: {stream.error}")
--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -204,17 +204,26 @@
         self.assertFalse(answer.whole)
 
     async def test_outcome_is_unknown_where_the_other_node_gives_no_answer_in_the_protocol(self):
-        async def garble(reader, writer):
+        await self.check_unknown(b"nonsense\r\n")
+
+    async def test_outcome_is_unknown_where_the_other_node_ends_after_the_first_line(self):
+        """The caller's connection was closed without an answer, and the request was a success."""
+        await self.check_unknown(b"HTTP/1.1 200 OK\r\n")
+
+    async def check_unknown(self, data: bytes) -> None:
+        """Forward a request to a node that sends ``data`` and closes."""
+
+        async def write_and_close(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"nonsense\r\n")
+            writer.write(data)
             writer.close()
 
-        server = await asyncio.start_server(garble, "127.0.0.1", 0)
+        server = await asyncio.start_server(write_and_close, "127.0.0.1", 0)
         self.addCleanup(server.close)
         full, idle = await self.serve_crowded()
         port = server.sockets[0].getsockname()[1]
-        garbled = replace(idle.membership.table.own, forward_port=port)
-        full.forwarder._targets.choose = lambda now: garbled
+        closing = replace(idle.membership.table.own, forward_port=port)
+        full.forwarder._targets.choose = lambda now: closing
         self.assertEqual((await self.call(full, "/again/")).status, 502)
 
     async def test_without_another_node_the_crowding_workspace_is_refused(self):
