node: answered the requests that still run when it stops

At the end of drain-seconds, or at a second signal, the connections of requests that still ran were closed without an answer, and their ends were recorded as those of callers that had left. With drain-seconds equal to the time that the platform gives a process, as in deploy/railsaild.conf, it killed the process before the end of the drain could do anything.

A stopping node now ends these requests half a second before drain-seconds are over: those without an answer get 502, which promises nothing; answers that have begun are broken off; both are recorded with the reason. No request that is read later is begun: the process went on reading, and passing on, for up to a second while it waited for claims.

Tests: a node stops under a request that its replica does not answer, and under a begun stream. Before: no answer (status 0), and 'the caller left' in the records. After: 502, and a stream that does not look whole, with 'this node stopped before there was an answer'.

--- a/railsail/node.py
+++ b/railsail/node.py
@@ -92,6 +92,9 @@
 # watches last this many times as long.
 EVACUATION_WATCH_FACTOR = 2
 DRAIN_POLL_SECONDS = 0.05
+# A stopping node ends the requests that still run this long before ``drain_seconds`` are over, when
+# the platform may kill its process, and waits as long for their answers to be sent.
+END_SECONDS = 0.5
 # A stopping node waits for its peers to take over its cells before it waits for its requests.
 TAKEOVER_SECONDS = 0.5
 MAX_HEADER_BYTES = 32 << 10
@@ -571,7 +574,7 @@
         """Prepare a stop that cuts no requests.
 
         Become not ready, transfer the cells to other nodes, and wait for the running requests.
-        Requests that still run after ``drain_seconds`` will be cut, with an unknown outcome.
+        Requests that still run at the end of ``drain_seconds`` are ended by ``stop``.
         """
         self.lifecycle.advance(State.DRAINING)
         for server in self.client_servers:
@@ -581,7 +584,7 @@
         self.dispatchers.hand_over()
         self.tickets.replan()
         loop = asyncio.get_running_loop()
-        ends_at = loop.time() + self.settings.drain_seconds
+        ends_at = loop.time() + self.settings.drain_seconds - END_SECONDS
         # The balancer keeps sending callers until it notices that this node isn't ready.
         await asyncio.sleep(max(self.settings.leave_seconds, TAKEOVER_SECONDS))
         for server in self.client_servers:
@@ -601,10 +604,15 @@
         return self.admission.total
 
     async def stop(self) -> None:
-        """Close everything, but first wait up to a second for releases of claims in progress."""
+        """Close everything, but first answer the requests that still run, as of unknown outcome.
+
+        Wait up to a second for releases of claims in progress.
+        """
         self.lifecycle.advance(State.STOPPED)
         for server in self._servers:
             server.stop()
+        ends = [server.stop(END_SECONDS) for server in self.client_servers]
+        await asyncio.gather(*ends)
         await self.claims.settle(1.0)
         await self.abort()
 
--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -51,8 +51,9 @@
 
     ``status`` is 0 before an answer that this node frames. Once the answer has ``ended``, whole or
     broken off, nothing more may be sent. ``left`` is True once the caller has closed its
-    connection. ``should_close`` returns whether the connection is to be
-    closed after the answer. The answer to a ``HEAD`` request consists of its head alone.
+    connection, ``stopped`` once this node ends its requests. ``should_close`` returns whether the
+    connection is to be closed after the answer. The answer to a ``HEAD`` request consists of its
+    head alone.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.started = False
         self.ended = False
         self.left = False
+        self.stopped = False
         self.status = 0
         self._connection = connection
         self._should_close = should_close
@@ -149,8 +151,10 @@
         self._tasks = TaskSet()
         self._connections: set[object] = set()
         self._idle: dict[object, HTTP1Connection] = {}
+        self._running: set[_RunningRequest] = set()
         self._draining = False
         self._closing_idle = False
+        self._stopped = False
 
     def start_request(
         self, server_conn: object, request_conn: HTTP1Connection
@@ -185,6 +189,17 @@
             if connection.stream.reading():
                 connection.close()
 
+    async def stop(self, seconds: float) -> None:
+        """From now on, take no request; end those that run, and wait ``seconds`` for their answers.
+
+        Requests that are not read completely are not answered.
+        """
+        self._stopped = True
+        self.close_idle()
+        for running in list(self._running):
+            running.stop()
+        await self._tasks.wait(seconds)
+
     @property
     def busy(self) -> int:
         """Return the number of requests that were read and are not answered yet.
@@ -208,16 +223,21 @@
         """Handle a request that was read completely, and return the running request."""
         answer = ClientAnswer(connection, self._should_close, line.method)
         task = self._tasks.start(self._handler(line, headers, body, answer))
-        task.add_done_callback(lambda done: _close_unanswered(done, answer))
-        return _RunningRequest(answer, task)
-
-
-def _close_unanswered(task: asyncio.Task, answer: ClientAnswer) -> None:
-    """Close the connection of a request whose ``task`` ended without an answer."""
-    if not task.cancelled() and task.exception() is not None:
-        get_logger().error("the handler of a request failed", exc_info=task.exception())
-    if not answer.ended:
-        answer.abort()
+        running = _RunningRequest(answer, task)
+        self._running.add(running)
+        task.add_done_callback(lambda done: self._handled(running))
+        if self._stopped:
+            # It has not begun, and its connection is closed.
+            task.cancel()
+        return running
+
+    def _handled(self, running: "_RunningRequest") -> None:
+        """Forget a request whose task has ended; close its connection if it has no answer."""
+        self._running.discard(running)
+        if not running.task.cancelled() and running.task.exception() is not None:
+            get_logger().error("the handler of a request failed", exc_info=running.task.exception())
+        if not running.answer.ended:
+            running.answer.abort()
 
 
 @dataclass(frozen=True)
@@ -232,6 +252,11 @@
         self.answer.left = True
         self.task.cancel()
 
+    def stop(self) -> None:
+        """Cancel the request of a node that stops, which still has to be answered."""
+        self.answer.stopped = True
+        self.task.cancel()
+
 
 class _RequestReceiver(HTTPMessageDelegate):
     """Receiver of one request; the task that serves it is cancelled if the caller disconnects."""
--- a/railsail/routing/guard.py
+++ b/railsail/routing/guard.py
@@ -26,6 +26,7 @@
 SEND_SECONDS = 1.0
 
 _FAILED = Unknown("this node failed while it served the request")
+_STOPPED = Unknown("this node stopped before there was an answer")
 _LATE = Unknown("this node had no answer in time", timed_out=True)
 
 
@@ -61,8 +62,9 @@
         except (Exception, asyncio.CancelledError) as problem:
             if client.left:
                 raise
-            outcome = _LATE if timeout.expired() else _FAILED
-            self._log(incoming, outcome, problem)
+            outcome = _outcome_of(client, timeout)
+            if outcome is not _STOPPED:
+                self._log(incoming, outcome, problem)
             await self._answer(incoming, client, outcome)
 
     async def _serve_in(
@@ -129,3 +131,9 @@
         async with asyncio.timeout(SEND_SECONDS):
             await client.send(UNKNOWN_STATUS, HTTPHeaders(), f"{outcome.detail}\n".encode())
         return UNKNOWN_STATUS
+
+
+def _outcome_of(client: ClientAnswer, timeout: asyncio.Timeout) -> Unknown:
+    if client.stopped:
+        return _STOPPED
+    return _LATE if timeout.expired() else _FAILED
--- a/tests/platform/test_every_request_is_answered.py
+++ b/tests/platform/test_every_request_is_answered.py
@@ -8,6 +8,7 @@
 
 from tornado.http1connection import HTTP1Connection
 
+from railsail.core.events import Kind
 from railsail.node import Node
 from railsail.routing import guard
 from tests.platform.base import (
@@ -20,7 +21,7 @@
     read_head,
     request,
 )
-from tests.platform.standins import Received, ReplicaStandin, answering
+from tests.platform.standins import BREAK_SECONDS, Received, ReplicaStandin, answering, hanging
 from tests.platform.steps import Failure, Step, StepFailed, StepWatcher
 from tests.platform.streams import StreamingVersion
 
@@ -256,5 +257,33 @@
         self.hold(mock.patch.object(guard, "SEND_SECONDS", 0.1))
 
 
+class StoppingNodeTests(PlatformTestCase):
+    """A node that stopped closed the connections of requests that still ran, without an answer."""
+
+    async def stop_under(self, target: str, **settings: str) -> tuple[Node, Answer]:
+        """Stop a node under a request to ``target`` that its replica does not answer in full."""
+        node = await self.serve(StreamingVersion("v1", holds=True).script, **settings)
+        self.replicas[0].script = hanging() if target == "/once/" else self.replicas[0].script
+        call = asyncio.ensure_future(self.call(node, target, Deadline_Ms=str(LONG_MS)))
+        await self.until(lambda: self.replicas[0].received)
+        await asyncio.sleep(BREAK_SECONDS)
+        await node.drain()
+        await node.stop()
+        return node, await call
+
+    def ends(self, node: Node) -> list[str]:
+        return [event.detail for event in node.events.select("r-1") if event.kind is Kind.ENDED]
+
+    async def test_request_without_an_answer_is_answered_as_unknown(self):
+        node, answer = await self.stop_under("/once/", drain_seconds="0")
+        self.assertEqual((answer.status, answer.whole), (502, True))
+        self.assertEqual(self.ends(node), ["this node stopped before there was an answer"])
+
+    async def test_stream_that_has_begun_does_not_look_whole(self):
+        node, answer = await self.stop_under("/stream/", drain_seconds="0")
+        self.assertEqual((answer.status, answer.whole), (200, False))
+        self.assertEqual(self.ends(node), ["this node stopped before there was an answer"])
+
+
 if __name__ == "__main__":
     unittest.main()
