front: recorded the end of requests that cannot be read

A request with a bad header got 400, and nothing else said so: no event, no line in the log, no count. It is recorded as any other refusal, with reason bad-request.

Test: the end of a bad request. Before: no event. After: one, with reason and status. Two further tests hold that a failed step is recorded and logged with the id of its request.

--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -137,8 +137,7 @@
                 line.method, line.path, incoming.headers, incoming.body
             )
         except ValueError as problem:
-            bad = NotRun(Reason.BAD_REQUEST, str(problem))
-            await self._error_answers.send("", 0.0, bad, client)
+            await self._refuse_bad(incoming, str(problem), client)
             return
         try:
             outcome, context = await self._serve(request, client, incoming.received_at)
@@ -152,6 +151,15 @@
         seconds = self._clock.monotonic() - incoming.received_at
         self._recorder.record_outcome(request.id, context, outcome, status, seconds)
 
+    async def _refuse_bad(
+        self, incoming: IncomingRequest, detail: str, client: ClientAnswer
+    ) -> None:
+        bad = NotRun(Reason.BAD_REQUEST, detail)
+        status = await self._error_answers.send("", 0.0, bad, client)
+        request_id = self._protocol.read_origin(incoming.headers).request_id
+        seconds = self._clock.monotonic() - incoming.received_at
+        self._recorder.record_outcome(request_id, None, bad, status, seconds)
+
     async def _serve(
         self, request: RoutedRequest, client: ClientAnswer, received_at: float
     ) -> tuple[Outcome, RoutingContext | None]:
--- a/tests/platform/test_every_request_is_answered.py
+++ b/tests/platform/test_every_request_is_answered.py
@@ -8,7 +8,7 @@
 
 from tornado.http1connection import HTTP1Connection
 
-from railsail.core.events import Kind
+from railsail.core.events import Event, Kind
 from railsail.node import Node
 from railsail.routing import guard
 from tests.platform.base import (
@@ -41,6 +41,7 @@
     Step("railsail.routing.offload", "Offloader.offload"),
     Step("railsail.routing.front", "RouteFront._serve_locally"),
     Step("railsail.routing.error_answers", "ErrorAnswers.send"),
+    Step("railsail.routing.outcome_recorder", "OutcomeRecorder.record_outcome"),
     Step("railsail.platform.http", "PlatformProtocol.read_request"),
 }
 NOT_RUN = (408, 421, 429, 503)
@@ -257,6 +258,40 @@
         self.hold(mock.patch.object(guard, "SEND_SECONDS", 0.1))
 
 
+class RecordedEndTests(AnsweredTestCase):
+    """A refused request that could not be read left no trace, and no failed one said so."""
+
+    async def ends_of(self, node: Node, scenario: Scenario) -> list[Event]:
+        name = next(self.names)
+        await self.ask(scenario, name, await self.connect(node))
+        await self.until(lambda: not node.requests)
+        return [e for e in node.events.select(name) if e.kind is Kind.ENDED]
+
+    async def test_bad_request(self):
+        node = await self.serve_all()
+        bad = Scenario("/again/", 400, {"Deadline_Ms": "soon"})
+        (end,) = await self.ends_of(node, bad)
+        self.assertEqual((end.facts["reason"], end.facts["status"]), ("bad-request", 400))
+
+    async def test_failed_steps_before_and_after_the_first_event(self):
+        node = await self.serve_all()
+        step = Step("railsail.routing.answer", "StreamState.forward")
+        for passes, status in ((0, 502), (PASSES, None)):
+            with step.failing(Failure.RAISES, passes):
+                (end,) = await self.ends_of(node, Scenario("/stream/"))
+            self.assertEqual(end.detail, "this node failed while it served the request")
+            self.assertEqual((end.notable, end.facts.get("status")), (True, status))
+
+    async def test_error_is_logged_with_the_request(self):
+        node = await self.serve_all()
+        step = Step("railsail.routing.offload", "Offloader.offload")
+        with mock.patch.object(guard, "get_logger") as logger, step.failing(Failure.RAISES, 0):
+            (end,) = await self.ends_of(node, Scenario("/again/"))
+        (logged,) = logger.return_value.error.call_args_list
+        self.assertEqual(logged.kwargs["request"], end.request)
+        self.assertIsInstance(logged.kwargs["exc_info"], StepFailed)
+
+
 class StoppingNodeTests(PlatformTestCase):
     """A node that stopped closed the connections of requests that still ran, without an answer."""
 
