client: waited at a stop for requests that are being read

A stopping node counted requests whose head had just been read and those read completely, but none in between: it closed while the rest of a body was on its way, also if all of it had arrived at the machine. It now waits for a request that is being read until its caller has sent nothing for a second, so that a caller that stands still does not hold up the stop.

Tests: half of a body arrives before idle connections close, half after it. A caller that never sends the rest does not delay the stop.

--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -28,6 +28,10 @@
 # open after a refusal.
 CALLERS_DESCRIPTOR_SHARE = 0.25
 
+# A stopping node waits for a request that is being read until its caller has sent nothing for this
+# long.
+READ_SILENCE_SECONDS = 1.0
+
 
 def most_connections(open_files: int) -> float:
     """Return how many callers' connections may be open before callers are asked to close them.
@@ -151,6 +155,7 @@
         self._tasks = TaskSet()
         self._connections: set[object] = set()
         self._idle: dict[object, HTTP1Connection] = {}
+        self._reading: set[_RequestReceiver] = set()
         self._running: set[_RunningRequest] = set()
         self._draining = False
         self._closing_idle = False
@@ -202,17 +207,25 @@
 
     @property
     def busy(self) -> int:
-        """Return the number of requests that were read and are not answered yet.
+        """Return the number of requests that are read, or were read and are not answered yet.
 
-        This includes requests whose head was read in this iteration of the event loop.
+        This includes requests whose head was read in this iteration of the event loop, but not
+        those of callers that have sent nothing for a while.
         """
+        loop_time = asyncio.get_running_loop().time()
+        arriving = [each for each in self._reading if each.arrives(loop_time)]
         idle = [connection.stream for connection in self._idle.values()]
         read = [stream for stream in idle if not (stream.reading() or stream.closed())]
-        return len(self._tasks) + len(read)
+        return len(self._tasks) + len(read) + len(arriving)
 
-    def request_started(self, server_conn: object) -> None:
+    def request_started(self, server_conn: object, receiver: "_RequestReceiver") -> None:
         """Record that a request has started to arrive on a connection."""
         self._idle.pop(server_conn, None)
+        self._reading.add(receiver)
+
+    def reading_ended(self, receiver: "_RequestReceiver") -> None:
+        """Record that a request was read completely, or that its connection was closed."""
+        self._reading.discard(receiver)
 
     def _should_close(self) -> bool:
         return self._draining or len(self._connections) > self._max_connections
@@ -271,25 +284,33 @@
         self._headers = HTTPHeaders()
         self._body: list[bytes] = []
         self._running: _RunningRequest | None = None
+        self._arrived_at = 0.0
+
+    def arrives(self, now: float) -> bool:
+        """Return True if a part of the request has arrived recently; ``now`` is loop time."""
+        return now - self._arrived_at < READ_SILENCE_SECONDS
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        self._server.request_started(self._server_conn)
+        self._server.request_started(self._server_conn, self)
         self._line = start_line
         self._headers = headers
+        self._arrived_at = asyncio.get_running_loop().time()
 
     def data_received(self, chunk: bytes) -> None:
         self._body.append(chunk)
+        self._arrived_at = asyncio.get_running_loop().time()
 
     def finish(self) -> None:
+        self._server.reading_ended(self)
         self._connection.set_close_callback(self._disconnected)
         self._running = self._server.request_received(
             self._line, self._headers, b"".join(self._body), self._connection
         )
 
     def on_connection_close(self) -> None:
-        self._server.request_started(self._server_conn)
+        self._server.reading_ended(self)
         self._disconnected()
 
     def _disconnected(self) -> None:
--- a/tests/platform/test_every_request_is_answered.py
+++ b/tests/platform/test_every_request_is_answered.py
@@ -10,7 +10,7 @@
 
 from railsail.core.events import Event, Kind
 from railsail.node import Node
-from railsail.routing import guard
+from railsail.routing import client, guard
 from tests.platform.base import (
     LONG_MS,
     LONGEST_SECONDS,
@@ -319,6 +319,34 @@
         self.assertEqual((answer.status, answer.whole), (200, False))
         self.assertEqual(self.ends(node), ["this node stopped before there was an answer"])
 
+    async def test_request_that_is_being_read_is_served(self):
+        """The node closed while the rest of a body was on its way."""
+        self.hold(mock.patch.object(client, "READ_SILENCE_SECONDS", LONGEST_SECONDS))
+        node = await self.serve(answering())
+        reader, writer = await self.connect(node)
+        self.addCleanup(writer.close)
+        data = request("/again/", body=b"x" * 100_000)
+        writer.write(data[:-50_000])
+        (server, _) = node.client_servers
+        await self.until(lambda: server._reading)
+        drained = asyncio.ensure_future(node.drain())
+        await self.until(lambda: server._closing_idle)
+        writer.write(data[-50_000:])
+        await drained
+        await node.stop()
+        self.assertEqual((await read_answer(reader)).status, 200)
+
+    async def test_caller_that_sends_no_more_of_a_request_does_not_delay_the_stop(self):
+        self.hold(mock.patch.object(client, "READ_SILENCE_SECONDS", 0.05))
+        node = await self.serve(answering())
+        reader, writer = await self.connect(node)
+        self.addCleanup(writer.close)
+        writer.write(request("/again/", body=b"x" * 100_000)[:-50_000])
+        await self.until(lambda: node.client_servers[0]._reading)
+        await node.drain()
+        await node.stop()
+        self.assertEqual(await reader.read(), b"")
+
 
 if __name__ == "__main__":
     unittest.main()
