--- a/railsail/quarantine/observer.py
+++ b/railsail/quarantine/observer.py
@@ -53,7 +53,7 @@
         self._survivors_on = survivors_on
         self._clock = kernel.clock
         self._tasks = TaskSet()
-        # By replica and fingerprint, when the last call with it broke off or its caller left.
+        # By replica and fingerprint, when the last call with it broke off or was abandoned.
         self._interrupted_calls: dict[str, dict[int, float]] = {}
         # By replica, the parts of prompts whose answers it had been writing for a while when they
         # broke off. They are kept for calls whose end is reported later.
@@ -90,9 +90,10 @@
         self._start_check(replica)
 
     def record_abandoned_call(self, replica: str, fingerprints: Collection[int]) -> None:
-        """Record that the caller of a request left before or soon after its answer started.
+        """Record that a call ended before its answer did, though the replica did not break it off.
 
-        The call has ended and cannot break off any more, but the replica may still crash.
+        The caller left before or soon after the answer started, or the replica fell silent. The
+        call cannot break off any more, but the replica may still crash.
         """
         self._record(replica, fingerprints)
         self._start_check(replica)
@@ -106,7 +107,10 @@
     def _record(self, replica: str, fingerprints: Collection[int]) -> None:
         now = self._clock.monotonic()
         for name, interrupted in list(self._interrupted_calls.items()):
-            if name not in self._checking and max(interrupted.values()) < now - SAME_CRASH_SECONDS:
+            recent = _recent(interrupted, now)
+            if recent:
+                self._interrupted_calls[name] = recent
+            else:
                 del self._interrupted_calls[name]
         for name in [name for name in self._survivors if self._directory.get(name) is None]:
             del self._survivors[name]
@@ -139,8 +143,8 @@
 
     def _report_crash(self, upstream: Upstream) -> None:
         now = self._clock.monotonic()
-        interrupted = self._interrupted_calls.pop(upstream.name, {})
-        ran = {fp for fp, at in interrupted.items() if at >= now - SAME_CRASH_SECONDS}
+        interrupted = _recent(self._interrupted_calls.pop(upstream.name, {}), now)
+        ran = set(interrupted)
         broke_off_at = min(interrupted.values(), default=now)
         ran |= self._calls_on(upstream.name, broke_off_at)
         ran -= self._survivors.get(upstream.name, set())
@@ -148,3 +152,8 @@
         if ran:
             crash = ReplicaCrash(upstream.name, upstream.born, broke_off_at, frozenset(ran))
             self._quarantine.record_crash(crash)
+
+
+def _recent(interrupted: dict[int, float], now: float) -> dict[int, float]:
+    """Return those of ``interrupted`` calls that may be part of a crash that is noticed now."""
+    return {fp: at for fp, at in interrupted.items() if at >= now - SAME_CRASH_SECONDS}
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -162,6 +162,8 @@
             return
         self._clear_pending(flight)
         flight.begun_at = flight.begun_at or now
+        if self.tallies is not None:
+            self.tallies.answer_started(flight.replica)
         state = self.replicas.get(flight.replica)
         if state is not None:
             state.answer_started(key, now)
@@ -311,7 +313,8 @@
         if result.succeeded:
             state.call_succeeded(now, now - flight.started_at)
         elif result.failed:
-            state.call_failed(now, result, self._health_of_others(state, now))
+            others = self._health_of_others(state, now)
+            state.call_failed(now, result, others, flight.started_at)
         return True
 
     def _clear_pending(self, flight: Flight) -> None:
