--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -4,6 +4,7 @@
 import math
 import resource
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
@@ -27,6 +28,10 @@
 # open after a refusal.
 CALLERS_DESCRIPTOR_SHARE = 0.25
 
+# A stopping node waits for a request that is being read until its caller has sent nothing for this
+# long.
+READ_SILENCE_SECONDS = 1.0
+
 
 def most_connections(open_files: int) -> float:
     """Return how many callers' connections may be open before callers are asked to close them.
@@ -41,12 +46,18 @@
     """The caller closed its connection."""
 
 
+class AnswerNotStarted(RailsailError):
+    """A piece of an answer's body was to be sent before its head."""
+
+
 class ClientAnswer:
     """The answer to one request.
 
     ``status`` is 0 before an answer that this node frames. Once the answer has ``ended``, whole or
-    broken off, nothing more may be sent. ``should_close`` returns whether the connection is to be
-    closed after the answer. The answer to a ``HEAD`` request consists of its head alone.
+    broken off, nothing more may be sent. ``left`` is True once the caller has closed its
+    connection, ``stopped`` once this node ends its requests. ``should_close`` returns whether the
+    connection is to be closed after the answer. The answer to a ``HEAD`` request consists of its
+    head alone.
     """
 
     def __init__(
@@ -54,6 +65,8 @@
     ) -> None:
         self.started = False
         self.ended = False
+        self.left = False
+        self.stopped = False
         self.status = 0
         self._connection = connection
         self._should_close = should_close
@@ -64,11 +77,14 @@
 
         Without a ``Content-Length`` header the body continues until ``end`` is called.
         """
-        await _accepted(self._write_head(status, headers, chunk))
+        await self._accepted(self._write_head(status, headers, chunk))
 
     async def write(self, chunk: bytes) -> None:
         """Send a piece of the body, and wait until the caller's connection has accepted it."""
-        await _accepted(self._connection.write(chunk))
+        if not self.started:
+            # The codec would send it without a head, which is no answer.
+            raise AnswerNotStarted("a body without a head")
+        await self._accepted(self._connection.write(chunk))
 
     def _write_head(self, status: int, headers: HTTPHeaders, chunk: bytes) -> Awaitable[None]:
         if self._should_close():
@@ -80,16 +96,24 @@
         self.status = status
         return accepted
 
+    async def _accepted(self, write: Awaitable[None]) -> None:
+        """Wait until the caller's connection has accepted what was written."""
+        try:
+            await write
+        except StreamClosedError:
+            self.left = True
+            raise ClientDisconnected from None
+
     async def write_raw(self, data: bytes) -> None:
         """Send raw bytes of an answer that another node has framed.
 
         Such an answer is ended by ``close``.
         """
         self.started = True
-        try:
-            await self._connection.stream.write(data)
-        except StreamClosedError:
-            raise ClientDisconnected from None
+        await self._accepted(self._write_raw(data))
+
+    async def _write_raw(self, data: bytes) -> None:
+        await self._connection.stream.write(data)
 
     def close(self) -> None:
         """Close the connection after an answer that another node has framed."""
@@ -112,15 +136,7 @@
         accepted = self._write_head(status, headers, body if self._has_body else b"")
         # Ended before the wait, so that an end of this task does not leave the answer incomplete.
         self.end()
-        await _accepted(accepted)
-
-
-async def _accepted(write: Awaitable[None]) -> None:
-    """Wait until the caller's connection has accepted what was written."""
-    try:
-        await write
-    except StreamClosedError:
-        raise ClientDisconnected from None
+        await self._accepted(accepted)
 
 
 Handler = Callable[[RequestStartLine, HTTPHeaders, bytes, ClientAnswer], Awaitable[None]]
@@ -139,8 +155,11 @@
         self._tasks = TaskSet()
         self._connections: set[object] = set()
         self._idle: dict[object, HTTP1Connection] = {}
+        self._reading: set[_RequestReceiver] = set()
+        self._running: set[_RunningRequest] = set()
         self._draining = False
         self._closing_idle = False
+        self._stopped = False
 
     def start_request(
         self, server_conn: object, request_conn: HTTP1Connection
@@ -175,39 +194,81 @@
             if connection.stream.reading():
                 connection.close()
 
+    async def stop(self, seconds: float) -> None:
+        """From now on, take no request; end those that run, and wait ``seconds`` for their answers.
+
+        Requests that are not read completely are not answered.
+        """
+        self._stopped = True
+        self.close_idle()
+        for running in list(self._running):
+            running.stop()
+        await self._tasks.wait(seconds)
+
     @property
     def busy(self) -> int:
-        """Return the number of requests that were read and are not answered yet.
+        """Return the number of requests that are read, or were read and are not answered yet.
 
-        This includes requests whose head was read in this iteration of the event loop.
+        This includes requests whose head was read in this iteration of the event loop, but not
+        those of callers that have sent nothing for a while.
         """
+        loop_time = asyncio.get_running_loop().time()
+        arriving = [each for each in self._reading if each.arrives(loop_time)]
         idle = [connection.stream for connection in self._idle.values()]
         read = [stream for stream in idle if not (stream.reading() or stream.closed())]
-        return len(self._tasks) + len(read)
+        return len(self._tasks) + len(read) + len(arriving)
 
-    def request_started(self, server_conn: object) -> None:
+    def request_started(self, server_conn: object, receiver: "_RequestReceiver") -> None:
         """Record that a request has started to arrive on a connection."""
         self._idle.pop(server_conn, None)
+        self._reading.add(receiver)
+
+    def reading_ended(self, receiver: "_RequestReceiver") -> None:
+        """Record that a request was read completely, or that its connection was closed."""
+        self._reading.discard(receiver)
 
     def _should_close(self) -> bool:
         return self._draining or len(self._connections) > self._max_connections
 
     def request_received(
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
-    ) -> asyncio.Task:
-        """Handle a request that was read completely, and return the task that does so."""
+    ) -> "_RunningRequest":
+        """Handle a request that was read completely, and return the running request."""
         answer = ClientAnswer(connection, self._should_close, line.method)
         task = self._tasks.start(self._handler(line, headers, body, answer))
-        task.add_done_callback(lambda done: _close_unanswered(done, answer))
-        return task
+        running = _RunningRequest(answer, task)
+        self._running.add(running)
+        task.add_done_callback(lambda done: self._handled(running))
+        if self._stopped:
+            # It has not begun, and its connection is closed.
+            task.cancel()
+        return running
 
+    def _handled(self, running: "_RunningRequest") -> None:
+        """Forget a request whose task has ended; close its connection if it has no answer."""
+        self._running.discard(running)
+        if not running.task.cancelled() and running.task.exception() is not None:
+            get_logger().error("the handler of a request failed", exc_info=running.task.exception())
+        if not running.answer.ended:
+            running.answer.abort()
 
-def _close_unanswered(task: asyncio.Task, answer: ClientAnswer) -> None:
-    """Close the connection of a request whose ``task`` ended without an answer."""
-    if not task.cancelled() and task.exception() is not None:
-        get_logger().error("the handler of a request failed", exc_info=task.exception())
-    if not answer.ended:
-        answer.abort()
+
+@dataclass(frozen=True)
+class _RunningRequest:
+    """A request that was read completely, and the task that handles it."""
+
+    answer: ClientAnswer
+    task: asyncio.Task
+
+    def disconnect(self) -> None:
+        """Cancel the request of a caller that closed its connection."""
+        self.answer.left = True
+        self.task.cancel()
+
+    def stop(self) -> None:
+        """Cancel the request of a node that stops, which still has to be answered."""
+        self.answer.stopped = True
+        self.task.cancel()
 
 
 class _RequestReceiver(HTTPMessageDelegate):
@@ -222,28 +283,36 @@
         self._line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._body: list[bytes] = []
-        self._task: asyncio.Task | None = None
+        self._running: _RunningRequest | None = None
+        self._arrived_at = 0.0
+
+    def arrives(self, now: float) -> bool:
+        """Return True if a part of the request has arrived recently; ``now`` is loop time."""
+        return now - self._arrived_at < READ_SILENCE_SECONDS
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        self._server.request_started(self._server_conn)
+        self._server.request_started(self._server_conn, self)
         self._line = start_line
         self._headers = headers
+        self._arrived_at = asyncio.get_running_loop().time()
 
     def data_received(self, chunk: bytes) -> None:
         self._body.append(chunk)
+        self._arrived_at = asyncio.get_running_loop().time()
 
     def finish(self) -> None:
+        self._server.reading_ended(self)
         self._connection.set_close_callback(self._disconnected)
-        self._task = self._server.request_received(
+        self._running = self._server.request_received(
             self._line, self._headers, b"".join(self._body), self._connection
         )
 
     def on_connection_close(self) -> None:
-        self._server.request_started(self._server_conn)
+        self._server.reading_ended(self)
         self._disconnected()
 
     def _disconnected(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
+        if self._running is not None:
+            self._running.disconnect()
