benchmarks: judged two runs of a request that go on at once

A run fails where two runs of a request go on at once for over 0.4 s while neither replica stands still: time in which one does is taken off, where before the whole pair was left out. All requests without an answer are counted, and the first ones named.

--- a/benchmarks/silences.py
+++ b/benchmarks/silences.py
@@ -12,15 +12,16 @@
 - the requests, and how many were served whole;
 - the answers that a daemon cut, by route, the statuses of failures, and the refusals;
 - the requests that ended at their deadline, and those that got nothing by then, by route;
-- the requests that ran more than once, their runs, the runs that went on beside another one of
-  their request for over ``OVERLAP_SECONDS`` at replicas that did not stand still, and the requests
-  that ran more than once although they may not be repeated;
+- the requests that ran more than once, their runs, how often two runs of a request went on at once
+  for over ``OVERLAP_SECONDS`` while neither replica stood still, and the requests that ran more
+  than once although they may not be repeated;
 - the streams with events that are missing, repeated or out of order;
 - the longest gap between two events of a stream, and the time to the end of short answers.
 
 A run fails if a request that a daemon read got neither its whole answer nor a refusal that holds,
-if events are wrong, if a request ran twice that may not, or if a daemon ended by itself. A request
-that may not be repeated may end without an answer where a replica fell silent for good.
+if events are wrong, if a request ran twice that may not, if two runs of a request went on at once
+for too long, or if a daemon ended by itself. A request that may not be repeated may end without an
+answer where a replica fell silent for good.
 
 With ``--sources`` the daemons run the build whose sources are in DIR, with ``--other`` every second
 daemon does. With ``--keep``, the logs of all runs are kept under DIR: those of the daemons,
@@ -80,6 +81,8 @@
 SIGTERM_INTERVAL_SECONDS = 3.2
 OVERLAP_SECONDS = 0.4
 KEPT_CHANGES = 4
+# The requests that are named in the figures of a run.
+MAX_PRINTED = 4
 SETTINGS = {
     "cell-replicas": "64",
     "retry-ratio": "0.2",
@@ -229,20 +232,21 @@
         )
 
     def overlapping(self) -> int:
-        """Return the runs that went on beside a later one of their request for too long.
+        """Return how often a request ran at two replicas at once for too long.
 
-        Runs are left out whose replica stood still in that time.
+        Time in which one of the two stood still does not count.
         """
-        count = 0
-        for runs in self.by_request().values():
-            for before, after in itertools.pairwise(runs):
-                ended_at = min(before.ended_at, after.ended_at)
-                stood_still = any(
-                    each.replica == before.replica and each.seconds_within(after.began_at, ended_at)
-                    for each in self.fleet.silences
-                )
-                count += ended_at - after.began_at > OVERLAP_SECONDS and not stood_still
-        return count
+        pairs = [pair for runs in self.by_request().values() for pair in itertools.pairwise(runs)]
+        return sum(self._seconds_at_once(*pair) > OVERLAP_SECONDS for pair in pairs)
+
+    def _seconds_at_once(self, before: Run, after: Run) -> float:
+        began_at, ended_at = after.began_at, min(before.ended_at, after.ended_at)
+        silent = sum(
+            each.seconds_within(began_at, ended_at)
+            for each in self.fleet.silences
+            if each.replica in (before.replica, after.replica)
+        )
+        return ended_at - began_at - silent
 
     def by_request(self) -> dict[str, list[Run]]:
         """Return the runs of each request, in their order."""
@@ -498,8 +502,8 @@
     @property
     def passed(self) -> bool:
         """Return True if all checks passed."""
-        wrong = self.lost or self.run_twice or self.wrong_events or self.ended_by_themselves
-        return not wrong
+        ran_wrongly = self.run_twice or self.overlapping or self.wrong_events
+        return not (self.lost or ran_wrongly or self.ended_by_themselves)
 
     def __str__(self) -> str:
         gaps = [f"{value:.2f}" for value in _quantiles(self.gaps)]
@@ -513,7 +517,8 @@
             f"{len(self.run_twice)} twice; {self.wrong_events} with wrong events, "
             f"longest gaps p50 {gaps[0]} p99 {gaps[1]} max {gaps[2]} s, "
             f"short answers p50 {seconds[0]} p99 {seconds[1]} max {seconds[2]} s, "
-            f"{self.ended_by_themselves} daemons ended, lost {self.lost[:4]}"
+            f"{self.ended_by_themselves} daemons ended, "
+            f"{len(self.lost)} lost {self.lost[:MAX_PRINTED]}"
         )
 
 
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -292,7 +292,7 @@
         len(judged),
         sum(seconds > 0 for seconds in silent.values()),
         [_describe(call) for call in lost],
-        _find_violations(calls, runs),
+        _find_violations(calls, replicas),
     )
 
 
@@ -313,10 +313,9 @@
     )
 
 
-def _find_violations(
-    calls: list[silences.CallerRequest], runs: dict[str, list[silences.Run]]
-) -> list[str]:
+def _find_violations(calls: list[silences.CallerRequest], replicas: silences.Replicas) -> list[str]:
     """Return a finding for each request that ran though it may not, or has wrong events."""
+    runs = replicas.by_request()
     found = []
     for call in calls:
         count = len(runs.get(call.name, []))
