--- a/railsail/scheduling/health.py
+++ b/railsail/scheduling/health.py
@@ -36,6 +36,7 @@
     BROKE_OFF = 4
     CALLER_LEFT = 5
     REJECTED = 6
+    SILENT = 7
 
     @classmethod
     def of(cls, outcome: Outcome) -> "CallResult":
@@ -52,7 +53,9 @@
             return cls.NOTHING
         if isinstance(outcome, NotRun):
             return _OF_REASONS.get(outcome.reason, cls.NOTHING)
-        return cls.BROKE_OFF if outcome.broke_off else cls.ERROR
+        if outcome.broke_off:
+            return cls.BROKE_OFF
+        return cls.SILENT if outcome.silent else cls.ERROR
 
     @property
     def succeeded(self) -> bool:
@@ -62,9 +65,10 @@
     @property
     def failed(self) -> bool:
         """Return True if the replica did not do what was requested of it."""
-        return self in (CallResult.ERROR, CallResult.UNREACHABLE, CallResult.BROKE_OFF)
+        return self in _FAILURES
 
 
+_FAILURES = (CallResult.ERROR, CallResult.UNREACHABLE, CallResult.BROKE_OFF, CallResult.SILENT)
 _OF_REASONS = {
     Reason.UNREACHABLE: CallResult.UNREACHABLE,
     Reason.REFUSED: CallResult.ERROR,
@@ -135,6 +139,14 @@
         self._ejection_seconds = INITIAL_EJECTION_SECONDS
         self.answer_started()
 
+    def was_ejected_for(self, result: CallResult, started_at: float) -> bool:
+        """Return True if the replica is ejected for a silence or outage that ended this call, too.
+
+        Either ends all calls of a replica, and counts as one ejection however many they are.
+        """
+        is_outage = result in (CallResult.SILENT, CallResult.UNREACHABLE)
+        return is_outage and self._tripped and started_at < self._ejected_until
+
     def call_failed(self, now: float, result: CallResult, others: GroupHealth) -> None:
         """Record a failed call, and eject the replica if it has failed too often."""
         self.error_rate += ERROR_GAIN * (1.0 - self.error_rate)
