--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -257,7 +257,7 @@
     silences.write_logs(replicas, streams.requests, fleet.folder)
     faults = [name for each in series for name in each.injected]
     result = _make_result(fleet, seed, callers, faults)
-    return replace(result, silences=_judge(fleet, replicas, streams.requests))
+    return replace(result, silences=judge(fleet, replicas, streams.requests))
 
 
 def _make_series(
@@ -275,7 +275,7 @@
     return FaultSeries(fleet, rng, [silence_replicas], max_pause=pause)
 
 
-def _judge(
+def judge(
     fleet: ProcessFleet, replicas: silences.Replicas, calls: list[silences.CallerRequest]
 ) -> SilenceFindings:
     """Return what became of ``calls``."""
