node: refused the requests that wait until the end of a stop

A stop waits for drain-seconds, and then closes all connections. Requests that waited for a replica until then were cut without an answer, though they had not run, and a refusal says so.

Symptom: of nine requests at a daemon with a stop of 1 s, of which two ran and seven waited, all nine got none (status 0). Cause: the end of a stop closes connections and cancels what serves them, without a look at what has not been sent yet. They are refused 0.3 s before the end now, which leaves the time to send the answers; those that run are cut as before, since nobody knows their outcome.

Before: 0 of 7 waiting requests had an answer; after: 7 of 7 are told 503 with Retry-After. Tests of stops, of the fleet's dispatch and of the path pass (66).

--- a/railsail/node.py
+++ b/railsail/node.py
@@ -24,6 +24,7 @@
 from railsail.core.logs import get_logger
 from railsail.core.looplag import LoopLag
 from railsail.core.metrics import Metrics
+from railsail.core.outcomes import Reason
 from railsail.core.parts import PARTS
 from railsail.core.registry import load_plugins
 from railsail.core.tasks import keep_running
@@ -94,6 +95,9 @@
 DRAIN_POLL_SECONDS = 0.05
 # A stopping node waits for its peers to take over its cells before it waits for its requests.
 TAKEOVER_SECONDS = 0.5
+# Requests that still wait for a replica are refused so long before a stop ends, so that their
+# answers are sent by then.
+REFUSAL_SECONDS = 0.3
 MAX_HEADER_BYTES = 32 << 10
 # The listen backlog: connections that may wait to be accepted. The system drops further ones, and
 # their callers wait a second or more before they retry. A burst of callers opens several hundred
@@ -571,7 +575,8 @@
         """Prepare a stop that cuts no requests.
 
         Become not ready, transfer the cells to other nodes, and wait for the running requests.
-        Requests that still run after ``drain_seconds`` will be cut, with an unknown outcome.
+        Requests that still wait for a replica at the end of ``drain_seconds`` are refused. Those
+        that still run will be cut, with an unknown outcome.
         """
         self.lifecycle.advance(State.DRAINING)
         for server in self.client_servers:
@@ -586,9 +591,26 @@
         await asyncio.sleep(max(self.settings.leave_seconds, TAKEOVER_SECONDS))
         for server in self.client_servers:
             server.close_idle()
+        await self._wait_for_requests(ends_at - REFUSAL_SECONDS)
+        self._refuse_waiting()
+        await self._wait_for_requests(ends_at)
+
+    async def _wait_for_requests(self, ends_at: float) -> None:
+        """Wait until no request is left, at most until ``ends_at`` by the event loop."""
+        loop = asyncio.get_running_loop()
         while self.requests and loop.time() < ends_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def _refuse_waiting(self) -> None:
+        """Refuse the requests that wait for a replica."""
+        waiting = self.tickets.waiting()
+        for call in waiting:
+            self.tickets.refuse(call, Reason.EXPIRED, 0.0)
+        if waiting:
+            get_logger().info(
+                "refused waiting requests, since the stop ends", requests=len(waiting)
+            )
+
     @property
     def requests(self) -> int:
         """Return the number of requests that this node has received and not answered yet.
