process: let a signal to reload not end a daemon that starts

SIGHUP ended a process until it had built its node and listened to signals.

The daemon ignores SIGHUP from its first line on, when it has not read its settings yet, and from just before it reads them remembers it and reloads once there is a node. Both tests fail without the change (exit status -1).

--- a/railsail/process.py
+++ b/railsail/process.py
@@ -21,6 +21,9 @@
 
 def run() -> None:
     """Read the settings, run until a planned stop is complete, and exit."""
+    # The settings may change after they were read, and before there is a node to reload them.
+    early_reloads: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, frame: early_reloads.append(number))
     try:
         parsed = parse(sys.argv[1:], os.environ)
     except ImproperlyConfigured as problem:
@@ -32,10 +35,10 @@
     settings = parsed.settings
     dropped = configure_logs(settings.log_level, settings.node_id, settings.log_lines_per_second)
     with asyncio.Runner(loop_factory=SteadyEventLoop) as runner:
-        sys.exit(runner.run(_run(settings, dropped)))
+        sys.exit(runner.run(_run(settings, dropped, early_reloads)))
 
 
-async def _run(settings: Settings, dropped: DroppedLines) -> int:
+async def _run(settings: Settings, dropped: DroppedLines, early_reloads: Sequence[int]) -> int:
     node = Node(settings)
     decisions = DecisionLog(node.clock, settings.log_requests_per_second)
     node.events.on_emit(decisions.handle)
@@ -43,6 +46,8 @@
     get_logger().info("start", start_id=node.start_id, version=railsail.__version__)
     stop_now = asyncio.Event()
     _listen_to_signals(node, stop_now)
+    if early_reloads:
+        reload(node, sys.argv[1:], os.environ)
     try:
         await node.start()
     except OSError as problem:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -21,6 +21,37 @@
 }
 
 
+# Each runs the daemon, which gets SIGHUP at another moment of its start.
+DURING_IMPORTS = """
+import os, signal
+from railsail import daemon
+
+skip = daemon.without_unused_modules
+
+def interrupted():
+    os.kill(os.getpid(), signal.SIGHUP)
+    return skip()
+
+daemon.without_unused_modules = interrupted
+daemon.main()
+"""
+AFTER_THE_SETTINGS_ARE_READ = """
+import os, signal
+from railsail import daemon, process
+
+read = process.parse
+
+def interrupted(arguments, environment):
+    parsed = read(arguments, environment)
+    process.parse = read
+    os.kill(os.getpid(), signal.SIGHUP)
+    return parsed
+
+process.parse = interrupted
+daemon.main()
+"""
+
+
 class RecordingNode:
     def __init__(self) -> None:
         self.reloaded = []
@@ -65,15 +96,18 @@
 
 
 class LogTests(unittest.IsolatedAsyncioTestCase):
-    async def test_each_line_is_json_and_start_reload_and_stop_are_logged(self):
+    async def run_daemon(self, *command: str, hang_up: bool) -> tuple[list[int], list[dict]]:
+        """Run a daemon until it has reloaded its settings, and return its ports and its log.
+
+        ``hang_up`` asks it to reload once it is ready.
+        """
         ports = free_ports(4)
         names = ("caller-port", "admin-port", "peer-port")
         flags = [f"--{name}={port}" for name, port in zip(names, ports, strict=False)]
         flags += [f"--store=127.0.0.1:{ports[3]}", "--failure-domain=a", "--network=closed"]
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "railsail.daemon",
+            *command,
             *flags,
             "--leave-seconds=0",
             stdout=asyncio.subprocess.PIPE,
@@ -83,7 +117,7 @@
             async with asyncio.timeout(60):
                 async for text in process.stdout:
                     lines.append(json.loads(text))
-                    if lines[-1].get("state") == "ready":
+                    if hang_up and lines[-1].get("state") == "ready":
                         process.send_signal(signal.SIGHUP)
                     if lines[-1]["event"] == "settings reloaded":
                         process.send_signal(signal.SIGTERM)
@@ -92,11 +126,22 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
+        return ports, lines
+
+    async def test_each_line_is_json_and_start_reload_and_stop_are_logged(self):
+        ports, lines = await self.run_daemon("-m", "railsail.daemon", hang_up=True)
         events = [line["event"] for line in lines]
         for event in ("start", "store", "state", "settings reloaded", "drain asked for", "stop"):
             self.assertIn(event, events)
         self.assertEqual({line["node"] for line in lines}, {f"127.0.0.1:{ports[2]}"})
 
+    async def test_signal_to_reload_does_not_end_a_process_that_starts(self):
+        """SIGHUP ended a daemon that had not started to handle it."""
+        await self.run_daemon("-c", DURING_IMPORTS, hang_up=True)
+
+    async def test_settings_that_change_while_a_process_starts_are_read_again(self):
+        await self.run_daemon("-c", AFTER_THE_SETTINGS_ARE_READ, hang_up=False)
+
 
 if __name__ == "__main__":
     unittest.main()
