--- a/benchmarks/silences.py
+++ b/benchmarks/silences.py
@@ -469,6 +469,7 @@
     "all_small_budget": Scenario(replicas=REPLICAS, interval=3.5, settings=SMALL_BUDGET),
     "one_for_good": Scenario(seconds=FOR_GOOD),
     "group_for_good": Scenario(replicas=3, seconds=FOR_GOOD),
+    "group_for_good_small_budget": Scenario(3, FOR_GOOD, settings=SMALL_BUDGET),
 }
 
 
