relay: ended no attempt for less than an answer of the other one

What callers would have seen: a second answer behind a whole one on the same connection, streams cut for an error of the daemon's own search, a 500 though another attempt was at work, 503 "not run" for a request that had run.

Replicas of plain services may now be at work on a request together until one answers. Model replicas still may for 0.3 s only.

An attempt now ends another one just before its events, or its complete answer, are passed on. Calls are counted, and retries spent, when a connection is there. Replicas that are silent under requests of this node, or failed a replacement, are excluded from the grants. The end of a silence names its replacement or why there was none.

--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -14,6 +14,7 @@
 from railsail.dispatch.bookings import Booking, PoolRequest, TicketRefused
 from railsail.dispatch.entry import DECISION_SECONDS, TicketClient
 from railsail.dispatch.gate import SendGate
+from railsail.peers.messages import MOST_EXCLUDED
 from railsail.quarantine.service import Quarantine
 
 # A request is refused after this many grants of replicas that it cannot be sent to. Each new ticket
@@ -52,12 +53,13 @@
         """Wait up to ``max_wait`` seconds for a replica.
 
         Return the pending call with the grant, whose replica can be sent the request immediately,
-        or ``NotRun`` if there is none.
+        or ``NotRun`` if there is none. Replicas in backoff are excluded, too.
         """
         requested_at = self._clock.monotonic()
+        unwanted = request.excluded
         rejection = ""
         for _ in range(MAX_GRANTS):
-            excluded = self._gate.excluded(request.pool)
+            excluded = (*unwanted, *self._gate.excluded(request.pool))[:MOST_EXCLUDED]
             if excluded != request.excluded:
                 request = replace(request, excluded=excluded)
             call = await self._wait_for_any(request, requested_at, max_wait)
--- a/railsail/dispatch/bookings.py
+++ b/railsail/dispatch/bookings.py
@@ -31,10 +31,10 @@
     seconds for a replica, and its caller would retry within ``returns_within`` seconds.
 
     The request runs in one of ``regions``, or in any region if none is named. It cannot be sent to
-    the replicas ``excluded``, which are in backoff at this entry. Repeats of the request have the
-    same ``fingerprint``, 0 if there is none. ``route`` is the fingerprint of its route, 0 while no
-    rollout of the pool runs. ``parts`` are the fingerprints of the parts that its prompt shares
-    with others.
+    the replicas ``excluded``, which are in backoff at this entry or cannot replace a silent one.
+    Repeats of the request have the same ``fingerprint``, 0 if there is none. ``route`` is the
+    fingerprint of its route, 0 while no rollout of the pool runs. ``parts`` are the fingerprints of
+    the parts that its prompt shares with others.
 
     A request that continues a stream can be sent only to replicas of ``software_version``, the one
     that began the stream; the version is ``None`` for all other requests.
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -41,16 +41,22 @@
         self._on_begin = on_begin
 
     async def forward(
-        self, head: AnswerHead, events: list[StreamEvent], software_version: str
+        self,
+        head: AnswerHead,
+        events: list[StreamEvent],
+        software_version: str,
+        on_accepted: Callable[[], None],
     ) -> None:
         """Send whole events to the caller, the first ones together with the head of the answer.
 
-        ``software_version`` is that of the replica that wrote the events. Raise ``AnswerRefused``
-        if the number of an event is not above that of the event before it.
+        ``software_version`` is that of the replica that wrote the events. ``on_accepted`` is called
+        just before they are sent. Raise ``AnswerRefused`` if the number of an event is not above
+        that of the event before it.
         """
         checked = self._check_order(events)
         if not checked:
             return
+        on_accepted()
         if self.software_version is None:
             self.software_version = software_version
         data = b"".join(event.raw for event in checked)
@@ -81,7 +87,8 @@
 
     An event stream is forwarded in whole events, so that another replica can resume a stream that
     breaks within an event. Any other answer is buffered until it is complete. ``software_version``
-    is that of the replica. ``on_body`` is called for each piece of the body of a successful answer.
+    is that of the replica. ``on_body`` is called for each piece of the body of a successful answer,
+    ``on_events`` just before events of a stream are passed on to the caller.
     """
 
     def __init__(
@@ -92,6 +99,7 @@
         stream: StreamState,
         software_version: str,
         on_body: Callable[[], None],
+        on_events: Callable[[], None],
     ) -> None:
         self.received_head: AnswerHead | None = None
         self.stream = stream
@@ -103,6 +111,7 @@
         self._streaming = streaming
         self._software_version = software_version
         self._on_body = on_body
+        self._on_events = on_events
         self._splitter = EventSplitter()
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
@@ -147,7 +156,9 @@
             events = self._splitter.feed(chunk)
             self._waits_for_caller = True
             try:
-                await self.stream.forward(self.received_head, events, self._software_version)
+                await self.stream.forward(
+                    self.received_head, events, self._software_version, self._on_events
+                )
             finally:
                 self._waits_for_caller = False
                 self._record_progress()
--- a/railsail/routing/context.py
+++ b/railsail/routing/context.py
@@ -15,6 +15,9 @@
 SILENCE_TIMEOUT_OBJECTIVES = 3.0
 SILENCE_TIMEOUT_PAUSES = 4.0
 MIN_SILENCE_TIMEOUT_SECONDS = 1.0
+# Two model replicas may be at work on one request for at most this long: both read its prompt and
+# write the same events.
+MODEL_OVERLAP_SECONDS = 0.3
 
 
 @dataclass
@@ -71,6 +74,11 @@
             seconds = SILENCE_TIMEOUT_OBJECTIVES * self.route.objective
         return max(MIN_SILENCE_TIMEOUT_SECONDS, seconds)
 
+    @property
+    def max_overlap(self) -> float | None:
+        """Return how many seconds two replicas may be at work on the request; any if ``None``."""
+        return MODEL_OVERLAP_SECONDS if self.pool.cost_unit is CostUnit.TOKENS else None
+
     @property
     def estimated_cost(self) -> float:
         """Return the expected cost of the request in the cost unit of its pool."""
@@ -81,3 +89,8 @@
         if prompt.max_output:
             output = min(output, prompt.max_output)
         return max(1.0, prompt.tokens + OUTPUT_TOKEN_COST * output)
+
+
+def is_silence(seconds: float) -> bool:
+    """Return True if a replica that sends nothing for ``seconds`` may be at fault."""
+    return seconds > MIN_SILENCE_TIMEOUT_SECONDS
--- a/railsail/routing/hedging.py
+++ b/railsail/routing/hedging.py
@@ -1,10 +1,10 @@
-"""Hedge an attempt whose replica fell silent: keep it until another one holds.
+"""Hedge an attempt whose replica fell silent: keep it until another one has begun to answer.
 
 A sound replica may fall silent for a second or so and go on, which cannot be told from one that is
 gone. Ending the attempt first would give up an answer that may be complete a moment later, while
-another attempt may not be allowed, find no replica with room, or fall silent too. Therefore the
-attempt ends only once another one has begun to answer, or has been at work for ``OVERLAP_SECONDS``.
-If the silent replica goes on first, the other attempt ends.
+another attempt may not be allowed, find no replica with room, fail, or fall silent too. Therefore
+the attempt ends only once another one has begun to answer or, in pools of model replicas, has been
+at work for a moment. If the silent replica goes on first, the other attempt ends.
 Source: Dean and Barroso, "The Tail at Scale", 2013.
 """
 
@@ -12,15 +12,18 @@
 import enum
 from collections.abc import Awaitable, Callable, Coroutine
 
-from railsail.core.outcomes import Completed, Outcome
+from railsail.core.logs import get_logger
+from railsail.core.outcomes import Completed, Outcome, Unknown
 from railsail.core.pauses import Pauses
 from railsail.dispatch.bookings import Booking
 from railsail.routing.answer import ReplicaAnswer
 from railsail.routing.context import RoutingContext
-from railsail.routing.silences import SilenceEnd, Silences
+from railsail.routing.silences import Silence, SilenceEnd, Silences
 
-# Two replicas are at work on one request for at most this long.
-OVERLAP_SECONDS = 0.3
+# The event loop handles what has already arrived within this time.
+BACKLOG_SECONDS = 0.01
+# Pause after an attempt that was to replace a silent one has failed.
+REPLACEMENT_PAUSE_SECONDS = 0.25
 
 
 class _Progress(enum.Enum):
@@ -33,19 +36,21 @@
 class Attempt:
     """One attempt of a request, at the replica that ``booking`` was granted.
 
-    ``answer`` receives its answer, ``None`` before there is one to expect. ``sent`` is done once
-    the request is sent, and ``went_on`` at the next piece of a good answer. ``fell_silent`` is True
-    while its replica is silent. ``superseded_by`` is the attempt whose answer the caller gets
-    instead.
+    ``answer`` receives its answer; it is ``None`` until the request is about to be sent. ``sent``
+    is done once the request is sent, and ``went_on`` once a part of the answer was passed on to the
+    caller. ``received`` is True once the answer has been received completely, after which it only
+    waits for the caller. ``fell_silent`` is True while its replica is silent. ``superseded_by`` is
+    the attempt whose answer the caller gets instead.
     """
 
     def __init__(self, booking: Booking, attempts: "HedgedAttempts") -> None:
         self.booking = booking
         self.replica = booking.replica
+        self.answer: ReplicaAnswer | None = None
+        self.received = False
         self.fell_silent = False
         self.superseded_by: Attempt | None = None
         self._attempts = attempts
-        self.answer: ReplicaAnswer | None = None
         loop = asyncio.get_running_loop()
         self._started_at = loop.time()
         self.sent: asyncio.Future[None] = loop.create_future()
@@ -62,12 +67,32 @@
         """Return for how long the replica has sent nothing."""
         return asyncio.get_running_loop().time() - self.progressed_at
 
+    @property
+    def has_gone_on(self) -> bool:
+        """Return True if the silence of the replica is over, or the attempt has ended."""
+        return self.went_on.done() or self.task.done()
+
     @property
     def failed(self) -> bool:
         """Return True if it has ended without a complete answer."""
         if not self.task.done():
             return False
-        return self.task.cancelled() or not isinstance(self.task.result(), Completed)
+        if self.task.cancelled() or self.task.exception() is not None:
+            return True
+        return not isinstance(self.task.result(), Completed)
+
+    @property
+    def timed_out(self) -> bool:
+        """Return True if it has ended because its deadline passed."""
+        if not self.task.done() or self.task.cancelled() or self.task.exception() is not None:
+            return False
+        outcome = self.task.result()
+        return isinstance(outcome, Unknown) and outcome.timed_out
+
+    @property
+    def has_rival(self) -> bool:
+        """Return True if another attempt of the request is running."""
+        return self._attempts.has_rival(self)
 
     def start(self, work: Coroutine[None, None, Outcome]) -> None:
         """Run ``work``, which makes the attempt."""
@@ -78,9 +103,9 @@
         self.sent.set_result(None)
 
     def go_on(self) -> None:
-        """Record a piece, or the end, of a good answer: the caller gets the answer of this attempt.
+        """Record that a part of the answer is about to be passed on to the caller.
 
-        The other attempt of the request is ended before it can pass on anything more.
+        The other attempt of the request ends before it can pass on anything.
         """
         self._attempts.supersede_others(self)
         self.fell_silent = False
@@ -102,17 +127,17 @@
 class HedgedAttempts:
     """The attempts of one request that run at the same time: one, or two while one is silent.
 
-    ``send`` makes an attempt and returns its outcome; it ends the attempt with an outcome also if
-    that is superseded. ``find_replacement`` waits until another attempt may be made, and returns
-    its granted booking; it is cancelled if the silence ends first. ``withdraw`` returns a booking
-    that was not used.
+    ``send`` makes an attempt and returns its outcome, also if the attempt is superseded.
+    ``find_replacement`` waits until a replica is granted for another attempt, which is none of
+    those that it is passed; it is cancelled if the silence ends first. ``withdraw`` returns a
+    booking that was not used.
     """
 
     def __init__(
         self,
         context: RoutingContext,
         send: Callable[[Attempt], Coroutine[None, None, Outcome]],
-        find_replacement: Callable[[str], Awaitable[Booking]],
+        find_replacement: Callable[[frozenset[str]], Awaitable[Booking]],
         withdraw: Callable[[Booking], None],
         silences: Silences,
         pauses: Pauses,
@@ -124,8 +149,6 @@
         self._silences = silences
         self._pauses = pauses
         self._started: list[Attempt] = []
-        # The attempt that may replace the silent one.
-        self._replacement: Attempt | None = None
 
     async def run(self, booking: Booking) -> Outcome:
         """Make an attempt with ``booking``, replace it if need be, and return the last outcome."""
@@ -133,6 +156,7 @@
         try:
             while await self._watch(attempt) is _Progress.SILENT:
                 attempt = await self._hedge(attempt)
+            self._context.replica = attempt.replica
             return attempt.task.result()
         finally:
             for started in self._started:
@@ -150,14 +174,24 @@
         """End all attempts but ``attempt``."""
         for other in self._started:
             if other is not attempt:
-                other.supersede(attempt)
+                self._supersede(other, attempt)
+
+    def _supersede(self, attempt: Attempt, other: Attempt) -> None:
+        if attempt.sent.done() and not attempt.task.done():
+            self._context.may_have_run = True
+        attempt.supersede(other)
+
+    def has_rival(self, attempt: Attempt) -> bool:
+        """Return True if an attempt other than ``attempt`` is running."""
+        others = (other for other in self._started if other is not attempt)
+        return any(not other.task.done() and other.superseded_by is None for other in others)
 
     async def _watch(self, attempt: Attempt) -> _Progress:
         """Wait until ``attempt`` ends or its replica is silent."""
         loop = asyncio.get_running_loop()
         while not attempt.task.done():
-            if not self._context.can_retry:
-                # Nothing can replace it, however long its replica is silent.
+            if attempt.received or not self._context.can_retry:
+                # Nothing replaces it, however long it takes.
                 await asyncio.wait([attempt.task])
                 continue
             # While this process was paused, it could not receive anything from the replica.
@@ -175,40 +209,97 @@
         """
         silent.fall_silent()
         silence = self._silences.begin(self._context, silent.replica, silent.progressed_at)
-        search = asyncio.ensure_future(self._replace(silent))
-        end = SilenceEnd.CALLER_LEFT
+        attempt = None
+        try:
+            while attempt is None:
+                attempt = await self._try_replacement(silent, silence)
+            return attempt
+        finally:
+            silence.ended(_end_of_silence(silent, attempt), attempt.replica if attempt else "")
+            self._context.give_up_reason = ""
+
+    async def _try_replacement(self, silent: Attempt, silence: Silence) -> Attempt | None:
+        """Return the attempt that goes on, ``None`` if ``silent`` is still to be replaced."""
+        second = await self._start_replacement(silent)
+        if second is None:
+            return silent
+        attempt = await self._race(silent, second, silence)
+        if attempt is None:
+            self._silences.replacement_failed(self._context, second.replica)
+            _log_exception(second)
+            await _wait_for_first(silent.task, silent.went_on, timeout=REPLACEMENT_PAUSE_SECONDS)
+        return attempt
+
+    async def _start_replacement(self, silent: Attempt) -> Attempt | None:
+        """Start another attempt, or return ``None`` if the silence ends before."""
+        search = asyncio.ensure_future(self._search(silent))
         try:
             await _wait_for_first(silent.task, silent.went_on, search)
-            end = _end_of_silence(silent, search)
-            if end is SilenceEnd.REPLACED and search.done():
-                silent.supersede(search.result())
         finally:
             search.cancel()
-            silence.ended(end)
-        if end is SilenceEnd.WENT_ON:
-            self._context.give_up_reason = ""
+        return search.result() if search.done() else None
+
+    async def _search(self, silent: Attempt) -> Attempt | None:
+        """Start an attempt at a replica that has not failed one; ``None`` if ``silent`` has ended.
+
+        An error in the search must not end the silent attempt, which may go on.
+        """
+        failed = (attempt.replica for attempt in self._started if attempt.failed)
+        tried = frozenset((silent.replica, *failed))
+        while not silent.has_gone_on:
+            try:
+                booking = await self._find_replacement(tried)
+            except Exception:
+                get_logger().exception(
+                    "failed to find a replacement", request=self._context.request.id
+                )
+                await asyncio.sleep(REPLACEMENT_PAUSE_SECONDS)
+                continue
+            if not silent.has_gone_on:
+                return self._start(booking)
+            self._withdraw(booking)
+        return None
+
+    async def _race(self, silent: Attempt, second: Attempt, silence: Silence) -> Attempt | None:
+        """Return the attempt that goes on, ``None`` if ``second`` failed while ``silent`` runs."""
+        ends = (silent.task, silent.went_on, second.task)
+        await _wait_for_first(*ends, second.sent)
+        await _wait_for_first(*ends, second.went_on, timeout=self._context.max_overlap)
+        # What arrived while this process was busy is handled before the decision.
+        await _wait_for_first(*ends, second.went_on, timeout=BACKLOG_SECONDS)
+        if silent.went_on.done():
             return silent
-        return self._replacement or silent
-
-    async def _replace(self, silent: Attempt) -> Attempt:
-        """Return another attempt once it has begun to answer, or has been at work for a while."""
-        while True:
-            self._replacement = None
-            replacement = self._start(await self._find_replacement(silent.replica))
-            self._replacement = replacement
-            await _wait_for_first(replacement.task, replacement.sent)
-            await _wait_for_first(replacement.task, replacement.went_on, timeout=OVERLAP_SECONDS)
-            if not replacement.failed:
-                return replacement
-            self._silences.replacement_failed(self._context, replacement.replica)
-
-
-def _end_of_silence(silent: Attempt, search: asyncio.Future) -> SilenceEnd:
-    if silent.went_on.done():
-        return SilenceEnd.WENT_ON
-    if search.done() or silent.superseded_by:
+        if second.went_on.done():
+            return second
+        if silent.task.done():
+            return silent if second.failed else second
+        if second.task.done():
+            return None
+        if silent.progressed_at > silence.since:
+            # The head or a part of an event has come, which is not passed on yet.
+            self._supersede(second, silent)
+            return silent
+        self._supersede(silent, second)
+        return second
+
+
+def _end_of_silence(silent: Attempt, attempt: Attempt | None) -> SilenceEnd:
+    """Return how a silence ended after which ``attempt`` goes on, ``None`` if the caller left."""
+    if attempt is None:
+        return SilenceEnd.CALLER_LEFT
+    if attempt is not silent:
         return SilenceEnd.REPLACED
-    return SilenceEnd.FAILED
+    silent.fell_silent = False
+    if not silent.failed:
+        return SilenceEnd.WENT_ON
+    return SilenceEnd.DEADLINE if silent.timed_out else SilenceEnd.FAILED
+
+
+def _log_exception(attempt: Attempt) -> None:
+    if not attempt.task.cancelled() and attempt.task.exception() is not None:
+        get_logger().error(
+            "an attempt failed", replica=attempt.replica, exc_info=attempt.task.exception()
+        )
 
 
 async def _wait_for_first(*futures: asyncio.Future, timeout: float | None = None) -> None:
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from railsail.core.events import Fact, Kind
+from railsail.core.exceptions import RailsailError
 from railsail.core.fingerprints import route_fingerprint
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown, truth_of
@@ -15,7 +17,7 @@
 from railsail.routing.budget import RetryBounds, RetryBudget
 from railsail.routing.client import ClientDisconnected
 from railsail.routing.connect_failures import ConnectFailures
-from railsail.routing.context import MIN_SILENCE_TIMEOUT_SECONDS, RoutingContext
+from railsail.routing.context import RoutingContext, is_silence
 from railsail.routing.endings import AnswerEnd, check_end
 from railsail.routing.hedging import Attempt, HedgedAttempts
 from railsail.routing.messages import Dispatch
@@ -39,9 +41,14 @@
 RESUME_WAIT_SECONDS = 1.0
 # How often it is checked whether a silent attempt can be replaced.
 REPLACEMENT_CHECK_SECONDS = 0.25
+BUDGET_SPENT = "the retry budget is spent"
 _RETRYABLE_REASONS = (Reason.UNREACHABLE, Reason.REFUSED)
 
 
+class RetryNotAllowed(RailsailError):
+    """The retry budget was spent between the grant of a replica and the connection to it."""
+
+
 class Relay:
     """Relay of routed requests to replicas; ``fleet_size`` returns the known size of the fleet."""
 
@@ -115,25 +122,24 @@
             context.give_up_reason = "it may not be repeated"
             return False
         context.give_up_reason = self._reason_not_to_retry(context, budget)
-        # The budget counts calls. As long as no attempt has reached a replica, the next one is the
-        # first call and no retry.
-        if context.give_up_reason or (context.attempts and not self._spend(budget)):
+        if context.give_up_reason:
             return False
         self._metrics.retries.inc({"cause": cause})
         return True
 
     def _reason_not_to_retry(self, context: RoutingContext, budget: RetryBudget) -> str:
         """Return why no further attempt may be made, or an empty string if one may."""
+        now = self._clock.monotonic()
+        if now >= context.deadline_at:
+            return "there is no time left"
         if context.attempts >= context.route.max_attempts:
             return f"the route allows {context.route.max_attempts} attempts"
-        now = self._clock.monotonic()
+        # The budget counts calls. As long as no attempt has reached a replica, the next one is the
+        # first call and no retry.
         if context.attempts and not budget.has_room(now, self._fleet_size()):
-            return "the retry budget is spent"
+            return BUDGET_SPENT
         return ""
 
-    def _spend(self, budget: RetryBudget) -> bool:
-        return budget.allow(self._clock.monotonic(), self._fleet_size())
-
     async def _attempt(self, context: RoutingContext, budget: RetryBudget) -> Outcome:
         requested_at = self._clock.monotonic()
         booking = await self._acquire(context)
@@ -142,8 +148,8 @@
             return booking
         attempts = HedgedAttempts(
             context,
-            lambda attempt: self._send_granted(context, attempt),
-            lambda silent: self._find_replacement(context, budget, silent),
+            lambda attempt: self._send_granted(context, attempt, budget),
+            lambda tried: self._find_replacement(context, budget, tried),
             self._tickets.withdraw,
             self._silences,
             self._pauses,
@@ -155,35 +161,39 @@
         return await self._acquirer.acquire(self._pool_request(context, wait), wait)
 
     async def _find_replacement(
-        self, context: RoutingContext, budget: RetryBudget, silent: str
+        self, context: RoutingContext, budget: RetryBudget, tried: frozenset[str]
     ) -> Booking:
-        """Wait until another attempt may be made and a replica other than ``silent`` is granted."""
+        """Wait until another attempt may be made, and a replica that is not silent is granted.
+
+        The replica is none of those ``tried`` before.
+        """
         while True:
-            booking = await self._acquire_replacement(context, budget, silent)
+            booking = await self._acquire_replacement(context, budget, tried)
             if isinstance(booking, Booking):
+                self._metrics.retries.inc({"cause": "silent"})
                 return booking
             context.give_up_reason = booking.detail
             await asyncio.sleep(REPLACEMENT_CHECK_SECONDS)
 
     async def _acquire_replacement(
-        self, context: RoutingContext, budget: RetryBudget, silent: str
+        self, context: RoutingContext, budget: RetryBudget, tried: frozenset[str]
     ) -> Booking | NotRun:
-        """Spend a retry on a granted replica, or return why there is none for the request now."""
+        """Return a granted replica, or why there is none for the request now."""
         refusal = self._reason_not_to_retry(context, budget)
         if refusal:
             return NotRun(Reason.NO_ROOM, refusal)
-        context.avoid = silent
-        booking = await self._acquire(context)
+        context.give_up_reason = "no other replica had room yet"
+        wait = self._wait_seconds(context)
+        excluded = tuple(sorted(tried | self._silences.silent_replicas))
+        # No caller is refused without it, so that the dispatcher has no retry to plan.
+        request = replace(self._pool_request(context, wait), excluded=excluded, returns_within=0.0)
+        booking = await self._acquirer.acquire(request, wait)
         if isinstance(booking, NotRun):
             return booking
-        if self._silences.is_silent(booking.replica):
-            refusal = "the replica that was granted is silent too"
-        elif not self._spend(budget):
-            refusal = "the retry budget is spent"
-        if refusal:
+        # It may have fallen silent under another request during the wait.
+        if booking.replica in tried | self._silences.silent_replicas:
             self._tickets.withdraw(booking)
-            return NotRun(Reason.NO_ROOM, refusal)
-        self._metrics.retries.inc({"cause": "silent"})
+            return NotRun(Reason.NO_ROOM, "the replica that was granted is silent too")
         return booking
 
     def _wait_seconds(self, context: RoutingContext) -> float:
@@ -221,25 +231,26 @@
             return 0
         return route_fingerprint(context.route.name)
 
-    async def _send_granted(self, context: RoutingContext, attempt: Attempt) -> Outcome:
+    async def _send_granted(
+        self, context: RoutingContext, attempt: Attempt, budget: RetryBudget
+    ) -> Outcome:
         booking = attempt.booking
         sent_at = self._clock.monotonic()
         result = CallResult.NOTHING
         outcome: Outcome | None = None
         try:
-            outcome = await self._send(context, attempt)
+            outcome = await self._send(context, attempt, budget)
             result = CallResult.of(outcome)
             return outcome
         except (asyncio.CancelledError, ClientDisconnected):
             if attempt.superseded_by is not None:
-                context.may_have_run = True
                 outcome = Unknown("another attempt went on first", silent=attempt.fell_silent)
                 result = CallResult.of(outcome) if attempt.fell_silent else CallResult.NOTHING
                 return outcome
             # The caller left, but only after a time in which the answer should have started: the
             # replica is likely to be at fault.
             seconds = self._clock.monotonic() - sent_at
-            is_silent = not booking.begun and seconds > MIN_SILENCE_TIMEOUT_SECONDS
+            is_silent = not booking.begun and is_silence(seconds)
             result = CallResult.SILENT if is_silent else CallResult.CALLER_LEFT
             raise
         finally:
@@ -248,7 +259,9 @@
             has_cost = outcome is None or not isinstance(outcome, NotRun)
             self._tickets.release(booking, booking.want.estimate if has_cost else 0.0, result)
 
-    async def _send(self, context: RoutingContext, attempt: Attempt) -> Outcome:
+    async def _send(
+        self, context: RoutingContext, attempt: Attempt, budget: RetryBudget
+    ) -> Outcome:
         replica = attempt.replica
         upstream = self._directory.get(replica)
         if upstream is None:
@@ -267,7 +280,7 @@
             request.body,
             open_ended=True,
             connect_seconds=min(CONNECT_SECONDS, remaining),
-            on_connected=attempt.connected,
+            on_connected=lambda: self._count_call(context, attempt, budget),
             on_head=self._replica_signals.listener(replica, self._protocol.read_signs),
             replica=replica,
             request_id=request.id,
@@ -279,7 +292,8 @@
             context.route.streaming,
             context.stream,
             upstream.software_version,
-            lambda: self._answer_went_on(context, attempt),
+            lambda: self._answer_started(context, attempt),
+            attempt.go_on,
         )
         self._events.emit(
             Kind.SENT,
@@ -296,8 +310,15 @@
         attempt.answer = answer
         return await self._exchange(context, attempt, call, answer)
 
-    def _answer_went_on(self, context: RoutingContext, attempt: Attempt) -> None:
-        attempt.go_on()
+    def _count_call(self, context: RoutingContext, attempt: Attempt, budget: RetryBudget) -> None:
+        """Count a call that is sent now; raise ``RetryNotAllowed`` if the budget has no room."""
+        now = self._clock.monotonic()
+        if context.attempts and not budget.allow(now, self._fleet_size()):
+            raise RetryNotAllowed(BUDGET_SPENT)
+        context.attempts += 1
+        attempt.connected()
+
+    def _answer_started(self, context: RoutingContext, attempt: Attempt) -> None:
         if not context.first_byte_after:
             context.first_byte_after = self._clock.monotonic() - context.received_at
         self._tickets.begun(attempt.booking)
@@ -310,17 +331,18 @@
         answer: ReplicaAnswer,
     ) -> Outcome:
         replica = attempt.replica
-        context.attempts += 1
         remaining = context.deadline_at - self._clock.monotonic()
         try:
             async with asyncio.timeout(remaining):
                 await self._calls.run(replica, exchange(call, answer, self._connections))
+                attempt.received = True
                 end = await check_end(answer, replica, self._directory)
                 if end is AnswerEnd.CUT_OFF:
                     raise CutOff("the replica crashed, which ended its answer")
                 context.uncertain_end = end is AnswerEnd.UNCERTAIN
+        except RetryNotAllowed as problem:
+            return NotRun(Reason.NO_ROOM, str(problem))
         except NotSent as problem:
-            context.attempts -= 1
             self._connect_failures.record_failure(replica, self._clock.monotonic())
             return NotRun(Reason.UNREACHABLE, str(problem))
         except (CutOff, BadStream, AnswerRefused) as problem:
@@ -328,7 +350,7 @@
             return Unknown(str(problem), broke_off=isinstance(problem, CutOff))
         except TimeoutError:
             context.may_have_run = True
-            silent = attempt.silent_seconds > MIN_SILENCE_TIMEOUT_SECONDS
+            silent = is_silence(attempt.silent_seconds)
             return Unknown("no whole answer in time", timed_out=True, silent=silent)
         return await self._handle_answer(context, attempt, answer)
 
@@ -350,11 +372,8 @@
             return self._end_stream(context, attempt, answer)
         if context.stream.head is not None:
             return Unknown(f"status {head.status} in the middle of a stream")
-        if (
-            head.status >= 500
-            and context.can_retry
-            and context.attempts < context.route.max_attempts
-        ):
+        others_left = attempt.has_rival or context.attempts < context.route.max_attempts
+        if head.status >= 500 and context.can_retry and others_left:
             return Unknown(f"status {head.status}", asked_rest=head.asks_rest)
         if head.status in (503, 429, 408):
             # The status would tell the caller that nothing ran, which the replica did not say.
--- a/railsail/routing/silences.py
+++ b/railsail/routing/silences.py
@@ -16,13 +16,15 @@
     WENT_ON = "went-on"
     REPLACED = "replaced"
     FAILED = "failed"
+    DEADLINE = "deadline"
     CALLER_LEFT = "caller-left"
 
 
 _DETAILS = {
     SilenceEnd.WENT_ON: "the silent replica went on",
     SilenceEnd.REPLACED: "another attempt replaces the silent one",
-    SilenceEnd.FAILED: "the attempt ended while its replica was silent",
+    SilenceEnd.FAILED: "the attempt failed while its replica was silent",
+    SilenceEnd.DEADLINE: "the deadline passed while the replica was silent",
     SilenceEnd.CALLER_LEFT: "the caller left while the replica was silent",
 }
 
@@ -31,14 +33,14 @@
 class Silence:
     """A silence of ``replica`` since ``since``, in seconds of the event loop."""
 
-    silences: "Silences"
+    owner: "Silences"
     context: RoutingContext
     replica: str
     since: float
 
-    def ended(self, end: SilenceEnd) -> None:
-        """Record how the silence ended."""
-        self.silences.record_end(self, end)
+    def ended(self, end: SilenceEnd, replica: str) -> None:
+        """Record how the silence ended, and at which replica the request goes on, if at any."""
+        self.owner.record_end(self, end, replica)
 
     @property
     def facts(self) -> dict[str, Fact]:
@@ -59,9 +61,10 @@
         self._events = kernel.events
         self._metrics = kernel.metrics
 
-    def is_silent(self, replica: str) -> bool:
-        """Return True if ``replica`` is silent under a request now."""
-        return self._silent[replica] > 0
+    @property
+    def silent_replicas(self) -> frozenset[str]:
+        """Return the replicas that are silent under a request now."""
+        return frozenset(self._silent)
 
     def begin(self, context: RoutingContext, replica: str, since: float) -> Silence:
         """Record that ``replica`` has sent nothing since ``since``, and return the silence."""
@@ -70,12 +73,14 @@
         self._emit(context, "the replica is silent, the attempt goes on", silence.facts)
         return silence
 
-    def record_end(self, silence: Silence, end: SilenceEnd) -> None:
-        """Record how ``silence`` ended."""
+    def record_end(self, silence: Silence, end: SilenceEnd, replica: str) -> None:
+        """Record how ``silence`` ended, and the ``replica`` at which the request goes on."""
         self._silent -= Counter([silence.replica])
         self._metrics.silences.inc({"end": end})
         facts: dict[str, Fact] = {"end": end, **silence.facts}
-        if end is not SilenceEnd.WENT_ON and silence.context.give_up_reason:
+        if end is SilenceEnd.REPLACED:
+            facts["replaced_by"] = replica
+        elif silence.context.give_up_reason:
             facts["not_replaced"] = silence.context.give_up_reason
         self._emit(silence.context, _DETAILS[end], facts)
 
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -73,10 +73,11 @@
 
     If ``open_ended``, an answer without a length is complete when its connection was closed without
     an error. ``connect_seconds`` bounds the time to connect. ``on_connected`` is called when there
-    is a connection, just before the request is sent. ``on_head`` is called with status and headers
-    of any answer before its receiver, which may refuse the answer. The connection may be kept only
-    for a request that names its ``replica`` and ``request_id``; ``read_id`` returns the id of the
-    request that an answer belongs to, from the headers of the answer.
+    is a connection, just before the request is sent; it may raise an error to prevent that.
+    ``on_head`` is called with status and headers of any answer before its receiver, which may
+    refuse the answer. The connection may be kept only for a request that names its ``replica`` and
+    ``request_id``; ``read_id`` returns the id of the request that an answer belongs to, from the
+    headers of the answer.
     """
 
     endpoint: str
@@ -246,9 +247,9 @@
     the task closes the connection.
     """
     stream = await connections.acquire(request)
-    request.on_connected()
     max_idle = connections.max_idle_seconds if connections.can_keep(request) else 0.0
     try:
+        request.on_connected()
         seconds = await _exchange_on(stream, request, receiver, max_idle)
     except BaseException as problem:
         connections.release_failed(request, stream, problem)
