tests: watched the steps that follow an answer

The steps of a stream that follow its last event, such as recording its end, were not found: the watch ended with the answer. It now lasts until the node has no request; steps of the test itself are left out. The test of a bad request with steps that hang had a readable deadline in place of the bad one.

--- a/tests/platform/steps.py
+++ b/tests/platform/steps.py
@@ -118,13 +118,14 @@
 
 @dataclass
 class StepWatcher:
-    """Finds the steps that run while it is entered, but not those of the nodes' own tasks."""
+    """Finds the steps that run while it is entered, but not in tasks of nodes or the test."""
 
     nodes: list[Node]
     steps: set[Step] = field(default_factory=set)
 
     def __enter__(self) -> "StepWatcher":
         self._own = {task for node in self.nodes for task in node._tasks}
+        self._own.add(asyncio.current_task())
         sys.setprofile(self._watch)
         return self
 
--- a/tests/platform/test_every_request_is_answered.py
+++ b/tests/platform/test_every_request_is_answered.py
@@ -94,6 +94,8 @@
         """Return the steps of a request on which nothing fails."""
         with StepWatcher(self.nodes) as watcher:
             await self.check(node, scenario)
+            # Its end is recorded after its answer.
+            await self.until(lambda: not node.requests)
         self.assertLessEqual(FOUND, watcher.steps)
         return sorted(watcher.steps - NOT_REPLACED)
 
@@ -133,11 +135,14 @@
     ) -> bool:
         """Make a request while ``step`` fails, and say whether it came to it."""
         soon = {"Deadline_Ms": "200"} if failure is Failure.HANGS else {}
+        # One that cannot be read ends by the timeout of its route.
+        soon |= scenario.headers
         name, connection = next(self.names), await self.connect(node)
         with step.failing(failure, passes) as calls:
             answer = await self.ask(scenario, name, connection, **soon)
+            # Some steps follow the answer.
+            await self.until(lambda: not node.requests)
         self.assert_final(scenario, step, answer, name)
-        await self.until(lambda: not node.requests)
         await self.assert_usable(scenario, step, answer, connection)
         return bool(calls)
 
@@ -221,7 +226,7 @@
 
     async def test_bad(self):
         node = await self.serve_all()
-        bad = Scenario("/again/", 400, {"Deadline_Ms": "soon"})
+        bad = Scenario("/short/", 400, {"Deadline_Ms": "soon"})
         await self.fail_each(node, bad, self.failure)
 
 
