relay: placed one ticket for the replacement of a silent attempt

Each look for a replacement was a ticket that expired after a moment, and was placed again 0.25 s later. An expired ticket tells its dispatcher that the cell is overloaded, so that requests of other callers were refused.

--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -183,7 +183,8 @@
         if refusal:
             return NotRun(Reason.NO_ROOM, refusal)
         context.give_up_reason = "no other replica had room yet"
-        wait = self._wait_seconds(context)
+        # One ticket waits as long as the silence: a ticket that expires is a sign of overload.
+        wait = context.deadline_at - self._clock.monotonic()
         excluded = tuple(sorted(tried | self._silences.silent_replicas))
         # No caller is refused without it, so that the dispatcher has no retry to plan.
         request = replace(self._pool_request(context, wait), excluded=excluded, returns_within=0.0)
--- a/tests/platform/test_after_silences.py
+++ b/tests/platform/test_after_silences.py
@@ -8,7 +8,6 @@
 import unittest
 from unittest import mock
 
-from railsail.core.events import Kind
 from railsail.node import Node
 from railsail.routing import context
 from railsail.routing.relay import RETRY_AFTER_SHARE
@@ -88,19 +87,20 @@
         self.assertEqual(self.ran(), ["r-1", "r-2", "r-3", "r-4"])
         self.assertEqual(self.room(node), 8)
 
-    # Each look for a replica to replace a silent one counted as a refused caller, so that others
-    # were asked to stay away for longer.
-    async def test_silent_requests_that_wait_are_planned_as_retries_of_callers(self):
+    # Each look for a replica to replace a silent one was a ticket that expired: callers were asked
+    # to stay away for longer, and requests were refused as in an overload.
+    async def test_silent_requests_that_wait_count_as_refused_callers(self):
         node = await self.serve_two()
-        looks = []
-        node.events.on_emit(lambda event: looks.append(event.kind is Kind.EXPIRED))
         for replica in self.replicas:
             replica.pause()
         calls = [self.start(node, "/again/", number) for number in range(4)]
-        await self.until(lambda: sum(looks) >= 4)
         dispatcher = self.dispatcher(node)
+        await self.until(lambda: len(dispatcher.queue) == 4)
+        # Longer than a ticket waits that is placed anew each time.
+        await asyncio.sleep(2 * context.MIN_SILENCE_TIMEOUT_SECONDS)
         self.assertEqual(sum(dispatcher._retry_schedule._steps), 0)
         self.assertFalse(dispatcher._refusals._expiries)
+        self.assertFalse(dispatcher.overloaded(node.clock.monotonic()))
         for replica in self.replicas:
             replica.resume()
         self.assertEqual([(await call).status for call in calls], [200] * 4)
