--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -257,7 +257,7 @@
     silences.write_logs(replicas, streams.requests, fleet.folder)
     faults = [name for each in series for name in each.injected]
     result = _make_result(fleet, seed, callers, faults)
-    return replace(result, silences=_judge(fleet, replicas, streams.requests))
+    return replace(result, silences=judge(fleet, replicas, streams.requests))
 
 
 def _make_series(
@@ -275,7 +275,7 @@
     return FaultSeries(fleet, rng, [silence_replicas], max_pause=pause)
 
 
-def _judge(
+def judge(
     fleet: ProcessFleet, replicas: silences.Replicas, calls: list[silences.CallerRequest]
 ) -> SilenceFindings:
     """Return what became of ``calls``."""
@@ -292,7 +292,7 @@
         len(judged),
         sum(seconds > 0 for seconds in silent.values()),
         [_describe(call) for call in lost],
-        _find_violations(calls, runs),
+        _find_violations(calls, replicas),
     )
 
 
@@ -313,10 +313,9 @@
     )
 
 
-def _find_violations(
-    calls: list[silences.CallerRequest], runs: dict[str, list[silences.Run]]
-) -> list[str]:
+def _find_violations(calls: list[silences.CallerRequest], replicas: silences.Replicas) -> list[str]:
     """Return a finding for each request that ran though it may not, or has wrong events."""
+    runs = replicas.by_request()
     found = []
     for call in calls:
         count = len(runs.get(call.name, []))
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -24,6 +24,7 @@
 from railsail.core.logs import get_logger
 from railsail.core.looplag import LoopLag
 from railsail.core.metrics import Metrics
+from railsail.core.outcomes import Reason
 from railsail.core.parts import PARTS
 from railsail.core.registry import load_plugins
 from railsail.core.tasks import keep_running
@@ -92,8 +93,14 @@
 # watches last this many times as long.
 EVACUATION_WATCH_FACTOR = 2
 DRAIN_POLL_SECONDS = 0.05
+# A stopping node ends the requests that still run this long before ``drain_seconds`` are over, when
+# the platform may kill its process, and waits as long for their answers to be sent.
+END_SECONDS = 0.5
 # A stopping node waits for its peers to take over its cells before it waits for its requests.
 TAKEOVER_SECONDS = 0.5
+# Requests that still wait for a replica are refused so long before a stop ends, so that their
+# answers are sent by then.
+REFUSAL_SECONDS = 0.3
 MAX_HEADER_BYTES = 32 << 10
 # The listen backlog: connections that may wait to be accepted. The system drops further ones, and
 # their callers wait a second or more before they retry. A burst of callers opens several hundred
@@ -571,7 +578,8 @@
         """Prepare a stop that cuts no requests.
 
         Become not ready, transfer the cells to other nodes, and wait for the running requests.
-        Requests that still run after ``drain_seconds`` will be cut, with an unknown outcome.
+        Those that still wait for a replica near the end of ``drain_seconds`` are refused, and
+        those that still run are ended by ``stop``.
         """
         self.lifecycle.advance(State.DRAINING)
         for server in self.client_servers:
@@ -581,14 +589,31 @@
         self.dispatchers.hand_over()
         self.tickets.replan()
         loop = asyncio.get_running_loop()
-        ends_at = loop.time() + self.settings.drain_seconds
+        ends_at = loop.time() + self.settings.drain_seconds - END_SECONDS
         # The balancer keeps sending callers until it notices that this node isn't ready.
         await asyncio.sleep(max(self.settings.leave_seconds, TAKEOVER_SECONDS))
         for server in self.client_servers:
             server.close_idle()
+        await self._wait_for_requests(ends_at - REFUSAL_SECONDS)
+        self._refuse_waiting()
+        await self._wait_for_requests(ends_at)
+
+    async def _wait_for_requests(self, ends_at: float) -> None:
+        """Wait until no request is left, at most until ``ends_at`` by the event loop."""
+        loop = asyncio.get_running_loop()
         while self.requests and loop.time() < ends_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def _refuse_waiting(self) -> None:
+        """Refuse the requests that wait for a replica."""
+        waiting = self.tickets.waiting()
+        for call in waiting:
+            self.tickets.refuse(call, Reason.EXPIRED, 0.0)
+        if waiting:
+            get_logger().info(
+                "refused waiting requests, since the stop ends", requests=len(waiting)
+            )
+
     @property
     def requests(self) -> int:
         """Return the number of requests that this node has received and not answered yet.
@@ -601,10 +626,15 @@
         return self.admission.total
 
     async def stop(self) -> None:
-        """Close everything, but first wait up to a second for releases of claims in progress."""
+        """Close everything, but first answer the requests that still run, as of unknown outcome.
+
+        Wait up to a second for releases of claims in progress.
+        """
         self.lifecycle.advance(State.STOPPED)
         for server in self._servers:
             server.stop()
+        ends = [server.stop(END_SECONDS) for server in self.client_servers]
+        await asyncio.gather(*ends)
         await self.claims.settle(1.0)
         await self.abort()
 
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -81,7 +81,9 @@
         self._rng: random.Random = kernel.rng
         self._routes = RouteTable()
         self._error_answers = ErrorAnswers(protocol, kernel.rng)
-        self._guard = AnswerGuard(protocol, self._error_answers, self._recorder, kernel.clock)
+        self._guard = AnswerGuard(
+            protocol, self._find_route, self._error_answers, self._recorder, kernel.clock
+        )
         self._offloader = Offloader(
             protocol,
             self._find_route,
@@ -136,20 +138,29 @@
                 line.method, line.path, incoming.headers, incoming.body
             )
         except ValueError as problem:
-            bad = NotRun(Reason.BAD_REQUEST, str(problem))
-            await self._error_answers.send("", 0.0, bad, client)
+            await self._refuse_bad(incoming, str(problem), client)
             return
         try:
             outcome, context = await self._serve(request, client, incoming.received_at)
             status = await self._error_answers.send(request.id, request.deadline, outcome, client)
         except (ClientDisconnected, asyncio.CancelledError):
-            self._recorder.record_disconnect(
-                request.id, self._clock.monotonic() - incoming.received_at
-            )
+            if client.left:
+                self._recorder.record_disconnect(
+                    request.id, self._clock.monotonic() - incoming.received_at
+                )
             raise
         seconds = self._clock.monotonic() - incoming.received_at
         self._recorder.record_outcome(request.id, context, outcome, status, seconds)
 
+    async def _refuse_bad(
+        self, incoming: IncomingRequest, detail: str, client: ClientAnswer
+    ) -> None:
+        bad = NotRun(Reason.BAD_REQUEST, detail)
+        status = await self._error_answers.send("", 0.0, bad, client)
+        request_id = self._protocol.read_origin(incoming.headers).request_id
+        seconds = self._clock.monotonic() - incoming.received_at
+        self._recorder.record_outcome(request_id, None, bad, status, seconds)
+
     async def _serve(
         self, request: RoutedRequest, client: ClientAnswer, received_at: float
     ) -> tuple[Outcome, RoutingContext | None]:
--- a/tests/platform/test_every_request_is_answered.py
+++ b/tests/platform/test_every_request_is_answered.py
@@ -8,7 +8,9 @@
 
 from tornado.http1connection import HTTP1Connection
 
+from railsail.core.events import Event, Kind
 from railsail.node import Node
+from railsail.routing import client, guard
 from tests.platform.base import (
     LONG_MS,
     LONGEST_SECONDS,
@@ -19,16 +21,18 @@
     read_head,
     request,
 )
-from tests.platform.standins import Received, ReplicaStandin, answering
+from tests.platform.standins import BREAK_SECONDS, Received, ReplicaStandin, answering, hanging
 from tests.platform.steps import Failure, Step, StepFailed, StepWatcher
 from tests.platform.streams import StreamingVersion
 
 # Steps that close the connection by themselves if they fail: they read the request, write to the
 # connection, or are called when all else has failed. The caller finds its connection closed.
 LAST_STEPS = ("railsail.routing.client", "railsail.routing.guard")
-# The servers hold on to the first from their start, so that it cannot be replaced. The second one
-# runs before a request is read.
+# The first two bound all others. The servers hold on to the third from their start, so that it
+# cannot be replaced. The fourth runs before a request is read.
 NOT_REPLACED = {
+    Step("railsail.routing.guard", "AnswerGuard.run"),
+    Step("railsail.routing.guard", "AnswerGuard._serve_in"),
     Step("railsail.routing.front", "RouteFront.handle"),
     Step("railsail.routing.client", "ClientServer.start_request"),
 }
@@ -37,6 +41,7 @@
     Step("railsail.routing.offload", "Offloader.offload"),
     Step("railsail.routing.front", "RouteFront._serve_locally"),
     Step("railsail.routing.error_answers", "ErrorAnswers.send"),
+    Step("railsail.routing.outcome_recorder", "OutcomeRecorder.record_outcome"),
     Step("railsail.platform.http", "PlatformProtocol.read_request"),
 }
 NOT_RUN = (408, 421, 429, 503)
@@ -89,6 +94,8 @@
         """Return the steps of a request on which nothing fails."""
         with StepWatcher(self.nodes) as watcher:
             await self.check(node, scenario)
+            # Its end is recorded after its answer.
+            await self.until(lambda: not node.requests)
         self.assertLessEqual(FOUND, watcher.steps)
         return sorted(watcher.steps - NOT_REPLACED)
 
@@ -128,11 +135,14 @@
     ) -> bool:
         """Make a request while ``step`` fails, and say whether it came to it."""
         soon = {"Deadline_Ms": "200"} if failure is Failure.HANGS else {}
+        # One that cannot be read ends by the timeout of its route.
+        soon |= scenario.headers
         name, connection = next(self.names), await self.connect(node)
         with step.failing(failure, passes) as calls:
             answer = await self.ask(scenario, name, connection, **soon)
+            # Some steps follow the answer.
+            await self.until(lambda: not node.requests)
         self.assert_final(scenario, step, answer, name)
-        await self.until(lambda: not node.requests)
         await self.assert_usable(scenario, step, answer, connection)
         return bool(calls)
 
@@ -188,29 +198,42 @@
         self.assertEqual((answer.status, answer.whole), (502, True))
 
 
-class FailingStepTests(AnsweredTestCase):
-    """A request on which a step failed waited until its caller gave it up."""
+class StepScenarios:
+    """The requests whose steps fail in the way of a test case."""
+
+    failure: Failure
 
     async def test_served(self):
         node = await self.serve_all()
-        await self.fail_each(node, Scenario("/again/"), Failure.RAISES)
+        await self.fail_each(node, Scenario("/again/"), self.failure)
 
     async def test_streamed(self):
         node = await self.serve_all()
-        await self.fail_each(node, Scenario("/stream/"), Failure.RAISES)
+        await self.fail_each(node, Scenario("/stream/"), self.failure)
 
     async def test_streamed_after_the_first_event(self):
         node = await self.serve_all()
-        await self.fail_each(node, Scenario("/stream/"), Failure.RAISES, PASSES)
+        await self.fail_each(node, Scenario("/stream/"), self.failure, PASSES)
 
     async def test_resumed_by_its_caller(self):
         node = await self.serve_all()
         resumed = Scenario("/resume/", headers={"Last_Event_Id": "2"})
-        await self.fail_each(node, resumed, Failure.RAISES)
+        await self.fail_each(node, resumed, self.failure)
 
     async def test_refused(self):
         node = await self.serve_all()
-        await self.fail_each(node, Scenario("/nowhere/", 404), Failure.RAISES)
+        await self.fail_each(node, Scenario("/nowhere/", 404), self.failure)
+
+    async def test_bad(self):
+        node = await self.serve_all()
+        bad = Scenario("/short/", 400, {"Deadline_Ms": "soon"})
+        await self.fail_each(node, bad, self.failure)
+
+
+class RaisingStepTests(StepScenarios, AnsweredTestCase):
+    """A request on which a step raised an error waited until its caller gave it up."""
+
+    failure = Failure.RAISES
 
     async def test_handler_of_the_server(self):
         """Its failure is the last one: the connection is closed, and not left open."""
@@ -221,10 +244,113 @@
         self.assertEqual(answer.status, 0)
         await self.until(lambda: not node.requests)
 
-    async def test_bad(self):
+
+class CancelledStepTests(StepScenarios, AnsweredTestCase):
+    """A step that was cancelled without its caller's leaving left the connection open."""
+
+    failure = Failure.CANCELLED
+
+
+class HangingStepTests(StepScenarios, AnsweredTestCase):
+    """A request on which a step did not return had no answer at its deadline, nor later."""
+
+    failure = Failure.HANGS
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        # Only so that the test takes less time.
+        self.hold(mock.patch.object(guard, "GRACE_SECONDS", 0.0))
+        self.hold(mock.patch.object(guard, "SEND_SECONDS", 0.1))
+
+
+class RecordedEndTests(AnsweredTestCase):
+    """A refused request that could not be read left no trace, and no failed one said so."""
+
+    async def ends_of(self, node: Node, scenario: Scenario) -> list[Event]:
+        name = next(self.names)
+        await self.ask(scenario, name, await self.connect(node))
+        await self.until(lambda: not node.requests)
+        return [e for e in node.events.select(name) if e.kind is Kind.ENDED]
+
+    async def test_bad_request(self):
         node = await self.serve_all()
         bad = Scenario("/again/", 400, {"Deadline_Ms": "soon"})
-        await self.fail_each(node, bad, Failure.RAISES)
+        (end,) = await self.ends_of(node, bad)
+        self.assertEqual((end.facts["reason"], end.facts["status"]), ("bad-request", 400))
+
+    async def test_failed_steps_before_and_after_the_first_event(self):
+        node = await self.serve_all()
+        step = Step("railsail.routing.answer", "StreamState.forward")
+        for passes, status in ((0, 502), (PASSES, None)):
+            with step.failing(Failure.RAISES, passes):
+                (end,) = await self.ends_of(node, Scenario("/stream/"))
+            self.assertEqual(end.detail, "this node failed while it served the request")
+            self.assertEqual((end.notable, end.facts.get("status")), (True, status))
+
+    async def test_error_is_logged_with_the_request(self):
+        node = await self.serve_all()
+        step = Step("railsail.routing.offload", "Offloader.offload")
+        with mock.patch.object(guard, "get_logger") as logger, step.failing(Failure.RAISES, 0):
+            (end,) = await self.ends_of(node, Scenario("/again/"))
+        (logged,) = logger.return_value.error.call_args_list
+        self.assertEqual(logged.kwargs["request"], end.request)
+        self.assertIsInstance(logged.kwargs["exc_info"], StepFailed)
+
+
+class StoppingNodeTests(PlatformTestCase):
+    """A node that stopped closed the connections of requests that still ran, without an answer."""
+
+    async def stop_under(self, target: str, **settings: str) -> tuple[Node, Answer]:
+        """Stop a node under a request to ``target`` that its replica does not answer in full."""
+        node = await self.serve(StreamingVersion("v1", holds=True).script, **settings)
+        self.replicas[0].script = hanging() if target == "/once/" else self.replicas[0].script
+        call = asyncio.ensure_future(self.call(node, target, Deadline_Ms=str(LONG_MS)))
+        await self.until(lambda: self.replicas[0].received)
+        await asyncio.sleep(BREAK_SECONDS)
+        await node.drain()
+        await node.stop()
+        return node, await call
+
+    def ends(self, node: Node) -> list[str]:
+        return [event.detail for event in node.events.select("r-1") if event.kind is Kind.ENDED]
+
+    async def test_request_without_an_answer_is_answered_as_unknown(self):
+        node, answer = await self.stop_under("/once/", drain_seconds="0")
+        self.assertEqual((answer.status, answer.whole), (502, True))
+        self.assertEqual(self.ends(node), ["this node stopped before there was an answer"])
+
+    async def test_stream_that_has_begun_does_not_look_whole(self):
+        node, answer = await self.stop_under("/stream/", drain_seconds="0")
+        self.assertEqual((answer.status, answer.whole), (200, False))
+        self.assertEqual(self.ends(node), ["this node stopped before there was an answer"])
+
+    async def test_request_that_is_being_read_is_served(self):
+        """The node closed while the rest of a body was on its way."""
+        self.hold(mock.patch.object(client, "READ_SILENCE_SECONDS", LONGEST_SECONDS))
+        node = await self.serve(answering())
+        reader, writer = await self.connect(node)
+        self.addCleanup(writer.close)
+        data = request("/again/", body=b"x" * 100_000)
+        writer.write(data[:-50_000])
+        (server, _) = node.client_servers
+        await self.until(lambda: server._reading)
+        drained = asyncio.ensure_future(node.drain())
+        await self.until(lambda: server._closing_idle)
+        writer.write(data[-50_000:])
+        await drained
+        await node.stop()
+        self.assertEqual((await read_answer(reader)).status, 200)
+
+    async def test_caller_that_sends_no_more_of_a_request_does_not_delay_the_stop(self):
+        self.hold(mock.patch.object(client, "READ_SILENCE_SECONDS", 0.05))
+        node = await self.serve(answering())
+        reader, writer = await self.connect(node)
+        self.addCleanup(writer.close)
+        writer.write(request("/again/", body=b"x" * 100_000)[:-50_000])
+        await self.until(lambda: node.client_servers[0]._reading)
+        await node.drain()
+        await node.stop()
+        self.assertEqual(await reader.read(), b"")
 
 
 if __name__ == "__main__":
