hedging: searched for a replacement in one loop, and derived an attempt's end from its task

The search was two loops with a pause of 0.25 s each, one in the relay for refusals and one around it for errors. One loop does both, and the relay acquires once. How an attempt ended was read from its task in three places with the same checks, and whether to supersede it was checked in two classes; a function named for the end of a silence also changed the attempt. Behaviour stays as it is: the 36 tests of tests.platform.test_hedged_attempts, test_silent_replicas and test_after_silences and those of tests.routing.test_hedging pass unchanged.

--- a/railsail/routing/hedging.py
+++ b/railsail/routing/hedging.py
@@ -13,7 +13,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 
 from railsail.core.logs import get_logger
-from railsail.core.outcomes import Completed, Outcome, Unknown
+from railsail.core.outcomes import Completed, NotRun, Outcome, Unknown
 from railsail.core.pauses import Pauses
 from railsail.dispatch.bookings import Booking
 from railsail.routing.answer import ReplicaAnswer
@@ -22,7 +22,7 @@
 
 # The event loop handles what has already arrived within this time.
 BACKLOG_SECONDS = 0.01
-# Pause after an attempt that was to replace a silent one has failed.
+# Pause before the next look for an attempt that replaces a silent one.
 REPLACEMENT_PAUSE_SECONDS = 0.25
 
 
@@ -72,22 +72,22 @@
         """Return True if the silence of the replica is over, or the attempt has ended."""
         return self.went_on.done() or self.task.done()
 
+    @property
+    def outcome(self) -> Outcome | None:
+        """Return its outcome, ``None`` while it runs, or if it was cancelled or raised an error."""
+        if not self.task.done() or self.task.cancelled() or self.task.exception() is not None:
+            return None
+        return self.task.result()
+
     @property
     def failed(self) -> bool:
         """Return True if it has ended without a complete answer."""
-        if not self.task.done():
-            return False
-        if self.task.cancelled() or self.task.exception() is not None:
-            return True
-        return not isinstance(self.task.result(), Completed)
+        return self.task.done() and not isinstance(self.outcome, Completed)
 
     @property
     def timed_out(self) -> bool:
         """Return True if it has ended because its deadline passed."""
-        if not self.task.done() or self.task.cancelled() or self.task.exception() is not None:
-            return False
-        outcome = self.task.result()
-        return isinstance(outcome, Unknown) and outcome.timed_out
+        return isinstance(self.outcome, Unknown) and self.outcome.timed_out
 
     @property
     def has_rival(self) -> bool:
@@ -117,34 +117,28 @@
         self.fell_silent = True
         self.went_on = asyncio.get_running_loop().create_future()
 
-    def supersede(self, other: "Attempt") -> None:
-        """End this attempt in favour of ``other``."""
-        if not self.task.done():
-            self.superseded_by = other
-            self.task.cancel()
-
 
 class HedgedAttempts:
     """The attempts of one request that run at the same time: one, or two while one is silent.
 
     ``send`` makes an attempt and returns its outcome, also if the attempt is superseded.
-    ``find_replacement`` waits until a replica is granted for another attempt, which is none of
-    those that it is passed; it is cancelled if the silence ends first. ``withdraw`` returns a
-    booking that was not used.
+    ``acquire_replacement`` waits for a replica for another attempt, which is none of those that it
+    is passed, and returns why there is none now; it is cancelled if the silence ends first.
+    ``withdraw`` returns a booking that was not used.
     """
 
     def __init__(
         self,
         context: RoutingContext,
         send: Callable[[Attempt], Coroutine[None, None, Outcome]],
-        find_replacement: Callable[[frozenset[str]], Awaitable[Booking]],
+        acquire_replacement: Callable[[frozenset[str]], Awaitable[Booking | NotRun]],
         withdraw: Callable[[Booking], None],
         silences: Silences,
         pauses: Pauses,
     ) -> None:
         self._context = context
         self._send = send
-        self._find_replacement = find_replacement
+        self._acquire_replacement = acquire_replacement
         self._withdraw = withdraw
         self._silences = silences
         self._pauses = pauses
@@ -177,9 +171,13 @@
                 self._supersede(other, attempt)
 
     def _supersede(self, attempt: Attempt, other: Attempt) -> None:
-        if attempt.sent.done() and not attempt.task.done():
+        """End ``attempt`` in favour of ``other``."""
+        if attempt.task.done():
+            return
+        if attempt.sent.done():
             self._context.may_have_run = True
-        attempt.supersede(other)
+        attempt.superseded_by = other
+        attempt.task.cancel()
 
     def has_rival(self, attempt: Attempt) -> bool:
         """Return True if an attempt other than ``attempt`` is running."""
@@ -215,6 +213,8 @@
                 attempt = await self._try_replacement(silent, silence)
             return attempt
         finally:
+            if attempt is silent:
+                silent.fell_silent = False
             silence.ended(_end_of_silence(silent, attempt), attempt.replica if attempt else "")
             self._context.give_up_reason = ""
 
@@ -247,19 +247,27 @@
         failed = (attempt.replica for attempt in self._started if attempt.failed)
         tried = frozenset((silent.replica, *failed))
         while not silent.has_gone_on:
-            try:
-                booking = await self._find_replacement(tried)
-            except Exception:
-                get_logger().exception(
-                    "failed to find a replacement", request=self._context.request.id
-                )
+            booking = await self._acquire(tried)
+            if booking is None:
                 await asyncio.sleep(REPLACEMENT_PAUSE_SECONDS)
-                continue
-            if not silent.has_gone_on:
+            elif silent.has_gone_on:
+                self._withdraw(booking)
+            else:
                 return self._start(booking)
-            self._withdraw(booking)
         return None
 
+    async def _acquire(self, tried: frozenset[str]) -> Booking | None:
+        """Return a booking at a replica that is not ``tried``, ``None`` if there is none now."""
+        try:
+            booking = await self._acquire_replacement(tried)
+        except Exception:
+            get_logger().exception("failed to find a replacement", request=self._context.request.id)
+            return None
+        if isinstance(booking, NotRun):
+            self._context.give_up_reason = booking.detail
+            return None
+        return booking
+
     async def _race(self, silent: Attempt, second: Attempt, silence: Silence) -> Attempt | None:
         """Return the attempt that goes on, ``None`` if ``second`` failed while ``silent`` runs."""
         ends = (silent.task, silent.went_on, second.task)
@@ -289,7 +297,6 @@
         return SilenceEnd.CALLER_LEFT
     if attempt is not silent:
         return SilenceEnd.REPLACED
-    silent.fell_silent = False
     if not silent.failed:
         return SilenceEnd.WENT_ON
     return SilenceEnd.DEADLINE if silent.timed_out else SilenceEnd.FAILED
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -39,8 +39,6 @@
 MIN_WAIT_SECONDS = 0.02
 # Minimum wait for a replica that continues a stream; a caller gives up after about this long.
 RESUME_WAIT_SECONDS = 1.0
-# How often it is checked whether a silent attempt can be replaced.
-REPLACEMENT_CHECK_SECONDS = 0.25
 BUDGET_SPENT = "the retry budget is spent"
 _RETRYABLE_REASONS = (Reason.UNREACHABLE, Reason.REFUSED)
 
@@ -149,7 +147,7 @@
         attempts = HedgedAttempts(
             context,
             lambda attempt: self._send_granted(context, attempt, budget),
-            lambda tried: self._find_replacement(context, budget, tried),
+            lambda tried: self._acquire_replacement(context, budget, tried),
             self._tickets.withdraw,
             self._silences,
             self._pauses,
@@ -160,25 +158,10 @@
         wait = self._wait_seconds(context)
         return await self._acquirer.acquire(self._pool_request(context, wait), wait)
 
-    async def _find_replacement(
-        self, context: RoutingContext, budget: RetryBudget, tried: frozenset[str]
-    ) -> Booking:
-        """Wait until another attempt may be made, and a replica that is not silent is granted.
-
-        The replica is none of those ``tried`` before.
-        """
-        while True:
-            booking = await self._acquire_replacement(context, budget, tried)
-            if isinstance(booking, Booking):
-                self._metrics.retries.inc({"cause": "silent"})
-                return booking
-            context.give_up_reason = booking.detail
-            await asyncio.sleep(REPLACEMENT_CHECK_SECONDS)
-
     async def _acquire_replacement(
         self, context: RoutingContext, budget: RetryBudget, tried: frozenset[str]
     ) -> Booking | NotRun:
-        """Return a granted replica, or why there is none for the request now."""
+        """Return a granted replica that is neither silent nor ``tried``, or why there is none."""
         refusal = self._reason_not_to_retry(context, budget)
         if refusal:
             return NotRun(Reason.NO_ROOM, refusal)
@@ -195,6 +178,7 @@
         if booking.replica in tried | self._silences.silent_replicas:
             self._tickets.withdraw(booking)
             return NotRun(Reason.NO_ROOM, "the replica that was granted is silent too")
+        self._metrics.retries.inc({"cause": "silent"})
         return booking
 
     def _wait_seconds(self, context: RoutingContext) -> float:
