streams: named why a stream without a record is refused

The line `resumed` said that it is not certain where the stream began, and the metric counted `unknown`; neither told a node that may have missed a version from one that cannot read the store, or from several versions that have served. The line now has the cause, and the metric counts each cause in place of `unknown`; its test checks the cause, as strictly as before. No logic changed.

--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import enum
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -41,6 +42,15 @@
 _OWN = "this node"
 
 
+class Uncertainty(enum.StrEnum):
+    """Why it is not certain where a stream without a record began."""
+
+    NO_ORIGIN = "no-origin"
+    SEVERAL_ORIGINS = "several-origins"
+    STORE_NOT_READ = "store-not-read"
+    HISTORY_INCOMPLETE = "history-incomplete"
+
+
 @dataclass
 class _Query:
     """A query to peers that has not been answered by all of them; ``done`` ends the wait."""
@@ -208,12 +218,14 @@
             certain.insert(0, _OWN)
         if certain and len(origins) == 1:
             return self._resumed(request, resumes, origins.pop(), certain[0], "only-origin")
-        self._metrics.resumed_streams.inc({"result": "unknown"})
+        cause = self._uncertainty(origins)
+        self._metrics.resumed_streams.inc({"result": cause})
         self._events.emit(
             Kind.RESUMED,
             "it is not certain where the stream began",
             request,
             notable=True,
+            cause=cause,
             resumes=resumes,
             possible=" ".join(f"{o.pool}@{o.software_version}" for o in sorted(origins)),
             certain=" ".join(certain),
@@ -221,6 +233,16 @@
         )
         return None
 
+    def _uncertainty(self, origins: set[StreamOrigin]) -> Uncertainty:
+        """Return why a stream that can have begun at ``origins``, as far as known, is refused."""
+        if len(origins) > 1:
+            return Uncertainty.SEVERAL_ORIGINS
+        if self._proof_age() > self._longest_wait:
+            return Uncertainty.STORE_NOT_READ
+        if not self._history.is_complete(self._clock.monotonic()):
+            return Uncertainty.HISTORY_INCOMPLETE
+        return Uncertainty.NO_ORIGIN
+
     def _possible(self, host: str) -> set[StreamOrigin]:
         """Return where streams of ``host`` may have begun recently, as far as known here."""
         return self._history.origins(host.lower(), self._clock.monotonic())
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -122,22 +122,26 @@
         self.assertLess(ended.facts["waited_ms"], 500)
 
 
-class ResumedStreamTests(StreamTestCase):
-    """A caller resumes its streams at another node than the one where they began."""
+class ResumedStreamTestCase(StreamTestCase):
+    """Callers leave their streams in the middle, and resume them later."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         for version in self.versions:
             version.holds = True
 
-    async def begin(self, node: Node, count: int = 1) -> dict[str, bytes]:
+    async def begin(self, node: Node, count: int = 1, prefix: str = "s") -> dict[str, bytes]:
         """Begin streams whose callers leave, and return the events that each has received."""
-        names = [f"s-{number}" for number in range(count)]
+        names = [f"{prefix}-{number}" for number in range(count)]
         begun = await asyncio.gather(*(self.start_stream(node, name) for name in names))
         for _, connection in begun:
             connection.writer.close()
         return {name: data for name, (data, _) in zip(names, begun, strict=True)}
 
+
+class ResumedStreamTests(ResumedStreamTestCase):
+    """A caller resumes its streams at another node than the one where they began."""
+
     def resumed(self, node: Node) -> list[str]:
         """Return what ``node`` found out about each stream that was resumed there."""
         return [
@@ -202,7 +206,7 @@
         for resumes in ("", "unknown"):
             await self.assert_refused(node, unknown, data, Resumes=resumes)
         metric = node.metrics.resumed_streams
-        self.assertEqual(metric.get({"result": "unknown"}), 2)
+        self.assertEqual(metric.get({"result": "several-origins"}), 2)
 
     async def test_request_that_starts_a_stream_says_nothing_of_the_one_that_it_names(self):
         node = await self.serve_versions()
@@ -303,12 +307,16 @@
     async def test_restarted_node_without_peers_is_not_certain(self):
         node = await self.serve_versions(first_start="false")
         self.assertEqual(await self.resume_unnamed(node), 503)
+        metric = node.metrics.resumed_streams
+        self.assertEqual(metric.get({"result": "history-incomplete"}), 1)
 
     async def test_node_that_may_have_missed_changes_is_not_certain(self):
         node = await self.serve_versions()
         self.store.down = True
         await self.until(lambda: node._stream_proof_age() > 1.2)
         self.assertEqual(await self.resume_unnamed(node), 503)
+        metric = node.metrics.resumed_streams
+        self.assertEqual(metric.get({"result": "store-not-read"}), 1)
 
 
 if __name__ == "__main__":
