streams: kept in the store where streams began, for when all daemons are lost

Cause: records of streams were in daemons only, and a daemon that starts is certain of nothing until it has run for as long as callers may return.

The store now has the places where streams may have begun, written when the set changes; a node that starts reads it, and is certain at once where there is one place.

--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -57,6 +57,10 @@
 MAX_ATTEMPTS = 4
 SILENCE_SECONDS = 2.0
 CONNECT_SECONDS = 1.0
+# Interval at which callers look for a daemon while none runs, and their pause after one to which
+# they cannot connect.
+CHOICE_SECONDS = 0.05
+CONNECT_PAUSE_SECONDS = 0.5
 BREAK_SHARE = 1 / 3
 # The share of resumed streams that has to go on is this part of the share of streams that begin.
 MIN_RESUMED_SHARE = 0.5
@@ -66,6 +70,8 @@
 MIN_RESUMED = 12
 MIN_SERVING = 2
 SETTLED_SECONDS = 3.0
+# The same time in scenarios in which all daemons are lost: what they knew has to be there at once.
+RETURNED_SECONDS = 0.5
 OK = 200
 
 
@@ -99,12 +105,14 @@
 class StreamCallers:
     """Callers that begin streams at the daemons of ``fleet``, and resume those that break off.
 
-    ``serving`` returns how many replicas of a version serve.
+    ``serving`` returns how many replicas of a version serve. A daemon counts as undisturbed after
+    ``settled`` seconds.
     """
 
     fleet: ProcessFleet
     rng: random.Random
     serving: Callable[[str], int]
+    settled: float = SETTLED_SECONDS
     streams: list[CallerStream] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
@@ -128,17 +136,19 @@
         deadline_at = loop.time() + DEADLINE_SECONDS
         before = None
         for number in range(MAX_ATTEMPTS):
+            daemon = await self._choose(before)
             remaining = deadline_at - loop.time()
             if stream.whole or remaining <= 0:
                 return
-            daemon = self._choose(before)
             pause = await self._attempt(stream, daemon, f"{stream.name}-{number}", remaining)
             before = daemon
             await asyncio.sleep(min(pause, max(0.0, deadline_at - loop.time()) / 3))
 
-    def _choose(self, before: Daemon | None) -> Daemon:
-        daemons = [daemon for daemon in self.fleet.balanced() if daemon is not before]
-        return self.rng.choice(daemons)
+    async def _choose(self, before: Daemon | None) -> Daemon:
+        """Return a daemon that the balancer uses, once any daemon runs."""
+        while not any(daemon.running for daemon in self.fleet.daemons):
+            await asyncio.sleep(CHOICE_SECONDS)
+        return self.rng.choice([each for each in self.fleet.balanced() if each is not before])
 
     async def _attempt(
         self, stream: CallerStream, daemon: Daemon, name: str, remaining: float
@@ -153,7 +163,7 @@
             async with asyncio.timeout(CONNECT_SECONDS):
                 reader, writer = await asyncio.open_connection(daemon.ip, daemon.ports[0])
         except (OSError, TimeoutError):
-            return 0.0
+            return CONNECT_PAUSE_SECONDS
         status, retry_after, refusal = 0, 0.0, b""
         try:
             # Requests of different callers differ, so that no replica's end is blamed on all.
@@ -178,7 +188,7 @@
 
     def _is_in_trouble(self, stream: CallerStream, daemon: Daemon) -> bool:
         well_for = asyncio.get_running_loop().time() - daemon.well_since
-        return well_for < SETTLED_SECONDS or self.serving(stream.version) < MIN_SERVING
+        return well_for < self.settled or self.serving(stream.version) < MIN_SERVING
 
     async def _read(self, stream: CallerStream, reader: asyncio.StreamReader, name: str) -> None:
         while True:
@@ -323,6 +333,40 @@
     fleet.start(fleet.daemons[1])
 
 
+async def lost_daemons(scenario: Scenario) -> None:
+    """All daemons are killed at once and come back, twice."""
+    fleet = scenario.fleet
+    for _ in range(2):
+        await asyncio.sleep(3.0)
+        await asyncio.gather(*(fleet.kill(daemon) for daemon in fleet.daemons))
+        await asyncio.sleep(1.0)
+        for daemon in fleet.daemons:
+            fleet.start(daemon)
+        await asyncio.sleep(3.0)
+
+
+async def lost_daemons_of_one_version(scenario: Scenario) -> None:
+    """The same, while a single version serves."""
+    await lost_daemons(scenario)
+
+
+async def lost_daemons_after_a_new_version(scenario: Scenario) -> None:
+    """The same, each time just after another version has appeared."""
+    fleet = scenario.fleet
+    for number in range(2):
+        await asyncio.sleep(3.0)
+        version = StreamingVersion(f"n{number}", EVENTS, PAUSE_SECONDS)
+        scenario.versions.append(version)
+        for _ in range(REPLICAS_PER_VERSION):
+            await scenario.add(version)
+        await asyncio.sleep(scenario.rng.uniform(0.0, 1.5))
+        await asyncio.gather(*(fleet.kill(daemon) for daemon in fleet.daemons))
+        await asyncio.sleep(1.0)
+        for daemon in fleet.daemons:
+            fleet.start(daemon)
+        await asyncio.sleep(2.0)
+
+
 SCENARIOS: dict[str, Callable[[Scenario], Awaitable[None]]] = {
     scenario.__name__: scenario
     for scenario in (
@@ -335,8 +379,13 @@
         store_outage,
         third_version,
         cut_domain,
+        lost_daemons,
+        lost_daemons_of_one_version,
+        lost_daemons_after_a_new_version,
     )
 }
+# Scenarios that start with a single version.
+SINGLE_VERSION = {lost_daemons_of_one_version.__name__, lost_daemons_after_a_new_version.__name__}
 
 
 @dataclass(frozen=True)
@@ -391,9 +440,9 @@
     fleet = ProcessFleet(folder, relay=Relay())
     versions = [
         StreamingVersion(version, EVENTS, PAUSE_SECONDS, rng=random.Random(f"{seed} {version}"))
-        for version in ("v1", "v2")
+        for version in (("v1",) if name in SINGLE_VERSION else ("v1", "v2"))
     ]
-    fleet.settings = {"cell-replicas": str(cell_replicas)}
+    fleet.settings = {"cell-replicas": str(cell_replicas), "first-start": "true"}
     scenario = Scenario(fleet, random.Random(f"{seed} scenario"), versions)
     if regions:
         fleet.settings["domain-regions"] = DOMAIN_REGIONS
@@ -405,11 +454,13 @@
                 await scenario.add(version)
         await fleet.add_daemons(daemons, DOMAINS, other, sources)
         await fleet.until_ready()
+        fleet.settings["first-start"] = "false"
         await asyncio.sleep(STARTUP_SECONDS)
         callers = StreamCallers(
             fleet,
             random.Random(f"{seed} callers"),
             lambda version: len(scenario.live(version)),
+            RETURNED_SECONDS if name.startswith(lost_daemons.__name__) else SETTLED_SECONDS,
         )
         calling = asyncio.ensure_future(callers.run())
         await asyncio.gather(SCENARIOS[name](scenario), asyncio.sleep(seconds))
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -65,6 +65,10 @@
             "railsail_resumed_streams_total",
             "Streams that callers resumed, by what this node could find out about their start.",
         )
+        self.stored_streams = self._counter(
+            "railsail_stored_streams_total",
+            "Records of streams that this node wrote to the store, or dropped since it could not.",
+        )
         self.upstream_connections = self._counter(
             "railsail_upstream_connections_total",
             "Connections used for requests to replicas, new and reused ones.",
--- a/railsail/core/registry.py
+++ b/railsail/core/registry.py
@@ -14,6 +14,7 @@
     "railsail.upstreams.service",
     "railsail.store.http",
     "railsail.rollouts.part",
+    "railsail.streams.part",
 )
 
 
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -88,6 +88,7 @@
     "rollout-ledger": _Kind("railsail-rollouts", _plain),
     "node": _Kind("railsail-nodes", _plain),
     "quarantine": _Kind("railsail-quarantine", _plain),
+    "stream-origins": _Kind("railsail-streams", _plain),
 }
 
 
--- a/railsail/streams/holders.py
+++ b/railsail/streams/holders.py
@@ -14,6 +14,8 @@
 # cases in which a caller resumes its stream elsewhere. If half of all nodes are lost at once, one
 # stream in eight of those that they served has no record left.
 COPIES = 3
+# The nodes of a region that write a record to the store. One of them may be unable to reach it.
+STORED_COPIES = 2
 # The nodes of each region that are asked for a record. When half of a fleet is lost, half of its
 # candidates may be new ones.
 ASKED = 10
@@ -58,3 +60,12 @@
 def asked(key: int, by_region: dict[str, list[str]]) -> list[str]:
     """Return the nodes to ask for the record of stream ``key``."""
     return [node for nodes in by_region.values() for node in rank(f"stream {key}", nodes)[:ASKED]]
+
+
+def writers(key: int, by_region: dict[str, list[str]], region: str) -> list[str]:
+    """Return the nodes of ``region`` that write the record of stream ``key`` to the store.
+
+    The candidates ``by_region`` include the asking node. Nearly all writers are nodes that began
+    the stream or keep its record.
+    """
+    return rank(f"stream {key}", by_region.get(region, ()))[:STORED_COPIES]
--- a/railsail/streams/origins.py
+++ b/railsail/streams/origins.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections import OrderedDict
+from collections.abc import Collection
 from dataclasses import dataclass
 
 # A caller resumes an interrupted stream within this many seconds of the longest time that the
@@ -72,6 +73,14 @@
         record = self._records.get(key)
         return record if record is not None and now < record.expires_at else None
 
+    def of_pools(self, pools: Collection[str], now: float) -> dict[int, StreamOrigin]:
+        """Return the origins of the streams that began in ``pools``."""
+        return {
+            key: record.origin
+            for key, record in self._records.items()
+            if record.origin.pool in pools and now < record.expires_at
+        }
+
     def _drop_oldest(self, now: float) -> None:
         while self._records:
             oldest = next(iter(self._records.values()))
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -4,12 +4,15 @@
 sends the record to a few peers. A caller that resumes the stream at another node names the request
 that began it, and that node asks these peers. A stream without a record is continued only if it can
 have begun in one place only.
+
+All nodes may be lost at once. While streams of a host may have begun in several places, some of the
+nodes that keep a record therefore write it to the store as well (``railsail.streams.archive``).
 """
 
 import asyncio
 import enum
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from railsail.core.events import Fact, Kind
@@ -25,6 +28,8 @@
 from railsail.streams import holders
 from railsail.streams.history import OriginHistory
 from railsail.streams.origins import RETURN_SECONDS, OriginTable, StreamOrigin, stream_key
+from railsail.streams.recovered import RecoveredRecords
+from railsail.streams.stored import Place
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.records import Listed
 
@@ -40,6 +45,7 @@
 # Origins that a reply names at most. A caller's stream is continued only if there is one.
 MAX_POSSIBLE = 10
 _OWN = "this node"
+_STORE = "store"
 
 
 class Uncertainty(enum.StrEnum):
@@ -99,10 +105,18 @@
         self._events = kernel.events
         self._metrics = kernel.metrics
         self._table = OriginTable()
-        self._history = OriginHistory(first_start, kernel.clock.monotonic())
+        self.history = OriginHistory(first_start, kernel.clock.monotonic())
         self._was_proved = False
         self._candidates: dict[str, list[str]] = {}
+        self._candidates_with_own: dict[str, list[str]] = {}
         self._refresh_at = 0.0
+        self._recovered = RecoveredRecords()
+        self._recovered_at = 0.0
+        # Set while this node reads from the store what was known before it started.
+        self._recovering: asyncio.Event | None = None
+        self._ambiguous_pools: frozenset[str] = frozenset()
+        self._place_listeners: list[Callable[[], None]] = []
+        self._record_listeners: list[Callable[[int, StreamOrigin], None]] = []
         self._queries: dict[int, _Query] = {}
         self._next_number = 1
         directory.on_change(self._observe_versions)
@@ -111,6 +125,40 @@
         hub.handle(StreamReply, self._handle_reply)
         hub.on_up(self._link_up)
 
+    def on_place(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when the places where streams may begin have changed."""
+        self._place_listeners.append(listener)
+
+    def on_record(self, listener: Callable[[int, StreamOrigin], None]) -> None:
+        """Call ``listener`` with the key and origin of each stream that this node has to store."""
+        self._record_listeners.append(listener)
+
+    def start_recovery(self) -> None:
+        """Let requests wait for a moment until ``recover`` is called."""
+        self._recovering = asyncio.Event()
+
+    def recover(self, places: Collection[Place], records: RecoveredRecords) -> None:
+        """Add what the fleet stored before this node started."""
+        now = self._clock.monotonic()
+        self.recover_places(places)
+        self._recovered = records
+        self._recovered_at = now
+        if self._recovering is not None:
+            self._recovering.set()
+
+    @property
+    def lacks_places(self) -> bool:
+        """Return True if this node follows the store, but may have missed places before."""
+        if self._proof_age() > self._longest_wait or self.history.is_restored():
+            return False
+        return not self.history.observed_whole_window(self._clock.monotonic())
+
+    def recover_places(self, places: Collection[Place]) -> None:
+        """Add where streams may have begun before this node followed the store."""
+        now = self._clock.monotonic()
+        self.history.restore(places, now)
+        self._ambiguous_pools = self.history.ambiguous_pools(now)
+
     def configured(self, catalog: Catalog) -> None:
         """Observe the routes of a new version of the configuration."""
         pools: dict[str, set[str]] = {}
@@ -121,9 +169,10 @@
                 pools.setdefault(route.host.lower(), set()).update(names)
                 window = max(window, keep_seconds(route))
         # A stream may have begun under an earlier version with a longer timeout.
-        known = self._history.window
-        self._history.window = window if math.isinf(known) else max(known, window)
-        self._history.observe_pools(pools, self._clock.monotonic())
+        known = self.history.window
+        self.history.window = window if math.isinf(known) else max(known, window)
+        if self.history.observe_pools(pools, self._clock.monotonic()):
+            self._places_changed()
 
     def tick(self) -> None:
         """Do the periodic work; call it about twice a second."""
@@ -131,7 +180,10 @@
         age = self._proof_age()
         self._was_proved |= age <= self._longest_wait
         if self._was_proved and age > INTERRUPTED_SHARE * self._longest_wait:
-            self._history.interrupt(now)
+            self.history.interrupt(now)
+        if now >= self._recovered_at + self.history.window:
+            self._recovered = RecoveredRecords()
+        self._ambiguous_pools = self.history.ambiguous_pools(now)
         self._dial_candidates()
 
     def _observe_versions(self) -> None:
@@ -139,7 +191,35 @@
         for upstream in self._directory.all():
             if upstream.listed is not Listed.GONE:
                 versions.setdefault(upstream.pool, set()).add(upstream.software_version)
-        self._history.observe_versions(versions, self._clock.monotonic())
+        if self.history.observe_versions(versions, self._clock.monotonic()):
+            self._places_changed()
+
+    def _places_changed(self) -> None:
+        now = self._clock.monotonic()
+        before = self._ambiguous_pools
+        self._ambiguous_pools = self.history.ambiguous_pools(now)
+        # Streams that began while there was one place have no stored record yet.
+        for key, origin in self._table.of_pools(self._ambiguous_pools - before, now).items():
+            self._store_record(key, origin)
+        for listener in self._place_listeners:
+            listener()
+
+    def writer_count(self) -> int:
+        """Return how many nodes write records to the store, this one included."""
+        return sum(len(nodes) for nodes in self._candidates_with_own.values())
+
+    def _store_record(self, key: int, origin: StreamOrigin) -> None:
+        """Have the record of a stream stored, if this node is one of those that do so."""
+        self._current_candidates()
+        own = self._hub.own.node
+        if own in holders.writers(key, self._candidates_with_own, self._own_region):
+            for listener in self._record_listeners:
+                listener(key, origin)
+
+    def _record(self, key: int, origin: StreamOrigin, keep: float) -> None:
+        self._table.record(key, origin, keep, self._clock.monotonic())
+        if origin.pool in self._ambiguous_pools:
+            self._store_record(key, origin)
 
     def _dial_candidates(self) -> None:
         nodes = [node for nodes in self._current_candidates().values() for node in nodes]
@@ -153,8 +233,11 @@
         if now >= self._refresh_at:
             self._refresh_at = now + REFRESH_SECONDS
             own = self._hub.own.node
-            others = [each for each in self._view.usable_members() if each.node != own]
-            self._candidates = holders.candidates(others, self._dispatchers())
+            members = self._view.usable_members()
+            dispatchers = self._dispatchers()
+            others = [each for each in members if each.node != own]
+            self._candidates = holders.candidates(others, dispatchers)
+            self._candidates_with_own = holders.candidates(members, dispatchers)
         return self._candidates
 
     def _reachable_candidates(self) -> dict[str, list[str]]:
@@ -169,11 +252,10 @@
 
         ``requests`` are the ids by which its caller may name it.
         """
-        now = self._clock.monotonic()
         by_region = self._reachable_candidates()
         for request in requests:
             key = stream_key(workspace, request)
-            self._table.record(key, origin, keep, now)
+            self._record(key, origin, keep)
             message = StreamBegun(key, origin.pool, origin.software_version, round(keep * 1000))
             for node in holders.keepers(key, by_region, self._own_region):
                 self._hub.send(node, message)
@@ -190,9 +272,13 @@
         if record is not None:
             age = self._clock.monotonic() - record.recorded_at
             return self._resumed(request, resumes, record.origin, _OWN, "known", age)
+        await self._wait_for_recovery()
+        stored = self._recovered.find(key)
+        if stored is not None:
+            return self._resumed(request, resumes, stored, _STORE, "stored")
         replies: dict[str, StreamReply] = {}
         # Without a record, more can be learnt from peers only if this node may have missed changes.
-        if key or not self._is_certain():
+        if key or not self._is_certain(host):
             query = await self._ask(key, host)
             if query.found is not None:
                 node, reply = query.found
@@ -201,10 +287,21 @@
             replies = query.replies
         return self._only_origin(request, host, resumes, replies)
 
-    def _is_certain(self) -> bool:
-        """Return True if this node knows all places where streams may have begun."""
+    async def _wait_for_recovery(self) -> None:
+        """Wait for what the fleet stored before this node started, if it is being read."""
+        if self._recovering is None or self._recovering.is_set():
+            return
+        try:
+            async with asyncio.timeout(QUERY_SECONDS):
+                await self._recovering.wait()
+        except TimeoutError:
+            # The store does not answer, and further requests need not wait for it.
+            self._recovering.set()
+
+    def _is_certain(self, host: str) -> bool:
+        """Return True if this node knows all places where streams of ``host`` may have begun."""
         is_fresh = self._proof_age() <= self._longest_wait
-        return is_fresh and self._history.is_complete(self._clock.monotonic())
+        return is_fresh and self.history.is_complete(host.lower(), self._clock.monotonic())
 
     def _only_origin(
         self, request: str, host: str, resumes: str, replies: dict[str, StreamReply]
@@ -214,11 +311,11 @@
         for reply in replies.values():
             origins |= {_to_origin(record) for record in reply.possible}
         certain = [node for node, reply in replies.items() if reply.complete]
-        if self._is_certain():
+        if self._is_certain(host):
             certain.insert(0, _OWN)
         if certain and len(origins) == 1:
             return self._resumed(request, resumes, origins.pop(), certain[0], "only-origin")
-        cause = self._uncertainty(origins)
+        cause = self._uncertainty(host, origins)
         self._metrics.resumed_streams.inc({"result": cause})
         self._events.emit(
             Kind.RESUMED,
@@ -233,19 +330,19 @@
         )
         return None
 
-    def _uncertainty(self, origins: set[StreamOrigin]) -> Uncertainty:
-        """Return why a stream that can have begun at ``origins``, as far as known, is refused."""
+    def _uncertainty(self, host: str, origins: set[StreamOrigin]) -> Uncertainty:
+        """Return why a stream of ``host`` is refused that may have begun at ``origins``."""
         if len(origins) > 1:
             return Uncertainty.SEVERAL_ORIGINS
         if self._proof_age() > self._longest_wait:
             return Uncertainty.STORE_NOT_READ
-        if not self._history.is_complete(self._clock.monotonic()):
+        if not self.history.is_complete(host.lower(), self._clock.monotonic()):
             return Uncertainty.HISTORY_INCOMPLETE
         return Uncertainty.NO_ORIGIN
 
     def _possible(self, host: str) -> set[StreamOrigin]:
         """Return where streams of ``host`` may have begun recently, as far as known here."""
-        return self._history.origins(host.lower(), self._clock.monotonic())
+        return self.history.origins(host.lower(), self._clock.monotonic())
 
     def _resumed(
         self,
@@ -302,18 +399,20 @@
 
     def _handle_begun(self, node: str, message: StreamBegun) -> None:
         origin = StreamOrigin(message.pool, message.software_version)
-        self._table.record(message.key, origin, message.keep / 1000, self._clock.monotonic())
+        self._record(message.key, origin, message.keep / 1000)
 
     def _handle_query(self, node: str, message: StreamQuery) -> None:
         now = self._clock.monotonic()
         record = self._table.find(message.key, now)
+        stored = self._recovered.find(message.key)
+        origin = record.origin if record is not None else stored
         possible = sorted(self._possible(message.host))[:MAX_POSSIBLE]
         reply = StreamReply(
             message.number,
-            [_to_record(record.origin)] if record is not None else [],
+            [_to_record(origin)] if origin is not None else [],
             round((now - record.recorded_at) * 1000) if record is not None else 0,
             [_to_record(origin) for origin in possible],
-            self._is_certain(),
+            self._is_certain(message.host),
         )
         self._hub.send(node, reply)
 
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -10,6 +10,7 @@
 
 from railsail.core.events import Kind
 from railsail.node import Node
+from railsail.streams import archive
 from tests.platform.base import (
     LONG_MS,
     LONGEST_SECONDS,
@@ -161,6 +162,8 @@
             self.assert_one_version(data + answer.body)
 
     async def test_record_is_found_at_a_peer_that_neither_began_nor_resumes_the_stream(self):
+        # The store has no record of the stream yet.
+        self.hold(mock.patch.object(archive, "MIN_WRITE_SECONDS", 3600.0))
         node = await self.serve_versions()
         peers = [await self.add_peer(node) for _ in range(2)]
         await self.until(lambda: peers[0].hub.connected(peers[1].hub.own.node))
--- a/tests/streams/test_history.py
+++ b/tests/streams/test_history.py
@@ -44,19 +44,19 @@
 
     def test_history_of_a_new_process_is_complete_after_the_window(self):
         history = self.observed(first_start=False)
-        self.assertFalse(history.is_complete(WINDOW - 1))
-        self.assertTrue(history.is_complete(WINDOW))
+        self.assertFalse(history.is_complete(HOST, WINDOW - 1))
+        self.assertTrue(history.is_complete(HOST, WINDOW))
 
     def test_history_from_the_first_start_of_the_fleet_is_complete(self):
-        self.assertTrue(self.history.is_complete(0.0))
+        self.assertTrue(self.history.is_complete(HOST, 0.0))
 
     def test_history_of_a_process_without_a_configuration_is_not_complete(self):
-        self.assertFalse(OriginHistory(False, 0.0).is_complete(1000.0))
+        self.assertFalse(OriginHistory(False, 0.0).is_complete(HOST, 1000.0))
 
     def test_interruption_makes_it_incomplete(self):
         self.history.interrupt(10.0)
-        self.assertFalse(self.history.is_complete(10.0 + WINDOW - 1))
-        self.assertTrue(self.history.is_complete(10.0 + WINDOW))
+        self.assertFalse(self.history.is_complete(HOST, 10.0 + WINDOW - 1))
+        self.assertTrue(self.history.is_complete(HOST, 10.0 + WINDOW))
 
 
 if __name__ == "__main__":
