--- a/railsail/streams/part.py
+++ b/railsail/streams/part.py
@@ -12,7 +12,7 @@
 from railsail.store.journal import Backoff
 from railsail.streams.archive import RecordArchive
 from railsail.streams.ledger import WRITERS, PlacesLedger
-from railsail.streams.recovered import RecoveredRecords
+from railsail.streams.recovery import RecoveredRecords
 from railsail.streams.service import StreamOrigins
 from railsail.streams.stored import BATCH_PREFIX, KIND, PLACES_NAME
 
@@ -73,7 +73,7 @@
         if self._origins is None:
             await asyncio.Event().wait()
             return
-        self._origins.start_recovery()
+        self._origins.recovery.start()
         await asyncio.gather(
             self._recover(), self._ledger.run(), self._archive.run(), self._clean()
         )
@@ -106,7 +106,8 @@
         places = stored.places if stored is not None else frozenset()
         records = RecoveredRecords(listing.objects)
         get_logger().info("read the origins of streams", places=len(places), records=len(records))
-        self._origins.recover(places, records)
+        self._origins.recover_places(places)
+        self._origins.recovery.finish(records)
 
     async def _clean(self) -> None:
         """Delete the records of nodes that are gone."""
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -28,7 +28,7 @@
 from railsail.streams import holders
 from railsail.streams.history import OriginHistory
 from railsail.streams.origins import RETURN_SECONDS, OriginTable, StreamOrigin, stream_key
-from railsail.streams.recovered import RecoveredRecords
+from railsail.streams.recovery import RecordRecovery
 from railsail.streams.stored import Place
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.records import Listed
@@ -110,10 +110,7 @@
         self._candidates: dict[str, list[str]] = {}
         self._candidates_with_own: dict[str, list[str]] = {}
         self._refresh_at = 0.0
-        self._recovered = RecoveredRecords()
-        self._recovered_at = 0.0
-        # Set while this node reads from the store what was known before it started.
-        self._recovering: asyncio.Event | None = None
+        self.recovery = RecordRecovery(kernel.clock)
         self._ambiguous_pools: frozenset[str] = frozenset()
         self._place_listeners: list[Callable[[], None]] = []
         self._record_listeners: list[Callable[[int, StreamOrigin], None]] = []
@@ -133,19 +130,6 @@
         """Call ``listener`` with the key and origin of each stream that this node has to store."""
         self._record_listeners.append(listener)
 
-    def start_recovery(self) -> None:
-        """Let requests wait for a moment until ``recover`` is called."""
-        self._recovering = asyncio.Event()
-
-    def recover(self, places: Collection[Place], records: RecoveredRecords) -> None:
-        """Add what the fleet stored before this node started."""
-        now = self._clock.monotonic()
-        self.recover_places(places)
-        self._recovered = records
-        self._recovered_at = now
-        if self._recovering is not None:
-            self._recovering.set()
-
     @property
     def lacks_places(self) -> bool:
         """Return True if this node follows the store, but may have missed places before."""
@@ -181,8 +165,7 @@
         self._was_proved |= age <= self._longest_wait
         if self._was_proved and age > INTERRUPTED_SHARE * self._longest_wait:
             self.history.interrupt(now)
-        if now >= self._recovered_at + self.history.window:
-            self._recovered = RecoveredRecords()
+        self.recovery.expire(self.history.window)
         self._ambiguous_pools = self.history.ambiguous_pools(now)
         self._dial_candidates()
 
@@ -272,8 +255,8 @@
         if record is not None:
             age = self._clock.monotonic() - record.recorded_at
             return self._resumed(request, resumes, record.origin, _OWN, "known", age)
-        await self._wait_for_recovery()
-        stored = self._recovered.find(key)
+        await self.recovery.wait(QUERY_SECONDS)
+        stored = self.recovery.find(key)
         if stored is not None:
             return self._resumed(request, resumes, stored, _STORE, "stored")
         replies: dict[str, StreamReply] = {}
@@ -287,17 +270,6 @@
             replies = query.replies
         return self._only_origin(request, host, resumes, replies)
 
-    async def _wait_for_recovery(self) -> None:
-        """Wait for what the fleet stored before this node started, if it is being read."""
-        if self._recovering is None or self._recovering.is_set():
-            return
-        try:
-            async with asyncio.timeout(QUERY_SECONDS):
-                await self._recovering.wait()
-        except TimeoutError:
-            # The store does not answer, and further requests need not wait for it.
-            self._recovering.set()
-
     def _is_certain(self, host: str) -> bool:
         """Return True if this node knows all places where streams of ``host`` may have begun."""
         is_fresh = self._proof_age() <= self._longest_wait
@@ -404,7 +376,7 @@
     def _handle_query(self, node: str, message: StreamQuery) -> None:
         now = self._clock.monotonic()
         record = self._table.find(message.key, now)
-        stored = self._recovered.find(message.key)
+        stored = self.recovery.find(message.key)
         origin = record.origin if record is not None else stored
         possible = sorted(self._possible(message.host))[:MAX_POSSIBLE]
         reply = StreamReply(
--- a/tests/platform/test_streams_after_all_daemons_are_lost.py
+++ b/tests/platform/test_streams_after_all_daemons_are_lost.py
@@ -5,7 +5,7 @@
 from railsail.node import Node
 from railsail.store.base import StoredObject
 from railsail.streams import archive
-from railsail.streams.recovered import RecoveredRecords
+from railsail.streams.recovery import RecoveredRecords
 from railsail.streams.stored import KIND, PLACES_NAME
 from tests.platform.streams import StreamingVersion, versions_of
 from tests.platform.test_streams import STREAMS, ResumedStreamTestCase
@@ -209,7 +209,7 @@
             self.hold_lag(node)
             await self.until(lambda node=node: not node.not_ready())
             await self.until(lambda node=node: self.knows_replicas(node))
-        await self.until(lambda: len(restarted[0].origins._recovered) == len(begun))
+        await self.until(lambda: len(restarted[0].origins.recovery) == len(begun))
         self.assertEqual(await self.count_resumed(restarted[0], begun), len(begun))
 
     async def test_store_that_lost_the_second_version_is_not_trusted(self):
--- a/tests/streams/test_archive.py
+++ b/tests/streams/test_archive.py
@@ -10,7 +10,7 @@
 from railsail.streams import archive
 from railsail.streams.archive import RecordArchive
 from railsail.streams.origins import StreamOrigin
-from railsail.streams.recovered import RecoveredRecords
+from railsail.streams.recovery import RecoveredRecords
 from tests.rollouts.base import FakeStore
 
 V1 = StreamOrigin("model", "v1")
--- a/tests/streams/test_stored.py
+++ b/tests/streams/test_stored.py
@@ -7,7 +7,7 @@
 from railsail.core.logs import configure_logs
 from railsail.store.base import StoredObject
 from railsail.streams.origins import StreamOrigin
-from railsail.streams.recovered import RecoveredRecords
+from railsail.streams.recovery import RecoveredRecords
 from railsail.streams.stored import (
     KIND,
     PLACES_NAME,
