forwarding: passed on only whole heads of other nodes' answers

A caller whose request was forwarded got the first bytes of a head when the other node ended in the middle of it. Some clients take a head that ends with its connection for a whole one, and so a 200 without a body.

Cause: the status line and the bytes after it were copied as they came. Ruled out: heads cut at a replica, on new and on kept connections, which give 502. Of each cut of a head of 57 bytes the node now passes on nothing and answers 502, and the same for a head beyond 64 KiB; the test fails on the code before for cuts after the status line.

--- a/railsail/routing/forwarding.py
+++ b/railsail/routing/forwarding.py
@@ -40,7 +40,7 @@
 GRACE_SECONDS = 0.2
 # Maximum size of a piece of an answer that is copied at once.
 CHUNK_BYTES = 64 << 10
-MAX_STATUS_LINE_BYTES = 1024
+MAX_HEAD_BYTES = 64 << 10
 
 
 class ForwardedRequest(msgspec.Struct, frozen=True):
@@ -139,9 +139,11 @@
     """Copy all that arrives to the caller, and return the status of the answer, 0 if none came."""
     status = 0
     try:
-        line = await stream.read_until(b"\r\n", max_bytes=MAX_STATUS_LINE_BYTES)
-        status = parse_response_start_line(line.decode("latin-1").strip()).code
-        await client.write_raw(line + await stream.read_bytes(CHUNK_BYTES, partial=True))
+        # Some clients take a head that ends with its connection for a whole one, without a body.
+        head = await stream.read_until(b"\r\n\r\n", max_bytes=MAX_HEAD_BYTES)
+        line = head.partition(b"\r\n")[0]
+        status = parse_response_start_line(line.decode("latin-1")).code
+        await client.write_raw(head)
         while True:
             await client.write_raw(await stream.read_bytes(CHUNK_BYTES, partial=True))
     except (StreamClosedError, UnsatisfiableReadError, HTTPInputError):
