buffers: bounded the bodies of requests and answers that a node holds, over all of them

Operators saw daemons killed for their memory, with the requests of all their callers: by answers without end, kept up to 64 MiB for each request (two took a daemon from 41 to 107 MB of 150), and by many large uploads at once.

Cause: bounds were for each body, none for the node. Ruled out: heads, chunk sizes, trailers and events without end, which were bounded.

All bodies share 32 MiB now (`--buffered-mb`). If one does not fit, the largest ends: 502 for an answer, which another replica may still give, and 503 as not run for a request, whose rest is read and dropped so that its caller gets the refusal. An answer that names too great a length is refused at its head. The body of an answer that says that the request did not run ends after 64 KiB, a late answer to another request after 1 MiB. A load report or an engine's plain answer that was too long raised an error out of its reader; both count as cut off now.

The new tests fail on the code before.

--- a/railsail/conf/settings.py
+++ b/railsail/conf/settings.py
@@ -166,6 +166,14 @@
         "",
     ),
     Option("max_body_bytes", Integer(1024, 64 << 20), "Maximum request body.", str(4 << 20)),
+    Option(
+        "buffered_mb",
+        Integer(1, 65_536),
+        "Maximum memory in MiB for the bodies of all requests and answers that are held at a time. "
+        "They take up to twice as much while they are passed on. A request without room is "
+        "refused, an answer without room ends.",
+        "32",
+    ),
     Option(
         "open_files",
         Integer(0, 100_000_000),
@@ -271,6 +279,7 @@
     rollback_ms: int
     domain_regions: dict[str, str]
     max_body_bytes: int
+    buffered_mb: int
     open_files: int
     keep_connections_seconds: float
     queue_per_workspace: int
--- a/railsail/core/kernel.py
+++ b/railsail/core/kernel.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from railsail.core.buffers import Buffers
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog
 from railsail.core.metrics import Metrics
@@ -11,10 +12,11 @@
 
 
 class Kernel(msgspec.Struct, frozen=True):
-    """The clock, random number generator, time line, metrics and pauses of one daemon."""
+    """The clock, random number generator, time line, metrics, pauses and buffers of one daemon."""
 
     clock: Clock
     rng: random.Random
     events: EventLog
     metrics: Metrics
     pauses: Pauses = msgspec.field(default_factory=Pauses)
+    buffers: Buffers = msgspec.field(default_factory=Buffers)
--- a/railsail/gateway/tries.py
+++ b/railsail/gateway/tries.py
@@ -76,6 +76,7 @@
         self._clock = kernel.clock
         self._events = kernel.events
         self._metrics = kernel.metrics
+        self._buffers = kernel.buffers
         self._estimator = CostEstimator()
         self._budget = RetryBudget()
         self._cancels = TaskSet()
@@ -178,6 +179,7 @@
             request.stream,
             served.pool.cost_unit,
             self._replica_signals.listener(replica, read_signs),
+            self._buffers,
         )
 
     def _settle(
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -17,6 +17,7 @@
 from railsail.configuration.repository import KIND as CONFIGURATION
 from railsail.configuration.spreading import ConfigurationSpread
 from railsail.configuration.updates import Update
+from railsail.core.buffers import Buffers
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog, Kind
 from railsail.core.kernel import Kernel
@@ -125,7 +126,13 @@
         self.lifecycle = Lifecycle()
         self.metrics = Metrics()
         self.events = EventLog(settings.node_id, self.clock)
-        self.kernel = Kernel(self.clock, self.rng, self.events, self.metrics)
+        self.kernel = Kernel(
+            self.clock,
+            self.rng,
+            self.events,
+            self.metrics,
+            buffers=Buffers(settings.buffered_mb << 20),
+        )
         self.lag = LoopLag(self.clock.monotonic, self.kernel.pauses)
         self.kernel.pauses.on_end(self._pause_ended)
         self._drain_requested = asyncio.Event()
@@ -386,8 +393,17 @@
             self.kernel,
         )
         self.client_servers = [
-            ClientServer(self.front.handle, most_connections(settings.open_files)),
-            ClientServer(self.front.handle_forwarded),
+            ClientServer(
+                self.front.handle,
+                self.front.refuse_without_room,
+                self.kernel.buffers,
+                most_connections(settings.open_files),
+            ),
+            ClientServer(
+                self.front.handle_forwarded,
+                self.front.refuse_without_room,
+                self.kernel.buffers,
+            ),
         ]
         self.carrier.on_change(self.front.configured)
 
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -5,6 +5,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from railsail.core.buffers import BufferFull, Buffers
 from railsail.core.exceptions import RailsailError
 from railsail.routing.client import ClientAnswer
 from railsail.routing.messages import AnswerHead, RoutedRequest
@@ -12,7 +13,9 @@
 from railsail.upstreams.http import is_delimited
 from railsail.upstreams.sse import EventSplitter, StreamEvent
 
-MAX_BUFFERED_BYTES = 64 << 20
+# The body of an answer that says that the request did not run is not passed on.
+MAX_REFUSAL_BYTES = 64 << 10
+TOO_LONG = "the answer is too long for the memory that this node has for all answers"
 
 
 class AnswerRefused(RailsailError):
@@ -86,9 +89,10 @@
     """Receiver of one answer of one replica.
 
     An event stream is forwarded in whole events, so that another replica can resume a stream that
-    breaks within an event. Any other answer is buffered until it is complete. ``software_version``
-    is that of the replica. ``on_body`` is called for each piece of the body of a successful answer,
-    ``on_events`` just before events of a stream are passed on to the caller.
+    breaks within an event. Any other answer is buffered until it is complete, within the bound of
+    ``buffers`` on all answers. ``software_version`` is that of the replica. ``on_body`` is called
+    for each piece of the body of a successful answer, ``on_events`` just before events of a stream
+    are passed on to the caller.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         streaming: bool,
         stream: StreamState,
         software_version: str,
+        buffers: Buffers,
         on_body: Callable[[], None],
         on_events: Callable[[], None],
     ) -> None:
@@ -114,7 +119,8 @@
         self._on_events = on_events
         self._splitter = EventSplitter()
         self._buffer: list[bytes] = []
-        self._buffered_bytes = 0
+        self._share = buffers.open(self._evict)
+        self._is_evicted = False
         self._progressed_at = asyncio.get_running_loop().time()
         self._waits_for_caller = False
 
@@ -142,18 +148,22 @@
         self.received_head = head
         self.is_stream = self._streaming and head.success and head.event_stream
         self.ends_with_connection = not is_delimited(headers)
+        if not self.is_stream and _length(headers) > self._max_bytes:
+            raise AnswerRefused(TOO_LONG)
         self._record_progress()
 
     async def data(self, chunk: bytes) -> None:
         """Forward or buffer a piece of the body.
 
-        Raise ``AnswerRefused`` if an event is out of order, or if a buffered answer is too long.
+        Raise ``AnswerRefused`` if an event is out of order, or if the answer is too long.
         """
+        self.check_kept()
         if self.received_head is not None and self.received_head.success:
             self._on_body()
         self._record_progress()
         if self.is_stream:
             events = self._splitter.feed(chunk)
+            self._hold(len(self._splitter.rest))
             self._waits_for_caller = True
             try:
                 await self.stream.forward(
@@ -163,14 +173,47 @@
                 self._waits_for_caller = False
                 self._record_progress()
             return
-        self._buffered_bytes += len(chunk)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
-            raise AnswerRefused("the answer is too long")
+        self._hold(self._share.size + len(chunk))
         self._buffer.append(chunk)
 
-    def body(self) -> bytes:
-        """Return the buffered body."""
-        return b"".join(self._buffer)
+    @property
+    def _max_bytes(self) -> int:
+        """Return how long the answer may be at most if it is alone."""
+        is_refusal = self.received_head is not None and self.received_head.not_run
+        return MAX_REFUSAL_BYTES if is_refusal else self._share.max_bytes
+
+    def _hold(self, size: int) -> None:
+        if size > self._max_bytes:
+            raise AnswerRefused(TOO_LONG)
+        try:
+            self._share.resize(size)
+        except BufferFull:
+            raise AnswerRefused(TOO_LONG) from None
+
+    def _evict(self) -> None:
+        self._is_evicted = True
+        self._buffer.clear()
+
+    def check_kept(self) -> None:
+        """Raise ``AnswerRefused`` if what was received had to be dropped for other answers."""
+        if self._is_evicted:
+            raise AnswerRefused(TOO_LONG)
+
+    def keep(self) -> None:
+        """Hold a complete answer until it is released; raise ``AnswerRefused`` if it is gone."""
+        self.check_kept()
+        self._share.keep()
+
+    def release(self) -> None:
+        """Release the memory of the answer."""
+        self._buffer.clear()
+        self._share.release()
+
+    def take_body(self) -> bytes:
+        """Return the buffered body, once."""
+        body = b"".join(self._buffer)
+        self._buffer.clear()
+        return body
 
     def trailing_bytes(self) -> bytes:
         """Return the bytes that follow the last whole event."""
@@ -178,3 +221,9 @@
 
     def _record_progress(self) -> None:
         self._progressed_at = asyncio.get_running_loop().time()
+
+
+def _length(headers: HTTPHeaders) -> int:
+    """Return the length that an answer names, 0 if it names none."""
+    text = headers.get("Content-Length", "")
+    return int(text) if text.isascii() and text.isdigit() else 0
--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import resource
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection
@@ -17,6 +17,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from railsail.core.buffers import BufferFull, Buffers
 from railsail.core.exceptions import RailsailError
 from railsail.core.logs import get_logger
 from railsail.core.sockets import detect_dead_peer
@@ -139,18 +140,29 @@
         await self._accepted(accepted)
 
 
-Handler = Callable[[RequestStartLine, HTTPHeaders, bytes, ClientAnswer], Awaitable[None]]
+Handler = Callable[
+    [RequestStartLine, HTTPHeaders, bytes, ClientAnswer], Coroutine[None, None, None]
+]
+Refuser = Callable[[RequestStartLine, HTTPHeaders, ClientAnswer], Coroutine[None, None, None]]
 
 
 class ClientServer(HTTPServerConnectionDelegate):
     """Server that accepts connections of callers and passes their requests to ``handler``.
 
-    While more than ``max_connections`` are open, each answer asks its caller to close its
-    connection.
+    A request whose body does not fit into ``buffers`` is passed to ``refuse`` without it. While
+    more than ``max_connections`` are open, each answer asks its caller to close its connection.
     """
 
-    def __init__(self, handler: Handler, max_connections: float = math.inf) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        refuse: Refuser,
+        buffers: Buffers,
+        max_connections: float = math.inf,
+    ) -> None:
         self._handler = handler
+        self._refuse = refuse
+        self.buffers = buffers
         self._max_connections = max_connections
         self._tasks = TaskSet()
         self._connections: set[object] = set()
@@ -235,7 +247,17 @@
     ) -> "_RunningRequest":
         """Handle a request that was read completely, and return the running request."""
         answer = ClientAnswer(connection, self._should_close, line.method)
-        task = self._tasks.start(self._handler(line, headers, body, answer))
+        return self._run(answer, self._handler(line, headers, body, answer))
+
+    def request_without_room(
+        self, line: RequestStartLine, headers: HTTPHeaders, connection: HTTP1Connection
+    ) -> "_RunningRequest":
+        """Refuse a request that was read without keeping its body; return the running request."""
+        answer = ClientAnswer(connection, self._should_close, line.method)
+        return self._run(answer, self._refuse(line, headers, answer))
+
+    def _run(self, answer: ClientAnswer, work: Coroutine[None, None, None]) -> "_RunningRequest":
+        task = self._tasks.start(work)
         running = _RunningRequest(answer, task)
         self._running.add(running)
         task.add_done_callback(lambda done: self._handled(running))
@@ -283,6 +305,8 @@
         self._line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._body: list[bytes] = []
+        self._share = server.buffers.open()
+        self._has_room = True
         self._running: _RunningRequest | None = None
         self._arrived_at = 0.0
 
@@ -299,18 +323,42 @@
         self._arrived_at = asyncio.get_running_loop().time()
 
     def data_received(self, chunk: bytes) -> None:
-        self._body.append(chunk)
         self._arrived_at = asyncio.get_running_loop().time()
+        if not self._has_room:
+            return
+        try:
+            self._share.resize(self._share.size + len(chunk))
+        except BufferFull:
+            # The rest is read and dropped: a connection that is closed with unread bytes is reset,
+            # and the caller would not get the refusal.
+            self._has_room = False
+            self._release()
+            return
+        self._body.append(chunk)
+
+    def _release(self) -> None:
+        self._body.clear()
+        self._share.release()
 
     def finish(self) -> None:
         self._server.reading_ended(self)
         self._connection.set_close_callback(self._disconnected)
+        if not self._has_room:
+            self._running = self._server.request_without_room(
+                self._line, self._headers, self._connection
+            )
+            return
+        body = b"".join(self._body)
+        self._body.clear()
         self._running = self._server.request_received(
-            self._line, self._headers, b"".join(self._body), self._connection
+            self._line, self._headers, body, self._connection
         )
+        self._running.task.add_done_callback(lambda task: self._share.release())
 
     def on_connection_close(self) -> None:
         self._server.reading_ended(self)
+        if self._running is None:
+            self._release()
         self._disconnected()
 
     def _disconnected(self) -> None:
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -123,6 +123,20 @@
         incoming = IncomingRequest(line, headers, body, self._clock.monotonic())
         await self._guard.run(self._serve_forwarded, incoming, client)
 
+    async def refuse_without_room(
+        self, line: RequestStartLine, headers: HTTPHeaders, client: ClientAnswer
+    ) -> None:
+        """Refuse one request whose body this node had no memory for."""
+        incoming = IncomingRequest(line, headers, b"", self._clock.monotonic())
+        await self._guard.run(self._refuse_without_room, incoming, client)
+
+    async def _refuse_without_room(self, incoming: IncomingRequest, client: ClientAnswer) -> None:
+        refusal = NotRun(Reason.QUEUE_FULL, "this node has no memory for the body of the request")
+        origin = self._protocol.read_origin(incoming.headers)
+        status = await self._error_answers.send(origin.request_id, origin.deadline, refusal, client)
+        seconds = self._clock.monotonic() - incoming.received_at
+        self._recorder.record_outcome(origin.request_id, None, refusal, status, seconds)
+
     async def _forward_or_serve(self, incoming: IncomingRequest, client: ClientAnswer) -> None:
         if not await self._offloader.offload(incoming, client, can_forward=True):
             await self._serve_locally(incoming, client)
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -74,6 +74,7 @@
         self._events = kernel.events
         self._metrics = kernel.metrics
         self._pauses = kernel.pauses
+        self._buffers = kernel.buffers
         self._started_at = kernel.clock.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
         self._connect_failures = ConnectFailures()
@@ -277,6 +278,7 @@
             context.route.streaming,
             context.stream,
             upstream.software_version,
+            self._buffers,
             lambda: self._answer_started(context, attempt),
             attempt.go_on,
         )
@@ -293,7 +295,10 @@
             **_continuation_facts(context),
         )
         attempt.answer = answer
-        return await self._exchange(context, attempt, call, answer)
+        try:
+            return await self._exchange(context, attempt, call, answer)
+        finally:
+            answer.release()
 
     def _count_call(self, context: RoutingContext, attempt: Attempt, budget: RetryBudget) -> None:
         """Count a call that is sent now; raise ``RetryNotAllowed`` if the budget has no room."""
@@ -321,6 +326,7 @@
             async with asyncio.timeout(remaining):
                 await self._calls.run(replica, exchange(call, answer, self._connections))
                 attempt.received = True
+                answer.keep()
                 end = await check_end(answer, replica, self._directory)
                 if end is AnswerEnd.CUT_OFF:
                     raise CutOff("the replica crashed, which ended its answer")
@@ -364,7 +370,7 @@
             # The status would tell the caller that nothing ran, which the replica did not say.
             return Unknown(f"status {head.status}", asked_rest=head.asks_rest)
         attempt.go_on()
-        await context.client.send(head.status, head.headers, answer.body())
+        await context.client.send(head.status, head.headers, answer.take_body())
         return Completed(head.status, 0.0, context.uncertain_end)
 
     def _end_stream(
--- a/railsail/upstreams/base.py
+++ b/railsail/upstreams/base.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from railsail.core.buffers import Buffers
 from railsail.core.outcomes import Outcome
 from railsail.objects.kinds import CostUnit
 from railsail.scheduling.room import LoadReport
@@ -17,7 +18,7 @@
     ``endpoint`` is ``ip:port``. ``priority`` is sent to the kinds that support it; lower numbers
     are served first. ``stream`` is true if the caller requested an event stream. ``on_head`` is
     called with the status and headers of each answer of the replica to this call, also of one that
-    is discarded.
+    is discarded. ``buffers`` bounds the answers that are held before they are passed on.
     """
 
     endpoint: str
@@ -31,6 +32,7 @@
     stream: bool
     cost_unit: CostUnit
     on_head: HeadListener = ignore_head
+    buffers: Buffers = msgspec.field(default_factory=Buffers)
 
 
 class AnswerSink(Protocol):
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -123,14 +123,17 @@
         return await self._run_plain(call, sink)
 
     async def _run_plain(self, call: UpstreamCall, sink: AnswerSink) -> Outcome:
-        answer = Collector(MAX_ANSWER_BYTES)
+        share = call.buffers.open()
+        answer = Collector(MAX_ANSWER_BYTES, share)
         try:
             await exchange(_request(call), answer)
+            return await self._forward_plain(call, sink, answer)
         except NotSent as problem:
             return NotRun(Reason.UNREACHABLE, str(problem))
         except CutOff as problem:
             return Unknown(str(problem), broke_off=True)
-        return await self._forward_plain(call, sink, answer)
+        finally:
+            share.release()
 
     async def _forward_plain(
         self, call: UpstreamCall, sink: AnswerSink, answer: Collector
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -16,6 +16,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from railsail.conf.values import parse_endpoint
+from railsail.core.buffers import BufferFull, BufferShare
 from railsail.core.exceptions import RailsailError
 from railsail.core.sockets import CannotConnect, open_stream
 from railsail.upstreams.keepalive import MIN_ERROR_STATUS, idle_seconds, may_be_kept
@@ -26,6 +27,8 @@
 MAX_SILENCE_SECONDS = 60.0
 MAX_BODY_BYTES = 1 << 30
 MAX_HEADER_BYTES = 64 << 10
+# A late answer to an earlier request on a connection is skipped up to this length.
+MAX_FOREIGN_BYTES = 1 << 20
 
 
 class NotSent(RailsailError):
@@ -43,6 +46,10 @@
     """The request was sent, at least in part, and no complete answer was received."""
 
 
+class AnswerTooLong(CutOff):
+    """The answer was ended because it is longer than what may be kept of it."""
+
+
 HeadListener = Callable[[int, HTTPHeaders], None]
 
 
@@ -172,6 +179,7 @@
         self.delimited = False
         # The answer is a late one to an earlier request on this connection.
         self.foreign = False
+        self._foreign_bytes = 0
         self.idle_seconds = 0.0
         self.receiver_busy = False
         self.last_progress_at = self._loop.time()
@@ -201,7 +209,15 @@
         return answered != self._request.request_id
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        return None if self.foreign else self._run_receiver(self._receiver.data(chunk))
+        if self.error is not None:
+            # The connection is closed, but a part of the body had arrived before.
+            return None
+        if not self.foreign:
+            return self._run_receiver(self._receiver.data(chunk))
+        self._foreign_bytes += len(chunk)
+        if self._foreign_bytes > MAX_FOREIGN_BYTES:
+            self._stream.close()
+        return None
 
     def finish(self) -> None:
         self.complete = True
@@ -348,14 +364,22 @@
 class Collector:
     """A receiver that keeps a short answer in memory.
 
-    Its ``data`` raises ``ValueError`` if the body has more than ``max_bytes``.
+    Its ``data`` raises ``AnswerTooLong`` if the body has more than ``max_bytes``, or if ``share``
+    is given and cannot hold it.
     """
 
-    def __init__(self, max_bytes: int = 1 << 20) -> None:
+    def __init__(self, max_bytes: int = 1 << 20, share: BufferShare | None = None) -> None:
         self.status = 0
         self.headers = HTTPHeaders()
-        self.body = b""
+        self._pieces: list[bytes] = []
+        self._size = 0
         self._max_bytes = max_bytes
+        self._share = share
+
+    @property
+    def body(self) -> bytes:
+        """Return the body."""
+        return b"".join(self._pieces)
 
     async def head(self, status: int, headers: HTTPHeaders) -> None:
         """Keep status and headers."""
@@ -364,9 +388,15 @@
 
     async def data(self, chunk: bytes) -> None:
         """Keep a chunk of the body."""
-        if len(self.body) + len(chunk) > self._max_bytes:
-            raise ValueError("the answer is too long")
-        self.body += chunk
+        self._size += len(chunk)
+        if self._size > self._max_bytes:
+            raise AnswerTooLong("the answer is too long")
+        if self._share is not None:
+            try:
+                self._share.resize(self._size)
+            except BufferFull as problem:
+                raise AnswerTooLong(str(problem)) from None
+        self._pieces.append(chunk)
 
 
 async def fetch(request: HttpRequest, seconds: float, max_bytes: int = 1 << 20) -> Collector | None:
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -1,13 +1,17 @@
 """One exchange: which requests count as sent, which answers as complete, and backpressure."""
 
 import asyncio
+import contextlib
 import unittest
 
 from railsail.standins.fleet import free_ports
-from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange
+from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange, fetch
 
 CHUNK = b"x" * 65_536
 MAX_CHUNKS = 4096
+ENDLESS = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+# A collector keeps 1 MiB by default.
+MAX_COLLECTED_CHUNKS = 16
 
 
 class ExchangeTests(unittest.IsolatedAsyncioTestCase):
@@ -50,6 +54,21 @@
             with self.subTest(name), self.assertRaises(CutOff):
                 await self.answer(data)
 
+    async def test_answer_without_end_is_cut_off(self):
+        with self.assertRaises(CutOff):
+            await self.answer(ENDLESS + CHUNK * (MAX_COLLECTED_CHUNKS + 1))
+
+    async def test_report_without_end_is_no_report(self):
+        async def handle(reader, writer) -> None:
+            with contextlib.suppress(ConnectionError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(ENDLESS)
+                while True:
+                    writer.write(CHUNK)
+                    await writer.drain()
+
+        self.assertIsNone(await fetch(await self.serve(handle), 20.0))
+
     async def test_slow_receiver_slows_the_sender_down(self):
         sent = []
         blocked = asyncio.Event()
