tests: waited for tickets that wait until calls end

It sends 16 calls now, more than the replicas take, and checks in addition that none of the tickets that waited runs at the replicas that left.

--- a/tests/fleet/test_regions.py
+++ b/tests/fleet/test_regions.py
@@ -127,11 +127,18 @@
         self.assertEqual((self.runs(NORTH), self.runs(SOUTH)), (0, 4))
 
     async def test_tickets_that_wait_where_the_replicas_leave_go_elsewhere(self):
-        calls = self.ask(self.north, 5, tokens=150)
-        await self.until(lambda: sum(len(node.tickets.waiting()) for node in self.north) >= 1)
+        # More calls than the replicas take, so that tickets wait until calls end.
+        calls = self.ask(self.north, 16, tokens=60)
+        await self.until(lambda: self.waiting() >= 1)
+        waiting = self.waiting()
         self.leave(NORTH)
         await self.assert_whole(calls)
-        self.assertGreaterEqual(self.runs(SOUTH), 1)
+        self.assertGreaterEqual(self.runs(SOUTH), waiting)
+        self.assertLessEqual(self.runs(NORTH), len(calls) - waiting)
+
+    def waiting(self) -> int:
+        """Return how many tickets of nodes in the north wait for a grant."""
+        return sum(len(node.tickets.waiting()) for node in self.north)
 
     async def test_region_whose_dispatcher_is_lost_gets_another_of_its_own(self):
         lost = next(n for n in self.north if n.settings.node_id == self.dispatcher(n, "north"))
