--- a/tests/platform/test_bodies_without_end.py
+++ b/tests/platform/test_bodies_without_end.py
@@ -7,7 +7,14 @@
 import contextlib
 
 from railsail.node import Node
-from tests.platform.base import Answer, PlatformTestCase, read_answer, request
+from tests.platform.base import (
+    LONGEST_SECONDS,
+    Answer,
+    PlatformTestCase,
+    read_answer,
+    read_head,
+    request,
+)
 from tests.platform.keeping import KeepingReplica
 from tests.platform.standins import SEAL, Received, ReplicaStandin, Script, answering, head
 
@@ -36,6 +43,17 @@
     return script
 
 
+def naming_length(length: int) -> Script:
+    """Answer with a head alone, which names a length."""
+
+    async def script(replica: ReplicaStandin, received: Received, writer) -> None:
+        sealed = {"Response_Seal": f"{SEAL}-{replica.name}", "Content_Length": str(length)}
+        writer.write(head(received, **sealed))
+        await writer.drain()
+
+    return script
+
+
 CHUNKED = {"Transfer_Encoding": "chunked"}
 CLOSED = {"Connection": "close"}
 
@@ -97,6 +115,14 @@
         self.assertEqual(set(self.used), {len(b"body")})
         self.assertIn(b"too long", answer.body)
 
+    async def test_head_request_has_no_body_whatever_length_is_named(self):
+        node = await self.serve_scripts(large=naming_length(2 * MEMORY))
+        reader, writer = await self.connect(node)
+        self.addCleanup(writer.close)
+        writer.write(request("/again/", method="HEAD", body=b"large"))
+        status, _ = await asyncio.wait_for(read_head(reader), LONGEST_SECONDS)
+        self.assertEqual(status, 200)
+
     async def test_refusal_without_end_is_ended(self):
         node = await self.serve_scripts(
             body=endless("503 Service Unavailable", Not_Run="1", **CHUNKED)
