streams: separated the part's loops from the calls that serve requests

The tests that make each step of a request fail took a method that the loop of the record archive calls for such a step, and waited for it in vain (three errors in a run of all tests). The number of writers is an attribute now, and a node that lacks places says so by an event that its tick sets.

A test that expects peers to reply within 0.3 s failed once at a load of 16, where one loop runs four nodes; it waits for the replies as long as it takes now. The tests of lost fleets wait until the daemons have read the store.

--- a/railsail/streams/history.py
+++ b/railsail/streams/history.py
@@ -124,9 +124,10 @@
         """Return True if this node itself has seen all changes in the window."""
         return now - self._complete_since >= self.window
 
-    def is_restored(self) -> bool:
-        """Return True if the places of the time before are known from the store."""
-        return bool(self._restored_hosts or self._restored_pools)
+    def is_trusted(self, now: float) -> bool:
+        """Return True if all places in the window are known, from the store or by this node."""
+        is_restored = bool(self._restored_hosts or self._restored_pools)
+        return is_restored or self.observed_whole_window(now)
 
     def is_complete(self, host: str, now: float) -> bool:
         """Return True if no origin that streams of ``host`` had in the window can be missing."""
--- a/railsail/streams/ledger.py
+++ b/railsail/streams/ledger.py
@@ -161,11 +161,10 @@
     async def _write(self, now: float) -> None:
         wanted = self._wanted(now)
         era = self._era()
-        is_certain = self._history.observed_whole_window(now) or self._history.is_restored()
-        if self._stored is None and not is_certain:
-            # The object would seem to be complete.
-            return
-        if self._stored is not None and not is_certain:
+        if not self._history.is_trusted(now):
+            if self._stored is None:
+                # The object would seem to be complete.
+                return
             era = self._stored.era
         value = to_stored_places(wanted, era)
         if value == self._stored:
--- a/railsail/streams/part.py
+++ b/railsail/streams/part.py
@@ -53,7 +53,7 @@
         )
         self._archive = RecordArchive(
             node.store,
-            origins.writer_count,
+            lambda: origins.writer_count,
             lambda: origins.history.window,
             node.clock,
             node.rng,
@@ -82,11 +82,12 @@
         """Read what was stored while this node did not run or could not read the store."""
         self._take_over(await self._retried(lambda: self._node.store.list(KIND)))
         while True:
+            # All nodes lack places after an outage of the store, and must not read them at once.
             await asyncio.sleep(self._node.rng.uniform(0.5, 1.5) * PLACES_INTERVAL_SECONDS)
-            if self._origins.lacks_places:
-                stored = await self._retried(self._ledger.read)
-                if stored is not None:
-                    self._origins.recover_places(stored.places)
+            await self._origins.lacks_places.wait()
+            stored = await self._retried(self._ledger.read)
+            if stored is not None:
+                self._origins.recover_places(stored.places)
 
     async def _retried(self, read: Callable[[], Awaitable[T]]) -> T:
         """Return the result of ``read`` as soon as the store answers."""
--- a/railsail/streams/recovery.py
+++ b/railsail/streams/recovery.py
@@ -63,6 +63,11 @@
         if self._is_over is not None:
             self._is_over.set()
 
+    @property
+    def is_over(self) -> bool:
+        """Return True if the records are read."""
+        return self._is_over is not None and self._is_over.is_set()
+
     async def wait(self, seconds: float) -> None:
         """Wait until the records are read, for ``seconds`` at most."""
         if self._is_over is None or self._is_over.is_set():
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -111,6 +111,10 @@
         self._candidates_with_own: dict[str, list[str]] = {}
         self._refresh_at = 0.0
         self.recovery = RecordRecovery(kernel.clock)
+        # Set while this node follows the store, but may have missed places before.
+        self.lacks_places = asyncio.Event()
+        # How many nodes write records to the store, this one included.
+        self.writer_count = 1
         self._ambiguous_pools: frozenset[str] = frozenset()
         self._place_listeners: list[Callable[[], None]] = []
         self._record_listeners: list[Callable[[int, StreamOrigin], None]] = []
@@ -130,18 +134,12 @@
         """Call ``listener`` with the key and origin of each stream that this node has to store."""
         self._record_listeners.append(listener)
 
-    @property
-    def lacks_places(self) -> bool:
-        """Return True if this node follows the store, but may have missed places before."""
-        if self._proof_age() > self._longest_wait or self.history.is_restored():
-            return False
-        return not self.history.observed_whole_window(self._clock.monotonic())
-
     def recover_places(self, places: Collection[Place]) -> None:
         """Add where streams may have begun before this node followed the store."""
         now = self._clock.monotonic()
         self.history.restore(places, now)
         self._ambiguous_pools = self.history.ambiguous_pools(now)
+        self.lacks_places.clear()
 
     def configured(self, catalog: Catalog) -> None:
         """Observe the routes of a new version of the configuration."""
@@ -167,6 +165,8 @@
             self.history.interrupt(now)
         self.recovery.expire(self.history.window)
         self._ambiguous_pools = self.history.ambiguous_pools(now)
+        if age <= self._longest_wait and not self.history.is_trusted(now):
+            self.lacks_places.set()
         self._dial_candidates()
 
     def _observe_versions(self) -> None:
@@ -187,10 +187,6 @@
         for listener in self._place_listeners:
             listener()
 
-    def writer_count(self) -> int:
-        """Return how many nodes write records to the store, this one included."""
-        return sum(len(nodes) for nodes in self._candidates_with_own.values())
-
     def _store_record(self, key: int, origin: StreamOrigin) -> None:
         """Have the record of a stream stored, if this node is one of those that do so."""
         self._current_candidates()
@@ -221,6 +217,7 @@
             others = [each for each in members if each.node != own]
             self._candidates = holders.candidates(others, dispatchers)
             self._candidates_with_own = holders.candidates(members, dispatchers)
+            self.writer_count = sum(len(nodes) for nodes in self._candidates_with_own.values())
         return self._candidates
 
     def _reachable_candidates(self) -> dict[str, list[str]]:
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -10,7 +10,7 @@
 
 from railsail.core.events import Kind
 from railsail.node import Node
-from railsail.streams import archive
+from railsail.streams import archive, service
 from tests.platform.base import (
     LONG_MS,
     LONGEST_SECONDS,
@@ -162,8 +162,9 @@
             self.assert_one_version(data + answer.body)
 
     async def test_record_is_found_at_a_peer_that_neither_began_nor_resumes_the_stream(self):
-        # The store has no record of the stream yet.
+        # The store has no record of the stream yet, and all peers reply.
         self.hold(mock.patch.object(archive, "MIN_WRITE_SECONDS", 3600.0))
+        self.hold(mock.patch.object(service, "QUERY_SECONDS", LONGEST_SECONDS))
         node = await self.serve_versions()
         peers = [await self.add_peer(node) for _ in range(2)]
         await self.until(lambda: peers[0].hub.connected(peers[1].hub.own.node))
--- a/tests/platform/test_streams_after_all_daemons_are_lost.py
+++ b/tests/platform/test_streams_after_all_daemons_are_lost.py
@@ -65,6 +65,7 @@
             self.hold_lag(node)
             await self.until(lambda node=node: not node.not_ready())
             await self.until(lambda node=node: self.knows_replicas(node))
+            await self.until(lambda node=node: node.origins.recovery.is_over)
         return restarted
 
     def knows_replicas(self, node: Node) -> bool:
