streams: did not write again to an object whose last write failed

A node that wrote a batch over an expired one, and got no answer, tried the same object until that was done. A failed write now leaves its object to the node that deletes those of processes that are gone. That one waits for as long as a record is needed, if that is longer than ten minutes.

The stand-in of the store deletes objects now; two tests cover the ways in which records are deleted.

--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -10,13 +10,11 @@
 from railsail.routing.client import ClientAnswer
 from railsail.routing.messages import AnswerHead, RoutedRequest
 from railsail.routing.protocol import RouteProtocol
-from railsail.upstreams.http import is_delimited
+from railsail.upstreams.http import BODILESS_STATUSES, is_delimited
 from railsail.upstreams.sse import EventSplitter, StreamEvent
 
 # The body of an answer that says that the request did not run is not passed on.
 MAX_REFUSAL_BYTES = 64 << 10
-# Statuses of answers that have no body, whatever length they name (RFC 9110, section 8.6).
-WITHOUT_BODY = (204, 304)
 TOO_LONG = "the answer is too long for the memory that this node has for all answers"
 
 
@@ -150,7 +148,7 @@
         self.received_head = head
         self.is_stream = self._streaming and head.success and head.event_stream
         self.ends_with_connection = not is_delimited(headers)
-        has_body = self._request.method != "HEAD" and status not in WITHOUT_BODY
+        has_body = self._request.method != "HEAD" and status not in BODILESS_STATUSES
         if has_body and not self.is_stream and _length(headers) > self._max_bytes:
             raise AnswerRefused(TOO_LONG)
         self._record_progress()
--- a/railsail/streams/archive.py
+++ b/railsail/streams/archive.py
@@ -122,9 +122,8 @@
             self._waiting = batch | self._waiting
             return
         except StoreUnavailable:
+            # It may have been done, or may be done later, so that the object is not used again.
             self._waiting = batch | self._waiting
-            if slot.version:
-                self._written.appendleft(slot)
             raise
         expires_at = self._clock.monotonic() + self._window()
         self._written.append(WrittenBatch(slot.name, version, expires_at))
--- a/railsail/streams/part.py
+++ b/railsail/streams/part.py
@@ -1,6 +1,7 @@
 """The part of a daemon that keeps in the store where streams began, and reads it after a start."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeVar
 
@@ -24,8 +25,8 @@
 MAX_BACKOFF_SECONDS = 2.0
 # Mean interval at which a node that may have missed places reads them from the store.
 PLACES_INTERVAL_SECONDS = 2.0
-# Interval at which records are listed that nodes wrote which are gone, so that they are deleted. It
-# is longer than any record is needed.
+# Minimum interval at which records are listed that nodes wrote which are gone, so that they are
+# deleted.
 CLEAN_SECONDS = 600.0
 
 T = TypeVar("T")
@@ -54,7 +55,7 @@
         self._archive = RecordArchive(
             node.store,
             lambda: origins.writer_count,
-            lambda: origins.history.window,
+            self._window,
             node.clock,
             node.rng,
             node.metrics,
@@ -62,6 +63,10 @@
         origins.on_place(self._ledger.wake)
         origins.on_record(self._archive.add)
 
+    def _window(self) -> float:
+        """Return for how many seconds a record is needed."""
+        return self._origins.history.window
+
     def _writer_rank(self) -> int | None:
         """Return the position of this node among those that write, ``None`` for all others."""
         ranked = rank("stream places", self._node.view.usable())[:WRITERS]
@@ -114,8 +119,12 @@
         """Delete the records of nodes that are gone."""
         before: set[str] = set()
         while True:
-            await asyncio.sleep(CLEAN_SECONDS)
-            if self._writer_rank() != 0:
+            # What has not changed for as long as a record is needed has expired.
+            window = self._window()
+            await asyncio.sleep(
+                max(CLEAN_SECONDS, window) if math.isfinite(window) else CLEAN_SECONDS
+            )
+            if self._writer_rank() != 0 or window != self._window():
                 before = set()
                 continue
             try:
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -27,6 +27,8 @@
 MAX_SILENCE_SECONDS = 60.0
 MAX_BODY_BYTES = 1 << 30
 MAX_HEADER_BYTES = 64 << 10
+# Statuses of answers that have no body, whatever length they name (RFC 9110, section 8.6).
+BODILESS_STATUSES = (204, 304)
 # A late answer to an earlier request on a connection is skipped up to this length.
 MAX_FOREIGN_BYTES = 1 << 20
 
@@ -188,7 +190,7 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         self.delimited = is_delimited(headers)
-        self.delimited = self.delimited or start_line.code in (204, 304)
+        self.delimited = self.delimited or start_line.code in BODILESS_STATUSES
         self.foreign = self._is_foreign(start_line.code, headers)
         if self.foreign:
             return None
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -167,6 +167,18 @@
             return
         self._write(kind, name, item["metadata"]["revision"], item["spec"])
 
+    def delete(self) -> None:
+        kind, name = self.request.path.split("/")[2:]
+        held = self.store.objects.get((kind, name))
+        if held is None:
+            self.set_status(404)
+            return
+        if held["metadata"]["revision"] != int(self.get_query_argument("revision")):
+            self.set_status(409)
+            self.finish(json.dumps(held))
+            return
+        self.store.remove(kind, name)
+
     def _write_status(self, kind: str, name: str, item: dict) -> None:
         held = self.store.objects.get((kind, name))
         if held is None:
--- a/tests/platform/test_streams_after_all_daemons_are_lost.py
+++ b/tests/platform/test_streams_after_all_daemons_are_lost.py
@@ -4,7 +4,7 @@
 
 from railsail.node import Node
 from railsail.store.base import StoredObject
-from railsail.streams import archive
+from railsail.streams import archive, part
 from railsail.streams.recovery import RecoveredRecords
 from railsail.streams.stored import KIND, PLACES_NAME
 from tests.platform.streams import StreamingVersion, versions_of
@@ -227,3 +227,21 @@
         restarted = await self.return_all_daemons()
         self.assertEqual(self.stored_versions(), {"v1"})
         await self.assert_all_refused(restarted[0], begun, UNKNOWN)
+
+
+class CleanedTests(LostFleetTestCase):
+    async def test_records_of_processes_that_are_gone_are_deleted(self):
+        left = (PLATFORM_KIND, "records-of-a-lost-process-0")
+        self.store.put(*left, {"groups": []})
+        self.hold(mock.patch.object(part, "CLEAN_SECONDS", 0.2))
+        self.hold(mock.patch.object(part.StreamsPart, "_window", lambda self: 0.2))
+        await self.serve_fleet()
+        await self.until(lambda: left not in self.store.objects)
+        self.assertIn((PLATFORM_KIND, PLACES_NAME), self.store.objects)
+
+    async def test_own_records_are_deleted_once_no_caller_can_return(self):
+        self.hold(mock.patch.object(part.StreamsPart, "_window", lambda self: 0.5))
+        nodes = await self.serve_fleet()
+        await self.begin_everywhere(nodes)
+        await self.until(lambda: len(self.stored_records()) > 0)
+        await self.until_recorded(0)
--- a/tests/streams/test_archive.py
+++ b/tests/streams/test_archive.py
@@ -19,7 +19,17 @@
 
 
 class DeletingStore(FakeStore):
-    """A store whose objects can be deleted."""
+    """A store whose objects can be deleted.
+
+    With ``refuses_missing`` a write to an object that is gone fails as at the platform's store.
+    """
+
+    refuses_missing = False
+
+    async def put(self, kind: str, name: str, value: dict, expected: int) -> int:
+        if self.refuses_missing and expected and (kind, name) not in self.objects:
+            raise StoreUnavailable("404")
+        return await super().put(kind, name, value, expected)
 
     async def delete(self, kind: str, name: str, expected: int) -> None:
         if self.objects[(kind, name)].version != expected:
@@ -107,6 +117,18 @@
         await self.archive.update()
         self.assertEqual(self.found(2, 3), [V2, V1])
 
+    async def test_object_that_another_node_deleted_does_not_hold_records_up(self):
+        self.archive.add(1, V1)
+        await self.archive.update()
+        self.clock.advance(WINDOW)
+        self.store.objects.clear()
+        self.store.refuses_missing = True
+        self.archive.add(2, V2)
+        with self.assertRaises(StoreUnavailable):
+            await self.archive.update()
+        await self.archive.update()
+        self.assertEqual(self.found(2), [V2])
+
     async def test_number_of_waiting_records_is_bounded(self):
         self.addCleanup(setattr, archive, "MAX_WAITING", archive.MAX_WAITING)
         archive.MAX_WAITING = 3
