--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -12,7 +12,14 @@
 from railsail.core.metrics import Metrics
 from railsail.upstreams import connections as module
 from railsail.upstreams.connections import ConnectionPool
-from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange
+from railsail.upstreams.http import (
+    MAX_FOREIGN_BYTES,
+    Collector,
+    CutOff,
+    HttpRequest,
+    NotSent,
+    exchange,
+)
 from railsail.upstreams.streams import UpstreamStream
 from tests.forgetting import reset, start_forgetting_server
 
@@ -249,6 +256,13 @@
         self.assertEqual((await self.send()).body, b"ok")
         self.assertEqual((self.replica.opened, len(self.pool)), (1, 0))
 
+    async def test_late_answer_that_is_too_long_is_not_skipped(self):
+        await self.send()
+        late = answer("r1", body=b"x" * (MAX_FOREIGN_BYTES + (1 << 20)))
+        self.replica.script = [lambda request_id: late + answer(request_id)]
+        with self.assertRaises(CutOff):
+            await self.send()
+
     async def test_late_answer_while_the_body_is_written_is_skipped(self):
         await self.send()
         self.replica.late = answer("r1", body=b"late")
