--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -333,15 +333,19 @@
     fleet.start(fleet.daemons[1])
 
 
+async def _lose_all(fleet: ProcessFleet) -> None:
+    """Kill all daemons at once, and start them again a second later."""
+    await asyncio.gather(*(fleet.kill(daemon) for daemon in fleet.daemons))
+    await asyncio.sleep(1.0)
+    for daemon in fleet.daemons:
+        fleet.start(daemon)
+
+
 async def lost_daemons(scenario: Scenario) -> None:
     """All daemons are killed at once and come back, twice."""
-    fleet = scenario.fleet
     for _ in range(2):
         await asyncio.sleep(3.0)
-        await asyncio.gather(*(fleet.kill(daemon) for daemon in fleet.daemons))
-        await asyncio.sleep(1.0)
-        for daemon in fleet.daemons:
-            fleet.start(daemon)
+        await _lose_all(scenario.fleet)
         await asyncio.sleep(3.0)
 
 
@@ -352,7 +356,6 @@
 
 async def lost_daemons_after_a_new_version(scenario: Scenario) -> None:
     """The same, each time just after another version has appeared."""
-    fleet = scenario.fleet
     for number in range(2):
         await asyncio.sleep(3.0)
         version = StreamingVersion(f"n{number}", EVENTS, PAUSE_SECONDS)
@@ -360,10 +363,7 @@
         for _ in range(REPLICAS_PER_VERSION):
             await scenario.add(version)
         await asyncio.sleep(scenario.rng.uniform(0.0, 1.5))
-        await asyncio.gather(*(fleet.kill(daemon) for daemon in fleet.daemons))
-        await asyncio.sleep(1.0)
-        for daemon in fleet.daemons:
-            fleet.start(daemon)
+        await _lose_all(scenario.fleet)
         await asyncio.sleep(2.0)
 
 
