streams: logged how old the knowledge is with which streams without a record go on

Cause: a stream that was continued without a record had one line, which did not tell what the node knew: a node out of step, a wrong record and an answer that was joined within looked alike.

Change: resumed lines have known_version and proof_age_ms, and railsail_origin_proof_age_seconds counts the age.

No decision changes.

--- a/benchmarks/releases.py
+++ b/benchmarks/releases.py
@@ -219,9 +219,7 @@
             calls.append(asyncio.ensure_future(self._call(stream, daemon, phase, is_named)))
         await asyncio.gather(*calls)
 
-    async def _call(
-        self, stream: LeftStream, daemon: Daemon, phase: Phase, is_named: bool
-    ) -> None:
+    async def _call(self, stream: LeftStream, daemon: Daemon, phase: Phase, is_named: bool) -> None:
         headers = {
             "Request_Id": f"{stream.name}-again",
             "Last_Event_Id": str(stream.events[-1][0]),
--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -65,6 +65,10 @@
             "railsail_resumed_streams_total",
             "Streams that callers resumed, by what this node could find out about their start.",
         )
+        self.origin_proof_age = self._histogram(
+            "railsail_origin_proof_age_seconds",
+            "Age of the proof with which streams without a record were continued.",
+        )
         self.stored_streams = self._counter(
             "railsail_stored_streams_total",
             "Records of streams that this node wrote to the store, or dropped since it could not.",
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -373,6 +373,7 @@
             self.view,
             self._all_dispatchers,
             self._stream_proof_age,
+            lambda: self.freshness.version(UPSTREAM),
             PROVED_SHARE * settings.watch_seconds,
             settings.first_start == "true",
             self._region,
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -76,9 +76,10 @@
     """The origins of streams known at this node, and those that it asks its peers for.
 
     ``dispatchers`` returns the nodes that dispatch, and ``proof_age`` the age in seconds of the
-    proof that this node has all changes of replicas and routes. ``longest_wait`` is the time in
-    seconds within which a new proof arrives while the store can be read. ``first_start`` is True if
-    the fleet has not run before.
+    proof that this node has all changes of replicas and routes. ``known_version`` returns the
+    store's version up to which it has those of replicas. ``longest_wait`` is the time in seconds
+    within which a new proof arrives while the store can be read. ``first_start`` is True if the
+    fleet has not run before.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         view: FleetView,
         dispatchers: Callable[[], set[str]],
         proof_age: Callable[[], float],
+        known_version: Callable[[], int],
         longest_wait: float,
         first_start: bool,
         own_region: str,
@@ -97,6 +99,7 @@
         self._view = view
         self._dispatchers = dispatchers
         self._proof_age = proof_age
+        self._known_version = known_version
         self._longest_wait = longest_wait
         self._own_region = own_region
         self._hub = hub
@@ -283,6 +286,8 @@
         if self._is_certain(host):
             certain.insert(0, _OWN)
         if certain and len(origins) == 1:
+            if certain[0] == _OWN:
+                self._metrics.origin_proof_age.observe({}, self._proof_age())
             return self._resumed(request, resumes, origins.pop(), certain[0], "only-origin")
         cause = self._uncertainty(host, origins)
         self._metrics.resumed_streams.inc({"result": cause})
@@ -296,6 +301,7 @@
             possible=" ".join(f"{o.pool}@{o.software_version}" for o in sorted(origins)),
             certain=" ".join(certain),
             replies=len(replies),
+            **self._proof_facts(),
         )
         return None
 
@@ -322,7 +328,7 @@
         result: str,
         age: float | None = None,
     ) -> StreamOrigin:
-        facts: dict[str, Fact] = {} if age is None else {"age_ms": round(age * 1000)}
+        facts = self._proof_facts() if age is None else {"age_ms": round(age * 1000)}
         self._metrics.resumed_streams.inc({"result": result})
         self._events.emit(
             Kind.RESUMED,
@@ -335,6 +341,12 @@
         )
         return origin
 
+    def _proof_facts(self) -> dict[str, Fact]:
+        """Return how outdated this node's knowledge of replicas and routes may be."""
+        age = self._proof_age()
+        facts: dict[str, Fact] = {"known_version": self._known_version()}
+        return facts | {"proof_age_ms": round(age * 1000)} if math.isfinite(age) else facts
+
     async def _ask(self, key: int, host: str) -> _Query:
         """Ask peers for stream ``key``, 0 for none, and where streams of ``host`` may begin."""
         number = self._next_number
--- a/tests/streams/test_service.py
+++ b/tests/streams/test_service.py
@@ -95,6 +95,7 @@
             View(self.members),
             set,
             lambda: self.proof_age,
+            lambda: 1,
             WAIT,
             True,
             "",
