--- /dev/null
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -0,0 +1,164 @@
+"""A node that does not hear of a new software version continues no stream at another one."""
+
+import asyncio
+import logging
+from unittest import mock
+
+from benchmarks.relay import Relay
+from railsail.node import Node
+from railsail.standins.fleet import free_ports
+from tests.platform.base import LONGEST_SECONDS, configuration
+from tests.platform.standins import StoreAccess, TurnedAway
+from tests.platform.streams import StreamingVersion, versions_of
+from tests.platform.test_streams import STREAMS, ResumedStreamTestCase
+
+# Proofs stay young for the whole test.
+WATCH_SECONDS = "20"
+UNCERTAIN = "it is not certain where the stream began"
+
+
+class OutOfStepTestCase(ResumedStreamTestCase):
+    """Two nodes behind a relay, each with a port of the store; ``self.node`` gets out of step."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        logging.getLogger("websockets").setLevel(logging.CRITICAL)
+        self.versions = self.versions[:1]
+        self.relay = Relay()
+        self.accesses: list[StoreAccess] = []
+
+    async def asyncTearDown(self) -> None:
+        await super().asyncTearDown()
+        self.relay.stop()
+        # The tasks of its connections end.
+        await asyncio.sleep(0.05)
+
+    async def serve_pair(self, **settings: str) -> None:
+        """Start the replicas and two nodes that know each other."""
+        self.peer = await self.serve_versions(**await self.placed(10), **settings)
+        self.node = await self.add_node(
+            seeds=self.peer.hub.own.node, **await self.placed(11), **settings
+        )
+        self.hold_lag(self.node)
+        await self.until(lambda: not self.node.not_ready())
+        await self.until(lambda: len(self.node.directory.all()) == len(self.replicas))
+        for one, other in ((self.node, self.peer), (self.peer, self.node)):
+            await self.until(lambda one=one, other=other: one.hub.connected(other.hub.own.node))
+
+    async def placed(self, number: int) -> dict[str, str]:
+        """Return the settings of a node with an address, a relay and a port of the store."""
+        ip = f"127.0.1.{number}"
+        access = self.store.add_access()
+        self.accesses.append(access)
+        peer_port, listen_port = free_ports(2, ip)
+        await self.relay.listen(ip, peer_port, listen_port)
+        return {
+            "node_ip": ip,
+            "peer_port": str(peer_port),
+            "listen_port": str(listen_port),
+            "store": f"127.0.0.1:{access.port}",
+            "watch_seconds": WATCH_SECONDS,
+        }
+
+    async def connect(self, node: Node) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        settings = node.settings
+        return await asyncio.open_connection(str(settings.node_ip), settings.caller_port)
+
+    def cut_store(self) -> None:
+        """Let the store be silent to the node, also in the calls that it waits for."""
+        self.accesses[1].turned_away = TurnedAway.SILENT
+
+    def cut_peers(self) -> None:
+        """Cut the node off from its peer."""
+        self.relay.cut(["127.0.1.10"], ["127.0.1.11"])
+
+    async def release(self) -> None:
+        """List replicas of a new version in place of the others, which the peer gets to know."""
+        version = StreamingVersion("v2", holds=True)
+        self.versions.append(version)
+        before = list(self.replicas)
+        for _ in before:
+            await self.add_replica(version.script, slots=2 * STREAMS, version=version.name)
+        for replica in before:
+            self.list_replica(replica, "draining", 2 * STREAMS, version="v1")
+        names = [replica.name for replica in before]
+        await self.until(lambda: all(self.peer.directory.get(name).leaving for name in names))
+
+    async def begin_at_new_version(self) -> dict[str, bytes]:
+        begun = await self.begin(self.peer, STREAMS)
+        for data in begun.values():
+            self.assertEqual(versions_of(data), {"v2"})
+        return begun
+
+    async def assert_none_joined(self, begun: dict[str, bytes]) -> int:
+        """Resume streams of v2 at the node, named and not; return how many went on."""
+        first = len(self.versions[0].received)
+        went_on = 0
+        for number, (name, data) in enumerate(begun.items()):
+            resumes = name if number % 2 else ""
+            answer = await asyncio.wait_for(
+                self.resume_stream(self.node, name, data, Resumes=resumes), LONGEST_SECONDS
+            )
+            if answer.status == 200:
+                self.assert_one_version(data + answer.body)
+                went_on += 1
+            else:
+                self.assertEqual(answer.status, 503)
+        self.assertEqual(len(self.versions[0].received), first)
+        return went_on
+
+
+class NodeOutOfStepTests(OutOfStepTestCase):
+    async def test_node_cut_off_during_a_release_continues_no_stream_at_the_old_version(self):
+        await self.serve_pair()
+        self.cut_store()
+        self.cut_peers()
+        await self.release()
+        begun = await self.begin_at_new_version()
+        self.assertEqual(await self.assert_none_joined(begun), 0)
+
+    async def test_node_that_hears_late_of_a_version_continues_no_stream_at_the_old_version(self):
+        await self.serve_pair()
+        self.cut_peers()
+        self.hold(mock.patch.object(self.node.directory, "_apply", lambda *args: None))
+        await self.release()
+        await self.assert_none_joined(await self.begin_at_new_version())
+
+    async def test_node_cut_off_as_a_route_moves_continues_no_stream_at_the_old_service(self):
+        await self.serve_pair()
+        self.cut_store()
+        self.cut_peers()
+        version = StreamingVersion("other", holds=True)
+        await self.add_replica(version.script, service="other", slots=2 * STREAMS, version="v1")
+        moved = configuration(4, resume={"service": "other"})
+        moved["services"].append({"name": "other", "health_path": "/h", "max_conns": 10})
+        self.store.put("config", "main", moved)
+        await self.until(lambda: self.peer.carrier.catalog.version == 4)
+        await self.until(lambda: len(self.peer.directory.of_pool("other")) == 1)
+        begun = await self.begin(self.peer, STREAMS)
+        self.assertEqual(await self.assert_none_joined(begun), 0)
+
+
+class NodeInTouchTests(OutOfStepTestCase):
+    """Streams of a single version go on at each node that can learn that it is the only one."""
+
+    async def assert_all_go_on(self, begun: dict[str, bytes]) -> None:
+        for name, data in begun.items():
+            answer = await self.resume_stream(self.node, name, data, Resumes="")
+            self.assertEqual(answer.status, 200, answer.body)
+            self.assert_one_version(data + answer.body)
+
+    async def test_streams_go_on_at_a_node_that_can_read_the_store(self):
+        await self.serve_pair()
+        await self.assert_all_go_on(await self.begin(self.peer, STREAMS))
+
+    async def test_streams_go_on_at_a_node_that_only_its_peers_can_read_the_store_for(self):
+        await self.serve_pair()
+        self.cut_store()
+        await self.assert_all_go_on(await self.begin(self.peer, STREAMS))
+
+    async def test_streams_go_on_at_a_node_that_reaches_the_store_but_no_peer(self):
+        await self.serve_pair()
+        begun = await self.begin(self.peer, STREAMS)
+        self.cut_peers()
+        await self.assert_all_go_on(begun)
