streams: read the store before a stream without a record goes on

Cause: a node took a bound on staleness for knowledge of now. It counted as certain for 2.2 s after its last proof that it had all changes; a proof says what was true when it was made, and the stream that is resumed may have begun after it. It counted itself as certain also where no peer replied.

Change: whether a stream can have begun in one place only is decided by a read of the store that is started after its caller has returned, one for all that wait. A node that cannot read asks three peers to (level 9 of the protocol); replies of older builds prove nothing, and they are replied to only after a read. What neither can say is refused. Queries to peers are a module of their own.

Ruled out: waiting until all nodes have lost their certainty before a version takes work (delays each release, and needs all builds to keep to it); newer proofs of peers (a change may be lost with a link, and arrive after the proof).

--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -65,9 +65,13 @@
             "railsail_resumed_streams_total",
             "Streams that callers resumed, by what this node could find out about their start.",
         )
-        self.origin_proof_age = self._histogram(
-            "railsail_origin_proof_age_seconds",
-            "Age of the proof with which streams without a record were continued.",
+        self.origin_read_age = self._histogram(
+            "railsail_origin_read_age_seconds",
+            "Age of the read with which streams without a record were continued.",
+        )
+        self.place_reads = self._counter(
+            "railsail_place_reads_total",
+            "Reads of the places where streams may have begun until now, by result.",
         )
         self.stored_streams = self._counter(
             "railsail_stored_streams_total",
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -77,6 +77,7 @@
 from railsail.store.proofs import ProofExchange
 from railsail.store.standby import PROVED_SHARE
 from railsail.store.watcher import StoreWatcher
+from railsail.streams.latest import LatestPlacesReader
 from railsail.streams.service import StreamOrigins
 from railsail.upstreams.connections import ConnectionPool
 from railsail.upstreams.directory import KIND as UPSTREAM
@@ -374,6 +375,9 @@
             self._all_dispatchers,
             self._stream_proof_age,
             lambda: self.freshness.version(UPSTREAM),
+            LatestPlacesReader(
+                self.store, self.freshness, self.view.size, self.clock, self.metrics
+            ),
             PROVED_SHARE * settings.watch_seconds,
             settings.first_start == "true",
             self._region,
--- a/railsail/peers/levels.py
+++ b/railsail/peers/levels.py
@@ -32,7 +32,9 @@
 PIECES = 7
 # Adds calls that ended because their replica fell silent.
 SILENCES = 8
-NEWEST = SILENCES
+# Adds queries about streams that peers answer after they have read the store.
+READS = 9
+NEWEST = READS
 
 # Numbers of the messages that distinguish level 1 from level 0, and the length of a heartbeat of
 # level 0 as an array: its number, configuration, members, upstreams, wants_reply.
--- a/railsail/peers/messages.py
+++ b/railsail/peers/messages.py
@@ -473,14 +473,17 @@
 class StreamQuery(Message, frozen=True, tag=38):
     """Ask where the stream ``key`` began, and where streams of ``host`` may begin.
 
-    The key is 0 for a stream whose caller does not name it.
+    The key is 0 for a stream whose caller does not name it. If ``reads`` is set, a receiver that
+    does not know the stream reads the store before it replies.
     """
 
     SINCE_LEVEL: ClassVar[int] = STREAMS
+    FIELD_COUNTS: ClassVar[Mapping[int, int]] = {SILENCES: 3}
 
     number: Natural
     key: Natural
     host: Text
+    reads: bool = False
 
 
 class StreamReply(Message, frozen=True, tag=39):
@@ -488,7 +491,8 @@
 
     ``known`` is where the stream began, empty if the sender does not know it; it was recorded
     ``age`` milliseconds ago. ``possible`` is where streams of the host may have begun recently.
-    ``complete`` is set if the sender is certain that it lacks none of these.
+    ``complete`` is set if the sender has read the store after the query, and lacks none of these.
+    Builds below the level ``READS`` set it if they lacked none a moment before the query.
     """
 
     SINCE_LEVEL: ClassVar[int] = STREAMS
--- a/railsail/store/freshness.py
+++ b/railsail/store/freshness.py
@@ -5,10 +5,15 @@
 the newest proof bounds how outdated the copy is.
 """
 
+from collections import defaultdict, deque
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
+# For how many seconds it is remembered which versions were proved when.
+REMEMBERED_SECONDS = 10.0
+
 
 class Proof(msgspec.Struct, frozen=True):
     """Proof that a node has all changes of ``kind`` up to the store's ``version``.
@@ -21,12 +26,20 @@
     at: float
 
 
+class _Recorded(NamedTuple):
+    """The version of a proof, and when this node recorded the proof."""
+
+    version: int
+    recorded_at: float
+
+
 class Freshness:
-    """The newest proof of each kind."""
+    """The newest proof of each kind, and the versions that were proved a moment ago."""
 
     def __init__(self, monotonic: Callable[[], float]) -> None:
         self._monotonic = monotonic
         self._proofs: dict[str, Proof] = {}
+        self._recorded: defaultdict[str, deque[_Recorded]] = defaultdict(deque)
         self._listeners: list[Callable[[Proof], None]] = []
 
     def on_own_proof(self, listener: Callable[[Proof], None]) -> None:
@@ -53,8 +66,17 @@
         if known is not None and (proof.at <= known.at or proof.version < known.version):
             return False
         self._proofs[proof.kind] = proof
+        self._remember(proof)
         return True
 
+    def _remember(self, proof: Proof) -> None:
+        now = self._monotonic()
+        recorded = self._recorded[proof.kind]
+        recorded.append(_Recorded(proof.version, now))
+        # The first one stays the newest of those that are that old.
+        while len(recorded) > 1 and recorded[1].recorded_at <= now - REMEMBERED_SECONDS:
+            recorded.popleft()
+
     def proofs(self) -> list[Proof]:
         """Return the newest proof of each kind."""
         return list(self._proofs.values())
@@ -68,6 +90,17 @@
         known = self._proofs.get(kind)
         return float("inf") if known is None else self._monotonic() - known.at
 
+    def settled_version(self, kind: str, seconds: float) -> int:
+        """Return the newest version of ``kind`` that this node knew to be proved ``seconds`` ago.
+
+        Return the first version that was proved if that was later, and 0 if none was. ``seconds``
+        are at most ``REMEMBERED_SECONDS``.
+        """
+        recorded = self._recorded[kind]
+        latest = self._monotonic() - seconds
+        settled = [entry.version for entry in recorded if entry.recorded_at <= latest]
+        return settled[-1] if settled else recorded[0].version if recorded else 0
+
     def version(self, kind: str) -> int:
         """Return the version of the newest proof of ``kind``, 0 if there is none."""
         known = self._proofs.get(kind)
--- a/railsail/streams/history.py
+++ b/railsail/streams/history.py
@@ -120,6 +120,19 @@
         self._restored_hosts = frozenset(p.host for p in places if isinstance(p, HostPool))
         self._restored_pools = frozenset(p.pool for p in places if isinstance(p, PoolVersion))
 
+    def add_versions(self, versions: Collection[PoolVersion], now: float) -> bool:
+        """Add versions that replicas had at some time until ``now``; return True if any is new."""
+        since = now - self.window
+        is_new = False
+        for place in versions:
+            recent = self._versions.setdefault(place.pool, _RecentItems())
+            if place.software_version not in recent.since(since):
+                recent.add_former(place.software_version, now)
+                is_new = True
+        if is_new:
+            self._forget_derived(now)
+        return is_new
+
     def observed_whole_window(self, now: float) -> bool:
         """Return True if this node itself has seen all changes in the window."""
         return now - self._complete_since >= self.window
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -7,27 +7,33 @@
 
 All nodes may be lost at once. While streams of a host may have begun in several places, some of the
 nodes that keep a record therefore write it to the store as well (``railsail.streams.archive``).
+
+What this node has heard says where streams began until a moment ago. Whether a stream without a
+record can have begun in one place only is therefore decided by a read of the store that is started
+after its caller has returned, here or at a peer (``railsail.streams.latest``).
 """
 
 import asyncio
 import enum
 import math
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from railsail.core.events import Fact, Kind
 from railsail.core.kernel import Kernel
+from railsail.core.tasks import TaskSet
 from railsail.membership.view import FleetView
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Route
 from railsail.peers.hub import PeerHub
-from railsail.peers.levels import STREAMS
-from railsail.peers.link import Identity
+from railsail.peers.levels import READS, STREAMS
 from railsail.peers.messages import StreamBegun, StreamQuery, StreamReply
 from railsail.peers.records import OriginRecord
 from railsail.streams import holders
 from railsail.streams.history import OriginHistory
+from railsail.streams.latest import READ_SECONDS, LatestPlaces, LatestPlacesReader
 from railsail.streams.origins import RETURN_SECONDS, OriginTable, StreamOrigin, stream_key
+from railsail.streams.queries import Query, StreamQueries
 from railsail.streams.recovery import RecordRecovery
 from railsail.streams.stored import Place
 from railsail.upstreams.directory import UpstreamDirectory
@@ -35,6 +41,11 @@
 
 # Maximum wait for the replies of peers. Those that are paused or cut off do not reply.
 QUERY_SECONDS = 0.3
+# Peers that are asked to read the store if this node cannot, and the maximum wait for replies.
+READING_PEERS = 3
+READING_SECONDS = READ_SECONDS
+# Maximum wait for a configuration that the store has and this node has not applied yet.
+CONFIGURATION_SECONDS = 0.3
 # The nodes that may keep records are determined anew after this time.
 REFRESH_SECONDS = 0.5
 # Links to such nodes that are opened at a time, so that a fleet that starts is not busy with them.
@@ -55,21 +66,18 @@
     SEVERAL_ORIGINS = "several-origins"
     STORE_NOT_READ = "store-not-read"
     HISTORY_INCOMPLETE = "history-incomplete"
+    CONFIGURATION_OUTDATED = "configuration-outdated"
 
 
-@dataclass
-class _Query:
-    """A query to peers that has not been answered by all of them; ``done`` ends the wait."""
+@dataclass(frozen=True)
+class _Certainty:
+    """``node`` knows all places where streams of a host have begun until ``read_at``.
 
-    message: StreamQuery
-    asked: set[str] = field(default_factory=set)
-    replies: dict[str, StreamReply] = field(default_factory=dict)
-    done: asyncio.Event = field(default_factory=asyncio.Event)
+    The time is ``None`` for a peer, which has read the store after it was asked.
+    """
 
-    @property
-    def found(self) -> tuple[str, StreamReply] | None:
-        """Return a peer that knows the stream and its reply, ``None`` if none does yet."""
-        return next(((node, reply) for node, reply in self.replies.items() if reply.known), None)
+    node: str
+    read_at: float | None = None
 
 
 class StreamOrigins:
@@ -77,9 +85,9 @@
 
     ``dispatchers`` returns the nodes that dispatch, and ``proof_age`` the age in seconds of the
     proof that this node has all changes of replicas and routes. ``known_version`` returns the
-    store's version up to which it has those of replicas. ``longest_wait`` is the time in seconds
-    within which a new proof arrives while the store can be read. ``first_start`` is True if the
-    fleet has not run before.
+    store's version up to which it has those of replicas, and ``reader`` reads those that it has
+    not. ``longest_wait`` is the time in seconds within which a new proof arrives while the store
+    can be read. ``first_start`` is True if the fleet has not run before.
     """
 
     def __init__(
@@ -89,6 +97,7 @@
         dispatchers: Callable[[], set[str]],
         proof_age: Callable[[], float],
         known_version: Callable[[], int],
+        reader: LatestPlacesReader,
         longest_wait: float,
         first_start: bool,
         own_region: str,
@@ -100,6 +109,7 @@
         self._dispatchers = dispatchers
         self._proof_age = proof_age
         self._known_version = known_version
+        self._reader = reader
         self._longest_wait = longest_wait
         self._own_region = own_region
         self._hub = hub
@@ -119,15 +129,16 @@
         # How many nodes write records to the store, this one included.
         self.writer_count = 1
         self._ambiguous_pools: frozenset[str] = frozenset()
+        self._configuration = 0
+        # Set and replaced with each new version of the configuration.
+        self._configured = asyncio.Event()
+        self._tasks = TaskSet()
         self._place_listeners: list[Callable[[], None]] = []
         self._record_listeners: list[Callable[[int, StreamOrigin], None]] = []
-        self._queries: dict[int, _Query] = {}
-        self._next_number = 1
+        self._queries = StreamQueries(hub)
         directory.on_change(self._observe_versions)
         hub.handle(StreamBegun, self._handle_begun)
         hub.handle(StreamQuery, self._handle_query)
-        hub.handle(StreamReply, self._handle_reply)
-        hub.on_up(self._link_up)
 
     def on_place(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` when the places where streams may begin have changed."""
@@ -158,6 +169,9 @@
         self.history.window = window if math.isinf(known) else max(known, window)
         if self.history.observe_pools(pools, self._clock.monotonic()):
             self._places_changed()
+        self._configuration = catalog.version
+        self._configured.set()
+        self._configured = asyncio.Event()
 
     def tick(self) -> None:
         """Do the periodic work; call it about twice a second."""
@@ -254,42 +268,80 @@
         record = self._table.find(key, self._clock.monotonic())
         if record is not None:
             age = self._clock.monotonic() - record.recorded_at
-            return self._resumed(request, resumes, record.origin, _OWN, "known", age)
+            facts: dict[str, Fact] = {"age_ms": round(age * 1000)}
+            return self._resumed(request, resumes, record.origin, _OWN, "known", facts)
         await self.recovery.wait(QUERY_SECONDS)
         stored = self.recovery.find(key)
         if stored is not None:
-            return self._resumed(request, resumes, stored, _STORE, "stored")
+            return self._resumed(request, resumes, stored, _STORE, "stored", {})
         replies: dict[str, StreamReply] = {}
-        # Without a record, more can be learnt from peers only if this node may have missed changes.
-        if key or not self._is_certain(host):
-            query = await self._ask(key, host)
-            if query.found is not None:
-                node, reply = query.found
-                origin = _to_origin(reply.known[0])
-                return self._resumed(request, resumes, origin, node, "known", reply.age / 1000)
+        if key:
+            asked = holders.asked(key, self._current_candidates())
+            query = await self._queries.ask(asked, key, host, QUERY_SECONDS)
+            if query.known is not None:
+                return self._resumed_as_known(request, resumes, query)
             replies = query.replies
-        return self._only_origin(request, host, resumes, replies)
+        certainty = await self._confirm(host)
+        if isinstance(certainty, Uncertainty):
+            asked = self._reading_peers()
+            query = await self._queries.ask(asked, key, host, READING_SECONDS, reads=True)
+            if query.known is not None:
+                return self._resumed_as_known(request, resumes, query)
+            replies |= query.replies
+            if query.complete is not None:
+                certainty = _Certainty(query.complete)
+        return self._only_origin(request, host, resumes, certainty, replies)
+
+    async def _confirm(self, host: str) -> _Certainty | Uncertainty:
+        """Return whether this node knows all places where streams of ``host`` began until now.
+
+        These include the places that it only learns from the store.
+        """
+        if not self._is_complete(host):
+            return Uncertainty.HISTORY_INCOMPLETE
+        places = await self._reader.read()
+        if not isinstance(places, LatestPlaces):
+            if places.history_lost:
+                self.history.interrupt(self._clock.monotonic())
+            return Uncertainty.STORE_NOT_READ
+        if self.history.add_versions(places.versions, self._clock.monotonic()):
+            self._places_changed()
+        if not await self._until_configured(places.configuration):
+            return Uncertainty.CONFIGURATION_OUTDATED
+        if not self._is_complete(host):
+            return Uncertainty.HISTORY_INCOMPLETE
+        return _Certainty(_OWN, places.read_at)
 
-    def _is_certain(self, host: str) -> bool:
-        """Return True if this node knows all places where streams of ``host`` may have begun."""
-        is_fresh = self._proof_age() <= self._longest_wait
-        return is_fresh and self.history.is_complete(host.lower(), self._clock.monotonic())
+    def _is_complete(self, host: str) -> bool:
+        return self.history.is_complete(host.lower(), self._clock.monotonic())
+
+    async def _until_configured(self, version: int) -> bool:
+        """Return True as soon as this node has ``version`` of the configuration, or a later one."""
+        try:
+            async with asyncio.timeout(CONFIGURATION_SECONDS):
+                while self._configuration < version:
+                    await self._configured.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def _only_origin(
-        self, request: str, host: str, resumes: str, replies: dict[str, StreamReply]
+        self,
+        request: str,
+        host: str,
+        resumes: str,
+        certainty: _Certainty | Uncertainty,
+        replies: dict[str, StreamReply],
     ) -> StreamOrigin | None:
         """Return where streams of ``host`` began, if that is certain and one place only."""
         origins = self._possible(host)
         for reply in replies.values():
             origins |= {_to_origin(record) for record in reply.possible}
-        certain = [node for node, reply in replies.items() if reply.complete]
-        if self._is_certain(host):
-            certain.insert(0, _OWN)
-        if certain and len(origins) == 1:
-            if certain[0] == _OWN:
-                self._metrics.origin_proof_age.observe({}, self._proof_age())
-            return self._resumed(request, resumes, origins.pop(), certain[0], "only-origin")
-        cause = self._uncertainty(host, origins)
+        if isinstance(certainty, _Certainty) and len(origins) == 1:
+            return self._resumed_at_only_origin(request, resumes, origins.pop(), certainty)
+        cause = certainty if isinstance(certainty, Uncertainty) else Uncertainty.NO_ORIGIN
+        if len(origins) > 1:
+            cause = Uncertainty.SEVERAL_ORIGINS
         self._metrics.resumed_streams.inc({"result": cause})
         self._events.emit(
             Kind.RESUMED,
@@ -299,26 +351,31 @@
             cause=cause,
             resumes=resumes,
             possible=" ".join(f"{o.pool}@{o.software_version}" for o in sorted(origins)),
-            certain=" ".join(certain),
+            certain=certainty.node if isinstance(certainty, _Certainty) else "",
             replies=len(replies),
             **self._proof_facts(),
         )
         return None
 
-    def _uncertainty(self, host: str, origins: set[StreamOrigin]) -> Uncertainty:
-        """Return why a stream of ``host`` is refused that may have begun at ``origins``."""
-        if len(origins) > 1:
-            return Uncertainty.SEVERAL_ORIGINS
-        if self._proof_age() > self._longest_wait:
-            return Uncertainty.STORE_NOT_READ
-        if not self.history.is_complete(host.lower(), self._clock.monotonic()):
-            return Uncertainty.HISTORY_INCOMPLETE
-        return Uncertainty.NO_ORIGIN
-
     def _possible(self, host: str) -> set[StreamOrigin]:
         """Return where streams of ``host`` may have begun recently, as far as known here."""
         return self.history.origins(host.lower(), self._clock.monotonic())
 
+    def _resumed_as_known(self, request: str, resumes: str, query: Query) -> StreamOrigin:
+        node, reply = query.known
+        origin = _to_origin(reply.known[0])
+        return self._resumed(request, resumes, origin, node, "known", {"age_ms": reply.age})
+
+    def _resumed_at_only_origin(
+        self, request: str, resumes: str, origin: StreamOrigin, certainty: _Certainty
+    ) -> StreamOrigin:
+        facts = self._proof_facts()
+        if certainty.read_at is not None:
+            age = self._clock.monotonic() - certainty.read_at
+            self._metrics.origin_read_age.observe({}, age)
+            facts["read_age_ms"] = round(age * 1000)
+        return self._resumed(request, resumes, origin, certainty.node, "only-origin", facts)
+
     def _resumed(
         self,
         request: str,
@@ -326,9 +383,8 @@
         origin: StreamOrigin,
         source: str,
         result: str,
-        age: float | None = None,
+        facts: dict[str, Fact],
     ) -> StreamOrigin:
-        facts = self._proof_facts() if age is None else {"age_ms": round(age * 1000)}
         self._metrics.resumed_streams.inc({"result": result})
         self._events.emit(
             Kind.RESUMED,
@@ -342,68 +398,57 @@
         return origin
 
     def _proof_facts(self) -> dict[str, Fact]:
-        """Return how outdated this node's knowledge of replicas and routes may be."""
+        """Return how outdated what this node has heard of replicas and routes may be."""
         age = self._proof_age()
         facts: dict[str, Fact] = {"known_version": self._known_version()}
         return facts | {"proof_age_ms": round(age * 1000)} if math.isfinite(age) else facts
 
-    async def _ask(self, key: int, host: str) -> _Query:
-        """Ask peers for stream ``key``, 0 for none, and where streams of ``host`` may begin."""
-        number = self._next_number
-        self._next_number += 1
-        query = _Query(StreamQuery(number, key, host))
-        self._queries[number] = query
-        try:
-            for node in holders.asked(key, self._current_candidates()):
-                self._ask_peer(query, node)
-            if query.asked:
-                async with asyncio.timeout(QUERY_SECONDS):
-                    await query.done.wait()
-        except TimeoutError:
-            pass
-        finally:
-            del self._queries[number]
-        return query
-
-    def _ask_peer(self, query: _Query, node: str) -> None:
-        """Send a query to ``node``, or as soon as there is a link, unless its build is too old."""
-        if self._hub.connected(node) and not self._hub.speaks(node, STREAMS):
-            query.asked.discard(node)
-            return
-        query.asked.add(node)
-        self._hub.send(node, query.message)
-
-    def _link_up(self, peer: Identity) -> None:
-        for query in self._queries.values():
-            if peer.node in query.asked and peer.node not in query.replies:
-                self._ask_peer(query, peer.node)
+    def _reading_peers(self) -> list[str]:
+        """Return peers that can read the store in place of this node."""
+        nodes = [
+            node
+            for nodes in self._current_candidates().values()
+            for node in nodes
+            if self._hub.speaks(node, READS)
+        ]
+        return self._rng.sample(nodes, min(READING_PEERS, len(nodes)))
 
     def _handle_begun(self, node: str, message: StreamBegun) -> None:
         origin = StreamOrigin(message.pool, message.software_version)
         self._record(message.key, origin, message.keep / 1000)
 
     def _handle_query(self, node: str, message: StreamQuery) -> None:
+        if self._known_record(message.key) is None and self._should_read_for(node, message):
+            self._tasks.start(self._read_and_reply(node, message))
+        else:
+            self._reply(node, message, False)
+
+    def _should_read_for(self, node: str, message: StreamQuery) -> bool:
+        # Older builds take each reply for one of a node that has just read the store.
+        return message.reads or not self._hub.speaks(node, READS)
+
+    async def _read_and_reply(self, node: str, message: StreamQuery) -> None:
+        certainty = await self._confirm(message.host)
+        self._reply(node, message, isinstance(certainty, _Certainty))
+
+    def _reply(self, node: str, message: StreamQuery, complete: bool) -> None:
         now = self._clock.monotonic()
         record = self._table.find(message.key, now)
-        stored = self.recovery.find(message.key)
-        origin = record.origin if record is not None else stored
+        known = self._known_record(message.key)
         possible = sorted(self._possible(message.host))[:MAX_POSSIBLE]
         reply = StreamReply(
             message.number,
-            [_to_record(origin)] if origin is not None else [],
+            [_to_record(known)] if known is not None else [],
             round((now - record.recorded_at) * 1000) if record is not None else 0,
             [_to_record(origin) for origin in possible],
-            self._is_certain(message.host),
+            complete,
         )
         self._hub.send(node, reply)
 
-    def _handle_reply(self, node: str, message: StreamReply) -> None:
-        query = self._queries.get(message.number)
-        if query is None:
-            return
-        query.replies[node] = message
-        if message.known or query.asked <= query.replies.keys():
-            query.done.set()
+    def _known_record(self, key: int) -> StreamOrigin | None:
+        """Return where stream ``key`` began, ``None`` if this node has no record of it."""
+        record = self._table.find(key, self._clock.monotonic())
+        return record.origin if record is not None else self.recovery.find(key)
 
 
 def keep_seconds(route: Route) -> float:
--- a/tests/store/test_freshness.py
+++ b/tests/store/test_freshness.py
@@ -30,6 +30,15 @@
         self.assertFalse(self.freshness.record(self.proof(6, 0.0)))
         self.assertAlmostEqual(self.freshness.age(KIND), 2.0)
 
+    def test_settled_version_is_the_newest_that_was_proved_before(self):
+        self.assertEqual(self.freshness.settled_version(KIND, 5.0), 0)
+        for version in range(1, 30):
+            self.freshness.record(self.proof(version, 0.0))
+            self.assertEqual(self.freshness.settled_version(KIND, 5.0), max(1, version - 5))
+            self.clock.advance(1.0)
+        self.clock.advance(60.0)
+        self.assertEqual(self.freshness.settled_version(KIND, 5.0), 29)
+
     def test_listeners_are_called_for_new_own_proofs_only(self):
         notified = []
         self.freshness.on_own_proof(notified.append)
--- /dev/null
+++ b/tests/streams/test_latest.py
@@ -0,0 +1,153 @@
+"""A read shows what the store held after it was asked for, and serves all that wait for it."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from railsail.configuration.repository import KIND as CONFIGURATION
+from railsail.core.clock import Clock
+from railsail.core.exceptions import StoreUnavailable
+from railsail.core.metrics import Metrics
+from railsail.store.base import WatchEvent, WatchResult
+from railsail.store.freshness import Freshness, Proof
+from railsail.streams import latest
+from railsail.streams.latest import LatestPlaces, LatestPlacesReader, ReadFailed
+from railsail.streams.stored import PoolVersion
+from railsail.upstreams.directory import KIND as UPSTREAM
+
+KNOWN_VERSION = 10
+RECORD = {"pool": "model", "endpoint": "10.0.0.1:80", "software_version": "v2"}
+
+
+class Store:
+    """Answers watches with ``events`` once it is released; it has changes since ``forgotten``."""
+
+    def __init__(self) -> None:
+        self.version = KNOWN_VERSION
+        self.events: dict[str, list[WatchEvent]] = {}
+        self.forgotten = 0
+        self.is_down = False
+        self.released = asyncio.Event()
+        self.released.set()
+        self.calls: list[tuple[str, int]] = []
+
+    async def watch(self, kinds: tuple[str, ...], since: int, seconds: float) -> WatchResult:
+        (kind,) = kinds
+        self.calls.append((kind, since))
+        version, events = self.version, tuple(self.events.get(kind, ()))
+        await self.released.wait()
+        if self.is_down:
+            raise StoreUnavailable("down")
+        return WatchResult(version, events, expired=since < self.forgotten)
+
+    def list_version(self, name: str = "i-1") -> None:
+        self.version += 1
+        event = WatchEvent(UPSTREAM, name, self.version, RECORD)
+        self.events.setdefault(UPSTREAM, []).append(event)
+
+
+class LatestPlacesTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.store = Store()
+        self.clock = Clock()
+        self.freshness = Freshness(self.clock.monotonic)
+        for kind in (UPSTREAM, CONFIGURATION):
+            self.freshness.record(Proof(kind, KNOWN_VERSION, self.clock.monotonic()))
+        self.reader = LatestPlacesReader(
+            self.store, self.freshness, lambda: 1, self.clock, Metrics()
+        )
+
+    async def test_versions_and_configuration_that_have_changed_are_returned(self):
+        self.store.list_version()
+        self.store.events[CONFIGURATION] = [
+            WatchEvent(CONFIGURATION, "head", 12, {"version": 7, "objects": []})
+        ]
+        before = self.clock.monotonic()
+        places = await self.reader.read()
+        self.assertEqual(places.versions, {PoolVersion("model", "v2")})
+        self.assertEqual(places.configuration, 7)
+        self.assertGreaterEqual(places.read_at, before)
+
+    async def test_removed_and_invalid_replicas_are_no_places(self):
+        self.store.events[UPSTREAM] = [
+            WatchEvent(UPSTREAM, "i-1", 11, None),
+            WatchEvent(UPSTREAM, "i-2", 12, {}),
+        ]
+        self.assertEqual((await self.reader.read()).versions, frozenset())
+
+    async def test_request_that_arrives_during_a_read_waits_for_the_next_one(self):
+        self.store.released.clear()
+        first = asyncio.ensure_future(self.reader.read())
+        while not self.store.calls:
+            await asyncio.sleep(0)
+        self.store.list_version()
+        second = [asyncio.ensure_future(self.reader.read()) for _ in range(3)]
+        await asyncio.sleep(0.01)
+        self.store.released.set()
+        self.assertEqual((await first).versions, frozenset())
+        for places in await asyncio.gather(*second):
+            self.assertEqual(places.versions, {PoolVersion("model", "v2")})
+        # Each read is one call for replicas and one for the configuration.
+        self.assertEqual(len(self.store.calls), 4)
+
+    async def test_caller_that_leaves_does_not_end_the_read_of_the_others(self):
+        self.store.released.clear()
+        leaving, staying = (asyncio.ensure_future(self.reader.read()) for _ in range(2))
+        await asyncio.sleep(0.01)
+        leaving.cancel()
+        self.store.released.set()
+        self.assertIsInstance(await staying, LatestPlaces)
+
+    async def test_all_that_wait_fail_with_a_read_that_fails(self):
+        self.store.released.clear()
+        self.store.is_down = True
+        first = asyncio.ensure_future(self.reader.read())
+        while not self.store.calls:
+            await asyncio.sleep(0)
+        second = asyncio.ensure_future(self.reader.read())
+        await asyncio.sleep(0.01)
+        self.store.released.set()
+        self.assertIsInstance(await first, ReadFailed)
+        self.assertIsInstance(await second, ReadFailed)
+        self.assertIsInstance(await self.reader.read(), ReadFailed)
+        self.assertEqual(len(self.store.calls), 2)
+
+    async def test_store_is_read_again_a_moment_after_a_failure(self):
+        self.store.is_down = True
+        with mock.patch.object(latest, "FAILURE_SECONDS", 0.0):
+            self.assertIsInstance(await self.reader.read(), ReadFailed)
+            self.store.is_down = False
+            self.assertIsInstance(await self.reader.read(), LatestPlaces)
+
+    async def test_silent_store_is_waited_for_only_a_moment(self):
+        self.store.released.clear()
+        with mock.patch.object(latest, "READ_SECONDS", 0.01):
+            self.assertIsInstance(await self.reader.read(), ReadFailed)
+
+    async def test_changes_are_read_again_from_a_version_that_was_proved_a_while_ago(self):
+        self.freshness.record(Proof(UPSTREAM, KNOWN_VERSION + 5, self.clock.monotonic() + 1))
+        await self.reader.read()
+        self.assertIn((UPSTREAM, KNOWN_VERSION), self.store.calls)
+
+    async def test_store_with_a_shorter_history_is_read_from_the_newest_version(self):
+        self.freshness.record(Proof(UPSTREAM, KNOWN_VERSION + 5, self.clock.monotonic() + 1))
+        self.freshness.record(Proof(CONFIGURATION, KNOWN_VERSION + 5, self.clock.monotonic() + 1))
+        self.store.forgotten = KNOWN_VERSION + 5
+        self.assertIsInstance(await self.reader.read(), LatestPlaces)
+
+    async def test_changes_that_the_store_has_forgotten_are_reported(self):
+        self.store.forgotten = KNOWN_VERSION + 1
+        result = await self.reader.read()
+        self.assertIsInstance(result, ReadFailed)
+        self.assertTrue(result.history_lost)
+
+    async def test_node_that_has_read_nothing_yet_makes_no_call(self):
+        reader = LatestPlacesReader(
+            self.store, Freshness(self.clock.monotonic), lambda: 1, self.clock, Metrics()
+        )
+        self.assertIsInstance(await reader.read(), ReadFailed)
+        self.assertEqual(self.store.calls, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/streams/test_service.py
+++ b/tests/streams/test_service.py
@@ -10,12 +10,15 @@
 from railsail.core.kernel import Kernel
 from railsail.core.metrics import Metrics
 from railsail.membership.table import Member, MemberState
+from railsail.peers.levels import READS
 from railsail.peers.link import Identity
 from railsail.peers.messages import StreamBegun, StreamQuery, StreamReply
 from railsail.peers.records import OriginRecord
 from railsail.streams import service
+from railsail.streams.latest import LatestPlaces, ReadFailed
 from railsail.streams.origins import StreamOrigin, stream_key
-from railsail.streams.service import StreamOrigins
+from railsail.streams.service import StreamOrigins, Uncertainty
+from railsail.streams.stored import PoolVersion
 from railsail.upstreams.directory import UpstreamDirectory
 
 OWN = "n0"
@@ -23,6 +26,7 @@
 V1 = StreamOrigin("model", "v1")
 KNOWN = [OriginRecord("model", "v1")]
 WAIT = 2.0
+FAILED = ReadFailed("the store is away")
 
 
 class Hub:
@@ -32,6 +36,8 @@
         self.own = Identity(OWN, 1)
         self.down: set[str] = set()
         self.older: set[str] = set()
+        # Builds that do not read the store for others.
+        self.unable: set[str] = set()
         self.handlers = {}
         self.up_listeners = []
         self.sent: list[tuple[str, object]] = []
@@ -47,7 +53,7 @@
         return node not in self.down
 
     def speaks(self, node: str, level: int) -> bool:
-        return node not in self.down | self.older
+        return node not in self.down | self.older | (self.unable if level >= READS else set())
 
     def dial(self, node: str) -> None:
         self.dialled.append(node)
@@ -81,6 +87,19 @@
         return self._members
 
 
+class Reader:
+    """Reads of the store that have ``result``."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.result: LatestPlaces | ReadFailed | None = None
+        self.count = 0
+
+    async def read(self) -> LatestPlaces | ReadFailed:
+        self.count += 1
+        return self.result or LatestPlaces(self._clock.monotonic(), 1, frozenset(), 0)
+
+
 class ServiceTestCase(unittest.IsolatedAsyncioTestCase):
     members = 4
 
@@ -89,6 +108,7 @@
         self.kernel = Kernel(clock, random.Random(1), EventLog(OWN, clock), Metrics())
         self.hub = Hub()
         self.proof_age = 0.0
+        self.reader = Reader(clock)
         directory = UpstreamDirectory(lambda *args: None, self.kernel.events)
         self.origins = StreamOrigins(
             directory,
@@ -96,6 +116,7 @@
             set,
             lambda: self.proof_age,
             lambda: 1,
+            self.reader,
             WAIT,
             True,
             "",
@@ -168,12 +189,95 @@
             self.assertEqual(await finding, found)
 
     async def test_peers_that_may_have_missed_changes_prove_nothing(self):
-        self.proof_age = 10 * WAIT
+        self.reader.result = FAILED
         finding = self.find()
+        for _ in range(2):
+            for node, query in await self.queries():
+                self.reply(node, query, possible=KNOWN)
+        self.assertIsNone(await finding)
+
+
+class ReadTests(ServiceTestCase):
+    """Only a read of the store that is started after a caller has returned shows all places."""
+
+    async def test_place_that_is_read_counts(self):
+        versions = frozenset({PoolVersion("model", "v1"), PoolVersion("model", "v2")})
+        self.reader.result = LatestPlaces(0.0, 1, versions, 0)
+        self.origins.history.observe_pools({HOST: ["model"]}, 0.0)
+        self.assertIsNone(await self.find(""))
+        metric = self.kernel.metrics.resumed_streams
+        self.assertEqual(metric.get({"result": Uncertainty.SEVERAL_ORIGINS}), 1)
+
+    async def test_store_is_not_read_for_a_stream_with_a_record(self):
+        self.origins.began("one", ["r-1"], V1, 30.0)
+        self.assertEqual(await self.find(), V1)
+        self.assertEqual(self.reader.count, 0)
+
+    async def test_peer_reads_if_this_node_cannot(self):
+        self.reader.result = FAILED
+        finding = self.find("")
+        queries = await self.queries()
+        self.assertEqual([query.reads for _, query in queries], [True] * service.READING_PEERS)
+        self.reply(*queries[0], possible=KNOWN, complete=True)
+        self.assertEqual(await finding, V1)
+
+    async def test_reply_of_a_peer_that_was_not_asked_to_read_proves_nothing(self):
+        self.reader.result = FAILED
+        finding = self.find()
+        for node, query in await self.queries():
+            self.assertFalse(query.reads)
+            self.reply(node, query, possible=KNOWN, complete=True)
         for node, query in await self.queries():
             self.reply(node, query, possible=KNOWN)
         self.assertIsNone(await finding)
 
+    async def test_peers_of_builds_that_do_not_read_are_not_asked_to(self):
+        self.reader.result = FAILED
+        self.hub.unable = {"n1", "n2", "n3"}
+        with mock.patch.object(service, "READING_SECONDS", 30.0):
+            self.assertIsNone(await asyncio.wait_for(self.find(""), 5.0))
+        self.assertEqual(self.hub.pop(StreamQuery), [])
+
+    async def test_node_that_is_asked_to_read_says_whether_it_could(self):
+        for result, complete in ((None, True), (FAILED, False)):
+            self.reader.result = result
+            self.hub.handlers[StreamQuery]("n2", StreamQuery(7, 0, HOST, True))
+            await asyncio.sleep(0.01)
+            ((_, reply),) = self.hub.pop(StreamReply)
+            self.assertEqual(reply.complete, complete)
+
+    async def test_node_reads_for_a_peer_only_if_it_is_asked_to(self):
+        self.hub.handlers[StreamQuery]("n2", StreamQuery(7, 5, HOST))
+        ((_, reply),) = self.hub.pop(StreamReply)
+        self.assertFalse(reply.complete)
+        self.assertEqual(self.reader.count, 0)
+
+    async def test_node_reads_before_it_replies_to_an_older_build(self):
+        # It takes a reply that is complete for certain, whenever the sender has read the store.
+        self.hub.unable = {"n2"}
+        self.hub.handlers[StreamQuery]("n2", StreamQuery(7, 5, HOST))
+        self.assertEqual(self.hub.pop(StreamReply), [])
+        await asyncio.sleep(0.01)
+        ((_, reply),) = self.hub.pop(StreamReply)
+        self.assertTrue(reply.complete)
+        self.assertEqual(self.reader.count, 1)
+
+    async def test_node_that_lacks_a_configuration_is_not_certain(self):
+        self.reader.result = LatestPlaces(0.0, 1, frozenset(), 4)
+        with (
+            mock.patch.object(service, "CONFIGURATION_SECONDS", 0.01),
+            mock.patch.object(service, "READING_SECONDS", 0.01),
+        ):
+            self.assertIsNone(await self.find(""))
+        metric = self.kernel.metrics.resumed_streams
+        self.assertEqual(metric.get({"result": Uncertainty.CONFIGURATION_OUTDATED}), 1)
+
+    async def test_changes_that_the_store_has_forgotten_may_have_been_places(self):
+        self.reader.result = ReadFailed("history", history_lost=True)
+        with mock.patch.object(service, "READING_SECONDS", 0.01):
+            self.assertIsNone(await self.find(""))
+        self.assertFalse(self.origins.history.is_complete(HOST, self.kernel.clock.monotonic()))
+
 
 class RecordTests(ServiceTestCase):
     async def test_record_is_sent_to_peers_that_can_read_it(self):
