--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -37,6 +37,30 @@
     calls: list[str] = field(default_factory=list)
 
 
+class RawItem(dict):
+    """An object that another program wrote: its metadata, and the ``text`` that the store returns.
+
+    A ``%d`` in the text is the revision.
+    """
+
+    def __init__(self, name: str, revision: int, text: str) -> None:
+        super().__init__(metadata={"name": name, "revision": revision})
+        self.text = text
+
+    def copy(self) -> "RawItem":
+        return RawItem(self["metadata"]["name"], self["metadata"]["revision"], self.text)
+
+
+def _copied(item: dict) -> dict:
+    return item.copy() if isinstance(item, RawItem) else json.loads(json.dumps(item))
+
+
+def _to_text(item: dict) -> str:
+    if isinstance(item, RawItem):
+        return item.text.replace("%d", str(item["metadata"]["revision"]))
+    return json.dumps(item)
+
+
 class PlatformStoreStandin:
     """Objects by kind and name, a counter of revisions, lists in pages, and watches."""
 
@@ -67,6 +91,13 @@
         held = self.objects.get((kind, name), {})
         self._put(kind, name, {"spec": spec, "status": held.get("status")})
 
+    def put_raw(self, kind: str, name: str, text: str) -> None:
+        """Write an object as ``text``, in which ``%d`` is the revision."""
+        self.revision += 1
+        item = RawItem(name, self.revision, text)
+        self.objects[(kind, name)] = item
+        self._tell(kind, item, False)
+
     def put_status(self, kind: str, name: str, status: object) -> None:
         held = self.objects[(kind, name)]
         if held.get("status") != status:
@@ -88,7 +119,7 @@
         self.forgotten = self.revision
 
     def _tell(self, kind: str, item: dict, gone: bool) -> None:
-        self.changes.append((kind, json.loads(json.dumps(item)), gone))
+        self.changes.append((kind, _copied(item), gone))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -208,7 +239,7 @@
             if item is None:
                 self.set_status(404)
             else:
-                self.finish(json.dumps(item))
+                self.finish(_to_text(item))
             return
         since = self.get_query_argument("watch", "")
         await (self._watch(parts[0], int(since)) if since else self._list(parts[0]))
@@ -217,9 +248,9 @@
         after = self.get_query_argument("since_rev", "")
         names = sorted(name for held, name in self.store.objects if held == kind and name > after)
         page = names[: self.store.page]
-        items = [self.store.objects[(kind, name)] for name in page]
-        more = len(names) > len(page)
-        self.finish(json.dumps({"items": items, "more": more, "at": self.store.revision}))
+        items = ",".join(_to_text(self.store.objects[(kind, name)]) for name in page)
+        more = json.dumps(len(names) > len(page))
+        self.finish(f'{{"items": [{items}], "more": {more}, "at": {self.store.revision}}}')
 
     async def _watch(self, kind: str, since: int) -> None:
         if since < self.store.forgotten or since > self.store.revision:
@@ -236,12 +267,12 @@
             return
         if self.store.era:
             self.set_header("Store-Era", str(self.store.era))
-        body = {"events": self._events(kind, since), "at": self.store.revision}
-        self.finish(json.dumps(body))
+        events = ",".join(self._events(kind, since))
+        self.finish(f'{{"events": [{events}], "at": {self.store.revision}}}')
 
-    def _events(self, kind: str, since: int) -> list[dict]:
+    def _events(self, kind: str, since: int) -> list[str]:
         return [
-            {"gone": gone, "object": item}
+            f'{{"gone": {json.dumps(gone)}, "object": {_to_text(item)}}}'
             for held, item, gone in self.store.changes
             if held == kind and item["metadata"]["revision"] > since
         ]
