platform: decoded what other programs wrote without following its nesting

What callers saw: after another writer had left one deeply nested entry among those of the replicas, no change of the replicas was followed by any daemon, and a daemon that started then knew none.

Cause: RecursionError is neither a DecodeError nor a ValueError. It came out of the decoding of the answer, out of the recovery of its other objects and out of each kind's reader, so that the part that reads was restarted for ever. Class: an error of one entry that ends the reading of all.

Change: one function decodes what is in the store, and raises one kind of error. A single object is recovered as those of a list are. A replica's record that peers would refuse is invalid, since it would hide those beside it in their message. Fuzzing found two more: an infinite number made an answer unreadable, and int() of one raised out of the reader of records.

Tests of invalid objects expect the new error in place of msgspec's, as strictly.

--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -15,6 +15,7 @@
 from railsail.objects.kinds import CostUnit, Pool, PoolShare, Resource, Route, Workspace
 from railsail.objects.parse import to_plain
 from railsail.objects.reading import UNREADABLE
+from railsail.platform.decoding import UndecodableObject, decode
 from railsail.routing.defaults import DEFAULT_CLASS, DEFAULT_POLICY
 
 MS_PER_SECOND = 1000.0
@@ -187,9 +188,9 @@
     """Return the platform's configuration as the head object of railsail's configuration.
 
     A route, service or tenant that cannot be decoded becomes an object that says why. Raise
-    ``msgspec.DecodeError`` if not even the version and the lists can be decoded.
+    ``UndecodableObject`` if not even the version and the lists can be decoded.
     """
-    given = msgspec.json.decode(spec, type=Configuration)
+    given = decode(spec, Configuration)
     objects = [to_plain(DEFAULT_CLASS), to_plain(DEFAULT_POLICY)]
     for count, stored in enumerate(_stored_objects(given)):
         objects.append(stored)
@@ -224,8 +225,8 @@
     """Yield the decoded ``items``, and a stored object that says why for those that cannot be."""
     for number, raw in enumerate(items):
         try:
-            yield msgspec.json.decode(raw, type=shape)
-        except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+            yield decode(raw, shape)
+        except UndecodableObject as problem:
             yield _unreadable(kind, number, raw, str(problem))
 
 
@@ -235,8 +236,8 @@
     It has what tells the requests that the entry is about, but no keys, which may be secret.
     """
     try:
-        given = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        given = decode(raw, Any)
+    except UndecodableObject:
         given = None
     fields = given if isinstance(given, dict) else {}
     name = fields.get("name")
@@ -276,9 +277,9 @@
 def replica_value(spec: bytes) -> dict[str, object]:
     """Return a replica's entry as a listed record of railsail's directory.
 
-    Raise ``msgspec.DecodeError`` if it cannot be decoded.
+    Raise ``UndecodableObject`` if it cannot be decoded.
     """
-    given = msgspec.json.decode(spec, type=Server)
+    given = decode(spec, Server)
     return {
         "pool": given.service,
         "endpoint": given.addr,
@@ -294,10 +295,10 @@
 def rollout_value(spec: bytes, status: bytes) -> dict[str, object]:
     """Return the rollout that ``spec`` orders, and its ``status``.
 
-    Raise ``msgspec.DecodeError`` if the order cannot be decoded. A status that cannot be decoded
+    Raise ``UndecodableObject`` if the order cannot be decoded. A status that cannot be decoded
     counts as empty, so that the order still takes effect and its status is written again.
     """
-    given = msgspec.json.decode(spec, type=RolloutSpec)
+    given = decode(spec, RolloutSpec)
     return {
         "service": given.service,
         "target_version": given.target_version,
@@ -308,8 +309,8 @@
 
 def _rollout_status(status: bytes) -> RolloutStatus:
     try:
-        return msgspec.json.decode(status, type=RolloutStatus | None) or RolloutStatus()
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        return decode(status, RolloutStatus | None) or RolloutStatus()
+    except UndecodableObject as problem:
         get_logger().warning("invalid rollout status", reason=str(problem))
         return RolloutStatus()
 
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -13,6 +13,7 @@
 from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
 from railsail.core.slices import run_sliced
+from railsail.platform.decoding import UndecodableObject, decode, decode_plain
 from railsail.platform.objects import (
     Changes,
     ListPage,
@@ -21,7 +22,7 @@
     replica_value,
     rollout_value,
 )
-from railsail.platform.recovery import recover_objects
+from railsail.platform.recovery import recover_object, recover_objects
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
 from railsail.store.calls import GONE, NOT_FOUND, StoreCalls
 from railsail.store.versions import era_of, revision_of, to_version
@@ -38,7 +39,7 @@
 
 
 async def _plain(spec: bytes, status: bytes) -> dict[str, object]:
-    return msgspec.json.decode(spec, type=dict)
+    return decode_plain(spec)
 
 
 async def _configuration(spec: bytes, status: bytes) -> dict[str, object]:
@@ -111,7 +112,7 @@
         response = await self._call("get", "GET", path)
         if response.code == NOT_FOUND:
             return None
-        return await _object(kind, _decode(response, StoredItem), _generation(response))
+        return await _object(kind, _decode_one(response), _generation(response))
 
     async def list(self, kind: str) -> Listing:
         """Return all objects of ``kind``."""
@@ -223,20 +224,29 @@
 
 def _decode(response: HTTPResponse, shape: type):
     try:
-        return msgspec.json.decode(response.body, type=shape)
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        return decode(response.body, shape)
+    except UndecodableObject as problem:
         raise StoreUnavailable(f"the store's answer cannot be read: {problem}") from None
 
 
+def _decode_one(response: HTTPResponse) -> StoredItem:
+    """Return an answer with one object, without its spec if that is not valid JSON."""
+    return _recovered(response, StoredItem, recover_object)
+
+
 def _decode_many(response: HTTPResponse, shape: type):
     """Return an answer with many objects, also if one of them has invalid bytes."""
+    return _recovered(response, shape, recover_objects)
+
+
+def _recovered(response: HTTPResponse, shape: type, recover: Callable[[bytes], bytes]):
     try:
-        return msgspec.json.decode(response.body, type=shape)
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        return decode(response.body, shape)
+    except UndecodableObject as problem:
         get_logger().warning("invalid answer of the store: recovering objects", reason=str(problem))
     try:
-        return msgspec.json.decode(recover_objects(response.body), type=shape)
-    except msgspec.DecodeError as problem:
+        return decode(recover(response.body), shape)
+    except UndecodableObject as problem:
         raise StoreUnavailable(f"the store's answer cannot be read: {problem}") from None
 
 
@@ -245,7 +255,7 @@
     name = known.to_product(item.metadata.name)
     try:
         value = await known.read(item.spec, item.status)
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+    except UndecodableObject as problem:
         if known.product_name:
             raise StoreUnavailable(f"{kind}/{name} cannot be read: {problem}") from None
         # An invalid object must not hide the others. The listener to its kind refuses empty values.
--- a/railsail/store/http.py
+++ b/railsail/store/http.py
@@ -90,8 +90,8 @@
 def _body(response: HTTPResponse) -> dict:
     try:
         body = json.loads(response.body)
-    except ValueError as problem:
-        raise StoreUnavailable(f"the store's answer is not JSON: {problem}") from None
+    except (ValueError, RecursionError) as problem:
+        raise StoreUnavailable(f"the store's answer cannot be decoded: {problem}") from None
     if not isinstance(body, dict):
         raise StoreUnavailable("the store's answer is not an object")
     return body
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -150,8 +150,8 @@
         if answer.status < 400:
             try:
                 body = json.loads(answer.body)
-            except ValueError:
-                return Unknown("the answer is not JSON")
+            except (ValueError, RecursionError):
+                return Unknown("the answer is not JSON that can be decoded")
             if not isinstance(body, dict) or body.get("id") != call.request_id:
                 return Unknown("the answer bore another request's id")
             cost = _total_tokens(body)
@@ -210,7 +210,7 @@
             return None
         try:
             return _parse_load(json.loads(answer.body))
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, OverflowError, RecursionError, AttributeError):
             return None
 
     async def cancel(self, call: UpstreamCall) -> None:
--- a/railsail/upstreams/records.py
+++ b/railsail/upstreams/records.py
@@ -79,7 +79,8 @@
             cold_ms=int(value.get("cold", 0)),
             software_version=str(value.get("software_version", "")),
         )
-    except (KeyError, TypeError, ValueError) as problem:
+        _check_bounds(parsed)
+    except (KeyError, TypeError, ValueError, OverflowError) as problem:
         invalid_records.reject(event.name, f"{type(problem).__name__}: {problem}")
         return None
     invalid_records.accept(event.name)
@@ -103,6 +104,11 @@
     return UpstreamRecord(*_fields(upstream))
 
 
+def _check_bounds(upstream: Upstream) -> None:
+    """Raise ``ValueError`` if peers would refuse ``upstream``, with the message that it is in."""
+    msgspec.convert(_fields(upstream), UpstreamRecord)
+
+
 def from_record(record: UpstreamRecord) -> Upstream:
     """Return the replica that ``record``, received from a peer, describes."""
     name, pool, endpoint, domain, version, listed, *rest = msgspec.structs.astuple(record)
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -3,13 +3,12 @@
 import json
 import unittest
 
-import msgspec
-
 from railsail.configuration.changes import Snapshot, restore_steps
 from railsail.core.slices import run_at_once
 from railsail.objects.catalog import hash_key
 from railsail.objects.checks import check_catalog
 from railsail.objects.kinds import Route
+from railsail.platform.decoding import UndecodableObject
 from railsail.platform.objects import configuration_steps, replica_value
 
 
@@ -113,7 +112,7 @@
 
     def test_invalid_configuration_raises(self):
         for spec in (b"{", b"[]", b'{"routes": []}', b'{"version": "x"}'):
-            with self.subTest(spec=spec), self.assertRaises(msgspec.DecodeError):
+            with self.subTest(spec=spec), self.assertRaises(UndecodableObject):
                 configuration_value(spec)
 
 
@@ -134,9 +133,9 @@
         wrong += [SERVER | {"addr": 7}, SERVER | {"zone": None}, SERVER | {"service": ""}]
         wrong += [SERVER | {"cold_left_ms": "soon"}]
         for spec in [*lacking, *wrong, 7, "text", [], None]:
-            with self.subTest(spec=spec), self.assertRaises(msgspec.DecodeError):
+            with self.subTest(spec=spec), self.assertRaises(UndecodableObject):
                 replica_value(json.dumps(spec).encode())
-        with self.assertRaises(msgspec.DecodeError):
+        with self.assertRaises(UndecodableObject):
             replica_value(b'{"service": "\xff\xfe"}')
 
     def test_start_and_cold_time_are_converted(self):
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -112,10 +112,10 @@
                 await self.until(lambda: not node.directory.evacuations.active("b"))
 
     async def test_rollout_beside_an_odd_one_is_followed(self):
-        node = await self.serve(answering())
+        node = await self.serve(answering(), expose_share="0.1")
         self.store.put_raw("rollouts", NAME, entry(nested(DEEP)))
         order = {"service": "desk", "target_version": "v2", "duration_s": 60}
-        self.store.put("rollouts", "one", order)
+        self.store.put("rollouts", "desk", order)
         await self.until(lambda: node.directory.rollout("desk") is not None)
 
     async def test_odd_objects_of_railsails_own_kinds_do_not_stop_a_node_that_starts(self):
