streams: refused a stream with several possible origins without a read of the store

Cause: a read of the store can only add places. Where several are known already, as during each release, a stream without a record was refused only after three calls to the store, and after queries to peers where these failed.

Change: it is refused at once. Whether all places are known is a module of its own.

A test counts the reads, none now where there were some.

--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -14,10 +14,8 @@
 """
 
 import asyncio
-import enum
 import math
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
 
 from railsail.core.events import Fact, Kind
 from railsail.core.kernel import Kernel
@@ -30,8 +28,9 @@
 from railsail.peers.messages import StreamBegun, StreamQuery, StreamReply
 from railsail.peers.records import OriginRecord
 from railsail.streams import holders
+from railsail.streams.certainty import Certainty, CertaintyCheck, Uncertainty
 from railsail.streams.history import OriginHistory
-from railsail.streams.latest import READ_SECONDS, LatestPlaces, LatestPlacesReader
+from railsail.streams.latest import READ_SECONDS, LatestPlacesReader
 from railsail.streams.origins import RETURN_SECONDS, OriginTable, StreamOrigin, stream_key
 from railsail.streams.queries import Query, StreamQueries
 from railsail.streams.recovery import RecordRecovery
@@ -44,8 +43,6 @@
 # Peers that are asked to read the store if this node cannot, and the maximum wait for replies.
 READING_PEERS = 3
 READING_SECONDS = READ_SECONDS
-# Maximum wait for a configuration that the store has and this node has not applied yet.
-CONFIGURATION_SECONDS = 0.3
 # The nodes that may keep records are determined anew after this time.
 REFRESH_SECONDS = 0.5
 # Links to such nodes that are opened at a time, so that a fleet that starts is not busy with them.
@@ -59,27 +56,6 @@
 _STORE = "store"
 
 
-class Uncertainty(enum.StrEnum):
-    """Why it is not certain where a stream without a record began."""
-
-    NO_ORIGIN = "no-origin"
-    SEVERAL_ORIGINS = "several-origins"
-    STORE_NOT_READ = "store-not-read"
-    HISTORY_INCOMPLETE = "history-incomplete"
-    CONFIGURATION_OUTDATED = "configuration-outdated"
-
-
-@dataclass(frozen=True)
-class _Certainty:
-    """``node`` knows all places where streams of a host have begun until ``read_at``.
-
-    The time is ``None`` for a peer, which has read the store after it was asked.
-    """
-
-    node: str
-    read_at: float | None = None
-
-
 class StreamOrigins:
     """The origins of streams known at this node, and those that it asks its peers for.
 
@@ -109,7 +85,6 @@
         self._dispatchers = dispatchers
         self._proof_age = proof_age
         self._known_version = known_version
-        self._reader = reader
         self._longest_wait = longest_wait
         self._own_region = own_region
         self._hub = hub
@@ -119,6 +94,7 @@
         self._metrics = kernel.metrics
         self._table = OriginTable()
         self.history = OriginHistory(first_start, kernel.clock.monotonic())
+        self._check = CertaintyCheck(_OWN, self.history, reader, self._places_changed, kernel.clock)
         self._was_proved = False
         self._candidates: dict[str, list[str]] = {}
         self._candidates_with_own: dict[str, list[str]] = {}
@@ -129,9 +105,6 @@
         # How many nodes write records to the store, this one included.
         self.writer_count = 1
         self._ambiguous_pools: frozenset[str] = frozenset()
-        self._configuration = 0
-        # Set and replaced with each new version of the configuration.
-        self._configured = asyncio.Event()
         self._tasks = TaskSet()
         self._place_listeners: list[Callable[[], None]] = []
         self._record_listeners: list[Callable[[int, StreamOrigin], None]] = []
@@ -169,9 +142,7 @@
         self.history.window = window if math.isinf(known) else max(known, window)
         if self.history.observe_pools(pools, self._clock.monotonic()):
             self._places_changed()
-        self._configuration = catalog.version
-        self._configured.set()
-        self._configured = asyncio.Event()
+        self._check.configured(catalog.version)
 
     def tick(self) -> None:
         """Do the periodic work; call it about twice a second."""
@@ -281,7 +252,9 @@
             if query.known is not None:
                 return self._resumed_as_known(request, resumes, query)
             replies = query.replies
-        certainty = await self._confirm(host)
+        if len(self._possible(host, replies)) > 1:
+            return self._refused(request, host, resumes, Uncertainty.SEVERAL_ORIGINS, replies)
+        certainty = await self._check.run(host)
         if isinstance(certainty, Uncertainty):
             asked = self._reading_peers()
             query = await self._queries.ask(asked, key, host, READING_SECONDS, reads=True)
@@ -289,59 +262,35 @@
                 return self._resumed_as_known(request, resumes, query)
             replies |= query.replies
             if query.complete is not None:
-                certainty = _Certainty(query.complete)
+                certainty = Certainty(query.complete)
         return self._only_origin(request, host, resumes, certainty, replies)
 
-    async def _confirm(self, host: str) -> _Certainty | Uncertainty:
-        """Return whether this node knows all places where streams of ``host`` began until now.
-
-        These include the places that it only learns from the store.
-        """
-        if not self._is_complete(host):
-            return Uncertainty.HISTORY_INCOMPLETE
-        places = await self._reader.read()
-        if not isinstance(places, LatestPlaces):
-            if places.history_lost:
-                self.history.interrupt(self._clock.monotonic())
-            return Uncertainty.STORE_NOT_READ
-        if self.history.add_versions(places.versions, self._clock.monotonic()):
-            self._places_changed()
-        if not await self._until_configured(places.configuration):
-            return Uncertainty.CONFIGURATION_OUTDATED
-        if not self._is_complete(host):
-            return Uncertainty.HISTORY_INCOMPLETE
-        return _Certainty(_OWN, places.read_at)
-
-    def _is_complete(self, host: str) -> bool:
-        return self.history.is_complete(host.lower(), self._clock.monotonic())
-
-    async def _until_configured(self, version: int) -> bool:
-        """Return True as soon as this node has ``version`` of the configuration, or a later one."""
-        try:
-            async with asyncio.timeout(CONFIGURATION_SECONDS):
-                while self._configuration < version:
-                    await self._configured.wait()
-        except TimeoutError:
-            return False
-        return True
-
     def _only_origin(
         self,
         request: str,
         host: str,
         resumes: str,
-        certainty: _Certainty | Uncertainty,
+        certainty: Certainty | Uncertainty,
         replies: dict[str, StreamReply],
     ) -> StreamOrigin | None:
         """Return where streams of ``host`` began, if that is certain and one place only."""
-        origins = self._possible(host)
-        for reply in replies.values():
-            origins |= {_to_origin(record) for record in reply.possible}
-        if isinstance(certainty, _Certainty) and len(origins) == 1:
+        origins = self._possible(host, replies)
+        if isinstance(certainty, Certainty) and len(origins) == 1:
             return self._resumed_at_only_origin(request, resumes, origins.pop(), certainty)
         cause = certainty if isinstance(certainty, Uncertainty) else Uncertainty.NO_ORIGIN
         if len(origins) > 1:
             cause = Uncertainty.SEVERAL_ORIGINS
+        return self._refused(request, host, resumes, cause, replies)
+
+    def _refused(
+        self,
+        request: str,
+        host: str,
+        resumes: str,
+        cause: Uncertainty,
+        replies: dict[str, StreamReply],
+    ) -> None:
+        possible = sorted(self._possible(host, replies))
         self._metrics.resumed_streams.inc({"result": cause})
         self._events.emit(
             Kind.RESUMED,
@@ -350,16 +299,20 @@
             notable=True,
             cause=cause,
             resumes=resumes,
-            possible=" ".join(f"{o.pool}@{o.software_version}" for o in sorted(origins)),
-            certain=certainty.node if isinstance(certainty, _Certainty) else "",
+            possible=" ".join(f"{o.pool}@{o.software_version}" for o in possible),
             replies=len(replies),
             **self._proof_facts(),
         )
-        return None
 
-    def _possible(self, host: str) -> set[StreamOrigin]:
-        """Return where streams of ``host`` may have begun recently, as far as known here."""
-        return self.history.origins(host.lower(), self._clock.monotonic())
+    def _possible(self, host: str, replies: dict[str, StreamReply]) -> set[StreamOrigin]:
+        """Return where streams of ``host`` may have begun recently, as far as known.
+
+        ``replies`` are those of peers to a query about such a stream.
+        """
+        origins = self.history.origins(host.lower(), self._clock.monotonic())
+        for reply in replies.values():
+            origins |= {_to_origin(record) for record in reply.possible}
+        return origins
 
     def _resumed_as_known(self, request: str, resumes: str, query: Query) -> StreamOrigin:
         node, reply = query.known
@@ -367,7 +320,7 @@
         return self._resumed(request, resumes, origin, node, "known", {"age_ms": reply.age})
 
     def _resumed_at_only_origin(
-        self, request: str, resumes: str, origin: StreamOrigin, certainty: _Certainty
+        self, request: str, resumes: str, origin: StreamOrigin, certainty: Certainty
     ) -> StreamOrigin:
         facts = self._proof_facts()
         if certainty.read_at is not None:
@@ -428,14 +381,14 @@
         return message.reads or not self._hub.speaks(node, READS)
 
     async def _read_and_reply(self, node: str, message: StreamQuery) -> None:
-        certainty = await self._confirm(message.host)
-        self._reply(node, message, isinstance(certainty, _Certainty))
+        certainty = await self._check.run(message.host)
+        self._reply(node, message, isinstance(certainty, Certainty))
 
     def _reply(self, node: str, message: StreamQuery, complete: bool) -> None:
         now = self._clock.monotonic()
         record = self._table.find(message.key, now)
         known = self._known_record(message.key)
-        possible = sorted(self._possible(message.host))[:MAX_POSSIBLE]
+        possible = sorted(self._possible(message.host, {}))[:MAX_POSSIBLE]
         reply = StreamReply(
             message.number,
             [_to_record(known)] if known is not None else [],
--- a/tests/streams/test_service.py
+++ b/tests/streams/test_service.py
@@ -14,10 +14,11 @@
 from railsail.peers.link import Identity
 from railsail.peers.messages import StreamBegun, StreamQuery, StreamReply
 from railsail.peers.records import OriginRecord
-from railsail.streams import service
+from railsail.streams import certainty, service
+from railsail.streams.certainty import Uncertainty
 from railsail.streams.latest import LatestPlaces, ReadFailed
 from railsail.streams.origins import StreamOrigin, stream_key
-from railsail.streams.service import StreamOrigins, Uncertainty
+from railsail.streams.service import StreamOrigins
 from railsail.streams.stored import PoolVersion
 from railsail.upstreams.directory import UpstreamDirectory
 
@@ -208,6 +209,12 @@
         metric = self.kernel.metrics.resumed_streams
         self.assertEqual(metric.get({"result": Uncertainty.SEVERAL_ORIGINS}), 1)
 
+    async def test_store_is_not_read_where_several_places_are_known(self):
+        self.origins.history.observe_pools({HOST: ["model"]}, 0.0)
+        self.origins.history.observe_versions({"model": ["v1", "v2"]}, 0.0)
+        self.assertIsNone(await self.find(""))
+        self.assertEqual(self.reader.count, 0)
+
     async def test_store_is_not_read_for_a_stream_with_a_record(self):
         self.origins.began("one", ["r-1"], V1, 30.0)
         self.assertEqual(await self.find(), V1)
@@ -265,7 +272,7 @@
     async def test_node_that_lacks_a_configuration_is_not_certain(self):
         self.reader.result = LatestPlaces(0.0, 1, frozenset(), 4)
         with (
-            mock.patch.object(service, "CONFIGURATION_SECONDS", 0.01),
+            mock.patch.object(certainty, "CONFIGURATION_SECONDS", 0.01),
             mock.patch.object(service, "READING_SECONDS", 0.01),
         ):
             self.assertIsNone(await self.find(""))
