streams: moved the nodes that keep records into a module of their own

Cause: streams/service.py had two jobs, the records of streams and which nodes keep them.

Change: CandidateNodes determines the nodes, who writes, who is asked, who reads, and opens links.

--- a/railsail/streams/part.py
+++ b/railsail/streams/part.py
@@ -54,7 +54,7 @@
         )
         self._archive = RecordArchive(
             node.store,
-            lambda: origins.writer_count,
+            lambda: origins.candidates.writer_count,
             self._window,
             node.clock,
             node.rng,
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -24,10 +24,10 @@
 from railsail.objects.catalog import Catalog
 from railsail.objects.kinds import Route
 from railsail.peers.hub import PeerHub
-from railsail.peers.levels import READS, STREAMS
+from railsail.peers.levels import READS
 from railsail.peers.messages import StreamBegun, StreamQuery, StreamReply
 from railsail.peers.records import OriginRecord
-from railsail.streams import holders
+from railsail.streams.candidates import CandidateNodes
 from railsail.streams.certainty import Certainty, CertaintyCheck, Uncertainty
 from railsail.streams.history import OriginHistory
 from railsail.streams.latest import READ_SECONDS, LatestPlacesReader
@@ -40,13 +40,8 @@
 
 # Maximum wait for the replies of peers. Those that are paused or cut off do not reply.
 QUERY_SECONDS = 0.3
-# Peers that are asked to read the store if this node cannot, and the maximum wait for replies.
-READING_PEERS = 3
+# Maximum wait for the replies of peers that are asked to read the store.
 READING_SECONDS = READ_SECONDS
-# The nodes that may keep records are determined anew after this time.
-REFRESH_SECONDS = 0.5
-# Links to such nodes that are opened at a time, so that a fleet that starts is not busy with them.
-MAX_DIALS = 3
 # Changes may have been missed if the newest proof that this node has all of them is older than this
 # many of the longest waits for a new one.
 INTERRUPTED_SHARE = 2.0
@@ -81,29 +76,23 @@
         kernel: Kernel,
     ) -> None:
         self._directory = directory
-        self._view = view
-        self._dispatchers = dispatchers
         self._proof_age = proof_age
         self._known_version = known_version
         self._longest_wait = longest_wait
-        self._own_region = own_region
         self._hub = hub
         self._clock = kernel.clock
-        self._rng = kernel.rng
         self._events = kernel.events
         self._metrics = kernel.metrics
         self._table = OriginTable()
         self.history = OriginHistory(first_start, kernel.clock.monotonic())
         self._check = CertaintyCheck(_OWN, self.history, reader, self._places_changed, kernel.clock)
         self._was_proved = False
-        self._candidates: dict[str, list[str]] = {}
-        self._candidates_with_own: dict[str, list[str]] = {}
-        self._refresh_at = 0.0
+        self.candidates = CandidateNodes(
+            view, dispatchers, own_region, hub, kernel.clock, kernel.rng
+        )
         self.recovery = RecordRecovery(kernel.clock)
         # Set while this node follows the store, but may have missed places before.
         self.lacks_places = asyncio.Event()
-        # How many nodes write records to the store, this one included.
-        self.writer_count = 1
         self._ambiguous_pools: frozenset[str] = frozenset()
         self._tasks = TaskSet()
         self._place_listeners: list[Callable[[], None]] = []
@@ -155,7 +144,7 @@
         self._ambiguous_pools = self.history.ambiguous_pools(now)
         if age <= self._longest_wait and not self.history.is_trusted(now):
             self.lacks_places.set()
-        self._dial_candidates()
+        self.candidates.dial()
 
     def _observe_versions(self) -> None:
         versions: dict[str, set[str]] = {}
@@ -177,9 +166,7 @@
 
     def _store_record(self, key: int, origin: StreamOrigin) -> None:
         """Have the record of a stream stored, if this node is one of those that do so."""
-        self._current_candidates()
-        own = self._hub.own.node
-        if own in holders.writers(key, self._candidates_with_own, self._own_region):
+        if self.candidates.writes(key):
             for listener in self._record_listeners:
                 listener(key, origin)
 
@@ -188,44 +175,16 @@
         if origin.pool in self._ambiguous_pools:
             self._store_record(key, origin)
 
-    def _dial_candidates(self) -> None:
-        nodes = [node for nodes in self._current_candidates().values() for node in nodes]
-        missing = [node for node in nodes if not self._hub.connected(node)]
-        # In random order: all nodes of a fleet that starts dial the same candidates.
-        for node in self._rng.sample(missing, min(MAX_DIALS, len(missing))):
-            self._hub.dial(node)
-
-    def _current_candidates(self) -> dict[str, list[str]]:
-        now = self._clock.monotonic()
-        if now >= self._refresh_at:
-            self._refresh_at = now + REFRESH_SECONDS
-            own = self._hub.own.node
-            members = self._view.usable_members()
-            dispatchers = self._dispatchers()
-            others = [each for each in members if each.node != own]
-            self._candidates = holders.candidates(others, dispatchers)
-            self._candidates_with_own = holders.candidates(members, dispatchers)
-            self.writer_count = sum(len(nodes) for nodes in self._candidates_with_own.values())
-        return self._candidates
-
-    def _reachable_candidates(self) -> dict[str, list[str]]:
-        """Return the candidates of each region that can be sent messages about streams now."""
-        return {
-            region: [node for node in nodes if self._hub.speaks(node, STREAMS)]
-            for region, nodes in self._current_candidates().items()
-        }
-
     def began(self, workspace: str, requests: list[str], origin: StreamOrigin, keep: float) -> None:
         """Record that a stream began at ``origin``, here and at peers, for ``keep`` seconds.
 
         ``requests`` are the ids by which its caller may name it.
         """
-        by_region = self._reachable_candidates()
         for request in requests:
             key = stream_key(workspace, request)
             self._record(key, origin, keep)
             message = StreamBegun(key, origin.pool, origin.software_version, round(keep * 1000))
-            for node in holders.keepers(key, by_region, self._own_region):
+            for node in self.candidates.keepers(key):
                 self._hub.send(node, message)
 
     async def find(
@@ -247,7 +206,7 @@
             return self._resumed(request, resumes, stored, _STORE, "stored", {})
         replies: dict[str, StreamReply] = {}
         if key:
-            asked = holders.asked(key, self._current_candidates())
+            asked = self.candidates.asked(key)
             query = await self._queries.ask(asked, key, host, QUERY_SECONDS)
             if query.known is not None:
                 return self._resumed_as_known(request, resumes, query)
@@ -256,7 +215,7 @@
             return self._refused(request, host, resumes, Uncertainty.SEVERAL_ORIGINS, replies)
         certainty = await self._check.run(host)
         if isinstance(certainty, Uncertainty):
-            asked = self._reading_peers()
+            asked = self.candidates.readers()
             query = await self._queries.ask(asked, key, host, READING_SECONDS, reads=True)
             if query.known is not None:
                 return self._resumed_as_known(request, resumes, query)
@@ -356,16 +315,6 @@
         facts: dict[str, Fact] = {"known_version": self._known_version()}
         return facts | {"proof_age_ms": round(age * 1000)} if math.isfinite(age) else facts
 
-    def _reading_peers(self) -> list[str]:
-        """Return peers that can read the store in place of this node."""
-        nodes = [
-            node
-            for nodes in self._current_candidates().values()
-            for node in nodes
-            if self._hub.speaks(node, READS)
-        ]
-        return self._rng.sample(nodes, min(READING_PEERS, len(nodes)))
-
     def _handle_begun(self, node: str, message: StreamBegun) -> None:
         origin = StreamOrigin(message.pool, message.software_version)
         self._record(message.key, origin, message.keep / 1000)
--- a/tests/streams/test_service.py
+++ b/tests/streams/test_service.py
@@ -14,7 +14,7 @@
 from railsail.peers.link import Identity
 from railsail.peers.messages import StreamBegun, StreamQuery, StreamReply
 from railsail.peers.records import OriginRecord
-from railsail.streams import certainty, service
+from railsail.streams import candidates, certainty, service
 from railsail.streams.certainty import Uncertainty
 from railsail.streams.latest import LatestPlaces, ReadFailed
 from railsail.streams.origins import StreamOrigin, stream_key
@@ -224,7 +224,7 @@
         self.reader.result = FAILED
         finding = self.find("")
         queries = await self.queries()
-        self.assertEqual([query.reads for _, query in queries], [True] * service.READING_PEERS)
+        self.assertEqual([query.reads for _, query in queries], [True] * candidates.READING_PEERS)
         self.reply(*queries[0], possible=KNOWN, complete=True)
         self.assertEqual(await finding, V1)
 
