streams: made the calls of a read of the store at the same time

Cause: a read waited for the list before it watched, two round trips.

Change: the list and the watches are sent together, and a watch that lacks changes of the list is repeated once. The limit is 0.5 s. What shows that a watch is behind stays the same.

Ruled out: a longer limit alone, since the caller waits for it where the store is silent.

--- a/railsail/streams/latest.py
+++ b/railsail/streams/latest.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from railsail.configuration.repository import HEAD
@@ -24,7 +24,7 @@
 from railsail.upstreams.records import parse_record
 
 # Maximum wait for the answers of the store.
-READ_SECONDS = 0.4
+READ_SECONDS = 0.5
 # All nodes make this many reads a second together at most, of three calls each, so that the load of
 # the store is bounded when many streams are resumed everywhere.
 READS_PER_SECOND = 600
@@ -126,11 +126,11 @@
         read_at = self._clock.monotonic()
         try:
             async with asyncio.timeout(READ_SECONDS):
-                # Lists are never outdated, but watches may be. This list is short, and says which
-                # version the store has by now.
-                listing = await self._store.list(EVACUATION)
-                upstreams, configuration = await asyncio.gather(
-                    self._upstream_changes(), self._changed_configuration(listing.version)
+                latest = asyncio.ensure_future(self._latest_version())
+                version, upstreams, configuration = await asyncio.gather(
+                    latest,
+                    self._until(latest, self._upstream_changes),
+                    self._changed_configuration(latest),
                 )
         except StoreUnavailable as problem:
             return ReadFailed(str(problem))
@@ -138,11 +138,28 @@
             return ReadFailed("the store did not answer in time")
         if upstreams.expired:
             return ReadFailed("the store has forgotten changes", history_lost=True)
-        if upstreams.version < listing.version:
+        if upstreams.version < version:
             return ReadFailed("a watch of the store lags behind its lists")
         versions = self._versions(upstreams.events)
         return LatestPlaces(read_at, upstreams.version, versions, configuration)
 
+    async def _latest_version(self) -> int:
+        """Return the store's version by now, from a short list.
+
+        Lists are never outdated, but watches may be.
+        """
+        return (await self._store.list(EVACUATION)).version
+
+    async def _until(
+        self, latest: asyncio.Future[int], watch: Callable[[], Awaitable[WatchResult]]
+    ) -> WatchResult:
+        """Return the result of ``watch``, which is repeated once if it lacks changes."""
+        result = await watch()
+        if not result.expired and result.version < await latest:
+            # The store may have answered the watch before the list.
+            result = await watch()
+        return result
+
     async def _upstream_changes(self) -> WatchResult:
         settled = self._freshness.settled_version(UPSTREAM, SETTLING_SECONDS)
         newest = self._freshness.version(UPSTREAM)
@@ -152,13 +169,11 @@
             result = await self._changes(UPSTREAM, newest)
         return result
 
-    async def _changed_configuration(self, latest: int) -> int:
-        """Return the version of the configuration if it has changed, else 0.
-
-        Changes up to the store's version ``latest`` count.
-        """
-        changes = await self._changes(CONFIGURATION, self._freshness.version(CONFIGURATION))
-        if not changes.expired and changes.version >= latest:
+    async def _changed_configuration(self, latest: asyncio.Future[int]) -> int:
+        """Return the version of the configuration if it has changed, else 0."""
+        known = self._freshness.version(CONFIGURATION)
+        changes = await self._until(latest, lambda: self._changes(CONFIGURATION, known))
+        if not changes.expired and changes.version >= await latest:
             return max((_configuration_version(event) for event in changes.events), default=0)
         stored = await self._store.get(CONFIGURATION, HEAD)
         return _configuration_version(stored) if stored is not None else 0
--- a/tests/streams/test_latest.py
+++ b/tests/streams/test_latest.py
@@ -29,6 +29,8 @@
         self.is_down = False
         # By how many versions watches are behind.
         self.lag = 0
+        # Whether a watch that is repeated is not behind.
+        self.catches_up = False
         self.released = asyncio.Event()
         self.released.set()
         self.calls: list[tuple[str, int]] = []
@@ -42,7 +44,8 @@
     async def watch(self, kinds: tuple[str, ...], since: int, seconds: float) -> WatchResult:
         (kind,) = kinds
         self.calls.append((kind, since))
-        version = self.version - self.lag
+        is_repeated = self.calls.count((kind, since)) > 1
+        version = self.version - (0 if self.catches_up and is_repeated else self.lag)
         events = tuple(e for e in self.events.get(kind, ()) if e.version <= version)
         await self.released.wait()
         if self.is_down:
@@ -157,6 +160,14 @@
         self.store.version = self.store.forgotten = KNOWN_VERSION + 5
         self.assertEqual((await self.reader.read()).configuration, 9)
 
+    async def test_watch_that_was_answered_before_the_list_is_repeated(self):
+        self.store.list_version()
+        self.store.lag = 1
+        self.store.catches_up = True
+        places = await self.reader.read()
+        self.assertEqual(places.versions, {PoolVersion("model", "v2")})
+        self.assertEqual(len(self.store.calls), 4)
+
     async def test_watch_that_is_behind_the_store_shows_nothing(self):
         self.store.list_version()
         self.store.lag = 1
