streams: read the store's version from the list of replicas where there are no evacuations

Cause: a store that does not know the kind of evacuations answers 404, which names no version, so that a watch that is behind would have counted as current.

Change: the replicas are listed then. The test fails without the change.

--- a/railsail/streams/latest.py
+++ b/railsail/streams/latest.py
@@ -17,6 +17,7 @@
 from railsail.core.metrics import Metrics
 from railsail.store.base import Store, StoredObject, WatchEvent, WatchResult
 from railsail.store.freshness import Freshness
+from railsail.store.versions import revision_of
 from railsail.streams.stored import PoolVersion
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.evacuations import KIND as EVACUATION
@@ -148,7 +149,11 @@
 
         Lists are never outdated, but watches may be.
         """
-        return (await self._store.list(EVACUATION)).version
+        version = (await self._store.list(EVACUATION)).version
+        if revision_of(version):
+            return version
+        # The store does not know the kind, and names no version.
+        return (await self._store.list(UPSTREAM)).version
 
     async def _until(
         self, latest: asyncio.Future[int], watch: Callable[[], Awaitable[WatchResult]]
--- a/tests/streams/test_latest.py
+++ b/tests/streams/test_latest.py
@@ -14,6 +14,7 @@
 from railsail.streams.latest import LatestPlaces, LatestPlacesReader, ReadFailed
 from railsail.streams.stored import PoolVersion
 from railsail.upstreams.directory import KIND as UPSTREAM
+from railsail.upstreams.evacuations import KIND as EVACUATION
 
 KNOWN_VERSION = 10
 RECORD = {"pool": "model", "endpoint": "10.0.0.1:80", "software_version": "v2"}
@@ -29,6 +30,7 @@
         self.is_down = False
         # By how many versions watches are behind.
         self.lag = 0
+        self.unknown_kind = ""
         # Whether a watch that is repeated is not behind.
         self.catches_up = False
         self.released = asyncio.Event()
@@ -36,7 +38,7 @@
         self.calls: list[tuple[str, int]] = []
 
     async def list(self, kind: str) -> Listing:
-        return Listing(self.version, ())
+        return Listing(0 if kind == self.unknown_kind else self.version, ())
 
     async def get(self, kind: str, name: str) -> StoredObject:
         return StoredObject(kind, name, self.version, {"version": 9, "objects": []})
@@ -173,6 +175,13 @@
         self.store.lag = 1
         self.assertIsInstance(await self.reader.read(), ReadFailed)
 
+    async def test_watch_that_is_behind_a_store_without_evacuations_shows_nothing(self):
+        self.store.unknown_kind = EVACUATION
+        self.assertIsInstance(await self.reader.read(), LatestPlaces)
+        self.store.list_version()
+        self.store.lag = 1
+        self.assertIsInstance(await self.reader.read(), ReadFailed)
+
     async def test_node_that_has_read_nothing_yet_makes_no_call(self):
         reader = LatestPlacesReader(
             self.store, Freshness(self.clock.monotonic), lambda: 1, self.clock, Metrics()
