streams: kept reading the store after an answer that nobody expects

A node at which one request waited for the next read meanwhile answered all such requests so until its end, also once the entry was gone.

Cause: only two kinds of errors ended a read as a failure. Any other left the task of the next read, which had waited for it, as the one that all later callers join.

Evidence: both tests fail without the change (RecursionError in the read after the failed one).

--- a/railsail/streams/latest.py
+++ b/railsail/streams/latest.py
@@ -123,19 +123,26 @@
         return result
 
     async def _read(self) -> LatestPlaces | ReadFailed:
-        read_at = self._clock.monotonic()
         try:
             async with asyncio.timeout(READ_SECONDS):
-                # Lists are never outdated, but watches may be. This list is short, and says which
-                # version the store has by now.
-                listing = await self._store.list(EVACUATION)
-                upstreams, configuration = await asyncio.gather(
-                    self._upstream_changes(), self._changed_configuration(listing.version)
-                )
+                return await self._read_places()
         except StoreUnavailable as problem:
             return ReadFailed(str(problem))
         except TimeoutError:
             return ReadFailed("the store did not answer in time")
+        except Exception as problem:
+            # The reads that wait for this one would fail with it, and so would all later ones.
+            get_logger().exception("an answer of the store about replicas could not be read")
+            return ReadFailed(f"{type(problem).__name__}: {problem}")
+
+    async def _read_places(self) -> LatestPlaces | ReadFailed:
+        read_at = self._clock.monotonic()
+        # Lists are never outdated, but watches may be. This list is short, and says which version
+        # the store has by now.
+        listing = await self._store.list(EVACUATION)
+        upstreams, configuration = await asyncio.gather(
+            self._upstream_changes(), self._changed_configuration(listing.version)
+        )
         if upstreams.expired:
             return ReadFailed("the store has forgotten changes", history_lost=True)
         if upstreams.version < listing.version:
--- a/tests/streams/test_latest.py
+++ b/tests/streams/test_latest.py
@@ -32,15 +32,26 @@
         self.released = asyncio.Event()
         self.released.set()
         self.calls: list[tuple[str, int]] = []
+        # All calls, also those that are not watches.
+        self.count = 0
+        # What the next list raises.
+        self.problem: Exception | None = None
 
     async def list(self, kind: str) -> Listing:
+        self.count += 1
+        if self.problem is not None:
+            await self.released.wait()
+            problem, self.problem = self.problem, None
+            raise problem
         return Listing(self.version, ())
 
     async def get(self, kind: str, name: str) -> StoredObject:
+        self.count += 1
         return StoredObject(kind, name, self.version, {"version": 9, "objects": []})
 
     async def watch(self, kinds: tuple[str, ...], since: int, seconds: float) -> WatchResult:
         (kind,) = kinds
+        self.count += 1
         self.calls.append((kind, since))
         version = self.version - self.lag
         events = tuple(e for e in self.events.get(kind, ()) if e.version <= version)
@@ -162,6 +173,25 @@
         self.store.lag = 1
         self.assertIsInstance(await self.reader.read(), ReadFailed)
 
+    async def test_reads_go_on_after_an_answer_that_nobody_expects(self):
+        patch = mock.patch.object(latest, "FAILURE_SECONDS", 0.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.store.problem = RecursionError("nested too deeply")
+        self.store.released.clear()
+        first = asyncio.ensure_future(self.reader.read())
+        while not self.store.count:
+            await asyncio.sleep(0)
+        second = asyncio.ensure_future(self.reader.read())
+        await asyncio.sleep(0.01)
+        self.store.released.set()
+        await asyncio.gather(first, second, return_exceptions=True)
+        self.assertIsInstance(await self.reader.read(), LatestPlaces)
+
+    async def test_answer_that_nobody_expects_is_a_failed_read(self):
+        self.store.problem = RecursionError("nested too deeply")
+        self.assertIsInstance(await self.reader.read(), ReadFailed)
+
     async def test_node_that_has_read_nothing_yet_makes_no_call(self):
         reader = LatestPlacesReader(
             self.store, Freshness(self.clock.monotonic), lambda: 1, self.clock, Metrics()
