tests: resumed streams of a version that came and went while a node was cut off

Adds a failing test. What callers would see: streams that had begun at v2 go on at v1, resumed without a name at a node that can read the store: events [(0, 'v2'), (1, 'v2'), (2, 'v1'), ...].

Cause: a node is cut off for less than the time that counts as an interruption, replicas of v2 are listed and removed, and what its peers sent is lost with their links. Afterwards peers send it the removed replicas as they are now (GONE), which do not count as places, and proofs. As soon as these are older than SETTLING_SECONDS, a read begins after the change. It shows what the node lacks only for the last 8 s, while callers return for the timeout and 15 s.

Nothing is held back in the node: the links are lost as heartbeats lose them.

--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -7,6 +7,9 @@
 from benchmarks.relay import Relay
 from railsail.node import Node
 from railsail.standins.fleet import free_ports
+from railsail.store.versions import revision_of
+from railsail.streams import latest
+from railsail.upstreams.directory import KIND as UPSTREAM
 from tests.platform.base import LONGEST_SECONDS, configuration
 from tests.platform.standins import StoreAccess, TurnedAway
 from tests.platform.streams import StreamingVersion, versions_of
@@ -72,6 +75,35 @@
         """Cut the node off from its peer."""
         self.relay.cut(["127.0.1.10"], ["127.0.1.11"])
 
+    def lose_links(self) -> None:
+        """End the cut between the nodes; what was sent during it is lost."""
+        self.relay.silence()
+        self.relay.heal()
+
+    async def roll_back(self) -> None:
+        """Remove the replicas of the new version, and let the others serve again."""
+        first = len(self.replicas) // 2
+        for replica in self.replicas[first:]:
+            self.store.remove("servers", replica.name)
+        for replica in self.replicas[:first]:
+            self.list_replica(replica, "ready", 2 * STREAMS, version="v1")
+        names = [replica.name for replica in self.replicas]
+        await self.until(
+            lambda: (
+                [self.peer.directory.get(name).leaving for name in names]
+                == [False] * first + [True] * first
+            )
+        )
+
+    async def until_heard(self, node: Node) -> None:
+        """Wait until the changes that ``node`` knows of were proved a while ago."""
+        await self.until(
+            lambda: (
+                revision_of(node.freshness.settled_version(UPSTREAM, latest.SETTLING_SECONDS))
+                >= self.store.revision
+            )
+        )
+
     async def release(self) -> None:
         """List replicas of a new version in place of the others, which the peer gets to know."""
         version = StreamingVersion("v2", holds=True)
@@ -139,6 +171,26 @@
         self.assertEqual(await self.assert_none_joined(begun), 0)
 
 
+class MissedPlaceTests(OutOfStepTestCase):
+    """A node does not hear of a place where streams began, and the store tells it no more."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.hold(mock.patch.object(latest, "SETTLING_SECONDS", 0.2))
+
+    async def test_version_that_came_and_went_while_a_node_was_cut_off_counts(self):
+        await self.serve_pair()
+        self.cut_store()
+        self.cut_peers()
+        await self.release()
+        begun = await self.begin_at_new_version()
+        await self.roll_back()
+        self.lose_links()
+        await self.until_heard(self.node)
+        self.accesses[1].turned_away = None
+        await self.assert_none_joined(begun)
+
+
 class NodeInTouchTests(OutOfStepTestCase):
     """Streams of a single version go on at each node that can learn that it is the only one."""
 
