tests: resumed streams of a service that a route led to while a node was cut off

Adds a failing test. What callers would see: a stream that had begun at service `other` goes on at `desk`: events [(0, 'other'), (1, 'other'), (2, 'v1'), ...], resumed at a node that reads the store.

Cause: a configuration that leads the route elsewhere, and the next one, that leads it back, are written while a node is cut off. The node goes to the newest one at once, so that its history has no place of the one between. The read waits for the highest version among the changes, and does not look at where their routes lead; nor can it where the configuration is read itself.

The node need not be cut off: any exchange that goes from version 3 to 5 leaves out 4 (read, not run).

--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -190,6 +190,25 @@
         self.accesses[1].turned_away = None
         await self.assert_none_joined(begun)
 
+    async def test_service_that_a_route_led_to_while_a_node_was_cut_off_counts(self):
+        await self.serve_pair()
+        self.cut_store()
+        self.cut_peers()
+        version = StreamingVersion("other", holds=True)
+        await self.add_replica(version.script, service="other", slots=2 * STREAMS, version="v1")
+        await self.until(lambda: len(self.peer.directory.of_pool("other")) == 1)
+        for number, fields in ((4, {"resume": {"service": "other"}}), (5, {})):
+            moved = configuration(number, **fields)
+            moved["services"].append({"name": "other", "health_path": "/h", "max_conns": 10})
+            self.store.put("config", "main", moved)
+            await self.until(lambda number=number: self.peer.carrier.catalog.version == number)
+            if number == 4:
+                begun = await self.begin(self.peer, STREAMS)
+        self.accesses[1].turned_away = None
+        self.lose_links()
+        await self.until(lambda: self.node.carrier.catalog.version == 5)
+        await self.assert_none_joined(begun)
+
 
 class NodeInTouchTests(OutOfStepTestCase):
     """Streams of a single version go on at each node that can learn that it is the only one."""
