tests: resumed streams of a version that is heard late, as the store forgets its history

Adds a failing test. What callers would see: streams of v2 go on at v1 at a node that has a proof of the release, but not its changes.

Cause: where the store has forgotten the changes since the settled version, the read goes on from the newest proof, and so takes that proof for knowledge of the changes before it. That is what SETTLING_SECONDS is there to prevent.

--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -209,6 +209,18 @@
         await self.until(lambda: self.node.carrier.catalog.version == 5)
         await self.assert_none_joined(begun)
 
+    async def test_version_that_is_heard_late_counts_if_the_store_forgets_its_history(self):
+        await self.serve_pair()
+        self.cut_peers()
+        self.hold(mock.patch.object(self.node.directory, "_apply", lambda *args: None))
+        await self.release()
+        begun = await self.begin_at_new_version()
+        await self.until(
+            lambda: revision_of(self.node.freshness.version(UPSTREAM)) >= self.store.revision
+        )
+        self.store.forget_history()
+        await self.assert_none_joined(begun)
+
 
 class NodeInTouchTests(OutOfStepTestCase):
     """Streams of a single version go on at each node that can learn that it is the only one."""
