tests: resumed streams of a version that a restored store lost

Adds a failing test. What callers would see: streams of v2 go on at v1 at a node that was cut off during a release, after the store came back from a copy from before the release.

Cause: the settled version is of the store's former generation, so that the watch has expired. The read goes on from the newest proof, of the new generation, as if all places from before were known. In the copy no replica of v2 is listed until it writes again.

Beware of the plain mend (to take a change of the generation for an interruption at each read): then no node is left that has missed nothing, and nobody writes the places again until callers cannot return any more.

--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -7,7 +7,7 @@
 from benchmarks.relay import Relay
 from railsail.node import Node
 from railsail.standins.fleet import free_ports
-from railsail.store.versions import revision_of
+from railsail.store.versions import era_of, revision_of
 from railsail.streams import latest
 from railsail.upstreams.directory import KIND as UPSTREAM
 from tests.platform.base import LONGEST_SECONDS, configuration
@@ -221,6 +221,18 @@
         self.store.forget_history()
         await self.assert_none_joined(begun)
 
+    async def test_version_that_a_store_lost_which_was_restored_from_a_copy_counts(self):
+        await self.serve_pair()
+        copy = self.store.copy()
+        self.accesses[1].turned_away = TurnedAway.BUSY
+        self.cut_peers()
+        await self.release()
+        begun = await self.begin_at_new_version()
+        self.store.restore(copy)
+        self.accesses[1].turned_away = None
+        await self.until(lambda: era_of(self.node.freshness.version(UPSTREAM)) == 1)
+        await self.assert_none_joined(begun)
+
 
 class NodeInTouchTests(OutOfStepTestCase):
     """Streams of a single version go on at each node that can learn that it is the only one."""
