tests: read the store for a peer in a large fleet

Adds a failing test. What callers would see at 390 nodes: streams of a single version are refused at a node that cannot read the store, although its peers can.

Cause: a node waits READING_SECONDS (0.4 s) for peers that read in its place. Each of these starts a read every 390 / READS_PER_SECOND = 0.65 s at most, so that the second read within that time is answered after the wait of the peer is over. The wait for a running read (up to 0.4 s), for the configuration (0.3 s) and for the read itself come on top. The wait is long enough for fleets of up to some 230 nodes, with a store that answers at once (worked out).

--- a/tests/streams/test_latest.py
+++ b/tests/streams/test_latest.py
@@ -10,7 +10,7 @@
 from railsail.core.metrics import Metrics
 from railsail.store.base import Listing, StoredObject, WatchEvent, WatchResult
 from railsail.store.freshness import Freshness, Proof
-from railsail.streams import latest
+from railsail.streams import latest, service
 from railsail.streams.latest import LatestPlaces, LatestPlacesReader, ReadFailed
 from railsail.streams.stored import PoolVersion
 from railsail.upstreams.directory import KIND as UPSTREAM
@@ -192,6 +192,12 @@
         self.store.problem = RecursionError("nested too deeply")
         self.assertIsInstance(await self.reader.read(), ReadFailed)
 
+    async def test_node_of_a_large_fleet_reads_for_a_peer_before_the_peer_stops_waiting(self):
+        reader = LatestPlacesReader(self.store, self.freshness, lambda: 390, self.clock, Metrics())
+        await reader.read()
+        async with asyncio.timeout(service.READING_SECONDS):
+            await reader.read()
+
     async def test_node_that_has_read_nothing_yet_makes_no_call(self):
         reader = LatestPlacesReader(
             self.store, Freshness(self.clock.monotonic), lambda: 1, self.clock, Metrics()
