tests: kept to the bound on calls after the store has forgotten its history

Adds a failing test. Cause: READS_PER_SECOND counts three calls a read. After a compaction it takes five (list, two watches of replicas, watch and read of the configuration), again and again for the 2 s until a newer proof of the configuration, then four until SETTLING_SECONDS are over: 3,000 calls a second for all nodes at most (worked out), above the 2,000 of the sites. Beyond these the store answers 429 to each, also to the nodes that watch.

--- a/tests/streams/test_latest.py
+++ b/tests/streams/test_latest.py
@@ -192,6 +192,17 @@
         self.store.problem = RecursionError("nested too deeply")
         self.assertIsInstance(await self.reader.read(), ReadFailed)
 
+    async def test_reads_after_the_store_has_forgotten_its_history_keep_to_the_bound_on_calls(self):
+        for kind in (UPSTREAM, CONFIGURATION):
+            self.freshness.record(Proof(kind, KNOWN_VERSION + 5, self.clock.monotonic() + 1))
+        self.store.version = self.store.forgotten = KNOWN_VERSION + 6
+        self.freshness.record(Proof(UPSTREAM, KNOWN_VERSION + 6, self.clock.monotonic() + 2))
+        await self.reader.read()
+        before = self.store.count
+        await self.reader.read()
+        # READS_PER_SECOND rests on it.
+        self.assertLessEqual(self.store.count - before, 3)
+
     async def test_node_of_a_large_fleet_reads_for_a_peer_before_the_peer_stops_waiting(self):
         reader = LatestPlacesReader(self.store, self.freshness, lambda: 390, self.clock, Metrics())
         await reader.read()
