tests: counted a version from when it was read

Adds a failing test. Cause: add_versions says that a version was used until now, but leaves the time of one that this node knows as a former one as it is. The version is forgotten a window after its first end, although a read has shown it later. The next read adds it again only for as long as the change is within SETTLING_SECONDS.

A plain mend (set the time anew at each read) keeps the former version of each release for up to 8 s longer, in which streams without a record are refused; only changes beyond the newest proof need it.

Evidence: v1, read at 30 s, is gone at 32 s, with a window of 30 s.

--- a/tests/streams/test_history.py
+++ b/tests/streams/test_history.py
@@ -4,6 +4,7 @@
 
 from railsail.streams.history import OriginHistory
 from railsail.streams.origins import StreamOrigin
+from railsail.streams.stored import PoolVersion
 
 HOST = "a.example"
 WINDOW = 30.0
@@ -58,6 +59,11 @@
         self.assertFalse(self.history.is_complete(HOST, 10.0 + WINDOW - 1))
         self.assertTrue(self.history.is_complete(HOST, 10.0 + WINDOW))
 
+    def test_former_version_that_is_read_again_counts_until_its_callers_have_returned(self):
+        self.history.observe_versions({"model": {"v2"}}, 1.0)
+        self.history.add_versions({PoolVersion("model", "v1")}, WINDOW)
+        self.assertEqual(self.origins(2.0 + WINDOW), {("model", "v1"), ("model", "v2")})
+
 
 if __name__ == "__main__":
     unittest.main()
