tests: streams that a node begins by an outdated route

Adds a failing test.

The node that continues a stream forgets the former service of a route a window after it has heard of the new one, as if no stream had begun there since. A node that does not hear of it routes by its former configuration for as long as it is cut off. No read of the store shows that; the record of such a stream reaches no peer. The window has 15 s beyond the timeout, so that it takes a cut that is longer than that.

The node that is cut off is not ready, but callers with open connections stay, and others come where fewer than half of a zone are ready. A part of the fleet that is cut off together stays ready, since its nodes reach each other (read, not run).

Ways to weigh: heartbeats name the sender's configuration, so that a place need not be forgotten before all members that were alive then have named the newer one; or a node begins no stream by routes whose proof is older than RETURN_SECONDS.

--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -8,9 +8,9 @@
 from railsail.node import Node
 from railsail.standins.fleet import free_ports
 from railsail.store.versions import era_of, revision_of
-from railsail.streams import latest
+from railsail.streams import latest, service
 from railsail.upstreams.directory import KIND as UPSTREAM
-from tests.platform.base import LONGEST_SECONDS, configuration
+from tests.platform.base import LONGEST_SECONDS, ROUTES, configuration
 from tests.platform.standins import StoreAccess, TurnedAway
 from tests.platform.streams import StreamingVersion, versions_of
 from tests.platform.test_streams import STREAMS, ResumedStreamTestCase
@@ -234,6 +234,36 @@
         await self.assert_none_joined(begun)
 
 
+class OutdatedRouteTests(OutOfStepTestCase):
+    """A node that is cut off for longer than callers return goes on by its former routes."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.hold(mock.patch.object(service, "RETURN_SECONDS", 0.5))
+        for fields in ROUTES.values():
+            self.hold(mock.patch.dict(fields, {"timeout_ms": 2000}))
+
+    async def test_stream_that_began_by_an_outdated_route_is_not_continued_at_the_new_service(self):
+        await self.serve_pair()
+        self.cut_store()
+        self.cut_peers()
+        version = StreamingVersion("other", holds=True)
+        await self.add_replica(version.script, service="other", slots=2 * STREAMS, version="v1")
+        moved = configuration(4, resume={"service": "other"}, stream={"service": "other"})
+        moved["services"].append({"name": "other", "health_path": "/h", "max_conns": 10})
+        self.store.put("config", "main", moved)
+        await self.until(lambda: self.peer.carrier.catalog.version == 4)
+        history = self.peer.origins.history
+        await self.until(
+            lambda: len(history.origins("a.example", self.peer.clock.monotonic())) == 1
+        )
+        begun = await self.begin(self.node, STREAMS)
+        for data in begun.values():
+            self.assertEqual(versions_of(data), {"v1"})
+        self.node, self.peer = self.peer, self.node
+        await self.assert_none_joined(begun)
+
+
 class NodeInTouchTests(OutOfStepTestCase):
     """Streams of a single version go on at each node that can learn that it is the only one."""
 
