tests: resumed streams of a single version beside a store that answers slowly

Adds a failing test. What callers see: where each call to the store takes 0.25 s, all resumed streams of a single version without a record are refused (it is not certain where the stream began).

Cause: a read makes two calls one after the other, the list and then the watches, within READ_SECONDS (0.4 s), so that it fails from 0.2 s a call on; so do those of the peers that are asked in its place.

The list can be made beside the watches: it is started after the caller has returned as well, so that a watch that reaches its version shows all changes before. One that does not can be repeated.

--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -287,3 +287,10 @@
         begun = await self.begin(self.peer, STREAMS)
         self.cut_peers()
         await self.assert_all_go_on(begun)
+
+    async def test_streams_go_on_at_a_node_whose_store_answers_slowly(self):
+        await self.serve_pair()
+        begun = await self.begin(self.peer, STREAMS)
+        for access in self.accesses:
+            access.delay = 0.25
+        await self.assert_all_go_on(begun)
