tests: resumed streams of a single version as the store forgets its history

Adds a failing test. What callers see: a stream of a single version is refused where the store has forgotten its history and the newest proof of the replicas is older than its last change, also one of another kind.

Cause: the watch from the newest proof has expired too, so that the history counts as interrupted, although a list says what is there now. It matters for as long as the next proof takes.

--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -294,3 +294,11 @@
         for access in self.accesses:
             access.delay = 0.25
         await self.assert_all_go_on(begun)
+
+    async def test_streams_go_on_after_the_store_has_forgotten_its_history(self):
+        await self.serve_pair()
+        begun = await self.begin(self.peer, STREAMS)
+        # A change of another kind is beyond the newest proof of the replicas.
+        self.store.put("railsail-quarantine", "q-1", {})
+        self.store.forget_history()
+        await self.assert_all_go_on(begun)
