--- a/railsail/store/freshness.py
+++ b/railsail/store/freshness.py
@@ -5,12 +5,15 @@
 the newest proof bounds how outdated the copy is.
 """
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
 
+from railsail.store.versions import era_of
+
 # For how many seconds it is remembered which versions were proved when.
 REMEMBERED_SECONDS = 10.0
 
@@ -39,6 +42,7 @@
     def __init__(self, monotonic: Callable[[], float]) -> None:
         self._monotonic = monotonic
         self._proofs: dict[str, Proof] = {}
+        self._restored_at = -math.inf
         self._recorded: defaultdict[str, deque[_Recorded]] = defaultdict(deque)
         self._listeners: list[Callable[[Proof], None]] = []
 
@@ -65,6 +69,8 @@
         known = self._proofs.get(proof.kind)
         if known is not None and (proof.at <= known.at or proof.version < known.version):
             return False
+        if known is not None and era_of(proof.version) > era_of(known.version):
+            self._restored_at = self._monotonic()
         self._proofs[proof.kind] = proof
         self._remember(proof)
         return True
@@ -90,6 +96,13 @@
         known = self._proofs.get(kind)
         return float("inf") if known is None else self._monotonic() - known.at
 
+    def seconds_since_restore(self) -> float:
+        """Return for how long this node has known that the store was restored from a copy.
+
+        It is infinite if the store was not restored while this node followed it.
+        """
+        return self._monotonic() - self._restored_at
+
     def settled_version(self, kind: str, seconds: float) -> int:
         """Return the newest version of ``kind`` that this node knew to be proved ``seconds`` ago.
 
--- a/railsail/streams/certainty.py
+++ b/railsail/streams/certainty.py
@@ -8,6 +8,7 @@
 from railsail.core.clock import Clock
 from railsail.streams.history import OriginHistory
 from railsail.streams.latest import LatestPlaces, LatestPlacesReader
+from railsail.streams.stored import Place
 
 # Maximum wait for a configuration that the store has and this node has not applied yet.
 CONFIGURATION_SECONDS = 0.3
@@ -27,11 +28,13 @@
 class Certainty:
     """``node`` knows all places where streams of a host have begun until ``read_at``.
 
-    The time is ``None`` for a peer, which has read the store after it was asked.
+    The time is ``None`` for a peer, which has read the store after it was asked. ``stored`` are
+    places in the store that may be in the history of other nodes only.
     """
 
     node: str
     read_at: float | None = None
+    stored: frozenset[Place] = frozenset()
 
 
 class CertaintyCheck:
@@ -81,7 +84,7 @@
             return Uncertainty.CONFIGURATION_OUTDATED
         if not self._is_complete(host):
             return Uncertainty.HISTORY_INCOMPLETE
-        return Certainty(self._own_node, places.read_at)
+        return Certainty(self._own_node, places.read_at, places.stored)
 
     def _is_complete(self, host: str) -> bool:
         return self._history.is_complete(host.lower(), self._clock.monotonic())
--- a/railsail/streams/history.py
+++ b/railsail/streams/history.py
@@ -126,10 +126,9 @@
         is_new = False
         for place in versions:
             recent = self._versions.setdefault(place.pool, _RecentItems())
-            if place.software_version not in recent.since(since):
-                recent.add_former(place.software_version, now)
-                is_new = True
-        if is_new:
+            is_new |= place.software_version not in recent.since(since)
+            recent.add_former(place.software_version, now)
+        if versions:
             self._forget_derived(now)
         return is_new
 
@@ -181,11 +180,20 @@
             )
         return self._ambiguous_pools
 
-    def origins(self, host: str, now: float) -> set[StreamOrigin]:
-        """Return where streams of ``host`` may have begun in the window, as far as known here."""
+    def origins(self, host: str, now: float, others: Collection[Place] = ()) -> set[StreamOrigin]:
+        """Return where streams of ``host`` may have begun in the window, as far as known here.
+
+        ``others`` are further places that may have been in use in the window.
+        """
         since = now - self.window
         pools = self._pools[host].since(since) if host in self._pools else set()
-        return {
+        pools |= {p.pool for p in others if isinstance(p, HostPool) and p.host == host}
+        origins = {
+            StreamOrigin(place.pool, place.software_version)
+            for place in others
+            if isinstance(place, PoolVersion) and place.pool in pools
+        }
+        return origins | {
             StreamOrigin(pool, version)
             for pool in pools
             if pool in self._versions
--- a/railsail/streams/latest.py
+++ b/railsail/streams/latest.py
@@ -17,8 +17,10 @@
 from railsail.core.metrics import Metrics
 from railsail.store.base import Store, StoredObject, WatchEvent, WatchResult
 from railsail.store.freshness import Freshness
-from railsail.store.versions import revision_of
-from railsail.streams.stored import PoolVersion
+from railsail.store.versions import era_of, revision_of
+from railsail.store.watcher import as_event
+from railsail.streams.stored import KIND as STORED_KIND
+from railsail.streams.stored import PLACES_NAME, Place, PoolVersion, read_places
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.evacuations import KIND as EVACUATION
 from railsail.upstreams.invalidrecords import InvalidRecords
@@ -26,9 +28,11 @@
 
 # Maximum wait for the answers of the store.
 READ_SECONDS = 0.5
-# All nodes make this many reads a second together at most, of three calls each, so that the load of
-# the store is bounded when many streams are resumed everywhere.
-READS_PER_SECOND = 600
+# Calls of a read, unless the store has forgotten changes or answers a watch before the list.
+CALLS_PER_READ = 4
+# All nodes make this many reads a second together at most, so that the load of the store is bounded
+# when many streams are resumed everywhere.
+READS_PER_SECOND = 450
 MIN_INTERVAL_SECONDS = 0.02
 # After a read that failed, further ones fail at once for this time. Their callers are refused, or
 # peers are asked, without another wait.
@@ -36,6 +40,9 @@
 # A change may be lost with a link between nodes, and arrive only when heartbeats have shown that it
 # is missing. Changes are therefore read again from the version that was proved so long ago.
 SETTLING_SECONDS = 8.0
+# Changes may be lost with a store that is restored from a copy. The nodes that know them store the
+# places again within this time.
+RESTORED_SECONDS = 4.0
 # The shortest wait of a watch: the store returns what has changed at once.
 WATCH_SECONDS = 0.001
 
@@ -44,15 +51,15 @@
 class LatestPlaces:
     """What the store held at some moment after ``read_at``, in seconds of the monotonic clock.
 
-    ``versions`` are the software versions of replicas that have changed recently, and
-    ``store_version`` is the store's version up to which these are complete. ``configuration`` is
-    the version of the configuration if that has changed, else 0.
+    ``versions`` are the software versions of replicas that have changed recently. ``configuration``
+    is the version of the configuration, 0 if it is none that this node may lack. ``stored`` are the
+    places that nodes have stored, which include those that came and went without a trace here.
     """
 
     read_at: float
-    store_version: int
     versions: frozenset[PoolVersion]
     configuration: int
+    stored: frozenset[Place] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -83,6 +90,12 @@
         self._clock = clock
         self._metrics = metrics
         self._invalid_records = InvalidRecords()
+        # Until when the store is not asked for changes that it has just forgotten.
+        self._forgotten_until = 0.0
+        # The newest version of the configuration in any read, and the store's version when the
+        # configuration itself was read.
+        self._configuration = 0
+        self._configuration_read_at = 0
         # The read whose calls are made, and the one that starts after it.
         self._running: asyncio.Task[LatestPlaces | ReadFailed] | None = None
         self._next: asyncio.Task[LatestPlaces | ReadFailed] | None = None
@@ -90,6 +103,16 @@
         self._failed: ReadFailed | None = None
         self._fails_until = 0.0
 
+    @property
+    def _interval(self) -> float:
+        """Return the minimum of seconds between the starts of two reads of this node."""
+        return max(MIN_INTERVAL_SECONDS, self._fleet_size() / READS_PER_SECOND)
+
+    @property
+    def longest_wait(self) -> float:
+        """Return within how many seconds a read of a node of this fleet has a result."""
+        return self._interval + READ_SECONDS
+
     async def read(self) -> LatestPlaces | ReadFailed:
         """Return the result of a read that is started after this call."""
         if self._failed is not None and self._clock.monotonic() < self._fails_until:
@@ -107,8 +130,8 @@
             if isinstance(before, ReadFailed):
                 self._next = None
                 return before
-        interval = max(MIN_INTERVAL_SECONDS, self._fleet_size() / READS_PER_SECOND)
-        await asyncio.sleep(max(0.0, self._started_at + interval - self._clock.monotonic()))
+        starts_at = self._started_at + self._interval
+        await asyncio.sleep(max(0.0, starts_at - self._clock.monotonic()))
         self._running, self._next = self._next, None
         self._started_at = self._clock.monotonic()
         return self._record(await self._read())
@@ -124,25 +147,42 @@
         return result
 
     async def _read(self) -> LatestPlaces | ReadFailed:
-        read_at = self._clock.monotonic()
         try:
             async with asyncio.timeout(READ_SECONDS):
-                latest = asyncio.ensure_future(self._latest_version())
-                version, upstreams, configuration = await asyncio.gather(
-                    latest,
-                    self._until(latest, self._upstream_changes),
-                    self._changed_configuration(latest),
-                )
+                return await self._read_places()
         except StoreUnavailable as problem:
             return ReadFailed(str(problem))
         except TimeoutError:
             return ReadFailed("the store did not answer in time")
+        except Exception as problem:
+            # The reads that wait for this one would fail with it, and so would all later ones.
+            get_logger().exception("an answer of the store about replicas could not be read")
+            return ReadFailed(f"{type(problem).__name__}: {problem}")
+
+    async def _read_places(self) -> LatestPlaces | ReadFailed:
+        read_at = self._clock.monotonic()
+        for kind in (UPSTREAM, CONFIGURATION):
+            if not self._freshness.version(kind):
+                return ReadFailed(f"{kind}: this node has read nothing from which to go on")
+        if self._freshness.seconds_since_restore() < RESTORED_SECONDS:
+            return ReadFailed("the store was restored from a copy a moment ago")
+        latest = asyncio.ensure_future(self._latest_version())
+        version, upstreams, configuration, stored = await asyncio.gather(
+            latest,
+            self._repeated(latest, self._watch_upstreams),
+            self._latest_configuration(latest),
+            self._stored_places(),
+        )
         if upstreams.expired:
-            return ReadFailed("the store has forgotten changes", history_lost=True)
+            # The stored places have the versions of replicas that are not listed any more.
+            if stored is None:
+                return ReadFailed("the store has forgotten changes", history_lost=True)
+            upstreams = await self._list_upstreams()
         if upstreams.version < version:
             return ReadFailed("a watch of the store lags behind its lists")
-        versions = self._versions(upstreams.events)
-        return LatestPlaces(read_at, upstreams.version, versions, configuration)
+        return LatestPlaces(
+            read_at, self._versions(upstreams.events), configuration, stored or frozenset()
+        )
 
     async def _latest_version(self) -> int:
         """Return the store's version by now, from a short list.
@@ -150,12 +190,14 @@
         Lists are never outdated, but watches may be.
         """
         version = (await self._store.list(EVACUATION)).version
-        if revision_of(version):
-            return version
-        # The store does not know the kind, and names no version.
-        return (await self._store.list(UPSTREAM)).version
+        if not revision_of(version):
+            # The store does not know the kind, and names no version.
+            version = (await self._store.list(UPSTREAM)).version
+        if not revision_of(version):
+            raise StoreUnavailable("the store does not name its version")
+        return version
 
-    async def _until(
+    async def _repeated(
         self, latest: asyncio.Future[int], watch: Callable[[], Awaitable[WatchResult]]
     ) -> WatchResult:
         """Return the result of ``watch``, which is repeated once if it lacks changes."""
@@ -165,27 +207,45 @@
             result = await watch()
         return result
 
-    async def _upstream_changes(self) -> WatchResult:
+    async def _watch_upstreams(self) -> WatchResult:
+        now = self._clock.monotonic()
+        if now < self._forgotten_until:
+            return WatchResult(0, (), expired=True)
         settled = self._freshness.settled_version(UPSTREAM, SETTLING_SECONDS)
-        newest = self._freshness.version(UPSTREAM)
-        result = await self._changes(UPSTREAM, settled)
-        if result.expired and settled < newest:
-            # The store may keep a shorter history.
-            result = await self._changes(UPSTREAM, newest)
+        result = await self._watch(UPSTREAM, settled)
+        if result.expired:
+            self._forgotten_until = now + SETTLING_SECONDS
         return result
 
-    async def _changed_configuration(self, latest: asyncio.Future[int]) -> int:
-        """Return the version of the configuration if it has changed, else 0."""
-        known = self._freshness.version(CONFIGURATION)
-        changes = await self._until(latest, lambda: self._changes(CONFIGURATION, known))
-        if not changes.expired and changes.version >= await latest:
-            return max((_configuration_version(event) for event in changes.events), default=0)
-        stored = await self._store.get(CONFIGURATION, HEAD)
-        return _configuration_version(stored) if stored is not None else 0
-
-    async def _changes(self, kind: str, since: int) -> WatchResult:
-        if not since:
-            raise StoreUnavailable(f"{kind}: this node has read nothing from which to go on")
+    async def _list_upstreams(self) -> WatchResult:
+        """Return all replicas that are listed now, as changes."""
+        listing = await self._store.list(UPSTREAM)
+        return WatchResult(listing.version, tuple(as_event(found) for found in listing.objects))
+
+    async def _latest_configuration(self, latest: asyncio.Future[int]) -> int:
+        """Return the newest version of the configuration that this node has read here, or 0."""
+        since = max(self._freshness.version(CONFIGURATION), self._configuration_read_at)
+        changes = await self._repeated(latest, lambda: self._watch(CONFIGURATION, since))
+        found: list[WatchEvent | StoredObject] = list(changes.events)
+        if changes.expired or changes.version < await latest:
+            stored = await self._store.get(CONFIGURATION, HEAD)
+            found = [stored] if stored is not None else []
+            self._configuration_read_at = await latest
+        versions = (_configuration_version(each) for each in found)
+        self._configuration = max(self._configuration, *versions, 0)
+        return self._configuration
+
+    async def _stored_places(self) -> frozenset[Place] | None:
+        """Return the places that nodes have stored, ``None`` if there are none."""
+        stored = await self._store.get(STORED_KIND, PLACES_NAME)
+        places = read_places(stored) if stored is not None else None
+        if places is None:
+            return None
+        if places.era != era_of(stored.version):
+            raise StoreUnavailable("the stored places are from before the store was restored")
+        return places.places
+
+    async def _watch(self, kind: str, since: int) -> WatchResult:
         return await self._store.watch((kind,), since, WATCH_SECONDS)
 
     def _versions(self, events: tuple[WatchEvent, ...]) -> frozenset[PoolVersion]:
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -30,7 +30,7 @@
 from railsail.streams.candidates import CandidateNodes
 from railsail.streams.certainty import Certainty, CertaintyCheck, Uncertainty
 from railsail.streams.history import OriginHistory
-from railsail.streams.latest import READ_SECONDS, LatestPlacesReader
+from railsail.streams.latest import LatestPlacesReader
 from railsail.streams.origins import RETURN_SECONDS, OriginTable, StreamOrigin, stream_key
 from railsail.streams.queries import Query, StreamQueries
 from railsail.streams.recovery import RecordRecovery
@@ -40,8 +40,6 @@
 
 # Maximum wait for the replies of peers. Those that are paused or cut off do not reply.
 QUERY_SECONDS = 0.3
-# Maximum wait for the replies of peers that are asked to read the store.
-READING_SECONDS = READ_SECONDS
 # Changes may have been missed if the newest proof that this node has all of them is older than this
 # many of the longest waits for a new one.
 INTERRUPTED_SHARE = 2.0
@@ -78,6 +76,7 @@
         self._directory = directory
         self._proof_age = proof_age
         self._known_version = known_version
+        self._reader = reader
         self._longest_wait = longest_wait
         self._hub = hub
         self._clock = kernel.clock
@@ -211,12 +210,15 @@
             if query.known is not None:
                 return self._resumed_as_known(request, resumes, query)
             replies = query.replies
-        if len(self._possible(host, replies)) > 1:
-            return self._refused(request, host, resumes, Uncertainty.SEVERAL_ORIGINS, replies)
+        origins = self._possible(host, replies)
+        if len(origins) > 1:
+            self._refuse(request, resumes, Uncertainty.SEVERAL_ORIGINS, origins)
+            return None
         certainty = await self._check.run(host)
         if isinstance(certainty, Uncertainty):
             asked = self.candidates.readers()
-            query = await self._queries.ask(asked, key, host, READING_SECONDS, reads=True)
+            seconds = self._reader.longest_wait
+            query = await self._queries.ask(asked, key, host, seconds, reads=True)
             if query.known is not None:
                 return self._resumed_as_known(request, resumes, query)
             replies |= query.replies
@@ -233,23 +235,19 @@
         replies: dict[str, StreamReply],
     ) -> StreamOrigin | None:
         """Return where streams of ``host`` began, if that is certain and one place only."""
-        origins = self._possible(host, replies)
+        stored = certainty.stored if isinstance(certainty, Certainty) else frozenset()
+        origins = self._possible(host, replies, stored)
         if isinstance(certainty, Certainty) and len(origins) == 1:
             return self._resumed_at_only_origin(request, resumes, origins.pop(), certainty)
         cause = certainty if isinstance(certainty, Uncertainty) else Uncertainty.NO_ORIGIN
         if len(origins) > 1:
             cause = Uncertainty.SEVERAL_ORIGINS
-        return self._refused(request, host, resumes, cause, replies)
+        self._refuse(request, resumes, cause, origins)
+        return None
 
-    def _refused(
-        self,
-        request: str,
-        host: str,
-        resumes: str,
-        cause: Uncertainty,
-        replies: dict[str, StreamReply],
+    def _refuse(
+        self, request: str, resumes: str, cause: Uncertainty, origins: set[StreamOrigin]
     ) -> None:
-        possible = sorted(self._possible(host, replies))
         self._metrics.resumed_streams.inc({"result": cause})
         self._events.emit(
             Kind.RESUMED,
@@ -258,17 +256,19 @@
             notable=True,
             cause=cause,
             resumes=resumes,
-            possible=" ".join(f"{o.pool}@{o.software_version}" for o in possible),
-            replies=len(replies),
+            possible=" ".join(f"{o.pool}@{o.software_version}" for o in sorted(origins)),
             **self._proof_facts(),
         )
 
-    def _possible(self, host: str, replies: dict[str, StreamReply]) -> set[StreamOrigin]:
+    def _possible(
+        self, host: str, replies: dict[str, StreamReply], stored: Collection[Place] = ()
+    ) -> set[StreamOrigin]:
         """Return where streams of ``host`` may have begun recently, as far as known.
 
-        ``replies`` are those of peers to a query about such a stream.
+        ``replies`` are those of peers to a query about such a stream, and ``stored`` are places
+        that were read from the store.
         """
-        origins = self.history.origins(host.lower(), self._clock.monotonic())
+        origins = self.history.origins(host.lower(), self._clock.monotonic(), stored)
         for reply in replies.values():
             origins |= {_to_origin(record) for record in reply.possible}
         return origins
@@ -323,7 +323,7 @@
         if self._known_record(message.key) is None and self._should_read_for(node, message):
             self._tasks.start(self._read_and_reply(node, message))
         else:
-            self._reply(node, message, False)
+            self._reply(node, message, None)
 
     def _should_read_for(self, node: str, message: StreamQuery) -> bool:
         # Older builds take each reply for one of a node that has just read the store.
@@ -331,19 +331,20 @@
 
     async def _read_and_reply(self, node: str, message: StreamQuery) -> None:
         certainty = await self._check.run(message.host)
-        self._reply(node, message, isinstance(certainty, Certainty))
+        self._reply(node, message, certainty if isinstance(certainty, Certainty) else None)
 
-    def _reply(self, node: str, message: StreamQuery, complete: bool) -> None:
+    def _reply(self, node: str, message: StreamQuery, certainty: Certainty | None) -> None:
         now = self._clock.monotonic()
         record = self._table.find(message.key, now)
         known = self._known_record(message.key)
-        possible = sorted(self._possible(message.host, {}))[:MAX_POSSIBLE]
+        stored = certainty.stored if certainty is not None else ()
+        possible = sorted(self._possible(message.host, {}, stored))[:MAX_POSSIBLE]
         reply = StreamReply(
             message.number,
             [_to_record(known)] if known is not None else [],
             round((now - record.recorded_at) * 1000) if record is not None else 0,
             [_to_record(origin) for origin in possible],
-            complete,
+            certainty is not None,
         )
         self._hub.send(node, reply)
 
--- a/tests/store/test_freshness.py
+++ b/tests/store/test_freshness.py
@@ -2,6 +2,7 @@
 
 from railsail.core.clock import ManualClock
 from railsail.store.freshness import Freshness, Proof
+from railsail.store.versions import to_version
 
 KIND = "upstream"
 
@@ -39,6 +40,13 @@
         self.clock.advance(60.0)
         self.assertEqual(self.freshness.settled_version(KIND, 5.0), 29)
 
+    def test_restore_of_the_store_is_known_from_the_first_proof_after_it(self):
+        self.freshness.record(self.proof(to_version(1, 7), 0.0))
+        self.assertEqual(self.freshness.seconds_since_restore(), float("inf"))
+        self.freshness.record(self.proof(to_version(2, 3), -1.0))
+        self.clock.advance(2.0)
+        self.assertAlmostEqual(self.freshness.seconds_since_restore(), 2.0)
+
     def test_listeners_are_called_for_new_own_proofs_only(self):
         notified = []
         self.freshness.on_own_proof(notified.append)
