streams: separated the batching of reads from their calls to the store

Cause: one module waited for requests, bounded the rate of reads and made their calls.

Change: LatestPlacesReader (reader.py) joins requests, LatestPlacesQuery (latest.py) makes the calls.

--- a/railsail/node.py
+++ b/railsail/node.py
@@ -77,7 +77,7 @@
 from railsail.store.proofs import ProofExchange
 from railsail.store.standby import PROVED_SHARE
 from railsail.store.watcher import StoreWatcher
-from railsail.streams.latest import LatestPlacesReader
+from railsail.streams.reader import LatestPlacesReader
 from railsail.streams.service import StreamOrigins
 from railsail.upstreams.connections import ConnectionPool
 from railsail.upstreams.directory import KIND as UPSTREAM
--- a/railsail/streams/certainty.py
+++ b/railsail/streams/certainty.py
@@ -7,7 +7,8 @@
 
 from railsail.core.clock import Clock
 from railsail.streams.history import OriginHistory
-from railsail.streams.latest import LatestPlaces, LatestPlacesReader
+from railsail.streams.latest import LatestPlaces
+from railsail.streams.reader import LatestPlacesReader
 from railsail.streams.stored import Place
 
 # Maximum wait for a configuration that the store has and this node has not applied yet.
--- a/railsail/streams/latest.py
+++ b/railsail/streams/latest.py
@@ -13,8 +13,6 @@
 from railsail.configuration.repository import KIND as CONFIGURATION
 from railsail.core.clock import Clock
 from railsail.core.exceptions import StoreUnavailable
-from railsail.core.logs import get_logger
-from railsail.core.metrics import Metrics
 from railsail.store.base import Store, StoredObject, WatchEvent, WatchResult
 from railsail.store.freshness import Freshness
 from railsail.store.versions import era_of, revision_of
@@ -26,17 +24,8 @@
 from railsail.upstreams.invalidrecords import InvalidRecords
 from railsail.upstreams.records import parse_record
 
-# Maximum wait for the answers of the store.
-READ_SECONDS = 0.5
-# Calls of a read, unless the store has forgotten changes or answers a watch before the list.
+# The calls of a read, unless the store answers a watch before the list.
 CALLS_PER_READ = 4
-# All nodes make this many reads a second together at most, so that the load of the store is bounded
-# when many streams are resumed everywhere.
-READS_PER_SECOND = 450
-MIN_INTERVAL_SECONDS = 0.02
-# After a read that failed, further ones fail at once for this time. Their callers are refused, or
-# peers are asked, without another wait.
-FAILURE_SECONDS = 0.25
 # A change may be lost with a link between nodes, and arrive only when heartbeats have shown that it
 # is missing. Changes are therefore read again from the version that was proved so long ago.
 SETTLING_SECONDS = 8.0
@@ -70,25 +59,13 @@
     history_lost: bool = False
 
 
-class LatestPlacesReader:
-    """Reads the store for the requests that wait, with one read for all of them.
+class LatestPlacesQuery:
+    """The calls to the store of one read after the other."""
 
-    ``fleet_size`` returns the number of nodes.
-    """
-
-    def __init__(
-        self,
-        store: Store,
-        freshness: Freshness,
-        fleet_size: Callable[[], int],
-        clock: Clock,
-        metrics: Metrics,
-    ) -> None:
+    def __init__(self, store: Store, freshness: Freshness, clock: Clock) -> None:
         self._store = store
         self._freshness = freshness
-        self._fleet_size = fleet_size
         self._clock = clock
-        self._metrics = metrics
         self._invalid_records = InvalidRecords()
         # Until when the store is not asked for changes that it has just forgotten.
         self._forgotten_until = 0.0
@@ -96,70 +73,9 @@
         # configuration itself was read.
         self._configuration = 0
         self._configuration_read_at = 0
-        # The read whose calls are made, and the one that starts after it.
-        self._running: asyncio.Task[LatestPlaces | ReadFailed] | None = None
-        self._next: asyncio.Task[LatestPlaces | ReadFailed] | None = None
-        self._started_at = -1.0
-        self._failed: ReadFailed | None = None
-        self._fails_until = 0.0
-
-    @property
-    def _interval(self) -> float:
-        """Return the minimum of seconds between the starts of two reads of this node."""
-        return max(MIN_INTERVAL_SECONDS, self._fleet_size() / READS_PER_SECOND)
-
-    @property
-    def longest_wait(self) -> float:
-        """Return within how many seconds a read of a node of this fleet has a result."""
-        return self._interval + READ_SECONDS
-
-    async def read(self) -> LatestPlaces | ReadFailed:
-        """Return the result of a read that is started after this call."""
-        if self._failed is not None and self._clock.monotonic() < self._fails_until:
-            return self._failed
-        if self._next is None:
-            self._next = asyncio.ensure_future(self._read_next(self._running))
-        # Others wait for the same read when the caller of one request leaves.
-        return await asyncio.shield(self._next)
-
-    async def _read_next(
-        self, running: asyncio.Task[LatestPlaces | ReadFailed] | None
-    ) -> LatestPlaces | ReadFailed:
-        if running is not None and not running.done():
-            before = await asyncio.shield(running)
-            if isinstance(before, ReadFailed):
-                self._next = None
-                return before
-        starts_at = self._started_at + self._interval
-        await asyncio.sleep(max(0.0, starts_at - self._clock.monotonic()))
-        self._running, self._next = self._next, None
-        self._started_at = self._clock.monotonic()
-        return self._record(await self._read())
-
-    def _record(self, result: LatestPlaces | ReadFailed) -> LatestPlaces | ReadFailed:
-        self._failed = result if isinstance(result, ReadFailed) else None
-        self._metrics.place_reads.inc({"result": "failed" if self._failed else "done"})
-        if self._failed is not None:
-            self._fails_until = self._clock.monotonic() + FAILURE_SECONDS
-            get_logger().info(
-                "it could not be read where streams may have begun", reason=self._failed.reason
-            )
-        return result
-
-    async def _read(self) -> LatestPlaces | ReadFailed:
-        try:
-            async with asyncio.timeout(READ_SECONDS):
-                return await self._read_places()
-        except StoreUnavailable as problem:
-            return ReadFailed(str(problem))
-        except TimeoutError:
-            return ReadFailed("the store did not answer in time")
-        except Exception as problem:
-            # The reads that wait for this one would fail with it, and so would all later ones.
-            get_logger().exception("an answer of the store about replicas could not be read")
-            return ReadFailed(f"{type(problem).__name__}: {problem}")
 
-    async def _read_places(self) -> LatestPlaces | ReadFailed:
+    async def run(self) -> LatestPlaces | ReadFailed:
+        """Return the places that the store has now; its errors propagate."""
         read_at = self._clock.monotonic()
         for kind in (UPSTREAM, CONFIGURATION):
             if not self._freshness.version(kind):
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -30,9 +30,9 @@
 from railsail.streams.candidates import CandidateNodes
 from railsail.streams.certainty import Certainty, CertaintyCheck, Uncertainty
 from railsail.streams.history import OriginHistory
-from railsail.streams.latest import LatestPlacesReader
 from railsail.streams.origins import RETURN_SECONDS, OriginTable, StreamOrigin, stream_key
 from railsail.streams.queries import Query, StreamQueries
+from railsail.streams.reader import LatestPlacesReader
 from railsail.streams.recovery import RecordRecovery
 from railsail.streams.stored import Place
 from railsail.upstreams.directory import UpstreamDirectory
--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -8,7 +8,7 @@
 from railsail.node import Node
 from railsail.standins.fleet import free_ports
 from railsail.store.versions import era_of, revision_of
-from railsail.streams import latest, service
+from railsail.streams import latest, reader, service
 from railsail.streams.stored import PLACES_NAME
 from railsail.upstreams.directory import KIND as UPSTREAM
 from tests.platform.base import LONGEST_SECONDS, ROUTES, configuration
@@ -145,7 +145,7 @@
 class NodeOutOfStepTests(OutOfStepTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.hold(mock.patch.object(latest, "READ_SECONDS", 0.1))
+        self.hold(mock.patch.object(reader, "READ_SECONDS", 0.1))
 
     async def test_node_cut_off_during_a_release_continues_no_stream_at_the_old_version(self):
         await self.serve_pair()
@@ -184,7 +184,7 @@
         await super().asyncSetUp()
         self.hold(mock.patch.object(latest, "SETTLING_SECONDS", 0.2))
         # The peer that is asked in place of the store may be cut off.
-        self.hold(mock.patch.object(latest, "READ_SECONDS", 1.0))
+        self.hold(mock.patch.object(reader, "READ_SECONDS", 1.0))
 
     async def test_version_that_came_and_went_while_a_node_was_cut_off_counts(self):
         await self.serve_pair()
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -10,7 +10,7 @@
 
 from railsail.core.events import Kind
 from railsail.node import Node
-from railsail.streams import archive, latest, service
+from railsail.streams import archive, reader, service
 from tests.platform.base import (
     LONG_MS,
     LONGEST_SECONDS,
@@ -44,7 +44,7 @@
         long = {"slo_ms": LONG_MS, "timeout_ms": LONG_MS, "max_attempts": 3}
         self.hold(mock.patch.dict(ROUTES["resume"], long))
         # Reads of a store that answers do not end for the load of the machine.
-        self.hold(mock.patch.object(latest, "READ_SECONDS", LONGEST_SECONDS))
+        self.hold(mock.patch.object(reader, "READ_SECONDS", LONGEST_SECONDS))
 
     async def serve_versions(self, **settings: str) -> Node:
         """Start the replicas of all versions, and a daemon that knows them."""
--- a/tests/streams/test_latest.py
+++ b/tests/streams/test_latest.py
@@ -11,8 +11,9 @@
 from railsail.store.base import Listing, StoredObject, WatchEvent, WatchResult
 from railsail.store.freshness import Freshness, Proof
 from railsail.store.versions import to_version
-from railsail.streams import latest
-from railsail.streams.latest import LatestPlaces, LatestPlacesReader, ReadFailed
+from railsail.streams import latest, reader
+from railsail.streams.latest import LatestPlaces, ReadFailed
+from railsail.streams.reader import LatestPlacesReader
 from railsail.streams.stored import PoolVersion
 from railsail.upstreams.directory import KIND as UPSTREAM
 from railsail.upstreams.evacuations import KIND as EVACUATION
@@ -154,14 +155,14 @@
 
     async def test_store_is_read_again_a_moment_after_a_failure(self):
         self.store.is_down = True
-        with mock.patch.object(latest, "FAILURE_SECONDS", 0.0):
+        with mock.patch.object(reader, "FAILURE_SECONDS", 0.0):
             self.assertIsInstance(await self.reader.read(), ReadFailed)
             self.store.is_down = False
             self.assertIsInstance(await self.reader.read(), LatestPlaces)
 
     async def test_silent_store_is_waited_for_only_a_moment(self):
         self.store.released.clear()
-        with mock.patch.object(latest, "READ_SECONDS", 0.01):
+        with mock.patch.object(reader, "READ_SECONDS", 0.01):
             self.assertIsInstance(await self.reader.read(), ReadFailed)
 
     async def test_changes_are_read_again_from_a_version_that_was_proved_a_while_ago(self):
@@ -224,7 +225,7 @@
         self.assertIsInstance(await self.reader.read(), ReadFailed)
 
     async def test_reads_go_on_after_an_answer_that_nobody_expects(self):
-        patch = mock.patch.object(latest, "FAILURE_SECONDS", 0.0)
+        patch = mock.patch.object(reader, "FAILURE_SECONDS", 0.0)
         patch.start()
         self.addCleanup(patch.stop)
         self.store.problem = RecursionError("nested too deeply")
@@ -262,13 +263,13 @@
         self.assertLessEqual(self.store.count - before, latest.CALLS_PER_READ)
 
     def test_all_reads_of_a_fleet_leave_room_for_other_reads_of_the_store(self):
-        self.assertLess(latest.READS_PER_SECOND * latest.CALLS_PER_READ, STORE_READS_PER_SECOND)
+        self.assertLess(reader.READS_PER_SECOND * latest.CALLS_PER_READ, STORE_READS_PER_SECOND)
 
     async def test_node_of_a_large_fleet_reads_for_a_peer_before_the_peer_stops_waiting(self):
-        reader = LatestPlacesReader(self.store, self.freshness, lambda: 390, self.clock, Metrics())
-        await reader.read()
-        async with asyncio.timeout(reader.longest_wait):
-            await reader.read()
+        large = LatestPlacesReader(self.store, self.freshness, lambda: 390, self.clock, Metrics())
+        await large.read()
+        async with asyncio.timeout(large.longest_wait):
+            await large.read()
 
     async def test_node_that_has_read_nothing_yet_makes_no_call(self):
         reader = LatestPlacesReader(
