gateway: made an aborted node release no claims

Cause: when a node is aborted, as the tests do to kill one, its requests are cancelled, and each released its claim afterwards, by writes to the store of a node that counts as gone. A process that is killed does no such thing.

No test is changed.

--- a/railsail/gateway/claims.py
+++ b/railsail/gateway/claims.py
@@ -62,6 +62,7 @@
         self._pending: dict[int, _PendingClaim] = {}
         self._next_number = 1
         self._tasks = TaskSet()
+        self._stopped = False
         hub.handle(ClaimRequest, self._handle_request)
         hub.handle(ClaimReply, self._handle_reply)
         hub.on_up(self._link_up)
@@ -88,12 +89,19 @@
 
     def release(self, claim: Claim) -> None:
         """Release ``claim`` in the background, because its request was not run."""
+        if self._stopped:
+            return
         self._tasks.start(self._release(replace(claim, release=True)))
 
     async def settle(self, seconds: float) -> None:
         """Wait at most ``seconds`` for releases in progress."""
         await self._tasks.wait(seconds)
 
+    def stop(self) -> None:
+        """Cancel all releases; keys that are released later stay claimed."""
+        self._stopped = True
+        self._tasks.cancel()
+
     async def _release(self, claim: Claim) -> None:
         deadline_at = self._clock.monotonic() + RELEASE_TIMEOUT_SECONDS
         backoff = Backoff(self._rng, 0.5, 30.0)
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -671,6 +671,7 @@
             self.connections.close()
         self.crash_observer.stop()
         self.ledger.stop()
+        self.claims.stop()
         await self.hub.stop()
         for server in self._servers:
             with contextlib.suppress(TimeoutError):
