--- a/railsail/store/claims.py
+++ b/railsail/store/claims.py
@@ -113,7 +113,8 @@
         self._index: dict[bytes, tuple[float, Claim]] = {}
         self._pending: list[_Pending] = []
         self._writing: asyncio.Task | None = None
-        self._last_write = 0.0
+        # When the journal was last written, or read again for an answer.
+        self._last_call = 0.0
 
     async def make(self, claim: Claim) -> ClaimAnswer:
         """Claim a key or release it; return once this is stored, or another claim holds the key."""
@@ -127,7 +128,7 @@
 
     async def _write_pending(self) -> None:
         while self._pending:
-            wait = self._last_write + MIN_WRITE_INTERVAL_SECONDS - self._clock.monotonic()
+            wait = self._last_call + MIN_WRITE_INTERVAL_SECONDS - self._clock.monotonic()
             if wait > 0:
                 await asyncio.sleep(wait)
             batch = self._pending[:MAX_BATCH_SIZE]
@@ -145,7 +146,14 @@
                 await asyncio.sleep(self._backoff.pause())
 
     async def _write(self, batch: list[_Pending]) -> None:
+        was_read_earlier = self._head is not None
         await self._read_journal()
+        if was_read_earlier and any(self._rests_on_others(pending) for pending in batch):
+            # Another daemon may have written this shard since. A claim that was released there
+            # would be answered as held, and a release would not be written.
+            self._last_call = self._clock.monotonic()
+            self._head = None
+            await self._read_journal()
         records: list[Record] = []
         batch_claims: dict[bytes, Claim] = {}
         for pending in batch:
@@ -154,7 +162,7 @@
             batch_claims[pending.claim.key] = pending.claim
             records.append(_to_record(pending.claim, self._clock.wall()))
         if records:
-            self._last_write = self._clock.monotonic()
+            self._last_call = self._clock.monotonic()
             self._head = await self._journal.append(self._head, records)
             self._index_records(records)
             for number in self._journal.parts(self._head):
@@ -170,23 +178,35 @@
 
         ``batch_claims`` holds the claims that are already part of the batch, by key.
         """
-        claim = pending.claim
-        if claim.key in batch_claims:
+        if pending.claim.key in batch_claims:
             # The batch has another claim of this key. This one is decided after it was written.
             return True
+        answer = self._find_answer(pending.claim)
+        if answer is None:
+            return False
+        pending.answer.set_result(answer)
+        return True
+
+    def _find_answer(self, claim: Claim) -> ClaimAnswer | None:
+        """Return the answer to ``claim`` by the index, ``None`` if it has to be written."""
         known = self._index.get(claim.key)
         current = known[1] if known else None
         if claim.release:
             if current is None or current.owner != claim.owner or current.release:
-                pending.answer.set_result(ClaimAnswer(ClaimResult.RELEASED))
-                return True
-            return False
+                return ClaimAnswer(ClaimResult.RELEASED)
+            return None
         if current is None or current.release:
-            return False
+            return None
         own = current.owner == claim.owner
-        result = ClaimResult.CLAIMED if own else ClaimResult.HELD
-        pending.answer.set_result(ClaimAnswer(result, current))
-        return True
+        return ClaimAnswer(ClaimResult.CLAIMED if own else ClaimResult.HELD, current)
+
+    def _rests_on_others(self, pending: _Pending) -> bool:
+        """Return True if the answer to ``pending`` rests on what other attempts wrote, or did not.
+
+        An attempt that is written itself is safe from outdated records: the write is conditional.
+        """
+        answer = self._find_answer(pending.claim)
+        return answer is not None and answer.result is not ClaimResult.CLAIMED
 
     async def _read_journal(self) -> None:
         if self._head is not None:
--- a/tests/store/test_claims.py
+++ b/tests/store/test_claims.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from railsail.core.clock import Clock
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
@@ -123,6 +124,33 @@
         answer = await self.shard(store).make(claim("k3", "n1"))
         self.assertIs(answer.result, ClaimResult.HELD)
 
+    async def test_key_that_was_released_elsewhere_is_not_held_at_a_batcher_out_of_step(self):
+        """Its callers were told that an earlier try had the key, though it had not run."""
+        store = MemoryStore(1)
+        shard, other = self.shard(store), self.shard(store)
+        await shard.make(claim("k", "n0"))
+        await other.make(claim("k", "n0", release=True))
+        answer = await shard.make(claim("k", "n1"))
+        self.assertIs(answer.result, ClaimResult.CLAIMED)
+
+    async def test_release_at_a_batcher_that_does_not_know_the_claim_takes_effect(self):
+        store = MemoryStore(1)
+        shard, other = self.shard(store), self.shard(store)
+        await shard.make(claim("another", "n0"))
+        await other.make(claim("k", "n0", attempt=2))
+        await shard.make(claim("k", "n0", attempt=2, release=True))
+        answer = await other.make(claim("k", "n1"))
+        self.assertIs(answer.result, ClaimResult.CLAIMED)
+
+    async def test_claims_of_new_keys_read_the_journal_once(self):
+        store = MemoryStore(1)
+        shard = self.shard(store)
+        with mock.patch.object(store, "get", wraps=store.get) as get:
+            for number in range(10):
+                await shard.make(claim(f"k{number}", "n0"))
+                await shard.make(claim(f"k{number}", "n0", release=True))
+        self.assertEqual(get.call_count, 1)
+
     async def test_many_claims_share_a_write(self):
         store = MemoryStore(1)
         shard = self.shard(store)
