store: refused claims that arrive after their release

Cause: a requester that gets no reply from a batcher asks another one as well. If its request is then not run, the claim is released there.

Change: a claim whose own release is the last record of its key is answered as unavailable.

Left: the same where another request has claimed and released the key in between, or where the release came before either batcher had written the claim. Both keep the key claimed, which is the safe side.

Figures: the test of a late claim fails without the change (CLAIMED) and passes.

--- a/railsail/store/claims.py
+++ b/railsail/store/claims.py
@@ -195,9 +195,12 @@
             if current is None or current.owner != claim.owner or current.release:
                 return ClaimAnswer(ClaimResult.RELEASED)
             return None
+        own = current is not None and current.owner == claim.owner
+        if own and current.release:
+            # It arrives late, by way of another batcher. Nobody would release it again.
+            return ClaimAnswer(ClaimResult.UNAVAILABLE)
         if current is None or current.release:
             return None
-        own = current.owner == claim.owner
         return ClaimAnswer(ClaimResult.CLAIMED if own else ClaimResult.HELD, current)
 
     def _rests_on_others(self, pending: _Pending) -> bool:
--- a/tests/store/test_claims.py
+++ b/tests/store/test_claims.py
@@ -142,6 +142,17 @@
         answer = await other.make(claim("k", "n1"))
         self.assertIs(answer.result, ClaimResult.CLAIMED)
 
+    async def test_claim_that_arrives_late_does_not_take_a_key_that_it_has_released(self):
+        """A batcher that could not reach the store kept it, while another one was asked as well."""
+        store = MemoryStore(1)
+        shard, late = self.shard(store), self.shard(store)
+        await shard.make(claim("k", "n0"))
+        await shard.make(claim("k", "n0", release=True))
+        answer = await late.make(claim("k", "n0"))
+        self.assertIs(answer.result, ClaimResult.UNAVAILABLE)
+        answer = await shard.make(claim("k", "n1"))
+        self.assertIs(answer.result, ClaimResult.CLAIMED)
+
     async def test_claims_of_new_keys_read_the_journal_once(self):
         store = MemoryStore(1)
         shard = self.shard(store)
