configuration: refused finally only by proofs within the time that changes may take

Cause: a 401 or 404 was final while the proof of the configuration was younger than 1.1 of the longest wait of a watch. A change is to be in force everywhere within that wait. Between 1.0 and 1.1 of it (2.0 s to 2.2 s with the settings of deploy/) a node that hears neither the store nor a peer refused finally what had been allowed for longer than that.

Change: the bound is the longest wait itself. By then nodes without a proof have read for themselves for 0.1 of a wait at least; where that fails, callers are told to come back in place of a final refusal.

--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -58,8 +58,8 @@
     """The active configuration: newer ones replace it and are forwarded to peers.
 
     ``broadcast`` sends an update to all neighbours but the given one, and ``send`` a request to one
-    peer. A proof is at most ``max_proof_age`` seconds old while the store can be read. ``history``
-    has the newest updates.
+    peer. A version is to be in force everywhere ``max_proof_age`` seconds after its
+    acknowledgement. ``history`` has the newest updates.
     """
 
     def __init__(
--- a/railsail/configuration/held.py
+++ b/railsail/configuration/held.py
@@ -12,8 +12,8 @@
     """Which version of the configuration is active here, and since when it may be outdated.
 
     ``source`` is the peer that sent it, or the store. The store can have had a newer version for at
-    most ``proof_age`` seconds, infinite if that is unknown. While the store can be read, a proof is
-    at most ``max_proof_age`` seconds old.
+    most ``proof_age`` seconds, infinite if that is unknown. Within ``max_proof_age`` seconds of its
+    acknowledgement, a version may not be in force everywhere.
     """
 
     version: int
@@ -23,7 +23,7 @@
 
     @property
     def proved(self) -> bool:
-        """Return True if the proof that this is the newest version is recent."""
+        """Return True if no newer version has to be in force by now."""
         return self.proof_age <= self.max_proof_age
 
     def refusal(self, reason: Reason, detail: str) -> NotRun:
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -178,7 +178,7 @@
             self._spread_configuration,
             self.hub.send,
             self.freshness,
-            PROVED_SHARE * settings.watch_seconds,
+            settings.watch_seconds,
             self.events,
             self.metrics,
             self.rng,
--- a/tests/platform/test_outage.py
+++ b/tests/platform/test_outage.py
@@ -6,6 +6,7 @@
 """
 
 import unittest
+from unittest import mock
 
 from railsail.node import Node
 from tests.platform.base import PlatformTestCase
@@ -67,6 +68,17 @@
         answer = await self.call(node, "/once/", Request_Id="r-3")
         self.assertEqual(answer.status, 200)
 
+    async def test_no_final_refusal_rests_on_a_proof_older_than_a_change_may_take(self):
+        """A change is to be in force everywhere within the longest wait of a watch.
+
+        Refusals by proofs of up to 1.1 of it were final for routes that were older than that.
+        """
+        node = await self.serve(answering())
+        for share, status in ((0.95, 404), (1.05, 503)):
+            age = share * node.settings.watch_seconds
+            with mock.patch.object(node.freshness, "age", lambda kind, age=age: age):
+                self.assertEqual((await self.call(node, "/added/")).status, status)
+
     async def test_caller_of_no_route_is_told_so_while_the_store_answers(self):
         node = await self.serve(answering())
         await self.until(lambda: node.carrier.held().proof_age < node.settings.watch_seconds)
