streams: stored places again that a node out of step has removed

Cause: the first of the three writers removes a place once nobody has used it for the time in which callers return. It rests on what it has heard, up to some 4.4 s ago with watches of 2 s: the place may be in use again. The others never read the object again as long as they took the place for stored, so that it was missing for good if the first writer was lost before it heard of the return. Nodes that start after a loss of all would then take the other version for the only one.

Change: the others read the object each 5 s until 15 s after they saw that a place could be removed, and write what is missing. At most three reads of each for a removal.

Left: for up to 5 s and the delay of a second writer, the object may lack such a place.

--- a/railsail/streams/ledger.py
+++ b/railsail/streams/ledger.py
@@ -34,6 +34,10 @@
 DELAY_SECONDS = 1.0
 # Interval at which a node checks whether places can be removed, and whether it has become a writer.
 CHECK_SECONDS = 5.0
+# For this long after a place can be removed, the other writers read what the first one has written.
+# It may remove a place that is in use again, as long as it does not hear of that: a node that is
+# out of step removes nothing after some five seconds, and checks every five seconds.
+REMOVAL_SECONDS = 15.0
 # A node that starts does not write in this time, in which it learns of the other members.
 MEMBER_DISCOVERY_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.1
@@ -69,8 +73,12 @@
         self._version = 0
         # By stored place: when this node first knew that it is stored.
         self._stored_since: dict[Place, float] = {}
+        # When this node last read or wrote the object.
+        self._known_at = -math.inf
         # Since when a place of the history has not been stored, as far as known here.
         self._missing_since = math.inf
+        # Until when the first writer may remove a place that was not in use a moment ago.
+        self._removal_until = -math.inf
 
     def wake(self) -> None:
         """Check at once whether there are new places; call it when the history has changed."""
@@ -130,6 +138,8 @@
         rank = self._rank()
         if rank is None or math.isinf(self._history.window):
             return
+        if rank and self._may_have_been_removed(now):
+            await self.read()
         if not self._is_outdated(now):
             self._missing_since = math.inf
             if rank or self._wanted(now) == self._stored_places:
@@ -142,6 +152,12 @@
             await self.read()
         await self._write(now)
 
+    def _may_have_been_removed(self, now: float) -> bool:
+        """Return True if the object may lack a place that it had when it was last read."""
+        if self._wanted(now) < self._stored_places:
+            self._removal_until = now + REMOVAL_SECONDS
+        return self._known_at + CHECK_SECONDS <= now < self._removal_until
+
     def _is_outdated(self, now: float) -> bool:
         """Return True if the object lacks a place, or was restored from a copy."""
         if not self._history.places(now) <= self._stored_places:
@@ -176,6 +192,7 @@
 
     def _record(self, stored: StoredPlaces | None, version: int) -> None:
         now = self._clock.monotonic()
+        self._known_at = now
         self._stored = stored
         self._stored_places = stored.places if stored is not None else frozenset()
         self._stored_since = {
--- a/tests/streams/test_ledger.py
+++ b/tests/streams/test_ledger.py
@@ -8,7 +8,7 @@
 from railsail.core.logs import configure_logs
 from railsail.store.versions import to_version
 from railsail.streams.history import OriginHistory
-from railsail.streams.ledger import DELAY_SECONDS, PlacesLedger
+from railsail.streams.ledger import CHECK_SECONDS, DELAY_SECONDS, REMOVAL_SECONDS, PlacesLedger
 from railsail.streams.stored import KIND, PLACES_NAME
 from tests.rollouts.base import FakeStore
 
@@ -133,6 +133,40 @@
             self.clock.advance(DELAY_SECONDS)
         self.assertEqual((self.store.writes, self.store.reads), (1, 2))
 
+    async def test_version_that_returns_is_stored_though_a_node_out_of_step_removed_it(self):
+        """The others took it for stored for as long as nothing else changed."""
+        self.see("v1", "v2")
+        await self.ledger.update()
+        self.rank = 1
+        self.see("v1")
+        self.clock.advance(WINDOW + 1.0)
+        await self.ledger.update()
+        self.see("v1", "v2")
+        await self.ledger.update()
+        # The first writer has not heard that the version is back, and is lost after that.
+        value = {"era": 0, "hosts": {HOST: ["model"]}, "versions": {"model": ["v1"]}}
+        self.store.set(KIND, PLACES_NAME, value)
+        for _ in range(4):
+            self.clock.advance(CHECK_SECONDS)
+            await self.ledger.update()
+        self.assertEqual(self.stored(), ["v1", "v2"])
+
+    async def test_others_read_what_the_first_node_removes_for_a_moment_only(self):
+        self.see("v1", "v2")
+        await self.ledger.update()
+        self.rank = 1
+        self.see("v1")
+        self.clock.advance(WINDOW + 1.0)
+        await self.ledger.update()
+        value = {"era": 0, "hosts": {HOST: ["model"]}, "versions": {"model": ["v1"]}}
+        self.store.set(KIND, PLACES_NAME, value)
+        before = self.store.reads
+        for _ in range(100):
+            self.clock.advance(0.5)
+            await self.ledger.update()
+        self.assertLessEqual(self.store.reads - before, REMOVAL_SECONDS / CHECK_SECONDS)
+        self.assertEqual(self.store.writes, 1)
+
     async def test_node_that_is_not_among_the_writers_makes_no_call(self):
         self.rank = None
         await self.ledger.update()
