membership: compared tables with the first heartbeat after a link came up again

Cause: a change that is sent while a link is down is lost. A proof that comes over the new link says that its sender has all changes, and the node that lacks one counts as up to date by it, so that it does not read the store. Only the third heartbeat with another checksum led to an exchange of the tables. Where all links of a node are reset at once, it sent requests to a replica that had begun to leave for 3 s to 4 s, where two seconds are allowed.

Change: the first heartbeat with another checksum counts after a link to a known process came up again.

Ruled out: requesting all state with each new link (some 100 KB each at 680 replicas); ignoring the first proofs of a new link (a node would read the store after each reset).

Not measured: bytes between nodes where all links are reset while much changes.

--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -230,12 +230,16 @@
         known = self.table.get(peer.node)
         if known is None or known.start_id != peer.start_id or known.state is MemberState.DEAD:
             self._hub.send(peer.node, StateRequest(self._heartbeat().configuration))
+        else:
+            # What either of them sent while there was no link is lost, but their proofs say that
+            # they have all changes. The first heartbeat that differs shows it.
+            self._digest_differences[peer.node] = DIFFERENCES_TO_SYNC - 1
 
     def compare(self, node: str, heartbeat: Heartbeat) -> None:
         """Compare a heartbeat of ``node`` with this node's state.
 
         Request all state of ``node`` if its digests have differed for ``DIFFERENCES_TO_SYNC``
-        heartbeats.
+        heartbeats, or in the first one after a link came up again.
         """
         own = self._heartbeat()
         if heartbeat.wants_reply:
