routing: refused forwarded requests at nodes with an older configuration

Cause: a full node forwards requests to another one, which decided by its own configuration, however old. A caller that had seen a version in force at its node was served by the service that its route had left, or refused by a final 404 for a route that was there, when its node was full and the other one out of step. A node's own configuration never goes back; by way of another node it did.

Change: a forwarded request names the version by which it is forwarded. A node that lacks that version refuses the request as not run, with a time to come back. Older builds do not know the header, and send it on to replicas during an upgrade.

Ruled out: choosing only nodes that are known to have the version (heartbeats tell it of neighbours only, up to a second late).

Figures: the test fails without the change (200 from the former service) and passes.

--- a/railsail/routing/forwarding.py
+++ b/railsail/routing/forwarding.py
@@ -41,13 +41,18 @@
 # Maximum size of a piece of an answer that is copied at once.
 CHUNK_BYTES = 64 << 10
 MAX_HEAD_BYTES = 64 << 10
+# The version of the configuration by which a request is forwarded. Another node may not have it
+# yet, and must not handle the request by an older one than its caller has seen in force.
+CONFIGURATION = "Railsail-Configuration"
+MAX_VERSION_DIGITS = 20
 
 
 class ForwardedRequest(msgspec.Struct, frozen=True):
     """A request to forward: its request line, headers and body.
 
     ``deadline_at`` is when its final answer is due, in seconds of the monotonic clock. It may run
-    only in ``regions``, or in any region if there are none.
+    only in ``regions``, or in any region if there are none. ``configuration`` is the version by
+    which it is forwarded.
     """
 
     line: RequestStartLine
@@ -55,6 +60,7 @@
     body: bytes
     deadline_at: float
     regions: tuple[str, ...] = ()
+    configuration: int = 0
 
 
 class Forwarder:
@@ -131,10 +137,21 @@
     # that the caller sends no further request on its own connection.
     headers["Connection"] = "close"
     headers["Content-Length"] = str(len(request.body))
+    headers[CONFIGURATION] = str(request.configuration)
     connection = HTTP1Connection(stream, is_client=True)
     connection.write_headers(request.line, headers, request.body)
 
 
+def take_configuration(headers: HTTPHeaders) -> int:
+    """Remove from the ``headers`` of a forwarded request by which version it was; return that.
+
+    Return 0 if they do not name it.
+    """
+    text = headers.pop(CONFIGURATION, "")
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_VERSION_DIGITS
+    return int(text) if is_number else 0
+
+
 async def _copy_answer(stream: IOStream, client: ClientAnswer) -> int:
     """Copy all that arrives to the caller, and return the status of the answer, 0 if none came."""
     status = 0
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -24,7 +24,7 @@
 from railsail.routing.context import RoutingContext
 from railsail.routing.defaults import DEFAULT_POLICY
 from railsail.routing.error_answers import ErrorAnswers
-from railsail.routing.forwarding import Forwarder
+from railsail.routing.forwarding import Forwarder, take_configuration
 from railsail.routing.guard import AnswerGuard
 from railsail.routing.messages import IncomingRequest, RoutedRequest
 from railsail.routing.offload import Offloader
@@ -92,6 +92,7 @@
             admission,
             limit,
             forwarder,
+            lambda: self._catalog.version,
             self._error_answers,
             kernel,
         )
@@ -131,7 +132,12 @@
         await self._guard.run(self._refuse_without_room, incoming, client)
 
     async def _refuse_without_room(self, incoming: IncomingRequest, client: ClientAnswer) -> None:
-        refusal = NotRun(Reason.QUEUE_FULL, "this node has no memory for the body of the request")
+        detail = "this node has no memory for the body of the request"
+        await self._refuse(incoming, NotRun(Reason.QUEUE_FULL, detail), client)
+
+    async def _refuse(
+        self, incoming: IncomingRequest, refusal: NotRun, client: ClientAnswer
+    ) -> None:
         origin = self._protocol.read_origin(incoming.headers)
         status = await self._error_answers.send(origin.request_id, origin.deadline, refusal, client)
         seconds = self._clock.monotonic() - incoming.received_at
@@ -142,6 +148,11 @@
             await self._serve_locally(incoming, client)
 
     async def _serve_forwarded(self, incoming: IncomingRequest, client: ClientAnswer) -> None:
+        version = take_configuration(incoming.headers)
+        if version > self._catalog.version:
+            detail = f"configuration {version}, by which it was forwarded, is not in force here"
+            await self._refuse(incoming, NotRun(Reason.UNPROVED_CONFIGURATION, detail), client)
+            return
         if not await self._offloader.offload(incoming, client, can_forward=False):
             await self._serve_locally(incoming, client)
 
--- a/railsail/routing/offload.py
+++ b/railsail/routing/offload.py
@@ -38,7 +38,10 @@
 
 
 class Offloader:
-    """Forwards or refuses requests while this node is full."""
+    """Forwards or refuses requests while this node is full.
+
+    ``configuration`` returns the version of the active configuration.
+    """
 
     def __init__(
         self,
@@ -49,6 +52,7 @@
         admission: Admission,
         limit: ConcurrencyLimit,
         forwarder: Forwarder,
+        configuration: Callable[[], int],
         error_answers: ErrorAnswers,
         kernel: Kernel,
     ) -> None:
@@ -59,6 +63,7 @@
         self._admission = admission
         self._limit = limit
         self._forwarder = forwarder
+        self._configuration = configuration
         self._error_answers = error_answers
         self._clock = kernel.clock
         self._metrics = kernel.metrics
@@ -105,7 +110,9 @@
         headers = self._protocol.forward_headers(incoming.headers, elapsed)
         deadline_at = incoming.received_at + timeout
         regions = self._regions_of(route, candidate.workspace)
-        request = ForwardedRequest(incoming.line, headers, incoming.body, deadline_at, regions)
+        request = ForwardedRequest(
+            incoming.line, headers, incoming.body, deadline_at, regions, self._configuration()
+        )
         try:
             outcome = await self._forwarder.forward(request, candidate.client)
             if outcome is None:
--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -177,6 +177,29 @@
         self.assertTrue(answer.whole)
         self.assertEqual(answer.body.count(b"data: token"), EVENTS)
 
+    async def test_no_request_is_forwarded_to_an_older_configuration(self):
+        """The other node ran it by the service that the route had left, or refused it finally."""
+        full, idle = await self.serve_crowded()
+        self.hold(mock.patch.object(idle.carrier, "_activate", lambda *args: None))
+        moved = configuration(4, again={"service": "other"})
+        moved["services"].append({"name": "other", "health_path": "/h", "max_conns": 10})
+        added = dict(moved["routes"][0], name="added", path_prefix="/added/")
+        moved["routes"].append(added)
+        await self.add_replica(answering(), SLOTS, service="other")
+        self.store.put("config", "main", moved)
+        await self.until(lambda: full.carrier.catalog.version == 4)
+        before = len(self.replicas[0].received)
+        for path in ("/again/", "/added/"):
+            answer = await self.call(full, path)
+            self.assertEqual(answer.status, 503)
+            self.assertIn("Retry-After", answer.headers)
+        self.assertEqual(len(self.replicas[0].received), before)
+
+    async def test_version_of_the_configuration_is_not_sent_to_replicas(self):
+        full, _ = await self.serve_crowded()
+        self.assertEqual((await self.call(full, "/again/")).status, 200)
+        self.assertNotIn(forwarding.CONFIGURATION, self.replicas[0].received[-1].headers)
+
     async def test_caller_that_leaves_ends_the_work_at_the_other_node(self):
         full, idle = await self.serve_crowded()
         _, writer = await self.connect(full)
