--- a/tests/platform/test_missed_changes.py
+++ b/tests/platform/test_missed_changes.py
@@ -7,6 +7,8 @@
 from unittest import mock
 
 from railsail.node import Node
+from railsail.peers.base import Message
+from railsail.peers.messages import StateRequest
 from tests.platform.test_nodes_out_of_step import OutOfStepTestCase
 from tests.platform.test_streams import STREAMS
 
@@ -36,9 +38,23 @@
         leaving = self.replicas[0]
         self.list_replica(leaving, "draining", 2 * STREAMS, version="v1")
         await self.until(lambda: self.peer.directory.get(leaving.name).leaving)
-        compare = self.node.membership.compare
-        with mock.patch.object(self.node.membership, "compare", side_effect=compare) as compared:
-            self.relay.heal()
-            await self.until(lambda: self.node.directory.get(leaving.name).leaving)
-        # The reply to a request for all state may come just after another heartbeat.
-        self.assertLessEqual(compared.call_count, 2)
+        compared = self.count_heartbeats_until_request()
+        self.relay.heal()
+        await self.until(lambda: self.node.directory.get(leaving.name).leaving)
+        self.assertEqual(compared[0], 1)
+
+    def count_heartbeats_until_request(self) -> list[int]:
+        """Return how many heartbeats the node has compared when it first requests all state."""
+        counts: list[int] = []
+        compare, send = self.node.membership.compare, self.node.hub.send
+        watched = mock.patch.object(self.node.membership, "compare", side_effect=compare)
+        compared = watched.start()
+        self.addCleanup(watched.stop)
+
+        def sent(node: str, message: Message) -> bool:
+            if isinstance(message, StateRequest):
+                counts.append(compared.call_count)
+            return send(node, message)
+
+        self.hold(mock.patch.object(self.node.hub, "send", sent))
+        return counts
