--- a/railsail/node.py
+++ b/railsail/node.py
@@ -178,7 +178,7 @@
             self._spread_configuration,
             self.hub.send,
             self.freshness,
-            PROVED_SHARE * settings.watch_seconds,
+            settings.watch_seconds,
             self.events,
             self.metrics,
             self.rng,
@@ -671,6 +671,7 @@
             self.connections.close()
         self.crash_observer.stop()
         self.ledger.stop()
+        self.claims.stop()
         await self.hub.stop()
         for server in self._servers:
             with contextlib.suppress(TimeoutError):
