streams: asked peers for places also where the caller names no request

What callers saw: streams of a version, or of a service, that came and went while a node was out of step went on elsewhere, where they were resumed without a name.

Cause: the place is stored up to two seconds late if the node that is out of step is the first one that writes places, and the watch of a read does not go back to it.

--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -203,25 +203,36 @@
         stored = self.recovery.find(key)
         if stored is not None:
             return self._resumed(request, resumes, stored, _STORE, "stored", {})
-        replies: dict[str, StreamReply] = {}
+        query = await self._queries.ask(self._asked(key, host), key, host, QUERY_SECONDS)
+        if query.known is not None:
+            return self._resumed_as_known(request, resumes, query)
+        return await self._find_only_origin(request, key, host, resumes, query.replies)
+
+    def _asked(self, key: int, host: str) -> list[str]:
+        """Return the peers to ask for stream ``key``, or for places of ``host`` if the key is 0.
+
+        They may know places that came and went while this node was out of step.
+        """
         if key:
-            asked = self.candidates.asked(key)
-            query = await self._queries.ask(asked, key, host, QUERY_SECONDS)
-            if query.known is not None:
-                return self._resumed_as_known(request, resumes, query)
-            replies = query.replies
+            return self.candidates.asked(key)
+        return [] if len(self._possible(host, {})) > 1 else self.candidates.readers()
+
+    async def _find_only_origin(
+        self, request: str, key: int, host: str, resumes: str, replies: dict[str, StreamReply]
+    ) -> StreamOrigin | None:
+        """Return where a stream without a record began, ``None`` if it is not certain."""
         origins = self._possible(host, replies)
         if len(origins) > 1:
             self._refuse(request, resumes, Uncertainty.SEVERAL_ORIGINS, origins)
             return None
         certainty = await self._check.run(host)
         if isinstance(certainty, Uncertainty):
-            asked = self.candidates.readers()
             seconds = self._reader.longest_wait
-            query = await self._queries.ask(asked, key, host, seconds, reads=True)
+            readers = self.candidates.readers()
+            query = await self._queries.ask(readers, key, host, seconds, reads=True)
             if query.known is not None:
                 return self._resumed_as_known(request, resumes, query)
-            replies |= query.replies
+            replies = replies | query.replies
             if query.complete is not None:
                 certainty = Certainty(query.complete)
         return self._only_origin(request, host, resumes, certainty, replies)
--- a/tests/streams/test_service.py
+++ b/tests/streams/test_service.py
@@ -232,10 +232,22 @@
             self.reader.result = LatestPlaces(0.0, frozenset(), 0, stored)
             self.assertIsNone(await self.find(""))
 
+    async def test_place_that_only_a_peer_has_counts_for_streams_without_a_name(self):
+        self.origins.history.observe_pools({HOST: ["model"]}, 0.0)
+        self.origins.history.observe_versions({"model": ["v1"]}, 0.0)
+        finding = self.find("")
+        for node, query in await self.queries():
+            self.assertFalse(query.reads)
+            self.reply(node, query, possible=[OriginRecord("model", "v2")])
+        self.assertIsNone(await finding)
+
     async def test_peer_reads_if_this_node_cannot(self):
         self.reader.result = FAILED
         self.reader.longest_wait = 30.0
         finding = self.find("")
+        for node, query in await self.queries():
+            self.assertFalse(query.reads)
+            self.reply(node, query)
         queries = await self.queries()
         self.assertEqual([query.reads for _, query in queries], [True] * candidates.READING_PEERS)
         self.reply(*queries[0], possible=KNOWN, complete=True)
