platform: reported objects of the store that cannot be read

What operators saw: a replica whose entry cannot be read had a line, with "KeyError: 'endpoint'" for the reason, since the reason of the decoder was dropped where it was found. Objects of other kinds had none from the store client, no kind had a count, and an entry that makes answers invalid JSON wrote one line for each answer: a writer that repeats it, several times a second.

Change: the store client logs each such object once, with the reason, until that changes, it can be read, or it is gone; and counts it by kind, as replicas with values out of bounds are counted. Answers that had to be searched are counted each, and logged once until the kind is listed in a valid one. The answer to a write is recovered as that to a read is: it holds what operators wrote too.

Figures: tests.platform.test_odd_entries, five writes each of three entries: one count and one line with the name, of two lines at most. The test needs the counter, so that it cannot run before.

--- a/railsail/core/metrics.py
+++ b/railsail/core/metrics.py
@@ -52,6 +52,14 @@
         self.store_calls = self._counter(
             "railsail_store_calls_total", "Calls to the platform's store, by operation and result."
         )
+        self.unreadable_objects = self._counter(
+            "railsail_store_unreadable_objects_total",
+            "Objects of the store that could not be read, by kind.",
+        )
+        self.recovered_answers = self._counter(
+            "railsail_store_recovered_answers_total",
+            "Answers of the store that were not valid, from which objects were recovered, by kind.",
+        )
         self.retries = self._counter("railsail_retries_total", "Calls retried, by cause.")
         self.silences = self._counter(
             "railsail_silences_total",
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -186,7 +186,11 @@
         self.exchange = ConfigurationExchange(self.carrier, self.hub, self.kernel)
         self.spread = ConfigurationSpread(self.membership, self.exchange)
         self.directory = UpstreamDirectory(
-            broadcast, self.events, self.clock.monotonic, self.clock.wall
+            broadcast,
+            self.events,
+            self.clock.monotonic,
+            self.clock.wall,
+            lambda: self.metrics.unreadable_objects.inc({"kind": UPSTREAM}),
         )
         self.watcher = StoreWatcher(
             self.store,
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -10,7 +10,6 @@
 
 from railsail.conf.values import Endpoint
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
-from railsail.core.logs import get_logger
 from railsail.core.metrics import Metrics
 from railsail.core.slices import run_sliced
 from railsail.platform.decoding import UndecodableObject, decode, decode_plain
@@ -25,6 +24,7 @@
 from railsail.platform.recovery import recover_object, recover_objects
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
 from railsail.store.calls import GONE, NOT_FOUND, StoreCalls
+from railsail.store.unreadable import UnreadableObjects, UnreadableValue
 from railsail.store.versions import era_of, revision_of, to_version
 
 CALL_SECONDS = 2.0
@@ -105,6 +105,7 @@
         # The latest generation of the store in any answer.
         self._latest_generation = 0
         self._calls = StoreCalls(metrics, CALL_SECONDS, MAX_ANSWER_BYTES)
+        self._unreadable = UnreadableObjects(metrics)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or ``None`` if there is none."""
@@ -112,7 +113,8 @@
         response = await self._call("get", "GET", path)
         if response.code == NOT_FOUND:
             return None
-        return await _object(kind, _decode_one(response), _generation(response))
+        item = _decode_one(response, self._damaged_reporter(kind))
+        return await _object(kind, item, _generation(response), self._unreadable)
 
     async def list(self, kind: str) -> Listing:
         """Return all objects of ``kind``."""
@@ -120,6 +122,7 @@
         after = ""
         version: int | None = None
         generation = 0
+        damaged: list[str] = []
         for _ in range(MAX_PAGES):
             # Despite its name, the parameter takes the name of the last object, not a revision.
             query = f"?since_rev={quote(after)}" if after else ""
@@ -129,17 +132,29 @@
             generation = _generation(response)
             if response.code == NOT_FOUND:
                 return Listing(version or to_version(generation, 0), tuple(objects))
-            page = _decode_many(response, ListPage)
+            page = _decode_many(response, ListPage, damaged.append)
             # The pages are read one after the other. A watch from the version of the first one on
             # returns the changes that were made in the meantime.
             at = to_version(generation, page.at)
             version = at if version is None else min(version, at)
-            objects += [await _object(kind, item, generation) for item in page.items]
+            objects += [
+                await _object(kind, item, generation, self._unreadable) for item in page.items
+            ]
             if not page.more or not page.items:
                 break
             after = page.items[-1].metadata.name
+        self._report_listing(kind, damaged)
         return Listing(version or 0, tuple(objects))
 
+    def _report_listing(self, kind: str, damaged: Sequence[str]) -> None:
+        if not damaged:
+            self._unreadable.listing_decoded(kind)
+        for reason in damaged:
+            self._unreadable.answer_damaged(kind, reason)
+
+    def _damaged_reporter(self, kind: str) -> Callable[[str], None]:
+        return lambda reason: self._unreadable.answer_damaged(kind, reason)
+
     async def put(self, kind: str, name: str, value: dict[str, object], expected: int) -> int:
         """Write an object if its version is ``expected``, 0 for none; return the new version."""
         self._check_generation(expected)
@@ -151,7 +166,8 @@
         else:
             path, method = _path(kind), "POST"
         response = await self._call("put", method, path, msgspec.json.encode(body))
-        return to_version(_generation(response), _decode(response, StoredItem).metadata.revision)
+        item = _decode_one(response, self._damaged_reporter(kind))
+        return to_version(_generation(response), item.metadata.revision)
 
     async def put_status(
         self, kind: str, name: str, value: dict[str, object], expected: int
@@ -161,7 +177,8 @@
         body = {"metadata": {"name": name, "revision": revision_of(expected)}, "status": value}
         path = f"{_path(kind)}/{quote(name)}/status"
         response = await self._call("put", "PUT", path, msgspec.json.encode(body))
-        return to_version(_generation(response), _decode(response, StoredItem).metadata.revision)
+        item = _decode_one(response, self._damaged_reporter(kind))
+        return to_version(_generation(response), item.metadata.revision)
 
     async def delete(self, kind: str, name: str, expected: int) -> None:
         """Delete an object if its version is ``expected``."""
@@ -180,9 +197,10 @@
         if generation != era_of(since):
             # In this generation, the revision of ``since`` may belong to another change.
             return WatchResult(since, (), expired=True)
-        changes = _decode_many(response, Changes)
+        changes = _decode_many(response, Changes, self._damaged_reporter(kind))
         events = [
-            await _event(kind, change.object, change.gone, generation) for change in changes.events
+            await _event(kind, change.object, change.gone, generation, self._unreadable)
+            for change in changes.events
         ]
         return WatchResult(to_version(generation, changes.at), tuple(events))
 
@@ -222,50 +240,57 @@
     return int(text)
 
 
-def _decode(response: HTTPResponse, shape: type):
-    try:
-        return decode(response.body, shape)
-    except UndecodableObject as problem:
-        raise StoreUnavailable(f"the store's answer cannot be read: {problem}") from None
-
-
-def _decode_one(response: HTTPResponse) -> StoredItem:
+def _decode_one(response: HTTPResponse, report: Callable[[str], None]) -> StoredItem:
     """Return an answer with one object, without its spec if that is not valid JSON."""
-    return _recovered(response, StoredItem, recover_object)
+    return _recovered(response, StoredItem, recover_object, report)
 
 
-def _decode_many(response: HTTPResponse, shape: type):
+def _decode_many(response: HTTPResponse, shape: type, report: Callable[[str], None]):
     """Return an answer with many objects, also if one of them has invalid bytes."""
-    return _recovered(response, shape, recover_objects)
+    return _recovered(response, shape, recover_objects, report)
 
 
-def _recovered(response: HTTPResponse, shape: type, recover: Callable[[bytes], bytes]):
+def _recovered(
+    response: HTTPResponse,
+    shape: type,
+    recover: Callable[[bytes], bytes],
+    report: Callable[[str], None],
+):
+    """Return an answer; ``report`` is called with the reason if it is not valid."""
     try:
         return decode(response.body, shape)
     except UndecodableObject as problem:
-        get_logger().warning("invalid answer of the store: recovering objects", reason=str(problem))
+        report(str(problem))
     try:
         return decode(recover(response.body), shape)
     except UndecodableObject as problem:
         raise StoreUnavailable(f"the store's answer cannot be read: {problem}") from None
 
 
-async def _object(kind: str, item: StoredItem, generation: int) -> StoredObject:
+async def _object(
+    kind: str, item: StoredItem, generation: int, unreadable: UnreadableObjects
+) -> StoredObject:
     known = _KINDS[kind]
     name = known.to_product(item.metadata.name)
     try:
         value = await known.read(item.spec, item.status)
     except UndecodableObject as problem:
+        unreadable.reject(kind, name, str(problem))
         if known.product_name:
             raise StoreUnavailable(f"{kind}/{name} cannot be read: {problem}") from None
-        # An invalid object must not hide the others. The listener to its kind refuses empty values.
-        value = {}
+        # An invalid object must not hide the others. The listener to its kind refuses this value.
+        value = UnreadableValue()
+    else:
+        unreadable.accept(kind, name)
     return StoredObject(kind, name, to_version(generation, item.metadata.revision), value)
 
 
-async def _event(kind: str, item: StoredItem, gone: bool, generation: int) -> WatchEvent:
+async def _event(
+    kind: str, item: StoredItem, gone: bool, generation: int, unreadable: UnreadableObjects
+) -> WatchEvent:
     if gone:
         name = _KINDS[kind].to_product(item.metadata.name)
+        unreadable.accept(kind, name)
         return WatchEvent(kind, name, to_version(generation, item.metadata.revision), None)
-    stored = await _object(kind, item, generation)
+    stored = await _object(kind, item, generation, unreadable)
     return WatchEvent(kind, stored.name, stored.version, stored.value)
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -62,7 +62,7 @@
     """The records of all replicas.
 
     ``broadcast`` sends an update to all neighbours but the given one. ``monotonic`` and ``wall``
-    return seconds.
+    return seconds. ``count_invalid`` is called for each record of the store that is found invalid.
     """
 
     def __init__(
@@ -71,6 +71,7 @@
         events: EventLog,
         monotonic: Callable[[], float] = steady_seconds,
         wall: Callable[[], float] = time.time,
+        count_invalid: Callable[[], None] = lambda: None,
     ) -> None:
         self._broadcast = broadcast
         self._events = events
@@ -83,7 +84,7 @@
         # node received the record, because the wall clocks of nodes differ and may jump.
         self._cold_until: dict[str, float] = {}
         self._restart_listeners: list[Callable[[Upstream], None]] = []
-        self._invalid_records = InvalidRecords()
+        self._invalid_records = InvalidRecords(count_invalid)
         self._upstreams: dict[str, Upstream] = {}
         self._digest = 0
         self._listeners: list[Callable[[], None]] = []
--- a/railsail/upstreams/invalidrecords.py
+++ b/railsail/upstreams/invalidrecords.py
@@ -1,5 +1,7 @@
 """Log invalid records of replicas once each, because one may be written again and again."""
 
+from collections.abc import Callable
+
 from railsail.core.logs import get_logger
 
 # Bounds the names that are remembered. When there are more, all are forgotten, and logged again.
@@ -7,9 +9,13 @@
 
 
 class InvalidRecords:
-    """A log of invalid records: one line each, until a valid one of the same name is received."""
+    """A log of invalid records: one line each, until a valid one of the same name is received.
+
+    ``count`` is called for each line.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, count: Callable[[], None] = lambda: None) -> None:
+        self._count = count
         self._logged: dict[str, str] = {}
 
     def reject(self, name: str, reason: str) -> None:
@@ -19,6 +25,7 @@
         if len(self._logged) >= MAX_NAMES:
             self._logged.clear()
         self._logged[name] = reason
+        self._count()
         get_logger().warning("invalid upstream record", name=name, reason=reason)
 
     def accept(self, name: str) -> None:
--- a/railsail/upstreams/records.py
+++ b/railsail/upstreams/records.py
@@ -10,6 +10,7 @@
 from railsail.conf.values import parse_endpoint
 from railsail.peers.records import UpstreamRecord
 from railsail.store.base import WatchEvent
+from railsail.store.unreadable import UnreadableValue
 from railsail.upstreams.invalidrecords import InvalidRecords
 
 
@@ -61,6 +62,8 @@
 
 def parse_record(event: WatchEvent, invalid_records: InvalidRecords) -> Upstream | None:
     """Return the listed record of ``event``, or ``None`` if it is invalid."""
+    if isinstance(event.value, UnreadableValue):
+        return None
     value = event.value or {}
     try:
         endpoint = str(parse_endpoint(str(value["endpoint"])))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from railsail.core.exceptions import StoreUnavailable
+from railsail.core.metrics import Metrics
 from railsail.peers.codec import decode_frame, encode_message, join_frame
 from railsail.peers.levels import NEWEST
 from railsail.peers.messages import UpstreamNews
@@ -21,6 +22,7 @@
 )
 from railsail.platform.objects import Changes, ListPage, Server
 from railsail.store.base import WatchEvent
+from railsail.store.unreadable import UnreadableObjects
 from railsail.upstreams.invalidrecords import InvalidRecords
 from railsail.upstreams.records import parse_record, to_record
 
@@ -91,7 +93,8 @@
         metadata = b'{"name":"x","revision":1}'
         item = b'{"metadata":%s,"spec":%s,"odd":%s}' % (metadata, text, nested(depth))
         try:
-            asyncio.run(store._object(kind, store._decode_one(_Answer(item)), 0))
+            decoded = store._decode_one(_Answer(item), lambda reason: None)
+            asyncio.run(store._object(kind, decoded, 0, UnreadableObjects(Metrics())))
         except StoreUnavailable:
             self.assertEqual(kind, "configuration")
 
@@ -99,6 +102,7 @@
     @given(specs, depths)
     def test_entry_does_not_hide_the_one_after_it(self, spec, depth):
         separator = b"," if spec else b""
+        unreadable = UnreadableObjects(Metrics())
         opened = json.dumps(spec).encode().removesuffix(b"}")
         odd = opened + separator + b'"deep":' + nested(depth) + b"}"
         items = [
@@ -110,12 +114,12 @@
             (b'{"items":[%s],"at":9}' % b",".join(items), ListPage),
             (b'{"events":[%s],"at":9}' % events, Changes),
         ):
-            page = store._decode_many(_Answer(body), shape)
+            page = store._decode_many(_Answer(body), shape, lambda reason: None)
             found = page.items if shape is ListPage else [event.object for event in page.events]
             self.assertEqual([item.metadata.name for item in found], ["i-1", "i-2", "last"])
             self.assertEqual(page.at, 9)
             for item in found:
-                asyncio.run(store._object("upstream", item, 0))
+                asyncio.run(store._object("upstream", item, 0, unreadable))
 
     @MANY
     @given(
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -2,8 +2,11 @@
 
 import json
 import unittest
+from unittest.mock import Mock, patch
 
 from railsail.node import Node
+from railsail.store import unreadable
+from railsail.upstreams import invalidrecords
 from tests.platform.base import PlatformTestCase
 from tests.platform.standins import LOOPBACK, answering
 
@@ -134,5 +137,36 @@
             self.assertEqual(answer.status, 200)
 
 
+class SightTests(PlatformTestCase):
+    async def test_entry_that_cannot_be_read_is_reported_once(self):
+        node = await self.serve(answering())
+        odd = (
+            ("text that ends early", entry('{"service":"desk","ad')),
+            ("spec of another type", entry("[]")),
+            ("address that is none", with_field("addr", '"nowhere"')),
+        )
+        logger = Mock()
+        self.hold(patch.object(unreadable, "get_logger", lambda: logger))
+        self.hold(patch.object(invalidrecords, "get_logger", lambda: logger))
+        for what, text in odd:
+            with self.subTest(what):
+                before = self.reported(node)
+                logger.reset_mock()
+                for _ in range(5):
+                    self.store.put_raw("servers", NAME, text)
+                    replica = await self.add_replica(answering())
+                    await self.until(lambda replica=replica: node.directory.get(replica.name))
+                self.assertEqual(self.reported(node), before + 1, logger.mock_calls)
+                calls = logger.warning.call_args_list
+                named = [call.kwargs for call in calls if call.kwargs.get("name") == NAME]
+                self.assertEqual(len(named), 1, calls)
+                self.assertTrue(named[0]["reason"])
+                self.assertLessEqual(len(calls), 2)
+
+    def reported(self, node: Node) -> float:
+        counts = node.metrics.unreadable_objects.get_all()
+        return sum(count for labels, count in counts if labels == {"kind": "upstream"})
+
+
 if __name__ == "__main__":
     unittest.main()
