--- a/railsail/membership/service.py
+++ b/railsail/membership/service.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from railsail.conf.values import parse_endpoint
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
 from railsail.membership import overlay
@@ -22,6 +23,7 @@
 from railsail.peers.messages import Heartbeat, MemberNews, StateRequest
 from railsail.peers.records import MemberRecord
 from railsail.store.base import Listing, WatchEvent
+from railsail.store.unreadable import UnreadableObjects
 
 KIND = "node"
 HEARTBEAT_INTERVAL_SECONDS = 1.0
@@ -61,6 +63,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._dead_at: dict[str, float] = {}
         self._digest_differences: dict[str, int] = {}
+        self._unreadable = UnreadableObjects(kernel.metrics)
         self._neighbours: list[str] = []
         self._monitored_since: dict[str, float] = {}
         self._extra_monitored: Callable[[], set[str]] = set
@@ -87,14 +90,23 @@
 
     def listed(self, listing: Listing) -> None:
         """Apply a listing of the platform's nodes."""
-        self.add_seeds([stored.name for stored in listing.objects])
+        self.add_seeds([stored.name for stored in listing.objects if self._is_node(stored.name)])
         self._dial_seeds()
 
     def seen(self, event: WatchEvent) -> None:
         """Apply a watch event of the platform's nodes."""
-        if event.value is not None:
+        if event.value is not None and self._is_node(event.name):
             self.add_seeds([event.name])
 
+    def _is_node(self, name: str) -> bool:
+        """Return False for an object of the store that another program wrote."""
+        try:
+            parse_endpoint(name)
+        except ValueError as problem:
+            self._unreadable.reject(KIND, name, str(problem))
+            return False
+        return True
+
     def neighbours(self) -> list[str]:
         """Return the members with which this node exchanges updates and heartbeats."""
         return self._neighbours
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -190,7 +190,7 @@
             self.events,
             self.clock.monotonic,
             self.clock.wall,
-            lambda: self.metrics.unreadable_objects.inc({"kind": UPSTREAM}),
+            lambda kind: self.metrics.unreadable_objects.inc({"kind": kind}),
         )
         self.watcher = StoreWatcher(
             self.store,
--- a/railsail/upstreams/directory.py
+++ b/railsail/upstreams/directory.py
@@ -62,7 +62,8 @@
     """The records of all replicas.
 
     ``broadcast`` sends an update to all neighbours but the given one. ``monotonic`` and ``wall``
-    return seconds. ``count_invalid`` is called for each record of the store that is found invalid.
+    return seconds. ``count_invalid`` is called with the kind of each record of the store that is
+    found invalid.
     """
 
     def __init__(
@@ -71,20 +72,22 @@
         events: EventLog,
         monotonic: Callable[[], float] = steady_seconds,
         wall: Callable[[], float] = time.time,
-        count_invalid: Callable[[], None] = lambda: None,
+        count_invalid: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self._broadcast = broadcast
         self._events = events
         self._monotonic = monotonic
         self._wall = wall
         self._merger = RecordMerger(monotonic)
-        self.evacuations = Evacuations(self._broadcast_evacuations, events, monotonic)
+        self.evacuations = Evacuations(
+            self._broadcast_evacuations, events, monotonic, count_invalid
+        )
         self.evacuations.on_change(self._notify_listeners)
         # When the cold time of each replica ends, on the monotonic clock. It counts from when this
         # node received the record, because the wall clocks of nodes differ and may jump.
         self._cold_until: dict[str, float] = {}
         self._restart_listeners: list[Callable[[Upstream], None]] = []
-        self._invalid_records = InvalidRecords(count_invalid)
+        self._invalid_records = InvalidRecords(KIND, count_invalid)
         self._upstreams: dict[str, Upstream] = {}
         self._digest = 0
         self._listeners: list[Callable[[], None]] = []
--- a/railsail/upstreams/evacuations.py
+++ b/railsail/upstreams/evacuations.py
@@ -13,6 +13,7 @@
 from railsail.core.events import EventLog, Kind
 from railsail.peers.records import DomainRecord
 from railsail.store.base import Listing, WatchEvent
+from railsail.upstreams.invalidrecords import InvalidRecords
 
 KIND = "evacuation"
 
@@ -29,6 +30,7 @@
     """The newest record of each failure domain.
 
     ``broadcast`` sends records to all neighbours but the given one; ``monotonic`` returns seconds.
+    ``count_invalid`` is called with the kind of each object that is found invalid.
     """
 
     def __init__(
@@ -36,10 +38,12 @@
         broadcast: Callable[[list[DomainRecord], str], None],
         events: EventLog,
         monotonic: Callable[[], float],
+        count_invalid: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self._broadcast = broadcast
         self._events = events
         self._monotonic = monotonic
+        self._invalid_records = InvalidRecords(KIND, count_invalid)
         self._known: dict[str, Evacuation] = {}
         # When this node learnt that the evacuation of each domain had ended.
         self._ended_at: dict[str, float] = {}
@@ -74,11 +78,12 @@
         for known in self.all() if listing.settled else ():
             if known.domain not in names and known.evacuated:
                 found.append(Evacuation(known.domain, listing.version, False))
-        self._apply(found, "")
+        self._apply([evacuation for evacuation in found if self._is_valid(evacuation)], "")
 
     def seen(self, event: WatchEvent) -> None:
         """Apply a watch event of the store."""
-        self._apply([Evacuation(event.name, event.version, event.value is not None)], "")
+        evacuation = Evacuation(event.name, event.version, event.value is not None)
+        self._apply([evacuation] if self._is_valid(evacuation) else [], "")
 
     def received(self, node: str, records: list[DomainRecord]) -> None:
         """Apply records of the peer ``node``."""
@@ -88,6 +93,18 @@
         """Return all records, for a peer that requested them."""
         return [_to_record(evacuation) for evacuation in self.all()]
 
+    def _is_valid(self, evacuation: Evacuation) -> bool:
+        """Return False if peers would refuse ``evacuation``, with the message that it is in.
+
+        No replica is in such a domain, since its record would be refused too.
+        """
+        try:
+            msgspec.convert(msgspec.structs.astuple(evacuation), DomainRecord)
+        except msgspec.ValidationError as problem:
+            self._invalid_records.reject(evacuation.domain, str(problem))
+            return False
+        return True
+
     def _apply(self, candidates: list[Evacuation], source: str) -> None:
         newer = [candidate for candidate in candidates if self._is_newer(candidate)]
         if not newer:
--- a/railsail/upstreams/invalidrecords.py
+++ b/railsail/upstreams/invalidrecords.py
@@ -1,4 +1,4 @@
-"""Log invalid records of replicas once each, because one may be written again and again."""
+"""Log invalid records of the store once each, because one may be written again and again."""
 
 from collections.abc import Callable
 
@@ -11,10 +11,13 @@
 class InvalidRecords:
     """A log of invalid records: one line each, until a valid one of the same name is received.
 
-    ``count`` is called for each line.
+    ``kind`` is that of the records. ``count`` is called with it for each line.
     """
 
-    def __init__(self, count: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self, kind: str = "upstream", count: Callable[[str], None] = lambda kind: None
+    ) -> None:
+        self._kind = kind
         self._count = count
         self._logged: dict[str, str] = {}
 
@@ -25,8 +28,8 @@
         if len(self._logged) >= MAX_NAMES:
             self._logged.clear()
         self._logged[name] = reason
-        self._count()
-        get_logger().warning("invalid upstream record", name=name, reason=reason)
+        self._count(self._kind)
+        get_logger().warning(f"invalid {self._kind} record", name=name, reason=reason)
 
     def accept(self, name: str) -> None:
         """Forget ``name``, whose record is now valid."""
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -8,7 +8,7 @@
 from railsail.store import unreadable
 from railsail.upstreams import invalidrecords
 from tests.platform.base import PlatformTestCase
-from tests.platform.standins import LOOPBACK, answering
+from tests.platform.standins import LOOPBACK, TurnedAway, answering
 
 DEEP = 2_000
 DEEPEST = 100_000
@@ -137,6 +137,28 @@
             self.assertEqual(answer.status, 200)
 
 
+class OddEntryAtPeersTests(PlatformTestCase):
+    async def test_node_that_joins_without_the_store_learns_what_is_beside_odd_entries(self):
+        long_name = "z" * 300
+        order = {"service": "desk", "target_version": "v2", "duration_s": 60}
+        self.store.put("evacuations", long_name, {})
+        self.store.put("evacuations", "b", {})
+        self.store.put("rollouts", long_name, order | {"service": long_name})
+        self.store.put("rollouts", "desk", order)
+        node = await self.serve(answering(), expose_share="0.1")
+        await self.until(lambda: node.directory.rollout("desk") is not None)
+        silent = self.store.add_access()
+        silent.turned_away = TurnedAway.SILENT
+        joined = await self.add_node(
+            seeds=node.hub.own.node, store=f"{LOOPBACK}:{silent.port}", expose_share="0.1"
+        )
+        await self.until(lambda: joined.directory.get("i-0") is not None)
+        await self.until(lambda: joined.directory.evacuations.active("b"))
+        await self.until(lambda: joined.directory.rollout("desk") is not None)
+        self.assertEqual(joined.directory.digest, node.directory.digest)
+        self.assertEqual(joined.metrics.peer_messages_refused.get_all(), [])
+
+
 class SightTests(PlatformTestCase):
     async def test_entry_that_cannot_be_read_is_reported_once(self):
         node = await self.serve(answering())
--- a/tests/rollouts/test_book.py
+++ b/tests/rollouts/test_book.py
@@ -1,14 +1,19 @@
 """The rollouts that a node knows: how records merge, and which versions receive calls."""
 
 import itertools
+import math
 import unittest
 from dataclasses import replace
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from railsail.core.clock import ManualClock
+from railsail.peers.codec import decode_frame, encode_message, join_frame
 from railsail.rollouts.book import REPLACEMENT_SECONDS
 from railsail.rollouts.merging import merge
 from railsail.rollouts.orders import Order, Rollout, State
-from railsail.store.base import Listing, WatchEvent
+from railsail.store.base import Listing, StoredObject, WatchEvent
 from railsail.store.versions import to_version
 from tests.rollouts.base import SERVICE, START, FakeStore, event, new_book
 
@@ -17,6 +22,51 @@
     return {"status": {"state": state, "target_version": target}}
 
 
+leaves = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.sampled_from([1 << 63, -(1 << 63), 10**400, 10**4000, 1e308, math.inf, math.nan]),
+    st.floats(),
+    st.sampled_from(["running", "rolled_back", "", "v" * 300]),
+)
+values = st.recursive(
+    leaves,
+    lambda inner: (
+        st.lists(inner, max_size=2) | st.dictionaries(st.text(max_size=4), inner, max_size=2)
+    ),
+    max_leaves=4,
+)
+fields = {
+    "target_version": st.one_of(st.just("v2"), values),
+    "duration": st.one_of(st.just(20.0), values),
+    "status": st.one_of(
+        values, st.fixed_dictionaries({}, optional={"state": values, "target_version": values})
+    ),
+}
+
+
+class OddOrderTests(unittest.TestCase):
+    """Programs other than railsail may write orders, and anything may be in them."""
+
+    @settings(max_examples=300)
+    @given(st.fixed_dictionaries({}, optional=fields), st.sampled_from(["odd", "o" * 257]))
+    def test_order_hides_no_other_order_here_or_at_peers(self, value, name):
+        flooded: list = []
+        book = new_book(ManualClock(START), flooded)
+        objects = (
+            StoredObject("rollout", name, 1, {"service": name} | value),
+            StoredObject(
+                "rollout", SERVICE, 2, {"service": SERVICE, "target_version": "v2", "duration": 20}
+            ),
+        )
+        book.listed(Listing(3, objects))
+        self.assertEqual(book.running(SERVICE), Order(SERVICE, 2, "v2", 20.0))
+        for update in (*(update for update, _ in flooded), book.full_update()):
+            _, (received,) = decode_frame(join_frame(1, [encode_message(update)]))
+            self.assertEqual(received, update)
+
+
 class BookTests(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock(START)
--- a/tests/upstreams/test_directory.py
+++ b/tests/upstreams/test_directory.py
@@ -5,6 +5,7 @@
 
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog, Kind
+from railsail.peers.codec import decode_frame, encode_message, join_frame
 from railsail.store.base import Listing, StoredObject, WatchEvent
 from railsail.store.versions import to_version
 from railsail.upstreams import invalidrecords as module
@@ -71,6 +72,22 @@
         self.assertEqual(logger.return_value.warning.call_count, 1)
 
 
+class PeerBoundsTests(DirectoryTestCase):
+    """A record that peers refuse would hide those that are in the same message."""
+
+    def test_evacuation_that_peers_would_refuse_hides_no_record(self):
+        self.receive_record(1)
+        names = ("a", "z" * 257, "b")
+        objects = [StoredObject("evacuation", name, 2, {}) for name in names]
+        self.directory.evacuations.listed(Listing(3, tuple(objects)))
+        self.directory.evacuations.seen(WatchEvent("evacuation", "y" * 300, 4, {}))
+        self.directory.evacuations.seen(WatchEvent("evacuation", "c", 5, {}))
+        for update in (*self.broadcasts, self.directory.news()):
+            decode_frame(join_frame(1, [encode_message(update)]))
+        domains = [record.domain for record in self.directory.news().domains]
+        self.assertEqual(domains, ["a", "b", "c"])
+
+
 class RestartTests(DirectoryTestCase):
     def test_listeners_are_notified_of_a_restart(self):
         restarted = []
