--- a/railsail/store/claims.py
+++ b/railsail/store/claims.py
@@ -16,8 +16,9 @@
 
 from railsail.core.clock import Clock
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
+from railsail.core.logs import get_logger
 from railsail.store.base import Store
-from railsail.store.journal import Backoff, Head, Journal, Record
+from railsail.store.journal import Backoff, Head, Journal, Record, UnreadableJournal
 
 KIND = "claims"
 SHARD_COUNT = 16
@@ -137,7 +138,8 @@
             except StoreConflict:
                 # Another daemon wrote this shard; its records are read before the next attempt.
                 self._head = None
-            except StoreUnavailable:
+            except StoreUnavailable as problem:
+                get_logger().info("claims could not be stored", reason=str(problem))
                 # The write may have taken effect. The journal is read again, and if it holds the
                 # claims, they are answered from the index.
                 self._head = None
@@ -196,7 +198,7 @@
             if number not in self._part_end_times:
                 records = await self._journal.read_part(number)
                 self._index_records(records)
-                self._part_end_times[number] = records[-1]["t"] if records else 0.0
+                self._part_end_times[number] = _from_record(records[-1])[0]
         self._index_records(head.tail)
         self._head = head
 
@@ -238,13 +240,21 @@
     }
 
 
+class _StoredClaim(msgspec.Struct, frozen=True):
+    k: str
+    f: str
+    n: str
+    s: int
+    a: int
+    r: int
+    t: float
+
+
 def _from_record(record: Record) -> tuple[float, Claim]:
-    claim = Claim(
-        bytes.fromhex(record["k"]),
-        bytes.fromhex(record["f"]),
-        record["n"],
-        record["s"],
-        record["a"],
-        bool(record["r"]),
-    )
-    return record["t"], claim
+    try:
+        stored = msgspec.convert(record, _StoredClaim)
+        key, request = bytes.fromhex(stored.k), bytes.fromhex(stored.f)
+    except ValueError as problem:
+        # It may be the claim of any key.
+        raise UnreadableJournal(f"a claim cannot be read: {problem}") from None
+    return stored.t, Claim(key, request, stored.n, stored.s, stored.a, bool(stored.r))
--- a/railsail/store/journal.py
+++ b/railsail/store/journal.py
@@ -7,16 +7,38 @@
 
 The value of the head object is
 ``{"next": number of the next record, "first": number of the oldest part, "tail": [record, ...]}``.
+
+A journal that cannot be read is never written: its records would be lost, and a writer that does
+not know them would decide against them.
 """
 
 import contextlib
 import random
 from dataclasses import dataclass, replace
+from typing import Annotated, TypeVar
+
+import msgspec
 
-from railsail.core.exceptions import StoreConflict
-from railsail.store.base import Store
+from railsail.core.exceptions import StoreConflict, StoreUnavailable
+from railsail.store.base import Store, StoredObject
 
 Record = dict[str, object]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+T = TypeVar("T")
+
+
+class UnreadableJournal(StoreUnavailable):
+    """An object of a journal is missing, or is not what a writer of the journal wrote."""
+
+
+class _StoredHead(msgspec.Struct, frozen=True):
+    next: Count
+    first: Count
+    tail: list[Record]
+
+
+class _StoredPart(msgspec.Struct, frozen=True):
+    records: list[Record]
 
 
 @dataclass(frozen=True)
@@ -41,9 +63,10 @@
 class Journal:
     """A client of one journal.
 
-    Each call of the store is made once, and its errors are raised to the caller. If ``append``
-    raises ``StoreUnavailable``, the records may have been added nevertheless: read the head and
-    search for them.
+    Each call of the store is made once, and its errors are raised to the caller. Reading raises
+    ``UnreadableJournal`` if another program has written one of the objects. If ``append`` raises
+    ``StoreUnavailable``, the records may have been added nevertheless: read the head and search for
+    them.
     """
 
     def __init__(self, store: Store, kind: str, name: str, part_size: int) -> None:
@@ -55,16 +78,29 @@
     async def read_head(self) -> Head:
         """Read the head from the store."""
         stored = await self._store.get(self._kind, self._name)
-        return _head_of(stored.version, stored.value) if stored else Head()
+        if stored is None:
+            return Head()
+        head = _convert(stored, _StoredHead)
+        if head.next < len(head.tail):
+            raise UnreadableJournal(f"{self._kind}/{self._name}: its tail is too long")
+        return Head(stored.version, head.next, head.first, tuple(head.tail))
 
     def parts(self, head: Head) -> range:
         """Return the numbers of the archived parts that are kept."""
         return range(head.first_part, head.tail_start // self._part_size)
 
     async def read_part(self, number: int) -> tuple[Record, ...]:
-        """Return the records of an archived part, none if it was deleted in the meantime."""
-        stored = await self._store.get(self._kind, self._part_name(number))
-        return tuple(stored.value["records"]) if stored else ()
+        """Return the records of an archived part.
+
+        Raise ``UnreadableJournal`` if there is none. If it was deleted in the meantime, the head no
+        longer names it, and has to be read again.
+        """
+        name = self._part_name(number)
+        stored = await self._store.get(self._kind, name)
+        records = _convert(stored, _StoredPart).records if stored is not None else []
+        if len(records) != self._part_size:
+            raise UnreadableJournal(f"{self._kind}/{name}: it has {len(records)} records")
+        return tuple(records)
 
     async def append(self, head: Head, records: list[Record]) -> Head:
         """Append ``records`` to the journal and return the new head.
@@ -109,9 +145,11 @@
             await self._store.delete(self._kind, name, stored.version)
 
 
-def _head_of(version: int, value: dict[str, object]) -> Head:
-    """Return the head that is stored as ``value``."""
-    return Head(version, value["next"], value["first"], tuple(value["tail"]))
+def _convert(stored: StoredObject, shape: type[T]) -> T:
+    try:
+        return msgspec.convert(stored.value, shape)
+    except msgspec.ValidationError as problem:
+        raise UnreadableJournal(f"{stored.kind}/{stored.name}: {problem}") from None
 
 
 class Backoff:
--- a/tests/store/test_claims.py
+++ b/tests/store/test_claims.py
@@ -1,15 +1,20 @@
 """Claims: a key has at most one holder, also if store calls fail and two batchers compete."""
 
 import asyncio
+import contextlib
 import random
 import unittest
 
+from hypothesis import given, settings
+
 from railsail.core.clock import Clock
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
+from railsail.core.logs import configure_logs
 from railsail.store import claims
 from railsail.store.base import StoredObject
-from railsail.store.claims import Claim, ClaimResult, ClaimShard, claim_key
+from railsail.store.claims import Claim, ClaimAnswer, ClaimResult, ClaimShard, claim_key
 from railsail.store.journal import Head, Journal
+from tests.anyjson import near
 
 
 class MemoryStore:
@@ -53,7 +58,7 @@
     return Claim(claim_key("w", name), b"f" * 16, node, 1, attempt, release)
 
 
-class ClaimTests(unittest.IsolatedAsyncioTestCase):
+class ShardTestCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         # The minimum interval between writes only limits the load of the store.
         self.addCleanup(
@@ -67,6 +72,8 @@
         shard._backoff._maximum = 0.001
         return shard
 
+
+class ClaimTests(ShardTestCase):
     async def race(self, store: MemoryStore, keys: int) -> None:
         """Claim the same keys for three nodes by two batchers; check that each has one holder."""
         shards = [self.shard(store), self.shard(store)]
@@ -137,6 +144,79 @@
         self.assertLessEqual(len(store.objects), 3)
 
 
+class OddJournalTests(ShardTestCase):
+    """Another program has written an object of the journal."""
+
+    def setUp(self):
+        super().setUp()
+        configure_logs("critical", "test")
+
+    async def results_of(self, shard: ClaimShard, key: str) -> ClaimAnswer | None:
+        """Return the answer to a claim, ``None`` if there is none while the journal is unreadable.
+
+        The loop yields often enough for several attempts.
+        """
+        making = asyncio.ensure_future(shard.make(claim(key, "n1")))
+        for _ in range(20):
+            await asyncio.sleep(0.0005)
+            if shard._writing is not None and shard._writing.done():
+                break
+        if not making.done():
+            making.cancel()
+            await asyncio.sleep(0)
+            return None
+        return making.result()
+
+    async def test_no_key_is_claimed_beside_an_object_that_another_program_wrote(self):
+        for name, value in (
+            ("shard-00", {}),
+            ("shard-00", {"next": 1 << 62, "first": 0, "tail": []}),
+            ("shard-00", {"next": 70, "first": 0, "tail": [{"k": "zz"}] * 6}),
+            ("shard-00", {"next": 70, "first": "0", "tail": 7}),
+            ("shard-00-1", {}),
+            ("shard-00-1", {"records": []}),
+            ("shard-00-1", {"records": [{}] * 32}),
+        ):
+            with self.subTest(name=name, value=str(value)[:60]):
+                store = MemoryStore(1)
+                writer = self.shard(store)
+                for number in range(70):
+                    await writer.make(claim(f"k{number}", "n0"))
+                held = store.objects["claims", name]
+                store.version += 1
+                odd = StoredObject("claims", name, store.version, value)
+                store.objects["claims", name] = odd
+                shard = self.shard(store)
+                self.assertIsNone(await self.results_of(shard, "k40"))
+                self.assertFalse(shard._writing.done(), "the writer has ended")
+                self.assertIs(store.objects["claims", name], odd)
+                # It is as it was again.
+                store.objects["claims", name] = held
+                answer = await asyncio.wait_for(shard.make(claim("k40", "n1")), 30)
+                self.assertIs(answer.result, ClaimResult.HELD)
+
+    async def test_journal_of_any_form_is_refused_by_one_error(self):
+        records = [{"k": "00", "f": "00", "n": "n", "s": 1, "a": 1, "r": 0, "t": 1.0}]
+        heads = near({"next": 1, "first": 0, "tail": records})
+        parts = near({"records": records})
+
+        @settings(max_examples=200)
+        @given(heads, parts)
+        def check(head, part):
+            asyncio.run(read(head, part))
+
+        async def read(head, part):
+            store = MemoryStore(1)
+            store.objects["claims", "shard-00"] = StoredObject("claims", "shard-00", 1, head)
+            for number in range(3):
+                name = f"shard-00-{number}"
+                store.objects["claims", name] = StoredObject("claims", name, 1, part)
+            with contextlib.suppress(StoreUnavailable):
+                await self.shard(store)._read_journal()
+
+        await asyncio.to_thread(check)
+
+
 class JournalTests(unittest.IsolatedAsyncioTestCase):
     async def test_append_to_an_outdated_head_is_refused(self):
         store = MemoryStore(1)
