quarantine: read the stored crashes one by one

What callers saw: one crash in the stored object that cannot be read hid all others from nodes that start. One with a number or text out of the bounds of peer messages made the message with all crashes one that peers refuse; one with a time of 400 digits ended the writing by OverflowError.

Change: crashes are converted one by one, with the bounds of peer messages. If the object cannot be read, a node no longer takes what it wrote before for stored, and writes it again.

Figures: tests.quarantine.test_ledger: any form of JSON between two crashes hid the sound one before ("'i-2' not found in []"); values that are no list of crashes raised or stayed.

--- a/railsail/quarantine/ledger.py
+++ b/railsail/quarantine/ledger.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from railsail.core.fingerprints import fingerprint_name
 from railsail.core.logs import get_logger
 from railsail.core.tasks import TaskSet
+from railsail.peers.base import Natural, Text
 from railsail.quarantine.crashes import ReplicaCrash
 from railsail.quarantine.service import Quarantine
 from railsail.store.base import Listing, Store, StoredObject, WatchEvent
@@ -35,6 +37,8 @@
 # only brings those that no peer sent. If a watch fails unnoticed, the watches of other nodes make
 # up for it.
 WATCH_SECONDS = 10.0
+# Peers refuse records with more of them.
+MAX_FINGERPRINTS = 5000
 
 
 class StoredCrash(msgspec.Struct, frozen=True):
@@ -44,11 +48,11 @@
     requests and of parts of prompts.
     """
 
-    replica: str
-    life: int
-    at: int
-    requests: list[str]
-    cleared: list[str] = []
+    replica: Text
+    life: Natural
+    at: Natural
+    requests: Annotated[list[str], msgspec.Meta(max_length=MAX_FINGERPRINTS)]
+    cleared: Annotated[list[str], msgspec.Meta(max_length=MAX_FINGERPRINTS)] = []
 
 
 class StoredQuarantine(msgspec.Struct, frozen=True):
@@ -57,6 +61,12 @@
     ends: list[StoredCrash] = []
 
 
+class _AnyQuarantine(msgspec.Struct, frozen=True):
+    """A value that is read crash by crash, since another program may have written one of them."""
+
+    ends: list[object]
+
+
 class CrashRequest(msgspec.Struct, frozen=True):
     """One request of a stored crash, and whether it is cleared of that crash."""
 
@@ -110,22 +120,34 @@
     def _read(self, name: str, value: dict[str, object] | None) -> None:
         if name != OBJECT_NAME or value is None:
             return
-        try:
-            stored = msgspec.convert(value, StoredQuarantine)
-            crashes = [self._from_stored(crash) for crash in stored.ends]
-        except (msgspec.ValidationError, ValueError) as problem:
-            get_logger().warning("quarantine record refused", reason=str(problem))
-            return
+        stored, crashes = self._readable(value)
         self._written = _crash_requests(stored)
         self._quarantine.merge(crashes, "")
         # With the crashes of others, one that this node observed may now be worth storing.
         self._on_change()
 
+    def _readable(self, value: dict[str, object]) -> tuple[StoredQuarantine, list[ReplicaCrash]]:
+        """Return what can be read of the stored object, none if another program replaced it."""
+        try:
+            items = msgspec.convert(value, _AnyQuarantine).ends
+        except msgspec.ValidationError as problem:
+            get_logger().warning("quarantine record refused", reason=str(problem))
+            return StoredQuarantine(), []
+        stored, crashes = [], []
+        for item in items:
+            try:
+                crash = msgspec.convert(item, StoredCrash)
+                crashes.append(self._from_stored(crash))
+                stored.append(crash)
+            except ValueError as problem:
+                get_logger().warning("quarantine record refused", reason=str(problem))
+        return StoredQuarantine(stored), crashes
+
     def _from_stored(self, crash: StoredCrash) -> ReplicaCrash:
         # The wall clocks of nodes differ, but no crash lies in the future.
         age = max(0.0, self._clock.wall() - crash.at / 1000)
-        fingerprints = frozenset(int(name, 16) for name in crash.requests)
-        cleared = frozenset(int(name, 16) for name in crash.cleared)
+        fingerprints = frozenset(_fingerprint(name) for name in crash.requests)
+        cleared = frozenset(_fingerprint(name) for name in crash.cleared)
         at = self._clock.monotonic() - age
         return ReplicaCrash(crash.replica, crash.life, at, fingerprints, cleared)
 
@@ -193,6 +215,11 @@
             self._read(stored.name, stored.value)
 
 
+def _fingerprint(name: str) -> int:
+    """Return the fingerprint that is called ``name``; raise ``ValueError`` if there is none."""
+    return msgspec.convert(int(name, 16), Natural)
+
+
 def _crash_requests(stored: StoredQuarantine) -> set[CrashRequest]:
     """Return each pair of a crash and a request in ``stored``."""
     return {
