streams: refused stored pools and versions that peers would refuse

Cause: texts of any length were read from what another program may have written, and an answer to a peer with one of them would be refused with all that it says.

Figures: tests.streams.test_stored with a version and a pool of 257 characters failed before.

--- a/railsail/streams/stored.py
+++ b/railsail/streams/stored.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from railsail.core.logs import get_logger
+from railsail.peers.base import Text
 from railsail.store.base import StoredObject
 from railsail.streams.origins import StreamOrigin
 
@@ -51,8 +52,8 @@
     """
 
     era: Count
-    hosts: dict[str, list[str]] = {}
-    versions: dict[str, list[str]] = {}
+    hosts: dict[str, list[Text]] = {}
+    versions: dict[Text, list[Text]] = {}
 
     @property
     def places(self) -> frozenset[Place]:
@@ -65,8 +66,8 @@
 class StoredGroup(msgspec.Struct, frozen=True):
     """The keys of the streams of one origin, packed as Base64."""
 
-    pool: str
-    software_version: str
+    pool: Text
+    software_version: Text
     keys: str
 
 
--- a/tests/streams/test_stored.py
+++ b/tests/streams/test_stored.py
@@ -3,20 +3,26 @@
 import unittest
 
 import msgspec
+from hypothesis import example, given, settings
 
 from railsail.core.logs import configure_logs
+from railsail.peers.records import OriginRecord
 from railsail.store.base import StoredObject
 from railsail.streams.origins import StreamOrigin
 from railsail.streams.recovery import RecoveredRecords
 from railsail.streams.stored import (
+    BATCH_PREFIX,
     KIND,
     PLACES_NAME,
     HostPool,
     PoolVersion,
+    pack_keys,
+    read_batch,
     read_places,
     to_stored_batch,
     to_stored_places,
 )
+from tests.anyjson import near
 
 V1 = StreamOrigin("model", "v1")
 V2 = StreamOrigin("model", "v2")
@@ -64,5 +70,28 @@
         self.assertEqual((records.find(5), len(records)), (V2, 1))
 
 
+class OddObjectTests(unittest.TestCase):
+    """Another program may have written the objects; peers must be able to read what they hold."""
+
+    def setUp(self):
+        configure_logs("critical", "test")
+
+    @settings(max_examples=300)
+    @example({"era": 0, "versions": {"lm": ["v" * 257]}})
+    @given(near({"era": 0, "hosts": {"h": ["lm"]}, "versions": {"lm": ["v1"]}}))
+    def test_places_of_any_form_are_read_or_refused(self, value):
+        found = read_places(StoredObject(KIND, PLACES_NAME, 1, value))
+        for place in found.places if found is not None else ():
+            msgspec.convert((place.pool, getattr(place, "software_version", "")), OriginRecord)
+
+    @settings(max_examples=300)
+    @example({"groups": [{"pool": "p" * 257, "software_version": "v1", "keys": ""}]})
+    @given(near({"groups": [{"pool": "lm", "software_version": "v1", "keys": pack_keys([1])}]}))
+    def test_records_of_any_form_are_read_or_refused(self, value):
+        found = read_batch(StoredObject(KIND, f"{BATCH_PREFIX}1", 1, value))
+        for origin in found:
+            msgspec.convert((origin.pool, origin.software_version), OriginRecord)
+
+
 if __name__ == "__main__":
     unittest.main()
