platform: read a string of the store that is not closed only once

What callers would see: an entry with a million characters of escaped quotation marks, and none that closes them, made the daemon stand still for minutes at each answer that had it.

Cause: the expression for strings needed a closing quotation mark. Without one it was tried again from each quotation mark in the text, each time up to the end.

--- a/railsail/platform/decoding.py
+++ b/railsail/platform/decoding.py
@@ -14,8 +14,9 @@
 
 # Objects of the platform and of railsail are nested less than half as deeply.
 MAX_DEPTH = 64
-# Strings are matched so that brackets in them do not count.
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[{]+|[\]}]+', re.DOTALL)
+# Strings are matched so that brackets in them do not count. One that is not closed extends to the
+# end: otherwise it would be searched again from each quotation mark that it has.
+_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"?|[\[{]+|[\]}]+', re.DOTALL)
 _LEFT_OUT = b"null"
 
 T = TypeVar("T")
@@ -48,13 +49,14 @@
     Raise ``UndecodableObject`` if it is none.
     """
     value = decode(data, dict[str, object])
-    if _is_deep(value):
+    if is_deep(value):
         # What handles the value may not be able to follow it.
         raise UndecodableObject(f"nested deeper than {MAX_DEPTH} levels")
     return value
 
 
-def _is_deep(value: object) -> bool:
+def is_deep(value: object) -> bool:
+    """Return True if ``value`` has more than ``MAX_DEPTH`` levels."""
     level = [value]
     for _ in range(MAX_DEPTH):
         level = [item for container in level for item in _items(container)]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -12,7 +12,7 @@
 from railsail.peers.codec import decode_frame, encode_message, join_frame
 from railsail.peers.levels import NEWEST
 from railsail.peers.messages import UpstreamNews
-from railsail.platform import store
+from railsail.platform import decoding, store
 from railsail.platform.decoding import (
     MAX_DEPTH,
     UndecodableObject,
@@ -76,6 +76,13 @@
                 except UndecodableObject:
                     continue
 
+    def test_string_that_is_not_closed_extends_to_the_end(self):
+        # Otherwise it is searched again from each of its quotation marks, for minutes in all.
+        for data in (b'{"a":"' + b"[" * 2 * MAX_DEPTH, b'{"a":"' + b'\\"[' * 2 * MAX_DEPTH):
+            with self.subTest(data=data[:20]):
+                self.assertEqual(without_deep_containers(data), data)
+                self.assertLessEqual(len(decoding._TOKEN.findall(data)), 3)
+
     def test_plain_data_is_bounded_in_depth(self):
         for depth, is_read in ((MAX_DEPTH - 2, True), (MAX_DEPTH + 2, False), (2_000, False)):
             with self.subTest(depth=depth):
