--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -15,8 +15,8 @@
 from railsail.objects.kinds import CostUnit, Pool, PoolShare, Resource, Route, Workspace
 from railsail.objects.parse import to_plain
 from railsail.objects.reading import UNREADABLE
-from railsail.platform.decoding import UndecodableObject, decode
 from railsail.routing.defaults import DEFAULT_CLASS, DEFAULT_POLICY
+from railsail.store.decoding import UndecodableObject, decode
 
 MS_PER_SECOND = 1000.0
 # Versions of the configuration that peers can send to each other.
--- a/railsail/platform/recovery.py
+++ b/railsail/platform/recovery.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 
 from railsail.core.exceptions import StoreUnavailable
-from railsail.platform.decoding import is_deep, without_deep_containers
 from railsail.store.base import UNREADABLE
+from railsail.store.decoding import is_deep, without_deep_containers
 
 # Each object in an answer starts with its metadata.
 _OBJECT = re.compile(r'\{\s*"metadata"\s*:\s*')
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -12,7 +12,6 @@
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
 from railsail.core.metrics import Metrics
 from railsail.core.slices import run_sliced
-from railsail.platform.decoding import UndecodableObject, decode, decode_plain
 from railsail.platform.objects import (
     Changes,
     ListPage,
@@ -24,6 +23,7 @@
 from railsail.platform.recovery import recover_object, recover_objects
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
 from railsail.store.calls import GONE, NOT_FOUND, StoreCalls
+from railsail.store.decoding import UndecodableObject, decode, decode_plain
 from railsail.store.unreadable import UnreadableObjects, UnreadableValue
 from railsail.store.versions import era_of, revision_of, to_version
 
--- a/railsail/platform/decoding.py
+++ b/railsail/store/decoding.py
@@ -1,4 +1,4 @@
-"""Decode what is in the platform's store, where any program may have written anything.
+"""Decode what is in the store, where any program may have written anything.
 
 Whatever the bytes are, decoding ends with a value or with ``UndecodableObject``. In particular,
 containers that are nested deeper than any decoder can follow are left out, so that an object that
@@ -12,7 +12,7 @@
 
 from railsail.core.exceptions import RailsailError
 
-# Objects of the platform and of railsail are nested less than half as deeply.
+# Objects of platforms and of railsail are nested less than half as deeply.
 MAX_DEPTH = 64
 # Strings are matched so that brackets in them do not count. One that is not closed extends to the
 # end: otherwise it would be searched again from each quotation mark that it has.
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -12,16 +12,17 @@
 from railsail.peers.codec import decode_frame, encode_message, join_frame
 from railsail.peers.levels import NEWEST
 from railsail.peers.messages import UpstreamNews
-from railsail.platform import decoding, store
-from railsail.platform.decoding import (
+from railsail.platform import store
+from railsail.platform.objects import Changes, ListPage, Server
+from railsail.store import decoding
+from railsail.store.base import WatchEvent
+from railsail.store.decoding import (
     MAX_DEPTH,
     UndecodableObject,
     decode,
     decode_plain,
     without_deep_containers,
 )
-from railsail.platform.objects import Changes, ListPage, Server
-from railsail.store.base import WatchEvent
 from railsail.store.unreadable import UnreadableObjects
 from railsail.upstreams.invalidrecords import InvalidRecords
 from railsail.upstreams.records import parse_record, to_record
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -8,8 +8,8 @@
 from railsail.objects.catalog import hash_key
 from railsail.objects.checks import check_catalog
 from railsail.objects.kinds import Route
-from railsail.platform.decoding import UndecodableObject
 from railsail.platform.objects import configuration_steps, replica_value
+from railsail.store.decoding import UndecodableObject
 
 
 def configuration_value(spec: bytes) -> dict[str, object]:
