upstreams: took only numbers that engines can have from their reports and answers

What callers would see: a ready answer whose "total_tokens" has 400 digits was not delivered (OverflowError). With a negative or infinite number, or none ("NaN"), the call's cost was that: the release of its replica was out of the bounds of peer messages, or could not be rounded.

Cause: any number of an engine's answer or load report was used.

Change: a number of tokens that no answer has counts as not reported; a load report with a number out of bounds as no report.

--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -35,6 +35,9 @@
 MAX_ANSWER_BYTES = 16 << 20
 EVENT_STREAM = "text/event-stream"
 _SERVER_ERROR = 500
+# No answer has as many tokens, and no engine as many slots or calls. Larger numbers are errors of
+# the engine, and would be out of the bounds of peer messages.
+MAX_COUNT = 1_000_000_000
 
 
 class _ForeignAnswer(CutOff):
@@ -101,13 +104,18 @@
         body = event.body()
         if body.id != self._call.request_id:
             raise _ForeignAnswer("an event bore another request's id")
-        self.cost = max(self.cost, body.usage.total_tokens)
+        self.cost = max(self.cost, _tokens(body.usage.total_tokens))
 
 
 def _total_tokens(body: dict[str, object]) -> float:
     usage = body.get("usage")
     total = usage.get("total_tokens") if isinstance(usage, dict) else None
-    return float(total) if isinstance(total, int | float) else 0.0
+    return _tokens(total)
+
+
+def _tokens(total: object) -> float:
+    """Return a number of tokens as the engine reports it, 0 if it is none."""
+    return float(total) if isinstance(total, int | float) and 0 <= total <= MAX_COUNT else 0.0
 
 
 @UPSTREAM_KINDS.register("engine")
@@ -233,10 +241,25 @@
 
 
 def _parse_load(body: dict[str, object]) -> LoadReport:
+    """Return the load that ``body`` reports; raise ``ValueError`` if it is out of bounds."""
     return LoadReport(
-        slots=int(body["slots"]),
-        running=int(body["running"]),
-        waiting=int(body["waiting"]),
+        slots=_count(body["slots"]),
+        running=_count(body["running"]),
+        waiting=_count(body["waiting"]),
         leaving=bool(body.get("leaving", False)),
-        age=float(body.get("age_seconds", 0.0)),
+        age=_age(body.get("age_seconds", 0.0)),
     )
+
+
+def _count(value: object) -> int:
+    count = int(value)
+    if not 0 <= count <= MAX_COUNT:
+        raise ValueError(f"not a number from 0 to {MAX_COUNT}")
+    return count
+
+
+def _age(value: object) -> float:
+    age = float(value)
+    if not 0 <= age <= MAX_COUNT:
+        raise ValueError(f"not a number of seconds from 0 to {MAX_COUNT}")
+    return age
--- a/tests/upstreams/test_engine.py
+++ b/tests/upstreams/test_engine.py
@@ -2,13 +2,21 @@
 
 import asyncio
 import contextlib
+import json
+import math
 import unittest
+from unittest import mock
+
+from hypothesis import example, given, settings
+from tornado.httputil import HTTPHeaders
 
 from railsail.core.buffers import Buffers
-from railsail.core.outcomes import Outcome, Unknown
+from railsail.core.outcomes import Completed, Outcome, Unknown
 from railsail.objects.kinds import CostUnit
+from railsail.upstreams import engine
 from railsail.upstreams.base import UpstreamCall
 from railsail.upstreams.engine import ModelEngine
+from tests.anyjson import near
 
 CHUNK = b"x" * 65_536
 MEMORY = 1 << 20
@@ -68,5 +76,34 @@
         self.assertIsInstance(await self.run_engine(True, "text/event-stream"), Unknown)
 
 
+class OddNumberTests(unittest.TestCase):
+    """An engine reports numbers that no engine has."""
+
+    @settings(max_examples=200)
+    @example({"slots": -5, "running": 0, "waiting": 0})
+    @example({"slots": 1e308, "running": 0, "waiting": 0})
+    @example({"slots": 1, "running": 0, "waiting": 0, "age_seconds": math.nan})
+    @given(near({"slots": 4, "running": 1, "waiting": 0, "leaving": False, "age_seconds": 0.5}))
+    def test_load_of_any_form_is_within_bounds_or_left_out(self, value):
+        fetched = mock.AsyncMock(return_value=mock.Mock(status=200, body=json.dumps(value)))
+        with mock.patch.object(engine, "fetch", fetched):
+            report = asyncio.run(ModelEngine().load("127.0.0.1:1", lambda *head: None))
+        if report is not None:
+            for number in (report.slots, report.running, report.waiting, report.age):
+                self.assertTrue(0 <= number <= engine.MAX_COUNT, report)
+
+    def test_ready_answer_with_an_odd_number_of_tokens_is_delivered(self):
+        for text in ("9" * 400, "1e308", "-5", "NaN", "1e400", '"7"', "[]"):
+            with self.subTest(text=text[:10]):
+                body = b'{"id":"r-1","usage":{"total_tokens":%s}}' % text.encode()
+                headers = HTTPHeaders({"X-Request-Id": "r-1"})
+                answer = mock.Mock(status=200, headers=headers, body=body)
+                call = mock.Mock(request_id="r-1")
+                sink = mock.AsyncMock(progress=mock.Mock())
+                outcome = asyncio.run(ModelEngine()._forward_plain(call, sink, answer))
+                self.assertEqual(outcome, Completed(200, 0.0))
+                sink.write.assert_awaited_once_with(body)
+
+
 if __name__ == "__main__":
     unittest.main()
