platform: read the names of invalid objects, and used no list without one of its pages

What callers would see: an entry of invalid JSON whose name has an escape (a quotation mark, an accent) was left out. Where it was all of a page, such as one of a megabyte, the list ended there, and the replicas after it counted as gone. A field called "name" before the object's own gave it the name of another object.

Cause: name and revision were searched by a pattern in all of the text.

Change: the metadata is decoded by itself, which the store writes. A page without any object and with more to come makes the list unavailable.

--- a/railsail/platform/recovery.py
+++ b/railsail/platform/recovery.py
@@ -199,9 +199,21 @@
         item, _ = _DECODER.raw_decode(text)
         return item
     except ValueError:
-        name = _NAME.search(text)
-        revision = _REVISION.search(text)
+        metadata = _recover_metadata(text)
+    return {"metadata": metadata, "spec": None} if metadata else None
+
+
+def _recover_metadata(text: str) -> dict[str, object] | None:
+    """Return name and revision of an object whose text is invalid, ``None`` if it has no name."""
+    start = _OBJECT.match(text)
+    try:
+        metadata, _ = _DECODER.raw_decode(text, start.end() if start else 0)
+    except ValueError:
+        metadata = None
+    if isinstance(metadata, dict) and isinstance(metadata.get("name"), str):
+        return {"name": metadata["name"], "revision": metadata.get("revision", 0)}
+    name = _NAME.search(text)
+    revision = _REVISION.search(text)
     if name is None:
         return None
-    number = int(revision[1]) if revision else 0
-    return {"metadata": {"name": name[1], "revision": number}, "spec": None}
+    return {"name": name[1], "revision": int(revision[1]) if revision else 0}
--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -140,8 +140,11 @@
             objects += [
                 await _object(kind, item, generation, self._unreadable) for item in page.items
             ]
-            if not page.more or not page.items:
+            if not page.more:
                 break
+            if not page.items:
+                # What is not listed counts as gone, so that a part must not pass for the whole.
+                raise StoreUnavailable("no object of a page can be read, and there are more")
             after = page.items[-1].metadata.name
         self._report_listing(kind, damaged)
         return Listing(version or 0, tuple(objects))
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -78,6 +78,21 @@
                 await node.stop()
                 self.nodes.remove(node)
 
+    async def test_entry_that_is_the_last_of_a_page_does_not_hide_the_next_page(self):
+        self.store.page = 1
+        await self.serve(answering())
+        for name in (NAME, 'a"odd', "\u00e9"):
+            with self.subTest(name=name):
+                quoted = json.dumps(name)
+                self.store.put_raw(
+                    "servers", name, f'{{"metadata":{{"name":{quoted},"revision":%d}},"spec":{{{{'
+                )
+                self.store.put("servers", "\u00ff", SPEC | {"addr": f"{LOOPBACK}:2"})
+                node = await self.add_node()
+                await self.until(lambda node=node: node.directory.get("i-0") is not None)
+                await self.until(lambda node=node: node.directory.get("\u00ff") is not None)
+                self.store.remove("servers", name)
+
     async def test_replica_with_an_odd_field_that_says_nothing_to_railsail_serves(self):
         node = await self.serve(answering())
         replica = await self.add_replica(answering())
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -104,6 +104,14 @@
         items = [item(1, good), item(2, copies), item(4, good)]
         self.assertEqual([name for name, _, _ in self.recovered(items)], ["i-1", "i-2", "i-4"])
 
+    def test_invalid_entry_has_its_name_whatever_is_in_it(self):
+        for name in ("m", "m\u00e9", 'm"odd', "m\\", "m/\u2028"):
+            with self.subTest(name=name):
+                metadata = b'{"labels":{"name":"i-0","revision":8},"name":%s,"revision":3}'
+                odd = b'{"metadata":%s,"spec":{"a":}}' % (metadata % json.dumps(name).encode())
+                found = self.recovered([item(1, b"{}"), odd])
+                self.assertEqual(found, [("i-1", 1, True), (name, 3, False)])
+
     def test_text_is_decoded_a_bounded_number_of_times(self):
         good = json.dumps(SPEC).encode()
         odd = b'{"a":[' + b'{"metadata":{"name":"x"},' * 2_000
