store: bounded the reasons that are remembered of unreadable objects

Cause: a reason may quote the value. A thousand are remembered; with values of a megabyte that is a gigabyte (computed, not run). The platform's client refuses such addresses before, with a short one.

--- a/railsail/store/unreadable.py
+++ b/railsail/store/unreadable.py
@@ -5,6 +5,8 @@
 
 # Bounds the objects that are remembered. When there are more, all are forgotten, and logged again.
 MAX_OBJECTS = 1000
+# A reason may quote a value, which is as long as its writer wants.
+MAX_REASON_CHARACTERS = 300
 
 
 class UnreadableValue(dict):
@@ -25,6 +27,7 @@
 
     def reject(self, kind: str, name: str, reason: str) -> None:
         """Report that an object cannot be read for ``reason``, unless that was reported."""
+        reason = reason[:MAX_REASON_CHARACTERS]
         if self._reasons.get((kind, name)) == reason:
             return
         if len(self._reasons) >= MAX_OBJECTS:
--- a/railsail/upstreams/invalidrecords.py
+++ b/railsail/upstreams/invalidrecords.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from railsail.core.logs import get_logger
+from railsail.store.unreadable import MAX_REASON_CHARACTERS
 
 # Bounds the names that are remembered. When there are more, all are forgotten, and logged again.
 MAX_NAMES = 1000
@@ -23,6 +24,7 @@
 
     def reject(self, name: str, reason: str) -> None:
         """Log that a record is invalid for ``reason``, unless it was already logged."""
+        reason = reason[:MAX_REASON_CHARACTERS]
         if self._logged.get(name) == reason:
             return
         if len(self._logged) >= MAX_NAMES:
--- a/tests/upstreams/test_directory.py
+++ b/tests/upstreams/test_directory.py
@@ -11,7 +11,7 @@
 from railsail.upstreams import invalidrecords as module
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.merging import MAX_LEAVING_SECONDS
-from railsail.upstreams.records import Listed
+from railsail.upstreams.records import Listed, parse_record
 from railsail.upstreams.signs import Source
 
 SPEC = {"pool": "lm", "endpoint": "127.0.0.1:1", "failure_domain": "a", "state": "live", "slots": 4}
@@ -72,6 +72,19 @@
         self.assertEqual(logger.return_value.warning.call_count, 1)
 
 
+class LongReasonTests(unittest.TestCase):
+    def test_reasons_that_quote_long_values_take_little_memory(self):
+        # A thousand names are remembered, and a value may have a megabyte.
+        with mock.patch.object(module, "get_logger") as logger:
+            records = module.InvalidRecords()
+            for _ in range(2):
+                value = SPEC | {"endpoint": "x" * 100_000}
+                parse_record(WatchEvent("upstream", "r", 1, value), records)
+        (call,) = logger.return_value.warning.call_args_list
+        self.assertLess(len(call.kwargs["reason"]), 1000)
+        self.assertLess(len(records._logged["r"]), 1000)
+
+
 class PeerBoundsTests(DirectoryTestCase):
     """A record that peers refuse would hide those that are in the same message."""
 
