--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -2,10 +2,13 @@
 
 import json
 import unittest
+from unittest.mock import Mock, patch
 
 from railsail.node import Node
+from railsail.store import unreadable
+from railsail.upstreams import invalidrecords
 from tests.platform.base import PlatformTestCase
-from tests.platform.standins import LOOPBACK, answering
+from tests.platform.standins import LOOPBACK, TurnedAway, answering
 
 DEEP = 2_000
 DEEPEST = 100_000
@@ -75,6 +78,21 @@
                 await node.stop()
                 self.nodes.remove(node)
 
+    async def test_entry_that_is_the_last_of_a_page_does_not_hide_the_next_page(self):
+        self.store.page = 1
+        await self.serve(answering())
+        for name in (NAME, 'a"odd', "\u00e9"):
+            with self.subTest(name=name):
+                quoted = json.dumps(name)
+                self.store.put_raw(
+                    "servers", name, f'{{"metadata":{{"name":{quoted},"revision":%d}},"spec":{{{{'
+                )
+                self.store.put("servers", "\u00ff", SPEC | {"addr": f"{LOOPBACK}:2"})
+                node = await self.add_node()
+                await self.until(lambda node=node: node.directory.get("i-0") is not None)
+                await self.until(lambda node=node: node.directory.get("\u00ff") is not None)
+                self.store.remove("servers", name)
+
     async def test_replica_with_an_odd_field_that_says_nothing_to_railsail_serves(self):
         node = await self.serve(answering())
         replica = await self.add_replica(answering())
@@ -134,5 +152,58 @@
             self.assertEqual(answer.status, 200)
 
 
+class OddEntryAtPeersTests(PlatformTestCase):
+    async def test_node_that_joins_without_the_store_learns_what_is_beside_odd_entries(self):
+        long_name = "z" * 300
+        order = {"service": "desk", "target_version": "v2", "duration_s": 60}
+        self.store.put("evacuations", long_name, {})
+        self.store.put("evacuations", "b", {})
+        self.store.put("rollouts", long_name, order | {"service": long_name})
+        self.store.put("rollouts", "desk", order)
+        node = await self.serve(answering(), expose_share="0.1")
+        await self.until(lambda: node.directory.rollout("desk") is not None)
+        silent = self.store.add_access()
+        silent.turned_away = TurnedAway.SILENT
+        joined = await self.add_node(
+            seeds=node.hub.own.node, store=f"{LOOPBACK}:{silent.port}", expose_share="0.1"
+        )
+        await self.until(lambda: joined.directory.get("i-0") is not None)
+        await self.until(lambda: joined.directory.evacuations.active("b"))
+        await self.until(lambda: joined.directory.rollout("desk") is not None)
+        self.assertEqual(joined.directory.digest, node.directory.digest)
+        self.assertEqual(joined.metrics.peer_messages_refused.get_all(), [])
+
+
+class SightTests(PlatformTestCase):
+    async def test_entry_that_cannot_be_read_is_reported_once(self):
+        node = await self.serve(answering())
+        odd = (
+            ("text that ends early", entry('{"service":"desk","ad')),
+            ("spec of another type", entry("[]")),
+            ("address that is none", with_field("addr", '"nowhere"')),
+        )
+        logger = Mock()
+        self.hold(patch.object(unreadable, "get_logger", lambda: logger))
+        self.hold(patch.object(invalidrecords, "get_logger", lambda: logger))
+        for what, text in odd:
+            with self.subTest(what):
+                before = self.reported(node)
+                logger.reset_mock()
+                for _ in range(5):
+                    self.store.put_raw("servers", NAME, text)
+                    replica = await self.add_replica(answering())
+                    await self.until(lambda replica=replica: node.directory.get(replica.name))
+                self.assertEqual(self.reported(node), before + 1, logger.mock_calls)
+                calls = logger.warning.call_args_list
+                named = [call.kwargs for call in calls if call.kwargs.get("name") == NAME]
+                self.assertEqual(len(named), 1, calls)
+                self.assertTrue(named[0]["reason"])
+                self.assertLessEqual(len(calls), 2)
+
+    def reported(self, node: Node) -> float:
+        counts = node.metrics.unreadable_objects.get_all()
+        return sum(count for labels, count in counts if labels == {"kind": "upstream"})
+
+
 if __name__ == "__main__":
     unittest.main()
