benchmarks: put daemons out of step in one place, and let callers leave streams

The soak needs the ways in which benchmarks.releases puts a daemon out of step, and the callers of benchmarks.streams, but such that leave their streams and resume them at a daemon that is out of step, named or not. The ways are a type and a function now, streams judge their own events, and tell which nodes gave their answers.

What both benchmarks do is as before: without the new settings callers draw the same random numbers.

--- a/benchmarks/releases.py
+++ b/benchmarks/releases.py
@@ -23,6 +23,7 @@
 """
 
 import asyncio
+import enum
 import logging
 import random
 import shutil
@@ -59,6 +60,22 @@
 DEADLINE_MS = 6000
 
 
+class OutOfStep(enum.StrEnum):
+    """How a daemon is out of step; see the documentation of the module."""
+
+    CUT = "cut"
+    DEAF = "deaf"
+    DUMB = "dumb"
+    NO_STORE = "no-store"
+    NO_PEERS = "no-peers"
+    PAUSED = "paused"
+    SLOW = "slow"
+
+
+WITHOUT_STORE = frozenset({OutOfStep.CUT, OutOfStep.DEAF, OutOfStep.DUMB, OutOfStep.NO_STORE})
+WITHOUT_PEERS = frozenset({OutOfStep.CUT, OutOfStep.DEAF, OutOfStep.DUMB, OutOfStep.NO_PEERS})
+
+
 @dataclass(frozen=True)
 class LeftStream:
     """A stream whose caller left, as it was begun: the name of its request, and its events."""
@@ -107,7 +124,9 @@
 class Release:
     """One run: the fleet, the daemon that is put out of step, and the two versions."""
 
-    def __init__(self, fleet: ProcessFleet, how: str, seconds: float, rng: random.Random) -> None:
+    def __init__(
+        self, fleet: ProcessFleet, how: OutOfStep, seconds: float, rng: random.Random
+    ) -> None:
         self._fleet = fleet
         self._how = how
         self._seconds = seconds
@@ -142,37 +161,18 @@
         for _ in range(REPLICAS):
             await self._fleet.add_replica(self._new.script, version=self._new.name)
         for replica in before:
-            self._drain(replica)
+            drain(self._fleet, replica)
         await asyncio.sleep(KNOWN_AFTER_SECONDS)
         await self._resume(await self._begin(others, STREAMS_DURING), [daemon], phase)
         await ending
         phase.store_calls = sum(len(each.access.calls) for each in self._fleet.daemons)
         return phase
 
-    def _drain(self, replica: ReplicaStandin) -> None:
-        spec = self._fleet.store.objects[("servers", replica.name)]["spec"]
-        self._fleet.store.put("servers", replica.name, spec | {"state": "draining"})
-
     async def _put_out_of_step(self, daemon: Daemon) -> None:
-        others = [each.ip for each in self._fleet.daemons if each is not daemon]
-        if self._how == "paused":
-            self._fleet.pause(daemon)
-        if self._how == "slow":
+        if self._how is OutOfStep.SLOW:
             daemon.access.delay = self._seconds / 2
             return
-        if self._how in ("cut", "no-peers"):
-            self._fleet.relay.cut([daemon.ip], others)
-        if self._how == "deaf":
-            self._fleet.relay.cut(others, [daemon.ip], both=False)
-        if self._how == "dumb":
-            self._fleet.relay.cut([daemon.ip], others, both=False)
-        if self._how in ("cut", "deaf", "dumb", "no-store"):
-            daemon.turn_away(TurnedAway.SILENT)
-        await asyncio.sleep(self._seconds)
-        self._fleet.relay.heal()
-        daemon.answer()
-        if self._how == "paused":
-            self._fleet.resume(daemon)
+        await put_out_of_step(self._fleet, daemon, self._how, self._seconds)
 
     async def _begin(self, daemons: list[Daemon], count: int) -> asyncio.Queue[LeftStream | None]:
         """Begin streams at ``daemons``; those that were left are in the queue, at its end None."""
@@ -239,9 +239,41 @@
         phase.add(stream, answer, is_named)
 
 
+async def put_out_of_step(
+    fleet: ProcessFleet, daemon: Daemon, how: OutOfStep, seconds: float
+) -> None:
+    """Put ``daemon`` out of step for ``seconds``, in any way but ``OutOfStep.SLOW``."""
+    others = [each.ip for each in fleet.daemons if each is not daemon]
+    if how is OutOfStep.PAUSED:
+        fleet.pause(daemon)
+    if how in WITHOUT_PEERS:
+        if how is not OutOfStep.DEAF:
+            fleet.relay.cut([daemon.ip], others, both=False)
+        if how is not OutOfStep.DUMB:
+            fleet.relay.cut(others, [daemon.ip], both=False)
+        daemon.reached_since = float("inf")
+    if how in WITHOUT_STORE:
+        daemon.turn_away(TurnedAway.SILENT)
+    await asyncio.sleep(seconds)
+    if how in WITHOUT_PEERS:
+        fleet.relay.heal()
+        daemon.reached_since = asyncio.get_running_loop().time()
+    if how in WITHOUT_STORE:
+        daemon.answer()
+    # It may have been killed, and started again, in the meantime.
+    if how is OutOfStep.PAUSED and daemon.running:
+        fleet.resume(daemon)
+
+
+def drain(fleet: ProcessFleet, replica: ReplicaStandin) -> None:
+    """List ``replica`` as one that ends what it has begun, and takes nothing new."""
+    spec = fleet.store.objects[("servers", replica.name)]["spec"]
+    fleet.store.put("servers", replica.name, spec | {"state": "draining"})
+
+
 async def run_release(
     number: int,
-    how: str,
+    how: OutOfStep,
     seconds: float,
     daemons: int,
     seed: int,
@@ -254,7 +286,7 @@
     fleet = ProcessFleet(folder, relay=Relay())
     fleet.settings = {"first-start": "true", "watch-seconds": str(watch_seconds)}
     release = Release(fleet, how, seconds, random.Random(f"{seed} {number}"))
-    if how == "slow":
+    if how is OutOfStep.SLOW:
         # The delay of a direction applies to connections that are opened later.
         slow, *rest = (f"127.0.1.{10 + each}" for each in (number, *range(daemons)))
         fleet.relay.delay([slow], [ip for ip in rest if ip != slow], seconds / 2)
@@ -290,7 +322,7 @@
         before, during = asyncio.run(
             run_release(
                 number,
-                how,
+                OutOfStep(how),
                 seconds,
                 daemons,
                 seed,
--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -25,6 +25,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import shutil
 import tempfile
@@ -81,6 +82,8 @@
 
     name: str
     answers: list[bytes] = field(default_factory=list)
+    # The nodes that gave the answers.
+    nodes: list[str] = field(default_factory=list)
     # The request whose answer brought the first event, empty before that.
     first: str = ""
     whole: bool = False
@@ -100,19 +103,35 @@
         """Return the events of all attempts."""
         return [event for answer in self.answers for event in events_of(answer)]
 
+    @property
+    def is_mixed(self) -> bool:
+        """Return True if the stream has events of two versions."""
+        return len({version for _, version in self.events}) > 1
+
+    @property
+    def has_wrong_events(self) -> bool:
+        """Return True if events are missing, repeated or out of order."""
+        numbers = [number for number, _ in self.events]
+        return numbers != list(range(len(numbers))) or (self.whole and len(numbers) != EVENTS)
+
 
 @dataclass
 class StreamCallers:
     """Callers that begin streams at the daemons of ``fleet``, and resume those that break off.
 
     ``serving`` returns how many replicas of a version serve. A daemon counts as undisturbed after
-    ``settled`` seconds.
+    ``settled`` seconds. With ``leaves_after``, callers leave the first answer after so many events.
+    ``unnamed_share`` of the resumed streams don't name the request that began them.
+    ``out_of_step_share`` of them are resumed at a daemon that is cut off or stands still, if any.
     """
 
     fleet: ProcessFleet
     rng: random.Random
     serving: Callable[[str], int]
     settled: float = SETTLED_SECONDS
+    leaves_after: int = EVENTS + 1
+    unnamed_share: float = 0.0
+    out_of_step_share: float = 0.0
     streams: list[CallerStream] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
@@ -136,7 +155,7 @@
         deadline_at = loop.time() + DEADLINE_SECONDS
         before = None
         for number in range(MAX_ATTEMPTS):
-            daemon = await self._choose(before)
+            daemon = await self._choose(stream, before)
             remaining = deadline_at - loop.time()
             if stream.whole or remaining <= 0:
                 return
@@ -144,11 +163,19 @@
             before = daemon
             await asyncio.sleep(min(pause, max(0.0, deadline_at - loop.time()) / 3))
 
-    async def _choose(self, before: Daemon | None) -> Daemon:
+    async def _choose(self, stream: CallerStream, before: Daemon | None) -> Daemon:
         """Return a daemon that the balancer uses, once any daemon runs."""
         while not any(daemon.running for daemon in self.fleet.daemons):
             await asyncio.sleep(CHOICE_SECONDS)
-        return self.rng.choice([each for each in self.fleet.balanced() if each is not before])
+        others = [each for each in self.fleet.balanced() if each is not before]
+        out_of_step = [each for each in others if math.isinf(each.well_since)]
+        if stream.first and out_of_step and self._draw(self.out_of_step_share):
+            return self.rng.choice(out_of_step)
+        return self.rng.choice(others)
+
+    def _draw(self, share: float) -> bool:
+        """Return True with a probability of ``share``."""
+        return bool(share) and self.rng.random() < share
 
     async def _attempt(
         self, stream: CallerStream, daemon: Daemon, name: str, remaining: float
@@ -158,7 +185,9 @@
         in_trouble = bool(resumes) and self._is_in_trouble(stream, daemon)
         headers = {"Request_Id": name, "Deadline_Ms": str(round(remaining * 1000))}
         if resumes:
-            headers |= {"Last_Event_Id": str(stream.events[-1][0]), "Resumes": resumes}
+            headers["Last_Event_Id"] = str(stream.events[-1][0])
+            if not self._draw(self.unnamed_share):
+                headers["Resumes"] = resumes
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 reader, writer = await asyncio.open_connection(daemon.ip, daemon.ports[0])
@@ -173,6 +202,7 @@
             retry_after = float(answered.get("Retry-After", "0"))
             if status == OK:
                 stream.answers.append(b"")
+                stream.nodes.append(daemon.node)
                 await self._read(stream, reader, name)
             else:
                 refusal = await reader.readexactly(int(answered.get("Content-Length", "0")))
@@ -200,6 +230,8 @@
                 return
             stream.answers[-1] += chunk[:-2]
             stream.first = stream.first or name
+            if stream.first == name and len(stream.events) >= self.leaves_after:
+                return
 
 
 @dataclass
@@ -480,18 +512,13 @@
         len(streams),
         sum(bool(stream.first) for stream in streams),
         sum(len(versions_of(answer)) > 1 for stream in streams for answer in stream.answers),
-        sum(len({version for _, version in stream.events}) > 1 for stream in streams),
-        sum(_has_wrong_events(stream) for stream in streams),
+        sum(stream.is_mixed for stream in streams),
+        sum(stream.has_wrong_events for stream in streams),
         resumed,
         in_trouble,
     )
 
 
-def _has_wrong_events(stream: CallerStream) -> bool:
-    numbers = [number for number, _ in stream.events]
-    return numbers != list(range(len(numbers))) or (stream.whole and len(numbers) != EVENTS)
-
-
 def main(
     seed: int = 1,
     seconds: float = 15.0,
