tests: found the steps of a request only after a node has read what it needs at its start

The watcher of steps takes all functions of the watched modules that are called while a request is served. A node calls this one once, when it has read the places of streams at its start, and beside load that fell into the first request; it is then waited for in each later one, where it is not called. By reading: the step failed in this test alone, and nothing calls it more than once but an interruption of some seconds.

Change: the steps are looked for once that read is over. No step of a request is left out. The 28 tests of the module pass.

--- a/tests/platform/test_every_request_is_answered.py
+++ b/tests/platform/test_every_request_is_answered.py
@@ -88,7 +88,10 @@
     async def serve_all(self, **settings: str) -> Node:
         """Start a daemon with a replica that streams on the routes for streams."""
         await self.add_replica(by_route, SLOTS)
-        return await self.serve(retry_slack="1000", **settings)
+        node = await self.serve(retry_slack="1000", **settings)
+        # What a node reads at its start is no step of a request.
+        await self.until(lambda: node.origins.recovery.is_over)
+        return node
 
     async def find_steps(self, node: Node, scenario: Scenario) -> list[Step]:
         """Return the steps of a request on which nothing fails."""
