--- a/railsail/streams/certainty.py
+++ b/railsail/streams/certainty.py
@@ -70,7 +70,7 @@
     async def run(self, host: str) -> Certainty | Uncertainty:
         """Return whether all places where streams of ``host`` began until now are known.
 
-        These include the places that the store has and this node has not heard of.
+        These include the places that the store has and this node has not received.
         """
         if not self._is_complete(host):
             return Uncertainty.HISTORY_INCOMPLETE
--- a/railsail/streams/service.py
+++ b/railsail/streams/service.py
@@ -8,7 +8,7 @@
 All nodes may be lost at once. While streams of a host may have begun in several places, some of the
 nodes that keep a record therefore write it to the store as well (``railsail.streams.archive``).
 
-What this node has heard says where streams began until a moment ago. Whether a stream without a
+What this node has received tells where streams began until a moment ago. Whether a stream without a
 record can have begun in one place only is therefore decided by a read of the store that is started
 after its caller has returned, here or at a peer (``railsail.streams.latest``).
 """
@@ -321,7 +321,7 @@
         return origin
 
     def _proof_facts(self) -> dict[str, Fact]:
-        """Return how outdated what this node has heard of replicas and routes may be."""
+        """Return how outdated the replicas and routes that this node knows may be."""
         age = self._proof_age()
         facts: dict[str, Fact] = {"known_version": self._known_version()}
         return facts | {"proof_age_ms": round(age * 1000)} if math.isfinite(age) else facts
