tests: took all ports of a node with an address of its own at once

Cause: in a run of all tests in seven processes at a time, test_reused_addresses met a port that was in use (Address already in use): tests of nodes at the same addresses ran beside it, and within one test the port to listen on was free when those for callers and operators were chosen.

Change: the four ports are chosen together. The 17 tests of nodes at such addresses pass. Tests that run side by side in several processes may still meet, as the addresses are the same.

--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -56,10 +56,13 @@
         ip = f"127.0.1.{number}"
         access = self.store.add_access()
         self.accesses.append(access)
-        peer_port, listen_port = free_ports(2, ip)
+        # All at once, so that they are different ones.
+        caller_port, admin_port, peer_port, listen_port = free_ports(4, ip)
         await self.relay.listen(ip, peer_port, listen_port)
         return {
             "node_ip": ip,
+            "caller_port": str(caller_port),
+            "admin_port": str(admin_port),
             "peer_port": str(peer_port),
             "listen_port": str(listen_port),
             "store": f"127.0.0.1:{access.port}",
