streams: said what the peers that read the store are asked for besides

Cause: since callers without a name have peers asked for places as well, the comment on the number of these peers told half of their use. Comments only; the tests of the service and of holders pass.

--- a/railsail/streams/candidates.py
+++ b/railsail/streams/candidates.py
@@ -13,7 +13,7 @@
 REFRESH_SECONDS = 0.5
 # Links to such nodes that are opened at a time, so that a fleet that starts is not busy with them.
 MAX_DIALS = 3
-# Peers that are asked to read the store if this node cannot.
+# Peers that are asked for the places that they know, or to read the store if this node cannot.
 READING_PEERS = 3
 
 
@@ -75,7 +75,7 @@
         return holders.asked(key, self._others)
 
     def readers(self) -> list[str]:
-        """Return some nodes that can read the store in place of this node."""
+        """Return some nodes that can be asked for places, and to read the store for this node."""
         nodes = [node for node in self._all() if self._hub.speaks(node, READS)]
         return self._rng.sample(nodes, min(READING_PEERS, len(nodes)))
 
