--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -16,6 +16,8 @@
         self._changes: list[tuple[str, dict, bool]] = []
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen at a free port of the loopback address."""
@@ -26,6 +28,11 @@
         """Stop listening."""
         self._server.close()
 
+    def silence_connections(self) -> int:
+        """Let all open connections say nothing from now on; return how many there are."""
+        self._silent |= self._open
+        return len(self._open)
+
     def put(self, kind: str, name: str, spec: object) -> None:
         """Write the spec of an object, as the operator or a replica does."""
         known = self._objects.get((kind, name), {})
@@ -44,6 +51,7 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open.add(writer)
         with suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -55,6 +63,10 @@
                 body = await reader.readexactly(int(fields.get("content-length", "0")))
                 method, target, _ = line.split(" ")
                 status, answer = await self._answer(method, target, body)
+                if writer in self._silent:
+                    # Nothing is sent or closed; the daemon closes the connection in the end.
+                    await reader.read()
+                    break
                 data = json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n"
@@ -62,6 +74,8 @@
                     + data
                 )
                 await writer.drain()
+        self._open.discard(writer)
+        self._silent.discard(writer)
         writer.close()
 
     async def _answer(self, method: str, target: str, body: bytes) -> tuple[int, object]:
