upstreams: refused answers whose status is none of HTTP

What callers saw: a replica in trouble answered with status 000, and they got it as "HTTP/1.1 0 Unknown" with the replica's body. So it was on each kind of route, by HEAD, on kept connections, in second attempts, for streams and from engines and services of the native interface.

Cause: the codec takes any three digits as a status, and nothing after it asked whether the number is one. 000 is one value of 500: RFC 9110, section 15, has 100 to 599. The same class holds 101, with which a replica goes over to a protocol that nobody asked for; what followed it passed for the answer.

Change: `check_start_line` refuses these in the one place where heads of replicas are read, before anything else looks at the head: no signals of the replica, no "not run" is taken from it. The exchange ends as `InvalidAnswer`, a `CutOff` whose replica has not crashed: the request may have run, it is sent again only where it may be repeated, the call counts as an error of its replica, and the request is no suspect of a crash.

Statuses 200 to 599 pass as before, and so do answers after informational ones.

--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -27,7 +27,14 @@
 from railsail.scheduling.health import CallResult
 from railsail.upstreams.directory import UpstreamDirectory
 from railsail.upstreams.heard import HeardSigns
-from railsail.upstreams.http import Connections, CutOff, HttpRequest, NotSent, exchange
+from railsail.upstreams.http import (
+    Connections,
+    CutOff,
+    HttpRequest,
+    InvalidAnswer,
+    NotSent,
+    exchange,
+)
 from railsail.upstreams.signs import Source
 from railsail.upstreams.sse import BadStream
 
@@ -336,9 +343,12 @@
         except NotSent as problem:
             self._connect_failures.record_failure(replica, self._clock.monotonic())
             return NotRun(Reason.UNREACHABLE, str(problem))
-        except (CutOff, BadStream, AnswerRefused) as problem:
+        except (InvalidAnswer, BadStream, AnswerRefused) as problem:
             context.may_have_run = True
-            return Unknown(str(problem), broke_off=isinstance(problem, CutOff))
+            return Unknown(str(problem))
+        except CutOff as problem:
+            context.may_have_run = True
+            return Unknown(str(problem), broke_off=True)
         except TimeoutError:
             context.may_have_run = True
             silent = is_silence(attempt.silent_seconds)
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -20,6 +20,7 @@
     CutOff,
     HeadListener,
     HttpRequest,
+    InvalidAnswer,
     NotSent,
     exchange,
     fetch,
@@ -138,6 +139,8 @@
             return await self._forward_plain(call, sink, answer)
         except NotSent as problem:
             return NotRun(Reason.UNREACHABLE, str(problem))
+        except InvalidAnswer as problem:
+            return Unknown(str(problem))
         except CutOff as problem:
             return Unknown(str(problem), broke_off=True)
         finally:
@@ -173,6 +176,7 @@
         answer = _StreamAnswer(call, sink)
         request = _request(call)
         problem = ""
+        broke_off = True
         for attempt in range(MAX_ATTEMPTS):
             try:
                 await exchange(request, answer)
@@ -186,6 +190,7 @@
                     break
             except (CutOff, BadStream) as caught:
                 problem = str(caught)
+                broke_off = not isinstance(caught, InvalidAnswer)
             outcome = await self._stream_outcome(call, sink, answer, attempt)
             if outcome is not None:
                 return outcome
@@ -193,7 +198,7 @@
             path = f"/v1/streams/{call.request_id}?after={answer.next_number}"
             headers = {"X-Request-Id": call.request_id}
             request = HttpRequest(call.endpoint, "GET", path, headers, on_head=call.on_head)
-        return Unknown(problem, answer.cost, broke_off=True)
+        return Unknown(problem, answer.cost, broke_off=broke_off)
 
     async def _stream_outcome(
         self, call: UpstreamCall, sink: AnswerSink, answer: _StreamAnswer, attempt: int
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -12,12 +12,19 @@
 from typing import Protocol
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
 from tornado.iostream import IOStream, StreamClosedError
 
 from railsail.conf.values import parse_endpoint
 from railsail.core.buffers import BufferFull, BufferShare
 from railsail.core.exceptions import RailsailError
+from railsail.core.responses import check_start_line
 from railsail.core.sockets import CannotConnect, open_stream
 from railsail.upstreams.keepalive import MIN_ERROR_STATUS, idle_seconds, may_be_kept
 from railsail.upstreams.streams import UpstreamStream
@@ -48,6 +55,13 @@
     """The request was sent, at least in part, and no complete answer was received."""
 
 
+class InvalidAnswer(CutOff):
+    """The replica sent something that is not an answer by HTTP, on a connection that stood.
+
+    Its process has not crashed, but the request may have run.
+    """
+
+
 class AnswerTooLong(CutOff):
     """The answer was ended because it is longer than what may be kept of it."""
 
@@ -189,6 +203,14 @@
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
+        if self.error is not None:
+            # The connection is closed, but this head had arrived before.
+            return None
+        try:
+            check_start_line(start_line)
+        except HTTPInputError as problem:
+            self._fail(InvalidAnswer(f"the replica's answer is invalid: {problem}"))
+            return None
         self.delimited = is_delimited(headers)
         self.delimited = self.delimited or start_line.code in BODILESS_STATUSES
         self.foreign = self._is_foreign(start_line.code, headers)
@@ -242,13 +264,16 @@
         try:
             await work
         except Exception as problem:
-            # Tornado would log an exception raised here, and not pass it to the caller.
-            self.error = problem
-            self._stream.close()
+            self._fail(problem)
         finally:
             self.receiver_busy = False
             self.last_progress_at = self._loop.time()
 
+    def _fail(self, problem: Exception) -> None:
+        # Tornado would log an exception raised by a delegate, and not pass it to the caller.
+        self.error = problem
+        self._stream.close()
+
     def silent(self) -> bool:
         return (
             not self.receiver_busy
--- a/railsail/upstreams/service.py
+++ b/railsail/upstreams/service.py
@@ -7,7 +7,7 @@
 from railsail.core.retryafter import asks_rest
 from railsail.objects.kinds import UPSTREAM_KINDS, CostUnit
 from railsail.upstreams.base import AnswerSink, UpstreamCall, UpstreamKind
-from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
+from railsail.upstreams.http import CutOff, HttpRequest, InvalidAnswer, NotSent, exchange
 from railsail.upstreams.refusals import read_refusal
 
 _SERVER_ERROR = 500
@@ -83,6 +83,8 @@
             await exchange(request, answer)
         except NotSent as problem:
             return NotRun(Reason.UNREACHABLE, str(problem))
+        except InvalidAnswer as problem:
+            return Unknown(str(problem), self._cost(call, started))
         except CutOff as problem:
             return Unknown(str(problem), self._cost(call, started), broke_off=True)
         if answer.refused is not None:
--- /dev/null
+++ b/tests/upstreams/test_broken_answers.py
@@ -0,0 +1,165 @@
+"""Upstreams of each kind that answer with a status that HTTP does not have."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from railsail.core.outcomes import Completed, Outcome, Unknown
+from railsail.objects.kinds import CostUnit
+from railsail.upstreams import engine
+from railsail.upstreams.base import UpstreamCall, UpstreamKind
+from railsail.upstreams.engine import ModelEngine
+from railsail.upstreams.http import Collector, HttpRequest, InvalidAnswer, exchange, fetch
+from railsail.upstreams.service import PlainService
+
+LOOPBACK = "127.0.0.1"
+REQUEST_ID = "r-1"
+# RFC 9110, section 15: a status is a number from 100 to 599.
+NOT_STATUSES = ("000", "001", "099", "600", "799", "999")
+BODY = b'{"id": "r-1"}'
+EVENTS = b'id: 0\ndata: {"id": "r-1"}\n\nid: 1\ndata: [DONE]\n\n'
+
+
+def answer(status: str, body: bytes = BODY, content_type: str = "application/json") -> bytes:
+    """Return a complete answer to the request, with ``status``."""
+    lines = (
+        f"HTTP/1.1 {status} OK",
+        f"X-Request-Id: {REQUEST_ID}",
+        f"Content-Type: {content_type}",
+        f"Content-Length: {len(body)}",
+    )
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Sink:
+    """A caller, who records what it gets."""
+
+    def __init__(self) -> None:
+        self.started = False
+        self.body = b""
+
+    async def start(self, status: int, content_type: str, whole: bool = False) -> None:
+        self.started = True
+
+    async def write(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    def progress(self, cost: float) -> None:
+        pass
+
+
+class UpstreamTestCase(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, sent: bytes) -> str:
+        """Answer each request with ``sent``, and return the endpoint."""
+        self.requests: list[str] = []
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            received = await reader.readuntil(b"\r\n\r\n")
+            self.requests.append(received.decode().split("\r\n")[0])
+            writer.write(sent)
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(handle, LOOPBACK, 0)
+        self.addCleanup(server.close)
+        return f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
+
+
+class KindTests(UpstreamTestCase):
+    async def run_kind(
+        self, kind: UpstreamKind, sent: bytes, stream: bool, method: str = "POST"
+    ) -> tuple[Outcome, Sink]:
+        call = UpstreamCall(
+            await self.serve(sent),
+            REQUEST_ID,
+            "one",
+            method,
+            "/v1/completions",
+            {},
+            b"" if method == "HEAD" else b"{}",
+            0,
+            stream,
+            CostUnit.TOKENS,
+        )
+        sink = Sink()
+        with mock.patch.object(engine, "RESUME_BACKOFF_SECONDS", 0.0):
+            return await kind.run(call, sink), sink
+
+    async def assert_unknown(self, kind: UpstreamKind, stream: bool, method: str = "POST") -> None:
+        for status in NOT_STATUSES:
+            with self.subTest(status=status, stream=stream, method=method):
+                content_type = engine.EVENT_STREAM if stream else "application/json"
+                body = EVENTS if stream else BODY
+                sent = answer(status, b"" if method == "HEAD" else body, content_type)
+                outcome, sink = await self.run_kind(kind, sent, stream, method)
+                self.assertIsInstance(outcome, Unknown)
+                self.assertIn(f"status {status}", outcome.detail)
+                # The process of the replica has not crashed.
+                self.assertFalse(outcome.broke_off)
+                self.assertFalse(sink.started)
+                self.assertEqual(len([line for line in self.requests if method in line]), 1)
+
+    async def test_service(self):
+        await self.assert_unknown(PlainService(), stream=False)
+
+    async def test_service_by_head(self):
+        await self.assert_unknown(PlainService(), stream=False, method="HEAD")
+
+    async def test_engine(self):
+        await self.assert_unknown(ModelEngine(), stream=False)
+
+    async def test_stream_of_an_engine(self):
+        await self.assert_unknown(ModelEngine(), stream=True)
+
+    async def test_valid_answers_are_passed_on(self):
+        for kind in (PlainService(), ModelEngine()):
+            outcome, sink = await self.run_kind(kind, answer("200"), stream=False)
+            self.assertEqual((type(outcome), sink.body), (Completed, BODY))
+
+    async def test_load_report_with_a_broken_status_is_none(self):
+        report = b'{"slots": 4, "running": 0, "waiting": 0}'
+        endpoint = await self.serve(answer("000", report))
+        signs = []
+        load = await ModelEngine().load(endpoint, lambda *head: signs.append(head))
+        # A broken head says nothing of the replica either.
+        self.assertEqual((load, signs), (None, []))
+
+
+class ExchangeTests(UpstreamTestCase):
+    async def exchange(self, sent: bytes) -> Collector:
+        collector = Collector()
+        await exchange(HttpRequest(await self.serve(sent), "GET", "/", {}), collector)
+        return collector
+
+    async def test_numbers_that_are_no_status_are_invalid(self):
+        for number in [*range(100), *range(600, 1000)]:
+            with self.subTest(number=number), self.assertRaises(InvalidAnswer):
+                await self.exchange(answer(f"{number:03d}"))
+
+    async def test_numbers_that_are_a_status_are_received(self):
+        for number in [200, 299, 302, 400, 499, 500, 599]:
+            collector = await self.exchange(answer(str(number)))
+            self.assertEqual((collector.status, collector.body), (number, BODY))
+
+    async def test_switch_to_another_protocol_is_invalid(self):
+        switch = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n"
+        for rest in (b"", b"other bytes", answer("200")):
+            with self.subTest(rest=rest), self.assertRaises(InvalidAnswer):
+                await self.exchange(switch + rest)
+
+    async def test_answer_after_informational_ones_is_received(self):
+        informational = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        collector = await self.exchange(informational + answer("200"))
+        self.assertEqual((collector.status, collector.body), (200, BODY))
+
+    async def test_broken_status_after_an_informational_one_is_invalid(self):
+        with self.assertRaises(InvalidAnswer):
+            await self.exchange(b"HTTP/1.1 100 Continue\r\n\r\n" + answer("000"))
+
+    async def test_fetch_returns_no_answer(self):
+        endpoint = await self.serve(answer("000"))
+        self.assertIsNone(await fetch(HttpRequest(endpoint, "GET", "/", {}), 20.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
