routing, gateway: passed on no status of another node that is none of HTTP

What callers saw: a node of an earlier build takes a status 000 of a replica for an answer. A node that had forwarded the request copied the head to the caller as it came; a retry of a claimed request got the answer that such a node had kept, where its status was 1 to 99 (0 says that there is none, and the messages between daemons allow at most 599).

Cause: the same as at replicas: the start line was parsed, its number not checked.

Change: both ask `railsail.core.responses`. A forwarded request has an unknown outcome then, with the reason in its line of the log; nothing of the head is passed on. The messages stay as they are.

--- a/railsail/gateway/answers.py
+++ b/railsail/gateway/answers.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from railsail.core.responses import is_status
 from railsail.core.tasks import TaskSet
 from railsail.peers.hub import PeerHub
 from railsail.peers.messages import AnswerReply, AnswerRequest
@@ -134,7 +135,7 @@
         future = self._pending.get(message.number)
         if future is None or future.done():
             return
-        if not message.status:
+        if not is_status(message.status):
             future.set_result(None)
             return
         answer = KeptAnswer(message.status, message.content_type, message.request, message.body)
--- a/railsail/routing/forwarding.py
+++ b/railsail/routing/forwarding.py
@@ -25,6 +25,7 @@
 from railsail.conf.values import parse_endpoint
 from railsail.core.kernel import Kernel
 from railsail.core.outcomes import Completed, Unknown
+from railsail.core.responses import check_start_line
 from railsail.core.sockets import CannotConnect, open_stream
 from railsail.gateway.concurrency import ConcurrencyLimit
 from railsail.membership.table import Member
@@ -119,6 +120,8 @@
                 status = await _copy_answer(stream, client)
         except TimeoutError:
             return Unknown(f"{target.node} gave no whole answer in time", timed_out=True)
+        except HTTPInputError as problem:
+            return Unknown(f"the answer of {target.node} is invalid: {problem}")
         finally:
             stream.close()
             self._targets.request_ended(target.node)
@@ -153,15 +156,19 @@
 
 
 async def _copy_answer(stream: IOStream, client: ClientAnswer) -> int:
-    """Copy all that arrives to the caller, and return the status of the answer, 0 if none came."""
+    """Copy all that arrives to the caller, and return the status of the answer, 0 if none came.
+
+    Raise ``HTTPInputError`` if what arrives does not start an answer; nothing of it is copied.
+    """
     status = 0
     try:
         # Some clients take a head that ends with its connection for a whole one, without a body.
         head = await stream.read_until(b"\r\n\r\n", max_bytes=MAX_HEAD_BYTES)
-        line = head.partition(b"\r\n")[0]
-        status = parse_response_start_line(line.decode("latin-1")).code
+        line = parse_response_start_line(head.partition(b"\r\n")[0].decode("latin-1"))
+        check_start_line(line)
+        status = line.code
         await client.write_raw(head)
         while True:
             await client.write_raw(await stream.read_bytes(CHUNK_BYTES, partial=True))
-    except (StreamClosedError, UnsatisfiableReadError, HTTPInputError):
+    except (StreamClosedError, UnsatisfiableReadError):
         return status
--- a/tests/routing/test_forwarding.py
+++ b/tests/routing/test_forwarding.py
@@ -91,6 +91,21 @@
             outcome, client = await self.forward(ANSWER[:cut])
             self.assertEqual((type(outcome), client.received), (Unknown, b""), cut)
 
+    async def test_answer_whose_status_is_none_of_http_is_not_passed_on(self):
+        """A node of an earlier build passes on any three digits that a replica sends."""
+        for status in ("000", "099", "101", "600", "999"):
+            with self.subTest(status=status):
+                sent = ANSWER.replace(b"200", status.encode())
+                outcome, client = await self.forward(sent)
+                self.assertEqual((type(outcome), client.received), (Unknown, b""))
+                self.assertIn("invalid", outcome.detail)
+
+    async def test_bytes_that_are_no_answer_are_not_passed_on(self):
+        for line in (b"HTTP/1.1 20 OK", b"HTTP/2.0 200 OK", b"good day", b""):
+            with self.subTest(line=line):
+                outcome, client = await self.forward(ANSWER.replace(b"HTTP/1.1 200 OK", line))
+                self.assertEqual((type(outcome), client.received), (Unknown, b""))
+
     async def test_head_without_end_is_no_answer(self):
         outcome, client = await self.forward(ANSWER[: HEAD_BYTES - 2] + b"X: y\r\n" * 20_000)
         self.assertEqual((type(outcome), client.received), (Unknown, b""))
