upstreams: told answers that are none of HTTP from connections that broke

What callers saw: nothing wrong; they got 502 for each form of a broken head. But an answer that the codec refuses was recorded as "the replica closed before the end of its answer". The replica had not closed: its call counted as broken off, the replica was looked at for a crash three times, and the request was held for that and became a suspect if the replica restarted within a second.

Cause: the codec closes the connection itself when it refuses an answer, and raises an error only if the connection had been closed before. An exchange that ends without either is an invalid answer.

Change: it ends as `InvalidAnswer`, like one whose status is none, and says so in the log.

Tests: 43 forms of heads (names with a blank, a control byte or a byte over 127; folded lines; lines without a colon; values with a control byte; start lines), by GET and by HEAD, on the wire and at callers on three kinds of route; chunks; informational answers without end.

--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -353,7 +353,8 @@
     if delegate.foreign:
         raise CutOff("the replica answered another request")
     if not delegate.complete:
-        raise CutOff("the replica closed before the end of its answer")
+        # The codec closes the connection, and raises an error only if that was closed before.
+        raise InvalidAnswer("the replica's answer is not valid by HTTP")
     if not delegate.delimited and not (request.open_ended and stream.error is None):
         # A body that ends with its connection may be truncated without any error.
         raise CutOff("the replica gave no length of its answer")
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -1,4 +1,4 @@
-"""A replica answers with a status that HTTP does not have: no caller gets that as an answer."""
+"""A replica answers with a head that is none of HTTP: no caller gets that as an answer."""
 
 import asyncio
 import itertools
@@ -9,6 +9,7 @@
 from railsail.core.events import Kind
 from railsail.node import Node
 from railsail.scheduling.health import CallResult
+from tests.heads import INVALID_HEADS
 from tests.platform.base import (
     LONGEST_SECONDS,
     ROUTES,
@@ -82,24 +83,25 @@
     return script
 
 
+def record_results(case: PlatformTestCase, node: Node) -> list[CallResult]:
+    """Return what the ends of calls will have said about their replicas."""
+    seen: list[CallResult] = []
+    tickets = node.front._relay._tickets
+    release = tickets.release
+
+    def record(booking, cost: float, result: CallResult) -> None:
+        seen.append(result)
+        release(booking, cost, result)
+
+    case.hold(mock.patch.object(tickets, "release", record))
+    return seen
+
+
 class BrokenStatusTests(PlatformTestCase):
     def ran(self, request_id: str) -> int:
         received = [got for replica in self.replicas for got in replica.received]
         return sum(got.headers["Request-Id"] == request_id for got in received)
 
-    def results(self, node: Node) -> list[CallResult]:
-        """Return what the ends of calls will have said about their replicas."""
-        seen: list[CallResult] = []
-        tickets = node.front._relay._tickets
-        release = tickets.release
-
-        def record(booking, cost: float, result: CallResult) -> None:
-            seen.append(result)
-            release(booking, cost, result)
-
-        self.hold(mock.patch.object(tickets, "release", record))
-        return seen
-
     async def test_request_gets_an_answer_of_unknown_outcome(self):
         node = await self.serve(with_status_of_body())
         for route, status in itertools.product(ROUTES, NOT_STATUSES):
@@ -172,7 +174,7 @@
 
     async def test_failure_counts_as_that_of_the_replica_and_is_logged_once(self):
         node = await self.serve(broken("000"))
-        results = self.results(node)
+        results = record_results(self, node)
         await self.call(node, "/once/", Request_Id="logged")
         # The process of the replica has not ended, so that the request is no suspect of a crash.
         self.assertEqual(results, [CallResult.ERROR])
@@ -180,6 +182,45 @@
         self.assertEqual([each.kind for each in lines], [Kind.ENDED])
 
 
+class BrokenHeadTests(PlatformTestCase):
+    async def serve_heads(self) -> Node:
+        """Serve with a replica that answers with the head that the body of a request names."""
+
+        async def script(replica: ReplicaStandin, received: Received, writer) -> None:
+            invalid = INVALID_HEADS[received.body.decode()]
+            sealed = f"Request-Id: {received.headers['Request-Id']}\r\nResponse-Seal: x\r\n\r\n"
+            writer.write(invalid + sealed.encode() + b"hi")
+            await writer.drain()
+
+        return await self.serve(script)
+
+    async def test_request_gets_an_answer_of_unknown_outcome(self):
+        node = await self.serve_heads()
+        for route, name in itertools.product(("once", "again", "resume"), INVALID_HEADS):
+            with self.subTest(route=route, head=name):
+                answer = await self.call(node, f"/{route}/", body=name.encode())
+                self.assertEqual(answer.status, UNKNOWN)
+                self.assertNotIn("X-A", answer.headers)
+                self.assertNotIn("Response-Seal", answer.headers)
+
+    async def test_head_request(self):
+        node = await self.serve_heads()
+        for name in INVALID_HEADS:
+            with self.subTest(head=name):
+                reader, writer = await self.connect(node)
+                self.addCleanup(writer.close)
+                writer.write(request("/again/", method="HEAD", body=name.encode()))
+                got, _ = await asyncio.wait_for(read_head(reader), LONGEST_SECONDS)
+                self.assertEqual(got, UNKNOWN)
+
+    async def test_failure_counts_as_an_error_of_the_replica(self):
+        node = await self.serve_heads()
+        results = record_results(self, node)
+        for name in INVALID_HEADS:
+            await self.call(node, "/once/", body=name.encode())
+        self.assertEqual(results, [CallResult.ERROR] * len(INVALID_HEADS))
+
+
 class HedgedAttemptTests(SilentReplicaTestCase):
     async def test_broken_answer_of_the_second_attempt_does_not_end_the_first(self):
         node = await self.serve_repeatable(2, script=pausing_before(answering(), broken("000")))
--- a/tests/upstreams/test_broken_answers.py
+++ b/tests/upstreams/test_broken_answers.py
@@ -1,6 +1,7 @@
-"""Upstreams of each kind that answer with a status that HTTP does not have."""
+"""Upstreams of each kind that answer with a head that is none of HTTP."""
 
 import asyncio
+import itertools
 import unittest
 from unittest import mock
 
@@ -11,11 +12,23 @@
 from railsail.upstreams.engine import ModelEngine
 from railsail.upstreams.http import Collector, HttpRequest, InvalidAnswer, exchange, fetch
 from railsail.upstreams.service import PlainService
+from tests.heads import INVALID_HEADS
 
 LOOPBACK = "127.0.0.1"
 REQUEST_ID = "r-1"
 # RFC 9110, section 15: a status is a number from 100 to 599.
 NOT_STATUSES = ("000", "001", "099", "600", "799", "999")
+# RFC 9112, section 7.1.
+INVALID_CHUNKS = (
+    b"-2\r\nhi\r\n0\r\n\r\n",
+    b"+2\r\nhi\r\n0\r\n\r\n",
+    b"0x2\r\nhi\r\n0\r\n\r\n",
+    b"0_2\r\nhi\r\n0\r\n\r\n",
+    b"2 \r\nhi\r\n0\r\n\r\n",
+    b"\r\nhi\r\n0\r\n\r\n",
+    b"2\r\nhiXX0\r\n\r\n",
+    b"2\r\nhi\r\n0\r\nXX",
+)
 BODY = b'{"id": "r-1"}'
 EVENTS = b'id: 0\ndata: {"id": "r-1"}\n\nid: 1\ndata: [DONE]\n\n'
 
@@ -126,11 +139,26 @@
 
 
 class ExchangeTests(UpstreamTestCase):
-    async def exchange(self, sent: bytes) -> Collector:
+    async def exchange(self, sent: bytes, method: str = "GET") -> Collector:
         collector = Collector()
-        await exchange(HttpRequest(await self.serve(sent), "GET", "/", {}), collector)
+        await exchange(HttpRequest(await self.serve(sent), method, "/", {}), collector)
         return collector
 
+    async def test_heads_that_are_none_of_http_are_invalid(self):
+        for method, (name, invalid) in itertools.product(("GET", "HEAD"), INVALID_HEADS.items()):
+            with self.subTest(method=method, head=name), self.assertRaises(InvalidAnswer):
+                await self.exchange(invalid + b"\r\nhi", method)
+
+    async def test_informational_answers_without_end_are_invalid(self):
+        with self.assertRaises(InvalidAnswer):
+            await self.exchange(b"HTTP/1.1 100 Continue\r\n\r\n" * 500 + answer("200"))
+
+    async def test_invalid_chunks_are_invalid(self):
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for chunks in INVALID_CHUNKS:
+            with self.subTest(chunks=chunks), self.assertRaises(InvalidAnswer):
+                await self.exchange(start + chunks)
+
     async def test_numbers_that_are_no_status_are_invalid(self):
         for number in [*range(100), *range(600, 1000)]:
             with self.subTest(number=number), self.assertRaises(InvalidAnswer):
