routing: named the length that the replica named, if an answer has no body

What callers saw: each answer to HEAD named a length of 0, whatever the replica named, and so did each 304; a cache that updates what it holds by such a head takes the body for an empty one. A 204 named a length, which RFC 9110, section 8.6, forbids.

Cause: the length was always that of the body that is sent, which is empty there.

Change: `ClientAnswer.send_head` sends an answer without a body, with the length of the replica's head or with none. Answers of this node's own to HEAD name the length of their text, as before.

--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -20,6 +20,7 @@
 from railsail.core.buffers import BufferFull, Buffers
 from railsail.core.exceptions import RailsailError
 from railsail.core.logs import get_logger
+from railsail.core.responses import NO_CONTENT
 from railsail.core.sockets import detect_dead_peer
 from railsail.core.tasks import TaskSet
 
@@ -134,7 +135,19 @@
     async def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Send a complete answer."""
         headers["Content-Length"] = str(len(body))
-        accepted = self._write_head(status, headers, body if self._has_body else b"")
+        await self._send(status, headers, body if self._has_body else b"")
+
+    async def send_head(self, status: int, headers: HTTPHeaders, length: int | None) -> None:
+        """Send an answer without a body; ``length`` is the one that it names, ``None`` for none.
+
+        To a ``HEAD`` request it is the length of the answer to a ``GET`` (RFC 9110, section 8.6).
+        """
+        if length is not None and status != NO_CONTENT:
+            headers["Content-Length"] = str(length)
+        await self._send(status, headers, b"")
+
+    async def _send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        accepted = self._write_head(status, headers, body)
         # Ended before the wait, so that an end of this task does not leave the answer incomplete.
         self.end()
         await self._accepted(accepted)
--- a/railsail/routing/relay.py
+++ b/railsail/routing/relay.py
@@ -380,7 +380,10 @@
             # The status would tell the caller that nothing ran, which the replica did not say.
             return Unknown(f"status {head.status}", asked_rest=head.asks_rest)
         attempt.go_on()
-        await context.client.send(head.status, head.headers, answer.take_body())
+        if answer.has_body:
+            await context.client.send(head.status, head.headers, answer.take_body())
+        else:
+            await context.client.send_head(head.status, head.headers, answer.named_length)
         return Completed(head.status, 0.0, context.uncertain_end)
 
     def _end_stream(
