store: read the store's answers by the exchange that reads those of replicas

What callers saw: nothing as long as the store is sound. A store in trouble whose answers had status 000 (or 001 to 099) was taken to have done what it was asked: a write that it had not made counted as made. Against a store whose answers have no end, a daemon held 2.0 GB after 12 s, with all requests on it; it would have been killed at a twentieth of that.

Cause: calls to the store had an HTTP client of their own, which takes any three digits as a status and below 300 as a success, and which bounds each answer (64 MB), not all of them. A daemon watches eight kinds at a time and calls again at once.

Change: `StoreCalls` uses `exchange`, so that each head is checked in one place, and keeps what it reads within one bound on all answers at a time (32 MB on the platform, 8 MB on the object API). If they don't fit, the longest ends, so that a sound answer beside endless ones is kept; a `Collector` can be dropped for that, as answers on routes can. A call that is cancelled closes its connection; it used to run on, since the client logged an error otherwise. A single answer may have 32 MB now, not 64.

The tests of the store, of its outages, of copies and of odd entries pass.

--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -6,7 +6,6 @@
 from urllib.parse import quote
 
 import msgspec
-from tornado.httpclient import HTTPResponse
 
 from railsail.conf.values import Endpoint
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
@@ -22,13 +21,13 @@
 )
 from railsail.platform.recovery import recover_object, recover_objects
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
-from railsail.store.calls import GONE, NOT_FOUND, StoreCalls
+from railsail.store.calls import GONE, NOT_FOUND, StoreAnswer, StoreCalls
 from railsail.store.decoding import UndecodableObject, decode, decode_plain
 from railsail.store.unreadable import UnreadableObjects, UnreadableValue
 from railsail.store.versions import era_of, revision_of, to_version
 
 CALL_SECONDS = 2.0
-MAX_ANSWER_BYTES = 64 << 20
+MAX_ANSWER_BYTES = 32 << 20
 MAX_PAGES = 1000
 # The store's generation: how often the store was restored from an older copy. The header is in all
 # answers once that has happened.
@@ -101,7 +100,7 @@
     watches_many = False
 
     def __init__(self, endpoints: Sequence[Endpoint], metrics: Metrics, rng: random.Random) -> None:
-        self._base = f"http://{endpoints[0]}"
+        self._endpoint = endpoints[0]
         # The latest generation of the store in any answer.
         self._latest_generation = 0
         self._calls = StoreCalls(metrics, CALL_SECONDS, MAX_ANSWER_BYTES)
@@ -214,9 +213,8 @@
         path: str,
         body: bytes | None = None,
         waits: float = 0.0,
-    ) -> HTTPResponse:
-        url = f"{self._base}{path}"
-        response = await self._calls.call(operation, method, url, body, waits)
+    ) -> StoreAnswer:
+        response = await self._calls.call(operation, method, self._endpoint, path, body, waits)
         self._latest_generation = max(self._latest_generation, _generation(response))
         return response
 
@@ -233,7 +231,7 @@
     return f"/objects/{_KINDS[kind].path}"
 
 
-def _generation(response: HTTPResponse) -> int:
+def _generation(response: StoreAnswer) -> int:
     """Return the generation of the store, 0 if it was never restored from a copy."""
     text = response.headers.get(GENERATION_HEADER, "").strip()
     if not text:
@@ -243,18 +241,18 @@
     return int(text)
 
 
-def _decode_one(response: HTTPResponse, report: Callable[[str], None]) -> StoredItem:
+def _decode_one(response: StoreAnswer, report: Callable[[str], None]) -> StoredItem:
     """Return an answer with one object, without its spec if that is not valid JSON."""
     return _recovered(response, StoredItem, recover_object, report)
 
 
-def _decode_many(response: HTTPResponse, shape: type, report: Callable[[str], None]):
+def _decode_many(response: StoreAnswer, shape: type, report: Callable[[str], None]):
     """Return an answer with many objects, also if one of them has invalid bytes."""
     return _recovered(response, shape, recover_objects, report)
 
 
 def _recovered(
-    response: HTTPResponse,
+    response: StoreAnswer,
     shape: type,
     recover: Callable[[bytes], bytes],
     report: Callable[[str], None],
--- a/railsail/store/http.py
+++ b/railsail/store/http.py
@@ -10,13 +10,12 @@
 from urllib.parse import quote
 
 import msgspec
-from tornado.httpclient import HTTPResponse
 
 from railsail.conf.values import Endpoint
 from railsail.core.exceptions import StoreUnavailable
 from railsail.core.metrics import Metrics
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
-from railsail.store.calls import GONE, NOT_FOUND, StoreCalls
+from railsail.store.calls import GONE, NOT_FOUND, StoreAnswer, StoreCalls
 from railsail.store.decoding import without_deep_containers
 from railsail.store.unreadable import UnreadableObjects, UnreadableValue
 
@@ -131,12 +130,13 @@
         path: str,
         body: str | None = None,
         max_wait: float = 0.0,
-    ) -> HTTPResponse:
+    ) -> StoreAnswer:
         endpoint = self._rng.choice(self._endpoints)
-        return await self._calls.call(operation, method, f"http://{endpoint}{path}", body, max_wait)
+        encoded = None if body is None else body.encode()
+        return await self._calls.call(operation, method, endpoint, path, encoded, max_wait)
 
 
-def _decode(response: HTTPResponse, shape: type[T]) -> T:
+def _decode(response: StoreAnswer, shape: type[T]) -> T:
     try:
         return msgspec.convert(_load(response.body), shape)
     except (ValueError, RecursionError) as problem:
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -132,10 +132,10 @@
         return await self._run_plain(call, sink)
 
     async def _run_plain(self, call: UpstreamCall, sink: AnswerSink) -> Outcome:
-        share = call.buffers.open()
-        answer = Collector(MAX_ANSWER_BYTES, share)
+        answer = Collector(MAX_ANSWER_BYTES, call.buffers)
         try:
             await exchange(_request(call), answer)
+            answer.keep()
             return await self._forward_plain(call, sink, answer)
         except NotSent as problem:
             return NotRun(Reason.UNREACHABLE, str(problem))
@@ -144,7 +144,7 @@
         except CutOff as problem:
             return Unknown(str(problem), broke_off=True)
         finally:
-            share.release()
+            answer.release()
 
     async def _forward_plain(
         self, call: UpstreamCall, sink: AnswerSink, answer: Collector
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -22,7 +22,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from railsail.conf.values import parse_endpoint
-from railsail.core.buffers import BufferFull, BufferShare
+from railsail.core.buffers import BufferFull, Buffers
 from railsail.core.exceptions import RailsailError
 from railsail.core.responses import check_head, has_body
 from railsail.core.sockets import CannotConnect, open_stream
@@ -98,7 +98,7 @@
     ``on_head`` is called with status and headers of any answer before its receiver, which may
     refuse the answer. The connection may be kept only for a request that names its ``replica`` and
     ``request_id``; ``read_id`` returns the id of the request that an answer belongs to, from the
-    headers of the answer.
+    headers of the answer. The connection is closed if nothing arrives for ``max_silence`` seconds.
     """
 
     endpoint: str
@@ -113,6 +113,7 @@
     replica: str = ""
     request_id: str = ""
     read_id: IdReader = read_no_id
+    max_silence: float = MAX_SILENCE_SECONDS
 
 
 class Receiver(Protocol):
@@ -276,7 +277,7 @@
     def silent(self) -> bool:
         return (
             not self.receiver_busy
-            and self._loop.time() - self.last_progress_at > MAX_SILENCE_SECONDS
+            and self._loop.time() - self.last_progress_at > self._request.max_silence
         )
 
 
@@ -389,19 +390,19 @@
 
 
 class Collector:
-    """A receiver that keeps a short answer in memory.
+    """A receiver that keeps an answer in memory, within the bound of ``buffers`` on all of them.
 
-    Its ``data`` raises ``AnswerTooLong`` if the body has more than ``max_bytes``, or if ``share``
-    is given and cannot hold it.
+    Its ``data`` raises ``AnswerTooLong`` if the body has more than ``max_bytes``, or if it has to
+    be dropped for smaller ones.
     """
 
-    def __init__(self, max_bytes: int = 1 << 20, share: BufferShare | None = None) -> None:
+    def __init__(self, max_bytes: int = 1 << 20, buffers: Buffers | None = None) -> None:
         self.status = 0
         self.headers = HTTPHeaders()
         self._pieces: list[bytes] = []
-        self._size = 0
         self._max_bytes = max_bytes
-        self._share = share
+        self._share = (buffers or Buffers(max_bytes)).open(self._evict)
+        self._is_evicted = False
 
     @property
     def body(self) -> bytes:
@@ -415,16 +416,34 @@
 
     async def data(self, chunk: bytes) -> None:
         """Keep a chunk of the body."""
-        self._size += len(chunk)
-        if self._size > self._max_bytes:
+        self._check_kept()
+        size = self._share.size + len(chunk)
+        if size > self._max_bytes:
             raise AnswerTooLong("the answer is too long")
-        if self._share is not None:
-            try:
-                self._share.resize(self._size)
-            except BufferFull as problem:
-                raise AnswerTooLong(str(problem)) from None
+        try:
+            self._share.resize(size)
+        except BufferFull as problem:
+            raise AnswerTooLong(str(problem)) from None
         self._pieces.append(chunk)
 
+    def _evict(self) -> None:
+        self._is_evicted = True
+        self._pieces.clear()
+
+    def _check_kept(self) -> None:
+        if self._is_evicted:
+            raise AnswerTooLong("the answer is too long for the memory of this node beside others")
+
+    def keep(self) -> None:
+        """Hold a complete answer until it is released; raise ``AnswerTooLong`` if it is gone."""
+        self._check_kept()
+        self._share.keep()
+
+    def release(self) -> None:
+        """Release the memory of the answer."""
+        self._pieces.clear()
+        self._share.release()
+
 
 async def fetch(request: HttpRequest, seconds: float, max_bytes: int = 1 << 20) -> Collector | None:
     """Return a short answer, or ``None`` if none was received within ``seconds``."""
