upstreams: freed what was read of a refused answer at once

What callers saw: nothing by itself. What was read of an answer that a receiver refused, up to 128 KB of buffers of its connection and the pieces that were kept, stayed until the garbage collector ran, many such answers later. No bound on bodies counts it.

Cause: two cycles of references. The error that ends an exchange was kept by the exchange, which its traceback refers to; a share of the memory refers to its owner, to drop it.

Change: the exchange forgets its error when it raises it, and a share its owner when it is released.

--- a/railsail/core/buffers.py
+++ b/railsail/core/buffers.py
@@ -50,12 +50,16 @@
     def release(self) -> None:
         """Hold nothing any more."""
         self._buffers.release(self)
+        # It refers to the owner of this share, which would be kept until the garbage collector
+        # finds the cycle.
+        self._on_evict = None
 
     def evict(self) -> None:
         """Drop the bytes."""
+        on_evict = self._on_evict
         self.release()
-        if self._on_evict is not None:
-            self._on_evict()
+        if on_evict is not None:
+            on_evict()
 
 
 class Buffers:
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -274,6 +274,17 @@
         self.error = problem
         self._stream.close()
 
+    def raise_error(self) -> None:
+        """Raise the error that ended the exchange, if there is one."""
+        if self.error is None:
+            return
+        try:
+            raise self.error from None
+        finally:
+            # The traceback refers to this object, which would keep the connection's buffers until
+            # the garbage collector finds the cycle.
+            self.error = None
+
     def silent(self) -> bool:
         return (
             not self.receiver_busy
@@ -329,13 +340,11 @@
         if delegate.foreign and delegate.complete:
             await _read_own_answer(stream, delegate)
     except (OSError, StreamClosedError, ValueError) as problem:
-        if delegate.error is not None:
-            raise delegate.error from None
+        delegate.raise_error()
         raise CutOff(f"the connection to the replica broke: {problem}") from None
     finally:
         silence_check.cancel()
-    if delegate.error is not None:
-        raise delegate.error
+    delegate.raise_error()
     _check_complete(stream, request, delegate)
     return delegate.idle_seconds
 
@@ -401,8 +410,11 @@
         self.headers = HTTPHeaders()
         self._pieces: list[bytes] = []
         self._max_bytes = max_bytes
-        self._share = (buffers or Buffers(max_bytes)).open(self._evict)
         self._is_evicted = False
+        if buffers is None:
+            self._share = Buffers(max_bytes).open()
+        else:
+            self._share = buffers.open(self._evict)
 
     @property
     def body(self) -> bytes:
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import gc
 import unittest
+import weakref
 
+from railsail.core.buffers import Buffers
 from railsail.standins.fleet import free_ports
 from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange, fetch
 
@@ -58,6 +61,32 @@
         with self.assertRaises(CutOff):
             await self.answer(ENDLESS + CHUNK * (MAX_COLLECTED_CHUNKS + 1))
 
+    async def test_memory_of_a_refused_answer_is_freed_at_once(self):
+        """Not only once the garbage collector runs, which may be many answers later."""
+
+        async def handle(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(ENDLESS + CHUNK)
+            await writer.drain()
+            writer.close()
+
+        async def refuse() -> weakref.ref:
+            collector = Collector(buffers=Buffers(1))
+            with contextlib.suppress(CutOff):
+                await exchange(request, collector)
+            collector.release()
+            return weakref.ref(collector)
+
+        request = await self.serve(handle)
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        refused = await refuse()
+        # The tasks of the exchange end.
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertIsNone(refused())
+
     async def test_report_without_end_is_no_report(self):
         async def handle(reader, writer) -> None:
             with contextlib.suppress(ConnectionError):
