upstreams: counted what streams of engines hold in the memory for bodies

What callers saw: a faulty engine that answered a stream with a body without end that is no event stream, or with an event without end, made the node hold 16 MB or 1 MB for each such request, beside the bound on all bodies; with a few dozen at a time the node is killed, and all its requests with it. Only the native interface was affected: routes count all they hold.

Cause: these two places held bytes without a share of the memory for bodies.

Change: both have a share; if the bodies don't fit, the longest ends.

The bound of the test is twice the memory, as `railsail.core.buffers` has it, and four chunks a connection.

--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -10,12 +10,14 @@
 
 from tornado.httputil import HTTPHeaders
 
+from railsail.core.buffers import BufferFull
 from railsail.core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from railsail.core.retryafter import asks_rest
 from railsail.objects.kinds import UPSTREAM_KINDS
 from railsail.scheduling.room import LoadReport
 from railsail.upstreams.base import AnswerSink, UpstreamCall, UpstreamKind
 from railsail.upstreams.http import (
+    AnswerTooLong,
     Collector,
     CutOff,
     HeadListener,
@@ -60,7 +62,10 @@
         self.cost = 0.0
         self.status = 0
         self.refused: NotRun | None = None
-        self.plain_answer = Collector(MAX_ANSWER_BYTES)
+        self.plain_answer = Collector(MAX_ANSWER_BYTES, call.buffers)
+        # The bytes of an event that is not complete.
+        self._share = call.buffers.open(self._evict)
+        self._is_evicted = False
 
     @property
     def is_event_stream(self) -> bool:
@@ -70,8 +75,11 @@
     async def head(self, status: int, headers: HTTPHeaders) -> None:
         self.status = status
         self.refused = read_refusal(status, headers)
+        self.release()
+        self.plain_answer = Collector(MAX_ANSWER_BYTES, self._call.buffers)
         await self.plain_answer.head(status, headers)
-        self._splitter = EventSplitter()
+        self._share = self._call.buffers.open(self._evict)
+        self._is_evicted = False
         if headers.get("X-Request-Id") != self._call.request_id and self.refused is None:
             raise _ForeignAnswer("the answer bore another request's id")
 
@@ -82,6 +90,7 @@
         # Events that arrive together are forwarded together, because a write costs as much as
         # handling an event.
         accepted = [event.raw for event in self._splitter.feed(chunk) if self._accept(event)]
+        self._hold(len(self._splitter.rest))
         if not accepted:
             return
         if not self._sink.started:
@@ -89,6 +98,24 @@
         await self._sink.write(b"".join(accepted))
         self._sink.progress(self.cost)
 
+    def _hold(self, size: int) -> None:
+        if self._is_evicted:
+            raise AnswerTooLong("an event is too long for the memory of this node beside others")
+        try:
+            self._share.resize(size)
+        except BufferFull as problem:
+            raise AnswerTooLong(str(problem)) from None
+
+    def _evict(self) -> None:
+        self._is_evicted = True
+        self._splitter = EventSplitter()
+
+    def release(self) -> None:
+        """Release the memory of the answer."""
+        self.plain_answer.release()
+        self._share.release()
+        self._splitter = EventSplitter()
+
     def _accept(self, event: StreamEvent) -> bool:
         if event.number < self.next_number or self.done:
             # After a resume, the engine repeats the events that may have been lost.
@@ -174,6 +201,14 @@
 
     async def _run_stream(self, call: UpstreamCall, sink: AnswerSink) -> Outcome:
         answer = _StreamAnswer(call, sink)
+        try:
+            return await self._run_attempts(call, sink, answer)
+        finally:
+            answer.release()
+
+    async def _run_attempts(
+        self, call: UpstreamCall, sink: AnswerSink, answer: _StreamAnswer
+    ) -> Outcome:
         request = _request(call)
         problem = ""
         broke_off = True
@@ -210,6 +245,7 @@
         if attempt > 0 and asks_rest(answer.status, answer.plain_answer.headers):
             return Unknown("the engine turned the stream away", answer.cost, asked_rest=True)
         if attempt == 0 and answer.status >= 400 and not answer.is_event_stream:
+            answer.plain_answer.keep()
             return await self._forward_plain(call, sink, answer.plain_answer)
         if attempt > 0 and answer.status == 404:
             return Unknown("the engine does not know the stream any more", answer.cost)
--- a/tests/upstreams/test_engine.py
+++ b/tests/upstreams/test_engine.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import math
+import tracemalloc
 import unittest
 from unittest import mock
 
@@ -20,6 +21,10 @@
 
 CHUNK = b"x" * 65_536
 MEMORY = 1 << 20
+SHARED_MEMORY = 8 << 20
+CALLS_OF_A_KIND = 16
+# What a connection and its two ends may hold beside the answer: a chunk in each of four places.
+CONNECTION_BYTES = 4 * len(CHUNK)
 
 
 class Sink:
@@ -38,6 +43,9 @@
 
 
 class EndlessAnswerTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.buffers = Buffers(MEMORY)
+
     async def run_engine(self, stream: bool, content_type: str) -> Outcome:
         """Call an engine whose answer has no end, and return the outcome."""
 
@@ -52,7 +60,6 @@
 
         server = await asyncio.start_server(handle, "127.0.0.1", 0)
         self.addCleanup(server.close)
-        self.buffers = Buffers(MEMORY)
         call = UpstreamCall(
             f"127.0.0.1:{server.sockets[0].getsockname()[1]}",
             "r-1",
@@ -74,6 +81,24 @@
 
     async def test_event_without_end_is_ended(self):
         self.assertIsInstance(await self.run_engine(True, "text/event-stream"), Unknown)
+        self.assertEqual(self.buffers.used, 0)
+
+    async def test_plain_answer_to_a_stream_without_end_is_ended(self):
+        self.assertIsInstance(await self.run_engine(True, "application/json"), Unknown)
+        self.assertEqual(self.buffers.used, 0)
+
+    async def test_answers_without_end_share_the_memory(self):
+        kinds = [(True, "application/json"), (True, "text/event-stream"), (False, "text/plain")]
+        calls = kinds * CALLS_OF_A_KIND
+        self.buffers = Buffers(SHARED_MEMORY)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        ends = await asyncio.gather(*(self.run_engine(*kind) for kind in calls))
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertEqual([type(end) for end in ends], [Unknown] * len(calls))
+        self.assertEqual(self.buffers.used, 0)
+        # Bodies are copied once while they are passed on.
+        self.assertLess(peak, 2 * SHARED_MEMORY + len(calls) * CONNECTION_BYTES)
 
 
 class OddNumberTests(unittest.TestCase):
