upstreams: cut off answers without a length of replicas that fall silent

What callers saw: on a route with a timeout of over 60 s, an answer without a length that stopped half-way was passed on as whole after 60 to 66 s without a byte.

Cause: the connection to such a replica is closed here, and the codec takes the end of a connection for the end of a body without a length; that no error had occurred on it made the answer complete.

Change: the exchange fails with `CutOff`, which says for how long the replica sent nothing.

Answers with a length or chunks were cut off before too.

--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -19,7 +19,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from railsail.conf.values import parse_endpoint
 from railsail.core.buffers import BufferFull, Buffers
@@ -208,7 +208,7 @@
         try:
             check_head(start_line, headers)
         except HTTPInputError as problem:
-            self._fail(InvalidAnswer(f"the replica's answer is invalid: {problem}"))
+            self.fail(InvalidAnswer(f"the replica's answer is invalid: {problem}"))
             return None
         self.delimited = is_delimited(headers) or not has_body(
             self._request.method, start_line.code
@@ -264,12 +264,13 @@
         try:
             await work
         except Exception as problem:
-            self._fail(problem)
+            self.fail(problem)
         finally:
             self.receiver_busy = False
             self.last_progress_at = self._loop.time()
 
-    def _fail(self, problem: Exception) -> None:
+    def fail(self, problem: Exception) -> None:
+        """End the exchange with ``problem``."""
         # Tornado would log an exception raised by a delegate, and not pass it to the caller.
         self.error = problem
         self._stream.close()
@@ -330,7 +331,7 @@
 ) -> float:
     """Make an exchange on ``stream``; return for how many seconds it may be idle afterwards."""
     delegate = _Delegate(request, receiver, stream, max_idle)
-    silence_check = asyncio.ensure_future(_close_when_silent(stream, delegate))
+    silence_check = asyncio.ensure_future(_fail_when_silent(delegate, request.max_silence))
     try:
         connection = _codec(stream)
         start = RequestStartLine(request.method, request.path, "")
@@ -392,10 +393,11 @@
     return headers
 
 
-async def _close_when_silent(stream: IOStream, delegate: _Delegate) -> None:
+async def _fail_when_silent(delegate: _Delegate, max_silence: float) -> None:
     while not delegate.silent():
-        await asyncio.sleep(MAX_SILENCE_SECONDS / 10)
-    stream.close()
+        await asyncio.sleep(min(max_silence, MAX_SILENCE_SECONDS) / 10)
+    # An answer without a length must not count as complete because its connection is closed here.
+    delegate.fail(CutOff(f"the replica sent nothing for {max_silence:g} s"))
 
 
 class Collector:
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -5,6 +5,7 @@
 import gc
 import unittest
 import weakref
+from dataclasses import replace
 
 from railsail.core.buffers import Buffers
 from railsail.standins.fleet import free_ports
@@ -61,6 +62,21 @@
         with self.assertRaises(CutOff):
             await self.answer(ENDLESS + CHUNK * (MAX_COLLECTED_CHUNKS + 1))
 
+    async def test_answer_without_a_length_is_cut_off_if_the_replica_falls_silent(self):
+        """The connection is closed here, which must not count as the end of the body."""
+        gone = asyncio.Event()
+        self.addCleanup(gone.set)
+
+        async def handle(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(ENDLESS + b"hi")
+            await gone.wait()
+            writer.close()
+
+        silent = replace(await self.serve(handle), open_ended=True, max_silence=0.2)
+        with self.assertRaisesRegex(CutOff, "nothing for 0.2 s"):
+            await exchange(silent, Collector())
+
     async def test_memory_of_a_refused_answer_is_freed_at_once(self):
         """Not only once the garbage collector runs, which may be many answers later."""
 
