tests: sent bytes without end in each place of an answer

A report of other systems: a faulty replica sent bytes that were no answer without end, the machine kept them all and its other requests ended with it. On routes this was handled: 13 forms (no line, empty lines, status line, one line, lines, folded lines, informational answers, body, size and extension of a chunk, trailer, event, comments), two at a time each, get 502 beside 16 sound answers. The loop's debugging, which keeps a traceback of each callback (4 MB here), is off while memory is traced.

--- a/tests/platform/test_bodies_without_end.py
+++ b/tests/platform/test_bodies_without_end.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 from railsail.node import Node
 from tests.platform.base import (
@@ -146,6 +147,79 @@
         await self.assert_released(node)
 
 
+def repeating(start: bytes, piece: bytes) -> Script:
+    """Send ``start`` and then ``piece`` until the node closes the connection."""
+
+    async def script(replica: ReplicaStandin, received: Received, writer) -> None:
+        # The head names the request, and is signed.
+        named = head(received, Response_Seal=f"{SEAL}-{replica.name}").removesuffix(b"\r\n")
+        writer.write(start.replace(OPEN_HEAD, named))
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(piece)
+                await writer.drain()
+
+    return script
+
+
+# Stands for a head that is sound so far.
+OPEN_HEAD = b"<head>"
+CHUNKED_HEAD = OPEN_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+STREAM_HEAD = OPEN_HEAD + b"Content-Type: text/event-stream\r\n\r\n"
+INFORMATIONAL = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+def chunk_of(piece: bytes) -> bytes:
+    return piece * (len(CHUNK) // len(piece))
+
+
+WITHOUT_END = {
+    "no_line": (b"", CHUNK),
+    "empty_lines": (b"", chunk_of(b"\r\n")),
+    "status_line": (b"HTTP/1.1 200 ", CHUNK),
+    "line": (OPEN_HEAD + b"X: ", CHUNK),
+    "lines": (OPEN_HEAD, chunk_of(b"X-A: b\r\n")),
+    "folded": (OPEN_HEAD + b"X: y", chunk_of(b"\r\n z")),
+    "informational": (INFORMATIONAL, chunk_of(INFORMATIONAL)),
+    "body": (OPEN_HEAD + b"\r\n", CHUNK),
+    "chunk_size": (CHUNKED_HEAD, chunk_of(b"0")),
+    "chunk_extension": (CHUNKED_HEAD + b"1;", CHUNK),
+    "trailer": (CHUNKED_HEAD + b"0\r\n", chunk_of(b"X-A: b\r\n")),
+    "event": (STREAM_HEAD + b"id: 0\ndata: ", CHUNK),
+    "comments": (STREAM_HEAD, chunk_of(b":\n")),
+}
+# What a connection and its two ends may hold beside the body: a chunk in each of four places.
+CONNECTION_BYTES = 4 * len(CHUNK)
+
+
+class EndlessBytesTests(BodiesTestCase):
+    """A replica sends bytes without end that are no answer, in each place of one."""
+
+    async def test_bytes_without_end_are_ended_beside_sound_answers(self):
+        scripts = {name: repeating(*parts) for name, parts in WITHOUT_END.items()}
+        node = await self.serve_scripts(good=answering(), **scripts)
+        bad = [
+            self.call(node, f"/{kind}/", body=name.encode(), Request_Id=f"{kind}-{name}")
+            for name in WITHOUT_END
+            for kind in ("once", "stream")
+        ]
+        good = [
+            self.call(node, f"/{kind}/", body=b"good", Request_Id=f"good-{kind}-{number}")
+            for kind in KINDS
+            for number in range(4)
+        ]
+        # It would keep a traceback of each callback.
+        asyncio.get_running_loop().set_debug(False)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        ends = await asyncio.gather(*bad, *good)
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertEqual([end.status for end in ends[: len(bad)]], [502] * len(bad))
+        self.assertEqual([end.status for end in ends[len(bad) :]], [200] * len(good))
+        await self.assert_released(node)
+        self.assertLess(peak, 2 * MEMORY + (len(bad) + len(good)) * CONNECTION_BYTES)
+
+
 class LargeRequestTests(BodiesTestCase):
     async def test_requests_without_room_are_refused_and_the_others_served(self):
         node = await self.serve_scripts(good=answering(seconds=0.2))
--- a/tests/upstreams/test_engine.py
+++ b/tests/upstreams/test_engine.py
@@ -91,6 +91,8 @@
         kinds = [(True, "application/json"), (True, "text/event-stream"), (False, "text/plain")]
         calls = kinds * CALLS_OF_A_KIND
         self.buffers = Buffers(SHARED_MEMORY)
+        # It would keep a traceback of each callback.
+        asyncio.get_running_loop().set_debug(False)
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
         ends = await asyncio.gather(*(self.run_engine(*kind) for kind in calls))
