upstreams, store: named the store in errors of its calls, and bounded what errors quote

Read-through of the diff. Errors of calls to the store spoke of a replica, since they come from the exchange that replicas share; one for a call without an answer in time gave no reason. An invalid length or coding was quoted whole, up to 64 KB, in the log and to the caller; now 200 characters. An event that had to be dropped for other bodies ends its stream before what follows is split into events.

--- a/railsail/store/calls.py
+++ b/railsail/store/calls.py
@@ -77,13 +77,14 @@
             open_ended=True,
             connect_seconds=CONNECT_TIMEOUT_SECONDS,
             max_silence=math.inf,
+            server="the store",
         )
         try:
             async with asyncio.timeout(self._timeout + max_wait):
                 answer = await self._exchange(request)
         except (NotSent, CutOff, TimeoutError) as problem:
             self._count(operation, "unavailable")
-            raise StoreUnavailable(f"{name}: {problem or 'no answer in time'}") from None
+            raise StoreUnavailable(f"{name}: {str(problem) or 'no answer in time'}") from None
         self._record_retry_after(str(endpoint), answer)
         result = _classify(answer, method)
         self._count(operation, result)
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -87,6 +87,7 @@
         if not self.is_event_stream:
             await self.plain_answer.data(chunk)
             return
+        self._check_kept()
         # Events that arrive together are forwarded together, because a write costs as much as
         # handling an event.
         accepted = [event.raw for event in self._splitter.feed(chunk) if self._accept(event)]
@@ -98,9 +99,11 @@
         await self._sink.write(b"".join(accepted))
         self._sink.progress(self.cost)
 
-    def _hold(self, size: int) -> None:
+    def _check_kept(self) -> None:
         if self._is_evicted:
             raise AnswerTooLong("an event is too long for the memory of this node beside others")
+
+    def _hold(self, size: int) -> None:
         try:
             self._share.resize(size)
         except BufferFull as problem:
--- a/railsail/upstreams/http.py
+++ b/railsail/upstreams/http.py
@@ -34,6 +34,8 @@
 MAX_SILENCE_SECONDS = 60.0
 MAX_BODY_BYTES = 1 << 30
 MAX_HEADER_BYTES = 64 << 10
+# Bounds what an error quotes of an invalid answer.
+MAX_REASON_CHARACTERS = 200
 # A late answer to an earlier request on a connection is skipped up to this length.
 MAX_FOREIGN_BYTES = 1 << 20
 
@@ -99,6 +101,7 @@
     refuse the answer. The connection may be kept only for a request that names its ``replica`` and
     ``request_id``; ``read_id`` returns the id of the request that an answer belongs to, from the
     headers of the answer. The connection is closed if nothing arrives for ``max_silence`` seconds.
+    ``server`` is what listens at the endpoint, as errors name it.
     """
 
     endpoint: str
@@ -114,6 +117,7 @@
     request_id: str = ""
     read_id: IdReader = read_no_id
     max_silence: float = MAX_SILENCE_SECONDS
+    server: str = "the replica"
 
 
 class Receiver(Protocol):
@@ -208,7 +212,8 @@
         try:
             check_head(start_line, headers)
         except HTTPInputError as problem:
-            self.fail(InvalidAnswer(f"the replica's answer is invalid: {problem}"))
+            reason = str(problem)[:MAX_REASON_CHARACTERS]
+            self.fail(InvalidAnswer(f"the answer of {self._request.server} is invalid: {reason}"))
             return None
         self.delimited = is_delimited(headers) or not has_body(
             self._request.method, start_line.code
@@ -320,7 +325,7 @@
     try:
         stream = await open_stream(target.ip, target.port, request.connect_seconds, UpstreamStream)
     except CannotConnect as problem:
-        reason = f"the replica cannot be connected to: {problem}"
+        reason = f"{request.server} cannot be connected to: {problem}"
         raise NotSent(reason, problem.refused) from None
     stream.connect_seconds = loop.time() - started
     return stream
@@ -331,7 +336,7 @@
 ) -> float:
     """Make an exchange on ``stream``; return for how many seconds it may be idle afterwards."""
     delegate = _Delegate(request, receiver, stream, max_idle)
-    silence_check = asyncio.ensure_future(_fail_when_silent(delegate, request.max_silence))
+    silence_check = asyncio.ensure_future(_fail_when_silent(delegate, request))
     try:
         connection = _codec(stream)
         start = RequestStartLine(request.method, request.path, "")
@@ -342,7 +347,7 @@
             await _read_own_answer(stream, delegate)
     except (OSError, StreamClosedError, ValueError) as problem:
         delegate.raise_error()
-        raise CutOff(f"the connection to the replica broke: {problem}") from None
+        raise CutOff(f"the connection to {request.server} broke: {problem}") from None
     finally:
         silence_check.cancel()
     delegate.raise_error()
@@ -361,13 +366,13 @@
 
 def _check_complete(stream: UpstreamStream, request: HttpRequest, delegate: _Delegate) -> None:
     if delegate.foreign:
-        raise CutOff("the replica answered another request")
+        raise CutOff(f"{request.server} answered another request")
     if not delegate.complete:
         # The codec closes the connection, and raises an error only if that was closed before.
-        raise InvalidAnswer("the replica's answer is not valid by HTTP")
+        raise InvalidAnswer(f"the answer of {request.server} is not valid by HTTP")
     if not delegate.delimited and not (request.open_ended and stream.error is None):
         # A body that ends with its connection may be truncated without any error.
-        raise CutOff("the replica gave no length of its answer")
+        raise CutOff(f"{request.server} gave no length of its answer")
 
 
 def _codec(stream: UpstreamStream) -> HTTP1Connection:
@@ -393,11 +398,11 @@
     return headers
 
 
-async def _fail_when_silent(delegate: _Delegate, max_silence: float) -> None:
+async def _fail_when_silent(delegate: _Delegate, request: HttpRequest) -> None:
     while not delegate.silent():
-        await asyncio.sleep(min(max_silence, MAX_SILENCE_SECONDS) / 10)
+        await asyncio.sleep(min(request.max_silence, MAX_SILENCE_SECONDS) / 10)
     # An answer without a length must not count as complete because its connection is closed here.
-    delegate.fail(CutOff(f"the replica sent nothing for {max_silence:g} s"))
+    delegate.fail(CutOff(f"{request.server} sent nothing for {request.max_silence:g} s"))
 
 
 class Collector:
--- a/tests/store/test_calls.py
+++ b/tests/store/test_calls.py
@@ -121,6 +121,17 @@
             while not self.closed:
                 await asyncio.sleep(0.01)
 
+    async def test_errors_name_the_call_and_the_store(self):
+        endpoint = await self.serve(answer("000 OK"))
+        with self.assertRaisesRegex(StoreUnavailable, r"GET http://.*/o: the answer of the store"):
+            await self.call(endpoint)
+
+    async def test_call_without_an_answer_in_time_says_so(self):
+        self.calls = StoreCalls(self.metrics, 0.1, MAX_BYTES)
+        endpoint = await self.serve(b"", waits=True)
+        with self.assertRaisesRegex(StoreUnavailable, "no answer in time"):
+            await self.call(endpoint)
+
 
 class EndlessAnswerTests(StoreTestCase):
     """All answers that are read at a time are within one bound."""
--- a/tests/upstreams/test_broken_answers.py
+++ b/tests/upstreams/test_broken_answers.py
@@ -10,7 +10,14 @@
 from railsail.upstreams import engine
 from railsail.upstreams.base import UpstreamCall, UpstreamKind
 from railsail.upstreams.engine import ModelEngine
-from railsail.upstreams.http import Collector, HttpRequest, InvalidAnswer, exchange, fetch
+from railsail.upstreams.http import (
+    MAX_REASON_CHARACTERS,
+    Collector,
+    HttpRequest,
+    InvalidAnswer,
+    exchange,
+    fetch,
+)
 from railsail.upstreams.service import PlainService
 from tests.heads import INVALID_FRAMES, INVALID_HEADS
 
@@ -154,6 +161,13 @@
             with self.subTest(method=method, head=name), self.assertRaises(InvalidAnswer):
                 await self.exchange(invalid + b"\r\nhi", method)
 
+    async def test_error_quotes_a_bounded_part_of_the_answer(self):
+        start = b"HTTP/1.1 200 OK\r\n"
+        for field in (b"Content-Length: ", b"Transfer-Encoding: "):
+            with self.subTest(field=field), self.assertRaises(InvalidAnswer) as raised:
+                await self.exchange(start + field + b"x" * 60_000 + b"\r\n\r\n")
+            self.assertLess(len(str(raised.exception)), 2 * MAX_REASON_CHARACTERS)
+
     async def test_length_named_twice_is_one(self):
         for lengths in ("13, 13", "13\r\nContent-Length: 13"):
             sent = answer("200").replace(b": 13\r", f": {lengths}\r".encode())
