--- a/benchmarks/balancer.py
+++ b/benchmarks/balancer.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from benchmarks.deployment import Daemon
-from railsail.upstreams.http import HttpRequest, fetch
+from railsail.upstreams.collector import fetch
+from railsail.upstreams.http import HttpRequest
 
 POLL_SECONDS = 0.3
 TIMEOUT_SECONDS = 1.0
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -31,7 +31,8 @@
 from railsail.peers.records import SumRecord
 from railsail.scheduling.totals import digest_of
 from railsail.standins.fleet import free_ports
-from railsail.upstreams.http import HttpRequest, fetch
+from railsail.upstreams.collector import fetch
+from railsail.upstreams.http import HttpRequest
 
 RESULTS = Path("results") / "capacity.json"
 SHAPE = deploy.ASSOCIATION
--- a/benchmarks/configurations.py
+++ b/benchmarks/configurations.py
@@ -21,7 +21,8 @@
 
 from benchmarks.capacity import CONFIGURATION_UPDATES
 from benchmarks.deployment import parse_samples
-from railsail.upstreams.http import HttpRequest, fetch
+from railsail.upstreams.collector import fetch
+from railsail.upstreams.http import HttpRequest
 from tests.platform.base import KEY, configuration
 from tests.platform.processes import ROOT, Daemon, ProcessFleet
 from tests.platform.standins import TurnedAway
--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -16,7 +16,8 @@
 from benchmarks.relay import Relay
 from railsail.cli.client import AdminClient
 from railsail.standins.fleet import ADMIN_SECRET, PEER_SECRET, free_ports, load_objects
-from railsail.upstreams.http import HttpRequest, fetch
+from railsail.upstreams.collector import fetch
+from railsail.upstreams.http import HttpRequest
 
 ROOT = Path(__file__).parents[1]
 START_TIMEOUT_SECONDS = 60.0
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -14,7 +14,8 @@
 import fire
 
 from benchmarks import deployment as deploy
-from railsail.upstreams.http import Collector, HttpRequest, exchange
+from railsail.upstreams.collector import Collector
+from railsail.upstreams.http import HttpRequest, exchange
 
 SHAPE = deploy.ASSOCIATION
 KEY = "rs-demo-harbour-jobs"
--- a/railsail/store/calls.py
+++ b/railsail/store/calls.py
@@ -12,7 +12,8 @@
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
 from railsail.core.metrics import Metrics
 from railsail.core.retryafter import rest_seconds
-from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange
+from railsail.upstreams.collector import Collector
+from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_CONCURRENT_CALLS = 64
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -16,16 +16,15 @@
 from railsail.objects.kinds import UPSTREAM_KINDS
 from railsail.scheduling.room import LoadReport
 from railsail.upstreams.base import AnswerSink, UpstreamCall, UpstreamKind
+from railsail.upstreams.collector import Collector, fetch
 from railsail.upstreams.http import (
     AnswerTooLong,
-    Collector,
     CutOff,
     HeadListener,
     HttpRequest,
     InvalidAnswer,
     NotSent,
     exchange,
-    fetch,
 )
 from railsail.upstreams.refusals import read_refusal
 from railsail.upstreams.sse import BadStream, EventSplitter, StreamEvent
--- a/tests/upstreams/test_broken_answers.py
+++ b/tests/upstreams/test_broken_answers.py
@@ -9,15 +9,9 @@
 from railsail.objects.kinds import CostUnit
 from railsail.upstreams import engine
 from railsail.upstreams.base import UpstreamCall, UpstreamKind
+from railsail.upstreams.collector import Collector, fetch
 from railsail.upstreams.engine import ModelEngine
-from railsail.upstreams.http import (
-    MAX_REASON_CHARACTERS,
-    Collector,
-    HttpRequest,
-    InvalidAnswer,
-    exchange,
-    fetch,
-)
+from railsail.upstreams.http import MAX_REASON_CHARACTERS, HttpRequest, InvalidAnswer, exchange
 from railsail.upstreams.service import PlainService
 from tests.heads import INVALID_FRAMES, INVALID_HEADS
 
--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -11,15 +11,9 @@
 from railsail.core.kernel import Kernel
 from railsail.core.metrics import Metrics
 from railsail.upstreams import connections as module
+from railsail.upstreams.collector import Collector
 from railsail.upstreams.connections import ConnectionPool
-from railsail.upstreams.http import (
-    MAX_FOREIGN_BYTES,
-    Collector,
-    CutOff,
-    HttpRequest,
-    NotSent,
-    exchange,
-)
+from railsail.upstreams.http import MAX_FOREIGN_BYTES, CutOff, HttpRequest, NotSent, exchange
 from railsail.upstreams.streams import UpstreamStream
 from tests.forgetting import reset, start_forgetting_server
 
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -9,7 +9,8 @@
 
 from railsail.core.buffers import Buffers
 from railsail.standins.fleet import free_ports
-from railsail.upstreams.http import Collector, CutOff, HttpRequest, NotSent, exchange, fetch
+from railsail.upstreams.collector import Collector, fetch
+from railsail.upstreams.http import CutOff, HttpRequest, NotSent, exchange
 
 CHUNK = b"x" * 65_536
 MAX_CHUNKS = 4096
