tests: named the class of a test case's replicas in place of three copies of a method

Three test cases started replicas that keep connections by a copy of `add_replica` with another class, the third one since the tests of broken answers. The base class takes the class from `replica_class`, as `ProcessFleet` does.

--- a/tests/platform/base.py
+++ b/tests/platform/base.py
@@ -62,6 +62,8 @@
 class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
     """Start a store, replicas with ``scripts``, and one daemon for each test."""
 
+    replica_class: type[ReplicaStandin] = ReplicaStandin
+
     async def asyncSetUp(self) -> None:
         configure_logs("critical", "test")
         logging.getLogger("tornado").setLevel(logging.CRITICAL)
@@ -103,7 +105,7 @@
 
     async def add_replica(self, script: Script, slots: int = 4, **fields: object) -> ReplicaStandin:
         """Start a replica, and list it with ``fields`` of its record."""
-        replica = ReplicaStandin(f"i-{len(self.replicas)}", script)
+        replica = self.replica_class(f"i-{len(self.replicas)}", script)
         await replica.start()
         self.addCleanup(replica.stop)
         self.replicas.append(replica)
--- a/tests/platform/test_after_silences.py
+++ b/tests/platform/test_after_silences.py
@@ -143,13 +143,7 @@
 
 
 class KeptConnectionTests(AfterSilencesTestCase):
-    async def add_replica(self, script, slots: int = 4) -> KeepingReplica:
-        replica = KeepingReplica(f"i-{len(self.replicas)}", script)
-        await replica.start()
-        self.addCleanup(replica.stop)
-        self.replicas.append(replica)
-        self.list_replica(replica, "ready", slots)
-        return replica
+    replica_class = KeepingReplica
 
     async def test_kept_connection_of_a_replica_that_pauses_is_given_up(self):
         node = await self.serve(answering(), keep_connections_seconds="30")
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -237,13 +237,7 @@
 
 
 class KeptConnectionTests(PlatformTestCase):
-    async def add_replica(self, script: Script, slots: int = 4) -> KeepingReplica:
-        replica = KeepingReplica(f"i-{len(self.replicas)}", script)
-        await replica.start()
-        self.addCleanup(replica.stop)
-        self.replicas.append(replica)
-        self.list_replica(replica, "ready", slots)
-        return replica
+    replica_class = KeepingReplica
 
     async def test_connection_is_closed_after_a_broken_answer(self):
         script = in_turn(answering(), broken("000"), answering())
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -16,13 +16,7 @@
 
 
 class KeptConnectionsTests(PlatformTestCase):
-    async def add_replica(self, script, slots: int = 4) -> KeepingReplica:
-        replica = KeepingReplica(f"i-{len(self.replicas)}", script)
-        await replica.start()
-        self.addCleanup(replica.stop)
-        self.replicas.append(replica)
-        self.list_replica(replica, "ready", slots)
-        return replica
+    replica_class = KeepingReplica
 
     async def call_all(self, node: Node, *targets: str) -> list[Answer]:
         """Make calls one after the other, each with an id of its own."""
