routing, platform: let each route say whether it needs a key

What callers saw: after an operator had taken the last tenant away, and with it the last keys, every daemon ran all requests on routes that are not anonymous: with the removed key, with keys that no configuration had held, and without a key. It lasted for as long as the list of tenants was empty, over restarts and changes of routes.

Cause: `RouteFront` asked for a key if the configuration has workspaces (`Callers.has_workspaces`). A configuration with an empty list of tenants and one without the list have the same objects, so that neither a node that reads the store nor one that is told by a peer could tell them apart. Ruled out: the lookup of keys (a listed tenant without keys was refused all along), updates between peers (a daemon that reads the store itself did the same), and staleness (the version was in force).

Change: a route that is not `public` needs a key, and workspaces are not counted. The adapter, which alone knows whether there is a list, makes the routes of a configuration without one public. No message or stored form changes.

--- a/benchmarks/configurations.py
+++ b/benchmarks/configurations.py
@@ -3,8 +3,9 @@
     python -m benchmarks.configurations measure --sources=DIR
 
 Six daemons run the sources in ``DIR``, and the store is silent to four of them. For each kind of
-configuration a large one replaces a small one, and then one key of it is changed. Printed are, for
-both changes: the seconds until it is in force at all daemons that the store answers and at the
+configuration a large one replaces a small one, and then one key of it is changed. At last its list
+of tenants is taken out, so that no route needs a key, and put back. Printed are, for each change:
+the seconds until it is in force at all daemons that the store answers and at the
 others (``inf`` if it is not within ``WAIT_SECONDS``), the longest time for which a daemon did not
 answer a health check, sent every ``PROBE_SECONDS``, and the bytes of configuration that a daemon
 sent to its peers.
@@ -86,15 +87,16 @@
         )
 
 
-async def _in_force_after(fleet: ProcessFleet, daemon: Daemon, new: str, old: str) -> float:
+async def _in_force_after(fleet: ProcessFleet, daemon: Daemon, keys: dict[str, bool]) -> float:
+    """Return after how many seconds just those of ``keys`` are served whose value is true."""
     loop = asyncio.get_running_loop()
     started = loop.time()
     while loop.time() - started < WAIT_SECONDS:
-        statuses = [
-            (await fleet.call(daemon, "/again/", Authorization=f"Bearer {key}", Request_Id="r"))
-            for key in (new, old)
-        ]
-        if statuses[0].status == 200 and statuses[1].status != 200:
+        answers = {
+            key: await fleet.call(daemon, "/again/", Authorization=f"Bearer {key}", Request_Id="r")
+            for key in keys
+        }
+        if {key: answer.status == 200 for key, answer in answers.items()} == keys:
             return loop.time() - started
         await asyncio.sleep(LOOK_SECONDS)
     return math.inf
@@ -118,7 +120,7 @@
     return sum(sent.get(kind, 0.0) for kind in CONFIGURATION_UPDATES)
 
 
-async def _change(fleet: ProcessFleet, value: dict, new: str, old: str) -> Measured:
+async def _change(fleet: ProcessFleet, value: dict, keys: dict[str, bool]) -> Measured:
     measured = Measured()
     probes = [asyncio.ensure_future(_probe(daemon, measured)) for daemon in fleet.daemons]
     await asyncio.sleep(0.5)
@@ -126,7 +128,7 @@
     before = sum([await _bytes_sent(daemon) for daemon in fleet.daemons])
     fleet.store.put("config", "main", value)
     seconds = await asyncio.gather(
-        *(_in_force_after(fleet, daemon, new, old) for daemon in fleet.daemons)
+        *(_in_force_after(fleet, daemon, keys) for daemon in fleet.daemons)
     )
     for probe in probes:
         probe.cancel()
@@ -148,8 +150,14 @@
             for daemon in fleet.daemons[SERVED:]:
                 daemon.turn_away(TurnedAway.SILENT)
             make = KINDS[kind]
-            print(f"{kind}, large: {await _change(fleet, make(5, NEW_KEY), NEW_KEY, KEY)}")
-            print(f"{kind}, one key: {await _change(fleet, make(8, KEY), KEY, NEW_KEY)}")
+            new, old = {NEW_KEY: True, KEY: False}, {NEW_KEY: False, KEY: True}
+            print(f"{kind}, large: {await _change(fleet, make(5, NEW_KEY), new)}")
+            print(f"{kind}, one key: {await _change(fleet, make(8, KEY), old)}")
+            without = make(11, KEY)
+            del without["tenants"]
+            anyone = {NEW_KEY: True, KEY: True}
+            print(f"{kind}, no tenants: {await _change(fleet, without, anyone)}")
+            print(f"{kind}, tenants again: {await _change(fleet, make(14, KEY), old)}")
         finally:
             await fleet.stop()
 
--- a/railsail/gateway/callers.py
+++ b/railsail/gateway/callers.py
@@ -19,14 +19,12 @@
         # Whether there are workspaces of which not even the keys can be read.
         self._has_unreadable_keys = False
         self.configured_version = 0
-        self.has_workspaces = False
 
     def configured(self, catalog: Catalog) -> None:
         """Replace the keys by those of a new version of the configuration."""
         self._index = key_index(catalog)
         self.configured_version = catalog.version
         unusable = catalog.unusable_of_kind(Workspace)
-        self.has_workspaces = bool(unusable or catalog.of_kind(Workspace))
         self._unusable = {}
         self._has_unreadable_keys = False
         for workspace in unusable:
--- a/railsail/platform/objects.py
+++ b/railsail/platform/objects.py
@@ -4,6 +4,7 @@
 workspace.
 """
 
+import functools
 from collections.abc import Callable, Iterator
 from typing import Annotated, Any
 
@@ -152,13 +153,14 @@
     """The operator's current configuration, in full.
 
     The entries of its lists are decoded one by one, so that one that cannot be decoded does not
-    hide the others.
+    hide the others. Without ``tenants`` no request needs a key. An empty list is another matter:
+    no key is known then, and only routes that are ``anonymous`` admit requests.
     """
 
     version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     routes: list[msgspec.Raw] = []
     services: list[msgspec.Raw] = []
-    tenants: list[msgspec.Raw] = []
+    tenants: list[msgspec.Raw] | msgspec.UnsetType = msgspec.UNSET
 
 
 class RolloutSpec(msgspec.Struct, frozen=True):
@@ -196,7 +198,7 @@
         objects.append(stored)
         if count % OBJECTS_AT_ONCE == 0:
             yield
-    for tenant in _by_name(_decoded(given.tenants, Tenant, Workspace.KIND)):
+    for tenant in _by_name(_decoded(given.tenants or [], Tenant, Workspace.KIND)):
         if isinstance(tenant, Tenant):
             objects.append((yield from _workspace_steps(tenant)))
         else:
@@ -210,8 +212,9 @@
     for service in _decoded(given.services, ServiceSpec, Pool.KIND):
         yield _converted(service, _pool)
     names: dict[str, int] = {}
+    to_route = functools.partial(_route, needs_keys=given.tenants is not msgspec.UNSET)
     for route in _decoded(given.routes, RouteSpec, Route.KIND):
-        stored = _converted(route, _route)
+        stored = _converted(route, to_route)
         # Routes are told apart by host and path, and two of them may have the same name.
         stored["name"] = _unused_name(str(stored["name"]), names)
         yield stored
@@ -327,7 +330,7 @@
     )
 
 
-def _route(route: RouteSpec) -> Route:
+def _route(route: RouteSpec, needs_keys: bool) -> Route:
     backends = route.backends or [Backend(route.service)]
     return Route(
         name=route.name,
@@ -337,7 +340,7 @@
         repeatable=route.kind == IDEMPOTENT,
         streaming=route.kind == STREAMING,
         resumable=route.resumable,
-        public=route.anonymous,
+        public=route.anonymous or not needs_keys,
         affinity=route.sticky,
         timeout=route.timeout_ms / MS_PER_SECOND,
         objective=route.slo_ms / MS_PER_SECOND,
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -255,7 +255,7 @@
         refusal = None if workspace else self._callers.refusal_of(request.key)
         if refusal is not None:
             return refusal
-        if not workspace and self._callers.has_workspaces and not route.public:
+        if not workspace and not route.public:
             return self._configuration.held().refusal(Reason.UNAUTHORIZED, "the key is not known")
         return route, workspace
 
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -111,10 +111,22 @@
         self.assertEqual(catalog.workspace("t").key_hashes, (hash_key("k1"), hash_key("k2")))
 
     def test_invalid_configuration_raises(self):
-        for spec in (b"{", b"[]", b'{"routes": []}', b'{"version": "x"}'):
+        unreadable = [b"{", b"[]", b'{"routes": []}', b'{"version": "x"}']
+        # Not to be taken for a configuration without the list, in which no key is needed.
+        lists = (b"null", b"{}", b'""', b"0", b"false")
+        unreadable += [b'{"version": 1, "tenants": %s}' % tenants for tenants in lists]
+        for spec in unreadable:
             with self.subTest(spec=spec), self.assertRaises(UndecodableObject):
                 configuration_value(spec)
 
+    def test_routes_need_a_key_wherever_there_is_a_list_of_tenants(self):
+        for more, public in (({"tenants": []}, {False, True}), ({}, {True})):
+            with self.subTest(more=more):
+                spec = {"version": 1, "routes": SPEC["routes"]} | more
+                objects = configuration_value(json.dumps(spec).encode())["objects"]
+                routes = [item for item in objects if item["kind"] == Route.KIND]
+                self.assertEqual({route["public"] for route in routes}, public)
+
 
 SERVER = {"service": "lm", "addr": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"}
 
