configuration: take no configuration of an older build that does not say who is admitted

What callers would see, in a fleet in which two builds run side by side: as a list of tenants appears, nodes that an older one tells of it admit anyone; as it goes, or where there never was one, they refuse everyone with 401, for good, as later updates hold only what differs.

Cause: builds before it decide by the number of workspaces, and leave `public` of a route as it is. A step that an older build computed from a configuration without workspaces lacks the routes that changed.

Change: level 10 tells the builds apart; no message differs. All others are taken as before: with workspaces on both sides of a step, `public` means the same to both builds.

Before: three of the four tests of `AccessTests` failed without the check (routes open, closed, or taken). After: all pass.

--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from railsail.configuration.access import check_access
 from railsail.configuration.changes import (
     Change,
     Snapshot,
@@ -204,6 +205,7 @@
             return
         try:
             catalog, changes = self._parse_update(update)
+            check_access(self.catalog if update.since else Catalog(), catalog)
         except ValueError as problem:
             self.report_rejected(update.version, node, problem)
             return
--- a/railsail/configuration/exchange.py
+++ b/railsail/configuration/exchange.py
@@ -10,6 +10,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from railsail.configuration.access import check_access
 from railsail.configuration.carrier import ConfigurationCarrier
 from railsail.configuration.updates import Update, announcement, apply_steps, whole_steps
 from railsail.core.events import Kind
@@ -18,7 +19,7 @@
 from railsail.core.tasks import TaskSet
 from railsail.objects.catalog import Catalog
 from railsail.peers.hub import PeerHub
-from railsail.peers.levels import PIECES
+from railsail.peers.levels import KEYS, PIECES
 from railsail.peers.messages import (
     ConfigurationNews,
     ConfigurationPiece,
@@ -180,7 +181,7 @@
             self.announced(node, update.version)
             return
         self._stop_transfer()
-        steps = apply_steps(self._carrier.catalog, update.body)
+        steps = self._read_steps(node, update)
         try:
             finished = run_slice(steps)
         except ValueError as problem:
@@ -192,6 +193,15 @@
         self._applying = True
         self._tasks.start(self._apply(node, update, steps))
 
+    def _read_steps(self, node: str, update: Update) -> Steps[Catalog]:
+        """Return the configuration after ``update``; raise ``ValueError`` if it cannot be used."""
+        before = self._carrier.catalog
+        says_who_needs_keys = self._hub.speaks(node, KEYS)
+        after = yield from apply_steps(before, update.body)
+        if not says_who_needs_keys:
+            check_access(before if update.since else Catalog(), after)
+        return after
+
     async def _apply(self, node: str, update: Update, steps: Steps[Catalog]) -> None:
         try:
             self._carrier.activate(await run_sliced(steps), node)
--- a/railsail/peers/levels.py
+++ b/railsail/peers/levels.py
@@ -34,7 +34,9 @@
 SILENCES = 8
 # Adds queries about streams that peers answer after they have read the store.
 READS = 9
-NEWEST = READS
+# Adds configurations whose routes say whether they need a key, also where there are no workspaces.
+KEYS = 10
+NEWEST = KEYS
 
 # Numbers of the messages that distinguish level 1 from level 0, and the length of a heartbeat of
 # level 0 as an array: its number, configuration, members, upstreams, wants_reply.
--- a/tests/configuration/test_exchange.py
+++ b/tests/configuration/test_exchange.py
@@ -24,7 +24,7 @@
 from railsail.core.slices import run_at_once
 from railsail.objects.catalog import Catalog
 from railsail.peers.base import MAX_BLOB_BYTES
-from railsail.peers.levels import NEWEST, PARTS
+from railsail.peers.levels import NEWEST, PARTS, READS
 from railsail.peers.messages import (
     ConfigurationNews,
     ConfigurationPiece,
@@ -269,5 +269,80 @@
         self.assertEqual(self.network.sent, [("b", "a", StateRequest(0))])
 
 
+ROUTE = {"kind": "route", "name": "r", "host": "a.example", "prefix": "/a/"}
+PUBLIC, CLOSED = ({**ROUTE, "pools": [{"pool": "p"}], "public": public} for public in (True, False))
+WORKSPACE = {"kind": "workspace", "name": "one", "priority_class": "c", "policy": "p"}
+WORKSPACE |= {"key_hashes": []}
+
+
+class AccessTests(ExchangeTestCase):
+    """Peers whose builds decide by the number of workspaces whether routes need a key.
+
+    They have read from the store that no route is public, with workspaces and without any.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.set_level(READS)
+
+    def set_level(self, level: int) -> None:
+        self.a.hub.levels["b"] = self.b.hub.levels["a"] = level
+
+    def catalog(self, version: int, *objects: dict) -> Catalog:
+        return run_at_once(restore_steps(Snapshot(version, objects)))
+
+    def is_public(self) -> bool:
+        return self.b.carrier.catalog.resources[("route", "r")].public
+
+    async def send(self) -> None:
+        """Let the older peer send its newest update, and wait until nothing is sent any more."""
+        self.a.exchange.send("b", self.a.updates[-1])
+        sent = -1
+        while sent != len(self.network.sent):
+            sent = len(self.network.sent)
+            await asyncio.sleep(0.01)
+
+    async def test_configuration_with_workspaces_is_taken(self):
+        for level in (PARTS, READS):
+            self.setUp()
+            self.set_level(level)
+            self.active(self.catalog(5, CLOSED, WORKSPACE), self.a)
+            await self.send()
+            self.assertEqual(self.b.carrier.catalog.version, 5)
+            self.assertFalse(self.is_public())
+
+    async def test_configuration_without_workspaces_is_taken_of_a_peer_that_says_who_needs_keys(
+        self,
+    ):
+        for level in (PARTS, READS):
+            self.setUp()
+            self.set_level(level)
+            self.active(self.catalog(5, CLOSED), self.a)
+            await self.send()
+            self.assertEqual(self.b.carrier.catalog.version, 0)
+            self.assertIn("rejected", self.b.states())
+            self.active(self.catalog(5, PUBLIC), self.c)
+            self.c.exchange.announce("b", 5)
+            await self.until_active(self.b, 5)
+            self.assertTrue(self.is_public())
+
+    async def test_change_to_workspaces_does_not_leave_routes_open(self):
+        self.active(self.catalog(5, PUBLIC), self.b)
+        self.active(self.catalog(5, CLOSED), self.a)
+        self.active(self.catalog(8, CLOSED, WORKSPACE), self.a)
+        await self.send()
+        self.assertEqual(self.b.carrier.catalog.version, 8)
+        self.assertFalse(self.is_public())
+
+    async def test_change_to_no_workspaces_does_not_close_routes(self):
+        self.active(self.catalog(5, CLOSED, WORKSPACE), self.a, self.b)
+        self.active(self.catalog(8, CLOSED), self.a)
+        await self.send()
+        self.assertEqual(self.b.carrier.catalog.version, 5)
+        # What this node reads from the store itself comes into force.
+        self.active(self.catalog(8, PUBLIC), self.b)
+        self.assertTrue(self.is_public())
+
+
 if __name__ == "__main__":
     unittest.main()
