tests: let requests run, wait and be forwarded as the last tenant or region is taken away

Four changes join those that requests outlast: no tenant, no list of tenants, no region for the tenant and for the routes.

--- a/tests/platform/test_planned_work.py
+++ b/tests/platform/test_planned_work.py
@@ -99,6 +99,10 @@
     return change
 
 
+def _without_tenants(value: dict) -> None:
+    del value["tenants"]
+
+
 def _kinds_swapped(value: dict) -> None:
     for route in value["routes"]:
         route["kind"] = "non_idempotent" if route["kind"] == "idempotent" else "idempotent"
@@ -116,6 +120,10 @@
     "key removed": _tenant(api_keys=[NEW_KEY]),
     "tenant removed": _whole(tenants=[{"name": "two", "api_keys": [NEW_KEY]}]),
     "tenant renamed": _tenant(name="two"),
+    "all tenants removed": _whole(tenants=[]),
+    "list of tenants removed": _without_tenants,
+    "tenant of no region": _tenant(allowed_regions=[]),
+    "routes of no region": _all_routes(allowed_regions=[]),
     "tenant of another rank": _tenant(priority=7),
     "tenant of another region": _tenant(allowed_regions=["elsewhere"]),
     "tenant that cannot be used": _tenant(name="one\n"),
