--- a/tests/fleet/test_once.py
+++ b/tests/fleet/test_once.py
@@ -4,9 +4,11 @@
 import json
 from unittest import mock
 
+from railsail.configuration.changes import Proposal
 from railsail.core.exceptions import StoreUnavailable
 from railsail.gateway.sink import CallerSink
 from railsail.membership.placement import choose
+from railsail.objects.catalog import Operation
 from railsail.standins.service import Faults
 from railsail.standins.store import Faults as StoreFaults
 from railsail.store.claims import claim_key, shard_of
@@ -38,6 +40,19 @@
         self.assertEqual((second.code, second.body), (200, first.body))
         self.assertEqual(len(self.runs()), 1)
 
+    async def test_retry_after_all_keys_were_taken_away_does_not_get_the_first_answer(self):
+        nodes = self.fleet.nodes
+        first = await self.ask(nodes[0])
+        self.assertEqual(first.code, 200)
+        gone = [Operation(("workspace", name), None) for name in ("one", "two")]
+        proposal = Proposal("c1", "test", 1, tuple(gone))
+        committed = await nodes[0].repository.commit(proposal, nodes[0].carrier.catalog)
+        nodes[0].carrier.committed(committed)
+        await self.until(lambda: {node.carrier.catalog.version for node in nodes} == {2})
+        for node in nodes:
+            self.assertEqual((await self.ask(node)).code, 401)
+        self.assertEqual(len(self.runs()), 1)
+
     async def test_retry_after_the_node_was_lost_is_a_conflict_and_never_a_second_run(self):
         lost, other, _ = self.fleet.nodes
         first = asyncio.ensure_future(self.ask(lost))
