core: kept in one place whether a body was dropped for smaller ones

Three receivers of answers (of routes, of streams of engines, of whole answers) each had a flag that their callback set, beside what it cleared. The share of the body knows it, as it is what is dropped.

--- a/railsail/core/buffers.py
+++ b/railsail/core/buffers.py
@@ -21,11 +21,12 @@
     """The bytes of one body that a node holds.
 
     ``on_evict`` is called if they have to be dropped for smaller bodies; ``None`` means that they
-    are needed until they are released.
+    are needed until they are released. ``is_evicted`` is True once they were dropped.
     """
 
     def __init__(self, buffers: "Buffers", on_evict: Callable[[], None] | None) -> None:
         self.size = 0
+        self.is_evicted = False
         self._buffers = buffers
         self._on_evict = on_evict
 
@@ -57,6 +58,7 @@
     def evict(self) -> None:
         """Drop the bytes."""
         on_evict = self._on_evict
+        self.is_evicted = True
         self.release()
         if on_evict is not None:
             on_evict()
--- a/railsail/routing/answer.py
+++ b/railsail/routing/answer.py
@@ -124,8 +124,7 @@
         self._on_events = on_events
         self._splitter = EventSplitter()
         self._buffer: list[bytes] = []
-        self._share = buffers.open(self._evict)
-        self._is_evicted = False
+        self._share = buffers.open(self._buffer.clear)
         self._progressed_at = asyncio.get_running_loop().time()
         self._waits_for_caller = False
 
@@ -197,13 +196,9 @@
         except BufferFull:
             raise AnswerRefused(TOO_LONG) from None
 
-    def _evict(self) -> None:
-        self._is_evicted = True
-        self._buffer.clear()
-
     def check_kept(self) -> None:
         """Raise ``AnswerRefused`` if what was received had to be dropped for other answers."""
-        if self._is_evicted:
+        if self._share.is_evicted:
             raise AnswerRefused(TOO_LONG)
 
     def keep(self) -> None:
--- a/railsail/upstreams/collector.py
+++ b/railsail/upstreams/collector.py
@@ -21,11 +21,10 @@
         self.headers = HTTPHeaders()
         self._pieces: list[bytes] = []
         self._max_bytes = max_bytes
-        self._is_evicted = False
         if buffers is None:
             self._share = Buffers(max_bytes).open()
         else:
-            self._share = buffers.open(self._evict)
+            self._share = buffers.open(self._pieces.clear)
 
     @property
     def body(self) -> bytes:
@@ -49,12 +48,8 @@
             raise AnswerTooLong(str(problem)) from None
         self._pieces.append(chunk)
 
-    def _evict(self) -> None:
-        self._is_evicted = True
-        self._pieces.clear()
-
     def _check_kept(self) -> None:
-        if self._is_evicted:
+        if self._share.is_evicted:
             raise AnswerTooLong("the answer is too long for the memory of this node beside others")
 
     def keep(self) -> None:
--- a/railsail/upstreams/engine.py
+++ b/railsail/upstreams/engine.py
@@ -63,8 +63,7 @@
         self.refused: NotRun | None = None
         self.plain_answer = Collector(MAX_ANSWER_BYTES, call.buffers)
         # The bytes of an event that is not complete.
-        self._share = call.buffers.open(self._evict)
-        self._is_evicted = False
+        self._share = call.buffers.open(self._drop_partial_event)
 
     @property
     def is_event_stream(self) -> bool:
@@ -77,8 +76,7 @@
         self.release()
         self.plain_answer = Collector(MAX_ANSWER_BYTES, self._call.buffers)
         await self.plain_answer.head(status, headers)
-        self._share = self._call.buffers.open(self._evict)
-        self._is_evicted = False
+        self._share = self._call.buffers.open(self._drop_partial_event)
         if headers.get("X-Request-Id") != self._call.request_id and self.refused is None:
             raise _ForeignAnswer("the answer bore another request's id")
 
@@ -99,7 +97,7 @@
         self._sink.progress(self.cost)
 
     def _check_kept(self) -> None:
-        if self._is_evicted:
+        if self._share.is_evicted:
             raise AnswerTooLong("an event is too long for the memory of this node beside others")
 
     def _hold(self, size: int) -> None:
@@ -108,8 +106,7 @@
         except BufferFull as problem:
             raise AnswerTooLong(str(problem)) from None
 
-    def _evict(self) -> None:
-        self._is_evicted = True
+    def _drop_partial_event(self) -> None:
         self._splitter = EventSplitter()
 
     def release(self) -> None:
--- a/tests/core/test_buffers.py
+++ b/tests/core/test_buffers.py
@@ -22,10 +22,10 @@
         self.assertEqual((self.buffers.used, self.evicted), (100, []))
 
     def test_largest_body_ends_for_a_smaller_one(self):
-        self.open("large", 60)
-        self.open("small", 30)
+        large, small = self.open("large", 60), self.open("small", 30)
         self.open("new", 20)
         self.assertEqual((self.buffers.used, self.evicted), (50, ["large"]))
+        self.assertEqual((large.is_evicted, small.is_evicted), (True, False))
 
     def test_largest_body_ends_if_it_grows(self):
         large = self.open("large", 60)
