--- a/railsail/platform/store.py
+++ b/railsail/platform/store.py
@@ -11,15 +11,9 @@
 from railsail.core.exceptions import StoreConflict, StoreUnavailable
 from railsail.core.metrics import Metrics
 from railsail.core.slices import run_sliced
-from railsail.platform.objects import (
-    Changes,
-    ListPage,
-    StoredItem,
-    configuration_steps,
-    replica_value,
-    rollout_value,
-)
+from railsail.platform.objects import configuration_steps, replica_value, rollout_value
 from railsail.platform.recovery import recover_object, recover_objects
+from railsail.platform.specs import Changes, ListPage, StoredItem
 from railsail.store.base import STORES, Listing, StoredObject, WatchEvent, WatchResult
 from railsail.store.calls import GONE, NOT_FOUND, StoreAnswer, StoreCalls
 from railsail.store.decoding import UndecodableObject, decode, decode_plain
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -13,7 +13,7 @@
 from railsail.peers.levels import NEWEST
 from railsail.peers.messages import UpstreamNews
 from railsail.platform import store
-from railsail.platform.objects import Changes, ListPage, Server
+from railsail.platform.specs import Changes, ListPage, Server
 from railsail.store import decoding
 from railsail.store.base import WatchEvent
 from railsail.store.decoding import (
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -9,8 +9,8 @@
 
 from railsail.core.exceptions import StoreUnavailable
 from railsail.platform import recovery
-from railsail.platform.objects import Changes, ListPage
 from railsail.platform.recovery import recover_objects
+from railsail.platform.specs import Changes, ListPage
 
 SPEC = {"service": "lm", "addr": "10.0.0.1:80", "zone": 'z{]"}', "slots": 4, "state": "ready"}
 INVALID = [b'{"service":"lm","ad', b'"\xff\xfe', b"{{{", b'{"a":}', b"\x00\x01", b'"open', b"]]"]
