configuration: said in the log how many routes admit requests without a key

With everyone refused or admitted, the line of the version in force did not tell an empty list of tenants from none: both had no workspaces. Test: three versions with a tenant, an empty list and none.

--- a/railsail/configuration/access.py
+++ b/railsail/configuration/access.py
@@ -15,10 +15,6 @@
     The update leads from ``before``, which is an empty catalog for an update that has all objects,
     to ``after``.
     """
-    is_known_before = not before.version or _has_workspaces(before)
-    if not (is_known_before and _has_workspaces(after)):
+    is_known_before = not before.version or before.count(Workspace)
+    if not (is_known_before and after.count(Workspace)):
         raise ValueError("an older build does not say which routes need a key without workspaces")
-
-
-def _has_workspaces(catalog: Catalog) -> bool:
-    return any(kind == Workspace.KIND for kind, _ in (*catalog.resources, *catalog.unusable))
--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -36,7 +36,7 @@
 from railsail.core.slices import Steps, run_at_once, run_slice, run_sliced
 from railsail.core.tasks import TaskSet
 from railsail.objects.catalog import Catalog
-from railsail.objects.kinds import KINDS
+from railsail.objects.kinds import KINDS, Route, Workspace
 from railsail.peers.base import MAX_BLOB_BYTES
 from railsail.peers.messages import ConfigurationNews, StateRequest
 from railsail.store.base import Listing, StoredObject, WatchEvent
@@ -285,6 +285,9 @@
             before=previous.version,
             source=self._source,
             unusable=len(self.catalog.unusable),
+            workspaces=self.catalog.count(Workspace),
+            routes=self.catalog.count(Route),
+            public_routes=sum(route.public for route in self.catalog.of_kind(Route)),
         )
         self._report_unusable(previous)
 
--- a/railsail/objects/catalog.py
+++ b/railsail/objects/catalog.py
@@ -60,6 +60,10 @@
         """Return True if there is an object at ``key``, which may be unusable."""
         return key in self.resources or key in self.unusable
 
+    def count(self, kind: type[Resource]) -> int:
+        """Return the number of objects of ``kind``, including those that are unusable."""
+        return sum(key[0] == kind.KIND for key in (*self.resources, *self.unusable))
+
     def unusable_of_kind(self, kind: type[Resource]) -> list[UnusableObject]:
         """Return the unusable objects of ``kind``, sorted by name."""
         return [self.unusable[key] for key in sorted(self.unusable) if key[0] == kind.KIND]
--- a/tests/platform/test_access_without_tenants.py
+++ b/tests/platform/test_access_without_tenants.py
@@ -116,6 +116,14 @@
                     await self.assert_admits_nobody(node)
                 await self.stop_nodes()
 
+    async def test_operators_see_how_many_routes_need_no_key(self):
+        node, _ = await self.follow([[ONE], [], ABSENT])
+        lines = [
+            event.facts for event in node.events.select("", 0, 4096) if event.detail == "in force"
+        ]
+        counts = [(line["workspaces"], line["routes"], line["public_routes"]) for line in lines]
+        self.assertEqual(counts, [(1, 7, 1), (0, 7, 1), (0, 7, 7)])
+
     async def test_tenant_that_follows_an_empty_list_is_admitted_alone(self):
         node, *_ = await self.follow([[ONE], [], [TWO]])
         self.assertEqual((await self.ask(node, OTHER_KEY, "/once/")).status, 200)
