benchmarks: let replicas of the soak send broken answers

`--broken` lets one, some or all replicas answer with heads that are none of HTTP for 0.1 to 1.5 s, beside the other series of faults, and checks that no caller gets one; what got one may have an unknown outcome.

--- a/benchmarks/silences.py
+++ b/benchmarks/silences.py
@@ -48,6 +48,8 @@
 import fire
 import numpy as np
 
+from benchmarks import brokenanswers
+from benchmarks.brokenanswers import BrokenAnswers
 from railsail.core.logs import configure_logs
 from tests.platform.base import configuration, read_head, request
 from tests.platform.processes import ROOT, Daemon, ProcessFleet, Silence
@@ -171,6 +173,12 @@
         """Return True if the answer has events of two versions."""
         return len(versions_of(self.body)) > 1
 
+    @property
+    def is_broken(self) -> bool:
+        """Return True if a broken answer of a replica was passed on."""
+        has_status = bool(self.status) and self.status not in brokenanswers.STATUSES
+        return has_status or brokenanswers.BODY in self.body
+
     @property
     def has_wrong_events(self) -> bool:
         """Return True if events are missing, repeated or out of order."""
@@ -197,6 +205,7 @@
 
     fleet: ProcessFleet
     runs: list[Run] = field(default_factory=list)
+    broken: BrokenAnswers = field(default_factory=lambda: BrokenAnswers(random.Random(7)))
     _versions: dict[str, StreamingVersion] = field(default_factory=dict)
 
     async def start(self, count: int, slots: int, version: str = "v1") -> None:
@@ -211,6 +220,8 @@
         self.runs.append(run)
         is_stream = received.line.split("/")[1] in STREAM_ROUTES
         script = version.script if is_stream else answering(seconds=ANSWER_SECONDS)
+        if self.broken.is_due(replica):
+            script = self.broken.answer
         try:
             await script(replica, received, writer)
         finally:
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,7 +1,7 @@
 """A randomized soak test of daemons as processes, with the adapter for the prepared platform.
 
     python -m benchmarks.soak [--seed=1] [--seconds=40] [--daemons=12] [--runs=1]
-        [--sources=DIR] [--other=DIR] [--wide]
+        [--sources=DIR] [--other=DIR] [--wide] [--broken]
 
 The seed determines the faults, which come in series that overlap:
 
@@ -35,6 +35,9 @@
 daemon does. Answers of another build by an older configuration are reported, but do not fail the
 run.
 
+With ``--broken``, one, some or all replicas also send answers for a moment whose heads are none of
+HTTP. The soak then checks that none of them is passed on. What got one may have an unknown outcome.
+
 With ``--wide``, the failure domains are in two regions with a delay between them, which are also
 cut off from each other. The replicas keep connections open, and forget or close idle ones, and an
 operator orders rollouts of versions that are good, or bad in one of several ways. The soak then
@@ -56,6 +59,7 @@
 import fire
 
 from benchmarks import promises, silences
+from benchmarks.brokenanswers import BrokenAnswers
 from benchmarks.relay import Relay
 from benchmarks.releases import OutOfStep, drain, put_out_of_step
 from benchmarks.streams import CallerStream, StreamCallers
@@ -96,6 +100,9 @@
 OUT_OF_STEP_SHARE = 0.5
 UNNAMED_SHARE = 0.5
 STREAM_INTERVAL_SECONDS = 0.05
+# Replicas send broken answers for a time between these.
+BROKEN_SECONDS = (0.1, 1.5)
+MAX_PAUSE_BETWEEN_BROKEN_SECONDS = 2.0
 # A request may end at its deadline if silences took this share of its time.
 SILENT_SHARE = 0.5
 # The findings of one kind that are printed for a run.
@@ -156,6 +163,27 @@
         running = [daemon for daemon in self.fleet.daemons if daemon.running]
         return self.rng.sample(running, min(len(running), self.rng.randint(1, max_count)))
 
+    def sample_replicas(self) -> list[ReplicaStandin]:
+        """Return one, some or all of the replicas that take connections."""
+        listening = [replica for replica in self.fleet.replicas if replica.is_listening]
+        some = self.rng.randint(1, len(listening))
+        count = self.rng.choice([1, some, len(listening)])
+        return self.rng.sample(listening, count)
+
+
+@dataclass
+class BrokenReplicas:
+    """Replicas whose answers are broken for a moment, one after the other or at once."""
+
+    answers: BrokenAnswers
+
+    async def begin(self, series: FaultSeries) -> None:
+        """Let one, some or all replicas send broken answers."""
+        seconds = series.rng.uniform(*BROKEN_SECONDS)
+        for replica in series.sample_replicas():
+            self.answers.begin(replica, seconds)
+        await asyncio.sleep(seconds)
+
 
 @dataclass
 class Releases:
@@ -232,7 +260,8 @@
 
     ``judged`` counts the requests whose answers had to come whole, and ``struck`` those of them
     whose replica stood still. ``lost`` are those whose answers did not. ``violations`` break what
-    holds for all requests.
+    holds for all requests. ``broken`` counts the requests that a replica answered with a broken
+    head.
     """
 
     silences: int
@@ -240,11 +269,12 @@
     struck: int
     lost: list[str]
     violations: list[str]
+    broken: int
 
     def __str__(self) -> str:
         return (
             f"{self.silences} silences, {self.judged} requests judged, {self.struck} of them "
-            f"struck by a silence, {len(self.lost)} lost"
+            f"struck by a silence, {len(self.lost)} lost, {self.broken} answered broken"
         )
 
 
@@ -315,27 +345,34 @@
     other: Path,
     wide: bool = False,
     sources: Path = ROOT,
+    broken: bool = False,
 ) -> SoakResult:
     """Run one soak, and return its results.
 
     The daemons log into ``folder``; every second one runs the build with the sources ``other``, the
-    others the one of ``sources``.
+    others the one of ``sources``. With ``broken``, replicas also send broken answers.
     """
     fleet = ProcessFleet(folder, relay=Relay())
     try:
         if wide:
             return await WideRun(fleet, seed).run(seconds, daemons, other, sources)
-        return await _run(fleet, seed, seconds, daemons, other, sources)
+        return await _run(fleet, seed, seconds, daemons, other, sources, broken)
     finally:
         await fleet.stop()
 
 
 async def _run(
-    fleet: ProcessFleet, seed: int, seconds: float, daemons: int, other: Path, sources: Path
+    fleet: ProcessFleet,
+    seed: int,
+    seconds: float,
+    daemons: int,
+    other: Path,
+    sources: Path,
+    broken: bool,
 ) -> SoakResult:
     changes = dict.fromkeys(silences.ROUTE_WEIGHTS, silences.ROUTE_FIELDS)
     operator = Operator(fleet.store, route_changes=changes)
-    replicas = silences.Replicas(fleet)
+    replicas = silences.Replicas(fleet, broken=BrokenAnswers(_rng(seed, "heads")))
     await replicas.start(REPLICAS, REPLICA_SLOTS)
     # No streams have begun before, so that all daemons know from the start where streams may have.
     fleet.settings = {"first-start": "true"}
@@ -359,7 +396,10 @@
     series = _make_series(fleet, seed, FAULTS, SERIES)
     silencing = _make_silences(fleet, seed)
     releasing = FaultSeries(fleet, _rng(seed, "releases"), [releases.release])
-    await asyncio.gather(*(each.run(seconds) for each in [*series, silencing, releasing]))
+    beside = [silencing, releasing]
+    if broken:
+        beside.append(_make_broken(fleet, seed, replicas))
+    await asyncio.gather(*(each.run(seconds) for each in [*series, *beside]))
     for task in sending[1:]:
         task.cancel()
     await asyncio.sleep(COOLDOWN_SECONDS)
@@ -399,6 +439,12 @@
     return FaultSeries(fleet, rng, [silence_replicas], max_pause=pause)
 
 
+def _make_broken(fleet: ProcessFleet, seed: int, replicas: silences.Replicas) -> FaultSeries:
+    faults = [BrokenReplicas(replicas.broken).begin]
+    pause = MAX_PAUSE_BETWEEN_BROKEN_SECONDS
+    return FaultSeries(fleet, _rng(seed, "broken answers"), faults, max_pause=pause)
+
+
 def judge(
     fleet: ProcessFleet, replicas: silences.Replicas, calls: list[silences.CallerRequest]
 ) -> SilenceFindings:
@@ -409,7 +455,9 @@
     lost = [
         call
         for call in judged
-        if not silences.is_answered(call, runs) and not _ran_out_of_time(call, silent[call.name])
+        if not silences.is_answered(call, runs)
+        and not _ran_out_of_time(call, silent[call.name])
+        and not _was_answered_broken(call, replicas)
     ]
     return SilenceFindings(
         len(fleet.silences),
@@ -417,6 +465,7 @@
         sum(seconds > 0 for seconds in silent.values()),
         [_describe(call) for call in lost],
         _find_violations(calls, replicas),
+        len(replicas.broken.requests),
     )
 
 
@@ -430,6 +479,11 @@
     return call.ended_at_deadline and silent_seconds >= SILENT_SHARE * call.seconds
 
 
+def _was_answered_broken(call: silences.CallerRequest, replicas: silences.Replicas) -> bool:
+    """Return True if a replica's broken answer left the outcome unknown, as its caller was told."""
+    return call.name in replicas.broken.requests and call.status != 0
+
+
 def _describe(call: silences.CallerRequest) -> str:
     return (
         f"{call.name} at {call.daemon.node}: {call.ending} with status {call.status} "
@@ -449,6 +503,8 @@
             found.append(f"{call.name} was refused as not run by {call.daemon.node}, and ran")
         if call.has_wrong_events:
             found.append(f"{call.name} has events missing, repeated or out of order")
+        if call.is_broken:
+            found.append(f"{call.name} got a broken answer, with status {call.status}")
         if call.is_mixed:
             found.append(f"{call.name} has events of two versions")
     return found
@@ -690,11 +746,9 @@
 
 async def silence_replicas(series: FaultSeries) -> None:
     """Let one, some or all replicas stand still for a moment."""
-    listening = [replica for replica in series.fleet.replicas if replica.is_listening]
-    some = series.rng.randint(1, len(listening))
-    count = series.rng.choice([1, some, len(listening)])
+    replicas = series.sample_replicas()
     seconds = series.rng.uniform(*SILENCE_SECONDS)
-    for replica in series.rng.sample(listening, count):
+    for replica in replicas:
         series.fleet.silence(replica, seconds)
     await asyncio.sleep(seconds)
 
@@ -755,6 +809,7 @@
     sources: str = str(ROOT),
     other: str = "",
     wide: bool = False,
+    broken: bool = False,
 ) -> None:
     """Run with ``runs`` seeds from ``seed`` on; the daemons' logs of failed runs are kept."""
     configure_logs("critical", "soak")
@@ -763,7 +818,9 @@
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
         build = Path(sources).resolve()
         other_build = Path(other).resolve() if other else build
-        result = asyncio.run(soak(number, seconds, daemons, folder, other_build, wide, build))
+        result = asyncio.run(
+            soak(number, seconds, daemons, folder, other_build, wide, build, broken)
+        )
         print(result, flush=True)
         if result.passed:
             shutil.rmtree(folder)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -8,6 +8,9 @@
 version join. On a build that took a proof of some seconds ago for knowledge of now, 16 of 322
 streams had events of two versions.
 
+In another one, replicas also send broken answers. On a build that took any three digits for a
+status, 21 requests got such an answer, and 21 connections were closed without any.
+
 Another run is over two regions, with kept connections, and a version that fails half of its calls.
 
 In others, callers resume streams while replicas of several software versions serve. On a build that
@@ -37,6 +40,9 @@
 RELEASE_SEED = 2
 RELEASE_SECONDS = 8.0
 RELEASE_DAEMONS = 6
+BROKEN_SEED = 4
+BROKEN_SECONDS = 8.0
+BROKEN_DAEMONS = 6
 WIDE_SEED = 25
 WIDE_SECONDS = 5.0
 WIDE_DAEMONS = 6
@@ -65,6 +71,18 @@
         self.assertIn(Releases.release.__name__, result.faults)
         self.assertGreater(result.streams.resumed["went on"], 0)
 
+    async def test_broken_answers_are_not_passed_on_beside_series_of_faults(self):
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            result = await soak(
+                BROKEN_SEED, BROKEN_SECONDS, BROKEN_DAEMONS, folder, ROOT, broken=True
+            )
+        # What silences cost is checked above.
+        self.assertEqual(result.silences.violations, [], str(result))
+        self.assertEqual(result.streams.violations, [], str(result))
+        self.assertEqual(result.cut_connections, [], str(result))
+        self.assertGreater(result.silences.broken, 0)
+
     async def test_promises_hold_over_regions_with_rollouts_and_kept_connections(self):
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
