--- a/tests/platform/test_any_configuration.py
+++ b/tests/platform/test_any_configuration.py
@@ -108,7 +108,7 @@
                 self.assertEqual(await self.status(node, key), 503)
             self.assertEqual(await self.status(node, ""), 401)
 
-    async def test_no_key_is_needed_only_where_there_are_no_tenants_at_all(self):
+    async def test_keys_are_needed_where_the_only_tenant_cannot_be_used(self):
         node = await self.start({"name": "", "api_keys": [KEY]})
         self.assertEqual(await self.status(node, ""), 401)
         self.assertEqual(await self.status(node, KEY), 503)
