configuration: ask a peer that came back for a version it was refused before

A peer whose whole configuration was rejected is not asked for that version again. In an upgrade it may come back with this build, and with the version as this build reads it; a node that the store turns away stayed behind then until another peer or the next version came. The refusal is forgotten as the link ends. Test: failed before (no version within 30 s), passes now.

--- a/railsail/configuration/exchange.py
+++ b/railsail/configuration/exchange.py
@@ -79,14 +79,15 @@
         self._transfer: _Transfer | None = None
         # Whether a received update is being applied.
         self._applying = False
-        # Nodes whose whole update of a newer version was rejected; they are not asked again.
+        # Nodes whose whole update of a newer version was rejected. They are not asked again, unless
+        # they come back, perhaps with another build.
         self._rejected: dict[str, int] = {}
         self._whole: Update | None = None
         self._whole_lock = asyncio.Lock()
         hub.handle(ConfigurationNews, self._handle_news)
         hub.handle(ConfigurationRequest, self._handle_request)
         hub.handle(ConfigurationPiece, self._handle_piece)
-        hub.on_down(self._forget_source)
+        hub.on_down(self._peer_lost)
         carrier.on_change(lambda catalog: self._activated())
 
     def announced(self, node: str, version: int) -> None:
@@ -274,6 +275,10 @@
         self._stop_transfer()
         self._request_next()
 
+    def _peer_lost(self, node: str) -> None:
+        self._rejected.pop(node, None)
+        self._forget_source(node)
+
     def _forget_source(self, node: str) -> None:
         self._sources.pop(node, None)
         if self._transfer is not None and self._transfer.node == node:
--- a/tests/configuration/test_exchange.py
+++ b/tests/configuration/test_exchange.py
@@ -326,6 +326,16 @@
             await self.until_active(self.b, 5)
             self.assertTrue(self.is_public())
 
+    async def test_peer_that_comes_back_with_this_build_is_asked_again(self):
+        self.active(self.catalog(5, PUBLIC), self.a)
+        await self.send()
+        self.assertEqual(self.b.carrier.catalog.version, 0)
+        self.b.hub.down("a")
+        self.set_level(NEWEST)
+        self.a.exchange.announce("b", 5)
+        await self.until_active(self.b, 5)
+        self.assertTrue(self.is_public())
+
     async def test_change_to_workspaces_does_not_leave_routes_open(self):
         self.active(self.catalog(5, PUBLIC), self.b)
         self.active(self.catalog(5, CLOSED), self.a)
