--- a/railsail/configuration/carrier.py
+++ b/railsail/configuration/carrier.py
@@ -205,6 +205,7 @@
             return
         try:
             catalog, changes = self._parse_update(update)
+            # Builds that say which routes need a key send pieces.
             check_access(self.catalog if update.since else Catalog(), catalog)
         except ValueError as problem:
             self.report_rejected(update.version, node, problem)
--- a/railsail/configuration/exchange.py
+++ b/railsail/configuration/exchange.py
@@ -197,6 +197,7 @@
     def _read_steps(self, node: str, update: Update) -> Steps[Catalog]:
         """Return the configuration after ``update``; raise ``ValueError`` if it cannot be used."""
         before = self._carrier.catalog
+        # The link may end before the update is read.
         says_who_needs_keys = self._hub.speaks(node, KEYS)
         after = yield from apply_steps(before, update.body)
         if not says_who_needs_keys:
--- a/railsail/objects/kinds.py
+++ b/railsail/objects/kinds.py
@@ -131,8 +131,9 @@
     ``objective`` the target time to its answer (to the first event of a stream) and ``pause`` the
     target for the longest time between two events; all in seconds, the latter two 0 for none.
     ``priority`` 0 is the highest. ``max_attempts`` is the maximum number of attempts per request.
-    ``public`` routes need no key. ``affinity`` prefers the replica that has the prompt prefix in
-    its cache. If ``regions`` are given, requests only run in those that their workspace allows too.
+    ``public`` routes need no key, and all others do. ``affinity`` prefers the replica that has the
+    prompt prefix in its cache. If ``regions`` are given, requests only run in those that their
+    workspace allows too.
     """
 
     KIND: ClassVar[str] = "route"
