dispatch, routing: said in the log why requests wait or are refused in an overload

The logs of an overload did not tell three causes apart: a node that can forward no more, tickets that no replica can answer in time in front of others that could run, and replicas whose window is closed. The line of a cell's shares now has the free slots, how many of a sample of waiting tickets could be placed, and what was learnt of the replicas' prefill. The line of a full node has its forwarded requests, their limit and the lag of its loop. No decision is changed.

--- a/railsail/dispatch/sharelog.py
+++ b/railsail/dispatch/sharelog.py
@@ -3,6 +3,8 @@
 import math
 from collections import defaultdict
 
+import msgspec
+
 from railsail.core.events import EventLog, Kind
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.dispatcher import CellDispatcher
@@ -31,9 +33,10 @@
         self._events.emit(
             Kind.SHARES,
             ", ".join(shares),
+            notable=True,
             cell=str(cell),
             share=round(level) if level < math.inf else "all",
-            waiting=len(dispatcher.queue),
+            **msgspec.structs.asdict(dispatcher.backlog(now)),
         )
 
     def forget(self, cell: Cell) -> None:
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -399,6 +399,7 @@
             limits.served,
             forwarder,
             self.origins,
+            lambda: self.lag.seconds,
             self.kernel,
         )
         self.client_servers = [
--- a/railsail/routing/forwarding.py
+++ b/railsail/routing/forwarding.py
@@ -73,6 +73,11 @@
         self._clock = kernel.clock
         self.total = 0
 
+    @property
+    def limit(self) -> float:
+        """Return how many requests may be forwarded at a time now."""
+        return self._limit.limit
+
     async def forward(
         self, request: ForwardedRequest, client: ClientAnswer
     ) -> Completed | Unknown | None:
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -64,6 +65,7 @@
         limit: ConcurrencyLimit,
         forwarder: Forwarder,
         origins: StreamOrigins,
+        lag_seconds: Callable[[], float],
         kernel: Kernel,
     ) -> None:
         self._protocol = protocol
@@ -91,6 +93,7 @@
             limit,
             forwarder,
             lambda: self._catalog.version,
+            lag_seconds,
             self._error_answers,
             kernel,
         )
--- a/railsail/routing/offload.py
+++ b/railsail/routing/offload.py
@@ -22,7 +22,7 @@
 from railsail.routing.forwarding import ForwardedRequest, Forwarder
 from railsail.routing.messages import IncomingRequest, Origin
 from railsail.routing.outcome_recorder import OutcomeRecorder
-from railsail.routing.overload_log import OverloadLog
+from railsail.routing.overload_log import NodeLoad, OverloadLog
 from railsail.routing.protocol import RouteProtocol
 from railsail.scheduling.returning import RefusedCallers
 
@@ -40,7 +40,8 @@
 class Offloader:
     """Forwards or refuses requests while this node is full.
 
-    ``configuration`` returns the version of the active configuration.
+    ``configuration`` returns the version of the active configuration, ``lag_seconds`` the current
+    lag of the event loop.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         limit: ConcurrencyLimit,
         forwarder: Forwarder,
         configuration: Callable[[], int],
+        lag_seconds: Callable[[], float],
         error_answers: ErrorAnswers,
         kernel: Kernel,
     ) -> None:
@@ -64,6 +66,7 @@
         self._limit = limit
         self._forwarder = forwarder
         self._configuration = configuration
+        self._lag_seconds = lag_seconds
         self._error_answers = error_answers
         self._clock = kernel.clock
         self._metrics = kernel.metrics
@@ -140,6 +143,15 @@
         self._refused_callers.refused(shared_fingerprint, MAX_RETRY_AFTER_SECONDS, now)
         return is_retry
 
+    def _load(self) -> NodeLoad:
+        return NodeLoad(
+            held=self._admission.total,
+            limit=round(self._limit.limit),
+            forwarding=self._forwarder.total,
+            forwarding_limit=round(self._forwarder.limit),
+            lag_ms=round(self._lag_seconds() * 1000),
+        )
+
     async def _refuse(self, candidate: _Candidate) -> None:
         origin = candidate.origin
         self._metrics.crowded_out.inc({"workspace": candidate.workspace})
@@ -147,8 +159,7 @@
             origin.request_id,
             candidate.workspace,
             self._is_retry(candidate),
-            self._admission.total,
-            self._limit.limit,
+            self._load,
         )
         # The caller retries at this node, which needs time to recover: the answer has a
         # ``Retry-After``.
--- a/railsail/routing/overload_log.py
+++ b/railsail/routing/overload_log.py
@@ -6,6 +6,9 @@
 
 import math
 from collections import Counter
+from collections.abc import Callable
+
+import msgspec
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
@@ -14,6 +17,20 @@
 LOG_INTERVAL_SECONDS = 1.0
 
 
+class NodeLoad(msgspec.Struct, frozen=True):
+    """The load of a node that refuses a request, by which it shows what it has run out of.
+
+    It serves ``held`` requests of at most ``limit``, and forwards ``forwarding`` of at most
+    ``forwarding_limit``. Its event loop lags by ``lag_ms``.
+    """
+
+    held: int
+    limit: int
+    forwarding: int
+    forwarding_limit: int
+    lag_ms: int
+
+
 class OverloadLog:
     """Log of how many requests an overloaded node did not serve itself."""
 
@@ -28,13 +45,13 @@
         self._counts["forwarded_since"] += 1
 
     def refused(
-        self, request_id: str, workspace: str, is_retry: bool, in_flight: int, limit: float
+        self, request_id: str, workspace: str, is_retry: bool, load: Callable[[], NodeLoad]
     ) -> None:
         """Count a request that was refused as not run, and log the counts if a line is due.
 
         ``is_retry`` is true if this node has refused the request before: free capacity at other
-        nodes does not help callers that retry at the node that refused them. The node has
-        ``in_flight`` requests, of at most ``limit``.
+        nodes does not help callers that retry at the node that refused them. ``load`` returns the
+        load of this node.
         """
         self._counts["requests_since"] += 1
         self._counts["came_back_since"] += is_retry
@@ -47,8 +64,7 @@
             request_id,
             workspace,
             notable=True,
-            held=in_flight,
-            limit=round(limit),
+            **msgspec.structs.asdict(load()),
             **self._counts,
         )
         self._logged_at = now
--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -9,6 +9,7 @@
 from railsail.core.outcomes import Reason
 from railsail.rollouts.orders import Order
 from railsail.rollouts.tallies import CellTallies
+from railsail.scheduling.backlog import Backlog, describe_backlog
 from railsail.scheduling.cells import Cell
 from railsail.scheduling.decisions import Decision, Flight, Grant, Hold, Move, Refusal
 from railsail.scheduling.fairqueue import CATCH_UP_CHARGES, FairQueue
@@ -236,6 +237,12 @@
         """Return the shares of the ``count`` workspaces with the largest recent demands, sorted."""
         return self._usage.largest(count, now)
 
+    def backlog(self, now: float) -> Backlog:
+        """Return what waits in the cell, and what its replicas could start."""
+        return describe_backlog(
+            self.queue, self.open_rooms(now), lambda ticket: self._can_place(ticket, now), now
+        )
+
     def _can_place(self, ticket: Ticket, now: float) -> bool:
         available = self.versions.find_available(self.replicas.values(), now)
         return self.versions.choose(ticket, available, now) is not None
--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -152,6 +152,11 @@
         """Return how long the replica needs for its pending prefill."""
         return self._pending_tokens / self.prefill_rate
 
+    @property
+    def base_latency(self) -> float:
+        """Return the shortest recent time to the start of an answer in seconds, 0 if unknown."""
+        return self._base_latency
+
     def room(self, now: float, extra: int = 0) -> int:
         """Return how many more calls fit at ``now``, with ``extra`` beyond the limit."""
         if not self.serves(now):
