core: did not take a late event loop for a host that does not answer

A node whose event loop turned for longer than the timeout of a connection, a quarter of a second to other nodes, gave up connections that the other host had accepted: after such a turn the timer and the established connection are found together, and asyncio.timeout cancels whatever is done. A full node then forwarded nothing, took its neighbours for unreachable for two seconds each, and refused what the idle fleet could run; refused callers came back to it and kept it late.

In the users' record about 100 requests of a starved workspace were started in six seconds, which is what 16 requests at a time give.

The timeout now ends the wait and the state of the connection decides. The test blocks the loop for longer than the timeout; it failed before with CannotConnect.

--- a/railsail/core/sockets.py
+++ b/railsail/core/sockets.py
@@ -42,9 +42,14 @@
     connection = socket.socket(family, socket.SOCK_STREAM)
     detect_dead_peer(connection)
     stream = kind(connection)
+    connected = stream.connect((ip, port))
     try:
-        async with asyncio.timeout(timeout_seconds):
-            await stream.connect((ip, port))
+        # After a long turn of the event loop the timeout and the established connection are found
+        # together. ``asyncio.timeout`` would then report a timeout, although the host had answered.
+        await asyncio.wait([connected], timeout=timeout_seconds)
+        if not connected.done():
+            raise TimeoutError
+        await connected
     except (OSError, TimeoutError, StreamClosedError) as problem:
         stream.close()
         cause = getattr(problem, "real_error", None) or problem
