scheduling: let the start of an answer acknowledge the prompts granted before it

The dispatcher counts a prompt as pending at its replica until the node that sent it reports that the answer has started. A node whose loop is late reports late, so that its own delay counted as the replica's: the replica looked full and, as its prefill rate was learnt from the same times, slow. All workspaces were granted less; the one whose nodes were late lost most, since the others' requests are few enough to be placed.

A replica prefills prompts in the order of their arrival. The start of an answer therefore shows that the prompts granted before it are prefilled, and they are counted no more; what is reported of them later is no sample of the rate. Calls that nothing is heard of for 1.5 s count again, since a replica that hangs leaves its calls without an answer for good; silence is found as before.

--- a/railsail/scheduling/room.py
+++ b/railsail/scheduling/room.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict, deque
 
 import msgspec
+from msgspec import structs
 
 from railsail.scheduling.health import CallResult, GroupHealth, ReplicaHealth
 from railsail.scheduling.tickets import Ticket, TicketKey
@@ -67,6 +68,12 @@
 LONG_PREFIX_TOKENS = 1000
 # Prompt prefixes that are remembered as cached on a replica; the oldest are dropped.
 MAX_PREFIXES = 4096
+# Calls that were granted within this many seconds of each other may reach the replica in the other
+# order, since they are sent by different nodes.
+REORDER_SECONDS = 0.03
+# A call is overdue if nothing was heard of its answer for this many seconds. A node that is late
+# reports sooner.
+OVERDUE_SECONDS = 1.5
 # A replica with pending answers that has started none for this many seconds is given no calls.
 SILENT_SECONDS = 0.8
 
@@ -75,12 +82,14 @@
     """A call whose answer has not started, with its prompt tokens.
 
     ``total_tokens`` is the whole pending prefill of the replica when the call was recorded, this
-    prompt included. ``since`` is in seconds of the dispatcher's clock.
+    prompt included. ``since`` is in seconds of the dispatcher's clock. ``acknowledged`` is True if
+    the answer to a later call has started, which shows that this prompt was prefilled.
     """
 
     tokens: int
     total_tokens: int
     since: float
+    acknowledged: bool = False
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -225,6 +234,7 @@
     def record_pending(self, key: TicketKey, tokens: int, now: float) -> None:
         """Record a call with a prompt of ``tokens`` whose answer has yet to start."""
         self.drop_pending(key)
+        self._count_overdue(now)
         self._pending_tokens += tokens
         self._pending[key] = PendingPrefill(tokens, self._pending_tokens, now)
 
@@ -237,7 +247,9 @@
         pending = self._pending.get(key)
         self.drop_pending(key)
         self._last_answer_at = now
-        if pending is None or pending.tokens <= 1:
+        if pending is not None:
+            self._acknowledge(pending.since - REORDER_SECONDS, now)
+        if pending is None or pending.tokens <= 1 or pending.acknowledged:
             return
         seconds = now - pending.since
         base_latency = self._base_latency * BASE_LATENCY_GROWTH
@@ -246,10 +258,33 @@
         self._observed_seconds *= PREFILL_DECAY
         self._observed_seconds += max(0.0, seconds - self._base_latency)
 
+    def _acknowledge(self, until: float, now: float) -> None:
+        """Stop counting the prompts of calls up to ``until``, once a later answer has started.
+
+        A replica prefills prompts in the order of their arrival. A node that is late reports the
+        start of an answer long after it, and its prompts would count as pending until then.
+        """
+        for key, pending in self._pending.items():
+            if pending.since > until or pending.acknowledged or _is_overdue(pending, now):
+                continue
+            self._pending[key] = structs.replace(pending, acknowledged=True)
+            self._pending_tokens -= pending.tokens
+
+    def _count_overdue(self, now: float) -> None:
+        """Count the prompts of acknowledged calls again that nothing is heard of.
+
+        The replica has probably not answered them, and may leave the next ones without an answer
+        too.
+        """
+        for key, pending in self._pending.items():
+            if pending.acknowledged and _is_overdue(pending, now):
+                self._pending[key] = structs.replace(pending, acknowledged=False)
+                self._pending_tokens += pending.tokens
+
     def drop_pending(self, key: TicketKey) -> None:
         """Record that no answer to a call is expected any more."""
         pending = self._pending.pop(key, None)
-        if pending is not None:
+        if pending is not None and not pending.acknowledged:
             self._pending_tokens -= pending.tokens
 
     def _is_silent(self, now: float) -> bool:
@@ -314,3 +349,7 @@
 
     def _record_in_flight(self, now: float) -> None:
         self._recent_in_flight.append((now, self.in_flight))
+
+
+def _is_overdue(pending: PendingPrefill, now: float) -> bool:
+    return now - pending.since > OVERDUE_SECONDS
--- a/tests/scheduling/test_room.py
+++ b/tests/scheduling/test_room.py
@@ -3,7 +3,13 @@
 import unittest
 
 from railsail.scheduling.health import CallResult, GroupHealth
-from railsail.scheduling.room import LoadReport, ReplicaState
+from railsail.scheduling.room import (
+    OVERDUE_SECONDS,
+    REORDER_SECONDS,
+    SILENT_SECONDS,
+    LoadReport,
+    ReplicaState,
+)
 from railsail.scheduling.tickets import Ticket, TicketKey
 
 
@@ -74,6 +80,53 @@
         self.assertEqual(self.state.room(1.9), 0)
 
 
+class AcknowledgedPrefillTests(unittest.TestCase):
+    """The start of an answer shows that the prompts granted before it were prefilled."""
+
+    def setUp(self):
+        self.state = ReplicaState("r", 48)
+        self.state.record_pending(("late", 1), 60_000, 10.0)
+        self.state.record_pending(("prompt", 1), 1_000, 10.1)
+
+    def unread_tokens(self) -> int:
+        return round(self.state.unread_seconds * self.state.prefill_rate)
+
+    def test_later_answer_acknowledges_an_earlier_prompt(self):
+        self.state.answer_started(("prompt", 1), 10.2)
+        self.assertEqual(self.unread_tokens(), 0)
+
+    def test_answer_acknowledges_no_prompt_granted_with_it_or_later(self):
+        self.state.record_pending(("other", 1), 2_000, 10.1 - REORDER_SECONDS / 2)
+        self.state.record_pending(("other", 2), 3_000, 10.15)
+        self.state.answer_started(("prompt", 1), 10.2)
+        self.assertEqual(self.unread_tokens(), 5_000)
+
+    def test_call_that_ends_without_an_answer_acknowledges_nothing(self):
+        self.state.drop_pending(("prompt", 1))
+        self.assertEqual(self.unread_tokens(), 60_000)
+
+    def test_late_report_of_an_acknowledged_prompt_changes_nothing(self):
+        self.state.answer_started(("prompt", 1), 10.2)
+        rate = self.state.prefill_rate
+        self.state.answer_started(("late", 1), 11.0)
+        self.assertEqual((self.unread_tokens(), self.state.prefill_rate), (0, rate))
+
+    def test_overdue_prompt_counts_again_and_is_acknowledged_no_more(self):
+        self.state.answer_started(("prompt", 1), 10.2)
+        overdue_at = 10.0 + OVERDUE_SECONDS + 0.1
+        self.state.record_pending(("prompt", 2), 1_000, overdue_at)
+        self.assertEqual(self.unread_tokens(), 61_000)
+        self.state.answer_started(("prompt", 2), overdue_at + 0.1)
+        self.assertEqual(self.unread_tokens(), 60_000)
+        self.state.drop_pending(("late", 1))
+        self.assertEqual(self.unread_tokens(), 0)
+
+    def test_acknowledged_call_without_an_answer_still_shows_silence(self):
+        self.state.answer_started(("prompt", 1), 10.2)
+        self.assertTrue(self.state.serves(10.2 + SILENT_SECONDS / 2))
+        self.assertFalse(self.state.serves(10.2 + SILENT_SECONDS + 0.1))
+
+
 class FreeSlotsTests(unittest.TestCase):
     def test_own_calls_in_a_late_report_are_not_counted_as_those_of_others(self):
         state = ReplicaState("r", 8)
