dispatch: used decisions that arrived while the event loop was late

An entry waits 25 ms longer for a decision than the request may wait. After a long turn of its event loop, the end of that wait is found before the message that has arrived is handled, which takes two more turns: the entry withdrew the ticket, refused its request, and returned the grant unused.

At the end of the wait the loop now turns a few more times for the decision, which takes no time where the loop is in time. Two tests deliver a grant and a refusal during a long turn, and failed before.

--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -21,6 +21,8 @@
 # tells the dispatcher which replicas to avoid, so the second grant is usable unless something
 # changed in the meantime or the dispatcher runs an older build.
 MAX_GRANTS = 8
+# A message from another node that has arrived is handled within this many turns of the event loop.
+MESSAGE_TURNS = 4
 _REFUSALS = {
     Reason.EXPIRED: "no replica had room in time",
     Reason.OVER_SHARE: "its workspace had its share of the replicas while others waited",
@@ -85,20 +87,11 @@
         call = self._tickets.place(request, requested_at)
         remaining = requested_at + max_wait - self._clock.monotonic()
         try:
-            # The dispatcher normally decides, and says when to retry. This timeout only covers a
-            # dispatcher whose decision does not arrive in time.
-            async with asyncio.timeout(remaining + DECISION_SECONDS) as call.timeout:
-                await call.granted
+            if not await _is_decided(call, remaining + DECISION_SECONDS):
+                return self._expire(call)
+            await call.granted
         except TicketRefused as refusal:
             return self._quarantined(request) or self._refused_by_dispatcher(call, refusal)
-        except TimeoutError:
-            self._log_expired(
-                call,
-                cell=str(call.cell),
-                dispatcher_heard_ms_ago=self._tickets.silent_ms(call),
-            )
-            self._tickets.withdraw(call)
-            return NotRun(Reason.EXPIRED, _REFUSALS[Reason.EXPIRED])
         except asyncio.CancelledError:
             self._tickets.withdraw(call)
             raise
@@ -109,6 +102,16 @@
             return refusal
         return call
 
+    def _expire(self, call: Booking) -> NotRun:
+        """Withdraw a call whose dispatcher has not decided in time."""
+        self._log_expired(
+            call,
+            cell=str(call.cell),
+            dispatcher_heard_ms_ago=self._tickets.silent_ms(call),
+        )
+        self._tickets.withdraw(call)
+        return NotRun(Reason.EXPIRED, _REFUSALS[Reason.EXPIRED])
+
     def _quarantined(self, request: PoolRequest) -> NotRun | None:
         refusal = self._quarantine.refusal(request.fingerprints)
         if refusal is not None:
@@ -140,3 +143,21 @@
             waited_ms=round(waited * 1000),
             **facts,
         )
+
+
+async def _is_decided(call: Booking, seconds: float) -> bool:
+    """Return whether the dispatcher decides on ``call`` within ``seconds``.
+
+    The dispatcher normally decides in time, and says when to retry. The timeout only covers one
+    whose decision does not arrive.
+    """
+    try:
+        async with asyncio.timeout(seconds) as call.timeout:
+            await asyncio.wait([call.granted])
+    except TimeoutError:
+        # During a long turn of the event loop the decision may have arrived, but not been handled.
+        for _ in range(MESSAGE_TURNS):
+            if call.granted.done():
+                break
+            await asyncio.sleep(0)
+    return call.granted.done()
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 from dataclasses import replace
 
@@ -37,6 +38,9 @@
 
 OWN, OTHER, FAR = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
 REQUEST = PoolRequest("r-1", "model", "one", 0.0, 10.0, False)
+SHORT_WAIT_SECONDS = 0.02
+LONG_WAIT_SECONDS = 60.0
+LONG_TURN_SECONDS = 0.2
 RECORD = {"pool": "model", "endpoint": "127.0.0.1:9", "failure_domain": "a", "state": "live"}
 
 
@@ -146,6 +150,45 @@
         self.assertFalse(self.owner_is_fleet_wide(5000, 0.1))
 
 
+class LateLoopTests(EntryTestCase):
+    """A decision that arrived during a long turn of the event loop still counts."""
+
+    def deliver_after_turn(self, message: Granted | Refused) -> None:
+        """Deliver ``message`` as if it arrived in this turn, which takes longer than the wait."""
+        loop = asyncio.get_running_loop()
+        # It is read in the next turn, and handled in the one after.
+        loop.call_soon(loop.call_soon, self.hub.deliver, message)
+        time.sleep(LONG_TURN_SECONDS)
+
+    async def acquire(self, message: Granted | Refused) -> Booking | NotRun:
+        acquiring = asyncio.ensure_future(self.acquirer.acquire(REQUEST, SHORT_WAIT_SECONDS))
+        await asyncio.sleep(0)
+        self.deliver_after_turn(message)
+        return await acquiring
+
+    async def test_grant_that_arrived_in_time_is_used(self):
+        call = await self.acquire(Granted(1, 1, "i-1", 0))
+        self.assertIsInstance(call, Booking)
+        self.assertEqual(call.replica, "i-1")
+
+    async def test_refusal_that_arrived_in_time_says_when_to_retry(self):
+        refusal = await self.acquire(Refused(1, 1, Reason.OVER_SHARE, 1500))
+        self.assertEqual((refusal.reason, refusal.come_back), (Reason.OVER_SHARE, 1.5))
+
+    async def test_request_without_a_decision_is_refused_in_time(self):
+        refusal = await self.acquirer.acquire(REQUEST, SHORT_WAIT_SECONDS)
+        self.assertEqual(refusal.reason, Reason.EXPIRED)
+        self.assertIsInstance(self.hub.sent[-1], Cancel)
+
+    async def test_request_whose_caller_leaves_is_withdrawn(self):
+        acquiring = asyncio.ensure_future(self.acquirer.acquire(REQUEST, LONG_WAIT_SECONDS))
+        await asyncio.sleep(0)
+        acquiring.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await acquiring
+        self.assertIsInstance(self.hub.sent[-1], Cancel)
+
+
 class ForwardedTicketTests(EntryTestCase):
     """A ticket that its dispatcher forwarded to a cell that this entry never used."""
 
