tests: let a full node whose loop is late forward requests

A full node and an idle one; each connection is made in a turn of the loop that takes 40 ms, with 20 ms allowed to connect.

--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -19,10 +19,14 @@
 """
 
 import asyncio
+import time
 import unittest
+from asyncio import Future
 from dataclasses import replace
 from unittest import mock
 
+from tornado.iostream import IOStream
+
 from railsail.gateway.admission import MIN_OVERLOAD_REQUESTS
 from railsail.node import Node
 from railsail.routing import forwarding, relay
@@ -58,6 +62,18 @@
 PAUSE_SECONDS = 0.02
 
 
+# How long a turn of the event loop takes in which a connection is made.
+LONG_TURN_SECONDS = 0.04
+_connect = IOStream.connect
+
+
+def connect_in_long_turn(stream: IOStream, address: tuple[str, int]) -> Future[IOStream]:
+    """Connect, and return only after ``LONG_TURN_SECONDS``, as a node does that is busy."""
+    connected = _connect(stream, address)
+    time.sleep(LONG_TURN_SECONDS)
+    return connected
+
+
 async def by_path(replica: ReplicaStandin, got: Received, writer) -> None:
     """Say nothing to requests of the route ``once``, stream on two others, and answer the rest."""
     scripts = {"/once/": hanging(), "/stream/": streaming(EVENTS), "/resume/": slowly}
@@ -177,6 +193,14 @@
         self.assertTrue(answer.whole)
         self.assertEqual(answer.body.count(b"data: token"), EVENTS)
 
+    async def test_full_node_whose_loop_is_late_forwards_requests(self):
+        """It took its own delay for that of the other nodes, and refused what they could serve."""
+        full, _ = await self.serve_crowded()
+        self.hold(mock.patch.object(forwarding, "CONNECT_SECONDS", LONG_TURN_SECONDS / 2))
+        with mock.patch.object(IOStream, "connect", connect_in_long_turn):
+            answers = await self.call_many(full)
+        self.assertEqual([answer.status for answer in answers], [200] * MORE)
+
     async def test_no_request_is_forwarded_to_an_older_configuration(self):
         """The other node ran it by the service that the route had left, or refused it finally."""
         full, idle = await self.serve_crowded()
