tests: kept the real timeouts of connections in the tests of full nodes

They were raised, because a long turn of the loop on a busy machine was taken for a node or a replica that cannot be connected to.

--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -29,7 +29,7 @@
 
 from railsail.gateway.admission import MIN_OVERLOAD_REQUESTS
 from railsail.node import Node
-from railsail.routing import forwarding, relay
+from railsail.routing import forwarding
 from railsail.scheduling import room
 from tests.platform.base import (
     LONG_MS,
@@ -98,14 +98,11 @@
 class CrowdedNodeTests(PlatformTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        # Both nodes share the test's loop: a turn that takes long on a busy machine, a quarter of a
-        # second in all, would be taken for a node that cannot be connected to, or 0.4 s for a
-        # replica; and a wait for a place, a fifth of the objective, or a deadline would pass.
-        self.hold(mock.patch.object(forwarding, "CONNECT_SECONDS", LONGEST_SECONDS))
-        self.hold(mock.patch.object(relay, "CONNECT_SECONDS", LONGEST_SECONDS))
         # The requests that fill the node stay without an answer, so that its replica looks silent
         # 0.8 s later.
         self.hold(mock.patch.object(room, "SILENT_SECONDS", LONGEST_SECONDS))
+        # Both nodes share the test's loop: on a busy machine a wait for a place, a fifth of the
+        # objective, or a deadline would pass.
         long = {"slo_ms": LONG_MS, "timeout_ms": LONG_MS}
         self.hold(mock.patch.dict(ROUTES["again"], long))
         # The requests that fill the node must not end before others come.
