--- a/railsail/scheduling/backlog.py
+++ b/railsail/scheduling/backlog.py
@@ -4,8 +4,8 @@
 answer would start late, and only the first tickets of a few workspaces are tried.
 """
 
+import math
 from collections.abc import Callable, Collection, Iterable
-from itertools import islice
 from statistics import median
 
 import msgspec
@@ -48,7 +48,7 @@
     """Return the backlog of a cell; ``can_place`` tells whether a ticket could be granted."""
     tickets = queue.all_tickets()
     serving = [replica for replica in replicas if replica.serves(now)]
-    examined = list(islice(tickets, 0, None, max(1, len(tickets) // MAX_EXAMINED)))[:MAX_EXAMINED]
+    examined = tickets[:: math.ceil(len(tickets) / MAX_EXAMINED) or 1]
     return Backlog(
         waiting=len(tickets),
         retries=sum(ticket.returned for ticket in tickets),
