dispatch: withdrew the ticket of a request whose wait fails with an error

An error while a request waits for its dispatcher's decision left the ticket behind: it was granted, and held a slot that nobody used, since the entry went on to list the call as its own.

--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -92,7 +92,8 @@
             await call.granted
         except TicketRefused as refusal:
             return self._quarantined(request) or self._refused_by_dispatcher(call, refusal)
-        except asyncio.CancelledError:
+        except BaseException:
+            # A ticket that stays behind would be granted, and take a slot that nobody uses.
             self._tickets.withdraw(call)
             raise
         refusal = self._quarantined(request)
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -5,12 +5,14 @@
 import time
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from railsail.core.clock import Clock
 from railsail.core.events import EventLog
 from railsail.core.kernel import Kernel
 from railsail.core.metrics import Metrics
 from railsail.core.outcomes import NotRun, Reason
+from railsail.dispatch import acquire
 from railsail.dispatch.acquire import MAX_GRANTS, ReplicaAcquirer
 from railsail.dispatch.bookings import Booking, PoolRequest, to_place
 from railsail.dispatch.entry import TicketClient
@@ -189,6 +191,15 @@
         self.assertIsInstance(self.hub.sent[-1], Cancel)
 
 
+class FailedWaitTests(EntryTestCase):
+    async def test_error_during_the_wait_leaves_no_ticket_behind(self):
+        failing = mock.patch.object(acquire, "_is_decided", side_effect=RuntimeError)
+        with failing, self.assertRaises(RuntimeError):
+            await self.acquirer.acquire(REQUEST, LONG_WAIT_SECONDS)
+        self.assertIsInstance(self.hub.sent[-1], Cancel)
+        self.assertEqual(len(self.tickets), 0)
+
+
 class ForwardedTicketTests(EntryTestCase):
     """A ticket that its dispatcher forwarded to a cell that this entry never used."""
 
