--- a/tests/core/test_sockets.py
+++ b/tests/core/test_sockets.py
@@ -9,6 +9,8 @@
 
 LOOPBACK = "127.0.0.1"
 TIMEOUT_SECONDS = 0.05
+# Connections that fill the backlog of a listener that accepts none.
+MORE_THAN_BACKLOG = 4
 
 
 class OpenStreamTests(unittest.IsolatedAsyncioTestCase):
@@ -19,6 +21,16 @@
         listener.listen(backlog)
         return listener
 
+    def listen_without_accepting(self) -> tuple[str, int]:
+        """Return the address of a listener whose backlog is full."""
+        address = self.listen(backlog=0).getsockname()
+        for _ in range(MORE_THAN_BACKLOG):
+            waiting = socket.socket()
+            self.addCleanup(waiting.close)
+            waiting.setblocking(False)
+            waiting.connect_ex(address)
+        return address
+
     async def test_own_long_turn_does_not_count_as_a_timeout_of_the_host(self):
         port = self.listen().getsockname()[1]
         connecting = asyncio.ensure_future(open_stream(LOOPBACK, port, TIMEOUT_SECONDS))
@@ -30,13 +42,7 @@
         stream.close()
 
     async def test_host_that_does_not_accept_is_given_up_in_time(self):
-        listener = self.listen(backlog=0)
-        address = listener.getsockname()
-        held = [socket.socket() for _ in range(4)]
-        for each in held:
-            self.addCleanup(each.close)
-            each.setblocking(False)
-            each.connect_ex(address)
+        address = self.listen_without_accepting()
         with self.assertRaises(CannotConnect) as caught:
             await open_stream(*address, TIMEOUT_SECONDS)
         self.assertFalse(caught.exception.refused)
@@ -50,13 +56,7 @@
         self.assertTrue(caught.exception.refused)
 
     async def test_cancelled_connection_is_closed(self):
-        listener = self.listen(backlog=0)
-        address = listener.getsockname()
-        held = [socket.socket() for _ in range(4)]
-        for each in held:
-            self.addCleanup(each.close)
-            each.setblocking(False)
-            each.connect_ex(address)
+        address = self.listen_without_accepting()
         connecting = asyncio.ensure_future(open_stream(*address, 60.0))
         await asyncio.sleep(TIMEOUT_SECONDS)
         connecting.cancel()
