dispatch, node: let refusals at the end of a stop reach their callers

Requests that wait for a replica near the end of a stop are refused as not run, and a moment later all that is left is ended as unknown.

To await the future itself again, and to replace it at the timeout, was tried: a decision that is handled between the two is lost, which two tests of late loops found.

--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -87,9 +87,8 @@
         call = self._tickets.place(request, requested_at)
         remaining = requested_at + max_wait - self._clock.monotonic()
         try:
-            if not await _is_decided(call, remaining + DECISION_SECONDS):
+            if not await _is_granted(call, remaining + DECISION_SECONDS):
                 return self._expire(call)
-            await call.granted
         except TicketRefused as refusal:
             return self._quarantined(request) or self._refused_by_dispatcher(call, refusal)
         except BaseException:
@@ -146,14 +145,15 @@
         )
 
 
-async def _is_decided(call: Booking, seconds: float) -> bool:
-    """Return whether the dispatcher decides on ``call`` within ``seconds``.
+async def _is_granted(call: Booking, seconds: float) -> bool:
+    """Return whether the dispatcher grants ``call`` within ``seconds``.
 
-    The dispatcher normally decides in time, and says when to retry. The timeout only covers one
-    whose decision does not arrive.
+    Raise ``TicketRefused`` if it refuses. It normally decides in time, and says when to retry. The
+    timeout only covers a dispatcher whose decision does not arrive.
     """
     try:
         async with asyncio.timeout(seconds) as call.timeout:
+            # Unlike an await of the future itself, this does not cancel it at the timeout.
             await asyncio.wait([call.granted])
     except TimeoutError:
         # During a long turn of the event loop the decision may have arrived, but not been handled.
@@ -161,4 +161,7 @@
             if call.granted.done():
                 break
             await asyncio.sleep(0)
-    return call.granted.done()
+    if not call.granted.done():
+        return False
+    call.granted.result()
+    return True
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -622,7 +622,8 @@
             server.close_idle()
         await self._wait_for_requests(ends_at - REFUSAL_SECONDS)
         self._refuse_waiting()
-        await self._wait_for_requests(ends_at)
+        # The refusals take a few turns of the event loop to reach their callers.
+        await self._wait_for_requests(max(ends_at, loop.time() + DRAIN_POLL_SECONDS))
 
     async def _wait_for_requests(self, ends_at: float) -> None:
         """Wait until no request is left, at most until ``ends_at`` by the event loop."""
--- a/tests/dispatch/test_entry.py
+++ b/tests/dispatch/test_entry.py
@@ -193,7 +193,7 @@
 
 class FailedWaitTests(EntryTestCase):
     async def test_error_during_the_wait_leaves_no_ticket_behind(self):
-        failing = mock.patch.object(acquire, "_is_decided", side_effect=RuntimeError)
+        failing = mock.patch.object(acquire, "_is_granted", side_effect=RuntimeError)
         with failing, self.assertRaises(RuntimeError):
             await self.acquirer.acquire(REQUEST, LONG_WAIT_SECONDS)
         self.assertIsInstance(self.hub.sent[-1], Cancel)
