dispatch: kept refusals of callers that left out of the log of errors

A caller that leaves in the turn of the loop in which its refusal arrives left an exception that nobody had read, and asyncio logs that as an error. tests.dispatch.test_entry (LateDecisionTests) printed it in each run since and prints it no more.

--- a/railsail/dispatch/acquire.py
+++ b/railsail/dispatch/acquire.py
@@ -94,6 +94,9 @@
         except BaseException:
             # A ticket that stays behind would be granted, and take a slot that nobody uses.
             self._tickets.withdraw(call)
+            if call.granted.done() and not call.granted.cancelled():
+                # Otherwise asyncio logs a refusal that nobody has read as an error.
+                call.granted.exception()
             raise
         refusal = self._quarantined(request)
         if refusal is not None:
