scheduling: looked up the available replicas once for a whole log line

Nothing changes between the tickets, so that one look-up gives the same result. The time that it took was not measured. Two counters of the simulated cell that nothing reads are gone.

--- a/railsail/scheduling/dispatcher.py
+++ b/railsail/scheduling/dispatcher.py
@@ -239,9 +239,12 @@
 
     def backlog(self, now: float) -> Backlog:
         """Return what waits in the cell, and what its replicas could start."""
-        return describe_backlog(
-            self.queue, self.open_rooms(now), lambda ticket: self._can_place(ticket, now), now
-        )
+        available = self.versions.find_available(self.replicas.values(), now)
+
+        def can_place(ticket: Ticket) -> bool:
+            return self.versions.choose(ticket, available, now) is not None
+
+        return describe_backlog(self.queue, self.open_rooms(now), can_place, now)
 
     def _can_place(self, ticket: Ticket, now: float) -> bool:
         available = self.versions.find_available(self.replicas.values(), now)
--- a/tests/scheduling/simulated_cell.py
+++ b/tests/scheduling/simulated_cell.py
@@ -105,7 +105,6 @@
         self.replicas = {f"r{number}": Replica() for number in range(replicas)}
         self.dispatcher.set_replicas(dict.fromkeys(self.replicas, slots))
         self.tallies: dict[str, WorkspaceTally] = defaultdict(WorkspaceTally)
-        self.granted = self.refused = 0
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._number = 0
         self._output_tokens: dict[tuple[str, int], int] = {}
@@ -178,7 +177,6 @@
             if isinstance(decision, Grant):
                 self._start(decision.ticket, decision.replica, now)
             elif isinstance(decision, Refusal):
-                self.refused += 1
                 if decision.come_back:
                     ticket = decision.ticket
                     self._at(now + decision.come_back, lambda at, t=ticket: self._retry(t, at))
@@ -186,7 +184,6 @@
                 assert isinstance(decision, Hold)
 
     def _start(self, ticket: Ticket, name: str, now: float) -> None:
-        self.granted += 1
         self.tallies[ticket.workspace].started[int(now)] += int(ticket.estimate)
         starts_at = self.replicas[name].start(ticket, now)
         ends_at = starts_at + self._output_tokens[ticket.key] * SECONDS_PER_TOKEN
