routing: counted the requests of full nodes whose callers had disconnected

A full node's line told what other nodes had answered and what it had refused. A node whose callers all disconnect first logs neither: 160 requests being forwarded and no counter that moves. That does not tell a node that forwards in vain from one whose slots are held by nobody.

The line now counts requests whose callers disconnected while another node had them, and refusals that did not reach their callers. No decision changes.

--- a/railsail/routing/offload.py
+++ b/railsail/routing/offload.py
@@ -5,7 +5,7 @@
 request is logged on its own: at such a node this work alone may take all of its time.
 """
 
-import contextlib
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -125,7 +125,12 @@
             )
         except ClientDisconnected:
             # The connection to the other node is closed by now, which cancels the request there.
+            self._overload_log.forward_abandoned()
             return True
+        except asyncio.CancelledError:
+            if candidate.client.left:
+                self._overload_log.forward_abandoned()
+            raise
         self._metrics.forwarded.inc({"workspace": candidate.workspace})
         self._overload_log.forwarded()
         if isinstance(outcome, Unknown):
@@ -164,8 +169,13 @@
         # The caller retries at this node, which needs time to recover: the answer has a
         # ``Retry-After``.
         refusal = NotRun(Reason.QUEUE_FULL, "this node is full")
-        # A caller that has disconnected does not wait for the refusal.
-        with contextlib.suppress(ClientDisconnected):
+        try:
             await self._error_answers.send(
                 origin.request_id, origin.deadline, refusal, candidate.client
             )
+        except (ClientDisconnected, asyncio.CancelledError) as problem:
+            if candidate.client.left:
+                self._overload_log.refusal_abandoned()
+            # A caller that has disconnected does not wait for the refusal.
+            if not isinstance(problem, ClientDisconnected):
+                raise
--- a/railsail/routing/overload_log.py
+++ b/railsail/routing/overload_log.py
@@ -1,7 +1,8 @@
 """Log what an overloaded node does with the requests of workspaces that overload it.
 
 A log line per request would take processor time that an overloaded node lacks, so one line a second
-counts all requests since the line before.
+counts all requests since the line before. Requests whose callers disconnect are counted apart: a
+node that works only for these is busy and answers nobody.
 """
 
 import math
@@ -44,6 +45,14 @@
         """Count a request that another node answered."""
         self._counts["forwarded_since"] += 1
 
+    def forward_abandoned(self) -> None:
+        """Count a request whose caller disconnected while another node had it."""
+        self._counts["forward_abandoned_since"] += 1
+
+    def refusal_abandoned(self) -> None:
+        """Count a refusal that did not reach its caller, which had disconnected."""
+        self._counts["refusal_abandoned_since"] += 1
+
     def refused(
         self, request_id: str, workspace: str, is_retry: bool, load: Callable[[], NodeLoad]
     ) -> None:
--- a/tests/routing/test_overload_log.py
+++ b/tests/routing/test_overload_log.py
@@ -27,6 +27,14 @@
         self.assertEqual(event.facts["forwarded_since"], 1)
         self.assertEqual((event.facts["requests_since"], event.facts["came_back_since"]), (1, 1))
 
+    def test_line_counts_requests_of_callers_that_disconnected(self):
+        self.log.forward_abandoned()
+        self.log.refusal_abandoned()
+        self.log.refused("r1", "w1", False, lambda: LOAD)
+        (event,) = self.events
+        self.assertEqual(event.facts["forward_abandoned_since"], 1)
+        self.assertEqual(event.facts["refusal_abandoned_since"], 1)
+
     def test_load_is_read_for_written_lines_only(self):
         self.log.refused("r1", "w1", False, lambda: LOAD)
         self.log.refused("r2", "w1", False, lambda: self.fail("no line is due"))
