routing: answered requests that had waited and were stopped before they were served

A request that had waited on an overloaded node lets the loop notice its caller's disconnection for two turns. That wait lay outside of the guard that answers whatever happens: a request that the end of a stop met there was cut without an answer. It lies inside now, before a request is forwarded or served.

A stop in the turn before, in which the task of the request has not begun, still cuts it, as it did before these changes.

--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -64,11 +64,16 @@
     broken off, nothing more may be sent. ``left`` is True once the caller has closed its
     connection, ``stopped`` once this node ends its requests. ``should_close`` returns whether the
     connection is to be closed after the answer. The answer to a ``HEAD`` request consists of its
-    head alone.
+    head alone. ``has_waited`` is True if the request may have waited so long before it was read
+    that its caller has disconnected.
     """
 
     def __init__(
-        self, connection: HTTP1Connection, should_close: Callable[[], bool], method: str
+        self,
+        connection: HTTP1Connection,
+        should_close: Callable[[], bool],
+        method: str,
+        has_waited: bool = False,
     ) -> None:
         self.started = False
         self.ended = False
@@ -78,6 +83,16 @@
         self._connection = connection
         self._should_close = should_close
         self._has_body = method != "HEAD"
+        self._has_waited = has_waited
+
+    async def notice_disconnect(self) -> None:
+        """Let the event loop read the end of a connection that arrived together with the request.
+
+        The task that serves the request is cancelled meanwhile if its caller has disconnected.
+        """
+        if self._has_waited:
+            for _ in range(DISCONNECT_TURNS):
+                await asyncio.sleep(0)
 
     async def start(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
         """Send the status, the headers and the first ``chunk`` of the body.
@@ -272,17 +287,8 @@
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
     ) -> "_RunningRequest":
         """Handle a request that was read completely, and return the running request."""
-        answer = ClientAnswer(connection, self._should_close, line.method)
-        return self._run(answer, self._handle(line, headers, body, answer))
-
-    async def _handle(
-        self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, answer: ClientAnswer
-    ) -> None:
-        if self._intake.overloaded:
-            # This task is cancelled meanwhile if the caller has disconnected.
-            for _ in range(DISCONNECT_TURNS):
-                await asyncio.sleep(0)
-        await self._handler(line, headers, body, answer)
+        answer = ClientAnswer(connection, self._should_close, line.method, self._intake.overloaded)
+        return self._run(answer, self._handler(line, headers, body, answer))
 
     def request_without_room(
         self, line: RequestStartLine, headers: HTTPHeaders, connection: HTTP1Connection
--- a/railsail/routing/front.py
+++ b/railsail/routing/front.py
@@ -145,10 +145,12 @@
         self._recorder.record_outcome(origin.request_id, None, refusal, status, seconds)
 
     async def _forward_or_serve(self, incoming: IncomingRequest, client: ClientAnswer) -> None:
+        await client.notice_disconnect()
         if not await self._offloader.offload(incoming, client, can_forward=True):
             await self._serve_locally(incoming, client)
 
     async def _serve_forwarded(self, incoming: IncomingRequest, client: ClientAnswer) -> None:
+        await client.notice_disconnect()
         version = take_configuration(incoming.headers)
         if version > self._catalog.version:
             detail = f"configuration {version}, by which it was forwarded, is not in force here"
--- a/tests/platform/test_overloaded_node.py
+++ b/tests/platform/test_overloaded_node.py
@@ -12,6 +12,7 @@
 
 from railsail.node import Node
 from railsail.routing import intake
+from railsail.routing.error_answers import UNKNOWN_STATUS
 from tests.platform.base import LONG_MS, LONGEST_SECONDS, PlatformTestCase, request
 from tests.platform.standins import LOOPBACK, answering
 
@@ -28,17 +29,16 @@
         self.hold(mock.patch.object(intake, "MAX_WAIT_SECONDS", LONGEST_SECONDS))
 
     async def serve_recording(self) -> Node:
-        """Return a node whose requests are recorded as it starts them."""
+        """Return a node whose requests are recorded as it starts to serve them."""
         node = await self.serve(answering())
         self.hold_lag(node)
-        server = node.client_servers[0]
-        handle = server._handler
+        offload = node.front._offloader.offload
 
-        async def record(line, headers, body, client) -> None:
-            self.started.append(headers["Request-Id"])
-            await handle(line, headers, body, client)
+        async def record(incoming, client, can_forward) -> bool:
+            self.started.append(incoming.headers["Request-Id"])
+            return await offload(incoming, client, can_forward)
 
-        server._handler = record
+        node.front._offloader.offload = record
         return node
 
     def send(self, node: Node, request_id: str) -> socket.socket:
@@ -75,6 +75,20 @@
         self.assertIn("last", self.started)
         self.assertLess(len(self.started), CALLERS // 4)
 
+    async def test_request_that_has_waited_is_answered_if_the_node_stops(self):
+        node = await self.serve_recording()
+        self.hold(mock.patch.object(node.intake, "_loop_late", lambda: True))
+        server = node.client_servers[0]
+        call = asyncio.ensure_future(self.call(node, "/again/", Deadline_Ms=str(LONG_MS)))
+        async with asyncio.timeout(LONGEST_SECONDS):
+            while not server._running:
+                await asyncio.sleep(0)
+        # The request's task begins in this turn, and begins to serve it two turns later.
+        await asyncio.sleep(0)
+        await server.stop(1.0)
+        self.assertEqual(self.started, [])
+        self.assertEqual((await call).status, UNKNOWN_STATUS)
+
 
 if __name__ == "__main__":
     unittest.main()
