routing: kept a failing check of the node's load from costing a caller its answer

Whether the loop is late was asked by a call while the head of an answer was written. It is an attribute now, set with each sample of the lag, and whether a request may have waited is asked inside of the guard.

--- a/railsail/node.py
+++ b/railsail/node.py
@@ -140,7 +140,7 @@
         self._drain_requested = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._servers: list[HTTPServer] = []
-        self.intake = Intake(lambda: self.lag.late, self.kernel)
+        self.intake = Intake(self.kernel)
         self._build_fleet()
         self._build_configuration()
         self._build_dispatch()
@@ -374,6 +374,7 @@
         self.lag.on_sample(
             lambda: limits.adjust(self.lag.busy, self.admission.total, forwarder.total)
         )
+        self.lag.on_sample(self._update_intake)
         self.forwarder = forwarder
         self.origins = StreamOrigins(
             self.directory,
@@ -421,6 +422,9 @@
         ]
         self.carrier.on_change(self.front.configured)
 
+    def _update_intake(self) -> None:
+        self.intake.loop_late = self.lag.late
+
     def _connect(self) -> None:
         self.membership.describe_with(self._make_heartbeat)
         self.membership.watch_also(lambda: self.tickets.dispatchers() | self.claims.batchers())
--- a/railsail/routing/client.py
+++ b/railsail/routing/client.py
@@ -64,8 +64,8 @@
     broken off, nothing more may be sent. ``left`` is True once the caller has closed its
     connection, ``stopped`` once this node ends its requests. ``should_close`` returns whether the
     connection is to be closed after the answer. The answer to a ``HEAD`` request consists of its
-    head alone. ``has_waited`` is True if the request may have waited so long before it was read
-    that its caller has disconnected.
+    head alone. ``overloaded`` returns whether the request may have waited so long that its caller
+    has disconnected.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         connection: HTTP1Connection,
         should_close: Callable[[], bool],
         method: str,
-        has_waited: bool = False,
+        overloaded: Callable[[], bool],
     ) -> None:
         self.started = False
         self.ended = False
@@ -83,14 +83,14 @@
         self._connection = connection
         self._should_close = should_close
         self._has_body = method != "HEAD"
-        self._has_waited = has_waited
+        self._overloaded = overloaded
 
     async def notice_disconnect(self) -> None:
         """Let the event loop read the end of a connection that arrived together with the request.
 
         The task that serves the request is cancelled meanwhile if its caller has disconnected.
         """
-        if self._has_waited:
+        if self._overloaded():
             for _ in range(DISCONNECT_TURNS):
                 await asyncio.sleep(0)
 
@@ -287,16 +287,21 @@
         self, line: RequestStartLine, headers: HTTPHeaders, body: bytes, connection: HTTP1Connection
     ) -> "_RunningRequest":
         """Handle a request that was read completely, and return the running request."""
-        answer = ClientAnswer(connection, self._should_close, line.method, self._intake.overloaded)
+        answer = self._answer(line, connection)
         return self._run(answer, self._handler(line, headers, body, answer))
 
     def request_without_room(
         self, line: RequestStartLine, headers: HTTPHeaders, connection: HTTP1Connection
     ) -> "_RunningRequest":
         """Refuse a request that was read without keeping its body; return the running request."""
-        answer = ClientAnswer(connection, self._should_close, line.method)
+        answer = self._answer(line, connection)
         return self._run(answer, self._refuse(line, headers, answer))
 
+    def _answer(self, line: RequestStartLine, connection: HTTP1Connection) -> ClientAnswer:
+        return ClientAnswer(
+            connection, self._should_close, line.method, lambda: self._intake.overloaded
+        )
+
     def _run(self, answer: ClientAnswer, work: Coroutine[None, None, None]) -> "_RunningRequest":
         task = self._tasks.start(work)
         running = _RunningRequest(answer, task)
--- a/railsail/routing/intake.py
+++ b/railsail/routing/intake.py
@@ -58,11 +58,12 @@
 class Intake:
     """The connections of callers that are accepted and wait to be started.
 
-    ``loop_late`` returns whether the event loop is too late to serve all requests that arrive.
+    ``loop_late`` is True while the event loop is too late to serve all requests that arrive.
     """
 
-    def __init__(self, loop_late: Callable[[], bool], kernel: Kernel) -> None:
-        self._loop_late = loop_late
+    def __init__(self, kernel: Kernel) -> None:
+        # An attribute, since reading it cannot fail: it is needed to send an answer.
+        self.loop_late = False
         self._clock = kernel.clock
         self._rng: random.Random = kernel.rng
         self._metrics = kernel.metrics
@@ -80,15 +81,10 @@
         """Return how many accepted connections are not started yet."""
         return len(self._waiting)
 
-    @property
-    def loop_late(self) -> bool:
-        """Return True if the event loop is too late to serve all requests that arrive."""
-        return self._loop_late()
-
     @property
     def overloaded(self) -> bool:
         """Return True if a request may have waited so long that its caller has disconnected."""
-        return bool(self._waiting) or self._loop_late()
+        return bool(self._waiting) or self.loop_late
 
     def add(self, stream: IOStream, start: Callable[[], None]) -> None:
         """Call ``start``, which reads ``stream``, in this turn of the event loop or a later one."""
--- a/tests/platform/test_late.py
+++ b/tests/platform/test_late.py
@@ -32,7 +32,8 @@
             type(node.lag).record(node.lag, LATE_SECONDS * 2)
         node.lag._late_since -= 2 * LATE_AFTER_SECONDS
         for _ in range(SAMPLES_TO_LEAST):
-            node.lag._listeners[0]()
+            for listener in node.lag._listeners:
+                listener()
 
     async def crowd(self, node: Node) -> list[asyncio.Task]:
         """Hold as many requests of the one workspace as crowd a node."""
--- a/tests/platform/test_overloaded_node.py
+++ b/tests/platform/test_overloaded_node.py
@@ -77,7 +77,7 @@
 
     async def test_request_that_has_waited_is_answered_if_the_node_stops(self):
         node = await self.serve_recording()
-        self.hold(mock.patch.object(node.intake, "_loop_late", lambda: True))
+        node.intake.loop_late = True
         server = node.client_servers[0]
         call = asyncio.ensure_future(self.call(node, "/again/", Deadline_Ms=str(LONG_MS)))
         async with asyncio.timeout(LONGEST_SECONDS):
--- a/tests/routing/test_intake.py
+++ b/tests/routing/test_intake.py
@@ -54,7 +54,7 @@
     def setUp(self):
         self.clock = ManualClock()
         kernel = Kernel(self.clock, random.Random(1), EventLog("n1", self.clock), Metrics())
-        self.intake = Intake(lambda: False, kernel)
+        self.intake = Intake(kernel)
         self.connections = [Connection() for _ in range(CONNECTIONS)]
         self.started = []
 
