routing: let workspaces take turns at a node with more callers than it can read

Cause: the callers of both reach one node of half a core (front-kristiine-39). It refused 450 to 1,187 connections a second unparsed, whoever had sent them, so that the tenant with several times its usual load took nearly all that the node reads. Ruled out: the dispatcher, which had served all that reached it of the starved tenant (1,134,039 of 1,134,039 and 375,693 of 375,693 tokens in its window); requests that failed (all of the 11 to 47 a second that were read were served).

Connections that wait are kept by workspace now, found by the key in the bytes that have arrived, and workspaces take turns. The test of turns fails without this.

Tests of full nodes: what holds the wait of a connection and the silence of a peer, since both nodes of the test share a loop that is blocked for 0.8 s. test_full_node_whose_loop_is_late failed in about half of its runs beside load before that: connections that had waited for a second were refused, or the other node counted as silent (1.8 s); what it guards, the timeout of connections, stays real.

--- a/railsail/node.py
+++ b/railsail/node.py
@@ -140,7 +140,6 @@
         self._drain_requested = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._servers: list[HTTPServer] = []
-        self.intake = Intake(self.kernel)
         self._build_fleet()
         self._build_configuration()
         self._build_dispatch()
@@ -331,6 +330,7 @@
             self._region,
         )
         self.gateway = Gateway(server, self.carrier.held, self.kernel, self._new_id)
+        self.intake = Intake(self.gateway.callers.workspace_of, self.kernel)
         self.front: RouteFront | None = None
         self.forwarder: Forwarder | None = None
         self.origins: StreamOrigins | None = None
--- a/railsail/routing/intake.py
+++ b/railsail/routing/intake.py
@@ -6,27 +6,27 @@
 and does not recover, since they retry. So each turn of the loop starts a few new connections at
 most; all others wait unread.
 
-The newest connection is started first: its caller is the least likely to have disconnected. One
-that has waited for too long is refused without parsing its request, which takes a tenth of the
-time that another refusal takes (the order and the two bounds of the wait: Maurer, Fail at Scale,
-ACM Queue, 2015).
+Workspaces take turns, so that one whose callers flood this node leaves others their share. Of one
+workspace the newest connection is started first: its caller is the least likely to have
+disconnected. One that has waited for too long is refused without parsing its request, which takes
+less than a tenth of the time that another refusal takes (the order and the two bounds of the wait:
+Maurer, Fail at Scale, ACM Queue, 2015).
 """
 
 import asyncio
 import math
 import random
-import socket
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 from railsail.core.kernel import Kernel
 from railsail.core.logs import get_logger
 from railsail.core.retryafter import random_retry_after
+from railsail.routing.unparsed import has_arrived, read_key, refuse_unparsed
+from railsail.routing.waiting import WaitingConnection, WaitingConnections
 
 # New connections that a turn of the event loop starts at most. Reading a request and refusing or
 # forwarding it takes 1.5 to 4 ms of a core, so that a turn of a node with half a core stays under
@@ -39,36 +39,25 @@
 # caller has the time for a retry.
 STANDING_SECONDS = 1.0
 MAX_STANDING_WAIT_SECONDS = 0.1
-# Maximum size of a request that is refused without parsing it. The rest of a larger one resets the
-# connection, after which the caller retries as well.
-MAX_REFUSED_BYTES = 128 << 10
 # Minimum time between two log lines about refused connections.
 LOG_INTERVAL_SECONDS = 1.0
-_REFUSAL_BODY = b"this node is overloaded\n"
-
-
-class _WaitingConnection(msgspec.Struct, frozen=True):
-    """A connection that is accepted and not read; ``accepted_at`` is monotonic time in seconds."""
-
-    accepted_at: float
-    stream: IOStream
-    start: Callable[[], None]
 
 
 class Intake:
     """The connections of callers that are accepted and wait to be started.
 
     ``loop_late`` is True while the event loop is too late to serve all requests that arrive.
+    ``workspace_of`` returns the workspace of a bearer key, ``None`` for an unknown one.
     """
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, workspace_of: Callable[[str], str | None], kernel: Kernel) -> None:
+        self._workspace_of = workspace_of
         # An attribute, since reading it cannot fail: it is needed to send an answer.
         self.loop_late = False
         self._clock = kernel.clock
         self._rng: random.Random = kernel.rng
         self._metrics = kernel.metrics
-        # In the order in which they were accepted.
-        self._waiting: deque[_WaitingConnection] = deque()
+        self._waiting = WaitingConnections()
         # When the first connection began to wait since none did.
         self._waiting_since = 0.0
         self._starts_left = STARTS_PER_TURN
@@ -96,7 +85,11 @@
         now = self._clock.monotonic()
         if not self._waiting:
             self._waiting_since = now
-        self._waiting.append(_WaitingConnection(now, stream, start))
+        self._waiting.add(self._read_workspace(stream), WaitingConnection(now, stream, start))
+
+    def _read_workspace(self, stream: IOStream) -> str:
+        """Return the workspace of the request that has arrived on ``stream``, empty if unknown."""
+        return self._workspace_of(read_key(stream)) or ""
 
     def _schedule_turn(self) -> None:
         if not self._turn_scheduled:
@@ -109,7 +102,7 @@
         self._refuse_expired()
         while self._waiting and self._starts_left:
             self._starts_left -= 1
-            self._waiting.pop().start()
+            self._waiting.pop_next().start()
         if self._starts_left < STARTS_PER_TURN:
             self._schedule_turn()
 
@@ -117,8 +110,8 @@
         now = self._clock.monotonic()
         is_standing = now - self._waiting_since > STANDING_SECONDS
         max_wait = MAX_STANDING_WAIT_SECONDS if is_standing else MAX_WAIT_SECONDS
-        while self._waiting and now - self._waiting[0].accepted_at > max_wait:
-            self._refuse(self._waiting.popleft())
+        for connection in self._waiting.pop_accepted_before(now - max_wait):
+            self._refuse(connection)
         if self._refused_since and now - self._logged_at >= LOG_INTERVAL_SECONDS:
             get_logger().warning(
                 "refused connections that waited too long, since this node is overloaded",
@@ -128,46 +121,16 @@
             self._logged_at = now
             self._refused_since = 0
 
-    def _refuse(self, connection: _WaitingConnection) -> None:
-        if not _has_request(connection.stream):
+    def _refuse(self, connection: WaitingConnection) -> None:
+        if not has_arrived(connection.stream):
             # There is nothing to refuse, and its caller may send a request at any time.
             connection.start()
             return
-        _refuse_unparsed(connection.stream, random_retry_after(self._rng))
+        refuse_unparsed(connection.stream, random_retry_after(self._rng))
         self._metrics.refused_unparsed.inc({})
         self._refused_since += 1
 
 
-def _has_request(stream: IOStream) -> bool:
-    """Return True if something has arrived on ``stream``, the end of the connection included."""
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
-
-
-def _refuse_unparsed(stream: IOStream, retry_after: float) -> None:
-    """Refuse what has arrived on ``stream`` as not run, and close it."""
-    head = (
-        "HTTP/1.1 503 Service Unavailable\r\n"
-        f"Retry-After: {retry_after:.3f}\r\n"
-        "Connection: close\r\n"
-        "Content-Type: text/plain\r\n"
-        f"Content-Length: {len(_REFUSAL_BODY)}\r\n\r\n"
-    )
-    try:
-        # A connection that is closed with unread bytes is reset, and the refusal would be lost.
-        stream.read_bytes(MAX_REFUSED_BYTES, partial=True)
-        stream.write(head.encode() + _REFUSAL_BODY)
-    except StreamClosedError:
-        # The caller has disconnected and waits for no answer.
-        return
-    stream.close()
-
-
 class GatedServer(HTTPServer):
     """An HTTP server whose new connections pass through an ``intake``."""
 
--- a/tests/platform/test_crowded.py
+++ b/tests/platform/test_crowded.py
@@ -28,8 +28,9 @@
 from tornado.iostream import IOStream
 
 from railsail.gateway.admission import MIN_OVERLOAD_REQUESTS
+from railsail.membership import service
 from railsail.node import Node
-from railsail.routing import forwarding
+from railsail.routing import forwarding, intake
 from railsail.scheduling import room
 from tests.platform.base import (
     LONG_MS,
@@ -105,6 +106,9 @@
         # objective, or a deadline would pass.
         long = {"slo_ms": LONG_MS, "timeout_ms": LONG_MS}
         self.hold(mock.patch.dict(ROUTES["again"], long))
+        # So would the time after which a connection that the node has not read is refused.
+        self.hold(mock.patch.object(intake, "MAX_WAIT_SECONDS", LONGEST_SECONDS))
+        self.hold(mock.patch.object(intake, "STANDING_SECONDS", LONGEST_SECONDS))
         # The requests that fill the node must not end before others come.
         self.hold(mock.patch.dict(ROUTES["once"], {"timeout_ms": LONG_MS}))
 
@@ -194,6 +198,8 @@
         """It took its own delay for that of the other nodes, and refused what they could serve."""
         full, _ = await self.serve_crowded()
         self.hold(mock.patch.object(forwarding, "CONNECT_SECONDS", LONG_TURN_SECONDS / 2))
+        # Both nodes share the loop: neither hears the other one during the long turns.
+        self.hold(mock.patch.object(service, "AVOID_AFTER_SECONDS", LONGEST_SECONDS))
         with mock.patch.object(IOStream, "connect", connect_in_long_turn):
             answers = await self.call_many(full)
         self.assertEqual([answer.status for answer in answers], [200] * MORE)
--- a/tests/routing/test_intake.py
+++ b/tests/routing/test_intake.py
@@ -54,7 +54,7 @@
     def setUp(self):
         self.clock = ManualClock()
         kernel = Kernel(self.clock, random.Random(1), EventLog("n1", self.clock), Metrics())
-        self.intake = Intake(kernel)
+        self.intake = Intake({"k1": "w1", "k2": "w2"}.get, kernel)
         self.connections = [Connection() for _ in range(CONNECTIONS)]
         self.started = []
 
@@ -88,6 +88,18 @@
         for _ in range(3):
             await asyncio.sleep(0)
 
+    async def test_workspaces_take_turns(self):
+        """One workspace took the time of a node that others' callers reach as well."""
+        flooding = b"GET / HTTP/1.1\r\nAuthorization: Bearer k1\r\n\r\n"
+        self.connections = [Connection(flooding) for _ in range(CONNECTIONS)]
+        self.add(range(STARTS_PER_TURN))
+        other = b"GET / HTTP/1.1\r\nauthorization: bearer k2\r\n\r\n"
+        first = STARTS_PER_TURN
+        self.connections[first : first + 2] = [Connection(other), Connection(other)]
+        self.add(range(first, CONNECTIONS))
+        await asyncio.sleep(0)
+        self.assertLessEqual({first, first + 1}, set(self.started))
+
     async def test_connection_that_waited_too_long_is_refused_as_not_run(self):
         self.add(range(CONNECTIONS))
         await self.pass_wait()
