core: looked at what has arrived on a socket in one place

The intake of callers' connections and the check of a kept connection to a replica each read a socket with MSG_PEEK and told nothing arrived from the end of the connection. One function of core.sockets serves both now; an error counts as the end for both, as the check of replicas had it. The same reading of the whole change made two handlers of a full node's refusal out of one that told its errors apart afterwards, and corrected a test's comment that spoke of something else.

No decision, bound or assertion changes.

--- a/railsail/core/sockets.py
+++ b/railsail/core/sockets.py
@@ -75,3 +75,16 @@
         # Not every operating system has all options.
         if hasattr(socket, name):
             connection.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
+
+
+def peek(connection: socket.socket, size: int) -> bytes | None:
+    """Return up to ``size`` bytes that have arrived on ``connection``, and leave them there.
+
+    Return ``None`` if nothing has arrived. The end of a connection, also by an error, is empty.
+    """
+    try:
+        return connection.recv(size, socket.MSG_PEEK)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
--- a/railsail/routing/offload.py
+++ b/railsail/routing/offload.py
@@ -174,9 +174,10 @@
             await self._error_answers.send(
                 origin.request_id, origin.deadline, refusal, candidate.client
             )
-        except (ClientDisconnected, asyncio.CancelledError) as problem:
+        except ClientDisconnected:
+            # A caller that has disconnected does not wait for the refusal.
+            self._overload_log.refusal_abandoned()
+        except asyncio.CancelledError:
             if candidate.client.left:
                 self._overload_log.refusal_abandoned()
-            # A caller that has disconnected does not wait for the refusal.
-            if not isinstance(problem, ClientDisconnected):
-                raise
+            raise
--- a/railsail/routing/unparsed.py
+++ b/railsail/routing/unparsed.py
@@ -4,10 +4,10 @@
 """
 
 import re
-import socket
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from railsail.core.sockets import peek
 from railsail.gateway.callers import bearer_key
 
 # Bytes of a request in which its key is looked for.
@@ -21,7 +21,7 @@
 
 def has_arrived(stream: IOStream) -> bool:
     """Return True if a part of a request, or the end of the connection, has arrived."""
-    return _peek(stream) is not None
+    return peek(stream.socket, 1) is not None
 
 
 def read_key(stream: IOStream) -> str:
@@ -29,20 +29,10 @@
 
     Return an empty text if there is none yet.
     """
-    found = _AUTHORIZATION.search(_peek(stream) or b"")
+    found = _AUTHORIZATION.search(peek(stream.socket, PEEKED_BYTES) or b"")
     return bearer_key(found[1].decode(errors="replace")) if found is not None else ""
 
 
-def _peek(stream: IOStream) -> bytes | None:
-    """Return the start of what has arrived on ``stream``, ``None`` if nothing has."""
-    try:
-        return stream.socket.recv(PEEKED_BYTES, socket.MSG_PEEK)
-    except BlockingIOError:
-        return None
-    except ConnectionError:
-        return b""
-
-
 def refuse_unparsed(stream: IOStream, retry_after: float) -> None:
     """Refuse what has arrived on ``stream`` as not run, and close it."""
     head = (
--- a/railsail/upstreams/streams.py
+++ b/railsail/upstreams/streams.py
@@ -7,6 +7,8 @@
 
 from tornado.iostream import IOStream
 
+from railsail.core.sockets import peek
+
 _COUNT = struct.Struct("i")
 
 
@@ -51,15 +53,8 @@
         """Return True if the connection is open and has no unread input."""
         if self.closed() or self._read_buffer_size:
             return False
-        try:
-            # Returns a byte, or nothing if the peer closed the connection. Either would get in the
-            # way of the next answer.
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        # A byte, or the end of the connection, would get in the way of the next answer.
+        return peek(self.socket, 1) is None
 
     def acknowledged(self) -> bool:
         """Return True if the peer has acknowledged all bytes.
--- a/tests/platform/test_overloaded_node.py
+++ b/tests/platform/test_overloaded_node.py
@@ -17,7 +17,7 @@
 from tests.platform.standins import LOOPBACK, answering
 
 CALLERS = 100
-# More than one turn of the loop may be needed for a request, never more than a few.
+# A turn may also begin to serve requests that were read in the turn before.
 STARTS_ALLOWED_PER_TURN = 8
 
 
